--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -25,7 +25,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**"] },
+    { ignores: ["dist/**", "node_modules/**", "src/transport/generated/**"] },
     ...tseslint.configs.strict,
     ...tseslint.configs.stylistic,
     {
--- /dev/null
+++ b/src/core/request/slotBroker.ts
@@ -0,0 +1,17 @@
+import type { RequestTicket } from "./requestTicket.js";
+import type { SlotGrant } from "./slotGrant.js";
+import type { SlotResult } from "./slotResult.js";
+
+/** The scheduler as the caller adapter sees it. */
+export interface SlotBroker {
+    /**
+     * Waits for a slot.
+     *
+     * @throws RequestError with outcome `not-run` when the request is refused or the signal aborts.
+     */
+    acquireSlot(ticket: RequestTicket, signal: AbortSignal): Promise<SlotGrant>;
+    /** Charges tokens while an answer streams. */
+    chargeTokens(grant: SlotGrant, tokens: number): void;
+    /** Returns the slot and reports how the request ended. */
+    releaseSlot(grant: SlotGrant, result: SlotResult): void;
+}
--- /dev/null
+++ b/src/transport/peerTraffic.ts
@@ -0,0 +1,9 @@
+/** Bytes of control traffic by method, counted at the codec. */
+export interface PeerTraffic {
+    /**
+     * Records one message.
+     *
+     * @param bytes Encoded message plus the 5 byte gRPC prefix and the 9 byte HTTP/2 frame header.
+     */
+    readonly record: (method: string, direction: "sent" | "received", bytes: number) => void;
+}
