--- /dev/null
+++ b/src/adapters/caller/statusOfRefusal.ts
@@ -0,0 +1,32 @@
+import type { RefusalReason } from "../../core/errors/refusalReason.js";
+
+/** HTTP status for each refusal reason. */
+export const statusOfRefusal: Readonly<Record<RefusalReason, number>> = {
+    "unauthenticated": 401,
+    "service-forbidden": 403,
+    "unknown-service": 404,
+    "unknown-route": 404,
+    "method-not-allowed": 405,
+    "malformed-request": 400,
+    "malformed-deadline": 400,
+    "malformed-idempotency-key": 400,
+    "body-too-large": 413,
+    "headers-too-large": 431,
+    "request-incomplete": 400,
+    "queue-full": 429,
+    "deadline-unreachable": 503,
+    "deadline-expired": 504,
+    "no-target": 503,
+    "not-configured": 503,
+    "instance-leaving": 503,
+    "claim-unavailable": 503,
+    "key-cannot-be-vouched-for": 409,
+    "key-already-claimed": 409,
+    "key-already-run": 409,
+    "target-unavailable": 503,
+    "target-failed": 502,
+    "answer-truncated": 502,
+    "retry-budget-exhausted": 503,
+    "caller-disconnected": 499,
+    "internal-error": 500,
+};
--- a/src/core/configuration/configurationSchema.ts
+++ b/src/core/configuration/configurationSchema.ts
@@ -23,7 +23,8 @@
     /** Name of the share. */
     share: name,
     /** SHA-256 digests (hex) of the bearer keys. */
-    keyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest in hex")).min(1).readonly(),
+    keyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest in hex")).min(1)
+        .readonly(),
     /** Names of the services that the account may use. */
     services: z.array(name).min(1).readonly(),
 }).readonly();
--- a/src/core/membership/rankInstances.ts
+++ b/src/core/membership/rankInstances.ts
@@ -7,7 +7,10 @@
  * @remarks Rendezvous (highest random weight) hashing, Thaler and Ravishankar 1998.
  */
 export function rankInstances(key: string, instances: readonly Instance[]): readonly Instance[] {
-    const weighted = instances.map(instance => ({ instance, weight: murmurhash.v3(`${key}|${instance.name}`) }));
+    const weighted = instances.map(instance => ({
+        instance,
+        weight: murmurhash.v3(`${key}|${instance.name}`),
+    }));
     weighted.sort((a, b) => b.weight - a.weight || (a.instance.name < b.instance.name ? -1 : 1));
     return weighted.map(entry => entry.instance);
 }
--- /dev/null
+++ b/src/daemon/peerDirectory.ts
@@ -0,0 +1,53 @@
+import type { ClusterView } from "../core/membership/clusterView.js";
+import { PeerCallError } from "../transport/peerCallError.js";
+import type { PeerCalls } from "../transport/peerCalls.js";
+import type { PeerClient } from "../transport/peerClient.js";
+import type { PeerCaller } from "./peerCaller.js";
+
+interface PeerDirectoryOptions {
+    readonly client: PeerClient;
+    readonly getView: () => ClusterView;
+    /** Told how each call ended, for failure detection and counters. */
+    readonly recordResult: (instance: string, method: string, reached: boolean) => void;
+}
+
+/** Calls daemons by the names and addresses of the instance list. */
+export class PeerDirectory implements PeerCaller {
+    readonly #options: PeerDirectoryOptions;
+
+    private constructor(options: PeerDirectoryOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a directory over a peer client. */
+    static create(options: PeerDirectoryOptions): PeerDirectory {
+        return new PeerDirectory(options);
+    }
+
+    async send<M extends keyof PeerCalls>(
+        instance: string,
+        method: M,
+        message: PeerCalls[M]["message"],
+        timeoutMs: number,
+    ): Promise<PeerCalls[M]["reply"]> {
+        const listed = this.#options.getView().instances.instances.find(candidate =>
+            candidate.name === instance
+        );
+        if (!listed) {
+            throw PeerCallError.create(method, instance, true, new Error("The instance is not in the list."));
+        }
+        try {
+            const reply = await this.#options.client.send(listed.peerAddress, method, message, timeoutMs);
+            this.#options.recordResult(instance, method, true);
+            return reply;
+        }
+        catch (error) {
+            this.#options.recordResult(
+                instance,
+                method,
+                !(error instanceof PeerCallError && error.unreachable),
+            );
+            throw error;
+        }
+    }
+}
--- /dev/null
+++ b/src/observability/counterDefinitions.ts
@@ -0,0 +1,18 @@
+/** Every counter of the daemon: what one increment means and which labels it has. */
+export const counterDefinitions = {
+    requests_total: { help: "Requests received from callers.", labels: ["service"] },
+    refusals_total: {
+        help: "Requests that failed, by stable reason and outcome.",
+        labels: ["reason", "outcome"],
+    },
+    retries_total: { help: "Further tries of a request, by reason.", labels: ["reason"] },
+    lease_events_total: { help: "Changes of slot leases, by reason.", labels: ["reason"] },
+    takeovers_total: { help: "Pools that this daemon became the owner of.", labels: ["reason"] },
+    claims_total: { help: "Answers given as claim holder, by verdict.", labels: ["verdict"] },
+    configuration_events_total: { help: "Bundles adopted or rejected, by reason.", labels: ["reason"] },
+    platform_calls_total: { help: "Calls to the platform, a watch counted once.", labels: ["value"] },
+    peer_bytes_total: { help: "Bytes of control traffic.", labels: ["method", "direction"] },
+    peer_calls_total: { help: "Calls to other daemons, by result.", labels: ["method", "result"] },
+    cross_region_bytes_total: { help: "Bytes exchanged with targets of other regions.", labels: ["service"] },
+    tokens_total: { help: "Tokens served, by client account.", labels: ["account"] },
+} as const satisfies Readonly<Record<string, { readonly help: string; readonly labels: readonly string[]; }>>;
--- /dev/null
+++ b/src/standIns/shared/startHttpServer.ts
@@ -0,0 +1,11 @@
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** Starts an HTTP server on a free port of the loopback address and prints its address as one JSON line. */
+export async function startHttpServer(name: string, listener: RequestListener): Promise<Server> {
+    const server = createServer(listener);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    process.stdout.write(`${JSON.stringify({ event: "listening", name, address: `127.0.0.1:${port}` })}\n`);
+    return server;
+}
--- a/src/transport/peerClient.ts
+++ b/src/transport/peerClient.ts
@@ -19,7 +19,9 @@
 
     /** Creates a client without connections. */
     static create(traffic: PeerTraffic): PeerClient {
-        return new PeerClient(countTraffic(loadPeerDefinition().service as ServiceDefinition, traffic, "client"));
+        return new PeerClient(
+            countTraffic(loadPeerDefinition().service as ServiceDefinition, traffic, "client"),
+        );
     }
 
     /**
