Keep configuration and instance list through readers and peers

A daemon now adopts only a higher bundle (revision, digest) whose digest and objects are right, asks peers after a start before it trusts the platform, and learns changes from peers by delta. Two readers for each data centre watch the platform; the others ask the first ranks, so a change needs two checks even when the exchange tree is broken. Picking among all instances at random was ruled out: it takes about nine rounds for 1,100 instances.

Bundles without the right digest are now refused; the demo builds its bundle with buildBundle.

--- a/src/adapters/platform/platformClient.ts
+++ b/src/adapters/platform/platformClient.ts
@@ -1,5 +1,9 @@
 import { request } from "undici";
-import type { PlatformValues } from "./platformValues.js";
+import { PlatformError } from "./platformError.js";
+import type { PlatformValueName } from "./platformValueName.js";
+
+/** Time for the answer beyond the wait that was asked for. */
+const ANSWER_TIMEOUT_MS = 3000;
 
 /** Reads and watches what the platform publishes. */
 export class PlatformClient {
@@ -15,24 +19,33 @@
     }
 
     /**
-     * Waits up to `waitMs` milliseconds for a value with a higher revision.
+     * Waits up to `waitMs` milliseconds for a value with a higher revision. The value is not checked.
      *
      * @returns `undefined` when there was none in that time.
-     * @throws Error when the platform cannot be reached.
+     * @throws PlatformError when the platform cannot be reached or answers neither with a value nor with 304.
      */
-    async watch<K extends keyof PlatformValues>(
-        name: K,
+    async watch(
+        name: PlatformValueName,
         afterRevision: number,
         waitMs: number,
         signal: AbortSignal,
-    ): Promise<PlatformValues[K] | undefined> {
-        const response = await request(`${this.#url}/v1/${name}?after=${afterRevision}&waitMs=${waitMs}`, {
-            signal,
-        });
-        if (response.statusCode !== 200) {
+    ): Promise<unknown> {
+        try {
+            const response = await request(
+                `${this.#url}/v1/${name}?after=${afterRevision}&waitMs=${waitMs}`,
+                { signal, headersTimeout: waitMs + ANSWER_TIMEOUT_MS, bodyTimeout: ANSWER_TIMEOUT_MS },
+            );
+            if (response.statusCode === 200) {
+                return await response.body.json();
+            }
             await response.body.dump();
-            return undefined;
+            if (response.statusCode === 304) {
+                return undefined;
+            }
+            throw PlatformError.create(name, `status ${response.statusCode}`);
+        }
+        catch (error) {
+            throw error instanceof PlatformError ? error : PlatformError.create(name, String(error), error);
         }
-        return await response.body.json() as PlatformValues[K];
     }
 }
--- /dev/null
+++ b/src/adapters/platform/platformError.ts
@@ -0,0 +1,14 @@
+/** A call to the platform that gave no usable answer. */
+export class PlatformError extends Error {
+    override readonly name = "PlatformError";
+    readonly code = "platform-call-failed";
+
+    private constructor(message: string, cause: unknown) {
+        super(message, { cause });
+    }
+
+    /** Creates the error from the name of the value and what went wrong. */
+    static create(value: string, detail: string, cause?: unknown): PlatformError {
+        return new PlatformError(`The platform gave no ${value}: ${detail}`, cause);
+    }
+}
--- /dev/null
+++ b/src/core/configuration/checkBundle.ts
@@ -0,0 +1,44 @@
+import type { BundleCheck } from "./bundleCheck.js";
+import { computeConfigurationDigest } from "./computeConfigurationDigest.js";
+import type { Configuration } from "./configuration.js";
+import { configurationBundleSchema } from "./configurationBundleSchema.js";
+import type { ConfigurationVersion } from "./configurationVersion.js";
+import { validateConfiguration } from "./validateConfiguration.js";
+
+const UNKNOWN_VERSION: ConfigurationVersion = { revision: 0, digest: "" };
+
+/**
+ * Checks a bundle from outside: its shape, the whole set and its digest. The digest covers the set as
+ * published, before defaults are filled in, so that a version of the program with a new default still
+ * accepts an old bundle.
+ *
+ * @param hashText SHA-256 of a UTF-8 text, in hex.
+ */
+export function checkBundle(value: unknown, hashText: (text: string) => string): BundleCheck {
+    const shape = configurationBundleSchema.safeParse(value);
+    if (!shape.success) {
+        return refuseBundle(
+            UNKNOWN_VERSION,
+            shape.error.issues.map(issue => `${issue.path.join(".") || "bundle"}: ${issue.message}`),
+        );
+    }
+    const { revision, digest } = shape.data;
+    const check = validateConfiguration(shape.data.configuration);
+    if (!check.configuration) {
+        return refuseBundle({ revision, digest }, check.faults);
+    }
+    const published = shape.data.configuration as Configuration;
+    const actual = computeConfigurationDigest(published, hashText);
+    if (actual !== digest) {
+        return refuseBundle({ revision, digest }, [`digest: the configuration has the digest ${actual}`]);
+    }
+    return {
+        version: { revision, digest },
+        bundle: { revision, digest, configuration: published, effective: check.configuration },
+        faults: [],
+    };
+}
+
+function refuseBundle(version: ConfigurationVersion, faults: readonly string[]): BundleCheck {
+    return { version, bundle: undefined, faults };
+}
--- /dev/null
+++ b/src/core/configuration/configurationDelta.ts
@@ -0,0 +1,4 @@
+import type { ConfigurationChange } from "./configurationChange.js";
+
+/** The objects that differ between two configurations. */
+export type ConfigurationDelta = readonly ConfigurationChange[];
--- /dev/null
+++ b/src/core/configuration/configurationRejection.ts
@@ -0,0 +1,8 @@
+import type { ConfigurationVersion } from "./configurationVersion.js";
+
+/** A bundle that was rejected as a whole. */
+export interface ConfigurationRejection extends ConfigurationVersion {
+    /** `platform`, or the name of the instance that passed the bundle on. */
+    readonly source: string;
+    readonly faults: readonly string[];
+}
--- /dev/null
+++ b/src/core/configuration/findConfigurationDelta.ts
@@ -0,0 +1,14 @@
+import type { AdoptionState } from "./adoptionState.js";
+import { compareBundles } from "./compareBundles.js";
+import type { ConfigurationDelta } from "./configurationDelta.js";
+import type { ConfigurationVersion } from "./configurationVersion.js";
+import { mergeDeltas } from "./mergeDeltas.js";
+
+/** Returns the changes from `base` to the bundle in force, or `undefined` if `base` is no longer known. */
+export function findConfigurationDelta(
+    state: AdoptionState,
+    base: ConfigurationVersion,
+): ConfigurationDelta | undefined {
+    const index = state.deltas.findIndex(delta => compareBundles(delta.base, base) === 0);
+    return index < 0 ? undefined : mergeDeltas(state.deltas.slice(index).map(delta => delta.changes));
+}
--- /dev/null
+++ b/src/core/configuration/initialAdoptionState.ts
@@ -0,0 +1,10 @@
+import type { AdoptionState } from "./adoptionState.js";
+
+/** State of a daemon that has just started. */
+export const initialAdoptionState: AdoptionState = {
+    phase: "asking",
+    inForce: undefined,
+    held: undefined,
+    deltas: [],
+    lastRejection: undefined,
+};
--- /dev/null
+++ b/src/core/membership/listCheckPeers.ts
@@ -0,0 +1,35 @@
+import type { ClusterView } from "./clusterView.js";
+import type { Instance } from "./instance.js";
+import { rankReaders } from "./rankReaders.js";
+import { readersPerDataCentre } from "./readersPerDataCentre.js";
+
+/**
+ * Returns the instances of which one is asked for newer revisions, without the exchange tree. The first
+ * ranks for the role reader, about the square root of their number, ask the readers; the others ask these
+ * first ranks; readers ask other data centres. A change so reaches everybody in two checks, and nobody
+ * is asked by more than about the square root of the instances of its data centre. Picking among all
+ * instances would take nine checks for 1,100 instances.
+ */
+export function listCheckPeers(
+    view: ClusterView,
+    instance: string,
+    dataCentre: string,
+): readonly Instance[] {
+    const ranked = rankReaders(view, dataCentre);
+    const rank = ranked.findIndex(candidate => candidate.name === instance);
+    const relays = Math.max(readersPerDataCentre, Math.ceil(Math.sqrt(ranked.length)));
+    const near = ranked.filter(candidate => isReachable(candidate, view, instance));
+    const far = view.instances.instances.filter(candidate =>
+        candidate.dataCentre !== dataCentre && isReachable(candidate, view, instance)
+    );
+    if (rank >= 0 && rank < readersPerDataCentre) {
+        return far.length > 0 ? far : near;
+    }
+    const asked = near.slice(0, rank >= 0 && rank < relays ? readersPerDataCentre : relays);
+    return asked.length > 0 ? asked : far;
+}
+
+function isReachable(candidate: Instance, view: ClusterView, instance: string): boolean {
+    return candidate.name !== instance && candidate.state === "live"
+        && !view.suspected.has(candidate.name) && !view.leaving.has(candidate.name);
+}
--- /dev/null
+++ b/src/core/membership/rankReaders.ts
@@ -0,0 +1,15 @@
+import type { ClusterView } from "./clusterView.js";
+import type { Instance } from "./instance.js";
+import { rankInstances } from "./rankInstances.js";
+
+/** Returns the live instances of a data centre in the order in which they become readers; suspected ones last. */
+export function rankReaders(view: ClusterView, dataCentre: string): readonly Instance[] {
+    const live = view.instances.instances.filter(instance =>
+        instance.dataCentre === dataCentre && !view.leaving.has(instance.name)
+    );
+    const ranked = rankInstances("reader", live);
+    return [
+        ...ranked.filter(instance => !view.suspected.has(instance.name)),
+        ...ranked.filter(instance => view.suspected.has(instance.name)),
+    ];
+}
--- a/src/daemon/actors/configurationKeeper.ts
+++ b/src/daemon/actors/configurationKeeper.ts
@@ -1,44 +1,77 @@
+import { type ActorSystemRef, dispatch, type Ref, spawn } from "nact";
 import type { Logger } from "winston";
 import { PlatformClient } from "../../adapters/platform/platformClient.js";
-import type { PlatformValues } from "../../adapters/platform/platformValues.js";
-import { ConfigurationIndex } from "../../core/configuration/configurationIndex.js";
-import { configurationSchema } from "../../core/configuration/configurationSchema.js";
+import type { PlatformValueName } from "../../adapters/platform/platformValueName.js";
+import { checkBundle } from "../../core/configuration/checkBundle.js";
+import type { ConfigurationRejection } from "../../core/configuration/configurationRejection.js";
 import type { ClusterView } from "../../core/membership/clusterView.js";
+import { instanceListSchema } from "../../core/membership/instanceListSchema.js";
+import { isReader } from "../../core/membership/isReader.js";
 import type { Metrics } from "../../observability/metrics.js";
 import type { ConfigurationReply } from "../../transport/generated/baobabspread/peer/ConfigurationReply.js";
 import type { ConfigurationRequest__Output } from "../../transport/generated/baobabspread/peer/ConfigurationRequest.js";
 import type { DaemonSettings } from "../daemonSettings.js";
+import { applyKeeperMessage } from "../keeper/applyKeeperMessage.js";
+import { buildConfigurationReply } from "../keeper/buildConfigurationReply.js";
+import { buildView } from "../keeper/buildView.js";
+import { hashText } from "../keeper/hashText.js";
+import { hasSameView } from "../keeper/hasSameView.js";
+import { initialKeeperState } from "../keeper/initialKeeperState.js";
+import type { KeeperEffect } from "../keeper/keeperEffect.js";
+import type { KeeperMessage } from "../keeper/keeperMessage.js";
+import type { KeeperState } from "../keeper/keeperState.js";
+import { PeerChecker } from "../keeper/peerChecker.js";
+import { PlatformWatcher } from "../keeper/platformWatcher.js";
 import type { PeerCaller } from "../peerCaller.js";
 
 interface ConfigurationKeeperOptions {
     readonly settings: DaemonSettings;
+    readonly system: ActorSystemRef;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
+    /** Random number from 0 to 1; picks peers and spreads retries. */
+    readonly getRandom: () => number;
 }
 
-const WATCH_MS = 10_000;
-const PLATFORM_RETRY_MS = 500;
-
 /** Keeps the configuration and the instance list in force, and what failure detection knows. */
 export class ConfigurationKeeper {
     readonly #options: ConfigurationKeeperOptions;
     readonly #listeners: ((view: ClusterView) => void)[] = [];
-    readonly #platform: PlatformClient;
     readonly #abort = new AbortController();
-    #view: ClusterView = {
-        configurationRevision: -1,
-        configurationDigest: "",
-        index: undefined,
-        instances: { revision: -1, instances: [] },
-        instancesAdoptedAt: 0,
-        suspected: new Set(),
-        leaving: new Set(),
-    };
+    readonly #actor: Ref<KeeperMessage>;
+    #checker: PeerChecker | undefined;
+    #state = initialKeeperState;
+    #view: ClusterView;
+    #isReader = true;
+    #heardAt: number;
+    #asksPeers = false;
 
     private constructor(options: ConfigurationKeeperOptions) {
         this.#options = options;
-        this.#platform = PlatformClient.create(options.settings.platformUrl);
+        this.#heardAt = options.getNow();
+        this.#view = buildView(initialKeeperState, {
+            configurationRevision: -1,
+            configurationDigest: "",
+            index: undefined,
+            instances: { revision: -1, instances: [] },
+            instancesAdoptedAt: 0,
+            suspected: new Set(),
+            leaving: new Set(),
+        });
+        this.#actor = spawn(
+            options.system,
+            (state: KeeperState, message: KeeperMessage) => this.#handleMessage(state, message),
+            "configuration",
+            {
+                initialState: initialKeeperState,
+                onCrash: (message, error, context) => {
+                    options.logger.error("keeper-failed", { type: message?.type, error: String(error) });
+                    return context.resume;
+                },
+            },
+        );
     }
 
     /** Creates a keeper without configuration. */
@@ -47,20 +80,35 @@
     }
 
     /** Starts reading; `peers` serves to learn revisions from other daemons. */
-    start(_peers: PeerCaller): void {
-        void this.#watch("configuration", bundle => {
-            const index = ConfigurationIndex.create(configurationSchema.parse(bundle.configuration));
-            this.#update({
-                index,
-                configurationRevision: bundle.revision,
-                configurationDigest: bundle.digest,
-            });
-            return bundle.revision;
-        });
-        void this.#watch("instances", instances => {
-            this.#update({ instances, instancesAdoptedAt: this.#options.getNow() });
-            return instances.revision;
+    start(peers: PeerCaller): void {
+        const { settings, getNow, getRandom } = this.#options;
+        this.#checker = PeerChecker.create({
+            instance: settings.instance,
+            dataCentre: settings.dataCentre,
+            peers,
+            intervalMs: settings.peerCheckIntervalMs,
+            getState: () => this.#state,
+            getView: () => this.#view,
+            getNow,
+            getRandom,
+            onMessage: message => dispatch(this.#actor, message),
+            onHeard: () => this.#markHeard(),
+            onUseless: (instance, reason) => {
+                this.#options.metrics.count("configuration_events_total", { reason });
+                this.#options.logger.warn(reason, { peer: instance });
+            },
+            signal: this.#abort.signal,
         });
+        void this.#startWatcher("configuration", value => {
+            const check = checkBundle(value, hashText);
+            dispatch(this.#actor, { type: "offered", source: "platform", check });
+            return check.version.revision > 0 ? check.version.revision : undefined;
+        }).run();
+        void this.#startWatcher("instances", value => {
+            const list = instanceListSchema.parse(value);
+            dispatch(this.#actor, { type: "list-offered", list });
+            return list.revision;
+        }).run();
     }
 
     /** Latest view of the fleet. */
@@ -68,30 +116,62 @@
         return this.#view;
     }
 
+    /** Last rejected bundle, for the status page. */
+    getLastRejection(): ConfigurationRejection | undefined {
+        return this.#state.adoption.lastRejection;
+    }
+
+    /** True if this daemon watches the platform at present. */
+    isWatching(): boolean {
+        const silent = this.#options.getNow() - this.#heardAt > this.#options.settings.silenceLimitMs;
+        return this.#isReader || silent;
+    }
+
     /** Calls the listener after each change of the view. */
     subscribeView(listener: (view: ClusterView) => void): void {
         this.#listeners.push(listener);
     }
 
     /** Records whether a call reached an instance. */
-    recordResult(_instance: string, _reached: boolean): void {}
+    recordResult(instance: string, reached: boolean): void {
+        if (!reached || this.#state.suspicion[instance]) {
+            dispatch(this.#actor, { type: "result", instance, reached });
+        }
+    }
 
     /** Marks an instance that announced that it is leaving. */
-    markLeaving(instance: string): void {
-        this.#update({ leaving: new Set([...this.#view.leaving, instance]) });
+    markLeaving(instance: string, incarnation = ""): void {
+        dispatch(this.#actor, { type: "leaving", instance, incarnation });
     }
 
-    /** Learns the revisions of another daemon, for example from a counter exchange. */
+    /** Learns that an instance runs with an incarnation; an earlier announcement to leave then no longer counts. */
+    observeIncarnation(instance: string, incarnation: string): void {
+        if (this.#state.notices.some(notice => notice.instance === instance)) {
+            dispatch(this.#actor, { type: "seen", instance, incarnation });
+        }
+    }
+
+    /** Learns the revisions of another daemon, for example from a counter exchange; also clears suspicion. */
     observeRevisions(
-        _instance: string,
-        _revision: number,
-        _digest: string,
-        _instanceListRevision: number,
-    ): void {}
+        instance: string,
+        revision: number,
+        digest: string,
+        instanceListRevision: number,
+    ): void {
+        this.recordResult(instance, true);
+        // A daemon without configuration sends -1, which arrives as 2^64 - 1.
+        if (!Number.isSafeInteger(revision) || !Number.isSafeInteger(instanceListRevision)) {
+            return;
+        }
+        this.#markHeard();
+        if (this.#state.adoption.phase === "serving") {
+            void this.#checker?.fetchIfNewer(instance, { revision, digest }, instanceListRevision);
+        }
+    }
 
     /** Answers a daemon that wants a newer configuration or instance list. */
-    handleFetch(_request: ConfigurationRequest__Output): Promise<ConfigurationReply> {
-        return Promise.resolve({ form: "none" });
+    handleFetch(request: ConfigurationRequest__Output): Promise<ConfigurationReply> {
+        return Promise.resolve(buildConfigurationReply(this.#state, request));
     }
 
     /** Stops reading. */
@@ -99,27 +179,81 @@
         this.#abort.abort();
     }
 
-    #update(change: Partial<ClusterView>): void {
-        this.#view = { ...this.#view, ...change };
+    #startWatcher(
+        name: PlatformValueName,
+        onValue: (value: unknown) => number | undefined,
+    ): PlatformWatcher {
+        const { settings, metrics, logger, getRandom } = this.#options;
+        return PlatformWatcher.create({
+            platform: PlatformClient.create(settings.platformUrl),
+            name,
+            watchMs: settings.platformWatchMs,
+            isNeeded: () => this.isWatching(),
+            getRevision: () =>
+                name === "instances" ? this.#view.instances.revision : this.#view.configurationRevision,
+            onValue,
+            onCall: () => metrics.count("platform_calls_total", { value: name }),
+            onFailure: error => {
+                metrics.count("platform_failures_total", { value: name });
+                logger.warn("platform-unreachable", { value: name, error: String(error) });
+            },
+            getRandom,
+            signal: this.#abort.signal,
+        });
+    }
+
+    #markHeard(): void {
+        this.#heardAt = this.#options.getNow();
+    }
+
+    #handleMessage(state: KeeperState, message: KeeperMessage): KeeperState {
+        const result = applyKeeperMessage(state, message, this.#options.getNow());
+        this.#state = result.state;
+        for (const effect of result.effects) {
+            this.#reportEffect(effect);
+        }
+        if (!hasSameView(state, result.state)) {
+            this.#updateView(result.state);
+        }
+        if (result.state.instances.revision >= 0 && !this.#asksPeers) {
+            this.#asksPeers = true;
+            void this.#fetchFromPeers();
+        }
+        return result.state;
+    }
+
+    async #fetchFromPeers(): Promise<void> {
+        await this.#checker?.fetchFromSeveral();
+        dispatch(this.#actor, { type: "peers-asked" });
+        void this.#checker?.run();
+    }
+
+    #updateView(state: KeeperState): void {
+        const { settings } = this.#options;
+        this.#view = buildView(state, this.#view);
+        this.#isReader = isReader(this.#view, settings.instance, settings.dataCentre);
         for (const listener of this.#listeners) {
             listener(this.#view);
         }
     }
 
-    async #watch<K extends keyof PlatformValues>(
-        name: K,
-        adopt: (value: PlatformValues[K]) => number,
-    ): Promise<void> {
-        let revision = -1;
-        while (!this.#abort.signal.aborted) {
-            try {
-                const value = await this.#platform.watch(name, revision, WATCH_MS, this.#abort.signal);
-                revision = value === undefined ? revision : adopt(value);
-            }
-            catch (error) {
-                this.#options.logger.warn("platform-unreachable", { error: String(error) });
-                await new Promise(resolve => setTimeout(resolve, PLATFORM_RETRY_MS));
-            }
+    #reportEffect(effect: KeeperEffect): void {
+        const { metrics, logger } = this.#options;
+        switch (effect.type) {
+            case "adopted":
+                metrics.count("configuration_events_total", { reason: "adopted" });
+                logger.info("configuration-adopted", { revision: effect.bundle.revision });
+                return;
+            case "rejected":
+                metrics.count("configuration_events_total", { reason: "rejected" });
+                logger.warn("configuration-rejected", { ...effect.rejection });
+                return;
+            case "ignored":
+                metrics.count("configuration_events_total", { reason: effect.reason });
+                return;
+            default:
+                metrics.count("suspicions_total", { reason: effect.type });
+                logger.info(`peer-${effect.type}`, { peer: effect.instance });
         }
     }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -51,7 +51,15 @@
             dataCentre: settings.dataCentre,
         });
         const getNow = (): number => performance.now();
-        const keeper = ConfigurationKeeper.create({ settings, logger, metrics, getNow });
+        const system = start();
+        const keeper = ConfigurationKeeper.create({
+            settings,
+            system,
+            logger,
+            metrics,
+            getNow,
+            getRandom: Math.random,
+        });
         const traffic: PeerTraffic = {
             record: (method, direction, bytes) =>
                 metrics.count("peer_bytes_total", { method, direction }, bytes),
@@ -66,7 +74,7 @@
                 incarnation: createUuid(),
                 startedAtMs: Date.now(),
             },
-            system: start(),
+            system,
             logger,
             metrics,
             peers: PeerDirectory.create({
@@ -100,7 +108,7 @@
             SettleClaim: message => claims.handleSettle(message),
             FetchConfiguration: message => keeper.handleFetch(message),
             AnnounceLeaving: message => {
-                keeper.markLeaving(message.instance);
+                keeper.markLeaving(message.instance, message.incarnation);
                 return Promise.resolve({ accepted: true });
             },
         }, traffic);
--- a/src/daemon/daemonSettingsSchema.ts
+++ b/src/daemon/daemonSettingsSchema.ts
@@ -19,6 +19,12 @@
     operatorAddress: address,
     /** Base URL of the platform. */
     platformUrl: z.url({ protocol: /^http$/ }),
+    /** Longest wait of one watch call to the platform in milliseconds. */
+    platformWatchMs: z.int().min(100).max(60_000).default(10_000),
+    /** Time between two checks of a peer for a newer configuration, in milliseconds. */
+    peerCheckIntervalMs: z.int().min(10).max(2000).default(1000),
+    /** A daemon that hears no peer for this many milliseconds watches the platform itself. */
+    silenceLimitMs: z.int().min(100).default(5000),
     /** How slots are shared: `fleet` is the product, `local` and `fifo` are baselines for measurements. */
     policy: z.enum(["fleet", "local", "fifo"]).default("fleet"),
     /** Lowest level of log lines. */
--- /dev/null
+++ b/src/daemon/keeper/applyKeeperMessage.ts
@@ -0,0 +1,88 @@
+import { applyAdoptionEvent } from "../../core/configuration/applyAdoptionEvent.js";
+import { applySuspicionEvent } from "../../core/membership/applySuspicionEvent.js";
+import type { InstanceList } from "../../core/membership/instanceList.js";
+import { selectLeavingNotices } from "../../core/membership/selectLeavingNotices.js";
+import type { SuspicionEvent } from "../../core/membership/suspicionEvent.js";
+import type { KeeperEffect } from "./keeperEffect.js";
+import type { KeeperMessage } from "./keeperMessage.js";
+import type { KeeperState } from "./keeperState.js";
+
+interface KeeperResult {
+    readonly state: KeeperState;
+    readonly effects: readonly KeeperEffect[];
+}
+
+/**
+ * A notice that the instance list does not confirm counts this long. The list lags behind, but an instance
+ * that restarts under the same name and address must get its roles back.
+ */
+const NOTICE_TERM_MS = 60_000;
+
+/**
+ * Returns the state after a message; a reducer without I/O.
+ *
+ * @param now Monotonic time in milliseconds.
+ */
+export function applyKeeperMessage(state: KeeperState, message: KeeperMessage, now: number): KeeperResult {
+    switch (message.type) {
+        case "offered":
+        case "peers-asked": {
+            const { state: adoption, effects } = applyAdoptionEvent(state.adoption, message);
+            return { state: adoption === state.adoption ? state : { ...state, adoption }, effects };
+        }
+        case "list-offered":
+            return message.list.revision > state.instances.revision
+                ? adoptList(state, message.list, now)
+                : { state, effects: [] };
+        case "result":
+        case "probed":
+            return applySuspicion(state, message, now);
+        case "leaving":
+            return { state: addNotice(state, message.instance, message.incarnation, now), effects: [] };
+        case "seen":
+            return { state: dropOutdatedNotices(state, message.instance, message.incarnation), effects: [] };
+        case "tick":
+            return { state: expireNotices(state, now), effects: [] };
+    }
+}
+
+function adoptList(state: KeeperState, list: InstanceList, now: number): KeeperResult {
+    const names = new Set(list.instances.map(instance => instance.name));
+    const result = applySuspicion(
+        { ...state, instances: list, instancesAdoptedAt: now },
+        { type: "listed", instances: names },
+        now,
+    );
+    return { state: expireNotices(result.state, now), effects: result.effects };
+}
+
+function applySuspicion(state: KeeperState, event: SuspicionEvent, now: number): KeeperResult {
+    const { state: suspicion, effects } = applySuspicionEvent(state.suspicion, event, now);
+    return { state: suspicion === state.suspicion ? state : { ...state, suspicion }, effects };
+}
+
+function addNotice(state: KeeperState, instance: string, incarnation: string, now: number): KeeperState {
+    const listed = state.instances.instances.find(candidate => candidate.name === instance);
+    return {
+        ...state,
+        notices: [...state.notices.filter(notice => notice.instance !== instance), {
+            instance,
+            incarnation,
+            peerAddress: listed?.peerAddress ?? "",
+            deadline: now + NOTICE_TERM_MS,
+        }],
+    };
+}
+
+// Incarnations are UUIDs of version 7, whose order is the order of starts.
+function dropOutdatedNotices(state: KeeperState, instance: string, incarnation: string): KeeperState {
+    const notices = state.notices.filter(notice =>
+        notice.instance !== instance || notice.incarnation >= incarnation
+    );
+    return notices.length === state.notices.length ? state : { ...state, notices };
+}
+
+function expireNotices(state: KeeperState, now: number): KeeperState {
+    const notices = selectLeavingNotices(state.notices, state.instances, now);
+    return notices.length === state.notices.length ? state : { ...state, notices };
+}
--- /dev/null
+++ b/src/daemon/keeper/buildView.ts
@@ -0,0 +1,23 @@
+import { ConfigurationIndex } from "../../core/configuration/configurationIndex.js";
+import type { ClusterView } from "../../core/membership/clusterView.js";
+import { listLeavingInstances } from "../../core/membership/listLeavingInstances.js";
+import type { KeeperState } from "./keeperState.js";
+
+/** Returns the view of the fleet; the tables of an unchanged configuration are taken from `previous`. */
+export function buildView(state: KeeperState, previous: ClusterView): ClusterView {
+    const bundle = state.adoption.inForce;
+    const unchanged = previous.configurationDigest === bundle?.digest
+        && previous.configurationRevision === bundle.revision;
+    const index = bundle && !unchanged ? ConfigurationIndex.create(bundle.effective) : previous.index;
+    return {
+        configurationRevision: bundle?.revision ?? -1,
+        configurationDigest: bundle?.digest ?? "",
+        index,
+        instances: state.instances,
+        instancesAdoptedAt: state.instancesAdoptedAt,
+        suspected: new Set(
+            Object.entries(state.suspicion).filter(([, peer]) => peer.suspected).map(([name]) => name),
+        ),
+        leaving: listLeavingInstances(state.notices, state.instances),
+    };
+}
--- /dev/null
+++ b/src/daemon/keeper/keeperState.ts
@@ -0,0 +1,14 @@
+import type { AdoptionState } from "../../core/configuration/adoptionState.js";
+import type { InstanceList } from "../../core/membership/instanceList.js";
+import type { LeavingNotice } from "../../core/membership/leavingNotice.js";
+import type { SuspicionState } from "../../core/membership/suspicionState.js";
+
+/** What the configuration keeper knows. */
+export interface KeeperState {
+    readonly adoption: AdoptionState;
+    readonly instances: InstanceList;
+    /** Monotonic time in milliseconds at which the instance list was adopted. */
+    readonly instancesAdoptedAt: number;
+    readonly suspicion: SuspicionState;
+    readonly notices: readonly LeavingNotice[];
+}
--- /dev/null
+++ b/src/daemon/keeper/peerChecker.ts
@@ -0,0 +1,191 @@
+import { setTimeout as wait } from "node:timers/promises";
+import { compareBundles } from "../../core/configuration/compareBundles.js";
+import type { ConfigurationVersion } from "../../core/configuration/configurationVersion.js";
+import type { ClusterView } from "../../core/membership/clusterView.js";
+import type { Instance } from "../../core/membership/instance.js";
+import { instanceListSchema } from "../../core/membership/instanceListSchema.js";
+import { listCheckPeers } from "../../core/membership/listCheckPeers.js";
+import type { PeerCalls } from "../../transport/peerCalls.js";
+import type { PeerCaller } from "../peerCaller.js";
+import { decodeConfigurationReply } from "./decodeConfigurationReply.js";
+import type { KeeperMessage } from "./keeperMessage.js";
+import type { KeeperState } from "./keeperState.js";
+
+interface PeerCheckerOptions {
+    readonly instance: string;
+    readonly dataCentre: string;
+    readonly peers: PeerCaller;
+    /** Time between two checks in milliseconds. */
+    readonly intervalMs: number;
+    readonly getState: () => KeeperState;
+    readonly getView: () => ClusterView;
+    readonly getNow: () => number;
+    /** Random number from 0 to 1. */
+    readonly getRandom: () => number;
+    readonly onMessage: (message: KeeperMessage) => void;
+    /** Told when a peer's revisions are learnt. */
+    readonly onHeard: () => void;
+    /** Told why a reply was of no use. */
+    readonly onUseless: (instance: string, reason: "delta-mismatch" | "unreadable-reply") => void;
+    readonly signal: AbortSignal;
+}
+
+type FetchReply = PeerCalls["FetchConfiguration"]["reply"];
+
+const FETCH_TIMEOUT_MS = 1000;
+const PEERS_ASKED_AFTER_START = 5;
+/** Keeps the cost of probes bounded while a whole data centre does not answer. */
+const MAX_PROBES_PER_CHECK = 4;
+const NO_VERSION: ConfigurationVersion = { revision: 0, digest: "" };
+/** A peer that is asked with this version replies with its own version only. */
+const HIGHEST_VERSION: ConfigurationVersion = { revision: Number.MAX_SAFE_INTEGER, digest: "" };
+
+/** Learns newer configurations and instance lists from other daemons. */
+export class PeerChecker {
+    readonly #options: PeerCheckerOptions;
+    #fetching = false;
+
+    private constructor(options: PeerCheckerOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a checker; `run` starts it. */
+    static create(options: PeerCheckerOptions): PeerChecker {
+        return new PeerChecker(options);
+    }
+
+    /** Checks one peer after another until the signal is aborted. */
+    async run(): Promise<void> {
+        const { signal, intervalMs, getRandom } = this.#options;
+        while (!signal.aborted) {
+            this.#sendProbes();
+            const peers = listCheckPeers(
+                this.#options.getView(),
+                this.#options.instance,
+                this.#options.dataCentre,
+            );
+            const peer = peers[Math.floor(getRandom() * peers.length)];
+            if (peer) {
+                void this.#fetch(peer.name, this.#getKnownVersion());
+            }
+            // The jitter keeps daemons that started together from asking in step.
+            await wait(intervalMs * (0.9 + 0.2 * getRandom()), undefined, { signal }).catch(() => undefined);
+            this.#options.onMessage({ type: "tick" });
+        }
+    }
+
+    /** Asks several peers what they have, after the start and before the platform is trusted. */
+    async fetchFromSeveral(): Promise<void> {
+        const others = this.#options.getView().instances.instances
+            .filter(instance => instance.name !== this.#options.instance && instance.state === "live");
+        const answers = await Promise.all(
+            this.#pickPeers(others).map(async ({ name }) => ({
+                name,
+                version: await this.#fetch(name, HIGHEST_VERSION),
+            })),
+        );
+        const known = answers
+            .flatMap(({ name, version }) => version && version.revision > 0 ? [{ name, version }] : [])
+            .sort((a, b) => compareBundles(b.version, a.version));
+        for (const { name } of known) {
+            if (await this.#fetch(name, NO_VERSION)) {
+                return;
+            }
+        }
+    }
+
+    /** Fetches from an instance whose version or instance list is newer than this daemon's. */
+    async fetchIfNewer(
+        instance: string,
+        version: ConfigurationVersion,
+        instanceListRevision: number,
+    ): Promise<void> {
+        const { instances } = this.#options.getState();
+        const newer = compareBundles(version, this.#getKnownVersion()) > 0
+            || instanceListRevision > Math.max(0, instances.revision);
+        if (!newer || this.#fetching) {
+            return;
+        }
+        this.#fetching = true;
+        try {
+            await this.#fetch(instance, this.#getKnownVersion());
+        }
+        finally {
+            this.#fetching = false;
+        }
+    }
+
+    #pickPeers(others: readonly Instance[]): readonly Instance[] {
+        const near = others.filter(instance => instance.dataCentre === this.#options.dataCentre);
+        const shuffled = [...near.slice(0, 2), ...others]
+            .map(instance => ({ instance, order: this.#options.getRandom() }))
+            .sort((a, b) => a.order - b.order)
+            .map(({ instance }) => instance);
+        return [...new Set(shuffled)].slice(0, PEERS_ASKED_AFTER_START);
+    }
+
+    // A rejected version counts as known, or it would be fetched again at each check.
+    #getKnownVersion(): ConfigurationVersion {
+        const { inForce, lastRejection } = this.#options.getState().adoption;
+        const known = inForce ?? NO_VERSION;
+        return lastRejection && compareBundles(lastRejection, known) > 0 ? lastRejection : known;
+    }
+
+    // Returns the peer's version, or `undefined` without a usable reply.
+    async #fetch(instance: string, known: ConfigurationVersion): Promise<ConfigurationVersion | undefined> {
+        const { adoption, instances } = this.#options.getState();
+        const base = adoption.inForce;
+        const reply = await this.#options.peers.send(instance, "FetchConfiguration", {
+            knownRevision: known.revision,
+            knownDigest: known.digest,
+            knownInstanceListRevision: Math.max(0, instances.revision),
+        }, FETCH_TIMEOUT_MS).catch(() => undefined);
+        if (!reply || this.#options.signal.aborted) {
+            return undefined;
+        }
+        this.#options.onHeard();
+        if (reply.form === "delta" && (!base || compareBundles(base, known) !== 0)) {
+            return this.#fetch(instance, base ?? NO_VERSION);
+        }
+        try {
+            await this.#takeReply(instance, reply, base);
+            return { revision: Number(reply.revision), digest: reply.digest };
+        }
+        catch {
+            this.#options.onUseless(instance, "unreadable-reply");
+            return undefined;
+        }
+    }
+
+    async #takeReply(
+        instance: string,
+        reply: FetchReply,
+        base: KeeperState["adoption"]["inForce"],
+    ): Promise<void> {
+        if (reply.instanceList !== "") {
+            const list = instanceListSchema.parse(JSON.parse(reply.instanceList));
+            this.#options.onMessage({ type: "list-offered", list });
+        }
+        const check = decodeConfigurationReply(reply, base);
+        if (!check) {
+            return;
+        }
+        if (reply.form === "delta" && !check.bundle) {
+            this.#options.onUseless(instance, "delta-mismatch");
+            await this.#fetch(instance, NO_VERSION);
+            return;
+        }
+        this.#options.onMessage({ type: "offered", source: instance, check });
+    }
+
+    #sendProbes(): void {
+        const now = this.#options.getNow();
+        const due = Object.entries(this.#options.getState().suspicion)
+            .filter(([, peer]) => peer.nextProbeAt <= now)
+            .slice(0, MAX_PROBES_PER_CHECK);
+        for (const [instance] of due) {
+            this.#options.onMessage({ type: "probed", instance });
+            void this.#fetch(instance, this.#getKnownVersion());
+        }
+    }
+}
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -3,6 +3,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
+import { buildBundle } from "../core/configuration/buildBundle.js";
+import { configurationSchema } from "../core/configuration/configurationSchema.js";
 import { sendChat } from "../standIns/client/sendChat.js";
 import { ChildProcess } from "../testing/childProcess.js";
 
@@ -29,35 +31,40 @@
     );
     return spawnProcess("../daemon/main.js", ["--settings", path]);
 }));
-await publishValue("configuration", {
-    revision: 1,
-    digest: "",
-    configuration: {
-        regions: [{ name: "de-cymru" }],
-        dataCentres: [{ name: "caerdydd-a", region: "de-cymru", inService: true }],
-        shares: [{ name: "standard", weight: 1 }],
-        clientAccounts: [{
-            name: "capel",
-            share: "standard",
-            keyDigests: [createHash("sha256").update("capel-key").digest("hex")],
-            services: ["model-desk"],
-        }],
-        services: [{ name: "model-desk", kind: "model" }],
-        targets: engines.map((engine, index) => ({
-            name: `engine-${index}`,
-            service: "model-desk",
-            dataCentre: "caerdydd-a",
-            url: `http://${engine.address}`,
-            slotLimit: 8,
-        })),
-    },
-});
+await publishValue(
+    "configuration",
+    buildBundle(
+        configurationSchema.parse({
+            regions: [{ name: "de-cymru" }],
+            dataCentres: [{ name: "caerdydd-a", region: "de-cymru", inService: true }],
+            shares: [{ name: "standard", weight: 1 }],
+            clientAccounts: [{
+                name: "capel",
+                share: "standard",
+                keyDigests: [createHash("sha256").update("capel-key").digest("hex")],
+                services: ["model-desk"],
+            }],
+            services: [{ name: "model-desk", kind: "model" }],
+            targets: engines.map((engine, index) => ({
+                name: `engine-${index}`,
+                service: "model-desk",
+                dataCentre: "caerdydd-a",
+                url: `http://${engine.address}`,
+                slotLimit: 8,
+            })),
+        }),
+        1,
+        text => createHash("sha256").update(text).digest("hex"),
+    ),
+);
 await publishValue("instances", {
     revision: 1,
     instances: daemons.map(daemon => ({
         name: daemon.listening.name,
         dataCentre: "caerdydd-a",
         callerAddress: daemon.address,
+        peerAddress: daemon.listening["peerAddress"],
+        operatorAddress: daemon.listening["operatorAddress"],
         state: "live",
     })),
 });
--- a/src/observability/counterDefinitions.ts
+++ b/src/observability/counterDefinitions.ts
@@ -11,6 +11,11 @@
     claims_total: { help: "Answers given as claim holder, by verdict.", labels: ["verdict"] },
     configuration_events_total: { help: "Bundles adopted or rejected, by reason.", labels: ["reason"] },
     platform_calls_total: { help: "Calls to the platform, a watch counted once.", labels: ["value"] },
+    platform_failures_total: { help: "Calls to the platform without a usable answer.", labels: ["value"] },
+    suspicions_total: {
+        help: "Instances that became suspected of having failed, or were cleared.",
+        labels: ["reason"],
+    },
     peer_bytes_total: { help: "Bytes of control traffic.", labels: ["method", "direction"] },
     peer_calls_total: { help: "Calls to other daemons, by result.", labels: ["method", "result"] },
     cross_region_bytes_total: { help: "Bytes exchanged with targets of other regions.", labels: ["service"] },
