--- a/src/core/configuration/buildBundle.ts
+++ b/src/core/configuration/buildBundle.ts
@@ -1,6 +1,6 @@
-import { computeConfigurationDigest } from "./computeConfigurationDigest.js";
 import type { Configuration } from "./configuration.js";
 import type { ConfigurationBundle } from "./configurationBundle.js";
+import { serializeConfiguration } from "./serializeConfiguration.js";
 import { sortObjects } from "./sortObjects.js";
 
 /**
@@ -15,7 +15,7 @@
 ): ConfigurationBundle {
     return {
         revision,
-        digest: computeConfigurationDigest(configuration, hashText),
+        digest: hashText(serializeConfiguration(configuration)),
         configuration: sortObjects(configuration),
     };
 }
--- a/src/core/configuration/checkBundle.ts
+++ b/src/core/configuration/checkBundle.ts
@@ -1,8 +1,9 @@
 import type { BundleCheck } from "./bundleCheck.js";
-import { computeConfigurationDigest } from "./computeConfigurationDigest.js";
+
 import type { Configuration } from "./configuration.js";
 import { configurationBundleSchema } from "./configurationBundleSchema.js";
 import type { ConfigurationVersion } from "./configurationVersion.js";
+import { serializeConfiguration } from "./serializeConfiguration.js";
 import { validateConfiguration } from "./validateConfiguration.js";
 
 const UNKNOWN_VERSION: ConfigurationVersion = { revision: 0, digest: "" };
@@ -28,7 +29,7 @@
         return refuseBundle({ revision, digest }, check.faults);
     }
     const published = shape.data.configuration as Configuration;
-    const actual = computeConfigurationDigest(published, hashText);
+    const actual = hashText(serializeConfiguration(published));
     if (actual !== digest) {
         return refuseBundle({ revision, digest }, [`digest: the configuration has the digest ${actual}`]);
     }
--- a/src/daemon/keeper/decodeConfigurationReply.ts
+++ b/src/daemon/keeper/decodeConfigurationReply.ts
@@ -1,8 +1,8 @@
-import { applyConfigurationDelta } from "../../core/configuration/applyConfigurationDelta.js";
+import type { AcceptedBundle } from "../../core/configuration/acceptedBundle.js";
 import type { BundleCheck } from "../../core/configuration/bundleCheck.js";
 import { checkBundle } from "../../core/configuration/checkBundle.js";
-import type { ConfigurationBundle } from "../../core/configuration/configurationBundle.js";
-import type { ConfigurationChange } from "../../core/configuration/configurationChange.js";
+import { checkDelta } from "../../core/configuration/checkDelta.js";
+import type { ConfigurationDelta } from "../../core/configuration/configurationDelta.js";
 import { configurationDeltaSchema } from "../../core/configuration/configurationDeltaSchema.js";
 import type { ConfigurationReply } from "../../transport/generated/baobabspread/peer/ConfigurationReply.js";
 import { hashText } from "./hashText.js";
@@ -15,7 +15,7 @@
  */
 export function decodeConfigurationReply(
     reply: Required<ConfigurationReply>,
-    base: ConfigurationBundle | undefined,
+    base: AcceptedBundle | undefined,
 ): BundleCheck | undefined {
     if (reply.form === "full") {
         return checkBundle(JSON.parse(reply.body), hashText);
@@ -23,10 +23,6 @@
     if (reply.form !== "delta" || !base) {
         return undefined;
     }
-    const delta = configurationDeltaSchema.parse(JSON.parse(reply.body)) as readonly ConfigurationChange[];
-    return checkBundle({
-        revision: Number(reply.revision),
-        digest: reply.digest,
-        configuration: applyConfigurationDelta(base.configuration, delta),
-    }, hashText);
+    const delta = configurationDeltaSchema.parse(JSON.parse(reply.body)) as ConfigurationDelta;
+    return checkDelta(base, delta, { revision: Number(reply.revision), digest: reply.digest }, hashText);
 }
--- a/test/core/configuration/configurationDelta.test.ts
+++ b/test/core/configuration/configurationDelta.test.ts
@@ -1,14 +1,22 @@
 import test from "ava";
 import fc from "fast-check";
 import { createHash } from "node:crypto";
+import type { AcceptedBundle } from "../../../src/core/configuration/acceptedBundle.js";
 import { applyConfigurationDelta } from "../../../src/core/configuration/applyConfigurationDelta.js";
 import { buildBundle } from "../../../src/core/configuration/buildBundle.js";
+import { checkBundle } from "../../../src/core/configuration/checkBundle.js";
+import { checkDelta } from "../../../src/core/configuration/checkDelta.js";
+import type { Configuration } from "../../../src/core/configuration/configuration.js";
 import { describeConfigurationChange } from "../../../src/core/configuration/describeConfigurationChange.js";
 import { diffConfiguration } from "../../../src/core/configuration/diffConfiguration.js";
 import { mergeDeltas } from "../../../src/core/configuration/mergeDeltas.js";
 import { makeConfiguration } from "../../../src/testing/makeConfiguration.js";
 
 const hashText = (text: string): string => createHash("sha256").update(text).digest("hex");
+const acceptBundle = (configuration: Configuration): AcceptedBundle => ({
+    ...buildBundle(configuration, 1, hashText),
+    effective: configuration,
+});
 const [target] = makeConfiguration().targets;
 const configurations = fc.uniqueArray(
     fc.record({ name: fc.constantFrom("e0", "e1", "e2", "e3"), slotLimit: fc.integer({ min: 1, max: 3 }) }),
@@ -29,6 +37,20 @@
     t.pass();
 });
 
+test("a delta gives the same bundle as the whole set, and one for another base is refused", t => {
+    fc.assert(
+        fc.property(configurations, configurations, configurations, (first, second, other) => {
+            const bundle = buildBundle(second, 2, hashText);
+            const delta = diffConfiguration(first, second);
+            const check = checkDelta(acceptBundle(first), delta, bundle, hashText);
+            const mismatch = checkDelta(acceptBundle(other), delta, { ...bundle, digest: "" }, hashText);
+            t.deepEqual(check.bundle?.effective, checkBundle(bundle, hashText).bundle?.effective);
+            t.is(mismatch.bundle, undefined);
+        }),
+        { seed: 7 },
+    );
+});
+
 test("a change is told in words", t => {
     const before = makeConfiguration();
     const after = makeConfiguration({
