--- /dev/null
+++ b/src/adapters/operator/operatorServer.ts
@@ -0,0 +1,130 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Decision } from "../../core/explain/decision.js";
+import type { StatusReport } from "../../core/explain/statusReport.js";
+
+interface OperatorServerOptions {
+    /** host:port; port 0 takes a free port. */
+    readonly address: string;
+    readonly instance: string;
+    /** Prometheus text page. */
+    readonly renderMetrics: () => Promise<string>;
+    readonly getStatus: () => StatusReport;
+    readonly explainRequest: (requestId: string) => readonly Decision[];
+    readonly explainAccount: (account: string, limit: number) => readonly Decision[];
+    readonly onError: (error: unknown) => void;
+}
+
+interface Reply {
+    readonly status: number;
+    readonly contentType: string;
+    readonly body: string;
+}
+
+const ACCOUNT_DECISIONS = 200;
+
+/** Serves operators over HTTP; every route only reads. */
+export class OperatorServer {
+    readonly #options: OperatorServerOptions;
+    readonly #server: Server;
+
+    private constructor(options: OperatorServerOptions) {
+        this.#options = options;
+        this.#server = createServer((incoming, response) => void this.#serve(incoming, response));
+    }
+
+    /**
+     * Starts listening and returns the server.
+     *
+     * @throws Error from the socket when the address cannot be bound.
+     */
+    static async create(options: OperatorServerOptions): Promise<OperatorServer> {
+        const server = new OperatorServer(options);
+        const [host, port] = options.address.split(":");
+        await new Promise<void>((resolve, reject) => {
+            server.#server.once("error", reject);
+            server.#server.listen(Number(port), host, resolve);
+        });
+        return server;
+    }
+
+    /** Address that the server listens on, host:port. */
+    get address(): string {
+        const { address, port } = this.#server.address() as AddressInfo;
+        return `${address}:${port}`;
+    }
+
+    /** Stops listening and drops open connections. */
+    close(): void {
+        this.#server.close();
+        this.#server.closeAllConnections();
+    }
+
+    async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+        incoming.resume();
+        const reply = await this.#route(incoming).catch((error: unknown) => {
+            this.#options.onError(error);
+            return buildProblem(500, "internal-error", "The page could not be built.");
+        });
+        response.writeHead(reply.status, { "content-type": reply.contentType });
+        response.end(incoming.method === "HEAD" ? undefined : reply.body);
+    }
+
+    async #route(incoming: IncomingMessage): Promise<Reply> {
+        if (incoming.method !== "GET" && incoming.method !== "HEAD") {
+            return buildProblem(405, "method-not-allowed", "Operator routes only read.");
+        }
+        const path = (incoming.url ?? "/").split("?")[0] ?? "/";
+        switch (path) {
+            case "/metrics":
+                return {
+                    status: 200,
+                    contentType: "text/plain; version=0.0.4; charset=utf-8",
+                    body: await this.#options.renderMetrics(),
+                };
+            case "/healthz":
+                return buildJson(200, { instance: this.#options.instance });
+            case "/readyz": {
+                const { notReady } = this.#options.getStatus();
+                return buildJson(notReady.length === 0 ? 200 : 503, { notReady });
+            }
+            case "/v1/status":
+                return buildJson(200, this.#options.getStatus());
+            default:
+                return this.#routeExplanation(path);
+        }
+    }
+
+    #routeExplanation(path: string): Reply {
+        const [, kind, encoded] = /^\/v1\/explain\/(requests|accounts)\/([^/]+)$/.exec(path) ?? [];
+        const name = tryDecode(encoded);
+        if (name === undefined) {
+            return buildProblem(404, "unknown-route", "There is no such page.");
+        }
+        const decisions = kind === "requests"
+            ? this.#options.explainRequest(name)
+            : this.#options.explainAccount(name, ACCOUNT_DECISIONS);
+        return buildJson(200, { instance: this.#options.instance, decisions });
+    }
+}
+
+function tryDecode(text: string | undefined): string | undefined {
+    try {
+        return text === undefined ? undefined : decodeURIComponent(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function buildJson(status: number, value: unknown): Reply {
+    return { status, contentType: "application/json", body: JSON.stringify(value) };
+}
+
+function buildProblem(status: number, code: string, title: string): Reply {
+    return {
+        status,
+        contentType: "application/problem+json",
+        body: JSON.stringify({ type: "about:blank", title, status, code }),
+    };
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,6 +2,8 @@
 import { performance } from "node:perf_hooks";
 import { v7 as createUuid } from "uuid";
 import { CallerServer } from "../adapters/caller/callerServer.js";
+import { OperatorServer } from "../adapters/operator/operatorServer.js";
+import { buildStatusReport } from "../core/explain/buildStatusReport.js";
 import { createLogger } from "../observability/createLogger.js";
 import { Metrics } from "../observability/metrics.js";
 import { PeerClient } from "../transport/peerClient.js";
@@ -22,6 +24,7 @@
     /** host:port of each server. */
     readonly callerAddress: string;
     readonly peerAddress: string;
+    readonly operatorAddress: string;
 }
 
 interface DaemonParts {
@@ -31,8 +34,11 @@
     readonly owner: PoolOwner;
     readonly accounting: Accounting;
     readonly callers: CallerServer;
+    readonly operators: OperatorServer;
     readonly peerServer: PeerServer;
     readonly peerClient: PeerClient;
+    /** Marks the daemon as not ready. */
+    readonly onLeaving: () => void;
 }
 
 /** One running daemon: every role in one process. */
@@ -118,6 +124,24 @@
             getConfiguration: () => keeper.getView().index?.configuration,
             getInstances: () => keeper.getView().instances,
         });
+        const progress = { leaving: false };
+        const operators = await OperatorServer.create({
+            address: settings.operatorAddress,
+            instance: settings.instance,
+            renderMetrics: () => metrics.render(),
+            getStatus: () =>
+                buildStatusReport({
+                    ...context.identity,
+                    leaving: progress.leaving,
+                    watchesPlatform: keeper.isWatching(),
+                    lastRejection: keeper.getLastRejection(),
+                    view: keeper.getView(),
+                    sections: {},
+                }),
+            explainRequest: requestId => decisions.explainRequest(requestId),
+            explainAccount: (account, limit) => decisions.explainAccount(account, limit),
+            onError: error => logger.error("operator-page-failed", { error: String(error) }),
+        });
         keeper.start(context.peers);
         return new Daemon({
             context,
@@ -126,22 +150,32 @@
             owner,
             accounting,
             callers,
+            operators,
             peerServer,
             peerClient,
+            onLeaving: () => {
+                progress.leaving = true;
+            },
         });
     }
 
     /** Addresses that the daemon listens on. */
     get addresses(): DaemonAddresses {
-        return { callerAddress: this.#parts.callers.address, peerAddress: this.#parts.peerServer.address };
+        return {
+            callerAddress: this.#parts.callers.address,
+            peerAddress: this.#parts.peerServer.address,
+            operatorAddress: this.#parts.operators.address,
+        };
     }
 
     /** Stops in order: no new requests, requests in flight end, leases and counters are handed back. */
     async stop(): Promise<void> {
+        this.#parts.onLeaving();
         await this.#parts.dispatcher.drain();
         await this.#parts.owner.close();
         await this.#parts.accounting.close();
         this.#parts.keeper.close();
+        this.#parts.operators.close();
         this.#parts.peerServer.close();
         this.#parts.peerClient.close();
     }
--- /dev/null
+++ b/test/adapters/operator/operatorServer.test.ts
@@ -0,0 +1,64 @@
+import test from "ava";
+import { request } from "undici";
+import { OperatorServer } from "../../../src/adapters/operator/operatorServer.js";
+import { buildStatusReport } from "../../../src/core/explain/buildStatusReport.js";
+
+const decision = { timeMs: 1, kind: "refused", reason: "queue-full", requestId: "r 1", account: "capel" };
+
+async function startServer(leaving: boolean): Promise<OperatorServer> {
+    return OperatorServer.create({
+        address: "127.0.0.1:0",
+        instance: "daemon-0",
+        renderMetrics: () => Promise.reject(new Error("broken page")),
+        getStatus: () =>
+            buildStatusReport({
+                instance: "daemon-0",
+                dataCentre: "caerdydd-a",
+                incarnation: "1",
+                startedAtMs: 0,
+                leaving,
+                watchesPlatform: true,
+                lastRejection: undefined,
+                view: {
+                    configurationRevision: -1,
+                    configurationDigest: "",
+                    index: undefined,
+                    instances: { revision: 1, instances: [] },
+                    instancesAdoptedAt: 0,
+                    suspected: new Set(),
+                    leaving: new Set(),
+                },
+                sections: { targets: ["engine-0"] },
+            }),
+        explainRequest: requestId => requestId === decision.requestId ? [decision] : [],
+        explainAccount: (account, limit) => account === decision.account && limit > 0 ? [decision] : [],
+        onError: () => undefined,
+    });
+}
+
+async function fetchPage(server: OperatorServer, path: string): Promise<readonly [number, unknown]> {
+    const response = await request(`http://${server.address}${path}`);
+    return [response.statusCode, await response.body.json()];
+}
+
+test("a daemon without configuration or on its way out is not ready", async t => {
+    const server = await startServer(true);
+    t.teardown(() => server.close());
+    t.deepEqual(await fetchPage(server, "/readyz"), [503, { notReady: ["no-configuration", "leaving"] }]);
+    t.is((await fetchPage(server, "/healthz"))[0], 200);
+});
+
+test("decisions are found by request and by account, and names are decoded", async t => {
+    const server = await startServer(false);
+    t.teardown(() => server.close());
+    const expected = [200, { instance: "daemon-0", decisions: [decision] }];
+    t.deepEqual(await fetchPage(server, "/v1/explain/requests/r%201"), expected);
+    t.deepEqual(await fetchPage(server, "/v1/explain/accounts/capel"), expected);
+});
+
+test("a wrong path or a failing page gives a problem document, not a broken connection", async t => {
+    const server = await startServer(false);
+    t.teardown(() => server.close());
+    t.is((await fetchPage(server, "/v1/explain/accounts/%E0%A4%A"))[0], 404);
+    t.is((await fetchPage(server, "/metrics"))[0], 500);
+});
