Add the command line, examples and JSON Schemas

baobabspread check, bundle, diff, status, explain and entries. An instance listed with another address is no longer suspected: it is another process under the same name.

--- /dev/null
+++ b/src/cli/commands/explainAccountCommand.ts
@@ -0,0 +1,20 @@
+import { Command, Option } from "clipanion";
+import { ExplainCommand } from "../explainCommand.js";
+
+/** `baobabspread explain account NAME` */
+export class ExplainAccountCommand extends ExplainCommand {
+    static override readonly paths = [["explain", "account"]];
+    static override readonly usage = Command.Usage({
+        category: "Fleet",
+        description: "Tell what was decided lately about a client account and why.",
+        details: "Exit code 0: found. 1: no decision is known, or a daemon did not answer. "
+            + "2: invalid arguments.",
+        examples: [["Ask one daemon", "$0 explain account capel --operator 10.1.0.1:9000"]],
+    });
+
+    readonly account = Option.String({ name: "NAME" });
+
+    run(): Promise<number> {
+        return this.explainPage(`/v1/explain/accounts/${encodeURIComponent(this.account)}`);
+    }
+}
--- /dev/null
+++ b/src/cli/commands/statusCommand.ts
@@ -0,0 +1,67 @@
+import { Command } from "clipanion";
+import type { StatusReport } from "../../core/explain/statusReport.js";
+import { OperatorCommand } from "../operatorCommand.js";
+import { renderTable } from "../renderTable.js";
+
+/** `baobabspread status` */
+export class StatusCommand extends OperatorCommand {
+    static override readonly paths = [["status"]];
+    static override readonly usage = Command.Usage({
+        category: "Fleet",
+        description: "Show what daemons have in force and what they lack.",
+        details: "Exit code 0: all daemons answered. 1: some did not; they are named on standard error. "
+            + "2: invalid arguments. `--json` also prints the sections of the daemon's parts.",
+        examples: [["Ask the whole fleet", "$0 status --operator 10.1.0.1:9000 --all"]],
+    });
+
+    async run(): Promise<number> {
+        const answers = await this.fetchPages<StatusReport>("/v1/status");
+        if (this.json) {
+            this.printLines([JSON.stringify(answers)]);
+            return this.reportFailures(answers);
+        }
+        const reports = answers.answers.map(answer => answer.value);
+        this.printLines(renderTable([
+            ["INSTANCE", "DATA CENTRE", "STATE", "REVISION", "DIGEST", "LIST", "WATCHES", "REJECTED"],
+            ...reports.map(report => [
+                report.instance,
+                report.dataCentre,
+                report.notReady.join(",") || "ready",
+                String(report.configuration?.revision ?? "-"),
+                report.configuration?.digest.slice(0, 12) ?? "-",
+                String(report.instanceListRevision),
+                report.watchesPlatform ? "yes" : "no",
+                String(report.lastRejection?.revision ?? "-"),
+            ]),
+        ]));
+        this.#printDoubts(reports);
+        return this.reportFailures(answers);
+    }
+
+    #printDoubts(reports: readonly StatusReport[]): void {
+        const doubts = new Map<string, string[]>();
+        for (const report of reports) {
+            for (const { name, suspected, leaving } of report.instances) {
+                for (const state of [...(suspected ? ["suspected"] : []), ...(leaving ? ["leaving"] : [])]) {
+                    const key = `${name}  ${state}`;
+                    doubts.set(key, [...(doubts.get(key) ?? []), report.instance]);
+                }
+            }
+        }
+        if (doubts.size > 0) {
+            this.printLines([
+                "",
+                ...[...doubts].map(([key, by]) => `${key} at ${by.length} of ${reports.length}`),
+            ]);
+        }
+        for (const { instance, lastRejection } of reports) {
+            if (lastRejection) {
+                this.printLines([
+                    "",
+                    `${instance} rejected revision ${lastRejection.revision}:`,
+                    ...lastRejection.faults,
+                ]);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/fetchFromOperators.ts
@@ -0,0 +1,23 @@
+import { fetchJson } from "./fetchJson.js";
+import type { OperatorAnswers } from "./operatorAnswers.js";
+
+/** Fetches one page from several daemons at once; a daemon that does not answer is a failure, not an error. */
+export async function fetchFromOperators<T>(
+    addresses: readonly string[],
+    path: string,
+): Promise<OperatorAnswers<T>> {
+    const results = await Promise.allSettled(addresses.map(address => fetchJson(address, path)));
+    const collected = results.map((result, index) => ({ result, address: addresses[index] ?? "" }));
+    return {
+        answers: collected.flatMap(({ result, address }) =>
+            result.status === "fulfilled" ? [{ address, value: result.value as T }] : []
+        ),
+        failures: collected.flatMap(({ result, address }) =>
+            result.status === "rejected" ? [{ address, reason: formatReason(result.reason) }] : []
+        ),
+    };
+}
+
+function formatReason(reason: unknown): string {
+    return reason instanceof Error ? reason.message : String(reason);
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,35 @@
+#!/usr/bin/env node
+import { Builtins, Cli } from "clipanion";
+import { BundleCommand } from "./commands/bundleCommand.js";
+import { CheckCommand } from "./commands/checkCommand.js";
+import { DiffCommand } from "./commands/diffCommand.js";
+import { EntriesCommand } from "./commands/entriesCommand.js";
+import { ExplainAccountCommand } from "./commands/explainAccountCommand.js";
+import { ExplainRequestCommand } from "./commands/explainRequestCommand.js";
+import { StatusCommand } from "./commands/statusCommand.js";
+
+const INVALID_ARGUMENTS_EXIT_CODE = 2;
+
+const cli = Cli.from([
+    Builtins.HelpCommand,
+    CheckCommand,
+    BundleCommand,
+    DiffCommand,
+    StatusCommand,
+    ExplainRequestCommand,
+    ExplainAccountCommand,
+    EntriesCommand,
+], { binaryName: "baobabspread", binaryLabel: "Operate a baobabspread fleet", enableColors: false });
+process.exitCode = await runCli(process.argv.slice(2));
+
+// The library ends with code 1 for invalid arguments, which here means that the command failed.
+async function runCli(args: string[]): Promise<number> {
+    try {
+        cli.process(args, Cli.defaultContext);
+    }
+    catch (error) {
+        process.stderr.write(cli.error(error));
+        return INVALID_ARGUMENTS_EXIT_CODE;
+    }
+    return cli.run(args, Cli.defaultContext);
+}
--- /dev/null
+++ b/src/cli/operatorCommand.ts
@@ -0,0 +1,47 @@
+import { Option } from "clipanion";
+import { SettingsError } from "../core/errors/settingsError.js";
+import type { StatusReport } from "../core/explain/statusReport.js";
+import { BaseCommand } from "./baseCommand.js";
+import { fetchFromOperators } from "./fetchFromOperators.js";
+import type { OperatorAnswers } from "./operatorAnswers.js";
+
+/** Base of the commands that ask daemons at their operator addresses. */
+export abstract class OperatorCommand extends BaseCommand {
+    readonly operators = Option.Array("--operator", {
+        required: true,
+        description: "Operator address of a daemon, host:port; may be repeated.",
+    });
+
+    readonly all = Option.Boolean("--all", false, {
+        description: "Ask every instance that the first answering daemon lists.",
+    });
+
+    readonly json = Option.Boolean("--json", false, { description: "Print JSON instead of tables." });
+
+    /**
+     * Fetches a page from the daemons that the options name.
+     *
+     * @throws SettingsError when an address is malformed.
+     */
+    protected async fetchPages<T>(path: string): Promise<OperatorAnswers<T>> {
+        const malformed = this.operators.filter(address => !/^[^\s/]+:\d{1,5}$/.test(address));
+        if (malformed.length > 0) {
+            throw SettingsError.create(malformed.map(address => `--operator ${address}: must be host:port`));
+        }
+        return fetchFromOperators<T>(this.all ? await this.#listOperators() : this.operators, path);
+    }
+
+    /** Names the daemons that did not answer on standard error; returns the exit code. */
+    protected reportFailures(answers: OperatorAnswers<unknown>): number {
+        for (const { address, reason } of answers.failures) {
+            this.context.stderr.write(`${address} did not answer: ${reason}\n`);
+        }
+        return answers.failures.length === 0 ? 0 : 1;
+    }
+
+    async #listOperators(): Promise<readonly string[]> {
+        const { answers } = await fetchFromOperators<StatusReport>(this.operators, "/v1/status");
+        const listed = answers[0]?.value.instances.map(instance => instance.operatorAddress) ?? [];
+        return [...new Set([...this.operators, ...listed.filter(address => address !== "")])];
+    }
+}
--- a/src/core/membership/suspicionEvent.ts
+++ b/src/core/membership/suspicionEvent.ts
@@ -4,5 +4,5 @@
     | { readonly type: "result"; readonly instance: string; readonly reached: boolean; }
     /** A probe is about to be sent. */
     | { readonly type: "probed"; readonly instance: string; }
-    /** A new instance list; instances that are not in it are forgotten. */
+    /** A new instance list; what is known of other instances than these is forgotten. */
     | { readonly type: "listed"; readonly instances: ReadonlySet<string>; };
--- a/src/daemon/keeper/applyKeeperMessage.ts
+++ b/src/daemon/keeper/applyKeeperMessage.ts
@@ -47,10 +47,14 @@
 }
 
 function adoptList(state: KeeperState, list: InstanceList, now: number): KeeperResult {
-    const names = new Set(list.instances.map(instance => instance.name));
+    const addresses = new Map(state.instances.instances.map(({ name, peerAddress }) => [name, peerAddress]));
+    // Another address under the same name is another process, which nobody has called yet.
+    const unchanged = list.instances.filter(instance =>
+        addresses.get(instance.name) === instance.peerAddress
+    );
     const result = applySuspicion(
         { ...state, instances: list, instancesAdoptedAt: now },
-        { type: "listed", instances: names },
+        { type: "listed", instances: new Set(unchanged.map(instance => instance.name)) },
         now,
     );
     return { state: expireNotices(result.state, now), effects: result.effects };
--- /dev/null
+++ b/test/cli/main.test.ts
@@ -0,0 +1,101 @@
+import test from "ava";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtemp, readFile, writeFile } from "node:fs/promises";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { text } from "node:stream/consumers";
+import { makeConfiguration } from "../../src/testing/makeConfiguration.js";
+
+interface CliResult {
+    readonly code: unknown;
+    readonly output: string;
+    readonly errors: string;
+}
+
+async function runCli(...args: readonly string[]): Promise<CliResult> {
+    const module = new URL("../../src/cli/main.js", import.meta.url).pathname;
+    const child = spawn(process.execPath, [module, ...args], { stdio: ["ignore", "pipe", "pipe"] });
+    const [output, errors, [code]] = await Promise.all([
+        text(child.stdout),
+        text(child.stderr),
+        once(child, "exit"),
+    ]);
+    return { code, output, errors };
+}
+
+async function writeFiles(files: Readonly<Record<string, unknown>>): Promise<string> {
+    const directory = await mkdtemp(join(tmpdir(), "baobabspread-"));
+    for (const [name, value] of Object.entries(files)) {
+        await writeFile(join(directory, name), JSON.stringify(value));
+    }
+    return directory;
+}
+
+async function startOperator(pages: Readonly<Record<string, unknown>>): Promise<string> {
+    const server = createServer((incoming, response) => {
+        const page = pages[incoming.url ?? ""];
+        response.writeHead(page === undefined ? 404 : 200).end(JSON.stringify(page));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    server.unref();
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+test("exit codes tell faults in a file from files and arguments that cannot be used", async t => {
+    const directory = await writeFiles({ "set.json": makeConfiguration(), "bad.json": {} });
+    const set = join(directory, "set.json");
+    const bad = join(directory, "bad.json");
+    const runs: readonly (readonly [number, readonly string[]])[] = [
+        [0, ["--help"]],
+        [0, ["check", set]],
+        [1, ["check", bad]],
+        [2, ["check", join(directory, "missing.json")]],
+        [2, ["check"]],
+        [2, ["publish", set]],
+        [2, ["bundle", set]],
+        [2, ["bundle", set, "--revision", "0"]],
+        [1, ["bundle", bad, "--revision", "1"]],
+        [2, ["diff", set, bad]],
+        [1, ["entries", "--entry", "127.0.0.1:1"]],
+        [2, ["status", "--operator", "nowhere"]],
+    ];
+    const codes = await Promise.all(runs.map(async ([, args]) => (await runCli(...args)).code));
+    t.deepEqual(codes, runs.map(([code]) => code));
+});
+
+test("a bundle follows the previous one, passes the check and differs only where the set does", async t => {
+    const directory = await writeFiles({
+        "set.json": makeConfiguration(),
+        "next.json": makeConfiguration({ shares: [{ name: "standard", weight: 2 }] }),
+    });
+    const [set, next, first, second] = ["set.json", "next.json", "1.json", "2.json"]
+        .map(name => join(directory, name)) as [string, string, string, string];
+    await runCli("bundle", set, "--revision", "41", "--output", first);
+    await runCli("bundle", next, "--previous", first, "--output", second);
+    t.is((JSON.parse(await readFile(second, "utf8")) as { revision: number; }).revision, 42);
+    t.is((await runCli("check", second)).code, 0);
+    t.is((await runCli("diff", first, second)).output, "share standard: weight from 1 to 2\n");
+});
+
+test("answers of several daemons come in one order, and a daemon that does not answer is named", async t => {
+    const [early, late] = [1, 2].map(timeMs => ({ timeMs, kind: "retried", reason: "target-failed" }));
+    const path = "/v1/explain/requests/r1";
+    const a = await startOperator({ [path]: { instance: "a", decisions: [late] } });
+    const b = await startOperator({ [path]: { instance: "b", decisions: [early] } });
+    const result = await runCli(
+        "explain",
+        "r1",
+        "--operator",
+        a,
+        "--operator",
+        b,
+        "--operator",
+        "127.0.0.1:1",
+    );
+    t.is(result.code, 1);
+    t.deepEqual(result.output.trim().split("\n").map(line => line.split(/\s+/)[1]), ["INSTANCE", "b", "a"]);
+    t.regex(result.errors, /^127\.0\.0\.1:1 did not answer/);
+});
