Ask a second peer at once when the first does not answer

Without it one failed reader delayed a change by a further check for half of the daemons. Tests cover the exchange between peers with scripted replies.

--- a/src/daemon/keeper/peerChecker.ts
+++ b/src/daemon/keeper/peerChecker.ts
@@ -34,6 +34,7 @@
 
 const FETCH_TIMEOUT_MS = 1000;
 const PEERS_ASKED_AFTER_START = 5;
+const MAX_TRIES_PER_CHECK = 2;
 /** Keeps the cost of probes bounded while a whole data centre does not answer. */
 const MAX_PROBES_PER_CHECK = 4;
 const NO_VERSION: ConfigurationVersion = { revision: 0, digest: "" };
@@ -59,15 +60,7 @@
         const { signal, intervalMs, getRandom } = this.#options;
         while (!signal.aborted) {
             this.#sendProbes();
-            const peers = listCheckPeers(
-                this.#options.getView(),
-                this.#options.instance,
-                this.#options.dataCentre,
-            );
-            const peer = peers[Math.floor(getRandom() * peers.length)];
-            if (peer) {
-                void this.#fetch(peer.name, this.#getKnownVersion());
-            }
+            void this.#checkPeers();
             // The jitter keeps daemons that started together from asking in step.
             await wait(intervalMs * (0.9 + 0.2 * getRandom()), undefined, { signal }).catch(() => undefined);
             this.#options.onMessage({ type: "tick" });
@@ -115,6 +108,18 @@
         }
     }
 
+    // A second peer is asked at once, or one failed peer would delay a change beyond 4 s.
+    async #checkPeers(): Promise<void> {
+        const { instance, dataCentre, getView, getRandom } = this.#options;
+        const peers = [...listCheckPeers(getView(), instance, dataCentre)];
+        for (let tries = 0; tries < MAX_TRIES_PER_CHECK && peers.length > 0; tries += 1) {
+            const [peer] = peers.splice(Math.floor(getRandom() * peers.length), 1);
+            if (peer && await this.#fetch(peer.name, this.#getKnownVersion())) {
+                return;
+            }
+        }
+    }
+
     #pickPeers(others: readonly Instance[]): readonly Instance[] {
         const near = others.filter(instance => instance.dataCentre === this.#options.dataCentre);
         const shuffled = [...near.slice(0, 2), ...others]
--- /dev/null
+++ b/test/daemon/keeper/peerChecker.test.ts
@@ -0,0 +1,147 @@
+import test from "ava";
+import type { AdoptionState } from "../../../src/core/configuration/adoptionState.js";
+import { applyAdoptionEvent } from "../../../src/core/configuration/applyAdoptionEvent.js";
+import { buildBundle } from "../../../src/core/configuration/buildBundle.js";
+import { checkBundle } from "../../../src/core/configuration/checkBundle.js";
+import { applyKeeperMessage } from "../../../src/daemon/keeper/applyKeeperMessage.js";
+import { buildConfigurationReply } from "../../../src/daemon/keeper/buildConfigurationReply.js";
+import { buildView } from "../../../src/daemon/keeper/buildView.js";
+import { hashText } from "../../../src/daemon/keeper/hashText.js";
+import { initialKeeperState } from "../../../src/daemon/keeper/initialKeeperState.js";
+import type { KeeperState } from "../../../src/daemon/keeper/keeperState.js";
+import { PeerChecker } from "../../../src/daemon/keeper/peerChecker.js";
+import type { PeerCaller } from "../../../src/daemon/peerCaller.js";
+import { makeConfiguration } from "../../../src/testing/makeConfiguration.js";
+import type { ConfigurationReply } from "../../../src/transport/generated/baobabspread/peer/ConfigurationReply.js";
+import type { ConfigurationRequest__Output } from "../../../src/transport/generated/baobabspread/peer/ConfigurationRequest.js";
+
+const NAMES = ["a", "b", "c"];
+
+type Answer = (request: ConfigurationRequest__Output) => ConfigurationReply;
+
+function makeState(revisions: readonly number[]): KeeperState {
+    const instances = NAMES.map(name => ({
+        name,
+        dataCentre: "caerdydd-a",
+        callerAddress: "",
+        peerAddress: name,
+        operatorAddress: "",
+        state: "live" as const,
+    }));
+    const adoption = revisions.reduce<AdoptionState>((state, revision) => {
+        const configuration = makeConfiguration({
+            shares: [{ name: "standard", weight: revision }],
+        });
+        const check = checkBundle(buildBundle(configuration, revision, hashText), hashText);
+        return applyAdoptionEvent(state, { type: "offered", source: "platform", check }).state;
+    }, { ...initialKeeperState.adoption, phase: "serving" });
+    return { ...initialKeeperState, adoption, instances: { revision: 1, instances } };
+}
+
+class CheckerHarness {
+    state: KeeperState;
+    readonly forms: string[] = [];
+    readonly useless: string[] = [];
+    readonly checker: PeerChecker;
+
+    private constructor(state: KeeperState, answers: Readonly<Record<string, Answer>>) {
+        this.state = state;
+        const peers = {
+            send: (instance: string, _method: string, message: ConfigurationRequest__Output) => {
+                const reply = answers[instance]?.(message);
+                this.forms.push(`${instance}:${reply?.form ?? "lost"}`);
+                return reply ? Promise.resolve(reply) : Promise.reject(new Error("lost"));
+            },
+        };
+        this.checker = PeerChecker.create({
+            instance: "a",
+            dataCentre: "caerdydd-a",
+            peers: peers as unknown as PeerCaller,
+            intervalMs: 1,
+            getState: () => this.state,
+            getView: () => this.#buildView(),
+            getNow: () => 0,
+            getRandom: () => 0,
+            onMessage: message => {
+                this.state = applyKeeperMessage(this.state, message, 0).state;
+            },
+            onHeard: () => undefined,
+            onUseless: (_, reason) => this.useless.push(reason),
+            signal: new AbortController().signal,
+        });
+    }
+
+    static create(state: KeeperState, answers: Readonly<Record<string, Answer>>): CheckerHarness {
+        return new CheckerHarness(state, answers);
+    }
+
+    get revision(): number | undefined {
+        return this.state.adoption.inForce?.revision;
+    }
+
+    #buildView() {
+        return buildView(this.state, {
+            configurationRevision: -1,
+            configurationDigest: "",
+            index: undefined,
+            instances: this.state.instances,
+            instancesAdoptedAt: 0,
+            suspected: new Set(),
+            leaving: new Set(),
+        });
+    }
+}
+
+const serveState = (state: KeeperState): Answer => request => buildConfigurationReply(state, request);
+
+test("a newer revision is fetched by delta, and wholly when the base is not known", async t => {
+    for (const [revisions, form] of [[[1, 2, 3], "delta"], [[3], "full"]] as const) {
+        const harness = CheckerHarness.create(makeState([1]), { b: serveState(makeState(revisions)) });
+        await harness.checker.fetchIfNewer("b", { revision: 3, digest: "" }, 1);
+        t.deepEqual([harness.revision, harness.forms], [3, [`b:${form}`]]);
+    }
+});
+
+test("a delta that does not lead to the digest is replaced by the whole bundle", async t => {
+    const serve = serveState(makeState([1, 2]));
+    const harness = CheckerHarness.create(makeState([1]), {
+        b: request => ({ ...serve(request), ...(request.knownRevision === 1 ? { body: "[]" } : {}) }),
+    });
+    await harness.checker.fetchIfNewer("b", { revision: 2, digest: "" }, 1);
+    t.deepEqual([harness.revision, harness.useless], [2, ["delta-mismatch"]]);
+});
+
+test("a reply that cannot be read changes nothing and blocks no later fetch", async t => {
+    let body: string | undefined = "{";
+    const serve = serveState(makeState([2]));
+    const harness = CheckerHarness.create(makeState([1]), {
+        b: request => ({ ...serve(request), ...(body === undefined ? {} : { body }) }),
+    });
+    await harness.checker.fetchIfNewer("b", { revision: 2, digest: "" }, 1);
+    t.deepEqual([harness.revision, harness.useless], [1, ["unreadable-reply"]]);
+    body = undefined;
+    await harness.checker.fetchIfNewer("b", { revision: 2, digest: "" }, 1);
+    t.is(harness.revision, 2);
+});
+
+test("a bundle that this version of the program rejects is not fetched again and again", async t => {
+    const state = makeState([1]);
+    const lastRejection = { revision: 2, digest: "d", source: "b", faults: ["targets.0: unknown key"] };
+    const harness = CheckerHarness.create({ ...state, adoption: { ...state.adoption, lastRejection } }, {
+        b: serveState(makeState([2])),
+    });
+    await harness.checker.fetchIfNewer("b", { revision: 2, digest: "d" }, 1);
+    t.deepEqual(harness.forms, []);
+});
+
+test("after a start the whole bundle comes from the peer with the highest, or the next that answers", async t => {
+    const newest = serveState(makeState([2]));
+    const start = { ...initialKeeperState, instances: makeState([]).instances };
+    const harness = CheckerHarness.create(start, {
+        b: request => request.knownRevision === 0 ? { form: "full", body: "{" } : newest(request),
+        c: serveState(makeState([1])),
+    });
+    await harness.checker.fetchFromSeveral();
+    t.deepEqual(harness.forms, ["b:none", "c:none", "b:full", "c:full"]);
+    t.is(harness.state.adoption.held?.revision, 1);
+});
