Call a suspected instance at once when it calls

An incoming call does not clear suspicion by itself: in a one-way partition calls arrive from an instance that cannot be reached, and suspicion would come and go every 1.5 s. The call back clears it within a round trip otherwise. The log and the status keep at most 100 faults of a rejected bundle.

--- a/src/core/configuration/applyAdoptionEvent.ts
+++ b/src/core/configuration/applyAdoptionEvent.ts
@@ -8,6 +8,8 @@
 
 /** A daemon that is further behind than this many adoptions fetches the whole bundle. */
 const MAX_DELTAS = 32;
+/** A rejection goes into the status and the log; a set of a wrong kind may have thousands of faults. */
+const MAX_KEPT_FAULTS = 100;
 
 /**
  * Decides which configuration is in force. Only a higher bundle (revision, then digest) replaces the one in
@@ -19,7 +21,11 @@
     }
     const { bundle, faults, version } = event.check;
     if (!bundle) {
-        return refuseBundle(state, { ...version, source: event.source, faults });
+        return refuseBundle(state, {
+            ...version,
+            source: event.source,
+            faults: faults.slice(0, MAX_KEPT_FAULTS),
+        });
     }
     const highest = state.phase === "asking" ? state.held : state.inForce;
     if (highest && compareBundles(bundle, highest) <= 0) {
--- a/src/daemon/actors/configurationKeeper.ts
+++ b/src/daemon/actors/configurationKeeper.ts
@@ -144,21 +144,25 @@
         dispatch(this.#actor, { type: "leaving", instance, incarnation });
     }
 
-    /** Learns that an instance runs with an incarnation; an earlier announcement to leave then no longer counts. */
+    /**
+     * Learns from an incoming call that an instance runs with an incarnation. An announcement of an earlier
+     * incarnation to leave no longer counts, and an instance that failed before is called at once.
+     */
     observeIncarnation(instance: string, incarnation: string): void {
+        this.#trySuspected(instance);
         if (this.#state.notices.some(notice => notice.instance === instance)) {
             dispatch(this.#actor, { type: "seen", instance, incarnation });
         }
     }
 
-    /** Learns the revisions of another daemon, for example from a counter exchange; also clears suspicion. */
+    /** Learns the revisions of another daemon, for example from a counter exchange. */
     observeRevisions(
         instance: string,
         revision: number,
         digest: string,
         instanceListRevision: number,
     ): void {
-        this.recordResult(instance, true);
+        this.#trySuspected(instance);
         // A daemon without configuration sends -1, which arrives as 2^64 - 1.
         if (!Number.isSafeInteger(revision) || !Number.isSafeInteger(instanceListRevision)) {
             return;
@@ -202,6 +206,12 @@
         });
     }
 
+    #trySuspected(instance: string): void {
+        if (this.#state.suspicion[instance]) {
+            void this.#checker?.tryReach(instance);
+        }
+    }
+
     #markHeard(): void {
         this.#heardAt = this.#options.getNow();
     }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -105,11 +105,17 @@
         const lender = Lender.create(context);
         const claims = ClaimHolder.create(context);
         const peerServer = await PeerServer.create(settings.peerAddress, {
-            ReportDemand: message => owner.handleDemand(message),
+            ReportDemand: message => {
+                keeper.observeIncarnation(message.instance, message.incarnation);
+                return owner.handleDemand(message);
+            },
             PushLease: message => dispatcher.handleLease(message),
             BorrowSlots: message => lender.handleBorrow(message),
             ListHoldings: message => dispatcher.handleHoldings(message),
-            ExchangeCounters: message => accounting.handleReport(message),
+            ExchangeCounters: message => {
+                keeper.observeIncarnation(message.instance, message.incarnation);
+                return accounting.handleReport(message);
+            },
             ClaimKey: message => claims.handleClaim(message),
             SettleClaim: message => claims.handleSettle(message),
             FetchConfiguration: message => keeper.handleFetch(message),
--- a/src/daemon/keeper/peerChecker.ts
+++ b/src/daemon/keeper/peerChecker.ts
@@ -35,6 +35,8 @@
 const FETCH_TIMEOUT_MS = 1000;
 const PEERS_ASKED_AFTER_START = 5;
 const MAX_TRIES_PER_CHECK = 2;
+/** Keeps instances whose calls arrive in large numbers from causing as many probes. */
+const MIN_CONTACT_PROBE_INTERVAL_MS = 100;
 /** Keeps the cost of probes bounded while a whole data centre does not answer. */
 const MAX_PROBES_PER_CHECK = 4;
 const NO_VERSION: ConfigurationVersion = { revision: 0, digest: "" };
@@ -45,6 +47,7 @@
 export class PeerChecker {
     readonly #options: PeerCheckerOptions;
     #fetching = false;
+    #nextContactProbeAt = 0;
 
     private constructor(options: PeerCheckerOptions) {
         this.#options = options;
@@ -87,6 +90,19 @@
         }
     }
 
+    /**
+     * Calls an instance at once that failed before and has now called this daemon. The call clears it only if
+     * it succeeds: in a one-way partition the instance cannot be reached although its calls arrive.
+     */
+    async tryReach(instance: string): Promise<void> {
+        const now = this.#options.getNow();
+        if (now < this.#nextContactProbeAt) {
+            return;
+        }
+        this.#nextContactProbeAt = now + MIN_CONTACT_PROBE_INTERVAL_MS;
+        await this.#fetch(instance, this.#getKnownVersion());
+    }
+
     /** Fetches from an instance whose version or instance list is newer than this daemon's. */
     async fetchIfNewer(
         instance: string,
--- /dev/null
+++ b/test/daemon/keeper/platformWatcher.test.ts
@@ -0,0 +1,50 @@
+import test from "ava";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { PlatformClient } from "../../../src/adapters/platform/platformClient.js";
+import { PlatformWatcher } from "../../../src/daemon/keeper/platformWatcher.js";
+
+test("failures are told and retried, and a rejected value is not sent again and again", async t => {
+    const replies: readonly (readonly [number, string])[] = [[500, ""], [200, "{"], [200, "{}"], [
+        200,
+        '{"r":5}',
+    ]];
+    const asked: (string | null)[] = [];
+    const abort = new AbortController();
+    const server = createServer((incoming, response) => {
+        const [status, body] = replies[asked.length] ?? [304, ""];
+        asked.push(new URL(incoming.url ?? "", "http://platform").searchParams.get("after"));
+        response.writeHead(status).end(status === 304 ? undefined : body);
+        if (asked.length > replies.length) {
+            abort.abort();
+        }
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.teardown(() => {
+        server.closeAllConnections();
+        server.close();
+    });
+    const failures: unknown[] = [];
+    let calls = 0;
+    await PlatformWatcher.create({
+        platform: PlatformClient.create(`http://127.0.0.1:${(server.address() as AddressInfo).port}`),
+        name: "configuration",
+        watchMs: 1000,
+        isNeeded: () => true,
+        getRevision: () => 3,
+        onValue: value => (value as { readonly r?: number; }).r,
+        onCall: () => {
+            calls += 1;
+        },
+        onFailure: error => failures.push(error),
+        getRandom: () => 0,
+        signal: abort.signal,
+    }).run();
+    t.deepEqual(asked, ["3", "3", "3", "3", "5"]);
+    t.is(calls, 5);
+    t.deepEqual(failures.map(error => (error as { readonly code?: string; }).code), [
+        "platform-call-failed",
+        "platform-call-failed",
+        "platform-call-failed",
+    ]);
+});
