--- a/src/cli/commands/statusCommand.ts
+++ b/src/cli/commands/statusCommand.ts
@@ -1,6 +1,7 @@
-import { Command } from "clipanion";
+import { Command, Option } from "clipanion";
 import type { StatusReport } from "../../core/explain/statusReport.js";
 import { OperatorCommand } from "../operatorCommand.js";
+import { renderSection } from "../renderSection.js";
 import { renderTable } from "../renderTable.js";
 
 /** `baobabspread status` */
@@ -10,10 +11,14 @@
         category: "Fleet",
         description: "Show what daemons have in force and what they lack.",
         details: "Exit code 0: all daemons answered. 1: some did not; they are named on standard error. "
-            + "2: invalid arguments. `--json` also prints the sections of the daemon's parts.",
+            + "2: invalid arguments. `--details` also prints the sections of the daemon's parts, and `--json` everything.",
         examples: [["Ask the whole fleet", "$0 status --operator 10.1.0.1:9000 --all"]],
     });
 
+    readonly details = Option.Boolean("--details", false, {
+        description: "Also print the sections of the daemon's parts, such as targets and leases.",
+    });
+
     async run(): Promise<number> {
         const answers = await this.fetchPages<StatusReport>("/v1/status");
         if (this.json) {
@@ -35,9 +40,20 @@
             ]),
         ]));
         this.#printDoubts(reports);
+        if (this.details) {
+            this.#printSections(reports);
+        }
         return this.reportFailures(answers);
     }
 
+    #printSections(reports: readonly StatusReport[]): void {
+        for (const { instance, sections } of reports) {
+            for (const [name, value] of Object.entries(sections)) {
+                this.printLines(["", ...renderSection(`${instance} ${name}`, value)]);
+            }
+        }
+    }
+
     #printDoubts(reports: readonly StatusReport[]): void {
         const doubts = new Map<string, string[]>();
         for (const report of reports) {
--- a/test/cli/main.test.ts
+++ b/test/cli/main.test.ts
@@ -80,6 +80,24 @@
     t.is((await runCli("diff", first, second)).output, "share standard: weight from 1 to 2\n");
 });
 
+test("the status shows what a daemon lacks, whom it doubts and the sections of its parts", async t => {
+    const address = await startOperator({
+        "/v1/status": {
+            instance: "a",
+            dataCentre: "caerdydd-a",
+            notReady: ["no-configuration"],
+            instanceListRevision: 3,
+            instances: [{ name: "b", suspected: true, leaving: false }],
+            sections: { targets: [{ name: "engine-0", slots: 8 }] },
+        },
+    });
+    const { code, output } = await runCli("status", "--operator", address, "--details");
+    t.is(code, 0);
+    t.regex(output, /^a +caerdydd-a +no-configuration +- +- +3 +no +-$/m);
+    t.regex(output, /^b {2}suspected at 1 of 1$/m);
+    t.regex(output, /^a targets:\nNAME {6}SLOTS\nengine-0 {2}8$/m);
+});
+
 test("answers of several daemons come in one order, and a daemon that does not answer is named", async t => {
     const [early, late] = [1, 2].map(timeMs => ({ timeMs, kind: "retried", reason: "target-failed" }));
     const path = "/v1/explain/requests/r1";
