Add the core of slot leases: lender, slot ledger and target load

Pure reducers for the lending side of docs/design.md, sections 3.2, 3.3 and 3.8. The ledger grants one slot at a time to the neediest account, keeps slots of silent entries reserved until a load report is newer than their deadline, and leases no longer than the loans in force cover.

TargetHolding carries the highest known fencing number and counts of cold and busy answers; LeaseState carries the age of the report it answers, so that a delayed message cannot extend a lease.

--- /dev/null
+++ b/src/core/lease/applyLoadReport.ts
@@ -0,0 +1,27 @@
+import type { LeaseTimings } from "./leaseTimings.js";
+import type { LoadReport } from "./loadReport.js";
+import type { LoadState } from "./loadState.js";
+
+/**
+ * Advances the cold ramp of a target: a new epoch, a silence or the state `cold` sets the bearable
+ * limit to at most `coldLimit`; each further report at most doubles it up to the reported value.
+ *
+ * @param requestedAt Monotonic time in milliseconds at which the report was requested.
+ */
+export function applyLoadReport(
+    state: LoadState | undefined,
+    report: LoadReport,
+    requestedAt: number,
+    coldLimit: number,
+    timings: LeaseTimings,
+): LoadState {
+    if (state && report.epoch === state.report.epoch && report.measuredAtMs === state.report.measuredAtMs) {
+        // The target repeated an old measurement; that is no news about its load.
+        return state;
+    }
+    const continuous = state?.report.epoch === report.epoch
+        && requestedAt - state.requestedAt <= timings.loadSilenceMs
+        && report.state === "warm";
+    const ceiling = continuous ? Math.max(1, state.bearable * 2) : coldLimit;
+    return { report, bearable: Math.max(0, Math.min(report.bearable, ceiling)), requestedAt };
+}
--- /dev/null
+++ b/src/core/lease/buildLeaseState.ts
@@ -0,0 +1,43 @@
+import { computeGrantable } from "./computeGrantable.js";
+import { isReporting } from "./isReporting.js";
+import type { LeaseGrantState } from "./leaseGrantState.js";
+import type { LedgerPolicy } from "./ledgerPolicy.js";
+import { listUnservedNeeds } from "./listUnservedNeeds.js";
+import type { PoolLedger } from "./poolLedger.js";
+
+/** Builds the message that tells an entry its leases. */
+export function buildLeaseState(
+    ledger: PoolLedger,
+    key: string,
+    now: number,
+    policy: LedgerPolicy,
+): LeaseGrantState {
+    const entry = ledger.entries[key];
+    let lowest = Number.POSITIVE_INFINITY;
+    let unserved = 0;
+    for (const candidate of Object.values(ledger.entries)) {
+        if (!isReporting(candidate, now, policy.timings)) {
+            continue;
+        }
+        lowest = Math.min(lowest, candidate.needs[0]?.normalizedService ?? lowest);
+        unserved += listUnservedNeeds(candidate).reduce((sum, need) => sum + need.waiting, 0);
+    }
+    const free = ledger.recovery
+        ? 0
+        : Object.keys(ledger.targets).reduce(
+            (sum, target) => sum + computeGrantable(ledger, target, now, policy.timings),
+            0,
+        );
+    return {
+        sequence: ledger.sequence,
+        reportSequence: entry?.reportSequence ?? 0,
+        reportedAt: entry?.reportedAt ?? now,
+        fencingNumber: ledger.fencingNumber,
+        leases: Object.entries(entry?.holdings ?? {})
+            .filter(([, holding]) => holding.granted > 0 && holding.deadline > now)
+            .map(([target, { granted, deadline }]) => ({ target, slots: granted, deadline })),
+        horizon: lowest + policy.horizonSlack,
+        recovering: ledger.recovery !== undefined,
+        freeSlots: Math.max(0, free - unserved),
+    };
+}
--- /dev/null
+++ b/src/core/lease/computeGrantable.ts
@@ -0,0 +1,18 @@
+import { computeSlotCeiling } from "./computeSlotCeiling.js";
+import type { LeaseTimings } from "./leaseTimings.js";
+import type { PoolLedger } from "./poolLedger.js";
+import { sumReserved } from "./sumReserved.js";
+
+/** Returns how many more slots of a target can be granted. */
+export function computeGrantable(
+    ledger: PoolLedger,
+    target: string,
+    now: number,
+    timings: LeaseTimings,
+): number {
+    const foreign = ledger.targets[target]?.foreign ?? 0;
+    return Math.max(
+        0,
+        computeSlotCeiling(ledger, target, now, timings) - sumReserved(ledger, target) - foreign,
+    );
+}
--- /dev/null
+++ b/src/core/lease/createLedger.ts
@@ -0,0 +1,22 @@
+import type { PoolLedger } from "./poolLedger.js";
+
+/**
+ * Creates the ledger of a pool that is taken over; it grants nothing until recovery has ended.
+ *
+ * @param deadline Monotonic time in milliseconds at which recovery ends without further replies.
+ * @param pending Names of the instances that are asked for their holdings.
+ */
+export function createLedger(
+    fencingNumber: number,
+    deadline: number,
+    pending: readonly string[],
+): PoolLedger {
+    return {
+        fencingNumber,
+        sequence: 0,
+        recovery: { deadline, pending },
+        targets: {},
+        loans: {},
+        entries: {},
+    };
+}
--- /dev/null
+++ b/src/core/lease/defaultLeaseTimings.ts
@@ -0,0 +1,9 @@
+import type { LeaseTimings } from "./leaseTimings.js";
+
+/** Times of docs/design.md, sections 3.2 and 3.3. */
+export const defaultLeaseTimings: LeaseTimings = {
+    termMs: 2000,
+    marginMs: 250,
+    loadSilenceMs: 2000,
+    loadLagMs: 250,
+};
--- /dev/null
+++ b/src/core/lease/limitLoad.ts
@@ -0,0 +1,7 @@
+import type { LoadState } from "./loadState.js";
+
+/** Lowers the bearable limit when an answer of the target shows that it cannot handle its load. */
+export function limitLoad(state: LoadState, answer: "cold" | "busy", coldLimit: number): LoadState {
+    const limit = answer === "cold" ? coldLimit : Math.max(coldLimit, Math.floor(state.bearable / 2));
+    return { ...state, bearable: Math.min(state.bearable, limit) };
+}
--- /dev/null
+++ b/src/core/lease/listUnservedNeeds.ts
@@ -0,0 +1,17 @@
+import type { AccountNeed } from "./accountNeed.js";
+import type { EntryState } from "./entryState.js";
+import { sumSpare } from "./sumSpare.js";
+
+/** Returns the needs of an entry that its unused slots do not cover, the neediest account first. */
+export function listUnservedNeeds(entry: EntryState): readonly AccountNeed[] {
+    let spare = sumSpare(entry);
+    const unserved: AccountNeed[] = [];
+    for (const need of entry.needs) {
+        const covered = Math.min(spare, need.waiting);
+        spare -= covered;
+        if (need.waiting > covered) {
+            unserved.push({ ...need, waiting: need.waiting - covered });
+        }
+    }
+    return unserved;
+}
--- /dev/null
+++ b/src/core/lease/replaceHolding.ts
@@ -0,0 +1,29 @@
+import type { PoolLedger } from "./poolLedger.js";
+import type { SlotHolding } from "./slotHolding.js";
+
+const EMPTY: SlotHolding = {
+    granted: 0,
+    reserved: 0,
+    changedBy: 0,
+    deadline: 0,
+    inUse: 0,
+    lowInUse: 0,
+    highInUse: 0,
+    coldAnswers: 0,
+    busyAnswers: 0,
+};
+
+/** Returns the ledger with some fields of one lease changed; the entry must be known. */
+export function replaceHolding(
+    ledger: PoolLedger,
+    key: string,
+    target: string,
+    change: Partial<SlotHolding>,
+): PoolLedger {
+    const entry = ledger.entries[key];
+    if (!entry) {
+        return ledger;
+    }
+    const holdings = { ...entry.holdings, [target]: { ...EMPTY, ...entry.holdings[target], ...change } };
+    return { ...ledger, entries: { ...ledger.entries, [key]: { ...entry, holdings } } };
+}
--- /dev/null
+++ b/src/core/lease/slotHolding.ts
@@ -0,0 +1,19 @@
+/** What the owner knows of one entry's lease at one target. */
+export interface SlotHolding {
+    /** Slots that the newest lease state gives the entry. */
+    readonly granted: number;
+    /** Slots that the entry may still use: `granted`, or more until it has applied a reduction. */
+    readonly reserved: number;
+    /** Sequence of the lease state that last changed `granted`. */
+    readonly changedBy: number;
+    /** Monotonic time in milliseconds until which the entry may start requests. */
+    readonly deadline: number;
+    /** Requests in flight by the newest report. */
+    readonly inUse: number;
+    /** Lowest and highest `inUse` since the last load report of the target. */
+    readonly lowInUse: number;
+    readonly highInUse: number;
+    /** Counters of the entry since its start, see `TargetHolding` in proto/peer.proto. */
+    readonly coldAnswers: number;
+    readonly busyAnswers: number;
+}
--- /dev/null
+++ b/src/core/lease/slotLoan.ts
@@ -0,0 +1,8 @@
+/** Slots that a lender lends to this owner. Times are monotonic, in milliseconds. */
+export interface SlotLoan {
+    /** By target. */
+    readonly slots: Readonly<Record<string, number>>;
+    /** By target: when the lender began to lend this many. */
+    readonly since: Readonly<Record<string, number>>;
+    readonly deadline: number;
+}
--- /dev/null
+++ b/test/core/lease/applyLedgerEvent.test.ts
@@ -0,0 +1,188 @@
+import test from "ava";
+import fc from "fast-check";
+import { buildLeaseState } from "../../../src/core/lease/buildLeaseState.js";
+import { computeGrantable } from "../../../src/core/lease/computeGrantable.js";
+import { createLedger } from "../../../src/core/lease/createLedger.js";
+import { sumReserved } from "../../../src/core/lease/sumReserved.js";
+import { PoolLedgerDriver } from "./poolLedgerDriver.js";
+
+const { timings } = PoolLedgerDriver.policy;
+
+test("guards against grants that pass over a needier account at another entry", t => {
+    const driver = PoolLedgerDriver.create(2);
+    driver.report("a", { sequence: 1, waiting: { 500: 3 } }, 1);
+    driver.report("b", { sequence: 1, waiting: { 10: 1, 600: 1 } }, 2);
+    driver.load(0, 3);
+    t.deepEqual([driver.getGranted("a"), driver.getGranted("b")], [1, 1]);
+});
+
+test("guards against an entry that keeps unused slots while another entry waits", t => {
+    const driver = PoolLedgerDriver.create(4);
+    driver.load(0, 1);
+    driver.report("a", { sequence: 1, waiting: { 1: 4 } }, 2);
+    t.is(driver.getGranted("a"), 4);
+    const applied = driver.state.sequence;
+    driver.report("b", { sequence: 1, waiting: { 900: 1 } }, 3);
+    t.is(driver.getGranted("b"), 0);
+    t.true(
+        driver.report("a", { sequence: 2, held: 4, inUse: 1, appliedSequence: applied }, 4).includes(
+            "slot-reclaimed",
+        ),
+    );
+    t.is(driver.getGranted("b"), 0, "the slot stays reserved until the entry confirms");
+    const effects = driver.report(
+        "a",
+        { sequence: 3, held: 3, inUse: 1, appliedSequence: driver.state.sequence },
+        5,
+    );
+    t.true(effects.includes("push b/1"));
+    t.is(driver.getGranted("b"), 1);
+});
+
+test("guards against slots granted twice because a silent entry's requests still run", t => {
+    const driver = PoolLedgerDriver.create(2);
+    driver.load(0, 1);
+    driver.report("a", { sequence: 1, waiting: { 1: 2 } }, 2);
+    const renew = (now: number): void => {
+        driver.apply({ type: "loan", lender: "lender", slots: { 1: 2 }, deadline: now + 2000 }, now);
+    };
+    renew(1500);
+    renew(3000);
+    driver.load(2, 2200);
+    driver.report("b", { sequence: 1, waiting: { 1: 1 } }, 3001);
+    t.is(driver.getGranted("b"), 0, "no load report is newer than the deadline plus margin and lag");
+    driver.load(2, 3002);
+    t.is(driver.getGranted("b"), 0, "the load report shows both requests as foreign work");
+    driver.load(1, 3300);
+    t.is(driver.getGranted("b"), 1);
+});
+
+test("guards against use of borrowed slots before a load report shows what still runs there", t => {
+    const driver = PoolLedgerDriver.create(3);
+    driver.report("a", { sequence: 1, waiting: { 1: 3 } }, 1);
+    t.is(driver.getGranted("a"), 0);
+    driver.load(2, 2);
+    t.is(driver.getGranted("a"), 1);
+});
+
+test("guards against a return that an entry sent before it saw the newest grant", t => {
+    const driver = PoolLedgerDriver.create(2);
+    driver.load(0, 1);
+    driver.report("a", { sequence: 1, waiting: { 1: 2 } }, 2);
+    driver.report("a", { sequence: 2, waiting: { 1: 2 }, held: 0, appliedSequence: 0 }, 3);
+    t.is(sumReserved(driver.state, "1"), 2);
+});
+
+test("guards against old and repeated reports that change the ledger", t => {
+    const driver = PoolLedgerDriver.create(2);
+    driver.load(0, 1);
+    driver.report("a", { sequence: 5, waiting: { 1: 1 } }, 2);
+    const before = driver.state;
+    driver.report("a", { sequence: 4, waiting: { 1: 9 } }, 3);
+    driver.report("a", { sequence: 5, waiting: { 1: 9 } }, 3);
+    t.deepEqual(driver.state, before);
+});
+
+test("guards against leases that outlast the loans that cover them", t => {
+    const driver = PoolLedgerDriver.create(4, 2);
+    driver.apply({ type: "loan", lender: "second", slots: { 1: 2 }, deadline: 1200 }, 0);
+    driver.load(0, 1);
+    driver.report("a", { sequence: 1, waiting: { 1: 2 } }, 2);
+    driver.report("b", { sequence: 1, waiting: { 1: 2 } }, 3);
+    const deadlines = ["a/1", "b/1"].map(key => driver.state.entries[key]?.holdings[1]?.deadline);
+    t.deepEqual(deadlines, [2000, 1200]);
+});
+
+test("guards against leases kept at the warm limit when a target becomes cold", t => {
+    const driver = PoolLedgerDriver.create(8, 8, 1);
+    for (const now of [1, 2, 3, 4]) {
+        driver.load(0, now);
+    }
+    driver.report("a", { sequence: 1, waiting: { 1: 8 } }, 5);
+    t.is(driver.getGranted("a"), 8);
+    const effects = driver.report("a", { sequence: 2, held: 8, inUse: 3, coldAnswers: 1 }, 6);
+    t.true(effects.includes("target-cold"));
+    t.is(driver.getGranted("a"), 1);
+    t.is(computeGrantable(driver.state, "1", 6, timings), 0);
+});
+
+test("guards against a new owner that grants before the instances have told their holdings", t => {
+    const driver = PoolLedgerDriver.create(2);
+    const pending = ["a", "c"];
+    driver.state = { ...driver.state, recovery: createLedger(0, 2000, pending).recovery };
+    driver.load(1, 1);
+    driver.report("b", { sequence: 1, waiting: { 1: 2 } }, 2);
+    const holdings = (instance: string, inUse: number, fencingNumber: number): void => {
+        driver.apply(
+            { type: "holdings", instance, incarnation: "1", inUse: { 1: inUse }, fencingNumber },
+            3,
+        );
+    };
+    holdings("a", 1, 5000);
+    t.is(driver.getGranted("b"), 0);
+    holdings("c", 0, 7);
+    driver.load(1, 4);
+    t.is(driver.getGranted("b"), 0, "the request of a may have begun after this measurement");
+    driver.load(1, 5);
+    t.is(driver.getGranted("b"), 1);
+    t.is(buildLeaseState(driver.state, "b/1", 4, PoolLedgerDriver.policy).fencingNumber, 5001);
+});
+
+test("guards against a horizon that lets an entry keep slots from a needier account", t => {
+    const driver = PoolLedgerDriver.create(1);
+    driver.load(0, 1);
+    driver.report("a", { sequence: 1, waiting: { 800: 2 } }, 2);
+    driver.report("b", { sequence: 1, waiting: { 50: 1 } }, 3);
+    const state = buildLeaseState(driver.state, "a/1", 4, PoolLedgerDriver.policy);
+    t.is(state.horizon, 150);
+    t.is(state.freeSlots, 0);
+});
+
+test("guards against reserved slots above the borrowed ones in any order of events", t => {
+    const event = fc.record({
+        entry: fc.constantFrom("a", "b", "c"),
+        kind: fc.constantFrom("report", "load", "loan", "tick"),
+        waiting: fc.nat(4),
+        unused: fc.nat(2),
+        delay: fc.nat(700),
+        isFresh: fc.boolean(),
+    });
+    fc.assert(
+        fc.property(fc.array(event, { maxLength: 60 }), events => {
+            const driver = PoolLedgerDriver.create(4);
+            let now = 0;
+            for (const [index, { entry, kind, waiting, unused, delay, isFresh }] of events.entries()) {
+                now += delay;
+                if (kind === "report") {
+                    const holding = driver.state.entries[`${entry}/1`]?.holdings[1];
+                    const held = Math.max(0, (holding?.granted ?? 0) - unused);
+                    const appliedSequence = isFresh ? driver.state.sequence : 0;
+                    const inUse = Math.min(held, waiting);
+                    driver.report(
+                        entry,
+                        { sequence: index + 1, waiting: { 1: waiting }, held, inUse, appliedSequence },
+                        now,
+                    );
+                }
+                else if (kind === "load") {
+                    driver.load(0, now);
+                }
+                else if (kind === "loan") {
+                    driver.apply(
+                        { type: "loan", lender: "lender", slots: { 1: 4 }, deadline: now + 2000 },
+                        now,
+                    );
+                }
+                else {
+                    driver.apply({ type: "tick" }, now);
+                }
+                if (sumReserved(driver.state, "1") > 4) {
+                    return false;
+                }
+            }
+            return true;
+        }),
+        { seed: 20261204, numRuns: 300 },
+    );
+    t.pass();
+});
--- /dev/null
+++ b/test/core/lease/applyLoadReport.test.ts
@@ -0,0 +1,49 @@
+import test from "ava";
+import fc from "fast-check";
+import { applyLoadReport } from "../../../src/core/lease/applyLoadReport.js";
+import { computeBearable } from "../../../src/core/lease/computeBearable.js";
+import { defaultLeaseTimings as timings } from "../../../src/core/lease/defaultLeaseTimings.js";
+import { limitLoad } from "../../../src/core/lease/limitLoad.js";
+import type { LoadState } from "../../../src/core/lease/loadState.js";
+
+test("guards against a cold target that gets more than the ramp allows", t => {
+    const report = fc.record({
+        epoch: fc.constantFrom("a", "b"),
+        state: fc.constantFrom("cold", "warm"),
+        bearable: fc.nat(64),
+        delay: fc.nat(3000),
+    });
+    fc.assert(
+        fc.property(fc.array(report), reports => {
+            let state: LoadState | undefined;
+            let now = 0;
+            return reports.every(({ epoch, state: temperature, bearable, delay }, index) => {
+                const before = state;
+                now += delay;
+                const next = { epoch, state: temperature, bearable, running: 0, measuredAtMs: index };
+                state = applyLoadReport(before, next, now, 2, timings);
+                const isCold = temperature === "cold" || before?.report.epoch !== epoch || delay > 2000;
+                const ceiling = isCold ? 2 : Math.max(1, before.bearable * 2);
+                return state.bearable === Math.min(bearable, ceiling);
+            });
+        }),
+        { seed: 7, numRuns: 200 },
+    );
+    t.pass();
+});
+
+test("guards against a ramp that grows on a repeated measurement", t => {
+    const report = { epoch: "a", state: "warm", running: 0, bearable: 32, measuredAtMs: 1 } as const;
+    const state = applyLoadReport(undefined, report, 0, 2, timings);
+    t.is(applyLoadReport(state, report, 250, 2, timings), state);
+});
+
+test("guards against trust in a target that is silent or sends cold or busy answers", t => {
+    const report = { epoch: "a", state: "warm", running: 0, bearable: 32, measuredAtMs: 1 } as const;
+    const state: LoadState = { report, bearable: 32, requestedAt: 0 };
+    t.is(computeBearable(undefined, 2, 0, timings), 2);
+    t.is(computeBearable(state, 2, 2000, timings), 32);
+    t.is(computeBearable(state, 2, 2001, timings), 2);
+    t.is(limitLoad(state, "cold", 2).bearable, 2);
+    t.is(limitLoad(state, "busy", 2).bearable, 16);
+});
