Count served tokens across the fleet

Daemons exchange increments up an aggregation tree and receive the root's totals, bases and the range of backlogged accounts. Increments are bound to one parent incarnation and one sequence, so a lost reply or a new parent counts nothing twice. Totals of the root and tokens still on their way travel separately: a new root may take over the former by maximum, and adding the latter would count them twice.

A lift outside the root is a local floor. Raising the base there was ruled out: a node with old totals would add to the base what the account received elsewhere, and bases only grow.

--- /dev/null
+++ b/src/core/fairness/applyCounterReply.ts
@@ -0,0 +1,47 @@
+import { addCounters } from "./addCounters.js";
+import type { CounterReplyValues } from "./counterReplyValues.js";
+import type { CounterState } from "./counterState.js";
+import { mergeHighest } from "./mergeHighest.js";
+
+/**
+ * Takes the reply to a report. A receiver with a new incarnation has lost what the old one did not pass on, and
+ * nobody can tell which batches those were, so the batches for the old incarnation are dropped: a crash loses at
+ * most one exchange interval, and nothing counts twice. A receiver that is stopping acknowledges nothing more and
+ * adds nothing more; its batch returns to the pending counters and goes to the next parent.
+ *
+ * @param isParent False for a former parent that only settles an old batch.
+ */
+export function applyCounterReply(
+    state: CounterState,
+    reply: CounterReplyValues,
+    isParent: boolean,
+): CounterState {
+    const previous = state.parents.get(reply.instance);
+    const restarted = previous !== undefined && previous !== reply.incarnation;
+    const refused = restarted
+        ? undefined
+        : state.batches.find(batch =>
+            batch.parent === reply.instance && batch.sequence > reply.acknowledgedSequence
+        );
+    const settled = {
+        ...state,
+        pending: refused ? addCounters(state.pending, refused.increments) : state.pending,
+        known: mergeHighest(state.known, reply.tokens),
+        bases: mergeHighest(state.bases, reply.bases),
+        batches: state.batches.filter(batch => batch.parent !== reply.instance),
+        parents: new Map(state.parents).set(reply.instance, reply.incarnation),
+    };
+    if (!isParent) {
+        return settled;
+    }
+    return {
+        ...settled,
+        unsettled: new Map([...state.unsettled, ...reply.unsettled]),
+        // A restarted parent is attached anew, so that it receives the totals.
+        parent: restarted ? undefined : reply.instance,
+        lowest: reply.lowest,
+        highest: reply.highest,
+        level: reply.lowest ?? state.level,
+        collectUntil: undefined,
+    };
+}
--- /dev/null
+++ b/src/core/fairness/buildCounterReply.ts
@@ -0,0 +1,35 @@
+import type { CounterReplyValues } from "./counterReplyValues.js";
+import type { CounterState } from "./counterState.js";
+import { sumUnsettled } from "./sumUnsettled.js";
+
+interface ReplySender {
+    readonly instance: string;
+    readonly incarnation: string;
+}
+
+/** Builds the reply to a child's report: the totals of the accounts that it asked for. */
+export function buildCounterReply(
+    state: CounterState,
+    self: ReplySender,
+    child: ReplySender,
+    accounts: Iterable<number>,
+): CounterReplyValues {
+    const tokens = new Map<number, number>();
+    const unsettled = new Map<number, number>();
+    const bases = new Map<number, number>();
+    for (const account of accounts) {
+        tokens.set(account, Math.floor(state.known.get(account) ?? 0));
+        unsettled.set(account, Math.floor(sumUnsettled(state, account)));
+        bases.set(account, Math.ceil(state.bases.get(account) ?? 0));
+    }
+    const known = state.children.get(child.instance);
+    return {
+        ...self,
+        acknowledgedSequence: known?.incarnation === child.incarnation ? known.sequence : 0,
+        tokens,
+        unsettled,
+        bases,
+        lowest: state.lowest,
+        highest: state.highest,
+    };
+}
--- /dev/null
+++ b/src/core/fairness/counterReplyValues.ts
@@ -0,0 +1,13 @@
+/** Content of one reply to a counter report, apart from the revisions. */
+export interface CounterReplyValues {
+    /** Who replies. */
+    readonly instance: string;
+    readonly incarnation: string;
+    /** Highest sequence of the sender whose increments were added; 0 when none. */
+    readonly acknowledgedSequence: number;
+    readonly tokens: ReadonlyMap<number, number>;
+    readonly unsettled: ReadonlyMap<number, number>;
+    readonly bases: ReadonlyMap<number, number>;
+    readonly lowest: number | undefined;
+    readonly highest: number | undefined;
+}
--- /dev/null
+++ b/src/core/fairness/createCounterState.ts
@@ -0,0 +1,24 @@
+import type { CounterState } from "./counterState.js";
+
+/** Returns the counters of a daemon that has just started. */
+export function createCounterState(): CounterState {
+    return {
+        known: new Map(),
+        unsettled: new Map(),
+        bases: new Map(),
+        pending: new Map(),
+        batches: [],
+        served: new Map(),
+        floors: new Map(),
+        waiting: new Map(),
+        children: new Map(),
+        sequence: 0,
+        parents: new Map(),
+        parent: undefined,
+        lifted: new Set(),
+        level: 0,
+        lowest: undefined,
+        highest: undefined,
+        collectUntil: undefined,
+    };
+}
--- /dev/null
+++ b/src/core/fairness/updateCostHistory.ts
@@ -0,0 +1,20 @@
+import type { CostHistory } from "./costHistory.js";
+
+/** About the last ten requests count. */
+const WEIGHT = 0.2;
+
+/** Adds the cost of a finished request to an account's history. */
+export function updateCostHistory(
+    history: CostHistory | undefined,
+    cost: number,
+    hint: number | undefined,
+): CostHistory {
+    const ratio = hint === undefined || hint <= 0 ? history?.hintRatio ?? 1 : cost / hint;
+    if (history === undefined) {
+        return { averageCost: cost, hintRatio: ratio };
+    }
+    return {
+        averageCost: history.averageCost + WEIGHT * (cost - history.averageCost),
+        hintRatio: history.hintRatio + WEIGHT * (ratio - history.hintRatio),
+    };
+}
--- a/src/daemon/actors/accounting.ts
+++ b/src/daemon/actors/accounting.ts
@@ -1,40 +1,268 @@
+import { dispatch, type Ref, spawn } from "nact";
+import { hashName } from "../../core/configuration/hashName.js";
+import { applyCounterReply } from "../../core/fairness/applyCounterReply.js";
+import { applyCounterReport } from "../../core/fairness/applyCounterReport.js";
+import { applyRootRole } from "../../core/fairness/applyRootRole.js";
+import { buildCounterReply } from "../../core/fairness/buildCounterReply.js";
+import { buildCounterReport } from "../../core/fairness/buildCounterReport.js";
+import { chargeAccounts } from "../../core/fairness/chargeAccounts.js";
+import type { CounterState } from "../../core/fairness/counterState.js";
+import { createCounterState } from "../../core/fairness/createCounterState.js";
+import { createFairnessView } from "../../core/fairness/createFairnessView.js";
+import { dropBatches } from "../../core/fairness/dropBatches.js";
+import { evictChildren } from "../../core/fairness/evictChildren.js";
 import type { FairnessView } from "../../core/fairness/fairnessView.js";
+import { liftAccounts } from "../../core/fairness/liftAccounts.js";
+import { setWaiting } from "../../core/fairness/setWaiting.js";
+import { sumWaiting } from "../../core/fairness/sumWaiting.js";
+import { decodeCounterReply } from "../../transport/decodeCounterReply.js";
+import { decodeCounterReport } from "../../transport/decodeCounterReport.js";
+import { encodeCounterReply } from "../../transport/encodeCounterReply.js";
+import { encodeCounterReport } from "../../transport/encodeCounterReport.js";
 import type { CounterReply } from "../../transport/generated/baobabspread/peer/CounterReply.js";
 import type { CounterReport__Output } from "../../transport/generated/baobabspread/peer/CounterReport.js";
 import type { DaemonContext } from "../daemonContext.js";
+import { NameHashes } from "../nameHashes.js";
+import { AggregationPlace } from "./aggregationPlace.js";
+import { RevisionExchange } from "./revisionExchange.js";
+
+interface AccountingOptions {
+    readonly context: DaemonContext;
+    /** Told the revisions of configuration and instance list that another daemon reports. */
+    readonly observeRevisions: (
+        instance: string,
+        revision: number,
+        digest: string,
+        instanceListRevision: number,
+    ) => void;
+    /** Time between two exchanges while something changes. @default 500 */
+    readonly exchangeIntervalMs?: number;
+}
+
+type Update = (state: CounterState, now: number) => CounterState;
+
+const EXCHANGE_INTERVAL_MS = 500;
+/** Exchanges without change are this many intervals apart: 2 s at the default interval. */
+const IDLE_INTERVALS = 4;
+/** Charges are collected for this long, so that a token costs one addition in a map. */
+const CHARGE_INTERVAL_MS = 50;
+/** A child is silent after five idle exchanges in a row would have been possible while it has a backlog. */
+const SILENT_INTERVALS = 5;
 
 /** Keeps the service counters of this daemon and of its part of the aggregation tree. */
 export class Accounting {
-    private constructor(_context: DaemonContext) {}
+    readonly #context: DaemonContext;
+    readonly #intervalMs: number;
+    readonly #revisions: RevisionExchange;
+    readonly #place: AggregationPlace;
+    readonly #actor: Ref<Update>;
+    readonly #timers: readonly NodeJS.Timeout[];
+    readonly #charges = new Map<number, number>();
+    readonly #hashes = NameHashes.create();
+    #state = createCounterState();
+    #view: FairnessView | undefined;
+    #exchange: Promise<void> | undefined;
+    #lastExchange = Number.NEGATIVE_INFINITY;
+    #changed = false;
+    #isClosed = false;
+
+    private constructor(options: AccountingOptions) {
+        const { context } = options;
+        this.#context = context;
+        this.#intervalMs = options.exchangeIntervalMs ?? EXCHANGE_INTERVAL_MS;
+        this.#revisions = RevisionExchange.create(context.getView, options.observeRevisions);
+        this.#place = AggregationPlace.create(context.identity.instance, this.#intervalMs);
+        this.#actor = spawn(
+            context.system,
+            (state: CounterState | undefined, update: Update) => {
+                this.#state = update(state ?? this.#state, context.getNow());
+                this.#view = undefined;
+                return this.#state;
+            },
+            "accounting",
+        );
+        context.subscribeView(() => {
+            this.#view = undefined;
+        });
+        this.#timers = [
+            setInterval(() => this.#flushCharges(), CHARGE_INTERVAL_MS).unref(),
+            setInterval(() => this.#advance(), this.#intervalMs).unref(),
+        ];
+    }
 
     /** Creates empty counters and starts the exchange with the parent. */
-    static create(context: DaemonContext): Accounting {
-        return new Accounting(context);
+    static create(options: AccountingOptions): Accounting {
+        return new Accounting(options);
     }
 
     /** Adds served tokens to an account. */
-    charge(_account: string, _tokens: number): void {}
+    charge(account: string, tokens: number): void {
+        if (tokens > 0) {
+            const hash = this.#hashes.get(account);
+            this.#charges.set(hash, (this.#charges.get(hash) ?? 0) + tokens);
+        }
+    }
 
     /** Sets the number of requests of an account that wait at this daemon, over all services. */
-    setWaiting(_account: string, _waiting: number): void {}
+    setWaiting(account: string, waiting: number): void {
+        this.#changed = true;
+        this.#update(state => setWaiting(state, this.#hashes.get(account), waiting, this.#getShare(account)));
+    }
 
     /** Latest view of the counters. */
     getView(): FairnessView {
-        return {
-            getNormalizedService: () => 0,
-            lowestBacklogged: undefined,
-            highestBacklogged: undefined,
-            remoteLagThreshold: Number.POSITIVE_INFINITY,
-        };
+        this.#view ??= createFairnessView(this.#state, {
+            getShare: account => this.#getShare(account),
+            ...this.#place.getLimits(this.#context.getView()),
+        });
+        return this.#view;
     }
 
     /** Takes the report of a child in the aggregation tree. */
-    handleReport(report: CounterReport__Output): Promise<CounterReply> {
-        return Promise.resolve({ acknowledgedSequence: report.sequence, accepted: false });
+    handleReport(message: CounterReport__Output): Promise<CounterReply> {
+        const { identity } = this.#context;
+        const sender = { instance: message.instance, incarnation: message.incarnation };
+        this.#revisions.observe(message);
+        return new Promise(resolve => {
+            this.#update((state, now) => {
+                const report = decodeCounterReport(message);
+                const updated = this.#isClosed ? state : applyCounterReport(state, {
+                    ...sender,
+                    isAddressed: message.parentIncarnation === hashName(identity.incarnation),
+                    expiresAt: now + SILENT_INTERVALS * this.#intervalMs,
+                }, report);
+                const values = [...report.increments.values(), ...report.waiting.values()];
+                this.#changed ||= values.some(value => value > 0);
+                const self = { instance: identity.instance, incarnation: identity.incarnation };
+                const reply = buildCounterReply(updated, self, sender, message.accounts);
+                resolve({
+                    ...encodeCounterReply(reply, message.accounts),
+                    ...this.#revisions.build(message.instance),
+                    accepted: this.#place.isParentOf(this.#context.getView(), message.instance),
+                });
+                return updated;
+            });
+        });
     }
 
     /** Sends what is pending to the parent before a planned stop. */
-    close(): Promise<void> {
-        return Promise.resolve();
+    async close(): Promise<void> {
+        for (const timer of this.#timers) {
+            clearInterval(timer);
+        }
+        this.#flushCharges();
+        await this.#exchange;
+        this.#isClosed = true;
+        // The first exchange may only repeat an older batch or attach; two more send the rest.
+        for (let round = 0; round < 3; round += 1) {
+            await this.#sendReports();
+            if (this.#state.pending.size === 0 && this.#state.batches.length === 0) {
+                break;
+            }
+        }
+    }
+
+    #update(update: Update): void {
+        dispatch(this.#actor, update);
+    }
+
+    /** Carries out an update and waits until the actor has taken it. */
+    #runUpdate<T>(
+        update: (state: CounterState, now: number) => { state: CounterState; result: T; },
+    ): Promise<T> {
+        return new Promise(resolve => {
+            this.#update((state, now) => {
+                const { state: updated, result } = update(state, now);
+                resolve(result);
+                return updated;
+            });
+        });
+    }
+
+    #flushCharges(): void {
+        if (this.#charges.size === 0) {
+            return;
+        }
+        const charges = new Map(this.#charges);
+        this.#charges.clear();
+        this.#changed = true;
+        this.#update(state => chargeAccounts(state, charges));
+    }
+
+    #advance(): void {
+        const now = this.#context.getNow();
+        const isBusy = this.#changed || this.#state.waiting.size > 0 || this.#state.batches.length > 0;
+        // Timers fire a little early or late, so half an interval is subtracted from the idle time.
+        const idleMs = (IDLE_INTERVALS - 0.5) * this.#intervalMs;
+        if (this.#exchange || (!isBusy && now - this.#lastExchange < idleMs)) {
+            return;
+        }
+        this.#changed = false;
+        this.#lastExchange = now;
+        this.#exchange = this.#sendReports().finally(() => {
+            this.#exchange = undefined;
+        });
+    }
+
+    async #sendReports(): Promise<void> {
+        const view = this.#context.getView();
+        const parent = this.#place.getParent(view);
+        const listed = new Set(view.instances.instances.map(instance => instance.name));
+        this.#update(state => evictChildren(dropBatches(state, listed), listed));
+        const others = new Set(
+            this.#state.batches.map(batch => batch.parent).filter(name => name !== parent),
+        );
+        const settlements = [...others].filter(name => !view.suspected.has(name) && listed.has(name));
+        const reached = await Promise.all([
+            parent === undefined ? Promise.resolve(false) : this.#sendReport(parent, true),
+            ...settlements.map(name => this.#sendReport(name, false)),
+        ]);
+        if (reached[0] !== true) {
+            this.#update((state, now) => this.#applyRoot(state, now));
+        }
+    }
+
+    async #sendReport(receiver: string, isParent: boolean): Promise<boolean> {
+        const { identity, peers } = this.#context;
+        const report = await this.#runUpdate((state, now) => {
+            const built = buildCounterReport(state, receiver, now);
+            return { state: built.state, result: built.report };
+        });
+        const message = encodeCounterReport(report);
+        try {
+            const reply = await peers.send(receiver, "ExchangeCounters", {
+                instance: identity.instance,
+                incarnation: identity.incarnation,
+                ...message,
+                ...this.#revisions.build(receiver),
+            }, this.#intervalMs);
+            this.#revisions.observe(reply as Parameters<RevisionExchange["observe"]>[0]);
+            const values = decodeCounterReply(
+                reply as Parameters<typeof decodeCounterReply>[0],
+                message.accounts ?? [],
+            );
+            this.#update(state => applyCounterReply(state, values, isParent));
+            return true;
+        }
+        catch {
+            // The directory has recorded the failure; the batch stays and is sent again.
+            return false;
+        }
+    }
+
+    #applyRoot(state: CounterState, now: number): CounterState {
+        const isListedRoot = this.#place.isListedRoot(this.#context.getView());
+        const collectMs = (IDLE_INTERVALS + 1) * this.#intervalMs;
+        const acting = applyRootRole(state, { isListedRoot, collectMs }, now);
+        const names = this.#context.getView().index?.accountNames;
+        return liftAccounts(acting, {
+            waiting: sumWaiting(acting, now),
+            getShare: account => this.#getShare(names?.get(account) ?? ""),
+            raisesBases: isListedRoot && now >= (acting.collectUntil ?? now),
+        });
+    }
+
+    #getShare(account: string): number {
+        return this.#context.getView().index?.getShare(account) ?? 1;
     }
 }
--- /dev/null
+++ b/src/daemon/actors/revisionExchange.ts
@@ -0,0 +1,70 @@
+import type { ClusterView } from "../../core/membership/clusterView.js";
+
+interface RevisionMessage {
+    readonly instance: string;
+    readonly configurationRevision: number;
+    readonly configurationDigest: string;
+    readonly instanceListRevision: number;
+}
+
+interface RevisionFields {
+    readonly configurationRevision: number;
+    readonly configurationDigest: string;
+    readonly instanceListRevision: number;
+}
+
+type ObserveRevisions = (
+    instance: string,
+    revision: number,
+    digest: string,
+    instanceListRevision: number,
+) => void;
+
+/**
+ * Passes revisions along with counter exchanges. A digest of 64 characters is sent only to a peer that is not
+ * known to have the same one; an empty digest means that the receiver's own digest is meant.
+ */
+export class RevisionExchange {
+    readonly #getView: () => ClusterView;
+    readonly #observeRevisions: ObserveRevisions;
+    readonly #peers = new Map<string, { readonly revision: number; readonly digest: string; }>();
+
+    private constructor(getView: () => ClusterView, observeRevisions: ObserveRevisions) {
+        this.#getView = getView;
+        this.#observeRevisions = observeRevisions;
+    }
+
+    /** Creates an exchange that knows nothing of its peers. */
+    static create(getView: () => ClusterView, observeRevisions: ObserveRevisions): RevisionExchange {
+        return new RevisionExchange(getView, observeRevisions);
+    }
+
+    /** Returns the fields for a message to a peer. */
+    build(receiver: string): RevisionFields {
+        const view = this.#getView();
+        const known = this.#peers.get(receiver);
+        const isSame = known?.revision === view.configurationRevision
+            && known.digest === view.configurationDigest;
+        return {
+            // Revision -1 (no configuration) has no unsigned form; 0 is below every published revision.
+            configurationRevision: Math.max(0, view.configurationRevision),
+            configurationDigest: isSame ? "" : view.configurationDigest,
+            instanceListRevision: Math.max(0, view.instances.revision),
+        };
+    }
+
+    /** Takes the fields of a peer's message. */
+    observe(message: RevisionMessage): void {
+        const view = this.#getView();
+        const isOwn = message.configurationDigest === ""
+            && message.configurationRevision === view.configurationRevision;
+        const digest = isOwn ? view.configurationDigest : message.configurationDigest;
+        this.#peers.set(message.instance, { revision: message.configurationRevision, digest });
+        this.#observeRevisions(
+            message.instance,
+            message.configurationRevision,
+            digest,
+            message.instanceListRevision,
+        );
+    }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -85,7 +85,10 @@
             subscribeView: listener => keeper.subscribeView(listener),
             recordDecision: decision => decisions.record(decision),
         };
-        const accounting = Accounting.create(context);
+        const accounting = Accounting.create({
+            context,
+            observeRevisions: (...revisions) => keeper.observeRevisions(...revisions),
+        });
         const dispatcher = Dispatcher.create({ context, accounting });
         const owner = PoolOwner.create(context);
         const lender = Lender.create(context);
--- /dev/null
+++ b/src/transport/encodeCounterReply.ts
@@ -0,0 +1,16 @@
+import type { CounterReplyValues } from "../core/fairness/counterReplyValues.js";
+import type { CounterReply } from "./generated/baobabspread/peer/CounterReply.js";
+
+/** Returns the fields of a counter reply that carry counters, in the order of the report's accounts. */
+export function encodeCounterReply(reply: CounterReplyValues, accounts: readonly number[]): CounterReply {
+    return {
+        instance: reply.instance,
+        incarnation: reply.incarnation,
+        acknowledgedSequence: reply.acknowledgedSequence,
+        tokens: accounts.map(account => reply.tokens.get(account) ?? 0),
+        unsettled: accounts.map(account => reply.unsettled.get(account) ?? 0),
+        bases: accounts.map(account => reply.bases.get(account) ?? 0),
+        lowestBacklogged: reply.lowest ?? -1,
+        highestBacklogged: reply.highest ?? -1,
+    };
+}
