--- /dev/null
+++ b/src/core/dispatch/applyChoice.ts
@@ -0,0 +1,43 @@
+import { estimateCost } from "../fairness/estimateCost.js";
+import { advanceGrantRate } from "./advanceGrantRate.js";
+import { buildQueueKey } from "./buildQueueKey.js";
+import type { DispatchChoice } from "./dispatchChoice.js";
+import type { DispatchFacts } from "./dispatchFacts.js";
+import type { DispatchState } from "./dispatchState.js";
+
+/** Cost in tokens that an account without history is expected to cause; a short prompt and a short answer. */
+const DEFAULT_COST = 500;
+
+/** Moves the chosen request from its queue to its slot. */
+export function applyChoice(
+    state: DispatchState,
+    choice: DispatchChoice,
+    facts: DispatchFacts,
+): DispatchState {
+    const { queue, head } = choice.queue;
+    const { target } = choice.target;
+    const key = buildQueueKey(queue.account, queue.service);
+    const service = facts.index.services.get(queue.service);
+    const history = service?.kind === "plain"
+        ? { averageCost: service.requestCost, hintRatio: 1 }
+        : state.costs.get(key);
+    const rate = advanceGrantRate(queue, facts.now);
+    return {
+        ...state,
+        queues: new Map(state.queues).set(key, {
+            ...queue,
+            requests: queue.requests.slice(1),
+            lastGrantAt: facts.now,
+            recentGrants: rate.recentGrants + 1,
+            recentBusyMs: rate.recentBusyMs,
+        }),
+        flights: new Map(state.flights).set(head.id, {
+            id: head.id,
+            ticket: head.ticket,
+            target: target.name,
+            dataCentre: target.dataCentre,
+            estimatedCost: estimateCost(history, head.ticket.hintedCost, DEFAULT_COST),
+            chargedCost: 0,
+        }),
+    };
+}
--- /dev/null
+++ b/src/core/dispatch/computeFixedParts.ts
@@ -0,0 +1,22 @@
+import type { Target } from "../configuration/target.js";
+import type { Instance } from "../membership/instance.js";
+import { rankInstances } from "../membership/rankInstances.js";
+
+/**
+ * Returns the part of each target's slots that an instance has without leases: the limit divided by the number of
+ * instances, with one slot of the remainder for each of the first ranks. The parts of all instances add up to the
+ * limit.
+ */
+export function computeFixedParts(
+    targets: readonly Target[],
+    instances: readonly Instance[],
+    instance: string,
+): ReadonlyMap<string, number> {
+    return new Map(targets.map(target => {
+        const ranked = rankInstances(`slots:${target.name}`, instances);
+        const rank = ranked.findIndex(candidate => candidate.name === instance);
+        const part = Math.floor(target.slotLimit / Math.max(1, ranked.length));
+        const hasExtra = rank < target.slotLimit % Math.max(1, ranked.length);
+        return [target.name, rank < 0 ? 0 : part + (hasExtra ? 1 : 0)];
+    }));
+}
--- /dev/null
+++ b/src/core/dispatch/createDispatchState.ts
@@ -0,0 +1,11 @@
+import type { DispatchState } from "./dispatchState.js";
+
+/** Returns the state of an entry that has just started. */
+export function createDispatchState(): DispatchState {
+    return {
+        queues: new Map(),
+        flights: new Map(),
+        pools: new Map(),
+        costs: new Map(),
+    };
+}
--- /dev/null
+++ b/src/core/dispatch/createPoolLeases.ts
@@ -0,0 +1,18 @@
+import type { PoolLeases } from "./poolLeases.js";
+
+/** Returns the holdings of a pool that this daemon has not asked yet. */
+export function createPoolLeases(service: string, dataCentre: string): PoolLeases {
+    return {
+        service,
+        dataCentre,
+        owner: "",
+        ownerIncarnation: "",
+        sequence: 0,
+        leases: new Map(),
+        horizon: undefined,
+        recovering: false,
+        reportSequence: 0,
+        returnSequence: 0,
+        returns: 0,
+    };
+}
--- /dev/null
+++ b/src/core/dispatch/dispatchChoice.ts
@@ -0,0 +1,8 @@
+import type { QueueCandidate } from "./queueCandidate.js";
+import type { TargetCandidate } from "./targetCandidate.js";
+
+/** The next request to start and the slot that it gets. */
+export interface DispatchChoice {
+    readonly queue: QueueCandidate;
+    readonly target: TargetCandidate;
+}
--- /dev/null
+++ b/src/core/dispatch/dispatchPolicy.ts
@@ -0,0 +1,23 @@
+import type { Target } from "../configuration/target.js";
+import type { Allowance } from "./allowance.js";
+import type { DispatchFacts } from "./dispatchFacts.js";
+import type { DispatchState } from "./dispatchState.js";
+import type { Distance } from "./distance.js";
+import type { QueueCandidate } from "./queueCandidate.js";
+import type { TargetCandidate } from "./targetCandidate.js";
+
+/** How an entry shares slots between its queues. */
+export interface DispatchPolicy {
+    /** True if slots come from the owners of pools. */
+    readonly usesLeases: boolean;
+    /** Returns the slots that the daemon may use at a target. */
+    readonly getAllowance: (state: DispatchState, target: Target, facts: DispatchFacts) => Allowance;
+    /** Orders queues; the first one is served first. */
+    readonly compareQueues: (a: QueueCandidate, b: QueueCandidate) => number;
+    /** Orders targets; the first one is used first. */
+    readonly compareTargets: (a: TargetCandidate, b: TargetCandidate) => number;
+    /** Returns the largest distance at which a queue may use slots now. */
+    readonly computeReach: (queue: QueueCandidate, facts: DispatchFacts) => Distance;
+    /** True if a queue may use a free slot of the pool without asking its owner. */
+    readonly isWithinHorizon: (state: DispatchState, queue: QueueCandidate, target: Target) => boolean;
+}
--- /dev/null
+++ b/src/core/dispatch/flight.ts
@@ -0,0 +1,13 @@
+import type { RequestTicket } from "../request/requestTicket.js";
+
+/** A request that has a slot. */
+export interface Flight {
+    readonly id: number;
+    readonly ticket: RequestTicket;
+    readonly target: string;
+    readonly dataCentre: string;
+    /** Expected cost in tokens. */
+    readonly estimatedCost: number;
+    /** Tokens charged so far. */
+    readonly chargedCost: number;
+}
--- /dev/null
+++ b/src/core/dispatch/listPoolDemands.ts
@@ -0,0 +1,75 @@
+import { buildPoolKey } from "./buildPoolKey.js";
+import { computeDistance } from "./computeDistance.js";
+import type { DispatchFacts } from "./dispatchFacts.js";
+import type { DispatchPolicy } from "./dispatchPolicy.js";
+import type { DispatchState } from "./dispatchState.js";
+import type { Distance } from "./distance.js";
+import { listHoldings } from "./listHoldings.js";
+import { listQueueCandidates } from "./listQueueCandidates.js";
+import type { PoolDemand } from "./poolDemand.js";
+import type { QueueCandidate } from "./queueCandidate.js";
+
+/**
+ * Accounts named in one report. The owner serves the lowest accounts first and gets the next ones with the next
+ * report, so naming all of them would only cost bytes.
+ */
+const REPORTED_ACCOUNTS = 4;
+
+/** Lists the pools that this entry waits for or holds slots of, with what it reports to their owners. */
+export function listPoolDemands(
+    state: DispatchState,
+    policy: DispatchPolicy,
+    facts: DispatchFacts,
+): ReadonlyMap<string, PoolDemand> {
+    const demands = new Map<string, PoolDemand>();
+    for (const service of facts.index.services.keys()) {
+        const queues = listQueueCandidates(state, service, facts)
+            .map(queue => ({ queue, reach: policy.computeReach(queue, facts) }));
+        for (const dataCentre of facts.index.dataCentres.keys()) {
+            const distance = computeDistance(facts.index, facts.dataCentre, dataCentre);
+            const isUsable = facts.index.getPool(service, dataCentre)
+                .some(target => facts.index.isInService(target));
+            const waiting = isUsable
+                ? queues.filter(({ reach }) => reach >= distance).map(({ queue }) => queue)
+                : [];
+            const holdings = listHoldings(state, service, dataCentre);
+            const key = buildPoolKey(service, dataCentre);
+            if (waiting.length > 0 || holdings.size > 0) {
+                demands.set(key, buildDemand(state, { service, dataCentre, distance, waiting, holdings }));
+            }
+        }
+    }
+    return demands;
+}
+
+interface DemandInput {
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly distance: Distance;
+    readonly waiting: readonly QueueCandidate[];
+    readonly holdings: PoolDemand["holdings"];
+}
+
+function buildDemand(state: DispatchState, input: DemandInput): PoolDemand {
+    const { service, dataCentre, distance, waiting, holdings } = input;
+    const lowest = [...waiting].sort((a, b) => a.service - b.service).slice(0, REPORTED_ACCOUNTS);
+    const flights = [...state.flights.values()].filter(flight =>
+        flight.ticket.service === service && flight.dataCentre === dataCentre
+    );
+    const count = waiting.reduce((sum, { queue }) => sum + queue.requests.length, 0);
+    const returns = state.pools.get(buildPoolKey(service, dataCentre))?.returns ?? 0;
+    return {
+        service,
+        dataCentre,
+        distance,
+        demands: lowest.map(({ queue, service: normalizedService }) => ({
+            account: queue.account,
+            waiting: queue.requests.length,
+            inFlight: flights.filter(flight => flight.ticket.account === queue.account).length,
+            service: normalizedService,
+        })),
+        holdings,
+        // Queue lengths count by powers of two: the owner needs the exact length of short queues only.
+        signature: `${Math.ceil(Math.log2(count + 1))}/${waiting.length}/${returns}`,
+    };
+}
--- /dev/null
+++ b/src/core/dispatch/listTargetCandidates.ts
@@ -0,0 +1,31 @@
+import { computeDistance } from "./computeDistance.js";
+import { countInUse } from "./countInUse.js";
+import type { DispatchFacts } from "./dispatchFacts.js";
+import type { DispatchPolicy } from "./dispatchPolicy.js";
+import type { DispatchState } from "./dispatchState.js";
+import type { TargetCandidate } from "./targetCandidate.js";
+
+/** Lists the targets of a service that are in service and have a free slot, the preferred one first. */
+export function listTargetCandidates(
+    state: DispatchState,
+    service: string,
+    policy: DispatchPolicy,
+    facts: DispatchFacts,
+): readonly TargetCandidate[] {
+    const inUse = countInUse(state);
+    const candidates: TargetCandidate[] = [];
+    for (const dataCentre of facts.index.dataCentres.keys()) {
+        const distance = computeDistance(facts.index, facts.dataCentre, dataCentre);
+        for (const target of facts.index.getPool(service, dataCentre)) {
+            if (!facts.index.isInService(target)) {
+                continue;
+            }
+            const allowance = policy.getAllowance(state, target, facts);
+            const used = inUse.get(target.name) ?? 0;
+            if (used < allowance.slots && allowance.startDeadline > facts.now) {
+                candidates.push({ target, distance, allowance, inUse: used });
+            }
+        }
+    }
+    return candidates.sort((a, b) => policy.compareTargets(a, b));
+}
--- /dev/null
+++ b/src/core/dispatch/localPolicy.ts
@@ -0,0 +1,16 @@
+import type { DispatchPolicy } from "./dispatchPolicy.js";
+
+/** Baseline: each daemon is fair on its own with a fixed part of each target's slots. */
+export const localPolicy: DispatchPolicy = {
+    usesLeases: false,
+    getAllowance: (_state, target, facts) => ({
+        slots: facts.fixedParts.get(target.name) ?? 0,
+        fencingNumber: 0,
+        startDeadline: Number.POSITIVE_INFINITY,
+    }),
+    compareQueues: (a, b) => a.service - b.service || a.head.enqueuedAt - b.head.enqueuedAt,
+    compareTargets: (a, b) =>
+        a.distance - b.distance || a.inUse / a.allowance.slots - b.inUse / b.allowance.slots,
+    computeReach: () => 2,
+    isWithinHorizon: () => true,
+};
--- /dev/null
+++ b/src/core/dispatch/poolDemand.ts
@@ -0,0 +1,19 @@
+import type { Distance } from "./distance.js";
+
+/** Full state of this entry for one pool, as it is reported to the owner. */
+export interface PoolDemand {
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly distance: Distance;
+    readonly demands: readonly {
+        readonly account: string;
+        readonly waiting: number;
+        readonly inFlight: number;
+        /** Normalised service including the estimated cost in flight. */
+        readonly service: number;
+    }[];
+    /** By target name. */
+    readonly holdings: ReadonlyMap<string, { readonly held: number; readonly inUse: number; }>;
+    /** Changes when the owner should know early. */
+    readonly signature: string;
+}
--- /dev/null
+++ b/src/core/dispatch/queueCandidate.ts
@@ -0,0 +1,10 @@
+import type { RequestQueue } from "./requestQueue.js";
+import type { WaitingRequest } from "./waitingRequest.js";
+
+/** A queue with waiting requests, as a policy sees it. */
+export interface QueueCandidate {
+    readonly queue: RequestQueue;
+    readonly head: WaitingRequest;
+    /** Normalised service including the estimated cost in flight, in tokens per unit of share. */
+    readonly service: number;
+}
--- /dev/null
+++ b/src/core/dispatch/releaseSlots.ts
@@ -0,0 +1,55 @@
+import { computeDistance } from "./computeDistance.js";
+import { countInUse } from "./countInUse.js";
+import type { DispatchFacts } from "./dispatchFacts.js";
+import type { DispatchPolicy } from "./dispatchPolicy.js";
+import type { DispatchState } from "./dispatchState.js";
+import type { HeldLease } from "./heldLease.js";
+import { listQueueCandidates } from "./listQueueCandidates.js";
+import type { PoolLeases } from "./poolLeases.js";
+import type { QueueCandidate } from "./queueCandidate.js";
+
+/** How long a free slot is kept for the next request: a few round trips to the owner. */
+const KEEP_UNUSED_MS = 100;
+
+/**
+ * Gives up free slots that this entry may not use: at once when the target is out of service or every waiting
+ * account is above the horizon, and after a short time when nothing waits.
+ */
+export function releaseSlots(
+    state: DispatchState,
+    policy: DispatchPolicy,
+    facts: DispatchFacts,
+): DispatchState {
+    const inUse = countInUse(state);
+    const queues = new Map<string, readonly QueueCandidate[]>();
+    const pools = new Map<string, PoolLeases>();
+    for (const [key, pool] of state.pools) {
+        const candidates = queues.get(pool.service) ?? listQueueCandidates(state, pool.service, facts);
+        queues.set(pool.service, candidates);
+        const distance = computeDistance(facts.index, facts.dataCentre, pool.dataCentre);
+        const waiting = candidates.filter(queue => policy.computeReach(queue, facts) >= distance);
+        let hasReturned = false;
+        const leases = new Map<string, HeldLease>();
+        for (const [name, lease] of pool.leases) {
+            const target = facts.index.targets.get(name);
+            const used = inUse.get(name) ?? 0;
+            const isUsable = target !== undefined && facts.index.isInService(target);
+            const isAboveHorizon = target !== undefined && waiting.length > 0
+                && !waiting.some(queue => policy.isWithinHorizon(state, queue, target));
+            const isUnused = used < lease.slots && waiting.length === 0;
+            const unusedSince = isUnused ? lease.unusedSince ?? facts.now : undefined;
+            const isKept = isUsable && !isAboveHorizon
+                && (unusedSince === undefined || facts.now < unusedSince + KEEP_UNUSED_MS);
+            const slots = isKept ? lease.slots : Math.min(lease.slots, used);
+            hasReturned ||= slots < lease.slots;
+            leases.set(name, { ...lease, slots, unusedSince: slots < lease.slots ? undefined : unusedSince });
+        }
+        pools.set(key, {
+            ...pool,
+            leases,
+            returns: hasReturned ? pool.returns + 1 : pool.returns,
+            returnSequence: hasReturned ? pool.reportSequence + 1 : pool.returnSequence,
+        });
+    }
+    return { ...state, pools };
+}
--- /dev/null
+++ b/src/core/dispatch/requestQueue.ts
@@ -0,0 +1,15 @@
+import type { WaitingRequest } from "./waitingRequest.js";
+
+/** Waiting requests of one client account for one service. */
+export interface RequestQueue {
+    readonly account: string;
+    readonly service: string;
+    /** Oldest first. */
+    readonly requests: readonly WaitingRequest[];
+    /** Monotonic time in milliseconds of the last grant. */
+    readonly lastGrantAt: number | undefined;
+    /** Grants of the last seconds; older ones count less. */
+    readonly recentGrants: number;
+    /** Time during which requests waited, weighted in the same way, in milliseconds. */
+    readonly recentBusyMs: number;
+}
--- /dev/null
+++ b/src/core/dispatch/waitingRequest.ts
@@ -0,0 +1,9 @@
+import type { RequestTicket } from "../request/requestTicket.js";
+
+/** A request without a slot. */
+export interface WaitingRequest {
+    readonly id: number;
+    readonly ticket: RequestTicket;
+    /** Monotonic time in milliseconds. */
+    readonly enqueuedAt: number;
+}
--- a/src/core/fairness/buildCounterReply.ts
+++ b/src/core/fairness/buildCounterReply.ts
@@ -24,7 +24,8 @@
     }
     const known = state.children.get(child.instance);
     return {
-        ...self,
+        instance: self.instance,
+        incarnation: self.incarnation,
         acknowledgedSequence: known?.incarnation === child.incarnation ? known.sequence : 0,
         tokens,
         unsettled,
--- a/src/daemon/actors/accounting.ts
+++ b/src/daemon/actors/accounting.ts
@@ -53,6 +53,8 @@
 export class Accounting {
     readonly #context: DaemonContext;
     readonly #intervalMs: number;
+    /** True for the baselines, whose counters stay at this daemon; only revisions are exchanged. */
+    readonly #isAlone: boolean;
     readonly #revisions: RevisionExchange;
     readonly #place: AggregationPlace;
     readonly #actor: Ref<Update>;
@@ -70,6 +72,7 @@
         const { context } = options;
         this.#context = context;
         this.#intervalMs = options.exchangeIntervalMs ?? EXCHANGE_INTERVAL_MS;
+        this.#isAlone = context.settings.policy !== "fleet";
         this.#revisions = RevisionExchange.create(context.getView, options.observeRevisions);
         this.#place = AggregationPlace.create(context.identity.instance, this.#intervalMs);
         this.#actor = spawn(
@@ -133,8 +136,7 @@
                 }, report);
                 const values = [...report.increments.values(), ...report.waiting.values()];
                 this.#changed ||= values.some(value => value > 0);
-                const self = { instance: identity.instance, incarnation: identity.incarnation };
-                const reply = buildCounterReply(updated, self, sender, message.accounts);
+                const reply = buildCounterReply(updated, identity, sender, message.accounts);
                 resolve({
                     ...encodeCounterReply(reply, message.accounts),
                     ...this.#revisions.build(message.instance),
@@ -156,9 +158,6 @@
         // The first exchange may only repeat an older batch or attach; two more send the rest.
         for (let round = 0; round < 3; round += 1) {
             await this.#sendReports();
-            if (this.#state.pending.size === 0 && this.#state.batches.length === 0) {
-                break;
-            }
         }
     }
 
@@ -225,8 +224,8 @@
     async #sendReport(receiver: string, isParent: boolean): Promise<boolean> {
         const { identity, peers } = this.#context;
         const report = await this.#runUpdate((state, now) => {
-            const built = buildCounterReport(state, receiver, now);
-            return { state: built.state, result: built.report };
+            const built = buildCounterReport(this.#isAlone ? createCounterState() : state, receiver, now);
+            return { state: this.#isAlone ? state : built.state, result: built.report };
         });
         const message = encodeCounterReport(report);
         try {
@@ -241,8 +240,8 @@
                 reply as Parameters<typeof decodeCounterReply>[0],
                 message.accounts ?? [],
             );
-            this.#update(state => applyCounterReply(state, values, isParent));
-            return true;
+            this.#update(state => this.#isAlone ? state : applyCounterReply(state, values, isParent));
+            return !this.#isAlone;
         }
         catch {
             // The directory has recorded the failure; the batch stays and is sent again.
@@ -251,8 +250,8 @@
     }
 
     #applyRoot(state: CounterState, now: number): CounterState {
-        const isListedRoot = this.#place.isListedRoot(this.#context.getView());
-        const collectMs = (IDLE_INTERVALS + 1) * this.#intervalMs;
+        const isListedRoot = this.#isAlone || this.#place.isListedRoot(this.#context.getView());
+        const collectMs = this.#isAlone ? 0 : (IDLE_INTERVALS + 1) * this.#intervalMs;
         const acting = applyRootRole(state, { isListedRoot, collectMs }, now);
         const names = this.#context.getView().index?.accountNames;
         return liftAccounts(acting, {
--- /dev/null
+++ b/src/daemon/actors/demandReporter.ts
@@ -0,0 +1,217 @@
+import { applyLeaseUpdate } from "../../core/dispatch/applyLeaseUpdate.js";
+import { createPoolLeases } from "../../core/dispatch/createPoolLeases.js";
+import type { DispatchState } from "../../core/dispatch/dispatchState.js";
+import type { PoolDemand } from "../../core/dispatch/poolDemand.js";
+import type { PoolLeases } from "../../core/dispatch/poolLeases.js";
+import { computePoolOwner } from "../../core/membership/computePoolOwner.js";
+import { decodeLeaseState } from "../../transport/decodeLeaseState.js";
+import { encodeDemandReport } from "../../transport/encodeDemandReport.js";
+import type { DemandReport__Output } from "../../transport/generated/baobabspread/peer/DemandReport.js";
+import type { LeaseState } from "../../transport/generated/baobabspread/peer/LeaseState.js";
+import type { LeaseState__Output } from "../../transport/generated/baobabspread/peer/LeaseState.js";
+import type { DaemonContext } from "../daemonContext.js";
+
+interface DemandReporterOptions {
+    readonly context: DaemonContext;
+    /** Takes the reports for pools that this daemon owns itself. */
+    readonly reportDemand: (report: DemandReport__Output) => Promise<LeaseState>;
+    readonly getState: () => DispatchState;
+    /** Carries out a change of the state in the dispatcher's actor. */
+    readonly update: (change: (state: DispatchState) => DispatchState) => void;
+}
+
+interface SentReport {
+    readonly sentAt: number;
+    readonly demand: PoolDemand;
+    /** Lowest normalised service that the report named. */
+    readonly lowest: number;
+    /** True after a report that nothing is held or needed. */
+    readonly isLast: boolean;
+}
+
+/** Longest wait for a reply: a round trip between regions and a busy owner, well within the lease term of 2 s. */
+const REPORT_TIMEOUT_MS = 400;
+/** An owner that did not reply is passed over for this long, unless failure detection suspects it for longer. */
+const OWNER_RETRY_MS = 1000;
+const MIN_INTERVAL_MS = 20;
+const RECOVERY_INTERVAL_MS = 100;
+const CHANGED_INTERVAL_MS = 500;
+/** Half the lease term, so that one lost report does not end a lease. */
+const RENEWAL_INTERVAL_MS = 1000;
+/** A pool of another region that granted nothing is asked this rarely, because that traffic is billed. */
+const REMOTE_INTERVAL_MS = 2000;
+/** The order at the owner stays good enough while the lowest account has moved by less tokens per unit of share. */
+const SERVICE_CHANGE = 1000;
+
+/** Reports demand to the owners of pools and applies the leases in their replies. */
+export class DemandReporter {
+    readonly #options: DemandReporterOptions;
+    readonly #sent = new Map<string, SentReport>();
+    readonly #busy = new Set<string>();
+    #sequence = 0;
+    /** Monotonic time in milliseconds until which an instance is passed over. */
+    readonly #failedUntil = new Map<string, number>();
+
+    private constructor(options: DemandReporterOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a reporter that has sent nothing. */
+    static create(options: DemandReporterOptions): DemandReporter {
+        return new DemandReporter(options);
+    }
+
+    /** True if no owner has to be told anything more. */
+    get isIdle(): boolean {
+        return [...this.#sent.values()].every(({ isLast }) => isLast);
+    }
+
+    /** Sends every report that is due. A pool that is no longer needed gets one last, empty report. */
+    sendDue(demands: ReadonlyMap<string, PoolDemand>): void {
+        const now = this.#options.context.getNow();
+        for (const [key, { demand, isLast, sentAt }] of this.#sent) {
+            // A pool of which nothing is held may be needed again at once, so its last report is not urgent.
+            const dueTime = sentAt + (demand.holdings.size > 0 ? MIN_INTERVAL_MS : CHANGED_INTERVAL_MS);
+            if (!isLast && !demands.has(key) && !this.#busy.has(key) && now >= dueTime) {
+                void this.#send(key, { ...demand, demands: [], holdings: new Map(), signature: "" }, true);
+            }
+        }
+        for (const [key, demand] of demands) {
+            if (!this.#busy.has(key) && now >= this.#computeDueTime(key, demand)) {
+                void this.#send(key, demand, false);
+            }
+        }
+    }
+
+    /** Returns all slots and waits until the owners have been told. */
+    async close(): Promise<void> {
+        await Promise.all(
+            [...this.#sent].map(([key, { demand }]) =>
+                this.#send(key, { ...demand, demands: [], holdings: new Map(), signature: "" }, true)
+            ),
+        );
+    }
+
+    /** Returns the instance that this daemon takes for the owner of a pool. */
+    getOwner(service: string, dataCentre: string): string | undefined {
+        const { context } = this.#options;
+        const view = context.getView();
+        const now = context.getNow();
+        const failed = [...this.#failedUntil].filter(([, until]) => until > now).map(([name]) => name);
+        const excluded = new Set([...view.suspected, ...view.leaving, ...failed]);
+        return computePoolOwner({
+            service,
+            dataCentre,
+            instances: view.instances.instances,
+            dataCentres: view.index?.dataCentres ?? new Map(),
+            excluded,
+        })?.name;
+    }
+
+    /** Takes a lease state; returns false if its sender is not the owner here or it is out of date. */
+    apply(message: LeaseState__Output, service: string, dataCentre: string, countedFrom: number): boolean {
+        const { context, getState, update } = this.#options;
+        const key = `${service}@${dataCentre}`;
+        const owner = this.getOwner(service, dataCentre) ?? "";
+        const names = context.getView().index?.targetNames ?? new Map<number, string>();
+        const decoded = decodeLeaseState(message, names, countedFrom);
+        const applyTo = (state: DispatchState): PoolLeases => {
+            const pool = state.pools.get(key) ?? createPoolLeases(service, dataCentre);
+            return applyLeaseUpdate(pool, decoded, owner);
+        };
+        const isAccepted = applyTo(getState()) !== getState().pools.get(key) && message.owner === owner;
+        update(state => ({ ...state, pools: new Map(state.pools).set(key, applyTo(state)) }));
+        return isAccepted;
+    }
+
+    #computeDueTime(key: string, demand: PoolDemand): number {
+        const sent = this.#sent.get(key);
+        if (!sent) {
+            return 0;
+        }
+        const pool = this.#options.getState().pools.get(key);
+        const isWaiting = demand.demands.length > 0;
+        if (demand.distance === 2 && demand.holdings.size === 0 && sent.demand.holdings.size === 0) {
+            return sent.sentAt + REMOTE_INTERVAL_MS;
+        }
+        if (demand.signature !== sent.demand.signature) {
+            return sent.sentAt + MIN_INTERVAL_MS;
+        }
+        if (isWaiting && pool?.recovering === true) {
+            return sent.sentAt + RECOVERY_INTERVAL_MS;
+        }
+        const lowest = demand.demands[0]?.service ?? sent.lowest;
+        const hasMoved = Math.abs(lowest - sent.lowest) > SERVICE_CHANGE;
+        return sent.sentAt + (hasMoved ? CHANGED_INTERVAL_MS : RENEWAL_INTERVAL_MS);
+    }
+
+    async #send(key: string, demand: PoolDemand, isLast: boolean): Promise<void> {
+        const { context, update } = this.#options;
+        const owner = this.getOwner(demand.service, demand.dataCentre);
+        if (owner === undefined) {
+            return;
+        }
+        this.#busy.add(key);
+        const sentAt = context.getNow();
+        this.#sent.set(key, { sentAt, demand, lowest: demand.demands[0]?.service ?? 0, isLast });
+        const pool = this.#options.getState().pools.get(key)
+            ?? createPoolLeases(demand.service, demand.dataCentre);
+        this.#sequence += 1;
+        const sequence = this.#sequence;
+        update(state => ({
+            ...state,
+            pools: new Map(state.pools).set(key, {
+                ...state.pools.get(key) ?? pool,
+                reportSequence: sequence,
+            }),
+        }));
+        try {
+            const reply = await this.#fetchLeases(owner, demand, {
+                sequence,
+                appliedSequence: pool.owner === owner ? pool.sequence : 0,
+            });
+            // Remaining times count from the time of the report, which is before the owner's own clock reading.
+            this.apply(reply, demand.service, demand.dataCentre, sentAt);
+        }
+        catch (error) {
+            this.#failedUntil.set(owner, context.getNow() + OWNER_RETRY_MS);
+            this.#sent.delete(key);
+            context.metrics.count("lease_events_total", { reason: "owner-unreachable" });
+            context.logger.debug("owner-unreachable", { owner, pool: key, error: String(error) });
+        }
+        finally {
+            this.#busy.delete(key);
+        }
+    }
+
+    async #fetchLeases(
+        owner: string,
+        demand: PoolDemand,
+        numbers: { readonly sequence: number; readonly appliedSequence: number; },
+    ): Promise<LeaseState__Output> {
+        const { context, reportDemand } = this.#options;
+        const { instance, incarnation } = context.identity;
+        const report = encodeDemandReport(demand, { instance, incarnation, ...numbers });
+        if (owner !== instance) {
+            const reply = await context.peers.send(owner, "ReportDemand", report, REPORT_TIMEOUT_MS);
+            return reply as LeaseState__Output;
+        }
+        const reply = await reportDemand(report);
+        return {
+            pool: { service: report.pool?.service ?? 0, dataCentre: report.pool?.dataCentre ?? 0 },
+            owner: reply.owner ?? "",
+            ownerIncarnation: reply.ownerIncarnation ?? "",
+            sequence: Number(reply.sequence ?? 0),
+            reportSequence: Number(reply.reportSequence ?? 0),
+            leases: (reply.leases ?? []).map(lease => ({
+                target: lease.target ?? 0,
+                slots: lease.slots ?? 0,
+                fencingNumber: Number(lease.fencingNumber ?? 0),
+                remainingMs: lease.remainingMs ?? 0,
+            })),
+            horizon: Number(reply.horizon ?? 0),
+            recovering: reply.recovering ?? false,
+            freeSlots: reply.freeSlots ?? 0,
+        };
+    }
+}
--- /dev/null
+++ b/src/daemon/actors/dispatchRecorder.ts
@@ -0,0 +1,87 @@
+import type { DispatchChoice } from "../../core/dispatch/dispatchChoice.js";
+import type { DispatchFacts } from "../../core/dispatch/dispatchFacts.js";
+import type { DispatchPolicy } from "../../core/dispatch/dispatchPolicy.js";
+import type { DispatchState } from "../../core/dispatch/dispatchState.js";
+import { explainWait } from "../../core/dispatch/explainWait.js";
+import type { WaitingRequest } from "../../core/dispatch/waitingRequest.js";
+import type { RefusalReason } from "../../core/errors/refusalReason.js";
+import { RequestError } from "../../core/errors/requestError.js";
+import type { Decision } from "../../core/explain/decision.js";
+import type { RequestTicket } from "../../core/request/requestTicket.js";
+import type { DaemonContext } from "../daemonContext.js";
+
+const GRANT_REASONS = ["own-data-centre", "own-region", "other-region"] as const;
+
+/** Counts the dispatcher's decisions and keeps them for `explain`. */
+export class DispatchRecorder {
+    readonly #context: DaemonContext;
+
+    private constructor(context: DaemonContext) {
+        this.#context = context;
+    }
+
+    /** Creates a recorder for one daemon. */
+    static create(context: DaemonContext): DispatchRecorder {
+        return new DispatchRecorder(context);
+    }
+
+    /** Records a refusal and returns its error. The outcome is `not-run`: nothing was written to a target. */
+    refuse(
+        ticket: RequestTicket,
+        reason: RefusalReason,
+        detail: string,
+        retryAfterSeconds?: number,
+    ): RequestError {
+        this.#record("refused", reason, ticket, retryAfterSeconds === undefined ? {} : { retryAfterSeconds });
+        return RequestError.create(
+            reason,
+            detail,
+            retryAfterSeconds === undefined ? {} : { retryAfterSeconds },
+        );
+    }
+
+    /** Records that a request was not given a slot at once, and why. */
+    recordQueued(
+        state: DispatchState,
+        request: WaitingRequest,
+        policy: DispatchPolicy,
+        facts: DispatchFacts,
+    ): void {
+        const { ticket } = request;
+        this.#record("queued", explainWait(state, ticket.service, policy, facts), ticket, {
+            queueLength: state.queues.get(`${ticket.account}/${ticket.service}`)?.requests.length ?? 0,
+        });
+    }
+
+    /** Records that a request was given a slot. */
+    recordGranted(choice: DispatchChoice, facts: DispatchFacts): void {
+        const { head, service } = choice.queue;
+        const waitedMs = facts.now - head.enqueuedAt;
+        this.#context.metrics.observeLatency("queueing", waitedMs);
+        this.#record("granted", GRANT_REASONS[choice.target.distance], head.ticket, {
+            target: choice.target.target.name,
+            waitedMs: Math.round(waitedMs),
+            normalizedService: Math.round(service),
+        });
+    }
+
+    #record(
+        kind: string,
+        reason: string,
+        ticket: RequestTicket,
+        fields: NonNullable<Decision["fields"]>,
+    ): void {
+        const { target, ...others } = fields;
+        this.#context.metrics.count("dispatch_decisions_total", { kind, reason });
+        this.#context.recordDecision({
+            timeMs: Date.now(),
+            kind,
+            reason,
+            requestId: ticket.requestId,
+            account: ticket.account,
+            service: ticket.service,
+            ...typeof target === "string" ? { target } : {},
+            fields: others,
+        });
+    }
+}
--- a/src/daemon/actors/dispatcher.ts
+++ b/src/daemon/actors/dispatcher.ts
@@ -1,32 +1,107 @@
-import { RequestError } from "../../core/errors/requestError.js";
+import { dispatch, type Ref, spawn } from "nact";
+import { applyCharges } from "../../core/dispatch/applyCharges.js";
+import { applyRelease } from "../../core/dispatch/applyRelease.js";
+import { createDispatchState } from "../../core/dispatch/createDispatchState.js";
+import type { DispatchPolicy } from "../../core/dispatch/dispatchPolicy.js";
+import type { DispatchState } from "../../core/dispatch/dispatchState.js";
+import { evictQueues } from "../../core/dispatch/evictQueues.js";
+import { expireLeases } from "../../core/dispatch/expireLeases.js";
+import { fifoPolicy } from "../../core/dispatch/fifoPolicy.js";
+import { fleetPolicy } from "../../core/dispatch/fleetPolicy.js";
+import { listHoldings } from "../../core/dispatch/listHoldings.js";
+import { listPoolDemands } from "../../core/dispatch/listPoolDemands.js";
+import { localPolicy } from "../../core/dispatch/localPolicy.js";
+import { releaseSlots } from "../../core/dispatch/releaseSlots.js";
 import type { RequestTicket } from "../../core/request/requestTicket.js";
 import type { SlotBroker } from "../../core/request/slotBroker.js";
 import type { SlotGrant } from "../../core/request/slotGrant.js";
 import type { SlotResult } from "../../core/request/slotResult.js";
 import type { Acknowledgement } from "../../transport/generated/baobabspread/peer/Acknowledgement.js";
+import type { DemandReport__Output } from "../../transport/generated/baobabspread/peer/DemandReport.js";
 import type { HoldingsReply } from "../../transport/generated/baobabspread/peer/HoldingsReply.js";
 import type { HoldingsRequest__Output } from "../../transport/generated/baobabspread/peer/HoldingsRequest.js";
-import type { LeaseState__Output } from "../../transport/generated/baobabspread/peer/LeaseState.js";
+import type {
+    LeaseState,
+    LeaseState__Output,
+} from "../../transport/generated/baobabspread/peer/LeaseState.js";
+import type { PoolId__Output } from "../../transport/generated/baobabspread/peer/PoolId.js";
 import type { DaemonContext } from "../daemonContext.js";
-import { StaticBroker } from "../staticBroker.js";
+import { NameHashes } from "../nameHashes.js";
 import type { Accounting } from "./accounting.js";
+import { DemandReporter } from "./demandReporter.js";
+import { FactsReader } from "./factsReader.js";
+import { OpenRequests } from "./openRequests.js";
+import { SlotScheduler } from "./slotScheduler.js";
 
 interface DispatcherOptions {
     readonly context: DaemonContext;
     readonly accounting: Accounting;
+    /** Takes the reports for pools that this daemon owns itself. */
+    readonly reportDemand: (report: DemandReport__Output) => Promise<LeaseState>;
 }
 
+type Update = (state: DispatchState) => DispatchState;
+
+const POLICIES: Readonly<Record<string, DispatchPolicy>> = {
+    fleet: fleetPolicy,
+    local: localPolicy,
+    fifo: fifoPolicy,
+};
+
+/** Time between two reviews of deadlines, slots and reports; also the shortest time between two reports. */
+const REVIEW_INTERVAL_MS = 20;
+
 /** Queues requests and gives them slots under the leases that this daemon holds. */
 export class Dispatcher implements SlotBroker {
     readonly #context: DaemonContext;
-    readonly #broker: StaticBroker;
+    readonly #accounting: Accounting;
+    readonly #policy: DispatchPolicy;
+    readonly #facts: FactsReader;
+    readonly #scheduler: SlotScheduler;
+    readonly #requests = OpenRequests.create();
+    readonly #hashes = NameHashes.create();
+    readonly #reporter: DemandReporter;
+    readonly #actor: Ref<Update>;
+    #state = createDispatchState();
+    #review: NodeJS.Timeout | undefined;
     #leaving = false;
+    #drained = false;
+    #reviewedAt = Number.NEGATIVE_INFINITY;
+    #onIdle: (() => void) | undefined;
 
     private constructor(options: DispatcherOptions) {
-        this.#context = options.context;
-        this.#broker = StaticBroker.create(
-            () => options.context.getView().index?.configuration,
-            () => Math.max(1, options.context.getView().instances.instances.length),
+        const { context, accounting } = options;
+        this.#context = context;
+        this.#accounting = accounting;
+        this.#policy = POLICIES[context.settings.policy] ?? fleetPolicy;
+        this.#facts = FactsReader.create(context, accounting, this.#policy);
+        this.#scheduler = SlotScheduler.create({
+            context,
+            accounting,
+            policy: this.#policy,
+            facts: this.#facts,
+            requests: this.#requests,
+        });
+        this.#reporter = DemandReporter.create({
+            context,
+            reportDemand: options.reportDemand,
+            getState: () => this.#state,
+            update: change => this.#update(change),
+        });
+        this.#actor = spawn(
+            context.system,
+            (_previous: DispatchState | undefined, update: Update) => {
+                this.#state = this.#scheduler.grantSlots(update(this.#state));
+                this.#scheduleReview();
+                return this.#state;
+            },
+            "dispatcher",
+        );
+        context.subscribeView(() => this.#update(state => state));
+        context.metrics.registerGauge(
+            "waiting_requests",
+            "Requests without a slot.",
+            () => this.#requests.waitingCount,
         );
     }
 
@@ -36,32 +111,123 @@
     }
 
     acquireSlot(ticket: RequestTicket, signal: AbortSignal): Promise<SlotGrant> {
-        if (this.#leaving) {
-            return Promise.reject(RequestError.create("instance-leaving", "The instance is leaving."));
-        }
-        return this.#broker.acquireSlot(ticket, signal);
+        return new Promise((resolve, reject) => {
+            const request = this.#requests.add(ticket, this.#context.getNow(), { resolve, reject });
+            if (this.#leaving) {
+                this.#scheduler.refuse(request, "instance-leaving", "The instance is leaving.");
+                return;
+            }
+            if (signal.aborted) {
+                this.#scheduler.refuse(request, "caller-disconnected", "The caller has disconnected.");
+                return;
+            }
+            this.#update(state => this.#scheduler.enqueue(state, request));
+            signal.addEventListener("abort", () => {
+                this.#update(state => this.#scheduler.withdraw(state, request));
+            }, { once: true });
+        });
     }
 
-    chargeTokens(_grant: SlotGrant, _tokens: number): void {}
+    chargeTokens(grant: SlotGrant, tokens: number): void {
+        this.#requests.charge(grant, tokens);
+        this.#accounting.charge(grant.ticket.account, tokens);
+    }
 
-    releaseSlot(grant: SlotGrant, _result: SlotResult): void {
-        this.#broker.releaseSlot(grant);
+    releaseSlot(grant: SlotGrant, result: SlotResult): void {
+        const ended = this.#requests.end(grant);
+        if (!ended) {
+            return;
+        }
+        this.#accounting.charge(grant.ticket.account, result.cost - ended.charged);
+        this.#update(state => applyRelease(state, ended.id, result));
     }
 
     /** Takes leases that the owner of a pool pushes. */
-    handleLease(_state: LeaseState__Output): Promise<Acknowledgement> {
-        return Promise.resolve({ accepted: false });
+    handleLease(state: LeaseState__Output): Promise<Acknowledgement> {
+        const pool = this.#findPool(state.pool);
+        const accepted = pool !== undefined
+            && this.#reporter.apply(state, pool.service, pool.dataCentre, this.#context.getNow());
+        return Promise.resolve({ accepted });
     }
 
     /** Tells a new owner what this daemon holds in a pool. */
-    handleHoldings(_request: HoldingsRequest__Output): Promise<HoldingsReply> {
+    handleHoldings(request: HoldingsRequest__Output): Promise<HoldingsReply> {
         const { instance, incarnation } = this.#context.identity;
-        return Promise.resolve({ instance, incarnation, holdings: [] });
+        const pool = this.#findPool(request.pool);
+        const state = expireLeases(this.#state, this.#context.getNow());
+        const holdings = pool ? listHoldings(state, pool.service, pool.dataCentre) : new Map<string, never>();
+        return Promise.resolve({
+            instance,
+            incarnation,
+            holdings: [...holdings].map(([target, holding]) => ({
+                target: this.#hashes.get(target),
+                ...holding,
+            })),
+        });
     }
 
     /** Ends when no request waits or is in flight; new ones are refused from now on. */
-    drain(): Promise<void> {
+    async drain(): Promise<void> {
         this.#leaving = true;
-        return Promise.resolve();
+        await new Promise<void>(resolve => {
+            this.#onIdle = resolve;
+            this.#update(state => state);
+        });
+        // A later review would report slots that are being returned.
+        this.#drained = true;
+        clearTimeout(this.#review);
+        await this.#reporter.close();
+    }
+
+    #update(update: Update): void {
+        dispatch(this.#actor, update);
+    }
+
+    #scheduleReview(): void {
+        if (this.#requests.count === 0) {
+            this.#onIdle?.();
+        }
+        const hasLeases = [...this.#state.pools.values()].some(pool => pool.leases.size > 0);
+        if (
+            this.#review || this.#drained
+            || (this.#requests.count === 0 && !hasLeases && this.#reporter.isIdle)
+        ) {
+            return;
+        }
+        const delayMs = Math.max(0, this.#reviewedAt + REVIEW_INTERVAL_MS - this.#context.getNow());
+        this.#review = setTimeout(() => {
+            this.#review = undefined;
+            this.#update(state => this.#advance(state));
+        }, delayMs).unref();
+    }
+
+    /** Carries out what time brings: late requests, ended leases, slots to return, reports. */
+    #advance(state: DispatchState): DispatchState {
+        if (this.#drained) {
+            return state;
+        }
+        const now = this.#context.getNow();
+        this.#reviewedAt = now;
+        const charged = applyCharges(state, this.#requests.collectCharges());
+        const waiting = evictQueues(this.#scheduler.expire(charged, now), now);
+        const current = this.#scheduler.grantSlots(expireLeases(waiting, now));
+        const facts = this.#facts.read();
+        if (!facts || !this.#policy.usesLeases) {
+            return current;
+        }
+        const reviewed = releaseSlots(current, this.#policy, facts);
+        // The reporter reads the state, so it has to see the returned slots.
+        this.#state = reviewed;
+        this.#reporter.sendDue(listPoolDemands(reviewed, this.#policy, facts));
+        return reviewed;
+    }
+
+    #findPool(
+        id: PoolId__Output | null,
+    ): { readonly service: string; readonly dataCentre: string; } | undefined {
+        const index = this.#context.getView().index;
+        const service = index?.serviceNames.get(id?.service ?? 0);
+        const dataCentre = index?.dataCentreNames.get(id?.dataCentre ?? 0);
+        return service === undefined || dataCentre === undefined ? undefined : { service, dataCentre };
     }
 }
--- /dev/null
+++ b/src/daemon/actors/factsReader.ts
@@ -0,0 +1,49 @@
+import { computeFixedParts } from "../../core/dispatch/computeFixedParts.js";
+import type { DispatchFacts } from "../../core/dispatch/dispatchFacts.js";
+import type { DispatchPolicy } from "../../core/dispatch/dispatchPolicy.js";
+import type { ClusterView } from "../../core/membership/clusterView.js";
+import type { DaemonContext } from "../daemonContext.js";
+import type { Accounting } from "./accounting.js";
+
+/** Reads what dispatch decisions depend on. */
+export class FactsReader {
+    readonly #context: DaemonContext;
+    readonly #accounting: Accounting;
+    readonly #policy: DispatchPolicy;
+    #view: ClusterView | undefined;
+    #fixedParts: ReadonlyMap<string, number> = new Map();
+
+    private constructor(context: DaemonContext, accounting: Accounting, policy: DispatchPolicy) {
+        this.#context = context;
+        this.#accounting = accounting;
+        this.#policy = policy;
+    }
+
+    /** Creates a reader for one daemon. */
+    static create(context: DaemonContext, accounting: Accounting, policy: DispatchPolicy): FactsReader {
+        return new FactsReader(context, accounting, policy);
+    }
+
+    /** Returns the facts of this moment; `undefined` before the first configuration. */
+    read(): DispatchFacts | undefined {
+        const view = this.#context.getView();
+        if (!view.index) {
+            return undefined;
+        }
+        if (view !== this.#view && !this.#policy.usesLeases) {
+            this.#fixedParts = computeFixedParts(
+                view.index.configuration.targets,
+                view.instances.instances,
+                this.#context.identity.instance,
+            );
+        }
+        this.#view = view;
+        return {
+            now: this.#context.getNow(),
+            index: view.index,
+            fairness: this.#accounting.getView(),
+            dataCentre: this.#context.identity.dataCentre,
+            fixedParts: this.#fixedParts,
+        };
+    }
+}
--- /dev/null
+++ b/src/daemon/actors/openRequests.ts
@@ -0,0 +1,116 @@
+import type { WaitingRequest } from "../../core/dispatch/waitingRequest.js";
+import type { RequestTicket } from "../../core/request/requestTicket.js";
+import type { SlotGrant } from "../../core/request/slotGrant.js";
+
+interface Waiter {
+    readonly resolve: (grant: SlotGrant) => void;
+    readonly reject: (error: Error) => void;
+}
+
+interface OpenFlight {
+    readonly id: number;
+    charged: number;
+    unreported: number;
+}
+
+/** Connects requests in the dispatcher's state with their callers. Charging changes numbers in place, because it happens once for each token. */
+export class OpenRequests {
+    readonly #waiters = new Map<number, Waiter>();
+    readonly #queued = new Set<number>();
+    readonly #flights = new Map<SlotGrant, OpenFlight>();
+    readonly #waitingByAccount = new Map<string, number>();
+    #nextId = 1;
+
+    private constructor() {}
+
+    /** Creates an empty set. */
+    static create(): OpenRequests {
+        return new OpenRequests();
+    }
+
+    /** Requests without a slot. */
+    get waitingCount(): number {
+        return this.#waiters.size;
+    }
+
+    /** Requests with or without a slot. */
+    get count(): number {
+        return this.#waiters.size + this.#flights.size;
+    }
+
+    /** Adds a request that is not in a queue yet. */
+    add(ticket: RequestTicket, now: number, waiter: Waiter): WaitingRequest {
+        const request = { id: this.#nextId, ticket, enqueuedAt: now };
+        this.#nextId += 1;
+        this.#waiters.set(request.id, waiter);
+        return request;
+    }
+
+    /** True until the request is granted a slot or refused. */
+    isWaiting(request: WaitingRequest): boolean {
+        return this.#waiters.has(request.id);
+    }
+
+    /** Notes that the request is in a queue; returns how many of its account are. */
+    markQueued(request: WaitingRequest): number {
+        this.#queued.add(request.id);
+        return this.#countWaiting(request.ticket.account, 1);
+    }
+
+    /** Rejects a request; returns how many of its account remain in queues, `undefined` if it was in none. */
+    refuse(request: WaitingRequest, error: Error): number | undefined {
+        this.#waiters.get(request.id)?.reject(error);
+        return this.#removeWaiter(request);
+    }
+
+    /** Gives a request its slot; returns how many of its account remain in queues. */
+    grant(request: WaitingRequest, grant: SlotGrant): number | undefined {
+        this.#flights.set(grant, { id: request.id, charged: 0, unreported: 0 });
+        this.#waiters.get(request.id)?.resolve(grant);
+        return this.#removeWaiter(request);
+    }
+
+    /** Adds tokens to a request in flight. */
+    charge(grant: SlotGrant, tokens: number): void {
+        const flight = this.#flights.get(grant);
+        if (flight) {
+            flight.charged += tokens;
+            flight.unreported += tokens;
+        }
+    }
+
+    /** Returns the tokens charged since the last call, by request. */
+    collectCharges(): ReadonlyMap<number, number> {
+        const charges = new Map<number, number>();
+        for (const flight of this.#flights.values()) {
+            if (flight.unreported > 0) {
+                charges.set(flight.id, flight.unreported);
+                flight.unreported = 0;
+            }
+        }
+        return charges;
+    }
+
+    /** Removes a request in flight; `undefined` if it has ended before. */
+    end(grant: SlotGrant): { readonly id: number; readonly charged: number; } | undefined {
+        const flight = this.#flights.get(grant);
+        this.#flights.delete(grant);
+        return flight;
+    }
+
+    #removeWaiter(request: WaitingRequest): number | undefined {
+        this.#waiters.delete(request.id);
+        return this.#queued.delete(request.id) ? this.#countWaiting(request.ticket.account, -1) : undefined;
+    }
+
+    #countWaiting(account: string, change: number): number {
+        const count = (this.#waitingByAccount.get(account) ?? 0) + change;
+        if (count === 0) {
+            this.#waitingByAccount.delete(account);
+        }
+        else {
+            this.#waitingByAccount.set(account, count);
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/src/daemon/actors/slotScheduler.ts
@@ -0,0 +1,133 @@
+import { applyChoice } from "../../core/dispatch/applyChoice.js";
+import type { DispatchChoice } from "../../core/dispatch/dispatchChoice.js";
+import type { DispatchFacts } from "../../core/dispatch/dispatchFacts.js";
+import type { DispatchPolicy } from "../../core/dispatch/dispatchPolicy.js";
+import type { DispatchState } from "../../core/dispatch/dispatchState.js";
+import { enqueueRequest } from "../../core/dispatch/enqueueRequest.js";
+import { expireRequests } from "../../core/dispatch/expireRequests.js";
+import { pickNext } from "../../core/dispatch/pickNext.js";
+import { removeRequest } from "../../core/dispatch/removeRequest.js";
+import type { WaitingRequest } from "../../core/dispatch/waitingRequest.js";
+import type { RefusalReason } from "../../core/errors/refusalReason.js";
+import type { DaemonContext } from "../daemonContext.js";
+import type { Accounting } from "./accounting.js";
+import { DispatchRecorder } from "./dispatchRecorder.js";
+import type { FactsReader } from "./factsReader.js";
+import type { OpenRequests } from "./openRequests.js";
+
+interface SlotSchedulerOptions {
+    readonly context: DaemonContext;
+    readonly accounting: Accounting;
+    readonly policy: DispatchPolicy;
+    readonly facts: FactsReader;
+    readonly requests: OpenRequests;
+}
+
+/** Carries out decisions about waiting requests: tells callers, counters and the decision log. */
+export class SlotScheduler {
+    readonly #options: SlotSchedulerOptions;
+    readonly #recorder: DispatchRecorder;
+    #arrival: WaitingRequest | undefined;
+
+    private constructor(options: SlotSchedulerOptions) {
+        this.#options = options;
+        this.#recorder = DispatchRecorder.create(options.context);
+    }
+
+    /** Creates a scheduler over the open requests. */
+    static create(options: SlotSchedulerOptions): SlotScheduler {
+        return new SlotScheduler(options);
+    }
+
+    /** Removes a request whose caller has disconnected, if it still waits. */
+    withdraw(state: DispatchState, request: WaitingRequest): DispatchState {
+        if (!this.#options.requests.isWaiting(request)) {
+            return state;
+        }
+        this.refuse(request, "caller-disconnected", "The caller left before a slot was free.");
+        return removeRequest(state, request);
+    }
+
+    /** Refuses the requests whose deadline has passed. */
+    expire(state: DispatchState, now: number): DispatchState {
+        const { state: remaining, expired } = expireRequests(state, now);
+        for (const request of expired) {
+            this.refuse(request, "deadline-expired", "No slot was free before the deadline.");
+        }
+        return remaining;
+    }
+
+    /** Puts a request into its queue, or refuses it. */
+    enqueue(state: DispatchState, request: WaitingRequest): DispatchState {
+        if (!this.#options.requests.isWaiting(request)) {
+            return state;
+        }
+        const index = this.#options.context.getView().index;
+        if (!index) {
+            this.refuse(request, "not-configured", "The instance has no configuration yet.");
+            return state;
+        }
+        const result = enqueueRequest(state, request, index);
+        if (result.refusal) {
+            const { reason, detail, retryAfterSeconds } = result.refusal;
+            this.refuse(request, reason, detail, retryAfterSeconds);
+            return state;
+        }
+        this.#arrival = request;
+        if (this.#options.requests.markQueued(request) === 1) {
+            this.#options.accounting.setWaiting(request.ticket.account, 1);
+        }
+        return result.state;
+    }
+
+    /** Refuses a request that waits. */
+    refuse(request: WaitingRequest, ...reason: [RefusalReason, string, number?]): void {
+        const error = this.#recorder.refuse(request.ticket, ...reason);
+        this.#notifyWaiting(request, this.#options.requests.refuse(request, error));
+    }
+
+    /** Counters only tell whether an account waits, so they are told the first and the last request. */
+    #notifyWaiting(request: WaitingRequest, remaining: number | undefined): void {
+        if (remaining === 0) {
+            this.#options.accounting.setWaiting(request.ticket.account, 0);
+        }
+    }
+
+    /** Starts requests until none may start. */
+    grantSlots(state: DispatchState): DispatchState {
+        const facts = this.#options.facts.read();
+        const arrival = this.#arrival;
+        this.#arrival = undefined;
+        if (!facts || this.#options.requests.waitingCount === 0) {
+            return state;
+        }
+        let current = state;
+        for (const service of new Set([...current.queues.values()].map(queue => queue.service))) {
+            for (;;) {
+                const choice = pickNext(current, service, this.#options.policy, facts);
+                if (!choice) {
+                    break;
+                }
+                current = applyChoice(current, choice, facts);
+                this.#grant(choice, facts);
+            }
+        }
+        if (arrival && this.#options.requests.isWaiting(arrival)) {
+            this.#recorder.recordQueued(current, arrival, this.#options.policy, facts);
+        }
+        return current;
+    }
+
+    #grant(choice: DispatchChoice, facts: DispatchFacts): void {
+        const { head } = choice.queue;
+        const { target, allowance } = choice.target;
+        this.#recorder.recordGranted(choice, facts);
+        const remaining = this.#options.requests.grant(head, {
+            ticket: head.ticket,
+            target,
+            fencingNumber: allowance.fencingNumber,
+            startDeadline: Math.min(allowance.startDeadline, head.ticket.deadline),
+        });
+        this.#notifyWaiting(head, remaining);
+    }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -89,8 +89,12 @@
             context,
             observeRevisions: (...revisions) => keeper.observeRevisions(...revisions),
         });
-        const dispatcher = Dispatcher.create({ context, accounting });
         const owner = PoolOwner.create(context);
+        const dispatcher = Dispatcher.create({
+            context,
+            accounting,
+            reportDemand: report => owner.handleDemand(report),
+        });
         const lender = Lender.create(context);
         const claims = ClaimHolder.create(context);
         const peerServer = await PeerServer.create(settings.peerAddress, {
--- a/src/observability/counterDefinitions.ts
+++ b/src/observability/counterDefinitions.ts
@@ -6,6 +6,10 @@
         labels: ["reason", "outcome"],
     },
     retries_total: { help: "Further tries of a request, by reason.", labels: ["reason"] },
+    dispatch_decisions_total: {
+        help: "Decisions of the scheduler: queued, granted or refused, by reason.",
+        labels: ["kind", "reason"],
+    },
     lease_events_total: { help: "Changes of slot leases, by reason.", labels: ["reason"] },
     takeovers_total: { help: "Pools that this daemon became the owner of.", labels: ["reason"] },
     claims_total: { help: "Answers given as claim holder, by verdict.", labels: ["verdict"] },
--- /dev/null
+++ b/test/core/dispatch/dispatch.test.ts
@@ -0,0 +1,159 @@
+import test from "ava";
+import { applyChoice } from "../../../src/core/dispatch/applyChoice.js";
+import { applyRelease } from "../../../src/core/dispatch/applyRelease.js";
+import { computeFixedParts } from "../../../src/core/dispatch/computeFixedParts.js";
+import { createDispatchState } from "../../../src/core/dispatch/createDispatchState.js";
+import type { DispatchState } from "../../../src/core/dispatch/dispatchState.js";
+import { enqueueRequest } from "../../../src/core/dispatch/enqueueRequest.js";
+import { expireRequests } from "../../../src/core/dispatch/expireRequests.js";
+import { fifoPolicy } from "../../../src/core/dispatch/fifoPolicy.js";
+import { fleetPolicy } from "../../../src/core/dispatch/fleetPolicy.js";
+import { listPoolDemands } from "../../../src/core/dispatch/listPoolDemands.js";
+import { localPolicy } from "../../../src/core/dispatch/localPolicy.js";
+import { pickNext } from "../../../src/core/dispatch/pickNext.js";
+import { releaseSlots } from "../../../src/core/dispatch/releaseSlots.js";
+import { addLease } from "../../testing/addLease.js";
+import { addRequest } from "../../testing/addRequest.js";
+import { makeFacts } from "../../testing/makeFacts.js";
+import { makeTicket } from "../../testing/makeTicket.js";
+
+function countSlots(state: DispatchState, dataCentre = "near"): number {
+    return state.pools.get(`desk@${dataCentre}`)?.leases.get(`engine-${dataCentre}`)?.slots ?? 0;
+}
+
+test("the waiting account with the lowest service goes first, its cost in flight included", t => {
+    const facts = makeFacts({ services: { "account-0": 100, "account-1": 50 } });
+    let state = addLease(createDispatchState(), "near", 3);
+    for (const account of ["account-0", "account-1", "account-1"]) {
+        state = addRequest(state, account, facts);
+    }
+    const order: string[] = [];
+    for (let choice = pickNext(state, "desk", fleetPolicy, facts); choice;) {
+        order.push(choice.queue.queue.account);
+        state = applyChoice(state, choice, facts);
+        choice = pickNext(state, "desk", fleetPolicy, facts);
+    }
+    t.deepEqual(order, ["account-1", "account-0", "account-1"]);
+});
+
+test("neither a target nor a data centre out of service gets work or is asked for slots", t => {
+    for (const outOfService of ["near", "engine-near"]) {
+        const facts = makeFacts({ outOfService });
+        const state = addRequest(addLease(createDispatchState(), "near", 2), "account-0", facts);
+        t.is(pickNext(state, "desk", fleetPolicy, facts), undefined);
+        t.is(countSlots(releaseSlots(state, fleetPolicy, facts)), 0);
+        t.deepEqual(
+            [...listPoolDemands(releaseSlots(state, fleetPolicy, facts), fleetPolicy, facts).keys()],
+            [
+                "desk@side",
+            ],
+        );
+    }
+});
+
+test("a flood fills only its own queue and is refused at once", t => {
+    const facts = makeFacts({ queueLimit: 5 });
+    let state = createDispatchState();
+    for (let index = 0; index < 20; index += 1) {
+        state = addRequest(state, "account-0", facts);
+    }
+    const flooded = enqueueRequest(
+        state,
+        { id: 0, ticket: makeTicket("account-0"), enqueuedAt: 0 },
+        facts.index,
+    );
+    t.is(flooded.refusal?.reason, "queue-full");
+    t.true((flooded.refusal?.retryAfterSeconds ?? 0) >= 1);
+    const other = enqueueRequest(
+        state,
+        { id: 0, ticket: makeTicket("account-1"), enqueuedAt: 0 },
+        facts.index,
+    );
+    t.is(other.refusal, undefined);
+    t.is(state.queues.get("account-0/desk")?.requests.length, 5);
+});
+
+test("a request whose expected wait exceeds its deadline is refused at once", t => {
+    let facts = makeFacts();
+    let state = addLease(createDispatchState(), "near", 1);
+    for (let index = 0; index < 20; index += 1) {
+        state = addRequest(state, "account-0", facts);
+    }
+    for (let second = 1; second <= 5; second += 1) {
+        facts = { ...facts, now: second * 1000 };
+        state = addLease(state, "near", 1, {
+            sequence: second + 1,
+            leases: new Map([["engine-near", { slots: 1, fencingNumber: 9, deadline: facts.now + 2000 }]]),
+        });
+        const choice = pickNext(state, "desk", fleetPolicy, facts);
+        t.truthy(choice);
+        state = choice ? applyChoice(state, choice, facts) : state;
+        state = applyRelease(state, choice?.queue.head.id ?? 0, {
+            cost: 10,
+            ending: "completed",
+            targetState: undefined,
+        });
+    }
+    const enqueueWith = (deadline: number): ReturnType<typeof enqueueRequest> =>
+        enqueueRequest(
+            state,
+            { id: 0, ticket: makeTicket("account-0", { deadline }), enqueuedAt: 5000 },
+            facts.index,
+        );
+    t.is(enqueueWith(12_000).refusal?.reason, "deadline-unreachable");
+    t.is(enqueueWith(40_000).refusal, undefined);
+    t.is(expireRequests(state, 60_000).expired.length, 15);
+});
+
+test("an entry asks its region after 100 ms, other regions after 1 s or when its account lags", t => {
+    const list = (now: number, highest?: number): readonly string[] => {
+        const facts = makeFacts(highest === undefined ? {} : { highest });
+        const state = addRequest(createDispatchState(), "account-0", facts);
+        return [...listPoolDemands(state, fleetPolicy, { ...facts, now }).keys()];
+    };
+    t.deepEqual(list(99), ["desk@near"]);
+    t.deepEqual(list(100), ["desk@near", "desk@side"]);
+    t.deepEqual(list(1000), ["desk@near", "desk@side", "desk@far"]);
+    t.deepEqual(list(0, 10_001), ["desk@near", "desk@side", "desk@far"]);
+});
+
+test("a retry goes first and avoids the target that failed, unless there is no other", t => {
+    const facts = makeFacts();
+    let state = addRequest(
+        addLease(addLease(createDispatchState(), "near", 2), "side", 2),
+        "account-0",
+        facts,
+    );
+    state = addRequest(state, "account-0", facts, { avoidTargets: ["engine-near"] });
+    t.is(pickNext(state, "desk", fleetPolicy, { ...facts, now: 100 })?.target.target.name, "engine-side");
+    const all = ["engine-near", "engine-side", "engine-far"];
+    state = addRequest(createDispatchState(), "account-0", facts, { avoidTargets: all });
+    t.is(pickNext(addLease(state, "near", 1), "desk", fleetPolicy, facts)?.target.target.name, "engine-near");
+});
+
+test("the baselines use fixed parts without leases, in their own order", t => {
+    const facts = makeFacts({ services: { "account-0": 100, "account-1": 50 } });
+    let state = addRequest(createDispatchState(), "account-0", facts);
+    state = addRequest(state, "account-1", { ...facts, now: 5 });
+    t.is(pickNext(state, "desk", fleetPolicy, facts), undefined);
+    t.is(pickNext(state, "desk", localPolicy, facts)?.queue.queue.account, "account-1");
+    t.is(pickNext(state, "desk", fifoPolicy, facts)?.queue.queue.account, "account-0");
+});
+
+test("fixed parts of all instances add up to the slot limit, so every slot has an instance", t => {
+    const { targets } = makeFacts().index.configuration;
+    for (const size of [1, 3, 7, 20]) {
+        const instances = Array.from({ length: size }, (_, index) => ({
+            name: `instance-${index}`,
+            dataCentre: "near",
+            callerAddress: "",
+            peerAddress: "",
+            operatorAddress: "",
+            state: "live" as const,
+        }));
+        const parts = instances.map(({ name }) =>
+            computeFixedParts(targets, instances, name).get("engine-near")
+        );
+        t.is(parts.reduce<number>((sum, part) => sum + (part ?? 0), 0), 5);
+    }
+});
--- /dev/null
+++ b/test/core/dispatch/leases.test.ts
@@ -0,0 +1,126 @@
+import test from "ava";
+import fc from "fast-check";
+import { applyChoice } from "../../../src/core/dispatch/applyChoice.js";
+import { applyLeaseUpdate } from "../../../src/core/dispatch/applyLeaseUpdate.js";
+import { applyRelease } from "../../../src/core/dispatch/applyRelease.js";
+import { createDispatchState } from "../../../src/core/dispatch/createDispatchState.js";
+import { createPoolLeases } from "../../../src/core/dispatch/createPoolLeases.js";
+import type { DispatchState } from "../../../src/core/dispatch/dispatchState.js";
+import { fleetPolicy } from "../../../src/core/dispatch/fleetPolicy.js";
+import { listHoldings } from "../../../src/core/dispatch/listHoldings.js";
+import { listPoolDemands } from "../../../src/core/dispatch/listPoolDemands.js";
+import { pickNext } from "../../../src/core/dispatch/pickNext.js";
+import { releaseSlots } from "../../../src/core/dispatch/releaseSlots.js";
+import { addLease } from "../../testing/addLease.js";
+import { addRequest } from "../../testing/addRequest.js";
+import { makeFacts } from "../../testing/makeFacts.js";
+import { makeLeaseUpdate } from "../../testing/makeLeaseUpdate.js";
+
+const SEED = 20261204;
+
+function countSlots(state: DispatchState, dataCentre = "near"): number {
+    return state.pools.get(`desk@${dataCentre}`)?.leases.get(`engine-${dataCentre}`)?.slots ?? 0;
+}
+
+test("an expired lease starts nothing", t => {
+    const facts = makeFacts();
+    const state = addRequest(addLease(createDispatchState(), "near", 2), "account-0", facts);
+    t.truthy(pickNext(state, "desk", fleetPolicy, { ...facts, now: 1999 }));
+    t.is(pickNext(state, "desk", fleetPolicy, { ...facts, now: 2000 }), undefined);
+});
+
+test("old, repeated and foreign lease states change nothing", t => {
+    fc.assert(
+        fc.property(fc.shuffledSubarray([1, 2, 3, 4, 5], { minLength: 5 }), fc.nat(4), (order, repeated) => {
+            let pool = createPoolLeases("desk", "near");
+            for (const sequence of [...order, order[repeated] ?? 1]) {
+                pool = applyLeaseUpdate(
+                    pool,
+                    makeLeaseUpdate("engine-near", sequence, { sequence }),
+                    "owner",
+                );
+            }
+            const foreign = makeLeaseUpdate("engine-near", 9, { owner: "other", sequence: 99 });
+            const old = makeLeaseUpdate("engine-near", 9, { ownerIncarnation: "0", sequence: 99 });
+            return pool.leases.get("engine-near")?.slots === 5
+                && applyLeaseUpdate(pool, foreign, "owner") === pool
+                && applyLeaseUpdate(pool, old, "owner") === pool;
+        }),
+        { seed: SEED },
+    );
+    t.pass();
+});
+
+test("a lease state from before a return does not bring the slots back", t => {
+    const facts = makeFacts();
+    let state = addLease(createDispatchState(), "near", 3);
+    state = releaseSlots(state, fleetPolicy, facts);
+    t.is(countSlots(state), 3);
+    state = releaseSlots(state, fleetPolicy, { ...facts, now: 100 });
+    t.is(countSlots(state), 0);
+    state = addLease(state, "near", 3, { sequence: 2, reportSequence: 0 });
+    t.is(countSlots(state), 0);
+    state = addLease(state, "near", 3, { sequence: 3, reportSequence: 1 });
+    t.is(countSlots(state), 3);
+});
+
+test("a free slot goes back when every waiting account is above the horizon", t => {
+    const facts = makeFacts({ services: { "account-0": 500 } });
+    let state = addLease(createDispatchState(), "near", 2, { horizon: 400 });
+    state = addRequest(state, "account-0", facts);
+    t.is(pickNext(state, "desk", fleetPolicy, facts), undefined);
+    state = releaseSlots(state, fleetPolicy, facts);
+    t.is(countSlots(state), 0);
+    t.is(listPoolDemands(state, fleetPolicy, facts).get("desk@near")?.demands[0]?.service, 500);
+});
+
+test("leases of a failed owner stay until their deadline while the new owner recovers", t => {
+    let pool = applyLeaseUpdate(createPoolLeases("desk", "near"), makeLeaseUpdate("engine-near", 2), "owner");
+    const recovering = makeLeaseUpdate("engine-near", 0, {
+        owner: "next",
+        recovering: true,
+        leases: new Map(),
+    });
+    pool = applyLeaseUpdate(pool, recovering, "next");
+    t.is(pool.leases.get("engine-near")?.slots, 2);
+    t.true(pool.recovering);
+});
+
+test("requests in flight never exceed the lease, whatever arrives, ends or is leased", t => {
+    const event = fc.record({
+        kind: fc.constantFrom("enqueue", "end", "lease"),
+        account: fc.nat(3),
+        slots: fc.nat(4),
+    });
+    fc.assert(
+        fc.property(fc.array(event, { maxLength: 80 }), events => {
+            const facts = makeFacts({ queueLimit: 10 });
+            let state = createDispatchState();
+            let sequence = 0;
+            for (const { kind, account, slots } of events) {
+                const [first] = state.flights.keys();
+                sequence += 1;
+                state = kind === "enqueue"
+                    ? addRequest(state, `account-${account}`, facts)
+                    : kind === "lease"
+                    ? addLease(state, "near", slots, { sequence, reportSequence: 99 })
+                    : applyRelease(state, first ?? 0, { cost: 1, ending: "failed", targetState: undefined });
+                const before = state.flights.size;
+                for (let choice = pickNext(state, "desk", fleetPolicy, facts); choice;) {
+                    state = applyChoice(state, choice, facts);
+                    choice = pickNext(state, "desk", fleetPolicy, facts);
+                }
+                const held = listHoldings(state, "desk", "near").get("engine-near");
+                if (state.flights.size > before && state.flights.size > countSlots(state)) {
+                    return false;
+                }
+                if ((held?.inUse ?? 0) > (held?.held ?? 0)) {
+                    return false;
+                }
+            }
+            return true;
+        }),
+        { seed: SEED },
+    );
+    t.pass();
+});
--- /dev/null
+++ b/test/testing/addRequest.ts
@@ -0,0 +1,19 @@
+import type { DispatchFacts } from "../../src/core/dispatch/dispatchFacts.js";
+import type { DispatchState } from "../../src/core/dispatch/dispatchState.js";
+import { enqueueRequest } from "../../src/core/dispatch/enqueueRequest.js";
+import type { RequestTicket } from "../../src/core/request/requestTicket.js";
+import { makeTicket } from "./makeTicket.js";
+
+let nextId = 1;
+
+/** Enqueues one request of an account; a refused one leaves the state unchanged. */
+export function addRequest(
+    state: DispatchState,
+    account: string,
+    facts: DispatchFacts,
+    options: Partial<RequestTicket> = {},
+): DispatchState {
+    nextId += 1;
+    const request = { id: nextId, ticket: makeTicket(account, options), enqueuedAt: facts.now };
+    return enqueueRequest(state, request, facts.index).state;
+}
--- /dev/null
+++ b/test/testing/makeFacts.ts
@@ -0,0 +1,55 @@
+import { ConfigurationIndex } from "../../src/core/configuration/configurationIndex.js";
+import { configurationSchema } from "../../src/core/configuration/configurationSchema.js";
+import type { DispatchFacts } from "../../src/core/dispatch/dispatchFacts.js";
+
+interface FactsOptions {
+    readonly now?: number;
+    readonly accounts?: number;
+    readonly queueLimit?: number;
+    /** Normalised service by account. @default 0 for each */
+    readonly services?: Readonly<Record<string, number>>;
+    readonly outOfService?: string;
+    readonly highest?: number;
+}
+
+/** Facts of a daemon in data centre `near`; `side` is in the same region, `far` in another. */
+export function makeFacts(options: FactsOptions = {}): DispatchFacts {
+    const { outOfService, services = {} } = options;
+    const inService = (name: string): boolean => name !== outOfService;
+    const index = ConfigurationIndex.create(configurationSchema.parse({
+        regions: [{ name: "west" }, { name: "east" }],
+        dataCentres: ["near", "side", "far"].map(name => ({
+            name,
+            region: name === "far" ? "east" : "west",
+            inService: inService(name),
+        })),
+        shares: [{ name: "standard", weight: 1 }],
+        clientAccounts: Array.from({ length: options.accounts ?? 4 }, (_, account) => ({
+            name: `account-${account}`,
+            share: "standard",
+            keyDigests: ["0".repeat(64)],
+            services: ["desk"],
+        })),
+        services: [{ name: "desk", kind: "model", queueLimit: options.queueLimit ?? 50 }],
+        targets: ["near", "side", "far"].map(name => ({
+            name: `engine-${name}`,
+            service: "desk",
+            dataCentre: name,
+            url: "http://127.0.0.1:1",
+            slotLimit: 5,
+            inService: inService(`engine-${name}`),
+        })),
+    }));
+    return {
+        now: options.now ?? 0,
+        index,
+        dataCentre: "near",
+        fixedParts: new Map([["engine-near", 2], ["engine-side", 2], ["engine-far", 2]]),
+        fairness: {
+            getNormalizedService: account => services[account] ?? 0,
+            lowestBacklogged: undefined,
+            highestBacklogged: options.highest,
+            remoteLagThreshold: 10_000,
+        },
+    };
+}
