--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -105,9 +105,16 @@
             subscribeView: listener => keeper.subscribeView(listener),
             recordDecision: decision => decisions.record(decision),
         };
-        const accounting = Accounting.create(context);
-        const dispatcher = Dispatcher.create({ context, accounting });
+        const accounting = Accounting.create({
+            context,
+            observeRevisions: (...revisions) => keeper.observeRevisions(...revisions),
+        });
         const owner = PoolOwner.create(context);
+        const dispatcher = Dispatcher.create({
+            context,
+            accounting,
+            reportDemand: report => owner.handleDemand(report),
+        });
         const lender = Lender.create(context);
         const claims = ClaimHolder.create(context);
         const handlers: PeerHandlers = {
