Retry, resume and claim requests, and stop without breaking any

The caller server is split by concern: routes, account and service checks, body and header limits, problem documents on every path, also for bytes that are not HTTP. The execution loop claims the key of a non-repeatable call, acquires a slot, sends, resumes a broken stream at its next token, and releases the slot with the real cost.

On SIGTERM a daemon tells every listed instance, serves until no valid entries answer names it, refuses with not-run and the other entries, finishes what runs and hands its claims over (new call HandOverClaims; SettleClaim names the account, because a key belongs to one account). The term of an entries answer is a setting, so that tests and the demo need not wait five seconds.

--- a/src/adapters/caller/authenticateCaller.ts
+++ b/src/adapters/caller/authenticateCaller.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import type { ClientAccount } from "../../core/configuration/clientAccount.js";
-import type { Configuration } from "../../core/configuration/configuration.js";
+import type { ConfigurationIndex } from "../../core/configuration/configurationIndex.js";
 import { RequestError } from "../../core/errors/requestError.js";
 
 /**
@@ -10,14 +10,13 @@
  */
 export function authenticateCaller(
     authorization: string | undefined,
-    configuration: Configuration,
+    index: ConfigurationIndex,
 ): ClientAccount {
     const key = /^Bearer (\S+)$/i.exec(authorization ?? "")?.[1];
     if (key === undefined) {
         throw RequestError.create("unauthenticated", "The request has no bearer key.");
     }
-    const digest = createHash("sha256").update(key).digest("hex");
-    const account = configuration.clientAccounts.find(candidate => candidate.keyDigests.includes(digest));
+    const account = index.accountsByDigest.get(createHash("sha256").update(key).digest("hex"));
     if (!account) {
         throw RequestError.create("unauthenticated", "No client account has this key.");
     }
--- /dev/null
+++ b/src/adapters/caller/buildProblem.ts
@@ -0,0 +1,26 @@
+import type { RequestError } from "../../core/errors/requestError.js";
+import { statusOfRefusal } from "./statusOfRefusal.js";
+
+interface Problem {
+    readonly type: string;
+    readonly title: string;
+    readonly status: number;
+    readonly code: string;
+    readonly outcome: string;
+    readonly requestId: string;
+    /** Seconds. */
+    readonly retryAfter: number | undefined;
+}
+
+/** Builds the problem document of a failed request. */
+export function buildProblem(error: RequestError, requestId: string): Problem {
+    return {
+        type: "about:blank",
+        title: error.message,
+        status: statusOfRefusal[error.code],
+        code: error.code,
+        outcome: error.outcome,
+        requestId,
+        retryAfter: error.retryAfterSeconds,
+    };
+}
--- /dev/null
+++ b/src/adapters/caller/callerResponse.ts
@@ -0,0 +1,70 @@
+import type { ServerResponse } from "node:http";
+import type { RequestError } from "../../core/errors/requestError.js";
+import type { AnswerWriter } from "../../core/request/answerWriter.js";
+import type { HttpHeaders } from "../../core/request/httpHeaders.js";
+import { buildProblem } from "./buildProblem.js";
+import { statusOfRefusal } from "./statusOfRefusal.js";
+
+interface ProblemOptions {
+    readonly requestId: string;
+    /** Addresses of other entries, for a caller that has to go elsewhere. */
+    readonly entries?: readonly string[];
+}
+
+/** Writes the answer or the problem document of one request. */
+export class CallerResponse implements AnswerWriter {
+    readonly #response: ServerResponse;
+    #isEventStream = false;
+
+    private constructor(response: ServerResponse) {
+        this.#response = response;
+    }
+
+    /** Creates a writer over a Node response without head. */
+    static create(response: ServerResponse): CallerResponse {
+        return new CallerResponse(response);
+    }
+
+    writeHead(status: number, headers: HttpHeaders): void {
+        this.#isEventStream = String(headers["content-type"]).startsWith("text/event-stream");
+        this.#response.writeHead(status, headers);
+        this.#response.flushHeaders();
+    }
+
+    write(chunk: Uint8Array): boolean {
+        return this.#response.write(chunk);
+    }
+
+    onDrain(listener: () => void): void {
+        this.#response.once("drain", listener);
+    }
+
+    end(): void {
+        this.#response.end();
+    }
+
+    /**
+     * Answers with a problem document (RFC 9457). A stream that has begun ends with an `error` event; any
+     * other answer that has begun is cut off, so that the caller cannot take it for a whole one.
+     */
+    fail(error: RequestError, options: ProblemOptions): void {
+        const problem = { ...buildProblem(error, options.requestId), entries: options.entries };
+        if (this.#response.headersSent && this.#isEventStream && !this.#response.writableEnded) {
+            this.#response.end(`event: error\ndata: ${JSON.stringify({ error: problem })}\n\n`);
+            return;
+        }
+        if (this.#response.headersSent || this.#response.destroyed) {
+            this.#response.destroy();
+            return;
+        }
+        if (error.retryAfterSeconds !== undefined) {
+            this.#response.setHeader("retry-after", String(error.retryAfterSeconds));
+        }
+        const body = JSON.stringify(problem);
+        this.#response.writeHead(statusOfRefusal[error.code], {
+            "content-type": "application/problem+json",
+            "content-length": Buffer.byteLength(body),
+        });
+        this.#response.end(body);
+    }
+}
--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -1,39 +1,69 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { request } from "undici";
 import { v7 as createUuid } from "uuid";
-import type { Configuration } from "../../core/configuration/configuration.js";
 import { RequestError } from "../../core/errors/requestError.js";
-import type { InstanceList } from "../../core/membership/instanceList.js";
-import type { SlotBroker } from "../../core/request/slotBroker.js";
+import { listEntries } from "../../core/membership/listEntries.js";
+import type { CallerRequest } from "../../core/request/callerRequest.js";
+import type { RequestResult } from "../../core/request/requestResult.js";
 import { authenticateCaller } from "./authenticateCaller.js";
-import { sendProblem } from "./sendProblem.js";
+import { CallerResponse } from "./callerResponse.js";
+import type { CallerServerOptions } from "./callerServerOptions.js";
+import { readCallerRequest } from "./readCallerRequest.js";
+import { respondToClientError } from "./respondToClientError.js";
 
-interface CallerServerOptions {
-    readonly address: string;
-    readonly broker: SlotBroker;
-    readonly getConfiguration: () => Configuration | undefined;
-    readonly getInstances: () => InstanceList;
+interface Exchange {
+    readonly requestId: string;
+    readonly receivedAt: number;
+    account: string | undefined;
+    service: string | undefined;
 }
 
-const DEFAULT_DEADLINE_MS = 60_000;
-const ENTRIES_TERM_MS = 5_000;
+const MAX_HEADER_BYTES = 16_384;
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+/** Longer than the term of an entries answer, so that a caller with steady requests keeps its connection. */
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+/** No request is in flight by then; what is open has sent part of a request at most. */
+const CLOSE_TIMEOUT_MS = 1000;
 
 /** Serves callers over HTTP. */
 export class CallerServer {
     readonly #options: CallerServerOptions;
     readonly #server: Server;
+    readonly #idleListeners: (() => void)[] = [];
+    #active = 0;
+    #isRefusing = false;
 
     private constructor(options: CallerServerOptions) {
         this.#options = options;
-        this.#server = createServer((incoming, response) => void this.#serve(incoming, response));
+        this.#server = createServer({
+            maxHeaderSize: MAX_HEADER_BYTES,
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            requestTimeout: REQUEST_TIMEOUT_MS,
+            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        }, (incoming, response) => void this.#serve(incoming, response));
+        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+            const requestId = createUuid();
+            this.#finish(
+                { requestId, receivedAt: options.getNow(), account: undefined, service: undefined },
+                undefined,
+                respondToClientError(socket, error.code, requestId),
+            );
+        });
     }
 
-    /** Starts listening and returns the server. */
+    /**
+     * Starts listening and returns the server.
+     *
+     * @throws Error when the address cannot be bound.
+     */
     static async create(options: CallerServerOptions): Promise<CallerServer> {
         const server = new CallerServer(options);
         const [host, port] = options.address.split(":");
-        await new Promise<void>(resolve => server.#server.listen(Number(port), host, resolve));
+        await new Promise<void>((resolve, reject) => {
+            server.#server.once("error", reject);
+            server.#server.listen(Number(port), host, resolve);
+        });
         return server;
     }
 
@@ -43,77 +73,143 @@
         return `${address}:${port}`;
     }
 
+    /** Refuses new requests from now on and ends when the requests in flight have ended. */
+    async drain(): Promise<void> {
+        this.#isRefusing = true;
+        if (this.#active > 0) {
+            await new Promise<void>(resolve => this.#idleListeners.push(resolve));
+        }
+    }
+
+    /** Stops listening, closes idle connections and ends when the last connection has closed. */
+    async close(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
+        const timer = setTimeout(() => this.#server.closeAllConnections(), CLOSE_TIMEOUT_MS);
+        await closed;
+        clearTimeout(timer);
+    }
+
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-        const requestId = createUuid();
-        response.setHeader("x-request-id", requestId);
+        const exchange: Exchange = {
+            requestId: createUuid(),
+            receivedAt: this.#options.getNow(),
+            account: undefined,
+            service: undefined,
+        };
+        response.setHeader("x-request-id", exchange.requestId);
+        const writer = CallerResponse.create(response);
+        this.#active += 1;
+        let result: RequestResult | undefined;
+        let failure: RequestError | undefined;
         try {
-            await this.#route(incoming, response, requestId);
+            result = await this.#route(incoming, response, writer, exchange);
         }
         catch (error) {
-            const failure = error instanceof RequestError
+            failure = error instanceof RequestError
                 ? error
                 : RequestError.create("internal-error", String(error), { outcome: "unknown", cause: error });
-            sendProblem(response, failure, requestId);
+            this.#fail(failure, writer, response, exchange);
+        }
+        await waitForEnd(response);
+        this.#active -= 1;
+        this.#finish(exchange, result, failure);
+        if (this.#active === 0) {
+            this.#idleListeners.splice(0).forEach(resolve => resolve());
         }
     }
 
-    async #route(incoming: IncomingMessage, response: ServerResponse, requestId: string): Promise<void> {
-        if (incoming.url === "/v1/entries") {
-            this.#sendEntries(response);
-            return;
+    async #route(
+        incoming: IncomingMessage,
+        response: ServerResponse,
+        writer: CallerResponse,
+        exchange: Exchange,
+    ): Promise<RequestResult | undefined> {
+        if (incoming.url?.split("?", 1)[0] === "/v1/entries") {
+            this.#sendEntries(incoming, writer);
+            return undefined;
         }
-        const configuration = this.#options.getConfiguration();
-        if (!configuration) {
-            throw RequestError.create("not-configured", "The instance has no configuration yet.");
+        const request = await this.#read(incoming, exchange);
+        this.#options.onReceived(request);
+        const abort = new AbortController();
+        response.once("close", () => abort.abort());
+        if (response.destroyed) {
+            abort.abort();
         }
-        const account = authenticateCaller(incoming.headers.authorization, configuration);
-        const chunks: Buffer[] = [];
-        for await (const chunk of incoming) {
-            chunks.push(chunk as Buffer);
+        return this.#options.execute(request, writer, abort.signal);
+    }
+
+    async #read(incoming: IncomingMessage, exchange: Exchange): Promise<CallerRequest> {
+        if (this.#isRefusing) {
+            throw RequestError.create("instance-leaving", "The instance is leaving; use another entry.");
         }
-        const body = Buffer.concat(chunks);
-        const plain = /^\/services\/([^/]+)(\/.*)?$/.exec(incoming.url ?? "");
-        const service = plain?.[1] ?? (JSON.parse(body.toString("utf8")) as { model: string; }).model;
-        const abort = new AbortController();
-        response.on("close", () => abort.abort());
-        const grant = await this.#options.broker.acquireSlot({
-            requestId,
-            account: account.name,
-            service,
-            deadline: performance.now() + DEFAULT_DEADLINE_MS,
-            hintedCost: undefined,
-            avoidTargets: [],
-        }, abort.signal);
-        const answer = await request(
-            `${grant.target.url}${plain ? plain[2] ?? "/" : "/v1/chat/completions"}`,
-            {
-                method: (incoming.method ?? "GET") as "GET",
-                body: body.length > 0 ? body : null,
-                headers: {
-                    "x-request-id": requestId,
-                    "content-type": incoming.headers["content-type"] ?? "application/json",
-                },
-            },
-        );
-        response.writeHead(answer.statusCode, { "content-type": String(answer.headers["content-type"]) });
-        for await (const chunk of answer.body) {
-            response.write(chunk);
+        const index = this.#options.getView().index;
+        if (!index) {
+            throw RequestError.create("not-configured", "The instance has no configuration yet.", {
+                retryAfterSeconds: 1,
+            });
         }
-        response.end();
-        this.#options.broker.releaseSlot(grant, { cost: 0, ending: "completed", targetState: undefined });
+        const account = authenticateCaller(incoming.headers.authorization, index);
+        exchange.account = account.name;
+        const request = await readCallerRequest({ ...exchange, incoming, index, account });
+        exchange.service = request.service.name;
+        return request;
     }
 
-    #sendEntries(response: ServerResponse): void {
-        const entries = this.#options.getInstances().instances
-            .filter(instance => instance.state === "live")
-            .map(instance => ({
-                instance: instance.name,
-                dataCentre: instance.dataCentre,
-                address: instance.callerAddress,
-            }));
-        response.setHeader("content-type", "application/json");
-        response.end(
-            JSON.stringify({ entries, validUntil: new Date(Date.now() + ENTRIES_TERM_MS).toISOString() }),
-        );
+    #sendEntries(incoming: IncomingMessage, writer: CallerResponse): void {
+        if (incoming.method !== "GET") {
+            throw RequestError.create("method-not-allowed", "/v1/entries takes GET.");
+        }
+        const { dataCentre, entriesTermMs, getView } = this.#options;
+        const body = Buffer.from(JSON.stringify({
+            entries: listEntries(getView(), dataCentre).map(entry => ({
+                instance: entry.name,
+                dataCentre: entry.dataCentre,
+                address: entry.callerAddress,
+            })),
+            validUntil: new Date(Date.now() + entriesTermMs).toISOString(),
+        }));
+        writer.writeHead(200, { "content-type": "application/json", "content-length": String(body.length) });
+        writer.write(body);
+        writer.end();
+    }
+
+    #fail(error: RequestError, writer: CallerResponse, response: ServerResponse, exchange: Exchange): void {
+        // The rest of a body that was not read would be taken for the next request.
+        const isUnread = error.code === "body-too-large" || error.code === "request-incomplete";
+        if (!response.headersSent && (isUnread || this.#isRefusing)) {
+            response.setHeader("connection", "close");
+        }
+        const { dataCentre, getView } = this.#options;
+        writer.fail(error, {
+            requestId: exchange.requestId,
+            ...(error.code === "instance-leaving"
+                ? { entries: listEntries(getView(), dataCentre).map(entry => entry.callerAddress) }
+                : {}),
+        });
+    }
+
+    #finish(
+        exchange: Exchange,
+        result: RequestResult | undefined,
+        error: RequestError | undefined,
+    ): void {
+        this.#options.onFinished({
+            ...exchange,
+            result,
+            error,
+            totalMs: this.#options.getNow() - exchange.receivedAt,
+        });
     }
 }
+
+/** An answer is in flight until its last byte is handed to the network. */
+function waitForEnd(response: ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+        if (response.writableFinished || response.destroyed) {
+            resolve();
+            return;
+        }
+        response.once("finish", resolve);
+        response.once("close", resolve);
+    });
+}
--- /dev/null
+++ b/src/adapters/caller/callerServerOptions.ts
@@ -0,0 +1,26 @@
+import type { ClusterView } from "../../core/membership/clusterView.js";
+import type { AnswerWriter } from "../../core/request/answerWriter.js";
+import type { CallerRequest } from "../../core/request/callerRequest.js";
+import type { FinishedRequest } from "../../core/request/finishedRequest.js";
+import type { RequestResult } from "../../core/request/requestResult.js";
+
+/** What the server for callers needs. */
+export interface CallerServerOptions {
+    /** host:port; port 0 takes a free port. */
+    readonly address: string;
+    /** Data centre of this instance, whose entries are listed first. */
+    readonly dataCentre: string;
+    /** Time for which an answer of `GET /v1/entries` is valid, in milliseconds. */
+    readonly entriesTermMs: number;
+    readonly getView: () => ClusterView;
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+    /** Executes a request; rejects with a RequestError when no whole answer was written. */
+    readonly execute: (
+        request: CallerRequest,
+        writer: AnswerWriter,
+        signal: AbortSignal,
+    ) => Promise<RequestResult>;
+    readonly onReceived: (request: CallerRequest) => void;
+    readonly onFinished: (finished: FinishedRequest) => void;
+}
--- a/src/daemon/actors/claimHolder.ts
+++ b/src/daemon/actors/claimHolder.ts
@@ -1,25 +1,182 @@
+import { dispatch, type Ref, spawn } from "nact";
+import { applyClaimEvent } from "../../core/claim/applyClaimEvent.js";
+import type { Claim } from "../../core/claim/claim.js";
+import type { ClaimEvent } from "../../core/claim/claimEvent.js";
+import type { ClaimVerdict } from "../../core/claim/claimVerdict.js";
+import { HolderHistory } from "../../core/claim/holderHistory.js";
+import { isVouchable } from "../../core/claim/isVouchable.js";
+import { listClaimHolders } from "../../core/claim/listClaimHolders.js";
+import { parseKeyTime } from "../../core/claim/parseKeyTime.js";
+import { selectClaimGroup } from "../../core/claim/selectClaimGroup.js";
 import type { Acknowledgement } from "../../transport/generated/baobabspread/peer/Acknowledgement.js";
+import type { ClaimHandover__Output } from "../../transport/generated/baobabspread/peer/ClaimHandover.js";
 import type { ClaimReply } from "../../transport/generated/baobabspread/peer/ClaimReply.js";
 import type { ClaimRequest__Output } from "../../transport/generated/baobabspread/peer/ClaimRequest.js";
+import type { HeldClaim } from "../../transport/generated/baobabspread/peer/HeldClaim.js";
 import type { SettleRequest__Output } from "../../transport/generated/baobabspread/peer/SettleRequest.js";
 import type { DaemonContext } from "../daemonContext.js";
+import type { ClaimMessage } from "./claimMessage.js";
+
+type HolderContext = Pick<
+    DaemonContext,
+    "identity" | "system" | "metrics" | "peers" | "getView" | "subscribeView"
+>;
+
+interface HeldEntry {
+    readonly account: string;
+    readonly key: string;
+    readonly claim: Claim;
+    /** Wall-clock time in milliseconds after which nobody grants the key any more. */
+    readonly evictAtMs: number;
+}
+
+/** 24 h, and a minute more than any holder vouches for a key. */
+const KEEP_MS = 86_400_000 + 60_000;
+/** Bounds the memory. A full holder grants nothing, because dropping a claim would let its key run twice. */
+const MAX_CLAIMS = 300_000;
+const HANDOVER_BATCH = 1000;
+const HANDOVER_TIMEOUT_MS = 2000;
 
 /** Remembers which idempotency keys were claimed. */
 export class ClaimHolder {
-    private constructor(_context: DaemonContext) {}
+    readonly #context: HolderContext;
+    readonly #getWallTime: () => number;
+    readonly #actor: Ref<ClaimMessage>;
+    readonly #entries = new Map<string, HeldEntry>();
+    #history = HolderHistory.create();
+
+    private constructor(context: HolderContext, getWallTime: () => number) {
+        this.#context = context;
+        this.#getWallTime = getWallTime;
+        this.#actor = spawn(context.system, (_state: undefined, message: ClaimMessage) => {
+            this.#apply(message);
+            return undefined;
+        }, "claimHolder");
+        const onView = (): void => {
+            this.#history = this.#history.addView(listClaimHolders(context.getView()), getWallTime());
+        };
+        onView();
+        context.subscribeView(onView);
+    }
 
-    /** Creates a holder without claims. */
-    static create(context: DaemonContext): ClaimHolder {
-        return new ClaimHolder(context);
+    /**
+     * Creates a holder without claims.
+     *
+     * @param getWallTime Wall-clock time in milliseconds, which the times in keys are compared with.
+     */
+    static create(context: HolderContext, getWallTime: () => number = Date.now): ClaimHolder {
+        return new ClaimHolder(context, getWallTime);
     }
 
     /** Grants a key to one attempt, or says why not. */
-    handleClaim(_request: ClaimRequest__Output): Promise<ClaimReply> {
-        return Promise.resolve({ verdict: "cannot-vouch" });
+    async handleClaim(
+        request: Pick<ClaimRequest__Output, "account" | "key" | "attempt">,
+    ): Promise<ClaimReply> {
+        const { account, key, attempt } = request;
+        const verdict = await new Promise<ClaimVerdict>(reply => {
+            dispatch(this.#actor, { kind: "claim", account, key, attempt, reply });
+        });
+        return { verdict };
     }
 
     /** Records how a claimed attempt ended. */
-    handleSettle(_request: SettleRequest__Output): Promise<Acknowledgement> {
-        return Promise.resolve({ accepted: false });
+    handleSettle(request: SettleRequest__Output): Promise<Acknowledgement> {
+        const { account, attempt, key } = request;
+        const result = request.result === "run" ? "run" : "released";
+        dispatch(this.#actor, {
+            kind: "change",
+            account,
+            key,
+            event: { kind: "settle", attempt, result },
+        });
+        return Promise.resolve({ accepted: true });
+    }
+
+    /** Takes the claims of a leaving holder. */
+    handleHandover(handover: ClaimHandover__Output): Promise<Acknowledgement> {
+        for (const { account, key, attempt, state } of handover.claims) {
+            const claim: Claim = { attempt, state: state === "run" ? "run" : "claimed" };
+            dispatch(this.#actor, { kind: "change", account, key, event: { kind: "adopt", claim } });
+        }
+        return Promise.resolve({ accepted: true });
+    }
+
+    /** Sends all claims to the groups that hold their keys without this instance; failed calls are ignored. */
+    async sendHandover(): Promise<void> {
+        const own = this.#context.identity.instance;
+        const others = listClaimHolders(this.#context.getView()).filter(instance => instance.name !== own);
+        const batches = new Map<string, HeldClaim[]>();
+        for (const { account, key, claim } of this.#entries.values()) {
+            for (const successor of selectClaimGroup(key, others)) {
+                const batch = batches.get(successor.name) ?? [];
+                batch.push({ account, key, ...claim });
+                batches.set(successor.name, batch);
+            }
+        }
+        await Promise.all([...batches].map(([successor, claims]) => this.#sendBatches(successor, claims)));
+    }
+
+    async #sendBatches(successor: string, claims: readonly HeldClaim[]): Promise<void> {
+        const { identity, peers } = this.#context;
+        for (let start = 0; start < claims.length; start += HANDOVER_BATCH) {
+            const message = {
+                instance: identity.instance,
+                claims: claims.slice(start, start + HANDOVER_BATCH) as ClaimHandover__Output["claims"],
+            };
+            await peers.send(successor, "HandOverClaims", message, HANDOVER_TIMEOUT_MS).catch(() =>
+                undefined
+            );
+        }
+    }
+
+    #apply(message: ClaimMessage): void {
+        this.#evictExpired();
+        const id = `${message.account}|${message.key}`;
+        const held = this.#entries.get(id)?.claim;
+        const event = message.kind === "claim" ? this.#checkClaim(message) : message.event;
+        const { claim, verdict } = applyClaimEvent(held, event);
+        this.#storeClaim(id, message, claim);
+        if (message.kind === "claim" && verdict !== undefined) {
+            this.#context.metrics.count("claims_total", { verdict });
+            message.reply(verdict);
+        }
+    }
+
+    #checkClaim(message: Extract<ClaimMessage, { readonly kind: "claim"; }>): ClaimEvent {
+        const { identity } = this.#context;
+        const keyTimeMs = parseKeyTime(message.key);
+        const memberSinceMs = this.#history.findMemberSince(message.key, identity.instance, keyTimeMs ?? 0);
+        return {
+            kind: "claim",
+            attempt: message.attempt,
+            isHolder: memberSinceMs !== undefined,
+            isVouchable: this.#entries.size < MAX_CLAIMS && isVouchable({
+                keyTimeMs,
+                startedAtMs: identity.startedAtMs,
+                memberSinceMs: memberSinceMs ?? Number.POSITIVE_INFINITY,
+                nowMs: this.#getWallTime(),
+            }),
+        };
+    }
+
+    #storeClaim(id: string, message: ClaimMessage, claim: Claim | undefined): void {
+        if (!claim) {
+            this.#entries.delete(id);
+            return;
+        }
+        const { account, key } = message;
+        const evictAtMs = (parseKeyTime(key) ?? this.#getWallTime()) + KEEP_MS;
+        this.#entries.set(id, { account, key, claim, evictAtMs });
+    }
+
+    /** Claims are in the order in which they came, so the oldest are at the front. */
+    #evictExpired(): void {
+        const now = this.#getWallTime();
+        for (const [id, entry] of this.#entries) {
+            if (entry.evictAtMs > now) {
+                return;
+            }
+            this.#entries.delete(id);
+        }
     }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,7 +1,9 @@
 import { start } from "nact";
 import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
 import { v7 as createUuid } from "uuid";
 import { CallerServer } from "../adapters/caller/callerServer.js";
+import { TargetClient } from "../adapters/target/targetClient.js";
 import { createLogger } from "../observability/createLogger.js";
 import { Metrics } from "../observability/metrics.js";
 import { PeerClient } from "../transport/peerClient.js";
@@ -16,7 +18,12 @@
 import { PoolOwner } from "./actors/poolOwner.js";
 import type { DaemonContext } from "./daemonContext.js";
 import type { DaemonSettings } from "./daemonSettings.js";
+import { ClaimCoordinator } from "./execution/claimCoordinator.js";
+import { recordFinished } from "./execution/recordFinished.js";
+import { RequestExecutor } from "./execution/requestExecutor.js";
+import { waitForRetry } from "./execution/waitForRetry.js";
 import { PeerDirectory } from "./peerDirectory.js";
+import { sendLeavingNotice } from "./sendLeavingNotice.js";
 
 interface DaemonAddresses {
     /** host:port of each server. */
@@ -31,13 +38,19 @@
     readonly owner: PoolOwner;
     readonly accounting: Accounting;
     readonly callers: CallerServer;
+    readonly claims: ClaimHolder;
+    readonly targets: TargetClient;
     readonly peerServer: PeerServer;
     readonly peerClient: PeerClient;
 }
 
+/** Clocks of callers and instances differ, and an answer needs time to reach its caller. */
+const ENTRIES_MARGIN_MS = 500;
+
 /** One running daemon: every role in one process. */
 export class Daemon {
     readonly #parts: DaemonParts;
+    #stopped: Promise<void> | undefined;
 
     private constructor(parts: DaemonParts) {
         this.#parts = parts;
@@ -98,17 +111,31 @@
             ExchangeCounters: message => accounting.handleReport(message),
             ClaimKey: message => claims.handleClaim(message),
             SettleClaim: message => claims.handleSettle(message),
+            HandOverClaims: message => claims.handleHandover(message),
             FetchConfiguration: message => keeper.handleFetch(message),
             AnnounceLeaving: message => {
                 keeper.markLeaving(message.instance);
                 return Promise.resolve({ accepted: true });
             },
         }, traffic);
+        const targets = TargetClient.create({ getNow });
+        const executor = RequestExecutor.create({
+            context,
+            broker: dispatcher,
+            targets,
+            claims: ClaimCoordinator.create({ context, holder: claims }),
+            getRandom: Math.random,
+            wait: waitForRetry,
+        });
         const callers = await CallerServer.create({
             address: settings.callerAddress,
-            broker: dispatcher,
-            getConfiguration: () => keeper.getView().index?.configuration,
-            getInstances: () => keeper.getView().instances,
+            dataCentre: settings.dataCentre,
+            entriesTermMs: settings.entriesTermMs,
+            getView: () => keeper.getView(),
+            getNow,
+            execute: (request, writer, signal) => executor.execute(request, writer, signal),
+            onReceived: request => metrics.count("requests_total", { service: request.service.name }),
+            onFinished: finished => recordFinished(context, finished),
         });
         keeper.start(context.peers);
         return new Daemon({
@@ -118,6 +145,8 @@
             owner,
             accounting,
             callers,
+            claims,
+            targets,
             peerServer,
             peerClient,
         });
@@ -128,13 +157,34 @@
         return { callerAddress: this.#parts.callers.address, peerAddress: this.#parts.peerServer.address };
     }
 
-    /** Stops in order: no new requests, requests in flight end, leases and counters are handed back. */
-    async stop(): Promise<void> {
-        await this.#parts.dispatcher.drain();
-        await this.#parts.owner.close();
-        await this.#parts.accounting.close();
-        this.#parts.keeper.close();
+    /**
+     * Stops without interrupting a request: tells the fleet, serves until no valid entries answer names this
+     * instance, refuses new requests, finishes those in flight and hands leases, counters and claims back.
+     */
+    stop(): Promise<void> {
+        this.#stopped ??= this.#stopInOrder();
+        return this.#stopped;
+    }
+
+    async #stopInOrder(): Promise<void> {
+        const { accounting, callers, claims, context, dispatcher, keeper, owner } = this.#parts;
+        context.logger.info("leaving");
+        keeper.markLeaving(context.identity.instance);
+        await sendLeavingNotice(context);
+        // The successors are in the groups from now on; what is claimed later follows at the end.
+        await claims.sendHandover();
+        // An instance may have answered with this entry until it learned of the departure, just now.
+        await sleep(context.settings.entriesTermMs + ENTRIES_MARGIN_MS);
+        await callers.drain();
+        await dispatcher.drain();
+        await owner.close();
+        await accounting.close();
+        await claims.sendHandover();
+        keeper.close();
+        await callers.close();
+        await this.#parts.targets.close();
         this.#parts.peerServer.close();
         this.#parts.peerClient.close();
+        context.logger.info("stopped");
     }
 }
--- a/src/daemon/daemonSettingsSchema.ts
+++ b/src/daemon/daemonSettingsSchema.ts
@@ -21,6 +21,8 @@
     platformUrl: z.url({ protocol: /^http$/ }),
     /** How slots are shared: `fleet` is the product, `local` and `fifo` are baselines for measurements. */
     policy: z.enum(["fleet", "local", "fifo"]).default("fleet"),
+    /** Time for which callers may use an answer of `GET /v1/entries`, in milliseconds; the same everywhere. */
+    entriesTermMs: z.number().int().positive().default(5000),
     /** Lowest level of log lines. */
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
 }).readonly();
--- /dev/null
+++ b/src/daemon/execution/claimCoordinator.ts
@@ -0,0 +1,132 @@
+import { v7 as createUuid } from "uuid";
+import { applyClaimVerdict } from "../../core/claim/applyClaimVerdict.js";
+import type { ClaimAttempt } from "../../core/claim/claimAttempt.js";
+import type { ClaimVerdict } from "../../core/claim/claimVerdict.js";
+import { computeClaimQuorum } from "../../core/claim/computeClaimQuorum.js";
+import { describeClaimRefusal } from "../../core/claim/describeClaimRefusal.js";
+import { listClaimHolders } from "../../core/claim/listClaimHolders.js";
+import { parseKeyTime } from "../../core/claim/parseKeyTime.js";
+import { selectClaimGroup } from "../../core/claim/selectClaimGroup.js";
+import { RequestError } from "../../core/errors/requestError.js";
+import type { CallerRequest } from "../../core/request/callerRequest.js";
+import type { ClaimHolder } from "../actors/claimHolder.js";
+import type { DaemonContext } from "../daemonContext.js";
+import type { ClaimKeeper } from "./claimKeeper.js";
+import type { ClaimTicket } from "./claimTicket.js";
+
+interface ClaimCoordinatorOptions {
+    readonly context: Pick<DaemonContext, "identity" | "peers" | "getView" | "getNow">;
+    /** The holder in this process. */
+    readonly holder: Pick<ClaimHolder, "handleClaim" | "handleSettle">;
+}
+
+/** Several round trips between the farthest regions. */
+const CALL_TIMEOUT_MS = 1000;
+
+/** Claims keys at the holders of their groups. */
+export class ClaimCoordinator implements ClaimKeeper {
+    readonly #options: ClaimCoordinatorOptions;
+
+    private constructor(options: ClaimCoordinatorOptions) {
+        this.#options = options;
+    }
+
+    /** Creates the coordinator of an entry. */
+    static create(options: ClaimCoordinatorOptions): ClaimCoordinator {
+        return new ClaimCoordinator(options);
+    }
+
+    async claim(request: CallerRequest): Promise<ClaimTicket> {
+        if (request.idempotencyKey !== undefined && parseKeyTime(request.idempotencyKey) === undefined) {
+            // No instance runs a call under such a key, so the outcome `not-run` is true.
+            throw RequestError.create(
+                "malformed-idempotency-key",
+                "Idempotency-Key must be a UUID version 7.",
+            );
+        }
+        const key = request.idempotencyKey ?? createUuid();
+        const account = request.account.name;
+        const group = selectClaimGroup(key, listClaimHolders(this.#options.context.getView()))
+            .map(instance => instance.name);
+        const attempt = await this.#collectVerdicts(key, account, {
+            attempt: createUuid(),
+            group,
+            quorum: computeClaimQuorum(group.length),
+            isFresh: request.idempotencyKey === undefined,
+            verdicts: {},
+            phase: group.length > 0 ? "claiming" : "refused",
+        }, request.deadline);
+        const settle = (result: "run" | "released"): void => this.#settle(key, account, attempt, result);
+        if (attempt.phase === "granted") {
+            return { key, settle };
+        }
+        settle("released");
+        const { code, outcome } = describeClaimRefusal(attempt);
+        const verdicts = Object.values(attempt.verdicts).toSorted().join(", ");
+        throw RequestError.create(code, `The key was not granted (${verdicts || "no holders"}).`, {
+            outcome,
+        });
+    }
+
+    /** Ends as soon as a quorum has granted or all holders have answered or timed out. */
+    #collectVerdicts(
+        key: string,
+        account: string,
+        initial: ClaimAttempt,
+        deadline: number,
+    ): Promise<ClaimAttempt> {
+        return new Promise(resolve => {
+            let attempt = initial;
+            const onVerdict = (holder: string, verdict: ClaimVerdict | "unreachable"): void => {
+                attempt = applyClaimVerdict(attempt, holder, verdict);
+                if (attempt.phase !== "claiming") {
+                    resolve(attempt);
+                }
+            };
+            if (attempt.phase !== "claiming") {
+                resolve(attempt);
+            }
+            for (const holder of attempt.group) {
+                this.#requestKey(holder, key, account, attempt.attempt, deadline).then(
+                    verdict => onVerdict(holder, verdict),
+                    () => onVerdict(holder, "unreachable"),
+                );
+            }
+        });
+    }
+
+    async #requestKey(
+        holder: string,
+        key: string,
+        account: string,
+        attempt: string,
+        deadline: number,
+    ): Promise<ClaimVerdict> {
+        const { context } = this.#options;
+        const message = {
+            key,
+            account,
+            attempt,
+            issuer: context.identity.instance,
+            instanceListRevision: context.getView().instances.revision,
+        };
+        const timeoutMs = Math.max(1, Math.min(CALL_TIMEOUT_MS, deadline - context.getNow()));
+        const reply = holder === context.identity.instance
+            ? await this.#options.holder.handleClaim(message)
+            : await context.peers.send(holder, "ClaimKey", message, timeoutMs);
+        return reply.verdict as ClaimVerdict;
+    }
+
+    /** Tells all holders, also those whose grant came late. A lost call leaves the key claimed. */
+    #settle(key: string, account: string, attempt: ClaimAttempt, result: "run" | "released"): void {
+        const message = { key, account, attempt: attempt.attempt, result };
+        for (const holder of attempt.group) {
+            if (holder === this.#options.context.identity.instance) {
+                void this.#options.holder.handleSettle(message);
+                continue;
+            }
+            this.#options.context.peers.send(holder, "SettleClaim", message, CALL_TIMEOUT_MS)
+                .catch(() => undefined);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/execution/recordFinished.ts
@@ -0,0 +1,42 @@
+import type { FinishedRequest } from "../../core/request/finishedRequest.js";
+import type { DaemonContext } from "../daemonContext.js";
+
+/** Counts, explains and logs one finished request. */
+export function recordFinished(
+    context: Pick<DaemonContext, "logger" | "metrics" | "recordDecision">,
+    finished: FinishedRequest,
+): void {
+    const { account, error, requestId, result, service, totalMs } = finished;
+    const reason = error?.code ?? "completed";
+    if (error) {
+        context.metrics.count("refusals_total", { reason: error.code, outcome: error.outcome });
+    }
+    if (result) {
+        context.metrics.observeLatency("total", totalMs);
+    }
+    if (!error && !result) {
+        return;
+    }
+    context.recordDecision({
+        timeMs: Date.now(),
+        kind: error ? "refused" : "completed",
+        reason,
+        requestId,
+        ...(account === undefined ? {} : { account }),
+        ...(service === undefined ? {} : { service }),
+        ...(result
+            ? { target: result.target, fields: { cost: result.cost, attempts: result.attempts } }
+            : {}),
+    });
+    context.logger.log(error?.code === "internal-error" ? "error" : "info", "request-finished", {
+        requestId,
+        account,
+        service,
+        target: result?.target,
+        status: result?.status,
+        outcome: error?.outcome ?? "run",
+        reason,
+        detail: error?.message,
+        ms: Math.round(totalMs),
+    });
+}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -26,5 +26,6 @@
     process.stdout.write(
         `${JSON.stringify({ event: "listening", name: settings.instance, ...daemon.addresses })}\n`,
     );
-    process.once("SIGTERM", () => void daemon.stop().then(() => process.exit(0)));
+    // A second signal must not end the process before its requests have ended.
+    process.on("SIGTERM", () => void daemon.stop().then(() => process.exit(0)));
 }
--- /dev/null
+++ b/src/daemon/sendLeavingNotice.ts
@@ -0,0 +1,24 @@
+import type { DaemonContext } from "./daemonContext.js";
+
+const CALL_TIMEOUT_MS = 1000;
+
+/**
+ * Tells every listed instance that this one is leaving, and tells those that did not answer once more. An
+ * instance that cannot be reached learns it from the instance list.
+ */
+export async function sendLeavingNotice(
+    context: Pick<DaemonContext, "identity" | "getView" | "peers">,
+): Promise<void> {
+    const { incarnation, instance } = context.identity;
+    const sendNotice = async (names: readonly string[]): Promise<readonly string[]> => {
+        const replies = await Promise.allSettled(
+            names.map(name =>
+                context.peers.send(name, "AnnounceLeaving", { instance, incarnation }, CALL_TIMEOUT_MS)
+            ),
+        );
+        return names.filter((_, index) => replies[index]?.status === "rejected");
+    };
+    const others = context.getView().instances.instances.map(listed => listed.name)
+        .filter(name => name !== instance);
+    await sendNotice(await sendNotice(others));
+}
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -25,6 +25,7 @@
             peerAddress: "127.0.0.1:0",
             operatorAddress: "127.0.0.1:0",
             platformUrl: `http://${platform.address}`,
+            entriesTermMs: 500,
         }),
     );
     return spawnProcess("../daemon/main.js", ["--settings", path]);
--- a/src/transport/peerHandlers.ts
+++ b/src/transport/peerHandlers.ts
@@ -1,6 +1,7 @@
 import type { Acknowledgement } from "./generated/baobabspread/peer/Acknowledgement.js";
 import type { BorrowReply } from "./generated/baobabspread/peer/BorrowReply.js";
 import type { BorrowRequest__Output } from "./generated/baobabspread/peer/BorrowRequest.js";
+import type { ClaimHandover__Output } from "./generated/baobabspread/peer/ClaimHandover.js";
 import type { ClaimReply } from "./generated/baobabspread/peer/ClaimReply.js";
 import type { ClaimRequest__Output } from "./generated/baobabspread/peer/ClaimRequest.js";
 import type { ConfigurationReply } from "./generated/baobabspread/peer/ConfigurationReply.js";
@@ -25,4 +26,5 @@
     readonly SettleClaim: (message: SettleRequest__Output) => Promise<Acknowledgement>;
     readonly FetchConfiguration: (message: ConfigurationRequest__Output) => Promise<ConfigurationReply>;
     readonly AnnounceLeaving: (message: LeavingNotice__Output) => Promise<Acknowledgement>;
+    readonly HandOverClaims: (message: ClaimHandover__Output) => Promise<Acknowledgement>;
 }
--- /dev/null
+++ b/test/core/retry/retryBudget.test.ts
@@ -0,0 +1,65 @@
+import test from "ava";
+import fc from "fast-check";
+import { computeBackoff } from "../../../src/core/retry/computeBackoff.js";
+import { planRetry } from "../../../src/core/retry/planRetry.js";
+import { RetryBudget } from "../../../src/core/retry/retryBudget.js";
+
+test("an outage does not multiply load: retries stay within 10% plus 10 a second", t => {
+    let budget = RetryBudget.create(0);
+    let retries = 0;
+    for (let ms = 0; ms < 60_000; ms += 1) {
+        budget = budget.addRequest(ms);
+        const left = budget.tryTake(ms);
+        retries += left ? 1 : 0;
+        budget = left ?? budget;
+    }
+    t.true(retries <= 10 + 6000 + 600, String(retries));
+    t.true(retries > 6500, String(retries));
+});
+
+test("a long idle time does not save up a burst of retries", t => {
+    let budget: RetryBudget | undefined = RetryBudget.create(0);
+    let taken = 0;
+    while ((budget = budget.tryTake(3_600_000)) !== undefined) {
+        taken += 1;
+    }
+    t.is(taken, 100);
+});
+
+test("backoff has full jitter and a cap", t => {
+    t.is(computeBackoff(1, 0), 0);
+    t.is(computeBackoff(1, 0.5), 12.5);
+    t.is(computeBackoff(30, 0.5), 500);
+});
+
+test("no plan repeats a non-repeatable call that was written or calls an open outcome not-run", t => {
+    const ending = fc.constantFrom(
+        { kind: "not-written", reason: "connection-failed" } as const,
+        { kind: "not-written", reason: "caller-disconnected" } as const,
+        { kind: "refused", reason: "target-not-run" } as const,
+        { kind: "broken", reason: "reset" } as const,
+        { kind: "broken", reason: "truncated" } as const,
+        { kind: "broken", reason: "caller-disconnected" } as const,
+    );
+    const facts = fc.record({
+        isRepeatable: fc.boolean(),
+        attempts: fc.integer({ min: 1, max: 8 }),
+        wasWritten: fc.boolean(),
+        isAnswerStarted: fc.boolean(),
+        isResumable: fc.boolean(),
+        now: fc.nat(10),
+        deadline: fc.constant(5),
+    });
+    fc.assert(
+        fc.property(ending, facts, (end, given) => {
+            const decision = planRetry(end, given);
+            if (decision.kind === "fail") {
+                return decision.outcome
+                    === (end.kind === "broken" || given.wasWritten ? "unknown" : "not-run");
+            }
+            return given.now < given.deadline && (given.isRepeatable || end.kind !== "broken");
+        }),
+        { seed: 11 },
+    );
+    t.pass("seed 11");
+});
