--- /dev/null
+++ b/test/helpers/makeIndex.ts
@@ -0,0 +1,29 @@
+import { createHash } from "node:crypto";
+import { ConfigurationIndex } from "../../src/core/configuration/configurationIndex.js";
+import { configurationSchema } from "../../src/core/configuration/configurationSchema.js";
+
+/** Builds a configuration with two services and the account `capel`, whose key is `capel-key`. */
+export function makeIndex(outOfService: readonly string[] = []): ConfigurationIndex {
+    const regions = { "caerdydd-a": "de-cymru", "caerdydd-b": "de-cymru", "bangor-a": "gogledd" };
+    return ConfigurationIndex.create(configurationSchema.parse({
+        regions: [{ name: "de-cymru" }, { name: "gogledd" }],
+        dataCentres: Object.entries(regions).map(([name, region]) => ({
+            name,
+            region,
+            inService: !outOfService.includes(name),
+        })),
+        shares: [{ name: "standard", weight: 1 }],
+        clientAccounts: [{
+            name: "capel",
+            share: "standard",
+            keyDigests: [createHash("sha256").update("capel-key").digest("hex")],
+            services: ["model-desk", "order-book"],
+        }],
+        services: [
+            { name: "model-desk", kind: "model", maxBodyBytes: 2000 },
+            { name: "order-book", kind: "plain", maxBodyBytes: 1000, nonRepeatableMethods: ["POST"] },
+            { name: "secret", kind: "plain", nonRepeatableMethods: [] },
+        ],
+        targets: [],
+    }));
+}
