--- a/src/daemon/actors/claimHolder.ts
+++ b/src/daemon/actors/claimHolder.ts
@@ -22,6 +22,8 @@
     "identity" | "system" | "metrics" | "peers" | "getView" | "subscribeView"
 >;
 
+type KeyMessage = Exclude<ClaimMessage, { readonly kind: "flush"; }>;
+
 interface HeldEntry {
     readonly account: string;
     readonly key: string;
@@ -49,6 +51,10 @@
         this.#context = context;
         this.#getWallTime = getWallTime;
         this.#actor = spawn(context.system, (_state: undefined, message: ClaimMessage) => {
+            if (message.kind === "flush") {
+                message.reply();
+                return undefined;
+            }
             this.#apply(message);
             return undefined;
         }, "claimHolder");
@@ -103,6 +109,9 @@
 
     /** Sends all claims to the groups that hold their keys without this instance; failed calls are ignored. */
     async sendHandover(): Promise<void> {
+        await new Promise<void>(reply => {
+            dispatch(this.#actor, { kind: "flush", reply });
+        });
         const own = this.#context.identity.instance;
         const others = listClaimHolders(this.#context.getView()).filter(instance => instance.name !== own);
         const batches = new Map<string, HeldClaim[]>();
@@ -129,7 +138,7 @@
         }
     }
 
-    #apply(message: ClaimMessage): void {
+    #apply(message: KeyMessage): void {
         this.#evictExpired();
         const id = `${message.account}|${message.key}`;
         const held = this.#entries.get(id)?.claim;
@@ -159,7 +168,7 @@
         };
     }
 
-    #storeClaim(id: string, message: ClaimMessage, claim: Claim | undefined): void {
+    #storeClaim(id: string, message: KeyMessage, claim: Claim | undefined): void {
         if (!claim) {
             this.#entries.delete(id);
             return;
--- a/src/daemon/actors/claimMessage.ts
+++ b/src/daemon/actors/claimMessage.ts
@@ -15,4 +15,6 @@
         readonly account: string;
         readonly key: string;
         readonly event: Extract<ClaimEvent, { readonly kind: "settle" | "adopt"; }>;
-    };
+    }
+    /** Replies when all earlier messages have been applied. */
+    | { readonly kind: "flush"; readonly reply: () => void; };
