--- a/src/daemon/execution/executionRun.ts
+++ b/src/daemon/execution/executionRun.ts
@@ -36,6 +36,10 @@
     "broken": "failed",
 } as const;
 
+/** Failures after which the same request may succeed once the targets have recovered. */
+const OVERLOAD_CODES: ReadonlySet<string> = new Set(["target-unavailable", "retry-budget-exhausted"]);
+const OVERLOAD_RETRY_SECONDS = 1;
+
 /** The tries of one request. */
 export class ExecutionRun {
     readonly #options: ExecutionRunOptions;
@@ -82,7 +86,12 @@
                 throw RequestError.create(
                     decision.code,
                     `Try ${this.#attempts} at ${grant.target.name} ended as ${describeEnding(result)}.`,
-                    { outcome: decision.outcome },
+                    {
+                        outcome: decision.outcome,
+                        ...(OVERLOAD_CODES.has(decision.code)
+                            ? { retryAfterSeconds: OVERLOAD_RETRY_SECONDS }
+                            : {}),
+                    },
                 );
             }
             this.#recordRetry(decision.kind, decision.reason, grant);
