--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -23,6 +23,8 @@
 const REQUEST_TIMEOUT_MS = 30_000;
 /** Longer than the term of an entries answer, so that a caller with steady requests keeps its connection. */
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+/** A caller that does not read the buffered end of its answer must not hold up a planned stop. */
+const READ_TIMEOUT_MS = 30_000;
 /** No request is in flight by then; what is open has sent part of a request at most. */
 const CLOSE_TIMEOUT_MS = 1000;
 
@@ -202,14 +204,15 @@
     }
 }
 
-/** An answer is in flight until its last byte is handed to the network. */
-function waitForEnd(response: ServerResponse): Promise<void> {
-    return new Promise(resolve => {
-        if (response.writableFinished || response.destroyed) {
-            resolve();
-            return;
-        }
+/** An answer is in flight until its last byte is handed to the network or its caller stops reading. */
+async function waitForEnd(response: ServerResponse): Promise<void> {
+    if (response.writableFinished || response.destroyed) {
+        return;
+    }
+    const timer = setTimeout(() => response.destroy(), READ_TIMEOUT_MS);
+    await new Promise<void>(resolve => {
         response.once("finish", resolve);
         response.once("close", resolve);
     });
+    clearTimeout(timer);
 }
--- a/test/adapters/target/targetClient.test.ts
+++ b/test/adapters/target/targetClient.test.ts
@@ -177,3 +177,42 @@
     await client.close();
     close();
 });
+
+test("a slow caller slows the target down, and its answer does not count as stalled", async t => {
+    const total = 64 * 1_048_576;
+    const chunk = Buffer.alloc(65_536, "x");
+    const fast = await startTarget("fast", async (_, response) => {
+        for (let written = 0; written < total; written += chunk.length) {
+            if (!response.write(chunk)) {
+                await once(response, "drain");
+            }
+        }
+        response.end();
+    });
+    const silent = await startTarget("silent", (_, response) => response.writeHead(200).write("x"));
+    const client = TargetClient.create({ getNow: () => 0, stallTimeoutMs: 1 });
+    t.teardown(async () => {
+        await client.close();
+        fast.close();
+        silent.close();
+    });
+    let bytes = 0;
+    let answer: Promise<AttemptResult> | undefined;
+    const resume = await new Promise<() => void>(onPaused => {
+        answer = sendTo(client, fast.target, {}, {
+            ...makeSink({ text: "" }),
+            onData: data => {
+                bytes += data.length;
+                return bytes === data.length ? "wait" : "more";
+            },
+            onDrain: onPaused,
+        });
+    });
+    // The stall of another answer shows that the time-out has passed for the paused one as well.
+    const stalled = await sendTo(client, silent.target, {}, makeSink({ text: "" }));
+    t.deepEqual(stalled.ending, { kind: "broken", reason: "stalled" });
+    t.true(bytes < total / 2, `${bytes} bytes were read while the caller was slow`);
+    resume();
+    t.deepEqual((await answer)?.ending, { kind: "completed" });
+    t.is(bytes, total);
+});
