--- a/test/helpers/startProcesses.ts
+++ b/src/testing/startSmallFleet.ts
@@ -1,12 +1,11 @@
-import type { ExecutionContext } from "ava";
 import { createHash } from "node:crypto";
 import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
-import { ChildProcess } from "../../src/testing/childProcess.js";
+import { ChildProcess } from "./childProcess.js";
 
-interface ProcessOptions {
+interface SmallFleetOptions {
     readonly daemons: number;
     /** Term of an entries answer in milliseconds. */
     readonly entriesTermMs: number;
@@ -14,20 +13,28 @@
     readonly engine: Readonly<Record<string, number>>;
 }
 
-interface Processes {
+interface SmallFleet {
     readonly daemons: readonly ChildProcess[];
     readonly plain: ChildProcess;
+    /** Kills all processes. */
+    readonly kill: () => Promise<void>;
 }
 
 /**
  * Starts daemons, a platform, an engine and a plain service whose POST calls are non-repeatable. The account
  * `capel` with the key `capel-key` may use the services `model-desk` and `order-book`.
  */
-export async function startProcesses(t: ExecutionContext, options: ProcessOptions): Promise<Processes> {
+export async function startSmallFleet(options: SmallFleetOptions): Promise<SmallFleet> {
+    const started: ChildProcess[] = [];
+    const spawnModule = async (module: string, args: readonly string[]): Promise<ChildProcess> => {
+        const child = await ChildProcess.create(new URL(`../${module}`, import.meta.url), args);
+        started.push(child);
+        return child;
+    };
     const directory = await mkdtemp(join(tmpdir(), "baobabspread-"));
-    const platform = await spawnModule(t, "standIns/platform/main.js", []);
-    const engine = await spawnModule(t, "standIns/engine/main.js", [JSON.stringify(options.engine)]);
-    const plain = await spawnModule(t, "standIns/plainService/main.js", []);
+    const platform = await spawnModule("standIns/platform/main.js", []);
+    const engine = await spawnModule("standIns/engine/main.js", [JSON.stringify(options.engine)]);
+    const plain = await spawnModule("standIns/plainService/main.js", []);
     const daemons = await Promise.all(Array.from({ length: options.daemons }, async (_, index) => {
         const path = join(directory, `daemon-${index}.json`);
         await writeFile(
@@ -42,7 +49,7 @@
                 entriesTermMs: options.entriesTermMs,
             }),
         );
-        return spawnModule(t, "daemon/main.js", ["--settings", path]);
+        return spawnModule("daemon/main.js", ["--settings", path]);
     }));
     await publishValue(platform, "configuration", {
         revision: 1,
@@ -84,17 +91,10 @@
             state: "live",
         })),
     });
-    return { daemons, plain };
-}
-
-async function spawnModule(
-    t: ExecutionContext,
-    module: string,
-    args: readonly string[],
-): Promise<ChildProcess> {
-    const child = await ChildProcess.create(new URL(`../../src/${module}`, import.meta.url), args);
-    t.teardown(() => child.stop("SIGKILL"));
-    return child;
+    const kill = async (): Promise<void> => {
+        await Promise.all(started.map(child => child.stop("SIGKILL")));
+    };
+    return { daemons, plain, kill };
 }
 
 async function publishValue(platform: ChildProcess, name: string, value: object): Promise<void> {
--- a/test/daemon/gracefulStop.test.ts
+++ b/test/daemon/gracefulStop.test.ts
@@ -2,7 +2,7 @@
 import { request } from "undici";
 import { sendChat } from "../../src/standIns/client/sendChat.js";
 import type { ChildProcess } from "../../src/testing/childProcess.js";
-import { startProcesses } from "../helpers/startProcesses.js";
+import { startSmallFleet } from "../../src/testing/startSmallFleet.js";
 
 const ENTRIES_TERM_MS = 1000;
 /** Callers in this test stop early, so that a slow machine does not delay a request past the end of its term. */
@@ -37,11 +37,12 @@
 
 test("a planned stop interrupts no request and no entries answer names a stopped instance", async t => {
     // Streams of at least 1.5 s outlast the entries term and its margin, so some are cut if the stop is hasty.
-    const { daemons } = await startProcesses(t, {
+    const { daemons, kill } = await startSmallFleet({
         daemons: 2,
         entriesTermMs: ENTRIES_TERM_MS,
         engine: { tokenIntervalMs: 10, minTokens: 150, maxTokens: 200 },
     });
+    t.teardown(kill);
     const [leaving, staying] = daemons as [ChildProcess, ChildProcess];
     for (const daemon of daemons) {
         await waitFor(async () => (await listEntries(daemon)).length === 2);
--- a/test/daemon/nonRepeatable.test.ts
+++ b/test/daemon/nonRepeatable.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { request } from "undici";
 import { v7 as createUuid } from "uuid";
-import { startProcesses } from "../helpers/startProcesses.js";
+import { startSmallFleet } from "../../src/testing/startSmallFleet.js";
 
 interface Reply {
     readonly status: number;
@@ -20,7 +20,8 @@
 }
 
 test("a payment that is repeated at every entry at once runs once", async t => {
-    const { daemons, plain } = await startProcesses(t, { daemons: 4, entriesTermMs: 100, engine: {} });
+    const { daemons, kill, plain } = await startSmallFleet({ daemons: 4, entriesTermMs: 100, engine: {} });
+    t.teardown(kill);
     // Holders do not vouch for keys made within the clock margin of their start, so the first keys are refused.
     let key = "";
     let reply: Reply | undefined;
