Release the slot when an answer cannot be passed on

A header of a target that Node refuses to send threw between the answer and the release of its slot, so the slot would have been lost. Also takes no slot for a caller that left during the claim or the backoff: the broker's abort listener is registered too late to see it.

--- a/src/adapters/target/targetAttempt.ts
+++ b/src/adapters/target/targetAttempt.ts
@@ -82,7 +82,13 @@
             this.#ending = { kind: "refused", reason: "target-not-run" };
             return;
         }
-        this.#options.sink.onHead(status, headers as Record<string, string | string[]>);
+        try {
+            this.#options.sink.onHead(status, headers as Record<string, string | string[]>);
+        }
+        catch {
+            // The head cannot be passed on, for example because a header has characters that HTTP forbids.
+            this.#abort({ kind: "broken", reason: "truncated" });
+        }
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/src/daemon/execution/executionRun.ts
+++ b/src/daemon/execution/executionRun.ts
@@ -106,6 +106,13 @@
         const { broker, context, request, signal } = this.#options;
         const queuedAt = context.getNow();
         try {
+            // A signal that aborted during the claim or the backoff would not reach the broker's listener.
+            if (signal.aborted) {
+                throw RequestError.create(
+                    "caller-disconnected",
+                    "The caller left before a slot was asked for.",
+                );
+            }
             const grant = await broker.acquireSlot({
                 requestId: request.requestId,
                 account: request.account.name,
@@ -164,10 +171,18 @@
     }
 
     #finishAttempt(grant: SlotGrant, result: AttemptResult): void {
-        const { ending, targetState } = result;
-        if (ending.kind === "completed") {
-            this.#relay.finish();
+        try {
+            if (result.ending.kind === "completed") {
+                this.#relay.finish();
+            }
+        }
+        finally {
+            this.#releaseSlot(grant, result);
         }
+    }
+
+    #releaseSlot(grant: SlotGrant, result: AttemptResult): void {
+        const { ending, targetState } = result;
         this.#relay.stopAttempt();
         const cost = computeAttemptCost(this.#options.request, {
             ending,
--- a/test/daemon/execution/requestExecutor.test.ts
+++ b/test/daemon/execution/requestExecutor.test.ts
@@ -46,6 +46,7 @@
     order: CallerRequest,
     listeners: readonly RequestListener[],
     startDeadline = Number.POSITIVE_INFINITY,
+    signal = new AbortController().signal,
 ): Promise<Run> {
     const started = await Promise.all(listeners.map((listener, i) => startTarget(`target-${i}`, listener)));
     const broker = TestBroker.create(started.map(entry => entry.target));
@@ -90,7 +91,7 @@
         end: () => {
             isEnded = true;
         },
-    }, new AbortController().signal).then(() => undefined, (reason: unknown) => reason);
+    }, signal).then(() => undefined, (reason: unknown) => reason);
     if (error !== undefined && !(error instanceof RequestError)) {
         throw error as Error;
     }
@@ -190,3 +191,10 @@
     t.like(run.error, { code: "target-unavailable", outcome: "not-run" });
     t.is(run.broker.tickets.length, 6);
 });
+
+test("a caller that left during the claim takes no slot and frees its key", async t => {
+    const run = await runRequest(t, payment, [respond], undefined, AbortSignal.abort());
+    t.is(run.error?.code, "caller-disconnected");
+    t.is(run.broker.tickets.length, 0);
+    t.deepEqual(run.settled, ["released"]);
+});
