--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,8 +1,10 @@
 import { start } from "nact";
 import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
 import { v7 as createUuid } from "uuid";
 import { CallerServer } from "../adapters/caller/callerServer.js";
 import { OperatorServer } from "../adapters/operator/operatorServer.js";
+import { TargetClient } from "../adapters/target/targetClient.js";
 import { buildStatusReport } from "../core/explain/buildStatusReport.js";
 import { createLogger } from "../observability/createLogger.js";
 import { Metrics } from "../observability/metrics.js";
@@ -19,8 +21,13 @@
 import { PoolOwner } from "./actors/poolOwner.js";
 import type { DaemonContext } from "./daemonContext.js";
 import type { DaemonSettings } from "./daemonSettings.js";
+import { ClaimCoordinator } from "./execution/claimCoordinator.js";
+import { recordFinished } from "./execution/recordFinished.js";
+import { RequestExecutor } from "./execution/requestExecutor.js";
+import { waitForRetry } from "./execution/waitForRetry.js";
 import { LoopbackCaller } from "./loopbackCaller.js";
 import { PeerDirectory } from "./peerDirectory.js";
+import { sendLeavingNotice } from "./sendLeavingNotice.js";
 
 interface DaemonAddresses {
     /** host:port of each server. */
@@ -37,15 +44,21 @@
     readonly accounting: Accounting;
     readonly callers: CallerServer;
     readonly operators: OperatorServer;
+    readonly claims: ClaimHolder;
+    readonly targets: TargetClient;
     readonly peerServer: PeerServer;
     readonly peerClient: PeerClient;
     /** Marks the daemon as not ready. */
     readonly onLeaving: () => void;
 }
 
+/** Clocks of callers and instances differ, and an answer needs time to reach its caller. */
+const ENTRIES_MARGIN_MS = 500;
+
 /** One running daemon: every role in one process. */
 export class Daemon {
     readonly #parts: DaemonParts;
+    #stopped: Promise<void> | undefined;
 
     private constructor(parts: DaemonParts) {
         this.#parts = parts;
@@ -131,6 +144,7 @@
             },
             ClaimKey: message => claims.handleClaim(message),
             SettleClaim: message => claims.handleSettle(message),
+            HandOverClaims: message => claims.handleHandover(message),
             FetchConfiguration: message => keeper.handleFetch(message),
             AnnounceLeaving: message => {
                 keeper.markLeaving(message.instance, message.incarnation);
@@ -138,11 +152,24 @@
             },
         };
         const peerServer = await PeerServer.create(settings.peerAddress, handlers, traffic);
+        const targets = TargetClient.create({ getNow });
+        const executor = RequestExecutor.create({
+            context,
+            broker: dispatcher,
+            targets,
+            claims: ClaimCoordinator.create({ context, holder: claims }),
+            getRandom: Math.random,
+            wait: waitForRetry,
+        });
         const callers = await CallerServer.create({
             address: settings.callerAddress,
-            broker: dispatcher,
-            getConfiguration: () => keeper.getView().index?.configuration,
-            getInstances: () => keeper.getView().instances,
+            dataCentre: settings.dataCentre,
+            entriesTermMs: settings.entriesTermMs,
+            getView: () => keeper.getView(),
+            getNow,
+            execute: (request, writer, signal) => executor.execute(request, writer, signal),
+            onReceived: request => metrics.count("requests_total", { service: request.service.name }),
+            onFinished: finished => recordFinished(context, finished),
         });
         const progress = { leaving: false };
         const operators = await OperatorServer.create({
@@ -171,6 +198,8 @@
             accounting,
             callers,
             operators,
+            claims,
+            targets,
             peerServer,
             peerClient,
             onLeaving: () => {
@@ -188,15 +217,36 @@
         };
     }
 
-    /** Stops in order: no new requests, requests in flight end, leases and counters are handed back. */
-    async stop(): Promise<void> {
+    /**
+     * Stops without interrupting a request: tells the fleet, serves until no valid entries answer names this
+     * instance, refuses new requests, finishes those in flight and hands leases, counters and claims back.
+     */
+    stop(): Promise<void> {
+        this.#stopped ??= this.#stopInOrder();
+        return this.#stopped;
+    }
+
+    async #stopInOrder(): Promise<void> {
+        const { accounting, callers, claims, context, dispatcher, keeper, owner } = this.#parts;
         this.#parts.onLeaving();
-        await this.#parts.dispatcher.drain();
-        await this.#parts.owner.close();
-        await this.#parts.accounting.close();
-        this.#parts.keeper.close();
+        context.logger.info("leaving");
+        keeper.markLeaving(context.identity.instance, context.identity.incarnation);
+        await sendLeavingNotice(context);
+        // The successors are in the groups from now on; what is claimed later follows at the end.
+        await claims.sendHandover();
+        // An instance may have answered with this entry until it learned of the departure, just now.
+        await sleep(context.settings.entriesTermMs + ENTRIES_MARGIN_MS);
+        await callers.drain();
+        await dispatcher.drain();
+        await owner.close();
+        await accounting.close();
+        await claims.sendHandover();
+        keeper.close();
+        await callers.close();
+        await this.#parts.targets.close();
         this.#parts.operators.close();
         this.#parts.peerServer.close();
         this.#parts.peerClient.close();
+        context.logger.info("stopped");
     }
 }
--- a/test/daemon/actors/leaseFleet.ts
+++ b/test/daemon/actors/leaseFleet.ts
@@ -6,6 +6,7 @@
 import { Lender } from "../../../src/daemon/actors/lender.js";
 import { PoolOwner } from "../../../src/daemon/actors/poolOwner.js";
 import type { DaemonContext } from "../../../src/daemon/daemonContext.js";
+import { daemonSettingsSchema } from "../../../src/daemon/daemonSettingsSchema.js";
 import { LoopbackCaller } from "../../../src/daemon/loopbackCaller.js";
 import type { PeerCaller } from "../../../src/daemon/peerCaller.js";
 import { createLogger } from "../../../src/observability/createLogger.js";
@@ -134,7 +135,7 @@
             },
         });
         const context: DaemonContext = {
-            settings: {
+            settings: daemonSettingsSchema.parse({
                 instance: name,
                 dataCentre: "caerdydd-a",
                 callerAddress: ADDRESS,
@@ -143,7 +144,7 @@
                 platformUrl: "http://127.0.0.1:1",
                 policy: "fleet",
                 logLevel: "error",
-            },
+            }),
             identity: { instance: name, dataCentre: "caerdydd-a", incarnation: name, startedAtMs: 0 },
             system: start(),
             logger: createLogger("error", {}),
--- /dev/null
+++ b/test/daemon/gracefulStop.test.ts
@@ -0,0 +1,72 @@
+import test from "ava";
+import { request } from "undici";
+import { sendChat } from "../../src/standIns/client/sendChat.js";
+import type { ChildProcess } from "../../src/testing/childProcess.js";
+import { startSmallFleet } from "../../src/testing/startSmallFleet.js";
+
+const ENTRIES_TERM_MS = 1000;
+/** Callers in this test stop early, so that a slow machine does not delay a request past the end of its term. */
+const CALLER_MARGIN_MS = 500;
+const MAX_REQUESTS = 40;
+
+async function listEntries(daemon: ChildProcess): Promise<readonly string[]> {
+    const response = await request(`http://${daemon.address}/v1/entries`);
+    const body = await response.body.json() as {
+        readonly entries: readonly { readonly instance: string; }[];
+    };
+    return body.entries.map(entry => entry.instance);
+}
+
+async function waitFor(isTrue: () => Promise<boolean>): Promise<void> {
+    while (!await isTrue()) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+function sendPrompt(daemon: ChildProcess, prompt: string): ReturnType<typeof sendChat> {
+    return sendChat({
+        entry: daemon.address,
+        key: "capel-key",
+        model: "model-desk",
+        prompt,
+        stream: true,
+        minTokens: 150,
+        maxTokens: 200,
+    });
+}
+
+test("a planned stop interrupts no request and no entries answer names a stopped instance", async t => {
+    // Streams of at least 1.5 s outlast the entries term and its margin, so some are cut if the stop is hasty.
+    const { daemons, kill } = await startSmallFleet({
+        daemons: 2,
+        entriesTermMs: ENTRIES_TERM_MS,
+        engine: { tokenIntervalMs: 10, minTokens: 150, maxTokens: 200 },
+    });
+    t.teardown(kill);
+    const [leaving, staying] = daemons as [ChildProcess, ChildProcess];
+    for (const daemon of daemons) {
+        await waitFor(async () => (await listEntries(daemon)).length === 2);
+        await waitFor(async () => (await sendPrompt(daemon, "warm-up")).status === 200);
+    }
+    const inFlight = Array.from({ length: 10 }, (_, index) => sendPrompt(leaving, `before ${index}`));
+    leaving.kill("SIGTERM");
+    leaving.kill("SIGTERM");
+    // A caller may use the leaving entry as long as an answer that names it is valid.
+    let validUntil = 0;
+    await waitFor(async () => {
+        const askedAt = Date.now();
+        const isNamed = (await listEntries(staying)).includes("daemon-0");
+        validUntil = isNamed ? askedAt + ENTRIES_TERM_MS : validUntil;
+        return !isNamed;
+    });
+    while (Date.now() < validUntil - CALLER_MARGIN_MS) {
+        if (inFlight.length < MAX_REQUESTS) {
+            inFlight.push(sendPrompt(leaving, `while leaving ${inFlight.length}`));
+        }
+        await listEntries(staying);
+    }
+    const results = await Promise.all(inFlight);
+    t.deepEqual(results.filter(result => !result.correct), []);
+    t.is(await leaving.stop(), 0);
+    t.deepEqual(await listEntries(staying), ["daemon-1"]);
+});
--- a/test/testing/makeContext.ts
+++ b/test/testing/makeContext.ts
@@ -4,6 +4,7 @@
 import type { Decision } from "../../src/core/explain/decision.js";
 import type { ClusterView } from "../../src/core/membership/clusterView.js";
 import type { DaemonContext } from "../../src/daemon/daemonContext.js";
+import { daemonSettingsSchema } from "../../src/daemon/daemonSettingsSchema.js";
 import type { PeerCaller } from "../../src/daemon/peerCaller.js";
 import { createLogger } from "../../src/observability/createLogger.js";
 import { Metrics } from "../../src/observability/metrics.js";
@@ -42,7 +43,7 @@
     };
     let view = base;
     return {
-        settings: {
+        settings: daemonSettingsSchema.parse({
             instance,
             dataCentre: "near",
             callerAddress: "127.0.0.1:0",
@@ -51,7 +52,7 @@
             platformUrl: "http://127.0.0.1:1",
             policy: "fleet",
             logLevel: "error",
-        },
+        }),
         identity: { instance, dataCentre: "near", incarnation: `1-${instance}`, startedAtMs: 1 },
         system: start(),
         logger: createLogger("error", { instance, dataCentre: "near" }),
