Show a whole fleet at work in the demo and let tests inject faults into it

The demo covered one data centre with three engines and could not show a client account, a print order or a data centre leaving. The stand-ins had no limits, no cold start, no records and no faults, so neither a test nor an experiment could tell a correct daemon from a wrong one.

Targets now batch, warm up, refuse or fall over under overload, and record every arrival. A fault proxy in a process of its own holds, delays, drops and resets bytes on each link. The Fleet harness starts the processes and ends them by id. A daemon setting, addressMap, lets each daemon use its own link to a peer; publishing different instance lists to different readers was ruled out because daemons pass lists on to each other.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -71,6 +71,7 @@
             metrics,
             peers: PeerDirectory.create({
                 client: peerClient,
+                addressMap: settings.addressMap,
                 getView: () => keeper.getView(),
                 recordResult: (instance, method, reached) => {
                     metrics.count("peer_calls_total", {
--- a/src/daemon/peerDirectory.ts
+++ b/src/daemon/peerDirectory.ts
@@ -7,6 +7,8 @@
 interface PeerDirectoryOptions {
     readonly client: PeerClient;
     readonly getView: () => ClusterView;
+    /** Addresses to connect to instead of published ones. */
+    readonly addressMap: Readonly<Record<string, string>>;
     /** Told how each call ended, for failure detection and counters. */
     readonly recordResult: (instance: string, method: string, reached: boolean) => void;
 }
@@ -37,7 +39,8 @@
             throw PeerCallError.create(method, instance, true, new Error("The instance is not in the list."));
         }
         try {
-            const reply = await this.#options.client.send(listed.peerAddress, method, message, timeoutMs);
+            const address = this.#options.addressMap[listed.peerAddress] ?? listed.peerAddress;
+            const reply = await this.#options.client.send(address, method, message, timeoutMs);
             this.#options.recordResult(instance, method, true);
             return reply;
         }
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -1,107 +1,77 @@
-import { createHash } from "node:crypto";
-import { mkdtemp, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { request } from "undici";
-import { sendChat } from "../standIns/client/sendChat.js";
-import { ChildProcess } from "../testing/childProcess.js";
+import { v7 as createUuid } from "uuid";
+import { AccountLoad } from "../standIns/client/accountLoad.js";
+import type { CallResult } from "../standIns/client/callResult.js";
+import { createRandom } from "../standIns/client/createRandom.js";
+import { EntryDirectory } from "../standIns/client/entryDirectory.js";
+import { createTafOptions } from "../testing/createTafOptions.js";
+import { Fleet } from "../testing/fleet.js";
+import { getAccountKey } from "../testing/getAccountKey.js";
+import { printReport } from "./printReport.js";
 
-const directory = await mkdtemp(join(tmpdir(), "baobabspread-"));
-const processes: ChildProcess[] = [];
-const platform = await spawnProcess("../standIns/platform/main.js", []);
-const engines = await Promise.all(
-    [0, 1, 2].map(index =>
-        spawnProcess("../standIns/engine/main.js", [JSON.stringify({ name: `engine-${index}` })])
-    ),
-);
-const daemons = await Promise.all([0, 1, 2].map(async index => {
-    const path = join(directory, `daemon-${index}.json`);
-    await writeFile(
-        path,
-        JSON.stringify({
-            instance: `daemon-${index}`,
-            dataCentre: "caerdydd-a",
-            callerAddress: "127.0.0.1:0",
-            peerAddress: "127.0.0.1:0",
-            operatorAddress: "127.0.0.1:0",
-            platformUrl: `http://${platform.address}`,
-        }),
-    );
-    return spawnProcess("../daemon/main.js", ["--settings", path]);
-}));
-await publishValue("configuration", {
-    revision: 1,
-    digest: "",
-    configuration: {
-        regions: [{ name: "de-cymru" }],
-        dataCentres: [{ name: "caerdydd-a", region: "de-cymru", inService: true }],
-        shares: [{ name: "standard", weight: 1 }],
-        clientAccounts: [{
-            name: "capel",
-            share: "standard",
-            keyDigests: [createHash("sha256").update("capel-key").digest("hex")],
-            services: ["model-desk"],
-        }],
-        services: [{ name: "model-desk", kind: "model" }],
-        targets: engines.map((engine, index) => ({
-            name: `engine-${index}`,
-            service: "model-desk",
-            dataCentre: "caerdydd-a",
-            url: `http://${engine.address}`,
-            slotLimit: 8,
-        })),
-    },
-});
-await publishValue("instances", {
-    revision: 1,
-    instances: daemons.map(daemon => ({
-        name: daemon.listening.name,
-        dataCentre: "caerdydd-a",
-        callerAddress: daemon.address,
-        state: "live",
-    })),
-});
-await waitForConfiguration();
-const results = await Promise.all(Array.from({ length: 60 }, (_, index) =>
-    sendChat({
-        entry: daemons[index % daemons.length]?.address ?? "",
-        key: "capel-key",
-        model: "model-desk",
-        prompt: `schedule ${index}`,
-        stream: index % 2 === 0,
-        minTokens: 4,
-        maxTokens: 40,
-    })));
-const correct = results.filter(result => result.correct).length;
-console.table({ requests: results.length, correct });
-await Promise.all(processes.map(child => child.stop()));
-process.exitCode = correct === results.length ? 0 : 1;
+const ACCOUNTS: Readonly<Record<string, number>> = {
+    "capel-players": 4,
+    "eisteddfod-box": 4,
+    "gwyl-office": 1,
+    "llan-hall": 1,
+    "morfa-choir": 1,
+    "pontio-desk": 1,
+};
+const ANSWER = { minTokens: 8, maxTokens: 40 } as const;
+const OUT_OF_SERVICE = "bangor-a";
+const BEFORE_MS = 2_000;
+const OUT_MS = 7_000;
+const AFTER_MS = 5_000;
 
-async function spawnProcess(module: string, args: readonly string[]): Promise<ChildProcess> {
-    const child = await ChildProcess.create(new URL(module, import.meta.url), args);
-    processes.push(child);
-    return child;
+const fleet = await Fleet.create(createTafOptions({
+    accounts: ACCOUNTS,
+    engineSlots: 8,
+    fleet: { engine: { ...ANSWER, tokenIntervalMs: 20, promptMs: 20 } },
+}));
+process.exitCode = 1;
+try {
+    await runDemo();
+}
+finally {
+    await fleet.close();
 }
 
-async function publishValue(name: string, value: object): Promise<void> {
-    const response = await request(`http://${platform.address}/control/${name}`, {
-        method: "PUT",
-        body: JSON.stringify(value),
-    });
-    await response.body.dump();
+async function runDemo(): Promise<void> {
+    const results: CallResult[] = [];
+    const random = createRandom(1);
+    const directory = EntryDirectory.create(fleet.entries);
+    const pickEntry = async (): Promise<string> => {
+        const entries = await directory.listEntries();
+        return entries[Math.floor(random() * entries.length)] ?? "";
+    };
+    const loads = Object.keys(ACCOUNTS).map((account, index) =>
+        AccountLoad.create({
+            account,
+            key: getAccountKey(account),
+            concurrency: 4 + 2 * index,
+            pickEntry,
+            ...ANSWER,
+            plainShare: 0.25,
+            streamShare: 0.5,
+            retriesNotRun: true,
+            random,
+            record: result => results.push(result),
+            createId: createUuid,
+        })
+    );
+    await wait(BEFORE_MS);
+    process.stdout.write(`Taking the data centre ${OUT_OF_SERVICE} out of service.\n`);
+    await fleet.setInService("dataCentres", OUT_OF_SERVICE, false);
+    const outAtMs = Date.now();
+    await wait(OUT_MS);
+    process.stdout.write(`Returning the data centre ${OUT_OF_SERVICE} to service.\n`);
+    await fleet.setInService("dataCentres", OUT_OF_SERVICE, true);
+    const backAtMs = Date.now();
+    await wait(AFTER_MS);
+    await Promise.all(loads.map(load => load.stop()));
+    const verified = await printReport({ fleet, results, outAtMs, backAtMs, dataCentre: OUT_OF_SERVICE });
+    process.exitCode = verified ? 0 : 1;
 }
 
-async function waitForConfiguration(): Promise<void> {
-    for (;;) {
-        const answers = await Promise.all(daemons.map(async daemon => {
-            const response = await request(`http://${daemon.address}/v1/chat/completions`, {
-                method: "POST",
-            });
-            await response.body.dump();
-            return response.statusCode;
-        }));
-        if (answers.every(status => status === 401)) {
-            return;
-        }
-    }
+function wait(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
 }
--- /dev/null
+++ b/src/standIns/client/entryDirectory.ts
@@ -0,0 +1,59 @@
+import { request } from "undici";
+
+interface EntryList {
+    readonly entries: readonly { readonly instance: string; readonly address: string; }[];
+    /** ISO 8601 time until which the list may be used. */
+    readonly validUntil: string;
+}
+
+/** Learns entry addresses from any instance and keeps them until the answer expires. */
+export class EntryDirectory {
+    readonly #seeds: readonly string[];
+    #known: readonly string[];
+    #validUntil = 0;
+    #pending: Promise<void> | undefined;
+
+    private constructor(seeds: readonly string[]) {
+        this.#seeds = seeds;
+        this.#known = seeds;
+    }
+
+    /** Creates a directory that first asks the given addresses (host:port). */
+    static create(seeds: readonly string[]): EntryDirectory {
+        return new EntryDirectory(seeds);
+    }
+
+    /** Returns the addresses in service. The last list stays in use when nobody answers. */
+    async listEntries(): Promise<readonly string[]> {
+        if (Date.now() >= this.#validUntil) {
+            this.#pending ??= this.#fetch().finally(() => this.#pending = undefined);
+            await this.#pending;
+        }
+        return this.#known;
+    }
+
+    async #fetch(): Promise<void> {
+        for (const address of new Set([...this.#known, ...this.#seeds])) {
+            const list = await tryFetchList(address);
+            if (list && list.entries.length > 0) {
+                this.#known = list.entries.map(entry => entry.address);
+                this.#validUntil = Date.parse(list.validUntil);
+                return;
+            }
+        }
+    }
+}
+
+async function tryFetchList(address: string): Promise<EntryList | undefined> {
+    try {
+        const answer = await request(`http://${address}/v1/entries`, { headersTimeout: 1_000 });
+        if (answer.statusCode !== 200) {
+            await answer.body.dump();
+            return undefined;
+        }
+        return await answer.body.json() as EntryList;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/standIns/client/sendCall.ts
@@ -0,0 +1,29 @@
+import { parseMarker } from "../target/parseMarker.js";
+import type { CallResult } from "./callResult.js";
+import type { ExchangeOptions } from "./exchangeOptions.js";
+import { sendExchange } from "./sendExchange.js";
+
+interface CallOptions extends ExchangeOptions {
+    readonly service: string;
+    readonly method: "GET" | "POST" | "PUT" | "PATCH" | "DELETE";
+    /** Path behind `/services/NAME`, with a leading slash. */
+    readonly path: string;
+    /** Empty for none. */
+    readonly body: string;
+    readonly idempotencyKey?: string;
+}
+
+/** Sends one call to a plain service and verifies that the answer echoes exactly this call. */
+export function sendCall(options: CallOptions): Promise<CallResult> {
+    const expected = JSON.stringify({ method: options.method, path: options.path, body: options.body });
+    return sendExchange({
+        ...options,
+        idempotencyKey: options.idempotencyKey,
+        marker: parseMarker(decodeURIComponent(options.path) + options.body, "request"),
+        path: `/services/${options.service}${options.path}`,
+        verify: async answer => {
+            const text = await answer.body.text();
+            return { verdict: text === expected ? "verified" : "wrong", tokens: 0 };
+        },
+    });
+}
--- a/src/standIns/client/sendChat.ts
+++ b/src/standIns/client/sendChat.ts
@@ -1,59 +1,83 @@
-import { request } from "undici";
+import type { Dispatcher } from "undici";
 import { computeAnswer } from "../shared/computeAnswer.js";
+import { parseMarker } from "../target/parseMarker.js";
+import type { CallResult } from "./callResult.js";
+import type { ExchangeOptions } from "./exchangeOptions.js";
+import { sendExchange } from "./sendExchange.js";
+import { StreamVerifier } from "./streamVerifier.js";
 
-interface ChatOptions {
-    /** Entry address, host:port. */
-    readonly entry: string;
-    readonly key: string;
+interface ChatOptions extends ExchangeOptions {
     readonly model: string;
     readonly prompt: string;
     readonly stream: boolean;
+    /** Bounds of the answer length with which the engines were started. */
     readonly minTokens: number;
     readonly maxTokens: number;
-}
-
-interface ChatResult {
-    readonly status: number;
-    readonly tokens: number;
-    /** True if the answer equals byte by byte what the engine has to answer to this prompt. */
-    readonly correct: boolean;
+    /** The caller's hint of the answer length, right or wrong. @default no hint */
+    readonly hintedTokens?: number;
 }
 
 /** Sends one chat request and verifies the answer against its prompt. */
-export async function sendChat(options: ChatOptions): Promise<ChatResult> {
+export function sendChat(options: ChatOptions): Promise<CallResult> {
     const expected = computeAnswer(options.prompt, options);
-    const response = await request(`http://${options.entry}/v1/chat/completions`, {
+    return sendExchange({
+        ...options,
+        service: options.model,
+        marker: parseMarker(options.prompt, "request"),
         method: "POST",
-        headers: { "authorization": `Bearer ${options.key}`, "content-type": "application/json" },
+        path: "/v1/chat/completions",
+        idempotencyKey: undefined,
         body: JSON.stringify({
             model: options.model,
             stream: options.stream,
+            ...options.hintedTokens === undefined ? {} : { max_tokens: options.hintedTokens },
             messages: [{ role: "user", content: options.prompt }],
         }),
+        verify: (answer, onToken) =>
+            options.stream ? verifyStream(answer, expected, onToken) : verifyWhole(answer, expected),
     });
-    const text = await response.body.text();
-    if (response.statusCode !== 200) {
-        return { status: response.statusCode, tokens: 0, correct: false };
+}
+
+async function verifyStream(
+    answer: Dispatcher.ResponseData,
+    expected: readonly string[],
+    onToken: () => void,
+): ReturnType<Parameters<typeof sendExchange>[0]["verify"]> {
+    const verifier = StreamVerifier.create(expected);
+    const decoder = new TextDecoder();
+    try {
+        for await (const chunk of answer.body) {
+            verifier.push(decoder.decode(chunk as Buffer, { stream: true }));
+            onToken();
+        }
     }
-    const received = options.stream ? parseStream(text) : parseWhole(text);
-    return { status: 200, tokens: expected.length, correct: received === expected.join("") };
+    catch {
+        return { verdict: verifier.state === "wrong" ? "wrong" : "incomplete", tokens: verifier.tokens };
+    }
+    const { state, tokens, problem } = verifier;
+    if (state === "done") {
+        return { verdict: "verified", tokens };
+    }
+    // A stream that ends without [DONE] and without an error event claims to be whole by HTTP alone.
+    return { verdict: state === "error" ? "incomplete" : "wrong", tokens, problem };
 }
 
-function parseWhole(text: string): string {
-    const body = JSON.parse(text) as { choices: { message: { content: string; }; }[]; };
-    return body.choices[0]?.message.content ?? "";
+async function verifyWhole(
+    answer: Dispatcher.ResponseData,
+    expected: readonly string[],
+): ReturnType<Parameters<typeof sendExchange>[0]["verify"]> {
+    const text = await answer.body.text();
+    return readContent(text) === expected.join("")
+        ? { verdict: "verified", tokens: expected.length }
+        : { verdict: "wrong", tokens: 0 };
 }
 
-function parseStream(text: string): string | undefined {
-    const events = text.split("\n\n").filter(event => event.startsWith("data: ")).map(event =>
-        event.slice(6)
-    );
-    if (events.pop() !== "[DONE]") {
-        return undefined;
+function readContent(text: string): string | undefined {
+    try {
+        const body = JSON.parse(text) as { choices?: { message: { content: string; }; }[]; };
+        return body.choices?.[0]?.message.content;
     }
-    const chunks = events.map(event => JSON.parse(event) as { index: number; token: string; });
-    if (chunks.some((chunk, index) => chunk.index !== index)) {
+    catch {
         return undefined;
     }
-    return chunks.map(chunk => chunk.token).join("");
 }
--- /dev/null
+++ b/src/standIns/client/sendExchange.ts
@@ -0,0 +1,91 @@
+import type { Dispatcher } from "undici";
+import { request } from "undici";
+import type { Outcome } from "../../core/errors/outcome.js";
+import type { CallResult } from "./callResult.js";
+import type { ExchangeOptions } from "./exchangeOptions.js";
+
+interface Exchange extends ExchangeOptions {
+    readonly service: string;
+    readonly marker: string;
+    readonly method: string;
+    readonly path: string;
+    readonly body: string;
+    readonly idempotencyKey: string | undefined;
+    /** Reads a successful answer; throws when the connection breaks. */
+    readonly verify: (answer: Dispatcher.ResponseData, onToken: () => void) => Promise<Verdict>;
+}
+
+interface Verdict {
+    readonly verdict: CallResult["verdict"];
+    readonly tokens: number;
+    readonly problem?: { readonly outcome?: string; readonly code?: string; } | undefined;
+}
+
+/** Errors that undici raises before it has a connection; nothing was sent. */
+const UNREACHABLE_CODES: ReadonlySet<string> = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/** Sends one request and never throws: every failure is in the result. */
+export async function sendExchange(exchange: Exchange): Promise<CallResult> {
+    const startMs = Date.now();
+    let firstTokenMs: number | undefined;
+    let status = 0;
+    let requestId: string | undefined;
+    const finish = (verdict: Verdict): CallResult => ({
+        account: exchange.account ?? "",
+        service: exchange.service,
+        marker: exchange.marker,
+        idempotencyKey: exchange.idempotencyKey,
+        verdict: verdict.verdict,
+        status,
+        outcome: verdict.problem?.outcome as Outcome | undefined,
+        code: verdict.problem?.code,
+        entry: exchange.entry,
+        requestId,
+        tokens: verdict.tokens,
+        startMs,
+        firstTokenMs,
+        endMs: Date.now(),
+        correct: verdict.verdict === "verified",
+    });
+    try {
+        const answer = await request(`http://${exchange.entry}${exchange.path}`, {
+            method: exchange.method as Dispatcher.HttpMethod,
+            headers: buildHeaders(exchange),
+            body: exchange.body === "" ? null : exchange.body,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            ...exchange.signal ? { signal: exchange.signal } : {},
+            ...exchange.dispatcher ? { dispatcher: exchange.dispatcher } : {},
+        });
+        status = answer.statusCode;
+        requestId = answer.headers["x-request-id"]?.toString();
+        if (status >= 400) {
+            const problem = await readProblem(answer);
+            return finish({ verdict: "refused", tokens: 0, problem });
+        }
+        return finish(await exchange.verify(answer, () => firstTokenMs ??= Date.now()));
+    }
+    catch (error) {
+        const unreachable = UNREACHABLE_CODES.has((error as { code?: string; }).code ?? "");
+        return finish({ verdict: unreachable ? "unreachable" : "incomplete", tokens: 0 });
+    }
+}
+
+function buildHeaders(exchange: Exchange): Record<string, string> {
+    return {
+        "authorization": `Bearer ${exchange.key}`,
+        "content-type": "application/json",
+        ...exchange.idempotencyKey === undefined ? {} : { "idempotency-key": exchange.idempotencyKey },
+        ...exchange.deadlineMs === undefined ? {} : { "x-deadline-ms": String(exchange.deadlineMs) },
+    };
+}
+
+async function readProblem(answer: Dispatcher.ResponseData): Promise<Verdict["problem"]> {
+    const text = await answer.body.text();
+    try {
+        return JSON.parse(text) as Verdict["problem"];
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/src/standIns/engine/engineSettings.ts
+++ b/src/standIns/engine/engineSettings.ts
@@ -1,10 +1,11 @@
+import type { TargetSettings } from "../target/targetSettings.js";
+
 /** Settings of the engine stand-in. */
-export interface EngineSettings {
-    readonly name: string;
-    /** Requests that the warm engine bears at once. */
-    readonly slotLimit: number;
+export interface EngineSettings extends TargetSettings {
     /** Time between two tokens of one request in milliseconds. */
     readonly tokenIntervalMs: number;
+    /** Time in milliseconds before the first token of a request. */
+    readonly promptMs: number;
     /** Bounds of the answer length in tokens. */
     readonly minTokens: number;
     readonly maxTokens: number;
--- a/src/standIns/engine/main.ts
+++ b/src/standIns/engine/main.ts
@@ -1,10 +1,10 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
-import { setTimeout as sleep } from "node:timers/promises";
 import { computeAnswer } from "../shared/computeAnswer.js";
-import { readJsonBody } from "../shared/readJsonBody.js";
 import { readSettings } from "../shared/readSettings.js";
-import { startHttpServer } from "../shared/startHttpServer.js";
+import { targetDefaults } from "../target/targetDefaults.js";
+import type { TargetExchange } from "../target/targetExchange.js";
+import { TargetServer } from "../target/targetServer.js";
 import type { EngineSettings } from "./engineSettings.js";
+import { TokenBatch } from "./tokenBatch.js";
 
 interface ChatRequest {
     readonly messages: readonly { readonly content: string; }[];
@@ -12,58 +12,52 @@
 }
 
 const settings = readSettings<EngineSettings>({
+    ...targetDefaults,
     name: "engine",
-    slotLimit: 8,
     tokenIntervalMs: 2,
+    promptMs: 0,
     minTokens: 4,
     maxTokens: 40,
 });
-const epoch = `${process.pid}-${Date.now()}`;
-let running = 0;
+const batch = TokenBatch.create(settings.tokenIntervalMs, settings.promptMs);
+await TargetServer.create({ settings, serve: serveChat });
 
-await startHttpServer(settings.name, (request, response) => {
-    if (request.url === "/v1/load") {
-        response.end(
-            JSON.stringify({
-                epoch,
-                state: "warm",
-                running,
-                bearable: settings.slotLimit,
-                measuredAtMs: Date.now(),
-            }),
-        );
-        return;
-    }
-    void serveChat(request, response);
-});
-
-async function serveChat(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readJsonBody(request) as ChatRequest;
+async function serveChat(exchange: TargetExchange): Promise<boolean> {
+    const body = JSON.parse(exchange.body) as ChatRequest;
     const prompt = body.messages.map(message => message.content).join("\n");
     const tokens = computeAnswer(prompt, settings);
     const usage = { prompt_tokens: prompt.split(/\s+/).length, completion_tokens: tokens.length };
-    running += 1;
-    try {
-        if (!body.stream) {
-            await sleep(settings.tokenIntervalMs * tokens.length);
-            response.setHeader("content-type", "application/json");
-            response.end(
-                JSON.stringify({
-                    choices: [{ message: { role: "assistant", content: tokens.join("") } }],
-                    usage,
-                }),
-            );
-            return;
-        }
-        response.setHeader("content-type", "text/event-stream");
-        for (const [index, token] of tokens.entries()) {
-            await sleep(settings.tokenIntervalMs);
-            const last = index === tokens.length - 1;
-            response.write(`data: ${JSON.stringify(last ? { index, token, usage } : { index, token })}\n\n`);
+    const first = Math.min(Number(exchange.headers["x-resume-from"] ?? 0), tokens.length);
+    let next = first;
+    exchange.addTokens(usage.prompt_tokens);
+    if (body.stream) {
+        exchange.setHeader("content-type", "text/event-stream");
+    }
+    await batch.run(tokens.length - first, count => {
+        exchange.addTokens(count);
+        for (const end = next + count; next < end; next += 1) {
+            if (body.stream) {
+                writeToken(exchange, { index: next, token: tokens[next] }, next === tokens.length - 1, usage);
+            }
         }
-        response.end("data: [DONE]\n\n");
+    }, exchange.signal);
+    if (exchange.signal.aborted || exchange.writer.broken) {
+        return false;
     }
-    finally {
-        running -= 1;
+    if (body.stream) {
+        exchange.writer.end("data: [DONE]\n\n");
+        return true;
     }
+    exchange.writer.sendWhole(
+        "application/json",
+        JSON.stringify({
+            choices: [{ message: { role: "assistant", content: tokens.slice(first).join("") } }],
+            usage,
+        }),
+    );
+    return !exchange.writer.broken;
+}
+
+function writeToken(exchange: TargetExchange, chunk: object, last: boolean, usage: object): void {
+    exchange.writer.write(`data: ${JSON.stringify(last ? { ...chunk, usage } : chunk)}\n\n`);
 }
--- /dev/null
+++ b/src/standIns/faultProxy/byteChannel.ts
@@ -0,0 +1,77 @@
+import type { Socket } from "node:net";
+
+interface QueuedChunk {
+    /** `undefined` is the end of the stream. */
+    readonly bytes: Buffer | undefined;
+    /** Monotonic time in milliseconds before which the chunk is not sent. */
+    readonly dueAt: number;
+}
+
+interface ByteChannelOptions {
+    readonly from: Socket;
+    readonly to: Socket;
+    readonly getDelayMs: () => number;
+    readonly getMode: () => "pass" | "hold" | "drop";
+    readonly count: (bytes: number) => void;
+}
+
+/** One direction of one connection. Order is kept; a connection that lost bytes must not be used again. */
+export class ByteChannel {
+    readonly #options: ByteChannelOptions;
+    readonly #queue: QueuedChunk[] = [];
+    #timer: NodeJS.Timeout | undefined;
+    #lost = false;
+
+    private constructor(options: ByteChannelOptions) {
+        this.#options = options;
+        options.from.on("data", (bytes: Buffer) => this.#push(bytes));
+        options.from.on("end", () => this.#push(undefined));
+        options.to.on("drain", () => options.from.resume());
+    }
+
+    /** Creates a channel that forwards from now on. */
+    static create(options: ByteChannelOptions): ByteChannel {
+        return new ByteChannel(options);
+    }
+
+    /** True if bytes were dropped. */
+    get lost(): boolean {
+        return this.#lost;
+    }
+
+    /** Sends what is due; called after a change of the fault. */
+    flush(): void {
+        clearTimeout(this.#timer);
+        this.#timer = undefined;
+        while (this.#queue[0] && this.#options.getMode() === "pass") {
+            const waitMs = this.#queue[0].dueAt - performance.now();
+            if (waitMs > 0) {
+                this.#timer = setTimeout(() => this.flush(), waitMs);
+                return;
+            }
+            this.#send(this.#queue.shift()?.bytes);
+        }
+    }
+
+    #push(bytes: Buffer | undefined): void {
+        if (this.#options.getMode() === "drop") {
+            this.#lost = true;
+            return;
+        }
+        this.#queue.push({ bytes, dueAt: performance.now() + this.#options.getDelayMs() });
+        if (!this.#timer) {
+            this.flush();
+        }
+    }
+
+    #send(bytes: Buffer | undefined): void {
+        if (bytes === undefined) {
+            this.#options.to.end();
+            return;
+        }
+        this.#options.count(bytes.length);
+        if (!this.#options.to.write(bytes)) {
+            this.#options.from.pause();
+        }
+    }
+}
--- a/src/standIns/plainService/main.ts
+++ b/src/standIns/plainService/main.ts
@@ -1,44 +1,18 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { readSettings } from "../shared/readSettings.js";
-import { startHttpServer } from "../shared/startHttpServer.js";
+import { targetDefaults } from "../target/targetDefaults.js";
+import type { TargetExchange } from "../target/targetExchange.js";
+import { TargetServer } from "../target/targetServer.js";
 
-const settings = readSettings({ name: "plain", slotLimit: 16 });
-const epoch = `${process.pid}-${Date.now()}`;
-let running = 0;
-const runs: { readonly key: string; readonly requestId: string; }[] = [];
+const settings = readSettings({ ...targetDefaults, name: "plain", slotLimit: 16, serviceMs: 5 });
+await TargetServer.create({ settings, serve: serveCall });
 
-await startHttpServer(settings.name, (request, response) => {
-    if (request.url === "/v1/load") {
-        response.end(
-            JSON.stringify({
-                epoch,
-                state: "warm",
-                running,
-                bearable: settings.slotLimit,
-                measuredAtMs: Date.now(),
-            }),
-        );
-        return;
-    }
-    if (request.url === "/control/runs") {
-        response.end(JSON.stringify(runs));
-        return;
-    }
-    running += 1;
-    const chunks: Buffer[] = [];
-    request.on("data", (chunk: Buffer) => chunks.push(chunk));
-    request.on("end", () => {
-        runs.push({
-            key: String(request.headers["idempotency-key"] ?? ""),
-            requestId: String(request.headers["x-request-id"] ?? ""),
-        });
-        running -= 1;
-        response.setHeader("content-type", "application/json");
-        response.end(
-            JSON.stringify({
-                method: request.method,
-                path: request.url,
-                body: Buffer.concat(chunks).toString("utf8"),
-            }),
-        );
-    });
-});
+async function serveCall(exchange: TargetExchange): Promise<boolean> {
+    exchange.addTokens(settings.requestCost);
+    await sleep(settings.serviceMs);
+    exchange.writer.sendWhole(
+        "application/json",
+        JSON.stringify({ method: exchange.method, path: exchange.path, body: exchange.body }),
+    );
+    return !exchange.writer.broken && !exchange.signal.aborted;
+}
--- a/src/standIns/platform/main.ts
+++ b/src/standIns/platform/main.ts
@@ -1,46 +1,91 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readJsonBody } from "../shared/readJsonBody.js";
+import { sendJson } from "../shared/sendJson.js";
 import { startHttpServer } from "../shared/startHttpServer.js";
+import type { PlatformFault } from "./platformFault.js";
 
 interface Versioned {
     readonly revision: number;
 }
 
-const values = new Map<string, Versioned>();
-const watches = new Set<() => void>();
+/** Published limit of the platform for one value. */
+const MAX_VALUE_BYTES = 1_048_576;
+
+const history = new Map<string, Versioned[]>();
+const watches = new Map<() => void, ServerResponse>();
+let fault: PlatformFault = {};
 let calls = 0;
+let answers = 0;
 
 await startHttpServer("platform", (request, response) => {
     const url = new URL(request.url ?? "/", "http://platform");
     if (url.pathname === "/control/calls") {
-        response.end(JSON.stringify({ calls }));
+        sendJson(response, { calls });
+        return;
+    }
+    if (url.pathname === "/control/faults") {
+        void setFault(request, response);
         return;
     }
     if (request.method === "PUT") {
-        void storeValue(url.pathname, request, response);
+        void storeValue(url.pathname.replace("/control/", "/v1/"), request, response);
         return;
     }
     calls += 1;
+    if (fault.down) {
+        response.socket?.resetAndDestroy();
+        return;
+    }
     serveValue(url, response);
 });
 
+async function setFault(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    fault = await readJsonBody(request) as PlatformFault;
+    for (const [notify, waiting] of [...watches]) {
+        if (fault.down) {
+            waiting.socket?.resetAndDestroy();
+            continue;
+        }
+        notify();
+    }
+    sendJson(response, {});
+}
+
 async function storeValue(path: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    values.set(path.replace("/control/", "/v1/"), await readJsonBody(request) as Versioned);
-    for (const notify of [...watches]) {
+    const value = await readJsonBody(request) as Versioned;
+    if (Buffer.byteLength(JSON.stringify(value)) > MAX_VALUE_BYTES) {
+        sendJson(response, { code: "value-too-large" }, 413);
+        return;
+    }
+    history.set(path, [...history.get(path) ?? [], value]);
+    for (const notify of [...watches.keys()]) {
         notify();
     }
-    response.end("{}");
+    sendJson(response, {});
+}
+
+/** `staleBy` is how many values the replica behind this call is behind the newest. */
+function getValue(path: string, staleBy: number): Versioned | undefined {
+    const values = history.get(path) ?? [];
+    return values[Math.max(0, values.length - 1 - staleBy)];
+}
+
+function pickStaleness(): number {
+    answers += 1;
+    const stale = Math.floor(answers * (fault.staleShare ?? 0))
+        > Math.floor((answers - 1) * (fault.staleShare ?? 0));
+    return Math.max(fault.goBack ?? 0, stale ? 1 : 0);
 }
 
 function serveValue(url: URL, response: ServerResponse): void {
     const after = Number(url.searchParams.get("after") ?? -1);
     const tryReply = (): boolean => {
-        const value = values.get(url.pathname);
-        if (!value || value.revision <= after) {
+        const value = getValue(url.pathname, pickStaleness());
+        const older = value !== undefined && (fault.goBack ?? 0) > 0 && value.revision < after;
+        if (!value || (value.revision <= after && !older)) {
             return false;
         }
-        response.setHeader("content-type", "application/json");
-        response.end(JSON.stringify(value));
+        sendJson(response, value);
         return true;
     };
     if (tryReply()) {
@@ -59,6 +104,6 @@
         finish();
         response.writeHead(304).end();
     }, Number(url.searchParams.get("waitMs") ?? 0));
-    watches.add(notify);
+    watches.set(notify, response);
     response.on("close", finish);
 }
--- /dev/null
+++ b/src/standIns/target/targetCapacity.ts
@@ -0,0 +1,149 @@
+import type { TargetSettings } from "./targetSettings.js";
+
+/** Times are wall-clock milliseconds. */
+interface CapacityReport {
+    readonly epoch: string;
+    readonly state: "cold" | "warm";
+    readonly running: number;
+    readonly bearable: number;
+    readonly measuredAtMs: number;
+}
+
+/** How much a target bears: warm-up, overload and the counts of both. */
+export class TargetCapacity {
+    readonly #settings: TargetSettings;
+    #epochNumber = 0;
+    #epoch = "";
+    #running = 0;
+    #cold: boolean;
+    #coldSince: number;
+    #completedSinceCold = 0;
+    #noticed = true;
+    #overloadSince = 0;
+    #lastRefusal = -Infinity;
+    #refusedInOverload = 0;
+    #samples: CapacityReport[] = [];
+    /** Highest number of requests held at once. */
+    peak = 0;
+    /** Arrivals over the bearable limit. */
+    breaches = 0;
+    /** Those breaches that arrived before any answer or load report had shown the last change to cold. */
+    breachesBeforeNotice = 0;
+    timesFallen = 0;
+
+    private constructor(settings: TargetSettings, now: number) {
+        this.#settings = settings;
+        this.#cold = settings.startsCold;
+        this.#coldSince = now;
+        this.#setEpoch(now);
+    }
+
+    /** Creates the capacity of a target that has just started. */
+    static create(settings: TargetSettings, now: number): TargetCapacity {
+        return new TargetCapacity(settings, now);
+    }
+
+    get running(): number {
+        return this.#running;
+    }
+
+    /** Returns the present load. */
+    getReport(now: number): CapacityReport {
+        const bearable = this.#computeBearable(now);
+        if (bearable === this.#settings.slotLimit) {
+            this.#cold = false;
+        }
+        return {
+            epoch: this.#epoch,
+            state: this.#cold ? "cold" : "warm",
+            running: this.#running,
+            bearable,
+            measuredAtMs: now,
+        };
+    }
+
+    /** Takes a sample from which later, lagging reports are served. */
+    recordSample(now: number): void {
+        this.#samples.push(this.getReport(now));
+        while ((this.#samples[1]?.measuredAtMs ?? Infinity) <= now - this.#settings.loadLagMs) {
+            this.#samples.shift();
+        }
+    }
+
+    /** Returns the load as it was `loadLagMs` ago and notes that a reader has seen it. */
+    readLaggingReport(now: number): CapacityReport {
+        if (this.#settings.loadLagMs === 0) {
+            this.#noticed = true;
+            return this.getReport(now);
+        }
+        this.recordSample(now);
+        const report = this.#samples[0] ?? this.getReport(now);
+        this.#noticed ||= report.measuredAtMs >= this.#coldSince;
+        return report;
+    }
+
+    /** Returns the state for an answer's header and notes that a caller has seen it. */
+    readState(now: number): "cold" | "warm" {
+        this.#noticed = true;
+        return this.getReport(now).state;
+    }
+
+    /** Admits a request if the target bears it; `overloaded` means that it has to fall over. */
+    tryStart(now: number): "started" | "refused" | "overloaded" {
+        if (this.#running < this.getReport(now).bearable) {
+            this.#running += 1;
+            this.peak = Math.max(this.peak, this.#running);
+            return "started";
+        }
+        this.breaches += 1;
+        this.breachesBeforeNotice += this.#noticed ? 0 : 1;
+        if (now - this.#lastRefusal > this.#settings.overloadGraceMs) {
+            this.#overloadSince = now;
+            this.#refusedInOverload = 0;
+        }
+        this.#lastRefusal = now;
+        this.#refusedInOverload += 1;
+        const attempted = this.#running + this.#refusedInOverload;
+        const overloaded = now - this.#overloadSince > this.#settings.overloadGraceMs
+            || attempted > this.#settings.overloadFactor * this.#settings.slotLimit;
+        return overloaded ? "overloaded" : "refused";
+    }
+
+    /** Gives back the place of a request. */
+    finish(completed: boolean): void {
+        this.#running -= 1;
+        this.#completedSinceCold += completed ? 1 : 0;
+    }
+
+    /** Makes the target cold within its epoch, without warning. */
+    setCold(now: number): void {
+        this.#cold = true;
+        this.#coldSince = now;
+        this.#completedSinceCold = 0;
+        this.#noticed = false;
+    }
+
+    /** Starts a new epoch, cold. Requests that were running end on their own. */
+    resetEpoch(now: number): void {
+        this.timesFallen += 1;
+        this.setCold(now);
+        this.#setEpoch(now);
+        this.#lastRefusal = -Infinity;
+        this.#samples = [];
+    }
+
+    #setEpoch(now: number): void {
+        this.#epochNumber += 1;
+        this.#epoch = `${process.pid}-${Math.round(now)}-${this.#epochNumber}`;
+    }
+
+    #computeBearable(now: number): number {
+        const { slotLimit, coldLimit, warmRequestsPerSlot, warmMsPerSlot } = this.#settings;
+        if (!this.#cold) {
+            return slotLimit;
+        }
+        const gained = Math.floor(this.#completedSinceCold / warmRequestsPerSlot)
+            + Math.floor((now - this.#coldSince) / warmMsPerSlot);
+        return Math.min(slotLimit, coldLimit + gained);
+    }
+}
--- /dev/null
+++ b/src/standIns/target/targetExchange.ts
@@ -0,0 +1,19 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { AnswerWriter } from "./answerWriter.js";
+import type { Arrival } from "./arrival.js";
+
+/** One admitted request of a target stand-in. */
+export interface TargetExchange {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: IncomingHttpHeaders;
+    /** Body to answer; that of another request under the fault `cross`. */
+    readonly body: string;
+    readonly writer: AnswerWriter;
+    readonly arrival: Arrival;
+    /** Aborted when the connection closes. */
+    readonly signal: AbortSignal;
+    readonly setHeader: (name: string, value: string) => void;
+    /** Records served tokens. */
+    readonly addTokens: (tokens: number) => void;
+}
--- a/src/testing/childProcess.ts
+++ b/src/testing/childProcess.ts
@@ -1,6 +1,8 @@
 import { type ChildProcess as NodeChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
+import { openSync } from "node:fs";
 import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
 
 interface ListeningLine {
     readonly event: "listening";
@@ -8,7 +10,14 @@
     readonly [address: string]: string;
 }
 
-/** A process under test that announces its addresses in a JSON line. */
+interface ChildProcessOptions {
+    /** File that gets the standard error of the process. @default discarded */
+    readonly logPath?: string;
+}
+
+const running = new Set<NodeChildProcess>();
+
+/** A process under test that announces its addresses in a JSON line. It never outlives this process. */
 export class ChildProcess {
     readonly #child: NodeChildProcess;
     readonly listening: ListeningLine;
@@ -24,13 +33,19 @@
      * @param module URL of the compiled module.
      * @throws Error when the process exits before it listens.
      */
-    static async create(module: URL, args: readonly string[], logErrors = false): Promise<ChildProcess> {
-        const child = spawn(process.execPath, [module.pathname, ...args], {
-            stdio: ["ignore", "pipe", logErrors ? "inherit" : "ignore"],
+    static async create(
+        module: URL,
+        args: readonly string[],
+        options: ChildProcessOptions = {},
+    ): Promise<ChildProcess> {
+        const path = fileURLToPath(module);
+        const child = spawn(process.execPath, [path, ...args], {
+            stdio: ["ignore", "pipe", options.logPath ? openSync(options.logPath, "a") : "ignore"],
         });
-        const lines = createInterface({ input: child.stdout });
+        trackChild(child);
+        const lines = createInterface({ input: child.stdout as NodeJS.ReadableStream });
         const exited = once(child, "exit").then(([code]) => {
-            throw new Error(`${module.pathname} exited with code ${String(code)} before it listened.`);
+            throw new Error(`${path} exited with code ${String(code)} before it listened.`);
         });
         const line = await Promise.race([once(lines, "line").then(([text]) => String(text)), exited]);
         exited.catch(() => undefined);
@@ -42,6 +57,16 @@
         return this.listening["address"] ?? this.listening["callerAddress"] ?? "";
     }
 
+    /** Process id. */
+    get pid(): number {
+        return this.#child.pid ?? 0;
+    }
+
+    /** False after the process has ended. */
+    get running(): boolean {
+        return this.#child.exitCode === null && this.#child.signalCode === null;
+    }
+
     /** Sends a signal. */
     kill(signal: NodeJS.Signals): void {
         this.#child.kill(signal);
@@ -49,7 +74,7 @@
 
     /** Stops the process and waits for its end. Returns the exit code, or `undefined` after a signal. */
     async stop(signal: NodeJS.Signals = "SIGTERM"): Promise<number | undefined> {
-        if (this.#child.exitCode !== null || this.#child.signalCode !== null) {
+        if (!this.running) {
             return this.#child.exitCode ?? undefined;
         }
         const exit = once(this.#child, "exit");
@@ -58,3 +83,24 @@
         return code ?? undefined;
     }
 }
+
+function trackChild(child: NodeChildProcess): void {
+    if (running.size === 0 && process.listenerCount("SIGINT", killAndExit) === 0) {
+        process.on("exit", killAll);
+        process.on("SIGINT", killAndExit);
+        process.on("SIGTERM", killAndExit);
+    }
+    running.add(child);
+    child.once("exit", () => running.delete(child));
+}
+
+function killAll(): void {
+    for (const child of running) {
+        child.kill("SIGKILL");
+    }
+}
+
+function killAndExit(): void {
+    killAll();
+    process.exit(1);
+}
--- /dev/null
+++ b/src/testing/getAccountKey.ts
@@ -0,0 +1,4 @@
+/** Bearer key of a client account in test fleets. */
+export function getAccountKey(account: string): string {
+    return `${account}-key`;
+}
--- /dev/null
+++ b/src/testing/sendControl.ts
@@ -0,0 +1,23 @@
+import { request } from "undici";
+
+/**
+ * Makes a control call of a stand-in.
+ *
+ * @throws Error when the answer is not 200.
+ */
+export async function sendControl<T>(
+    address: string,
+    method: "GET" | "POST" | "PUT",
+    path: string,
+    body?: unknown,
+): Promise<T> {
+    const answer = await request(`http://${address}/control/${path}`, {
+        method,
+        body: body === undefined ? null : JSON.stringify(body),
+    });
+    const value = await answer.body.json() as T;
+    if (answer.statusCode !== 200) {
+        throw new Error(`${method} /control/${path} gave ${answer.statusCode}: ${JSON.stringify(value)}`);
+    }
+    return value;
+}
--- /dev/null
+++ b/src/testing/waitUntil.ts
@@ -0,0 +1,21 @@
+const POLL_MS = 20;
+
+/**
+ * Waits until a condition holds.
+ *
+ * @param description What is waited for, for the error.
+ * @throws Error when the condition does not hold within `withinMs` milliseconds.
+ */
+export async function waitUntil(
+    description: string,
+    condition: () => boolean | Promise<boolean>,
+    withinMs = 20_000,
+): Promise<void> {
+    const deadline = performance.now() + withinMs;
+    while (!await condition()) {
+        if (performance.now() > deadline) {
+            throw new Error(`Not within ${withinMs} ms: ${description}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+}
