Measure overhead, fairness, cold start, data centre changes, configuration and faults

Until now nothing could show whether a change made the fleet fairer or slower.

Fairness and utilisation come from the targets' own records, sampled at the same wall-clock times everywhere, so a wrong counter in a daemon cannot hide a gap. The fault oracle compares what callers were told with what arrived. The throughput baseline is a bare http to undici process measured in the same run; one load generator process was ruled out, because it was as busy as what it measured (1.09 of a core at 10,900 direct requests/s), so three worker processes offer the load.

--- /dev/null
+++ b/src/measure/computeUse.ts
@@ -0,0 +1,38 @@
+import type { FleetSample } from "./fleetSample.js";
+
+interface SlotUse {
+    /** Busy slots / bearable slots while anybody waits, 0 to 1; `undefined` if nobody ever waited. */
+    readonly utilisation: number | undefined;
+    /** Slots idle while a request waits / bearable slots, 0 to 1. */
+    readonly idleWhileWaitingShare: number;
+}
+
+/**
+ * Computes how well the slots of some targets were used.
+ *
+ * @param getWaiting Number of requests that wait for these targets at a sample.
+ */
+export function computeUse(
+    samples: readonly FleetSample[],
+    targets: readonly string[],
+    getWaiting: (sample: FleetSample, running: number) => number,
+): SlotUse {
+    let busy = 0;
+    let bearable = 0;
+    let idleWhileWaiting = 0;
+    for (const sample of samples) {
+        const running = targets.reduce((sum, name) => sum + (sample.running.get(name) ?? 0), 0);
+        const limit = targets.reduce((sum, name) => sum + (sample.bearable.get(name) ?? 0), 0);
+        const waiting = getWaiting(sample, running);
+        if (waiting <= 0) {
+            continue;
+        }
+        busy += running;
+        bearable += limit;
+        idleWhileWaiting += Math.min(waiting, Math.max(0, limit - running));
+    }
+    return {
+        utilisation: bearable > 0 ? busy / bearable : undefined,
+        idleWhileWaitingShare: bearable > 0 ? idleWhileWaiting / bearable : 0,
+    };
+}
--- /dev/null
+++ b/src/measure/faultTrial/plannedStop.ts
@@ -0,0 +1,8 @@
+/** A graceful stop that the experiment asked for. Times are wall-clock milliseconds. */
+export interface PlannedStop {
+    /** Entry address of the stopped daemon. */
+    readonly entry: string;
+    readonly fromMs: number;
+    readonly toMs: number;
+    readonly exitCode: number | undefined;
+}
--- /dev/null
+++ b/src/measure/faultTrial/runFaultTrial.ts
@@ -0,0 +1,74 @@
+import { createRandom } from "../../standIns/client/createRandom.js";
+import { ClientLoad } from "../clientLoad.js";
+import { createMeasuredFleet } from "../createMeasuredFleet.js";
+import type { MeasureOptions } from "../measureOptions.js";
+import { planLightAccounts } from "../planLightAccounts.js";
+import { waitMs } from "../waitMs.js";
+import { computeVerdicts } from "./computeVerdicts.js";
+import { injectFault } from "./injectFault.js";
+import { planFaults } from "./planFaults.js";
+import type { PlannedStop } from "./plannedStop.js";
+import type { VerdictCounts } from "./verdictCounts.js";
+
+interface TrialResult extends VerdictCounts {
+    readonly faultsInjected: number;
+    readonly limitBreaches: number;
+    readonly uncleanStops: number;
+}
+
+const CALLERS = 60;
+const REGION_DELAY_MS = 15;
+const CALL_DEADLINE_MS = 20_000;
+const RECOVERY_MS = 3_000;
+
+/** Runs one seeded schedule of faults against a fresh fleet under load. */
+export async function runFaultTrial(
+    options: MeasureOptions,
+    seed: number,
+    seconds: number,
+): Promise<TrialResult> {
+    const random = createRandom(seed);
+    const plans = planLightAccounts(options.accounts, CALLERS, 0.4);
+    const fleet = await createMeasuredFleet(options, plans, {
+        proxied: true,
+        regionDelayMs: REGION_DELAY_MS,
+    });
+    try {
+        const events = planFaults({
+            daemons: [...fleet.daemons].sort(),
+            targets: fleet.targets.names,
+            regions: fleet.configuration.regions.map(region => region.name),
+            durationMs: seconds * 1000,
+            random,
+        });
+        options.logProgress(`seed ${seed} faults ${JSON.stringify(events)}`);
+        const stops: PlannedStop[] = [];
+        const load = ClientLoad.create({
+            fleet,
+            plans,
+            random: createRandom(seed + 1),
+            orderShare: 0.7,
+            deadlineMs: CALL_DEADLINE_MS,
+        });
+        await Promise.all(events.map(async event => {
+            await waitMs(event.atMs);
+            await injectFault(fleet, event, stop => stops.push(stop));
+        }));
+        await waitMs(RECOVERY_MS);
+        const unanswered = await load.stop(CALL_DEADLINE_MS * 2);
+        const arrivals = await Promise.all(fleet.targets.names.map(name => fleet.targets.readArrivals(name)));
+        const summaries = await fleet.targets.readSummaries();
+        return {
+            ...computeVerdicts(load.results, unanswered, arrivals.flat(), stops),
+            faultsInjected: events.length,
+            limitBreaches: summaries.reduce(
+                (sum, summary) => sum + summary.breaches - summary.breachesBeforeNotice,
+                0,
+            ),
+            uncleanStops: stops.filter(stop => stop.exitCode !== 0).length,
+        };
+    }
+    finally {
+        await fleet.close();
+    }
+}
--- /dev/null
+++ b/src/measure/measureCommand.ts
@@ -0,0 +1,69 @@
+import { Command, Option, UsageError } from "clipanion";
+import { z } from "zod";
+import type { MeasureOptions } from "./measureOptions.js";
+import { scenarios } from "./scenarios.js";
+
+const optionsSchema = z.object({
+    seed: z.coerce.number().int(),
+    durationSeconds: z.coerce.number().positive().optional(),
+    policy: z.enum(["fleet", "local", "fifo"]),
+    instances: z.coerce.number().int().positive(),
+    accounts: z.coerce.number().int().min(2),
+    trials: z.coerce.number().int().positive(),
+});
+
+/** Runs one experiment and prints its figures. */
+export class MeasureCommand extends Command {
+    static override usage = Command.Usage({
+        description: "Run an experiment with real processes and print its figures.",
+        details: `Scenarios: ${Object.keys(scenarios).join(", ")}.`,
+        examples: [["Fairness without coordination", "$0 fairness --policy local --seed 7 --json"]],
+    });
+
+    scenario = Option.String();
+    seed = Option.String("--seed", "1", { description: "Seed of all random choices." });
+    duration = Option.String("--duration", { description: "Seconds of load." });
+    policy = Option.String("--policy", "fleet", { description: "fleet, local or fifo." });
+    instances = Option.String("--instances", "7", { description: "Number of daemons." });
+    accounts = Option.String("--accounts", "16", { description: "Number of client accounts." });
+    trials = Option.String("--trials", "3", {
+        description: "Number of repetitions, where the scenario has any.",
+    });
+    logs = Option.String("--logs", { description: "Existing directory for the logs of daemons." });
+    json = Option.Boolean("--json", false, { description: "Print one JSON object as the last line." });
+
+    async execute(): Promise<number> {
+        const run = scenarios[this.scenario];
+        if (!run) {
+            throw new UsageError(
+                `Unknown scenario ${this.scenario}; known: ${Object.keys(scenarios).join(", ")}.`,
+            );
+        }
+        const figures = await run(this.#parseOptions());
+        if (this.json) {
+            this.context.stdout.write(
+                `${JSON.stringify(figures, (_key, value: unknown) => value ?? null)}\n`,
+            );
+            return 0;
+        }
+        for (const [name, value] of Object.entries(figures)) {
+            this.context.stdout.write(`${name.padEnd(32)} ${String(value ?? "not measured")}\n`);
+        }
+        return 0;
+    }
+
+    #parseOptions(): MeasureOptions {
+        const result = optionsSchema.safeParse({ ...this, durationSeconds: this.duration });
+        if (!result.success) {
+            throw new UsageError(
+                result.error.issues.map(issue => `--${issue.path.join(".")}: ${issue.message}`).join("; "),
+            );
+        }
+        return {
+            ...result.data,
+            durationSeconds: result.data.durationSeconds,
+            logDirectory: this.logs,
+            logProgress: text => void this.context.stderr.write(`${text}\n`),
+        };
+    }
+}
--- /dev/null
+++ b/src/measure/scenarios/measureFaults.ts
@@ -0,0 +1,23 @@
+import { runFaultTrial } from "../faultTrial/runFaultTrial.js";
+import type { Scenario } from "../scenario.js";
+
+const DEFAULT_SECONDS = 20;
+/** Trials use seeds far enough apart that none shares its second generator with the next trial's first. */
+const SEED_STEP = 1_000;
+
+/** Runs random faults, two at a time, over the whole fleet and checks every statement made to callers. */
+export const measureFaults: Scenario = async options => {
+    const sums: Record<string, number> = {};
+    for (let trial = 0; trial < options.trials; trial += 1) {
+        const result = await runFaultTrial(
+            options,
+            options.seed + trial * SEED_STEP,
+            options.durationSeconds ?? DEFAULT_SECONDS,
+        );
+        options.logProgress(`trial ${trial + 1}: ${JSON.stringify(result)}`);
+        for (const [name, value] of Object.entries(result)) {
+            sums[name] = (sums[name] ?? 0) + (value as number);
+        }
+    }
+    return { policy: options.policy, seed: options.seed, trials: options.trials, ...sums };
+};
--- a/src/standIns/client/accountLoad.ts
+++ b/src/standIns/client/accountLoad.ts
@@ -37,6 +37,9 @@
 /** Pause after a refusal; a refused caller that asks at once would turn the experiment into a busy loop. */
 const REFUSAL_PAUSE_MS = 50;
 
+/** Enough to outlast every takeover; a fleet that refuses for longer has failed. */
+const MAX_TRIES = 300;
+
 /** Closed-loop callers of one client account. */
 export class AccountLoad {
     readonly #options: AccountLoadOptions;
@@ -63,10 +66,10 @@
         while (!this.#stopping) {
             const send = this.#planCall();
             let again = true;
-            while (again) {
+            for (let tries = 1; again; tries += 1) {
                 const result = await send(await this.#options.pickEntry());
                 this.#options.record(result);
-                again = this.#options.retriesNotRun === true && !result.correct
+                again = this.#options.retriesNotRun === true && !result.correct && tries < MAX_TRIES
                     && (result.outcome === "not-run" || result.verdict === "unreachable");
                 if (!result.correct) {
                     await new Promise(resolve => setTimeout(resolve, REFUSAL_PAUSE_MS));
--- a/src/standIns/client/sendCall.ts
+++ b/src/standIns/client/sendCall.ts
@@ -11,6 +11,8 @@
     /** Empty for none. */
     readonly body: string;
     readonly idempotencyKey?: string;
+    /** What comes before the path; empty for a direct call to a target. @default "/services/NAME" */
+    readonly prefix?: string;
 }
 
 /** Sends one call to a plain service and verifies that the answer echoes exactly this call. */
@@ -20,7 +22,7 @@
         ...options,
         idempotencyKey: options.idempotencyKey,
         marker: parseMarker(decodeURIComponent(options.path) + options.body, "request"),
-        path: `/services/${options.service}${options.path}`,
+        path: `${options.prefix ?? `/services/${options.service}`}${options.path}`,
         verify: async answer => {
             const text = await answer.body.text();
             return { verdict: text === expected ? "verified" : "wrong", tokens: 0 };
--- a/src/standIns/faultProxy/byteChannel.ts
+++ b/src/standIns/faultProxy/byteChannel.ts
@@ -13,6 +13,7 @@
     readonly getDelayMs: () => number;
     readonly getMode: () => "pass" | "hold" | "drop";
     readonly count: (bytes: number) => void;
+    readonly countDropped: (bytes: number) => void;
 }
 
 /** One direction of one connection. Order is kept; a connection that lost bytes must not be used again. */
@@ -56,6 +57,7 @@
     #push(bytes: Buffer | undefined): void {
         if (this.#options.getMode() === "drop") {
             this.#lost = true;
+            this.#options.countDropped(bytes?.length ?? 0);
             return;
         }
         this.#queue.push({ bytes, dueAt: performance.now() + this.#options.getDelayMs() });
--- a/src/standIns/faultProxy/faultLink.ts
+++ b/src/standIns/faultProxy/faultLink.ts
@@ -11,6 +11,7 @@
     #accepted = 0;
     #forwardBytes = 0;
     #backwardBytes = 0;
+    #droppedBytes = 0;
 
     private constructor() {
         this.#server = createServer({ allowHalfOpen: true }, socket => this.#accept(socket));
@@ -61,6 +62,7 @@
             accepted: this.#accepted,
             forwardBytes: this.#forwardBytes,
             backwardBytes: this.#backwardBytes,
+            droppedBytes: this.#droppedBytes,
         };
     }
 
@@ -81,6 +83,7 @@
                 getFault: () => this.#fault,
                 countForward: bytes => this.#forwardBytes += bytes,
                 countBackward: bytes => this.#backwardBytes += bytes,
+                countDropped: bytes => this.#droppedBytes += bytes,
                 onClose: () => this.#connections.delete(id),
             }),
         );
--- a/src/standIns/faultProxy/linkConnection.ts
+++ b/src/standIns/faultProxy/linkConnection.ts
@@ -10,6 +10,7 @@
     readonly getFault: () => LinkFault;
     readonly countForward: (bytes: number) => void;
     readonly countBackward: (bytes: number) => void;
+    readonly countDropped: (bytes: number) => void;
     readonly onClose: () => void;
 }
 
@@ -43,6 +44,7 @@
                 getDelayMs,
                 getMode: () => this.#getMode("forward"),
                 count: options.countForward,
+                countDropped: options.countDropped,
             }),
             ByteChannel.create({
                 from: this.#upstream,
@@ -53,6 +55,7 @@
                     options.countBackward(bytes);
                     this.#countBackward(bytes);
                 },
+                countDropped: options.countDropped,
             }),
         ];
         for (const socket of [this.#client, this.#upstream]) {
--- a/src/standIns/plainService/main.ts
+++ b/src/standIns/plainService/main.ts
@@ -9,7 +9,9 @@
 
 async function serveCall(exchange: TargetExchange): Promise<boolean> {
     exchange.addTokens(settings.requestCost);
-    await sleep(settings.serviceMs);
+    if (settings.serviceMs > 0) {
+        await sleep(settings.serviceMs);
+    }
     exchange.writer.sendWhole(
         "application/json",
         JSON.stringify({ method: exchange.method, path: exchange.path, body: exchange.body }),
--- a/src/standIns/target/targetCapacity.ts
+++ b/src/standIns/target/targetCapacity.ts
@@ -123,9 +123,8 @@
         this.#noticed = false;
     }
 
-    /** Starts a new epoch, cold. Requests that were running end on their own. */
+    /** Starts a new epoch, cold. Warm-up begins now, not when the target fell over. */
     resetEpoch(now: number): void {
-        this.timesFallen += 1;
         this.setCold(now);
         this.#setEpoch(now);
         this.#lastRefusal = -Infinity;
--- a/src/standIns/target/targetServer.ts
+++ b/src/standIns/target/targetServer.ts
@@ -196,8 +196,11 @@
         for (const socket of this.#sockets) {
             socket.resetAndDestroy();
         }
-        this.#capacity.resetEpoch(Date.now());
-        setTimeout(() => void startListening(this.#server, port), this.#options.settings.downMs);
+        this.#capacity.timesFallen += 1;
+        setTimeout(() => {
+            this.#capacity.resetEpoch(Date.now());
+            void startListening(this.#server, port);
+        }, this.#options.settings.downMs);
     }
 
     async #serveControl(request: IncomingMessage, response: ServerResponse): Promise<void> {
