Run fault trials in two lanes and spoil answers in more ways

Two faults of one lane could meet the same daemon when a rolling restart took longer than planned; the restarted daemon was then killed in the middle of its stop and counted as an unclean stop. Each lane now waits for the end of its fault. Crossed and duplicate answers are part of the schedules.

--- a/src/measure/faultTrial/faultEvent.ts
+++ b/src/measure/faultTrial/faultEvent.ts
@@ -7,6 +7,8 @@
         | "slow-link"
         | "target-truncates"
         | "target-resets"
+        | "target-duplicates"
+        | "target-crosses"
         | "target-cold"
         | "target-falls"
         | "platform-down"
@@ -14,7 +16,9 @@
         | "platform-goes-back"
         | "operator-race"
         | "rolling-restart";
-    /** Milliseconds after the start of the load. */
+    /** Faults of one lane follow one another; those of two lanes overlap. */
+    readonly lane: number;
+    /** Milliseconds after the start of the load, or later if the fault before it in its lane has not ended. */
     readonly atMs: number;
     readonly durationMs: number;
     /** Names of daemons, targets or regions that the fault meets; empty for the platform. */
--- a/src/measure/faultTrial/injectFault.ts
+++ b/src/measure/faultTrial/injectFault.ts
@@ -8,7 +8,7 @@
 /** The platform's list shows a killed instance as gone after this time. */
 const LIST_LAG_MS = 2_000;
 const SLOW_LINK_MS = 300;
-const SPOILED_ANSWERS = 5;
+const SPOILED = { count: 5, afterBytes: 100 } as const;
 
 /** Causes a fault, keeps it for its time and ends it. */
 export async function injectFault(
@@ -44,17 +44,13 @@
             return runLinkFault(fleet, links, { delayMs: SLOW_LINK_MS }, event);
         }
         case "target-truncates":
-            return fleet.targets.injectFault(subject, {
-                kind: "truncate",
-                count: SPOILED_ANSWERS,
-                afterBytes: 100,
-            });
+            return fleet.targets.injectFault(subject, { kind: "truncate", ...SPOILED });
         case "target-resets":
-            return fleet.targets.injectFault(subject, {
-                kind: "reset",
-                count: SPOILED_ANSWERS,
-                afterBytes: 100,
-            });
+            return fleet.targets.injectFault(subject, { kind: "reset", ...SPOILED });
+        case "target-duplicates":
+            return fleet.targets.injectFault(subject, { kind: "duplicate", ...SPOILED });
+        case "target-crosses":
+            return fleet.targets.injectFault(subject, { kind: "cross", ...SPOILED });
         case "target-cold":
             return fleet.targets.setCold(subject);
         case "target-falls":
--- a/src/measure/faultTrial/planFaults.ts
+++ b/src/measure/faultTrial/planFaults.ts
@@ -12,12 +12,22 @@
 
 /** Two faults are present at a time, one of each list; the lists share no fault that would undo the other's. */
 const LANES: readonly (readonly FaultKind[])[] = [
-    ["kill", "freeze", "partition", "target-truncates", "target-resets", "target-cold", "rolling-restart"],
+    [
+        "kill",
+        "freeze",
+        "partition",
+        "target-truncates",
+        "target-resets",
+        "target-crosses",
+        "target-cold",
+        "rolling-restart",
+    ],
     [
         "kill",
         "freeze",
         "slow-link",
         "target-falls",
+        "target-duplicates",
         "target-cold",
         "platform-down",
         "platform-stale",
@@ -51,7 +61,7 @@
             : kind.startsWith("platform") || kind === "operator-race"
             ? []
             : [kind === "partition" ? pick(options.regions) : pickOwn(options.daemons)];
-        events.push({ kind, atMs: Math.round(atMs), durationMs, subjects });
+        events.push({ kind, lane, atMs: Math.round(atMs), durationMs, subjects });
         atMs += durationMs + PAUSE_MS + options.random() * PAUSE_MS;
     }
     return events;
--- a/src/measure/faultTrial/runFaultTrial.ts
+++ b/src/measure/faultTrial/runFaultTrial.ts
@@ -50,9 +50,13 @@
             orderShare: 0.7,
             deadlineMs: CALL_DEADLINE_MS,
         });
-        await Promise.all(events.map(async event => {
-            await waitMs(event.atMs);
-            await injectFault(fleet, event, stop => stops.push(stop));
+        const startMs = Date.now();
+        const lanes = [...new Set(events.map(event => event.lane))];
+        await Promise.all(lanes.map(async lane => {
+            for (const event of events.filter(candidate => candidate.lane === lane)) {
+                await waitMs(Math.max(0, startMs + event.atMs - Date.now()));
+                await injectFault(fleet, event, stop => stops.push(stop));
+            }
         }));
         await waitMs(RECOVERY_MS);
         const unanswered = await load.stop(CALL_DEADLINE_MS * 2);
--- a/src/measure/scenarios/measureColdStart.ts
+++ b/src/measure/scenarios/measureColdStart.ts
@@ -10,6 +10,7 @@
 import { waitMs } from "../waitMs.js";
 
 const DEFAULT_SECONDS = 30;
+const CALL_DEADLINE_MS = 15_000;
 /** More callers than slots, so that every slot that an engine bears is wanted. */
 const CALLERS = 160;
 const ENGINES_TURNED_COLD = 4;
@@ -26,7 +27,7 @@
     try {
         const halfMs = (options.durationSeconds ?? DEFAULT_SECONDS) * 500;
         const startMs = Date.now();
-        const load = ClientLoad.create({ fleet, plans, random });
+        const load = ClientLoad.create({ fleet, plans, random, deadlineMs: CALL_DEADLINE_MS });
         await waitMs(halfMs);
         const engines = fleet.targets.names.filter(name => name.startsWith("engine"));
         const turned = [...engines].sort(() => random() - 0.5).slice(0, ENGINES_TURNED_COLD);
@@ -34,7 +35,7 @@
         await Promise.all(turned.map(name => fleet.targets.setCold(name)));
         await waitMs(halfMs);
         const samples = await collectSamples(fleet.targets);
-        const unanswered = await load.stop();
+        const unanswered = await load.stop(CALL_DEADLINE_MS * 2);
         const summaries = await fleet.targets.readSummaries();
         const sum = (key: "breaches" | "breachesBeforeNotice" | "timesFallen"): number =>
             summaries.reduce((total, summary) => total + summary[key], 0);
--- a/src/measure/scenarios/measureDataCentre.ts
+++ b/src/measure/scenarios/measureDataCentre.ts
@@ -13,6 +13,7 @@
 import { waitMs } from "../waitMs.js";
 
 const DEFAULT_PHASE_SECONDS = 10;
+const CALL_DEADLINE_MS = 15_000;
 const DATA_CENTRE = "bangor-a";
 /** Callers that the 64 slots of the other two data centres can carry. */
 const CALLERS = 60;
@@ -25,7 +26,7 @@
     const fleet = await createMeasuredFleet(options, plans);
     try {
         const phaseMs = (options.durationSeconds ?? DEFAULT_PHASE_SECONDS) * 1000;
-        const load = ClientLoad.create({ fleet, plans, random });
+        const load = ClientLoad.create({ fleet, plans, random, deadlineMs: CALL_DEADLINE_MS });
         const startMs = Date.now();
         await waitMs(phaseMs);
         const outAtMs = Date.now();
@@ -37,7 +38,7 @@
         await fleet.setInService("dataCentres", DATA_CENTRE, true);
         await waitMs(phaseMs);
         const samples = await collectSamples(fleet.targets);
-        const unanswered = await load.stop();
+        const unanswered = await load.stop(CALL_DEADLINE_MS * 2);
         const engines = listEngines(fleet, name => name === DATA_CENTRE);
         const others = listEngines(fleet, name => name !== DATA_CENTRE);
         const during = samples.filter(sample => sample.atMs > outAtMs && sample.atMs < backAtMs);
--- a/src/measure/scenarios/measureFairness.ts
+++ b/src/measure/scenarios/measureFairness.ts
@@ -31,6 +31,8 @@
     readonly wrongAnswers: number;
     readonly limitBreaches: number;
     readonly elapsedSeconds: number;
+    /** Part of a core that the load generator used; near 1 it is the bottleneck. */
+    readonly generatorCoreShare: number;
 }
 
 const DEFAULT_SECONDS = 30;
@@ -79,6 +81,7 @@
         crossRegionBytes: run.crossRegionBytes,
         wrongAnswers: run.wrongAnswers,
         tokensPerSecond: formatFigure(sumServed(run.samples) / run.elapsedSeconds, 0),
+        generatorCoreShare: formatFigure(run.generatorCoreShare),
         daemonCpuShare: formatFigure(run.cpuMs / run.elapsedSeconds / 1000 / options.instances),
     };
 };
@@ -112,9 +115,11 @@
         const load = ClientLoad.create({ fleet, plans, random, wrongHints: true, orderShare: 0.5 });
         await waitMs(WARM_UP_MS);
         const startMs = Date.now();
+        const generatorBefore = process.cpuUsage();
         const [cpuBefore, bytesBefore] = [await readCpuMs(fleet), await sumMetric(fleet, "peer_bytes_total")];
         await waitMs(seconds * 1000);
         const elapsedSeconds = (Date.now() - startMs) / 1000;
+        const { user, system } = process.cpuUsage(generatorBefore);
         const [cpuAfter, bytesAfter] = [await readCpuMs(fleet), await sumMetric(fleet, "peer_bytes_total")];
         const summaries = await fleet.targets.readSummaries();
         const samples = await collectSamples(fleet.targets);
@@ -132,6 +137,7 @@
             wrongAnswers: load.results.filter(result => result.verdict === "wrong").length,
             limitBreaches: summaries.reduce((sum, summary) => sum + summary.breaches, 0),
             elapsedSeconds,
+            generatorCoreShare: (user + system) / 1_000_000 / elapsedSeconds,
         };
     }
     finally {
