--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -103,6 +103,7 @@
                 getHandlers: () => handlers,
                 remote: PeerDirectory.create({
                     client: peerClient,
+                    addressMap: settings.addressMap,
                     getView: () => keeper.getView(),
                     recordResult: (instance, method, reached) => {
                         metrics.count("peer_calls_total", {
--- a/src/daemon/daemonSettingsSchema.ts
+++ b/src/daemon/daemonSettingsSchema.ts
@@ -25,6 +25,8 @@
     peerCheckIntervalMs: z.int().min(10).max(2000).default(1000),
     /** A daemon that hears no peer for this many milliseconds watches the platform itself. */
     silenceLimitMs: z.int().min(100).default(5000),
+    /** Addresses (host:port) to connect to instead of published ones, for hosts behind address translation. */
+    addressMap: z.record(z.string(), address).default({}),
     /** How slots are shared: `fleet` is the product, `local` and `fifo` are baselines for measurements. */
     policy: z.enum(["fleet", "local", "fifo"]).default("fleet"),
     /** Time for which callers may use an answer of `GET /v1/entries`, in milliseconds; the same everywhere. */
