Start demo and experiments once every entry runs orders

Claim holders that have just started cannot vouch for keys that are not clearly newer than their start. The fleet is right to refuse, so demo and experiments now wait until an order runs through every entry. The demo also lists failed tries by code and outcome, which showed the cause.

--- a/src/daemon/daemonSettingsSchema.ts
+++ b/src/daemon/daemonSettingsSchema.ts
@@ -19,10 +19,10 @@
     operatorAddress: address,
     /** Base URL of the platform. */
     platformUrl: z.url({ protocol: /^http$/ }),
-    /** Addresses (host:port) to connect to instead of published ones, for hosts behind address translation. */
-    addressMap: z.record(z.string(), address).default({}),
     /** How slots are shared: `fleet` is the product, `local` and `fifo` are baselines for measurements. */
     policy: z.enum(["fleet", "local", "fifo"]).default("fleet"),
     /** Lowest level of log lines. */
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
+    /** Addresses (host:port) to connect to instead of published ones, for hosts behind address translation. */
+    addressMap: z.record(z.string(), address).default({}),
 }).readonly();
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -6,6 +6,7 @@
 import { createTafOptions } from "../testing/createTafOptions.js";
 import { Fleet } from "../testing/fleet.js";
 import { getAccountKey } from "../testing/getAccountKey.js";
+import { waitForOrders } from "../testing/waitForOrders.js";
 import { printReport } from "./printReport.js";
 
 const ACCOUNTS: Readonly<Record<string, number>> = {
@@ -36,6 +37,7 @@
 }
 
 async function runDemo(): Promise<void> {
+    await waitForOrders(fleet, "capel-players");
     const results: CallResult[] = [];
     const random = createRandom(1);
     const directory = EntryDirectory.create(fleet.entries);
--- a/src/demo/printReport.ts
+++ b/src/demo/printReport.ts
@@ -57,6 +57,17 @@
             };
         }),
     );
+    const failures = results.filter(result => !result.correct);
+    if (failures.length > 0) {
+        console.log("Tries that failed; a failure with the outcome not-run is tried again");
+        console.table(
+            [...collectBy(
+                failures,
+                ({ verdict, code, outcome }) => `${verdict} ${code ?? ""} ${outcome ?? ""}`,
+            )]
+                .map(([failure, tries]) => ({ failure, service: tries[0]?.service, tries: tries.length })),
+        );
+    }
     const { late, repeated } = await countFaults(options);
     const failed = [...requests.values()].filter(tries => !isVerified(tries)).length;
     console.log(`Requests without a verified answer: ${failed} of ${requests.size}.`);
--- a/src/measure/faultTrial/runFaultTrial.ts
+++ b/src/measure/faultTrial/runFaultTrial.ts
@@ -1,4 +1,5 @@
 import { createRandom } from "../../standIns/client/createRandom.js";
+import { waitForOrders } from "../../testing/waitForOrders.js";
 import { ClientLoad } from "../clientLoad.js";
 import { createMeasuredFleet } from "../createMeasuredFleet.js";
 import type { MeasureOptions } from "../measureOptions.js";
@@ -34,6 +35,7 @@
         regionDelayMs: REGION_DELAY_MS,
     });
     try {
+        await waitForOrders(fleet, plans[0]?.name ?? "");
         const events = planFaults({
             daemons: [...fleet.daemons].sort(),
             targets: fleet.targets.names,
--- a/src/measure/scenarios/measureDataCentre.ts
+++ b/src/measure/scenarios/measureDataCentre.ts
@@ -1,6 +1,7 @@
 import type { CallResult } from "../../standIns/client/callResult.js";
 import { createRandom } from "../../standIns/client/createRandom.js";
 import type { Fleet } from "../../testing/fleet.js";
+import { waitForOrders } from "../../testing/waitForOrders.js";
 import { ClientLoad } from "../clientLoad.js";
 import { collectSamples } from "../collectSamples.js";
 import { computePercentile } from "../computePercentile.js";
@@ -25,6 +26,7 @@
     const plans = planLightAccounts(options.accounts, CALLERS, 0.1);
     const fleet = await createMeasuredFleet(options, plans);
     try {
+        await waitForOrders(fleet, plans[0]?.name ?? "");
         const phaseMs = (options.durationSeconds ?? DEFAULT_PHASE_SECONDS) * 1000;
         const load = ClientLoad.create({ fleet, plans, random, deadlineMs: CALL_DEADLINE_MS });
         const startMs = Date.now();
--- a/src/measure/scenarios/measureFairness.ts
+++ b/src/measure/scenarios/measureFairness.ts
@@ -1,6 +1,7 @@
 import { createRandom } from "../../standIns/client/createRandom.js";
 import { createTafOptions } from "../../testing/createTafOptions.js";
 import { Fleet } from "../../testing/fleet.js";
+import { waitForOrders } from "../../testing/waitForOrders.js";
 import type { AccountPlan } from "../accountPlan.js";
 import { answerLength } from "../answerLength.js";
 import { ClientLoad } from "../clientLoad.js";
@@ -111,6 +112,7 @@
         },
     }));
     try {
+        await waitForOrders(fleet, plans[0]?.name ?? "");
         options.logProgress(`${policy}: ${plans.reduce((sum, plan) => sum + plan.concurrency, 0)} callers`);
         const load = ClientLoad.create({ fleet, plans, random, wrongHints: true, orderShare: 0.5 });
         await waitMs(WARM_UP_MS);
