Reduce the control traffic of entries and counters

With all pools reported on every change a trial fleet of 7 daemons, 16 accounts and 2 services, all backlogged, used 8.7 to 17.6 KB/s a daemon. Most of it came from entries that asked all regions because every request waited longer than the spill delay, and gave the slots back after one use. An entry now asks another region when nearer pools grant nothing, when its account lags, or when the pool reports free slots; otherwise it probes every 4 s. Reports renew every 1 s, and earlier when the lowest account is half way to the horizon.

--- a/src/core/dispatch/applyChoice.ts
+++ b/src/core/dispatch/applyChoice.ts
@@ -15,15 +15,20 @@
     facts: DispatchFacts,
 ): DispatchState {
     const { queue, head } = choice.queue;
-    const { target } = choice.target;
+    const { target, distance } = choice.target;
     const key = buildQueueKey(queue.account, queue.service);
     const service = facts.index.services.get(queue.service);
     const history = service?.kind === "plain"
         ? { averageCost: service.requestCost, hintRatio: 1 }
         : state.costs.get(key);
     const rate = advanceGrantRate(queue, facts.now);
+    const lastGrants = new Map(state.lastGrants);
+    for (let reached: number = distance; reached <= 2; reached += 1) {
+        lastGrants.set(`${queue.service}/${reached}`, facts.now);
+    }
     return {
         ...state,
+        lastGrants,
         queues: new Map(state.queues).set(key, {
             ...queue,
             requests: queue.requests.slice(1),
--- a/src/core/dispatch/applyLeaseUpdate.ts
+++ b/src/core/dispatch/applyLeaseUpdate.ts
@@ -33,6 +33,7 @@
         sequence: update.sequence,
         leases,
         horizon: update.horizon,
+        freeSlots: update.freeSlots,
         recovering: update.recovering,
     };
 }
--- a/src/core/dispatch/createPoolLeases.ts
+++ b/src/core/dispatch/createPoolLeases.ts
@@ -10,6 +10,7 @@
         sequence: 0,
         leases: new Map(),
         horizon: undefined,
+        freeSlots: 0,
         recovering: false,
         reportSequence: 0,
         returnSequence: 0,
--- a/src/core/dispatch/dispatchPolicy.ts
+++ b/src/core/dispatch/dispatchPolicy.ts
@@ -2,7 +2,7 @@
 import type { Allowance } from "./allowance.js";
 import type { DispatchFacts } from "./dispatchFacts.js";
 import type { DispatchState } from "./dispatchState.js";
-import type { Distance } from "./distance.js";
+import type { PoolInterest } from "./poolInterest.js";
 import type { QueueCandidate } from "./queueCandidate.js";
 import type { TargetCandidate } from "./targetCandidate.js";
 
@@ -16,8 +16,13 @@
     readonly compareQueues: (a: QueueCandidate, b: QueueCandidate) => number;
     /** Orders targets; the first one is used first. */
     readonly compareTargets: (a: TargetCandidate, b: TargetCandidate) => number;
-    /** Returns the largest distance at which a queue may use slots now. */
-    readonly computeReach: (queue: QueueCandidate, facts: DispatchFacts) => Distance;
+    /** Returns what a queue wants of the pool of its service in a data centre. */
+    readonly computeInterest: (
+        state: DispatchState,
+        queue: QueueCandidate,
+        dataCentre: string,
+        facts: DispatchFacts,
+    ) => PoolInterest;
     /** True if a queue may use a free slot of the pool without asking its owner. */
     readonly isWithinHorizon: (state: DispatchState, queue: QueueCandidate, target: Target) => boolean;
 }
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -10,6 +10,8 @@
     readonly flights: ReadonlyMap<number, Flight>;
     /** By `service@dataCentre`. */
     readonly pools: ReadonlyMap<string, PoolLeases>;
+    /** Monotonic time in milliseconds of the last grant at a distance or nearer, by `service/distance`. */
+    readonly lastGrants: ReadonlyMap<string, number>;
     /** By `account/service`. */
     readonly costs: ReadonlyMap<string, CostHistory>;
 }
--- a/src/core/dispatch/fleetPolicy.ts
+++ b/src/core/dispatch/fleetPolicy.ts
@@ -4,12 +4,13 @@
 import type { DispatchPolicy } from "./dispatchPolicy.js";
 import type { Distance } from "./distance.js";
 
+/** A pool of the own region is asked after this wait, which covers a report and a grant of a pool with free slots. */
+const REGION_DELAY_MS = 100;
 /**
- * Wait of an account's oldest request after which the entry asks the region, then other regions. Links within a
- * region are fast, so 100 ms cover a report and a grant of a pool with free slots. 1 s to other regions, whose
- * traffic is billed, leaves half a second of the 1.5 s to the first token.
+ * Pools of other regions are asked after this wait at the earliest, because that traffic is billed. It leaves half
+ * a second of the 1.5 s to the first token.
  */
-const SPILL_DELAYS_MS = [0, 100, 1000] as const;
+const REMOTE_DELAY_MS = 1000;
 
 /** The product's policy: the lowest normalised service first, under leases from the owners of the pools. */
 export const fleetPolicy: DispatchPolicy = {
@@ -26,22 +27,27 @@
     compareQueues: (a, b) => a.service - b.service || a.head.enqueuedAt - b.head.enqueuedAt,
     compareTargets: (a, b) =>
         a.distance - b.distance || a.inUse / a.allowance.slots - b.inUse / b.allowance.slots,
-    computeReach: ({ head, queue, service }, facts) => {
+    computeInterest: (state, { head, queue, service }, dataCentre, facts) => {
         const { highestBacklogged, remoteLagThreshold } = facts.fairness;
-        if (highestBacklogged !== undefined && highestBacklogged - service > remoteLagThreshold) {
-            return 2;
+        const distance = computeDistance(facts.index, facts.dataCentre, dataCentre);
+        const isLagging = highestBacklogged !== undefined
+            && highestBacklogged - service > remoteLagThreshold;
+        if (isLagging || !hasNearerTarget(queue.service, distance, facts)) {
+            return "ask";
         }
-        let reach: Distance = 0;
-        for (const distance of [1, 2] as const) {
-            if (
-                facts.now - head.enqueuedAt < SPILL_DELAYS_MS[distance]
-                && hasTarget(queue.service, distance, facts)
-            ) {
-                return reach;
-            }
-            reach = distance;
+        const waitedMs = facts.now - head.enqueuedAt;
+        if (waitedMs < (distance === 1 ? REGION_DELAY_MS : REMOTE_DELAY_MS)) {
+            return "none";
         }
-        return reach;
+        // In a fleet that is busy everywhere all requests wait longer than the delay. Asking all pools all the time
+        // would move requests between regions and gain nothing, so the pool must have more to offer.
+        const pool = state.pools.get(buildPoolKey(queue.service, dataCentre));
+        const lastGrant = state.lastGrants.get(`${queue.service}/1`) ?? 0;
+        const isStarved = facts.now - Math.max(head.enqueuedAt, lastGrant) >= REMOTE_DELAY_MS;
+        if (distance === 1 || isStarved || (pool?.freeSlots ?? 0) > 0) {
+            return "ask";
+        }
+        return [...pool?.leases.values() ?? []].some(lease => lease.slots > 0) ? "use" : "probe";
     },
     isWithinHorizon: (state, { service }, target) => {
         const horizon = state.pools.get(buildPoolKey(target.service, target.dataCentre))?.horizon;
@@ -50,7 +56,7 @@
 };
 
 /** True if a target in service is nearer than the distance, so that waiting for it can help. */
-function hasTarget(
+function hasNearerTarget(
     service: string,
     distance: Distance,
     facts: DispatchFacts,
--- a/src/core/dispatch/leaseUpdate.ts
+++ b/src/core/dispatch/leaseUpdate.ts
@@ -13,5 +13,6 @@
         readonly deadline: number;
     }>;
     readonly horizon: number | undefined;
+    readonly freeSlots: number;
     readonly recovering: boolean;
 }
--- a/src/core/dispatch/listPoolDemands.ts
+++ b/src/core/dispatch/listPoolDemands.ts
@@ -23,18 +23,20 @@
 ): ReadonlyMap<string, PoolDemand> {
     const demands = new Map<string, PoolDemand>();
     for (const service of facts.index.services.keys()) {
-        const queues = listQueueCandidates(state, service, facts)
-            .map(queue => ({ queue, reach: policy.computeReach(queue, facts) }));
+        const queues = listQueueCandidates(state, service, facts);
         for (const dataCentre of facts.index.dataCentres.keys()) {
             const distance = computeDistance(facts.index, facts.dataCentre, dataCentre);
             const isUsable = facts.index.getPool(service, dataCentre)
                 .some(target => facts.index.isInService(target));
-            const waiting = isUsable
-                ? queues.filter(({ reach }) => reach >= distance).map(({ queue }) => queue)
-                : [];
+            const interests = queues.map(queue => ({
+                queue,
+                interest: isUsable ? policy.computeInterest(state, queue, dataCentre, facts) : "none",
+            }));
+            const waiting = interests.filter(({ interest }) => interest === "ask").map(({ queue }) => queue);
+            const isProbed = interests.some(({ interest }) => interest === "probe");
             const holdings = listHoldings(state, service, dataCentre);
             const key = buildPoolKey(service, dataCentre);
-            if (waiting.length > 0 || holdings.size > 0) {
+            if (waiting.length > 0 || holdings.size > 0 || isProbed) {
                 demands.set(key, buildDemand(state, { service, dataCentre, distance, waiting, holdings }));
             }
         }
@@ -69,7 +71,8 @@
             service: normalizedService,
         })),
         holdings,
-        // Queue lengths count by powers of two: the owner needs the exact length of short queues only.
-        signature: `${Math.ceil(Math.log2(count + 1))}/${waiting.length}/${returns}`,
+        // Numbers count by powers of two: the owner needs the exact length of short queues only.
+        size: Math.ceil(Math.log2(count + 1)) + Math.ceil(Math.log2(waiting.length + 1)),
+        returns,
     };
 }
--- a/src/core/dispatch/localPolicy.ts
+++ b/src/core/dispatch/localPolicy.ts
@@ -11,6 +11,6 @@
     compareQueues: (a, b) => a.service - b.service || a.head.enqueuedAt - b.head.enqueuedAt,
     compareTargets: (a, b) =>
         a.distance - b.distance || a.inUse / a.allowance.slots - b.inUse / b.allowance.slots,
-    computeReach: () => 2,
+    computeInterest: () => "ask",
     isWithinHorizon: () => true,
 };
--- a/src/core/dispatch/pickNext.ts
+++ b/src/core/dispatch/pickNext.ts
@@ -18,12 +18,13 @@
     }
     const queues = listQueueCandidates(state, service, facts);
     for (const queue of [...queues].sort((a, b) => policy.compareQueues(a, b))) {
-        const reach = policy.computeReach(queue, facts);
         const avoided = collectAvoided(queue.head.ticket.avoidTargets, service, facts);
         const target = targets.find(candidate =>
-            candidate.distance <= reach
-            && !avoided.has(candidate.target.name)
+            !avoided.has(candidate.target.name)
             && policy.isWithinHorizon(state, queue, candidate.target)
+            && ["ask", "use"].includes(
+                policy.computeInterest(state, queue, candidate.target.dataCentre, facts),
+            )
         );
         if (target) {
             return { queue, target };
--- a/src/core/dispatch/poolDemand.ts
+++ b/src/core/dispatch/poolDemand.ts
@@ -14,6 +14,8 @@
     }[];
     /** By target name. */
     readonly holdings: ReadonlyMap<string, { readonly held: number; readonly inUse: number; }>;
-    /** Changes when the owner should know early. */
-    readonly signature: string;
+    /** Grows with the number of waiting requests and accounts; zero when nothing is asked for. */
+    readonly size: number;
+    /** Number of returns of slots so far. */
+    readonly returns: number;
 }
--- a/src/core/dispatch/poolLeases.ts
+++ b/src/core/dispatch/poolLeases.ts
@@ -13,6 +13,8 @@
     readonly leases: ReadonlyMap<string, HeldLease>;
     /** Highest normalised service that may reuse a slot; `undefined` when there is no limit. */
     readonly horizon: number | undefined;
+    /** Free slots of the pool that nobody nearer waits for, in the newest lease state. */
+    readonly freeSlots: number;
     /** True while a new owner collects holdings and grants nothing. */
     readonly recovering: boolean;
     /** Sequence of the newest demand report. */
--- a/src/core/dispatch/releaseSlots.ts
+++ b/src/core/dispatch/releaseSlots.ts
@@ -1,4 +1,3 @@
-import { computeDistance } from "./computeDistance.js";
 import { countInUse } from "./countInUse.js";
 import type { DispatchFacts } from "./dispatchFacts.js";
 import type { DispatchPolicy } from "./dispatchPolicy.js";
@@ -26,8 +25,9 @@
     for (const [key, pool] of state.pools) {
         const candidates = queues.get(pool.service) ?? listQueueCandidates(state, pool.service, facts);
         queues.set(pool.service, candidates);
-        const distance = computeDistance(facts.index, facts.dataCentre, pool.dataCentre);
-        const waiting = candidates.filter(queue => policy.computeReach(queue, facts) >= distance);
+        const waiting = candidates.filter(queue =>
+            ["ask", "use"].includes(policy.computeInterest(state, queue, pool.dataCentre, facts))
+        );
         let hasReturned = false;
         const leases = new Map<string, HeldLease>();
         for (const [name, lease] of pool.leases) {
--- a/src/daemon/actors/accounting.ts
+++ b/src/daemon/actors/accounting.ts
@@ -19,7 +19,10 @@
 import { decodeCounterReport } from "../../transport/decodeCounterReport.js";
 import { encodeCounterReply } from "../../transport/encodeCounterReply.js";
 import { encodeCounterReport } from "../../transport/encodeCounterReport.js";
-import type { CounterReply } from "../../transport/generated/baobabspread/peer/CounterReply.js";
+import type {
+    CounterReply,
+    CounterReply__Output,
+} from "../../transport/generated/baobabspread/peer/CounterReply.js";
 import type { CounterReport__Output } from "../../transport/generated/baobabspread/peer/CounterReport.js";
 import type { DaemonContext } from "../daemonContext.js";
 import { NameHashes } from "../nameHashes.js";
@@ -129,16 +132,17 @@
         return new Promise(resolve => {
             this.#update((state, now) => {
                 const report = decodeCounterReport(message);
+                const isAddressed = message.parentIncarnation === hashName(identity.incarnation);
                 const updated = this.#isClosed ? state : applyCounterReport(state, {
                     ...sender,
-                    isAddressed: message.parentIncarnation === hashName(identity.incarnation),
+                    isAddressed,
                     expiresAt: now + SILENT_INTERVALS * this.#intervalMs,
                 }, report);
                 const values = [...report.increments.values(), ...report.waiting.values()];
                 this.#changed ||= values.some(value => value > 0);
                 const reply = buildCounterReply(updated, identity, sender, message.accounts);
                 resolve({
-                    ...encodeCounterReply(reply, message.accounts),
+                    ...encodeCounterReply(reply, message.accounts, isAddressed),
                     ...this.#revisions.build(message.instance),
                     accepted: this.#place.isParentOf(this.#context.getView(), message.instance),
                 });
@@ -235,11 +239,8 @@
                 ...message,
                 ...this.#revisions.build(receiver),
             }, this.#intervalMs);
-            this.#revisions.observe(reply as Parameters<RevisionExchange["observe"]>[0]);
-            const values = decodeCounterReply(
-                reply as Parameters<typeof decodeCounterReply>[0],
-                message.accounts ?? [],
-            );
+            const values = decodeCounterReply(reply as CounterReply__Output, receiver, report);
+            this.#revisions.observe({ ...reply as CounterReply__Output, instance: receiver });
             this.#update(state => this.#isAlone ? state : applyCounterReply(state, values, isParent));
             return !this.#isAlone;
         }
--- a/src/daemon/actors/demandReporter.ts
+++ b/src/daemon/actors/demandReporter.ts
@@ -29,6 +29,12 @@
     readonly isLast: boolean;
 }
 
+interface DueReport {
+    readonly reason: string;
+    /** Monotonic time in milliseconds. */
+    readonly dueTime: number;
+}
+
 /** Longest wait for a reply: a round trip between regions and a busy owner, well within the lease term of 2 s. */
 const REPORT_TIMEOUT_MS = 400;
 /** An owner that did not reply is passed over for this long, unless failure detection suspects it for longer. */
@@ -38,10 +44,13 @@
 const CHANGED_INTERVAL_MS = 500;
 /** Half the lease term, so that one lost report does not end a lease. */
 const RENEWAL_INTERVAL_MS = 1000;
-/** A pool of another region that granted nothing is asked this rarely, because that traffic is billed. */
-const REMOTE_INTERVAL_MS = 2000;
-/** The order at the owner stays good enough while the lowest account has moved by less tokens per unit of share. */
-const SERVICE_CHANGE = 1000;
+/**
+ * A pool of another region that granted nothing is asked this rarely, because that traffic is billed: at 2 s these
+ * reports were a sixth of the control traffic of a fleet that is busy everywhere.
+ */
+const REMOTE_INTERVAL_MS = 4000;
+/** `PoolDemand.size` of about eight requests of two accounts. */
+const SHORT_QUEUE_SIZE = 5;
 
 /** Reports demand to the owners of pools and applies the leases in their replies. */
 export class DemandReporter {
@@ -73,11 +82,13 @@
             // A pool of which nothing is held may be needed again at once, so its last report is not urgent.
             const dueTime = sentAt + (demand.holdings.size > 0 ? MIN_INTERVAL_MS : CHANGED_INTERVAL_MS);
             if (!isLast && !demands.has(key) && !this.#busy.has(key) && now >= dueTime) {
-                void this.#send(key, { ...demand, demands: [], holdings: new Map(), signature: "" }, true);
+                void this.#send(key, { ...demand, demands: [], holdings: new Map(), size: 0 }, true);
             }
         }
         for (const [key, demand] of demands) {
-            if (!this.#busy.has(key) && now >= this.#computeDueTime(key, demand)) {
+            const { reason, dueTime } = this.#computeDue(key, demand);
+            if (!this.#busy.has(key) && now >= dueTime) {
+                this.#options.context.metrics.count("demand_reports_total", { reason });
                 void this.#send(key, demand, false);
             }
         }
@@ -87,7 +98,7 @@
     async close(): Promise<void> {
         await Promise.all(
             [...this.#sent].map(([key, { demand }]) =>
-                this.#send(key, { ...demand, demands: [], holdings: new Map(), signature: "" }, true)
+                this.#send(key, { ...demand, demands: [], holdings: new Map(), size: 0 }, true)
             ),
         );
     }
@@ -124,25 +135,35 @@
         return isAccepted;
     }
 
-    #computeDueTime(key: string, demand: PoolDemand): number {
+    #computeDue(key: string, demand: PoolDemand): DueReport {
         const sent = this.#sent.get(key);
         if (!sent) {
-            return 0;
+            return { reason: "first", dueTime: 0 };
         }
         const pool = this.#options.getState().pools.get(key);
-        const isWaiting = demand.demands.length > 0;
-        if (demand.distance === 2 && demand.holdings.size === 0 && sent.demand.holdings.size === 0) {
-            return sent.sentAt + REMOTE_INTERVAL_MS;
+        const isFirst = sent.demand.size === 0 && demand.size > 0;
+        const holdsNothing = demand.holdings.size === 0 && sent.demand.holdings.size === 0;
+        if (demand.distance === 2 && holdsNothing && !isFirst) {
+            return { reason: "remote", dueTime: sent.sentAt + REMOTE_INTERVAL_MS };
+        }
+        // A queue that became shorter is not urgent: a slot too many comes back soon.
+        if (demand.returns !== sent.demand.returns) {
+            return { reason: "returned", dueTime: sent.sentAt + MIN_INTERVAL_MS };
         }
-        if (demand.signature !== sent.demand.signature) {
-            return sent.sentAt + MIN_INTERVAL_MS;
+        // Long queues vary all the time; only their growth by several times changes what the owner grants.
+        const growth = sent.demand.size <= SHORT_QUEUE_SIZE ? 1 : 2;
+        if (isFirst || demand.size >= sent.demand.size + growth) {
+            return { reason: "more-waiting", dueTime: sent.sentAt + MIN_INTERVAL_MS };
         }
-        if (isWaiting && pool?.recovering === true) {
-            return sent.sentAt + RECOVERY_INTERVAL_MS;
+        if (demand.demands.length > 0 && pool?.recovering === true) {
+            return { reason: "recovering", dueTime: sent.sentAt + RECOVERY_INTERVAL_MS };
         }
         const lowest = demand.demands[0]?.service ?? sent.lowest;
-        const hasMoved = Math.abs(lowest - sent.lowest) > SERVICE_CHANGE;
-        return sent.sentAt + (hasMoved ? CHANGED_INTERVAL_MS : RENEWAL_INTERVAL_MS);
+        // An entry above the horizon has to give up slots, so it reports before it gets there.
+        const distance = (pool?.horizon ?? Number.POSITIVE_INFINITY) - sent.lowest;
+        return lowest - sent.lowest > distance / 2
+            ? { reason: "horizon-near", dueTime: sent.sentAt + CHANGED_INTERVAL_MS }
+            : { reason: "renewal", dueTime: sent.sentAt + RENEWAL_INTERVAL_MS };
     }
 
     async #send(key: string, demand: PoolDemand, isLast: boolean): Promise<void> {
--- a/src/observability/counterDefinitions.ts
+++ b/src/observability/counterDefinitions.ts
@@ -10,6 +10,7 @@
         help: "Decisions of the scheduler: queued, granted or refused, by reason.",
         labels: ["kind", "reason"],
     },
+    demand_reports_total: { help: "Reports to owners of pools, by reason.", labels: ["reason"] },
     lease_events_total: { help: "Changes of slot leases, by reason.", labels: ["reason"] },
     takeovers_total: { help: "Pools that this daemon became the owner of.", labels: ["reason"] },
     claims_total: { help: "Answers given as claim holder, by verdict.", labels: ["verdict"] },
--- a/src/transport/decodeCounterReply.ts
+++ b/src/transport/decodeCounterReply.ts
@@ -1,18 +1,22 @@
 import type { CounterReplyValues } from "../core/fairness/counterReplyValues.js";
+import type { CounterReportValues } from "../core/fairness/counterReportValues.js";
 import type { CounterReply__Output } from "./generated/baobabspread/peer/CounterReply.js";
 
 /**
  * Returns the counters of a reply.
  *
- * @param accounts Accounts of the report in the order in which it listed them.
+ * @param receiver Instance that replied.
+ * @param report The report that it replied to; an absent incarnation is the one that the report was meant for.
  */
 export function decodeCounterReply(
     message: CounterReply__Output,
-    accounts: readonly number[],
+    receiver: string,
+    report: CounterReportValues,
 ): CounterReplyValues {
+    const accounts = [...report.waiting.keys()];
     return {
-        instance: message.instance,
-        incarnation: message.incarnation,
+        instance: receiver,
+        incarnation: message.incarnation === "" ? report.parentIncarnation ?? "" : message.incarnation,
         acknowledgedSequence: message.acknowledgedSequence,
         tokens: mapAccounts(accounts, message.tokens),
         unsettled: mapAccounts(accounts, message.unsettled),
--- a/src/transport/decodeLeaseState.ts
+++ b/src/transport/decodeLeaseState.ts
@@ -25,6 +25,7 @@
         })),
         // Every real horizon is above zero; zero is the absent value on the wire.
         horizon: message.horizon > 0 ? message.horizon : undefined,
+        freeSlots: message.freeSlots,
         recovering: message.recovering,
     };
 }
--- a/src/transport/encodeCounterReply.ts
+++ b/src/transport/encodeCounterReply.ts
@@ -1,11 +1,18 @@
 import type { CounterReplyValues } from "../core/fairness/counterReplyValues.js";
 import type { CounterReply } from "./generated/baobabspread/peer/CounterReply.js";
 
-/** Returns the fields of a counter reply that carry counters, in the order of the report's accounts. */
-export function encodeCounterReply(reply: CounterReplyValues, accounts: readonly number[]): CounterReply {
+/**
+ * Returns the fields of a counter reply that carry counters, in the order of the report's accounts.
+ *
+ * @param isAddressed True if the report names this incarnation; the reply then leaves it out to save 38 bytes.
+ */
+export function encodeCounterReply(
+    reply: CounterReplyValues,
+    accounts: readonly number[],
+    isAddressed: boolean,
+): CounterReply {
     return {
-        instance: reply.instance,
-        incarnation: reply.incarnation,
+        incarnation: isAddressed ? "" : reply.incarnation,
         acknowledgedSequence: reply.acknowledgedSequence,
         tokens: accounts.map(account => reply.tokens.get(account) ?? 0),
         unsettled: accounts.map(account => reply.unsettled.get(account) ?? 0),
--- a/test/testing/makeLeaseUpdate.ts
+++ b/test/testing/makeLeaseUpdate.ts
@@ -13,6 +13,7 @@
         reportSequence: 0,
         leases: new Map([[target, { slots, fencingNumber: 9, deadline: 2000 }]]),
         horizon: undefined,
+        freeSlots: 0,
         recovering: false,
         ...options,
     };
