--- a/src/core/dispatch/applyChoice.ts
+++ b/src/core/dispatch/applyChoice.ts
@@ -41,6 +41,7 @@
             ticket: head.ticket,
             target: target.name,
             dataCentre: target.dataCentre,
+            fencingNumber: choice.target.allowance.fencingNumber,
             estimatedCost: estimateCost(history, head.ticket.hintedCost, DEFAULT_COST),
             chargedCost: 0,
         }),
--- a/src/core/dispatch/flight.ts
+++ b/src/core/dispatch/flight.ts
@@ -6,6 +6,7 @@
     readonly ticket: RequestTicket;
     readonly target: string;
     readonly dataCentre: string;
+    readonly fencingNumber: number;
     /** Expected cost in tokens. */
     readonly estimatedCost: number;
     /** Tokens charged so far. */
--- a/src/core/dispatch/listHoldings.ts
+++ b/src/core/dispatch/listHoldings.ts
@@ -1,20 +1,26 @@
+import { buildPoolKey } from "./buildPoolKey.js";
 import type { DispatchState } from "./dispatchState.js";
+import type { PoolHolding } from "./poolHolding.js";
 
 /** Lists the slots held and in use in a pool by target name; slots in use count as held. */
 export function listHoldings(
     state: DispatchState,
     service: string,
     dataCentre: string,
-): ReadonlyMap<string, { readonly held: number; readonly inUse: number; }> {
-    const holdings = new Map<string, { held: number; inUse: number; }>();
-    for (const [name, lease] of state.pools.get(`${service}@${dataCentre}`)?.leases ?? []) {
-        holdings.set(name, { held: lease.slots, inUse: 0 });
+): ReadonlyMap<string, PoolHolding> {
+    const holdings = new Map<string, PoolHolding>();
+    for (const [name, lease] of state.pools.get(buildPoolKey(service, dataCentre))?.leases ?? []) {
+        holdings.set(name, { held: lease.slots, inUse: 0, fencingNumber: lease.fencingNumber });
     }
     for (const flight of state.flights.values()) {
         if (flight.ticket.service === service && flight.dataCentre === dataCentre) {
-            const holding = holdings.get(flight.target) ?? { held: 0, inUse: 0 };
-            const inUse = holding.inUse + 1;
-            holdings.set(flight.target, { held: Math.max(holding.held, inUse), inUse });
+            const holding = holdings.get(flight.target);
+            const inUse = (holding?.inUse ?? 0) + 1;
+            holdings.set(flight.target, {
+                held: Math.max(holding?.held ?? 0, inUse),
+                inUse,
+                fencingNumber: Math.max(holding?.fencingNumber ?? 0, flight.fencingNumber),
+            });
         }
     }
     return new Map([...holdings].filter(([, holding]) => holding.held > 0));
--- a/src/core/dispatch/listPoolDemands.ts
+++ b/src/core/dispatch/listPoolDemands.ts
@@ -26,8 +26,8 @@
         const queues = listQueueCandidates(state, service, facts);
         for (const dataCentre of facts.index.dataCentres.keys()) {
             const distance = computeDistance(facts.index, facts.dataCentre, dataCentre);
-            const isUsable = facts.index.getPool(service, dataCentre)
-                .some(target => facts.index.isInService(target));
+            const targets = facts.index.getPool(service, dataCentre);
+            const isUsable = targets.some(target => facts.index.isInService(target));
             const interests = queues.map(queue => ({
                 queue,
                 interest: isUsable ? policy.computeInterest(state, queue, dataCentre, facts) : "none",
@@ -37,7 +37,12 @@
             const holdings = listHoldings(state, service, dataCentre);
             const key = buildPoolKey(service, dataCentre);
             if (waiting.length > 0 || holdings.size > 0 || isProbed) {
-                demands.set(key, buildDemand(state, { service, dataCentre, distance, waiting, holdings }));
+                const answers = new Map(targets.flatMap(({ name }) => {
+                    const counted = state.answers.get(name);
+                    return counted ? [[name, counted] as const] : [];
+                }));
+                const input = { service, dataCentre, distance, waiting, holdings, answers };
+                demands.set(key, buildDemand(state, input));
             }
         }
     }
@@ -50,20 +55,23 @@
     readonly distance: Distance;
     readonly waiting: readonly QueueCandidate[];
     readonly holdings: PoolDemand["holdings"];
+    readonly answers: PoolDemand["answers"];
 }
 
 function buildDemand(state: DispatchState, input: DemandInput): PoolDemand {
-    const { service, dataCentre, distance, waiting, holdings } = input;
+    const { service, dataCentre, distance, waiting, holdings, answers } = input;
     const lowest = [...waiting].sort((a, b) => a.service - b.service).slice(0, REPORTED_ACCOUNTS);
     const flights = [...state.flights.values()].filter(flight =>
         flight.ticket.service === service && flight.dataCentre === dataCentre
     );
     const count = waiting.reduce((sum, { queue }) => sum + queue.requests.length, 0);
     const returns = state.pools.get(buildPoolKey(service, dataCentre))?.returns ?? 0;
+    const counted = [...answers.values()].reduce((sum, { cold, busy }) => sum + cold + busy, 0);
     return {
         service,
         dataCentre,
         distance,
+        answers,
         demands: lowest.map(({ queue, service: normalizedService }) => ({
             account: queue.account,
             waiting: queue.requests.length,
@@ -73,6 +81,6 @@
         holdings,
         // Numbers count by powers of two: the owner needs the exact length of short queues only.
         size: Math.ceil(Math.log2(count + 1)) + Math.ceil(Math.log2(waiting.length + 1)),
-        returns,
+        events: returns + counted,
     };
 }
--- a/src/core/dispatch/releaseSlots.ts
+++ b/src/core/dispatch/releaseSlots.ts
@@ -7,8 +7,13 @@
 import type { PoolLeases } from "./poolLeases.js";
 import type { QueueCandidate } from "./queueCandidate.js";
 
-/** How long a free slot is kept for the next request: a few round trips to the owner. */
+/** How long a free slot is kept for the next request while nothing else is in flight in the pool. */
 const KEEP_UNUSED_MS = 100;
+/**
+ * The same while requests are in flight. The owner may lease an active entry some slots ahead; returning those at
+ * once would only make the two pass them to and fro.
+ */
+const KEEP_AHEAD_MS = 500;
 
 /**
  * Gives up free slots that this entry may not use: at once when the target is out of service or every waiting
@@ -28,6 +33,8 @@
         const waiting = candidates.filter(queue =>
             ["ask", "use"].includes(policy.computeInterest(state, queue, pool.dataCentre, facts))
         );
+        const isActive = [...pool.leases.keys()].some(name => (inUse.get(name) ?? 0) > 0);
+        const keepMs = isActive ? KEEP_AHEAD_MS : KEEP_UNUSED_MS;
         let hasReturned = false;
         const leases = new Map<string, HeldLease>();
         for (const [name, lease] of pool.leases) {
@@ -39,7 +46,7 @@
             const isUnused = used < lease.slots && waiting.length === 0;
             const unusedSince = isUnused ? lease.unusedSince ?? facts.now : undefined;
             const isKept = isUsable && !isAboveHorizon
-                && (unusedSince === undefined || facts.now < unusedSince + KEEP_UNUSED_MS);
+                && (unusedSince === undefined || facts.now < unusedSince + keepMs);
             const slots = isKept ? lease.slots : Math.min(lease.slots, used);
             hasReturned ||= slots < lease.slots;
             leases.set(name, { ...lease, slots, unusedSince: slots < lease.slots ? undefined : unusedSince });
--- a/src/core/membership/computePoolOwner.ts
+++ b/src/core/membership/computePoolOwner.ts
@@ -12,24 +12,21 @@
 }
 
 /**
- * Returns the owner of a pool: the first rank among the instances of its data centre that are not excluded. If the
- * data centre has none, the instances of its region and then of the fleet are ranked.
+ * Returns the owner of a pool: the first rank that is not excluded among the live instances of its data centre. If
+ * the data centre has no live instance, those of its region and then of the fleet are ranked. If all
+ * are excluded there is no owner: the lenders are the same instances, so another owner could borrow nothing.
  */
 export function computePoolOwner(input: PoolOwnerInput): Instance | undefined {
     const region = input.dataCentres.get(input.dataCentre)?.region;
+    const live = input.instances.filter(instance => instance.state === "live");
     const circles = [
-        (instance: Instance) => instance.dataCentre === input.dataCentre,
-        (instance: Instance) =>
-            region !== undefined && input.dataCentres.get(instance.dataCentre)?.region === region,
-        () => true,
+        live.filter(instance => instance.dataCentre === input.dataCentre),
+        live.filter(instance =>
+            region !== undefined && input.dataCentres.get(instance.dataCentre)?.region === region
+        ),
+        live,
     ];
-    for (const isInside of circles) {
-        const members = input.instances.filter(instance =>
-            isInside(instance) && !input.excluded.has(instance.name)
-        );
-        if (members.length > 0) {
-            return rankInstances(`pool:${input.service}@${input.dataCentre}`, members)[0];
-        }
-    }
-    return undefined;
+    const members = circles.find(circle => circle.length > 0) ?? [];
+    return rankInstances(`pool:${input.service}@${input.dataCentre}`, members)
+        .find(instance => !input.excluded.has(instance.name));
 }
--- a/src/daemon/actors/demandReporter.ts
+++ b/src/daemon/actors/demandReporter.ts
@@ -1,3 +1,4 @@
+import { hashName } from "../../core/configuration/hashName.js";
 import { applyLeaseUpdate } from "../../core/dispatch/applyLeaseUpdate.js";
 import { createPoolLeases } from "../../core/dispatch/createPoolLeases.js";
 import type { DispatchState } from "../../core/dispatch/dispatchState.js";
@@ -7,8 +8,10 @@
 import { decodeLeaseState } from "../../transport/decodeLeaseState.js";
 import { encodeDemandReport } from "../../transport/encodeDemandReport.js";
 import type { DemandReport__Output } from "../../transport/generated/baobabspread/peer/DemandReport.js";
-import type { LeaseState } from "../../transport/generated/baobabspread/peer/LeaseState.js";
-import type { LeaseState__Output } from "../../transport/generated/baobabspread/peer/LeaseState.js";
+import type {
+    LeaseState,
+    LeaseState__Output,
+} from "../../transport/generated/baobabspread/peer/LeaseState.js";
 import type { DaemonContext } from "../daemonContext.js";
 
 interface DemandReporterOptions {
@@ -39,6 +42,8 @@
 const REPORT_TIMEOUT_MS = 400;
 /** An owner that did not reply is passed over for this long, unless failure detection suspects it for longer. */
 const OWNER_RETRY_MS = 1000;
+/** Longer than the lease term of 2 s and the slowest pool's report interval together. */
+const REPORT_MEMORY_MS = 10_000;
 const MIN_INTERVAL_MS = 20;
 const RECOVERY_INTERVAL_MS = 100;
 const CHANGED_INTERVAL_MS = 500;
@@ -57,6 +62,8 @@
     readonly #options: DemandReporterOptions;
     readonly #sent = new Map<string, SentReport>();
     readonly #busy = new Set<string>();
+    /** Monotonic time in milliseconds of recent reports by sequence. */
+    readonly #sentTimes = new Map<number, number>();
     #sequence = 0;
     /** Monotonic time in milliseconds until which an instance is passed over. */
     readonly #failedUntil = new Map<string, number>();
@@ -120,12 +127,14 @@
     }
 
     /** Takes a lease state; returns false if its sender is not the owner here or it is out of date. */
-    apply(message: LeaseState__Output, service: string, dataCentre: string, countedFrom: number): boolean {
+    apply(message: LeaseState__Output, service: string, dataCentre: string): boolean {
         const { context, getState, update } = this.#options;
         const key = `${service}@${dataCentre}`;
         const owner = this.getOwner(service, dataCentre) ?? "";
         const names = context.getView().index?.targetNames ?? new Map<number, string>();
-        const decoded = decodeLeaseState(message, names, countedFrom);
+        // Without a report to count from, the deadlines cannot be known and the leases have expired.
+        const reportedAt = this.#sentTimes.get(message.reportSequence) ?? Number.NEGATIVE_INFINITY;
+        const decoded = decodeLeaseState(message, names, reportedAt);
         const applyTo = (state: DispatchState): PoolLeases => {
             const pool = state.pools.get(key) ?? createPoolLeases(service, dataCentre);
             return applyLeaseUpdate(pool, decoded, owner);
@@ -143,12 +152,12 @@
         const pool = this.#options.getState().pools.get(key);
         const isFirst = sent.demand.size === 0 && demand.size > 0;
         const holdsNothing = demand.holdings.size === 0 && sent.demand.holdings.size === 0;
-        if (demand.distance === 2 && holdsNothing && !isFirst) {
+        if (demand.distance === 2 && holdsNothing && demand.size === 0) {
             return { reason: "remote", dueTime: sent.sentAt + REMOTE_INTERVAL_MS };
         }
         // A queue that became shorter is not urgent: a slot too many comes back soon.
-        if (demand.returns !== sent.demand.returns) {
-            return { reason: "returned", dueTime: sent.sentAt + MIN_INTERVAL_MS };
+        if (demand.events !== sent.demand.events) {
+            return { reason: "event", dueTime: sent.sentAt + MIN_INTERVAL_MS };
         }
         // Long queues vary all the time; only their growth by several times changes what the owner grants.
         const growth = sent.demand.size <= SHORT_QUEUE_SIZE ? 1 : 2;
@@ -179,6 +188,7 @@
             ?? createPoolLeases(demand.service, demand.dataCentre);
         this.#sequence += 1;
         const sequence = this.#sequence;
+        this.#recordSentTime(sequence, sentAt);
         update(state => ({
             ...state,
             pools: new Map(state.pools).set(key, {
@@ -190,9 +200,9 @@
             const reply = await this.#fetchLeases(owner, demand, {
                 sequence,
                 appliedSequence: pool.owner === owner ? pool.sequence : 0,
+                appliedOwner: pool.ownerIncarnation === "" ? 0 : hashName(pool.ownerIncarnation),
             });
-            // Remaining times count from the time of the report, which is before the owner's own clock reading.
-            this.apply(reply, demand.service, demand.dataCentre, sentAt);
+            this.apply(reply, demand.service, demand.dataCentre);
         }
         catch (error) {
             this.#failedUntil.set(owner, context.getNow() + OWNER_RETRY_MS);
@@ -205,10 +215,20 @@
         }
     }
 
+    #recordSentTime(sequence: number, sentAt: number): void {
+        this.#sentTimes.set(sequence, sentAt);
+        for (const [old, time] of this.#sentTimes) {
+            if (time >= sentAt - REPORT_MEMORY_MS) {
+                break;
+            }
+            this.#sentTimes.delete(old);
+        }
+    }
+
     async #fetchLeases(
         owner: string,
         demand: PoolDemand,
-        numbers: { readonly sequence: number; readonly appliedSequence: number; },
+        numbers: Pick<DemandReport__Output, "sequence" | "appliedSequence" | "appliedOwner">,
     ): Promise<LeaseState__Output> {
         const { context, reportDemand } = this.#options;
         const { instance, incarnation } = context.identity;
@@ -233,6 +253,7 @@
             horizon: Number(reply.horizon ?? 0),
             recovering: reply.recovering ?? false,
             freeSlots: reply.freeSlots ?? 0,
+            reportAgeMs: reply.reportAgeMs ?? 0,
         };
     }
 }
--- a/src/daemon/actors/dispatcher.ts
+++ b/src/daemon/actors/dispatcher.ts
@@ -146,7 +146,7 @@
     handleLease(state: LeaseState__Output): Promise<Acknowledgement> {
         const pool = this.#findPool(state.pool);
         const accepted = pool !== undefined
-            && this.#reporter.apply(state, pool.service, pool.dataCentre, this.#context.getNow());
+            && this.#reporter.apply(state, pool.service, pool.dataCentre);
         return Promise.resolve({ accepted });
     }
 
--- a/src/transport/decodeLeaseState.ts
+++ b/src/transport/decodeLeaseState.ts
@@ -4,13 +4,15 @@
 /**
  * Returns a lease state with names and deadlines resolved; targets without a known name are left out.
  *
- * @param countedFrom Monotonic time in milliseconds from which remaining times count.
+ * @param reportedAt Monotonic time in milliseconds at which the report was sent that the message takes into account.
+ * Deadlines count from that time, so that no delay of the message can extend a lease.
  */
 export function decodeLeaseState(
     message: LeaseState__Output,
     targetNames: ReadonlyMap<number, string>,
-    countedFrom: number,
+    reportedAt: number,
 ): LeaseUpdate {
+    const sentAt = reportedAt + message.reportAgeMs;
     return {
         owner: message.owner,
         ownerIncarnation: message.ownerIncarnation,
@@ -21,7 +23,7 @@
             const { slots, fencingNumber } = lease;
             return name === undefined
                 ? []
-                : [[name, { slots, fencingNumber, deadline: countedFrom + lease.remainingMs }] as const];
+                : [[name, { slots, fencingNumber, deadline: sentAt + lease.remainingMs }] as const];
         })),
         // Every real horizon is above zero; zero is the absent value on the wire.
         horizon: message.horizon > 0 ? message.horizon : undefined,
--- a/src/transport/encodeDemandReport.ts
+++ b/src/transport/encodeDemandReport.ts
@@ -7,6 +7,8 @@
     readonly incarnation: string;
     readonly sequence: number;
     readonly appliedSequence: number;
+    /** Hash of the incarnation that sent the applied lease state; 0 when none was applied. */
+    readonly appliedOwner: number;
 }
 
 /** Returns the message that reports the demand for one pool. */
@@ -20,10 +22,14 @@
             inFlight,
             normalizedService: service,
         })),
-        holdings: [...demand.holdings].map(([target, { held, inUse }]) => ({
+        holdings: [...new Set([...demand.holdings.keys(), ...demand.answers.keys()])].map(target => ({
             target: hashName(target),
-            held,
-            inUse,
+            held: demand.holdings.get(target)?.held ?? 0,
+            inUse: demand.holdings.get(target)?.inUse ?? 0,
+            // Only a new owner needs it, and that one asks for holdings.
+            fencingNumber: 0,
+            coldAnswers: demand.answers.get(target)?.cold ?? 0,
+            busyAnswers: demand.answers.get(target)?.busy ?? 0,
         })),
     };
 }
--- a/test/core/dispatch/leases.test.ts
+++ b/test/core/dispatch/leases.test.ts
@@ -124,3 +124,17 @@
     );
     t.pass();
 });
+
+test("answers that show a lower limit reach the owner early and are not forgotten with the slot", t => {
+    const facts = makeFacts();
+    let state = addRequest(addLease(createDispatchState(), "near", 1), "account-0", facts);
+    const choice = pickNext(state, "desk", fleetPolicy, facts);
+    state = choice ? applyChoice(state, choice, facts) : state;
+    const before = listPoolDemands(state, fleetPolicy, facts).get("desk@near");
+    const result = { cost: 0, ending: "refused", targetState: "cold" } as const;
+    state = applyRelease(state, choice?.queue.head.id ?? 0, result);
+    state = addRequest(addLease(state, "near", 0, { sequence: 2 }), "account-0", facts);
+    const after = listPoolDemands(state, fleetPolicy, facts).get("desk@near");
+    t.deepEqual(after?.answers.get("engine-near"), { cold: 1, busy: 0 });
+    t.not(after?.events, before?.events);
+});
--- a/test/daemon/actors/dispatcher.test.ts
+++ b/test/daemon/actors/dispatcher.test.ts
@@ -177,17 +177,24 @@
         owner: "self",
         ownerIncarnation: "1",
         sequence: 99,
-        reportSequence: 99,
+        reportSequence: owner.reports.find(report => report.pool?.dataCentre === pool.dataCentre)?.sequence
+            ?? 0,
         leases: [{ target: hashName("engine-near"), slots: 1, fencingNumber: 8, remainingMs: 2000 }],
         horizon: 0,
         recovering: false,
         freeSlots: 0,
+        reportAgeMs: 0,
     });
     t.true(reply.accepted);
     const grant = await waiting;
     t.is(grant.fencingNumber, 8);
     const holdings = await dispatcher.handleHoldings({ pool });
-    t.deepEqual(holdings.holdings, [{ target: hashName("engine-near"), held: 1, inUse: 1 }]);
+    t.deepEqual(holdings.holdings, [{
+        target: hashName("engine-near"),
+        held: 1,
+        inUse: 1,
+        fencingNumber: 8,
+    }]);
     dispatcher.releaseSlot(grant, COMPLETED);
     await dispatcher.drain();
     clearInterval(keepAlive);
