--- a/src/core/dispatch/fleetPolicy.ts
+++ b/src/core/dispatch/fleetPolicy.ts
@@ -47,7 +47,10 @@
         if (distance === 1 || isStarved || (pool?.freeSlots ?? 0) > 0) {
             return "ask";
         }
-        return [...pool?.leases.values() ?? []].some(lease => lease.slots > 0) ? "use" : "probe";
+        // Slots of another region are kept only while nobody waits for them there: the horizon is then absent.
+        const isWanted = pool?.horizon !== undefined && !pool.asked;
+        const holdsSlots = [...pool?.leases.values() ?? []].some(lease => lease.slots > 0);
+        return holdsSlots && !isWanted ? "use" : "probe";
     },
     isWithinHorizon: (state, { service }, target) => {
         const horizon = state.pools.get(buildPoolKey(target.service, target.dataCentre))?.horizon;
--- a/src/core/dispatch/poolLeases.ts
+++ b/src/core/dispatch/poolLeases.ts
@@ -17,6 +17,8 @@
     readonly freeSlots: number;
     /** True while a new owner collects holdings and grants nothing. */
     readonly recovering: boolean;
+    /** True if the newest demand report named waiting accounts; they then count in the owner's horizon. */
+    readonly asked: boolean;
     /** Sequence of the newest demand report. */
     readonly reportSequence: number;
     /** Sequence of the first demand report that shows the newest return of slots. */
--- a/src/core/dispatch/releaseSlots.ts
+++ b/src/core/dispatch/releaseSlots.ts
@@ -34,7 +34,9 @@
             ["ask", "use"].includes(policy.computeInterest(state, queue, pool.dataCentre, facts))
         );
         const isActive = [...pool.leases.keys()].some(name => (inUse.get(name) ?? 0) > 0);
-        const keepMs = isActive ? KEEP_AHEAD_MS : KEEP_UNUSED_MS;
+        // Requests that wait for nearer pools make no use of the slot, so there is nothing to keep it for.
+        const unwantedMs = candidates.length > 0 ? 0 : KEEP_UNUSED_MS;
+        const keepMs = isActive && candidates.length === 0 ? KEEP_AHEAD_MS : unwantedMs;
         let hasReturned = false;
         const leases = new Map<string, HeldLease>();
         for (const [name, lease] of pool.leases) {
--- a/src/daemon/actors/demandReporter.ts
+++ b/src/daemon/actors/demandReporter.ts
@@ -194,6 +194,7 @@
             pools: new Map(state.pools).set(key, {
                 ...state.pools.get(key) ?? pool,
                 reportSequence: sequence,
+                asked: demand.size > 0,
             }),
         }));
         try {
--- a/src/transport/decodeLeaseState.ts
+++ b/src/transport/decodeLeaseState.ts
@@ -25,8 +25,8 @@
                 ? []
                 : [[name, { slots, fencingNumber, deadline: sentAt + lease.remainingMs }] as const];
         })),
-        // Every real horizon is above zero; zero is the absent value on the wire.
-        horizon: message.horizon > 0 ? message.horizon : undefined,
+        // Zero is the absent value on the wire; an infinite horizon says that no account waits.
+        horizon: message.horizon > 0 && Number.isFinite(message.horizon) ? message.horizon : undefined,
         freeSlots: message.freeSlots,
         recovering: message.recovering,
     };
