Count served tokens by account and keep the sequence of unlisted children

The instance list lags, so a new daemon can report before it is listed. Its sequence was evicted with each exchange, and a repeated report then counted twice.

--- a/src/daemon/actors/accounting.ts
+++ b/src/daemon/actors/accounting.ts
@@ -25,8 +25,8 @@
 } from "../../transport/generated/baobabspread/peer/CounterReply.js";
 import type { CounterReport__Output } from "../../transport/generated/baobabspread/peer/CounterReport.js";
 import type { DaemonContext } from "../daemonContext.js";
-import { NameHashes } from "../nameHashes.js";
 import { AggregationPlace } from "./aggregationPlace.js";
+import { ChargeBuffer } from "./chargeBuffer.js";
 import { RevisionExchange } from "./revisionExchange.js";
 
 interface AccountingOptions {
@@ -62,8 +62,7 @@
     readonly #place: AggregationPlace;
     readonly #actor: Ref<Update>;
     readonly #timers: readonly NodeJS.Timeout[];
-    readonly #charges = new Map<number, number>();
-    readonly #hashes = NameHashes.create();
+    readonly #charges: ChargeBuffer;
     #state = createCounterState();
     #view: FairnessView | undefined;
     #exchange: Promise<void> | undefined;
@@ -75,6 +74,7 @@
         const { context } = options;
         this.#context = context;
         this.#intervalMs = options.exchangeIntervalMs ?? EXCHANGE_INTERVAL_MS;
+        this.#charges = ChargeBuffer.create(context.metrics);
         this.#isAlone = context.settings.policy !== "fleet";
         this.#revisions = RevisionExchange.create(context.getView, options.observeRevisions);
         this.#place = AggregationPlace.create(context.identity.instance, this.#intervalMs);
@@ -103,16 +103,13 @@
 
     /** Adds served tokens to an account. */
     charge(account: string, tokens: number): void {
-        if (tokens > 0) {
-            const hash = this.#hashes.get(account);
-            this.#charges.set(hash, (this.#charges.get(hash) ?? 0) + tokens);
-        }
+        this.#charges.add(account, tokens);
     }
 
     /** Sets the number of requests of an account that wait at this daemon, over all services. */
     setWaiting(account: string, waiting: number): void {
         this.#changed = true;
-        this.#update(state => setWaiting(state, this.#hashes.get(account), waiting, this.#getShare(account)));
+        this.#update(state => setWaiting(state, hashName(account), waiting, this.#getShare(account)));
     }
 
     /** Latest view of the counters. */
@@ -183,13 +180,11 @@
     }
 
     #flushCharges(): void {
-        if (this.#charges.size === 0) {
-            return;
+        const charges = this.#charges.flush();
+        if (charges.size > 0) {
+            this.#changed = true;
+            this.#update(state => chargeAccounts(state, charges));
         }
-        const charges = new Map(this.#charges);
-        this.#charges.clear();
-        this.#changed = true;
-        this.#update(state => chargeAccounts(state, charges));
     }
 
     #advance(): void {
@@ -211,7 +206,7 @@
         const view = this.#context.getView();
         const parent = this.#place.getParent(view);
         const listed = new Set(view.instances.instances.map(instance => instance.name));
-        this.#update(state => evictChildren(dropBatches(state, listed), listed));
+        this.#update((state, now) => evictChildren(dropBatches(state, listed), listed, now));
         const others = new Set(
             this.#state.batches.map(batch => batch.parent).filter(name => name !== parent),
         );
--- a/test/core/fairness/counters.test.ts
+++ b/test/core/fairness/counters.test.ts
@@ -11,6 +11,7 @@
 import type { CounterState } from "../../../src/core/fairness/counterState.js";
 import { createCounterState } from "../../../src/core/fairness/createCounterState.js";
 import { createFairnessView } from "../../../src/core/fairness/createFairnessView.js";
+import { evictChildren } from "../../../src/core/fairness/evictChildren.js";
 import { liftAccounts } from "../../../src/core/fairness/liftAccounts.js";
 import { setWaiting } from "../../../src/core/fairness/setWaiting.js";
 import { sumWaiting } from "../../../src/core/fairness/sumWaiting.js";
@@ -227,6 +228,18 @@
     t.is(sumWaiting(fleet.get(0), 1000).get(ACCOUNT), undefined);
 });
 
+test("a child that the list does not name yet keeps its sequence, so a repeated report adds nothing", t => {
+    const fleet = new Fleet(2);
+    fleet.charge(1, 30);
+    fleet.send(1, 0);
+    fleet.send(1, 0, "reply");
+    fleet.update(0, state => evictChildren(state, new Set(), 60_000));
+    fleet.send(1, 0);
+    fleet.advance();
+    t.is(fleet.get(0).known.get(ACCOUNT), 30);
+    t.is(evictChildren(fleet.get(0), new Set(), 62_000).children.size, 0);
+});
+
 test("the lag limit keeps an account that rejoins from starving the others", t => {
     const state: CounterState = { ...createCounterState(), highest: 50_000 };
     const view = createFairnessView(state, { getShare: () => 1, maxLag: 8000, remoteLagThreshold: 4000 });
