--- a/src/daemon/actors/aggregationPlace.ts
+++ b/src/daemon/actors/aggregationPlace.ts
@@ -1,6 +1,7 @@
 import type { AggregationTree } from "../../core/fairness/aggregationTree.js";
 import { computeAggregationTree } from "../../core/fairness/computeAggregationTree.js";
 import { computeFairnessLimits } from "../../core/fairness/computeFairnessLimits.js";
+import { horizonSlack } from "../../core/fairness/horizonSlack.js";
 import type { ClusterView } from "../../core/membership/clusterView.js";
 
 interface Place {
@@ -12,12 +13,6 @@
     readonly limits: { readonly maxLag: number; readonly remoteLagThreshold: number; };
 }
 
-/**
- * H in tokens per unit of share. About two average requests: small enough that the horizon adds little to the gap
- * bound, large enough that an account keeps its slot over a few requests without a message.
- */
-const HORIZON = 4000;
-
 /** Place of this daemon in the aggregation tree, recomputed when the view of the fleet changes. */
 export class AggregationPlace {
     readonly #instance: string;
@@ -75,7 +70,7 @@
                     configuration: view.index.configuration,
                     depth: listed.depth,
                     exchangeIntervalMs: this.#intervalMs,
-                    horizon: HORIZON,
+                    horizon: horizonSlack,
                 })
                 : { maxLag: Number.POSITIVE_INFINITY, remoteLagThreshold: Number.POSITIVE_INFINITY },
         };
