Check slot leases by enumerating all reachable states of a small model

`npm run model` runs the lender and ledger reducers of the product in a small transition system and checks that a cold target gets no more work than it can handle and that the slots in use never exceed the limit. Specifications are listed in src/model/specifications.ts.

Free interleaving of every message was ruled out: with one target, two entries and no fault it passed 150,000 states after nine events. The model therefore gives each tick fixed turns, and only compares sequences by rank.

The tests keep three broken variants that the check must find: a lender that lends without waiting, an owner that ignores silent entries and foreign work, and lenders whose instance lists differ for longer than the margin. The last is a limit of the protocol as designed: the wait after a new instance list covers only views that differ by at most the margin.

--- /dev/null
+++ b/src/model/specifications.ts
@@ -0,0 +1,6 @@
+import type { AnySpecification } from "./anySpecification.js";
+import { slotFaults } from "./slotFaults.js";
+import { slotOwnership } from "./slotOwnership.js";
+
+/** Every specification that `npm run model` checks. */
+export const specifications: readonly AnySpecification[] = [slotOwnership, slotFaults];
