Check a change of owner together with one other fault

`npm run model` now also enumerates histories of two ticks with a takeover and one crash, pause, restart, list change, loss or delay. No invariant is violated.

--- a/src/model/specifications.ts
+++ b/src/model/specifications.ts
@@ -1,6 +1,11 @@
 import type { AnySpecification } from "./anySpecification.js";
 import { slotFaults } from "./slotFaults.js";
 import { slotOwnership } from "./slotOwnership.js";
+import { slotOwnershipFaults } from "./slotOwnershipFaults.js";
 
 /** Every specification that `npm run model` checks. */
-export const specifications: readonly AnySpecification[] = [slotOwnership, slotFaults];
+export const specifications: readonly AnySpecification[] = [
+    slotOwnership,
+    slotFaults,
+    slotOwnershipFaults,
+];
