--- a/src/testing/startSmallFleet.ts
+++ b/src/testing/startSmallFleet.ts
@@ -3,6 +3,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
+import { buildBundle } from "../core/configuration/buildBundle.js";
+import { configurationSchema } from "../core/configuration/configurationSchema.js";
 import { ChildProcess } from "./childProcess.js";
 
 interface SmallFleetOptions {
@@ -51,35 +53,33 @@
         );
         return spawnModule("daemon/main.js", ["--settings", path]);
     }));
-    await publishValue(platform, "configuration", {
-        revision: 1,
-        digest: "",
-        configuration: {
-            regions: [{ name: "de-cymru" }],
-            dataCentres: [{ name: "caerdydd-a", region: "de-cymru" }],
-            shares: [{ name: "standard", weight: 1 }],
-            clientAccounts: [{
-                name: "capel",
-                share: "standard",
-                keyDigests: [createHash("sha256").update("capel-key").digest("hex")],
-                services: ["model-desk", "order-book"],
-            }],
-            services: [
-                { name: "model-desk", kind: "model" },
-                { name: "order-book", kind: "plain", nonRepeatableMethods: ["POST"] },
-            ],
-            targets: [
-                ["engine", "model-desk", engine.address],
-                ["plain", "order-book", plain.address],
-            ].map(([name, service, address]) => ({
-                name,
-                service,
-                dataCentre: "caerdydd-a",
-                url: `http://${address ?? ""}`,
-                slotLimit: 100,
-            })),
-        },
+    const configuration = configurationSchema.parse({
+        regions: [{ name: "de-cymru" }],
+        dataCentres: [{ name: "caerdydd-a", region: "de-cymru" }],
+        shares: [{ name: "standard", weight: 1 }],
+        clientAccounts: [{
+            name: "capel",
+            share: "standard",
+            keyDigests: [createHash("sha256").update("capel-key").digest("hex")],
+            services: ["model-desk", "order-book"],
+        }],
+        services: [
+            { name: "model-desk", kind: "model" },
+            { name: "order-book", kind: "plain", nonRepeatableMethods: ["POST"] },
+        ],
+        targets: [
+            ["engine", "model-desk", engine.address],
+            ["plain", "order-book", plain.address],
+        ].map(([name, service, address]) => ({
+            name,
+            service,
+            dataCentre: "caerdydd-a",
+            url: `http://${address ?? ""}`,
+            slotLimit: 100,
+        })),
     });
+    const computeDigest = (text: string): string => createHash("sha256").update(text).digest("hex");
+    await publishValue(platform, "configuration", buildBundle(configuration, 1, computeDigest));
     await publishValue(platform, "instances", {
         revision: 1,
         instances: daemons.map(daemon => ({
@@ -87,7 +87,7 @@
             dataCentre: "caerdydd-a",
             callerAddress: daemon.address,
             peerAddress: daemon.listening["peerAddress"],
-            operatorAddress: "127.0.0.1:1",
+            operatorAddress: daemon.listening["operatorAddress"],
             state: "live",
         })),
     });
