--- a/test/daemon/nonRepeatable.test.ts
+++ b/test/daemon/nonRepeatable.test.ts
@@ -35,9 +35,7 @@
     const contested = createUuid();
     const race = await Promise.all(daemons.map(daemon => sendPayment(daemon.address, contested)));
     const response = await request(`http://${plain.listening["controlAddress"]}/control/records`);
-    const { arrivals } = await response.body.json() as {
-        readonly arrivals: readonly { readonly idempotencyKey: string; }[];
-    };
+    const arrivals = await response.body.json() as readonly { readonly idempotencyKey: string; }[];
     t.is(arrivals.filter(arrival => arrival.idempotencyKey === key).length, 1);
     const winners = race.filter(({ status }) => status === 200).length;
     t.is(arrivals.filter(arrival => arrival.idempotencyKey === contested).length, winners);
