Measure the gap against a bound from observed slots, costs and rate

It now uses the formula of the product with m, Cmax and R as observed and H as the pool owners report it. Sent and received control bytes are printed apart; refusals, failed calls, counters and the service of each account go to the terminal.

--- /dev/null
+++ b/src/measure/readCounters.ts
@@ -0,0 +1,19 @@
+import type { Fleet } from "../testing/fleet.js";
+import { parseMetrics } from "../testing/parseMetrics.js";
+
+/** Reads the counters of some names, summed over all running daemons, by name and labels. */
+export async function readCounters(
+    fleet: Fleet,
+    names: readonly string[],
+): Promise<ReadonlyMap<string, number>> {
+    const pages = await Promise.all(fleet.daemons.map(daemon => fleet.readOperator(daemon, "/metrics")));
+    const sums = new Map<string, number>();
+    for (const sample of pages.flatMap(page => page === undefined ? [] : parseMetrics(page))) {
+        const name = sample.name.replace(/^baobabspread_/, "");
+        if (names.includes(name)) {
+            const key = [name, ...Object.values(sample.labels)].join("/");
+            sums.set(key, (sums.get(key) ?? 0) + sample.value);
+        }
+    }
+    return sums;
+}
--- a/src/measure/scenarios/measureFairness.ts
+++ b/src/measure/scenarios/measureFairness.ts
@@ -1,14 +1,14 @@
+import { computeGapBound } from "../../core/fairness/computeGapBound.js";
 import { createRandom } from "../../standIns/client/createRandom.js";
 import { createTafOptions } from "../../testing/createTafOptions.js";
 import { Fleet } from "../../testing/fleet.js";
 import { waitForOrders } from "../../testing/waitForOrders.js";
 import type { AccountPlan } from "../accountPlan.js";
-import { answerLength } from "../answerLength.js";
 import { ClientLoad } from "../clientLoad.js";
 import { collectSamples } from "../collectSamples.js";
-import { computeExpectedGapBound } from "../computeExpectedGapBound.js";
 import { computeGaps } from "../computeGaps.js";
 import { computeSlope } from "../computeSlope.js";
+import { computeSlotPeak } from "../computeSlotPeak.js";
 import { computeUse } from "../computeUse.js";
 import { countStarved } from "../countStarved.js";
 import { engineSettings } from "../engineSettings.js";
@@ -16,6 +16,7 @@
 import { formatFigure } from "../formatFigure.js";
 import type { MeasureOptions } from "../measureOptions.js";
 import { planAccounts } from "../planAccounts.js";
+import { readCounters } from "../readCounters.js";
 import { readCpuMs } from "../readCpuMs.js";
 import type { Scenario } from "../scenario.js";
 import { sumMetric } from "../sumMetric.js";
@@ -27,7 +28,11 @@
     readonly engines: readonly string[];
     readonly callsOpen: ReadonlyMap<number, number>;
     readonly cpuMs: number;
-    readonly controlBytes: number | undefined;
+    readonly sentBytes: number;
+    readonly receivedBytes: number;
+    /** Highest H of any pool at the end, in tokens per unit of share. */
+    readonly horizon: number;
+    readonly peak: ReturnType<typeof computeSlotPeak>;
     readonly crossRegionBytes: number | undefined;
     readonly wrongAnswers: number;
     readonly limitBreaches: number;
@@ -46,9 +51,16 @@
 const ENGINE_SLOTS = 8;
 const PLAIN_SERVERS = 3;
 const PLAIN_SLOTS = 8;
-const REQUEST_COST = 20;
-/** Words of the prompt of each call. */
-const PROMPT_TOKENS = 5;
+/** Levels below the root for up to five daemons a data centre in three regions. */
+const TREE_DEPTH = 2;
+const EXCHANGE_INTERVAL_MS = 500;
+/** Counters whose changes show why a figure falls short. */
+const COUNTERS = [
+    "peer_bytes_total",
+    "demand_reports_total",
+    "lease_events_total",
+    "dispatch_decisions_total",
+];
 
 /** Measures the service gap while every account is backlogged. */
 export const measureFairness: Scenario = async options => {
@@ -62,26 +74,31 @@
         run.engines,
         (sample, running) => (run.callsOpen.get(sample.atMs) ?? 0) - running - plainRunning(sample),
     );
-    const bytes = run.controlBytes;
+    options.logProgress(`normalised service: ${describeServices(run.samples, weights)}`);
+    const tokensPerSecond = sumServed(run.samples) / run.elapsedSeconds;
+    const formatRate = (bytes: number): number | undefined =>
+        formatFigure(bytes / run.elapsedSeconds / options.instances, 0);
     return {
         policy: options.policy,
         seed: options.seed,
         instances: options.instances,
         accounts: options.accounts,
         maxGap: formatFigure(Math.max(0, ...gaps.map(point => point.gap)), 0),
-        gapBound: formatFigure(computeBound(), 0),
+        gapBound: formatFigure(computeBound(run, tokensPerSecond), 0),
         gapSlopePerSecond: formatFigure(computeSlope(gaps.map(point => [point.atSeconds, point.gap])), 1),
         utilisation: formatFigure(use.utilisation),
         idleWhileWaitingShare: formatFigure(use.idleWhileWaitingShare),
         starvedAccounts: countStarved(run.samples, Object.keys(weights)),
         limitBreaches: run.limitBreaches,
-        controlBytesPerSecondPerDaemon: bytes === undefined
-            ? undefined
-            : formatFigure(bytes / run.elapsedSeconds / options.instances, 0),
+        sentBytesPerSecondPerDaemon: formatRate(run.sentBytes),
+        receivedBytesPerSecondPerDaemon: formatRate(run.receivedBytes),
+        horizon: formatFigure(run.horizon, 0),
+        maxSlotsPerAccount: run.peak.slots,
+        maxCost: run.peak.cost,
         controlCoreShare: await measureControlShare(options, run),
         crossRegionBytes: run.crossRegionBytes,
         wrongAnswers: run.wrongAnswers,
-        tokensPerSecond: formatFigure(sumServed(run.samples) / run.elapsedSeconds, 0),
+        tokensPerSecond: formatFigure(tokensPerSecond, 0),
         generatorCoreShare: formatFigure(run.generatorCoreShare),
         daemonCpuShare: formatFigure(run.cpuMs / run.elapsedSeconds / 1000 / options.instances),
     };
@@ -118,14 +135,39 @@
         await waitMs(WARM_UP_MS);
         const startMs = Date.now();
         const generatorBefore = process.cpuUsage();
-        const [cpuBefore, bytesBefore] = [await readCpuMs(fleet), await sumMetric(fleet, "peer_bytes_total")];
+        const [cpuBefore, before] = [await readCpuMs(fleet), await readCounters(fleet, COUNTERS)];
         await waitMs(seconds * 1000);
         const elapsedSeconds = (Date.now() - startMs) / 1000;
         const { user, system } = process.cpuUsage(generatorBefore);
-        const [cpuAfter, bytesAfter] = [await readCpuMs(fleet), await sumMetric(fleet, "peer_bytes_total")];
+        const [cpuAfter, after] = [await readCpuMs(fleet), await readCounters(fleet, COUNTERS)];
+        const changes = [...after].map(([key, value]) => [key, value - (before.get(key) ?? 0)] as const);
+        const sumBytes = (direction: string): number =>
+            changes.reduce(
+                (sum, [key, value]) =>
+                    sum + (/^peer_bytes_total/.test(key) && key.endsWith(`/${direction}`) ? value : 0),
+                0,
+            );
         const summaries = await fleet.targets.readSummaries();
         const samples = await collectSamples(fleet.targets);
+        const arrivals = await Promise.all(fleet.targets.names.map(name => fleet.targets.readArrivals(name)));
         const endMs = startMs + elapsedSeconds * 1000;
+        const refusals = fleet.targets.names.flatMap((name, index) =>
+            (arrivals[index] ?? []).filter(arrival => arrival.ending === "refused")
+                .map(arrival => `${name} ${arrival.startMs - startMs} ms`)
+        );
+        options.logProgress(`refused by targets: ${refusals.join(", ") || "none"}`);
+        options.logProgress(JSON.stringify(Object.fromEntries(changes.filter(([, value]) => value !== 0))));
+        const failures = new Map<string, number>();
+        for (const { account, service, code, correct } of load.results) {
+            if (!correct) {
+                const key = `${account} ${service} ${code ?? ""}`;
+                failures.set(key, (failures.get(key) ?? 0) + 1);
+            }
+        }
+        options.logProgress(`failed calls: ${JSON.stringify(Object.fromEntries(failures))}`);
+        const horizons = await Promise.all(
+            fleet.daemons.map(name => fleet.readMetric(name, "baobabspread_horizon_tokens")),
+        );
         const crossRegionBytes = await sumMetric(fleet, "cross_region_bytes_total");
         await load.stop(0);
         return {
@@ -134,7 +176,10 @@
             engines: fleet.targets.names.filter(name => name.startsWith("engine")),
             callsOpen: load.callsOpen,
             cpuMs: cpuAfter - cpuBefore,
-            controlBytes: bytesAfter === undefined ? undefined : bytesAfter - (bytesBefore ?? 0),
+            sentBytes: sumBytes("sent"),
+            receivedBytes: sumBytes("received"),
+            horizon: Math.max(0, ...horizons.map(value => value ?? 0)),
+            peak: computeSlotPeak(arrivals.flat(), startMs, endMs),
             crossRegionBytes,
             wrongAnswers: load.results.filter(result => result.verdict === "wrong").length,
             limitBreaches: summaries.reduce((sum, summary) => sum + summary.breaches, 0),
@@ -147,14 +192,15 @@
     }
 }
 
-function computeBound(): number {
-    const plainRate = PLAIN_SERVERS * PLAIN_SLOTS * REQUEST_COST * 1000 / PLAIN_SERVICE_MS;
-    const engineRate = ENGINES * ENGINE_SLOTS * 1000 / engineSettings.tokenIntervalMs;
-    return computeExpectedGapBound({
-        slots: ENGINES * ENGINE_SLOTS + PLAIN_SERVERS * PLAIN_SLOTS,
-        tokensPerSecond: engineRate + plainRate,
-        depth: 2,
-        maxCost: answerLength.maxTokens + PROMPT_TOKENS,
+/** Bound of the gap by the formula of design 3.1, with m, Cmax and R as observed and H as the owners used it. */
+function computeBound(run: FairnessRun, tokensPerSecond: number): number {
+    return computeGapBound({
+        horizon: run.horizon,
+        slotsPerAccount: run.peak.slots,
+        tokensPerSecond,
+        depth: TREE_DEPTH,
+        exchangeIntervalMs: EXCHANGE_INTERVAL_MS,
+        maxCost: run.peak.cost,
         minShare: 1,
     });
 }
@@ -170,6 +216,18 @@
     return formatFigure(controlMs / 1000 / run.elapsedSeconds / options.instances, 4);
 }
 
+function describeServices(
+    samples: readonly FleetSample[],
+    weights: Readonly<Record<string, number>>,
+): string {
+    return Object.entries(weights).map(([account, weight]) => {
+        const [first, last] = [samples[0], samples.at(-1)].map(sample =>
+            sample?.tokensByAccount.get(account) ?? 0
+        );
+        return `${account} ${Math.round(((last ?? 0) - (first ?? 0)) / weight)}`;
+    }).join(", ");
+}
+
 function sumServed(samples: readonly FleetSample[]): number {
     const sum = (sample: FleetSample | undefined): number =>
         [...sample?.tokensByAccount.values() ?? []].reduce((total, tokens) => total + tokens, 0);
--- a/test/measure/figures.test.ts
+++ b/test/measure/figures.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { computeGaps } from "../../src/measure/computeGaps.js";
 import { computeSlope } from "../../src/measure/computeSlope.js";
+import { computeSlotPeak } from "../../src/measure/computeSlotPeak.js";
 import { computeUse } from "../../src/measure/computeUse.js";
 import { countStarved } from "../../src/measure/countStarved.js";
 import { planFaults } from "../../src/measure/faultTrial/planFaults.js";
@@ -29,6 +30,18 @@
     t.deepEqual(computeUse(samples, ["e"], () => 0), { utilisation: undefined, idleWhileWaitingShare: 0 });
 });
 
+test("the largest number of slots of an account counts a slot that is reused at once only once", t => {
+    const uses = [[0, 10], [5, 15], [10, 20], [30, undefined]].map(([startMs, endMs]) => ({
+        account: "a",
+        startMs: startMs ?? 0,
+        endMs,
+        tokens: 7,
+    }));
+    const other = { account: "b", startMs: 0, endMs: 100, tokens: 9 };
+    t.deepEqual(computeSlotPeak([...uses, other], 0, 50), { slots: 2, cost: 9 });
+    t.deepEqual(computeSlotPeak([...uses, other], 25, 50), { slots: 1, cost: 9 });
+});
+
 test("a seed gives the same faults again", t => {
     const plan = (seed: number): unknown =>
         planFaults({
