--- a/src/core/dispatch/enqueueRequest.ts
+++ b/src/core/dispatch/enqueueRequest.ts
@@ -32,7 +32,7 @@
     const key = buildQueueKey(ticket.account, ticket.service);
     const queue = state.queues.get(key) ?? createQueue(ticket.account, ticket.service);
     const isRetry = ticket.avoidTargets.length > 0;
-    const waitMs = estimateWait(queue, enqueuedAt);
+    const waitMs = estimateWait(queue, enqueuedAt, hasFreeSlots(state, ticket.service, enqueuedAt));
     const retryAfterSeconds = Math.max(1, Math.ceil((waitMs ?? 1000) / 1000));
     if (!isRetry && queue.requests.length >= service.queueLimit) {
         return {
@@ -57,6 +57,14 @@
     return { state: { ...state, queues: new Map(state.queues).set(key, { ...queue, requests }) } };
 }
 
+/** Only pools that this entry reports to count; the number is out of date for the others. */
+function hasFreeSlots(state: DispatchState, service: string, now: number): boolean {
+    return [...state.pools.values()].some(pool =>
+        pool.service === service && pool.freeSlots > 0
+        && (pool.asked || [...pool.leases.values()].some(lease => lease.deadline > now))
+    );
+}
+
 function createQueue(account: string, service: string): RequestQueue {
     return { account, service, requests: [], lastGrantAt: undefined, recentGrants: 0, recentBusyMs: 0 };
 }
--- a/test/core/dispatch/dispatch.test.ts
+++ b/test/core/dispatch/dispatch.test.ts
@@ -105,6 +105,29 @@
     t.is(expireRequests(state, 60_000).expired.length, 15);
 });
 
+test("guards against refusals for a low rate of two requests, or while slots are free", t => {
+    const grants = (recentGrants: number, freeSlots: number): ReturnType<typeof enqueueRequest> => {
+        const facts = makeFacts();
+        let state = addLease(createDispatchState(), "near", 1, { freeSlots });
+        for (let index = 0; index < 30; index += 1) {
+            state = addRequest(state, "account-0", facts);
+        }
+        const queues = new Map(
+            [...state.queues].map(([key, queue]) =>
+                [key, { ...queue, recentGrants, recentBusyMs: 4000 }] as const
+            ),
+        );
+        return enqueueRequest(
+            { ...state, queues },
+            { id: 0, ticket: makeTicket("account-0", { deadline: 5000 }), enqueuedAt: 0 },
+            facts.index,
+        );
+    };
+    t.is(grants(2, 0).refusal, undefined);
+    t.is(grants(8, 100).refusal, undefined);
+    t.is(grants(8, 0).refusal?.reason, "deadline-unreachable");
+});
+
 test("an entry asks its region after 100 ms and other regions after 1 s without a grant", t => {
     const list = (now: number, highest?: number): readonly string[] => {
         const facts = makeFacts(highest === undefined ? {} : { highest });
