Do not count requests on leased slots as foreign work

The owner compared the running requests of a load report with the in-use counts of the entries' newest reports. An entry that had started requests on its leased slots since then made the difference look like foreign work, and the same slots were subtracted twice, as reserved and as foreign. The range of known work now reaches up to the leased slots. The test in test/core/lease/applyLedgerEvent.test.ts failed before: with 8 slots, 6 leased and 7 running, nothing was granted. The share of this fault in the loss of utilisation is not measured apart.

--- a/src/core/lease/applyDemand.ts
+++ b/src/core/lease/applyDemand.ts
@@ -73,7 +73,7 @@
             deadline: before?.deadline ?? 0,
             inUse,
             lowInUse: Math.min(before?.lowInUse ?? 0, inUse),
-            highInUse: Math.max(before?.highInUse ?? 0, inUse),
+            highInUse: Math.max(before?.highInUse ?? 0, before?.reserved ?? 0, inUse),
             coldAnswers,
             busyAnswers,
         };
--- a/src/core/lease/applyTargetLoad.ts
+++ b/src/core/lease/applyTargetLoad.ts
@@ -11,10 +11,10 @@
  * Takes a load report: advances the cold ramp, drops the reservations of silent entries whose lease
  * had ended before the measurement, and estimates the foreign work.
  *
- * The known work at the time of measurement lies between the lowest and the highest that entries
- * reported since the previous load report, so the report allows a range of foreign work. The
- * estimate moves only as far as this range requires; otherwise requests that begin or end around
- * the measurement would appear as foreign work and leave slots idle.
+ * The known work at the time of measurement lies between the lowest that entries reported and the
+ * most that their leases allowed since the previous load report, so the report allows a range of
+ * foreign work. The estimate moves only as far as this range requires; otherwise requests that begin
+ * or end around the measurement would appear as foreign work and leave slots idle.
  */
 export function applyTargetLoad(
     ledger: PoolLedger,
@@ -49,8 +49,10 @@
             continue;
         }
         low += holding.lowInUse;
-        high += holding.highInUse;
-        const next = { ...holding, lowInUse: holding.inUse, highInUse: holding.inUse };
+        // An entry may have started requests on all its slots since its last report.
+        const possible = Math.max(holding.inUse, holding.reserved);
+        high += Math.max(holding.highInUse, possible);
+        const next = { ...holding, lowInUse: holding.inUse, highInUse: possible };
         entries[key] = { ...entry, holdings: { ...entry.holdings, [target]: next } };
     }
     const most = Math.max(0, event.report.running - low);
--- a/src/core/lease/slotHolding.ts
+++ b/src/core/lease/slotHolding.ts
@@ -10,8 +10,9 @@
     readonly deadline: number;
     /** Requests in flight by the newest report. */
     readonly inUse: number;
-    /** Lowest and highest `inUse` since the last load report of the target. */
+    /** Lowest `inUse` since the last load report of the target. */
     readonly lowInUse: number;
+    /** Most requests that can have been in flight since that load report: the highest `inUse` or `reserved`. */
     readonly highInUse: number;
     /** Counters of the entry since its start, see `TargetHolding` in proto/peer.proto. */
     readonly coldAnswers: number;
--- a/test/core/lease/applyLedgerEvent.test.ts
+++ b/test/core/lease/applyLedgerEvent.test.ts
@@ -65,6 +65,16 @@
     t.is(driver.getGranted("a"), 1);
 });
 
+test("guards against slots left idle because requests since an entry's last report count as foreign work", t => {
+    const driver = PoolLedgerDriver.create(8);
+    driver.load(0, 1);
+    driver.report("a", { sequence: 1, waiting: { 1: 4 } }, 2);
+    t.is(driver.getGranted("a"), 6, "four slots and two ahead");
+    driver.load(7, 100);
+    driver.report("b", { sequence: 1, waiting: { 1: 4 } }, 101);
+    t.is(driver.getGranted("b"), 1, "only one of the seven running requests cannot be that of an entry");
+});
+
 test("guards against a return that an entry sent before it saw the newest grant", t => {
     const driver = PoolLedgerDriver.create(2);
     driver.load(0, 1);
