--- a/src/core/fairness/horizonLimits.ts
+++ b/src/core/fairness/horizonLimits.ts
@@ -1,8 +1,8 @@
 /**
- * H of the gap bound in tokens per unit of share: how far above the lowest waiting account of a pool an entry may
- * reuse a slot without asking. It has to exceed what an account receives between two reports. In a trial with 7 daemons, 16
- * accounts, 12 engines and 3 plain targets, all backlogged (about 3,000 tokens/s for each account), entries returned
- * slots all the time at 500 (148 requests/s, 12.6 KB/s of control traffic a daemon) and hardly ever at 10,000
- * (523 requests/s, 3.8 KB/s).
+ * Smallest and largest H in tokens per unit of share. The smallest is a few short requests, because the order
+ * between two accounts is not known more precisely. The largest is enough for about 3,000 tokens/s for each account:
+ * in a trial with 7 daemons, 16 accounts, 12 engines and 3 plain targets at that rate, entries returned slots all the
+ * time at 500 (148 requests/s, 12.6 KB/s of control traffic a daemon) and hardly ever at 10,000 (523 requests/s,
+ * 3.8 KB/s).
  */
-export const horizonSlack = 10_000;
+export const horizonLimits = { min: 100, max: 10_000 } as const;
--- /dev/null
+++ b/src/core/fairness/levelAdvance.ts
@@ -0,0 +1,10 @@
+/** How fast the lowest normalised service of a pool rises. */
+export interface LevelAdvance {
+    /** Newest level in tokens per unit of share, and its monotonic time in milliseconds. */
+    readonly level: number;
+    readonly observedAt: number;
+    /** Rise of the last seconds in tokens per unit of share; older rise counts less. */
+    readonly recentRise: number;
+    /** Time of that rise, weighted in the same way, in milliseconds. */
+    readonly recentMs: number;
+}
--- a/src/core/lease/buildLeaseState.ts
+++ b/src/core/lease/buildLeaseState.ts
@@ -1,4 +1,5 @@
 import { computeGrantable } from "./computeGrantable.js";
+import { findLowestService } from "./findLowestService.js";
 import { isReporting } from "./isReporting.js";
 import type { LeaseGrantState } from "./leaseGrantState.js";
 import type { LedgerPolicy } from "./ledgerPolicy.js";
@@ -10,16 +11,14 @@
     ledger: PoolLedger,
     key: string,
     now: number,
-    policy: LedgerPolicy,
+    policy: Pick<LedgerPolicy, "timings" | "horizonSlack">,
 ): LeaseGrantState {
     const entry = ledger.entries[key];
-    let lowest = Number.POSITIVE_INFINITY;
     let unserved = 0;
     for (const candidate of Object.values(ledger.entries)) {
         if (!isReporting(candidate, now, policy.timings)) {
             continue;
         }
-        lowest = Math.min(lowest, candidate.needs[0]?.normalizedService ?? lowest);
         unserved += listUnservedNeeds(candidate).reduce((sum, need) => sum + need.waiting, 0);
     }
     const free = ledger.recovery
@@ -36,7 +35,8 @@
         leases: Object.entries(entry?.holdings ?? {})
             .filter(([, holding]) => holding.granted > 0 && holding.deadline > now)
             .map(([target, { granted, deadline }]) => ({ target, slots: granted, deadline })),
-        horizon: lowest + policy.horizonSlack,
+        horizon: (findLowestService(ledger, now, policy.timings) ?? Number.POSITIVE_INFINITY)
+            + policy.horizonSlack,
         recovering: ledger.recovery !== undefined,
         freeSlots: Math.max(0, free - unserved),
     };
--- a/src/daemon/actors/aggregationPlace.ts
+++ b/src/daemon/actors/aggregationPlace.ts
@@ -1,7 +1,7 @@
 import type { AggregationTree } from "../../core/fairness/aggregationTree.js";
 import { computeAggregationTree } from "../../core/fairness/computeAggregationTree.js";
 import { computeFairnessLimits } from "../../core/fairness/computeFairnessLimits.js";
-import { horizonSlack } from "../../core/fairness/horizonSlack.js";
+import { horizonLimits } from "../../core/fairness/horizonLimits.js";
 import type { ClusterView } from "../../core/membership/clusterView.js";
 
 interface Place {
@@ -70,7 +70,7 @@
                     configuration: view.index.configuration,
                     depth: listed.depth,
                     exchangeIntervalMs: this.#intervalMs,
-                    horizon: horizonSlack,
+                    horizon: horizonLimits.max,
                 })
                 : { maxLag: Number.POSITIVE_INFINITY, remoteLagThreshold: Number.POSITIVE_INFINITY },
         };
--- a/src/daemon/actors/ownedPool.ts
+++ b/src/daemon/actors/ownedPool.ts
@@ -15,6 +15,7 @@
 import type { DaemonContext } from "../daemonContext.js";
 import { decodeDemand } from "../decodeDemand.js";
 import { encodeLeaseState } from "../encodeLeaseState.js";
+import { PoolHorizon } from "./poolHorizon.js";
 import type { PoolOwnerOptions } from "./poolOwnerOptions.js";
 import { PoolPeers } from "./poolPeers.js";
 import { TargetLoadReader } from "./targetLoadReader.js";
@@ -42,13 +43,14 @@
 
 /** The owner's part in one pool: an actor round its ledger and the timers that feed it. */
 export class OwnedPool {
+    readonly horizon = PoolHorizon.create();
     readonly #options: OwnedPoolOptions;
     readonly #id: PoolId__Output;
     readonly #peers: PoolPeers;
     readonly #loads: TargetLoadReader;
     readonly #actor: Ref<PoolMessage>;
     readonly #timers: readonly NodeJS.Timeout[];
-    #ledger: PoolLedger;
+    ledger: PoolLedger;
     #usedAt: number;
     #isReleased = false;
 
@@ -71,7 +73,7 @@
             onEvent,
         });
         const instances = context.getView().instances.instances.map(instance => instance.name);
-        this.#ledger = createLedger(
+        this.ledger = createLedger(
             options.fencingNumber,
             options.sequence,
             now + policy.timings.termMs,
@@ -83,7 +85,7 @@
             (ledger: PoolLedger, message: PoolMessage) => this.#receive(ledger, message),
             `pool-${service}-${dataCentre}-${options.fencingNumber}`,
             {
-                initialState: this.#ledger,
+                initialState: this.ledger,
                 onCrash: (_message, error, { resume }) => {
                     context.logger.error("pool-failed", { service, dataCentre, error: String(error) });
                     return resume;
@@ -149,12 +151,12 @@
             clearInterval(timer);
         }
         stop(this.#actor);
-        this.#options.onRelease(this.#ledger.sequence);
+        this.#options.onRelease(this.ledger.sequence);
         const { context, options } = this.#options;
-        const isIdle = isLedgerIdle(this.#ledger, context.getNow(), options.policy.timings.marginMs);
+        const isIdle = isLedgerIdle(this.ledger, context.getNow(), options.policy.timings.marginMs);
         this.#record({ type: "record", reason: isIdle ? "pool-released" : "pool-left-to-expire", count: 1 });
         if (isIdle) {
-            await this.#peers.releaseSlots(Object.keys(this.#ledger.loans));
+            await this.#peers.releaseSlots(Object.keys(this.ledger.loans));
         }
     }
 
@@ -169,7 +171,7 @@
         const now = context.getNow();
         const { event } = message;
         const result = applyLedgerEvent(ledger, event, now, options.policy);
-        this.#ledger = result.state;
+        this.ledger = result.state;
         const reporter = event.type === "demand"
             ? buildEntryKey(event.instance, event.incarnation)
             : undefined;
@@ -182,7 +184,7 @@
             const entry = result.state.entries[effect.entry];
             if (entry && !told.has(effect.entry)) {
                 told.add(effect.entry);
-                this.#peers.pushLease(entry.instance, () => this.#makeState(this.#ledger, effect.entry));
+                this.#peers.pushLease(entry.instance, () => this.#makeState(this.ledger, effect.entry));
             }
         }
         message.resolve?.(result.state);
@@ -193,7 +195,8 @@
     #makeState(ledger: PoolLedger, key: string): LeaseState {
         const { context, options } = this.#options;
         const now = context.getNow();
-        const state = buildLeaseState(ledger, key, now, options.policy);
+        const policy = { ...options.policy, horizonSlack: this.horizon.slack };
+        const state = buildLeaseState(ledger, key, now, policy);
         return encodeLeaseState(this.#id, context.identity, state, now);
     }
 
@@ -204,12 +207,13 @@
         const isFirst = listOwners(context.getView(), service, dataCentre)[0] === context.identity.instance;
         // A daemon that stood in for the owner makes room as soon as the entries have gone back to it.
         const idleMs = isFirst ? options.idleMs : Math.min(options.idleMs, termMs + marginMs);
-        if (now - this.#usedAt > idleMs && isLedgerIdle(this.#ledger, now, marginMs)) {
+        if (now - this.#usedAt > idleMs && isLedgerIdle(this.ledger, now, marginMs)) {
             void this.close();
             return;
         }
+        this.horizon.observe(this.ledger, now, options.policy.timings);
         this.#send({ event: { type: "tick" } });
-        this.#loads.pollTargets(this.#ledger.targets);
+        this.#loads.pollTargets(this.ledger.targets);
     }
 
     #record(
--- /dev/null
+++ b/src/daemon/actors/poolHorizon.ts
@@ -0,0 +1,28 @@
+import { computeHorizonSlack } from "../../core/fairness/computeHorizonSlack.js";
+import type { LevelAdvance } from "../../core/fairness/levelAdvance.js";
+import { observeLevel } from "../../core/fairness/observeLevel.js";
+import { findLowestService } from "../../core/lease/findLowestService.js";
+import type { LeaseTimings } from "../../core/lease/leaseTimings.js";
+import type { PoolLedger } from "../../core/lease/poolLedger.js";
+
+/** Measures how fast the lowest normalised service of a pool rises. */
+export class PoolHorizon {
+    #advance: LevelAdvance | undefined;
+
+    private constructor() {}
+
+    /** Creates the measurement for a pool that has just been taken over. */
+    static create(): PoolHorizon {
+        return new PoolHorizon();
+    }
+
+    /** H in tokens per unit of share. */
+    get slack(): number {
+        return computeHorizonSlack(this.#advance);
+    }
+
+    /** Takes the level of the ledger at a monotonic time in milliseconds. */
+    observe(ledger: PoolLedger, now: number, timings: LeaseTimings): void {
+        this.#advance = observeLevel(this.#advance, findLowestService(ledger, now, timings), now);
+    }
+}
--- a/src/daemon/actors/poolOwner.ts
+++ b/src/daemon/actors/poolOwner.ts
@@ -1,8 +1,10 @@
 import { fetchLoad } from "../../adapters/target/fetchLoad.js";
 import { OwnerClosingError } from "../../core/errors/ownerClosingError.js";
-import { horizonSlack } from "../../core/fairness/horizonSlack.js";
+import { horizonLimits } from "../../core/fairness/horizonLimits.js";
 import { defaultLeaseTimings } from "../../core/lease/defaultLeaseTimings.js";
 import { pickLowestService } from "../../core/lease/pickLowestService.js";
+import type { PoolLedger } from "../../core/lease/poolLedger.js";
+import { sumSpare } from "../../core/lease/sumSpare.js";
 import type { DemandReport__Output } from "../../transport/generated/baobabspread/peer/DemandReport.js";
 import type { LeaseState } from "../../transport/generated/baobabspread/peer/LeaseState.js";
 import type { DaemonContext } from "../daemonContext.js";
@@ -12,7 +14,7 @@
 const DEFAULT_OPTIONS: PoolOwnerOptions = {
     policy: {
         timings: defaultLeaseTimings,
-        horizonSlack,
+        horizonSlack: horizonLimits.min,
         aheadSlots: 2,
         pickNeediest: pickLowestService,
     },
@@ -35,6 +37,29 @@
     private constructor(context: DaemonContext, options: PoolOwnerOptions) {
         this.#context = context;
         this.#options = options;
+        context.metrics.registerGauge(
+            "horizon_tokens",
+            "Highest H of the owned pools in tokens per unit of share.",
+            () => Math.max(0, ...[...this.#pools.values()].map(pool => pool.horizon.slack)),
+        );
+        const sumPools = (count: (ledger: PoolLedger) => number): number =>
+            [...this.#pools.values()].reduce((sum, pool) => sum + count(pool.ledger), 0);
+        context.metrics.registerGauge(
+            "foreign_work_requests",
+            "Requests at targets of owned pools that no entry reports; their slots are not granted.",
+            () =>
+                sumPools(ledger =>
+                    Object.values(ledger.targets).reduce((sum, slots) => sum + slots.foreign, 0)
+                ),
+        );
+        context.metrics.registerGauge(
+            "unused_leased_slots",
+            "Leased slots of owned pools without a request in the newest reports.",
+            () =>
+                sumPools(ledger =>
+                    Object.values(ledger.entries).reduce((sum, entry) => sum + sumSpare(entry), 0)
+                ),
+        );
         context.subscribeView(() => {
             for (const pool of this.#pools.values()) {
                 pool.updateTargets();
--- a/src/measure/scenarios/measureFairness.ts
+++ b/src/measure/scenarios/measureFairness.ts
@@ -168,6 +168,9 @@
         const horizons = await Promise.all(
             fleet.daemons.map(name => fleet.readMetric(name, "baobabspread_horizon_tokens")),
         );
+        for (const gauge of ["foreign_work_requests", "unused_leased_slots"]) {
+            options.logProgress(`${gauge} at the end: ${await sumMetric(fleet, gauge) ?? "not served"}`);
+        }
         const crossRegionBytes = await sumMetric(fleet, "cross_region_bytes_total");
         await load.stop(0);
         return {
--- /dev/null
+++ b/test/core/fairness/horizon.test.ts
@@ -0,0 +1,28 @@
+import test from "ava";
+import { computeHorizonSlack } from "../../../src/core/fairness/computeHorizonSlack.js";
+import { horizonLimits } from "../../../src/core/fairness/horizonLimits.js";
+import type { LevelAdvance } from "../../../src/core/fairness/levelAdvance.js";
+import { observeLevel } from "../../../src/core/fairness/observeLevel.js";
+
+function observeRate(tokensPerSecond: number): LevelAdvance | undefined {
+    let advance: LevelAdvance | undefined;
+    for (let now = 0; now <= 20_000; now += 250) {
+        advance = observeLevel(advance, tokensPerSecond * now / 1000, now);
+    }
+    return advance;
+}
+
+test("guards against a horizon of minutes of service in a slow fleet and of no time in a fast one", t => {
+    const [slow, fast] = [computeHorizonSlack(observeRate(100)), computeHorizonSlack(observeRate(1000))];
+    t.true(Math.abs(fast / slow - 10) < 0.001);
+    t.true(slow >= 100 && slow <= 1000);
+    t.is(computeHorizonSlack(observeRate(100_000)), horizonLimits.max);
+    t.is(computeHorizonSlack(observeRate(1)), horizonLimits.min);
+    t.is(computeHorizonSlack(undefined), horizonLimits.min);
+});
+
+test("guards against a horizon that falls while nobody waits", t => {
+    const before = observeRate(200);
+    const idle = observeLevel(before, undefined, 60_000);
+    t.is(computeHorizonSlack(idle), computeHorizonSlack(before));
+});
