Ask seed peers after a start and call a platform that went back less often

A daemon that starts while the platform is down gets no instance list, knows no peers and never becomes ready. With the setting peerSeeds it fetches the list and the configuration from a few peers by address. Seeds are also asked before the platform is trusted, because a stale platform may list peers that are gone.

A platform that went back answers each watch at once with an older value, which was read every 50 ms. The next watch now starts 0.5 to 1 s later.

--- a/src/daemon/actors/configurationKeeper.ts
+++ b/src/daemon/actors/configurationKeeper.ts
@@ -18,11 +18,11 @@
 import { hashText } from "../keeper/hashText.js";
 import { hasSameView } from "../keeper/hasSameView.js";
 import { initialKeeperState } from "../keeper/initialKeeperState.js";
-import type { KeeperEffect } from "../keeper/keeperEffect.js";
 import type { KeeperMessage } from "../keeper/keeperMessage.js";
 import type { KeeperState } from "../keeper/keeperState.js";
 import { PeerChecker } from "../keeper/peerChecker.js";
 import { PlatformWatcher } from "../keeper/platformWatcher.js";
+import { reportKeeperEffect } from "../keeper/reportKeeperEffect.js";
 import type { PeerCaller } from "../peerCaller.js";
 
 interface ConfigurationKeeperOptions {
@@ -80,13 +80,20 @@
         return new ConfigurationKeeper(options);
     }
 
-    /** Starts reading; `peers` serves to learn revisions from other daemons. */
-    start(peers: PeerCaller): void {
+    /**
+     * Starts reading.
+     *
+     * @param peers Calls other daemons by name, to learn revisions from them.
+     * @param seedCaller Calls them by address, for the seeds of the settings.
+     */
+    start(peers: PeerCaller, seedCaller: PeerCaller): void {
         const { settings, getNow, getRandom } = this.#options;
         this.#checker = PeerChecker.create({
             instance: settings.instance,
             dataCentre: settings.dataCentre,
             peers,
+            seeds: settings.peerSeeds,
+            seedCaller,
             intervalMs: settings.peerCheckIntervalMs,
             getState: () => this.#state,
             getView: () => this.#view,
@@ -100,6 +107,7 @@
             },
             signal: this.#abort.signal,
         });
+        void this.#checker.fetchFromSeeds();
         void this.#startWatcher("configuration", value => {
             const check = checkPublishedBundle(value, { hashText, decodeText });
             dispatch(this.#actor, { type: "offered", source: "platform", check });
@@ -221,7 +229,7 @@
         const result = applyKeeperMessage(state, message, this.#options.getNow());
         this.#state = result.state;
         for (const effect of result.effects) {
-            this.#reportEffect(effect);
+            reportKeeperEffect(effect, this.#options.metrics, this.#options.logger);
         }
         if (!hasSameView(state, result.state)) {
             this.#updateView(result.state);
@@ -247,24 +255,4 @@
             listener(this.#view);
         }
     }
-
-    #reportEffect(effect: KeeperEffect): void {
-        const { metrics, logger } = this.#options;
-        switch (effect.type) {
-            case "adopted":
-                metrics.count("configuration_events_total", { reason: "adopted" });
-                logger.info("configuration-adopted", { revision: effect.bundle.revision });
-                return;
-            case "rejected":
-                metrics.count("configuration_events_total", { reason: "rejected" });
-                logger.warn("configuration-rejected", { ...effect.rejection });
-                return;
-            case "ignored":
-                metrics.count("configuration_events_total", { reason: effect.reason });
-                return;
-            default:
-                metrics.count("suspicions_total", { reason: effect.type });
-                logger.info(`peer-${effect.type}`, { peer: effect.instance });
-        }
-    }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -27,6 +27,7 @@
 import { waitForRetry } from "./execution/waitForRetry.js";
 import { LoopbackCaller } from "./loopbackCaller.js";
 import { PeerDirectory } from "./peerDirectory.js";
+import { SeedCaller } from "./seedCaller.js";
 import { sendLeavingNotice } from "./sendLeavingNotice.js";
 
 interface DaemonAddresses {
@@ -190,7 +191,10 @@
             explainAccount: (account, limit) => decisions.explainAccount(account, limit),
             onError: error => logger.error("operator-page-failed", { error: String(error) }),
         });
-        keeper.start(context.peers);
+        keeper.start(
+            context.peers,
+            SeedCaller.create({ client: peerClient, addressMap: settings.addressMap }),
+        );
         return new Daemon({
             context,
             keeper,
--- a/src/daemon/daemonSettingsSchema.ts
+++ b/src/daemon/daemonSettingsSchema.ts
@@ -27,6 +27,11 @@
     silenceLimitMs: z.int().min(100).default(5000),
     /** Addresses (host:port) to connect to instead of published ones, for hosts behind address translation. */
     addressMap: z.record(z.string(), address).default({}),
+    /**
+     * Peer addresses (host:port) of a few other daemons. After a start they are asked for the configuration and the
+     * instance list, with the peers that the platform lists; without a list they are the only known peers.
+     */
+    peerSeeds: z.array(address).max(16).default([]),
     /** How slots are shared: `fleet` is the product, `local` and `fifo` are baselines for measurements. */
     policy: z.enum(["fleet", "local", "fifo"]).default("fleet"),
     /** Time for which callers may use an answer of `GET /v1/entries`, in milliseconds; the same everywhere. */
--- a/src/daemon/keeper/peerChecker.ts
+++ b/src/daemon/keeper/peerChecker.ts
@@ -15,6 +15,10 @@
     readonly instance: string;
     readonly dataCentre: string;
     readonly peers: PeerCaller;
+    /** Addresses of daemons that are asked after the start, whatever the instance list shows. */
+    readonly seeds: readonly string[];
+    /** Calls daemons by address instead of name. */
+    readonly seedCaller: PeerCaller;
     /** Time between two checks in milliseconds. */
     readonly intervalMs: number;
     readonly getState: () => KeeperState;
@@ -70,20 +74,31 @@
         }
     }
 
-    /** Asks several peers what they have, after the start and before the platform is trusted. */
+    /** Asks the seeds until an instance list is known, from them or from the platform. */
+    async fetchFromSeeds(): Promise<void> {
+        const { seeds, signal, intervalMs, getState } = this.#options;
+        while (seeds.length > 0 && !signal.aborted && getState().instances.revision < 0) {
+            await this.fetchFromSeveral();
+            await wait(intervalMs, undefined, { signal }).catch(() => undefined);
+        }
+    }
+
+    /** Asks the seeds and several peers what they have, after the start and before the platform is trusted. */
     async fetchFromSeveral(): Promise<void> {
         const others = this.#options.getView().instances.instances
             .filter(instance => instance.name !== this.#options.instance && instance.state === "live");
+        const names = [...this.#options.seeds, ...this.#pickPeers(others).map(({ name }) => name)];
         const answers = await Promise.all(
-            this.#pickPeers(others).map(async ({ name }) => ({
-                name,
-                version: await this.#fetch(name, HIGHEST_VERSION),
-            })),
+            names.map(async name => ({ name, version: await this.#fetch(name, HIGHEST_VERSION) })),
         );
         const known = answers
             .flatMap(({ name, version }) => version && version.revision > 0 ? [{ name, version }] : [])
             .sort((a, b) => compareBundles(b.version, a.version));
-        for (const { name } of known) {
+        for (const { name, version } of known) {
+            const { held } = this.#options.getState().adoption;
+            if (held && compareBundles(held, version) >= 0) {
+                return;
+            }
             if (await this.#fetch(name, NO_VERSION)) {
                 return;
             }
@@ -156,7 +171,9 @@
     async #fetch(instance: string, known: ConfigurationVersion): Promise<ConfigurationVersion | undefined> {
         const { adoption, instances } = this.#options.getState();
         const base = adoption.inForce;
-        const reply = await this.#options.peers.send(instance, "FetchConfiguration", {
+        const { peers, seeds, seedCaller } = this.#options;
+        const caller = seeds.includes(instance) ? seedCaller : peers;
+        const reply = await caller.send(instance, "FetchConfiguration", {
             knownRevision: known.revision,
             knownDigest: known.digest,
             knownInstanceListRevision: Math.max(0, instances.revision),
--- a/src/daemon/keeper/platformWatcher.ts
+++ b/src/daemon/keeper/platformWatcher.ts
@@ -25,6 +25,11 @@
 const IDLE_CHECK_MS = 200;
 /** Keeps a platform that answers at once from being called in a tight loop. */
 const MIN_CALL_INTERVAL_MS = 50;
+/**
+ * A platform that went back answers every watch at once with an older value of up to 1 MB. The wait until the
+ * next watch is one to two times this, which leaves time to pass a change on within 4 s.
+ */
+const OLDER_VALUE_INTERVAL_MS = 500;
 const FIRST_RETRY_MS = 200;
 /** With 1,100 daemons, two values and full jitter this makes 1,500 calls/s while the platform is down. */
 const MAX_RETRY_MS = 3000;
@@ -60,11 +65,11 @@
             // A rejected value is not in force, but must not be sent again and again.
             const after = Math.max(this.#seenRevision, this.#options.getRevision());
             const value = await platform.watch(name, after, watchMs, signal);
-            if (value !== undefined) {
-                this.#take(value);
-            }
+            const revision = value === undefined ? undefined : this.#take(value);
             this.#failures = 0;
-            return MIN_CALL_INTERVAL_MS;
+            return revision === undefined || revision > after
+                ? MIN_CALL_INTERVAL_MS
+                : OLDER_VALUE_INTERVAL_MS * (1 + this.#options.getRandom());
         }
         catch (error) {
             if (!signal.aborted) {
@@ -76,11 +81,12 @@
         }
     }
 
-    #take(value: unknown): void {
+    #take(value: unknown): number {
         const revision = this.#options.onValue(value);
         if (revision === undefined) {
             throw PlatformError.create(this.#options.name, "the value has no revision");
         }
         this.#seenRevision = Math.max(this.#seenRevision, revision);
+        return revision;
     }
 }
--- a/test/daemon/keeper/peerChecker.test.ts
+++ b/test/daemon/keeper/peerChecker.test.ts
@@ -44,7 +44,11 @@
     readonly useless: string[] = [];
     readonly checker: PeerChecker;
 
-    private constructor(state: KeeperState, answers: Readonly<Record<string, Answer>>) {
+    private constructor(
+        state: KeeperState,
+        answers: Readonly<Record<string, Answer>>,
+        seeds: readonly string[],
+    ) {
         this.state = state;
         const peers = {
             send: (instance: string, _method: string, message: ConfigurationRequest__Output) => {
@@ -57,6 +61,8 @@
             instance: "a",
             dataCentre: "caerdydd-a",
             peers: peers as unknown as PeerCaller,
+            seeds,
+            seedCaller: peers as unknown as PeerCaller,
             intervalMs: 1,
             getState: () => this.state,
             getView: () => this.#buildView(),
@@ -71,8 +77,12 @@
         });
     }
 
-    static create(state: KeeperState, answers: Readonly<Record<string, Answer>>): CheckerHarness {
-        return new CheckerHarness(state, answers);
+    static create(
+        state: KeeperState,
+        answers: Readonly<Record<string, Answer>>,
+        seeds: readonly string[] = [],
+    ): CheckerHarness {
+        return new CheckerHarness(state, answers, seeds);
     }
 
     get revision(): number | undefined {
@@ -145,3 +155,29 @@
     t.deepEqual(harness.forms, ["b:none", "c:none", "b:full", "c:full"]);
     t.is(harness.state.adoption.held?.revision, 1);
 });
+
+// A daemon that starts while the platform is down has no list and so no peers.
+test("without an instance list the seeds are asked until one has a list and the bundle", async t => {
+    let calls = 0;
+    const serve = serveState(makeState([2]));
+    const seed = "10.0.0.2:7000";
+    const harness = CheckerHarness.create(initialKeeperState, {
+        [seed]: request => {
+            calls += 1;
+            return calls < 3 ? { form: "none", body: "", instanceList: "", revision: 0 } : serve(request);
+        },
+    }, [seed]);
+    await harness.checker.fetchFromSeeds();
+    t.deepEqual([harness.state.adoption.held?.revision, harness.state.instances.revision], [2, 1]);
+});
+
+// The platform may show a stale list and bundle to a daemon that has restarted.
+test("seeds are asked before the platform is trusted, also when the list has other peers", async t => {
+    const start = { ...initialKeeperState, instances: makeState([]).instances };
+    const harness = CheckerHarness.create(start, {
+        "b": serveState(makeState([1])),
+        "10.0.0.2:7000": serveState(makeState([3])),
+    }, ["10.0.0.2:7000"]);
+    await harness.checker.fetchFromSeveral();
+    t.is(harness.state.adoption.held?.revision, 3);
+});
--- a/test/daemon/keeper/platformWatcher.test.ts
+++ b/test/daemon/keeper/platformWatcher.test.ts
@@ -48,3 +48,36 @@
         "platform-call-failed",
     ]);
 });
+
+// A platform that went back answers every watch at once; without a pause that is a call every 50 ms.
+test("a platform that answers with an older value is asked again only after half a second", async t => {
+    const askedAt: number[] = [];
+    const abort = new AbortController();
+    const server = createServer((_, response) => {
+        askedAt.push(performance.now());
+        response.end('{"r":2}');
+        if (askedAt.length === 3) {
+            abort.abort();
+        }
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.teardown(() => {
+        server.closeAllConnections();
+        server.close();
+    });
+    await PlatformWatcher.create({
+        platform: PlatformClient.create(`http://127.0.0.1:${(server.address() as AddressInfo).port}`),
+        name: "configuration",
+        watchMs: 1000,
+        isNeeded: () => true,
+        getRevision: () => 3,
+        onValue: value => (value as { readonly r?: number; }).r,
+        onCall: () => undefined,
+        onFailure: error => t.fail(String(error)),
+        getRandom: () => 0,
+        signal: abort.signal,
+    }).run();
+    const intervals = askedAt.slice(1).map((at, index) => at - (askedAt[index] ?? 0));
+    // Timers may fire up to a millisecond early; the interval has no upper bound here.
+    t.true(intervals.every(interval => interval >= 495), intervals.join(", "));
+});
