Keep reusable slots of a target that turned cold within its limit

When the limit of a target falls, the grants were lowered to the limit without regard to the work in flight above them. The entry that kept the last slot then started a request each time one of its own ended, while those of other entries still filled the target. A grant is now kept only if the target bears it beside the work of all other entries.

Ruled out: late pushes. Every entry whose lease is lowered is told at once.

--- a/src/core/lease/limitGrants.ts
+++ b/src/core/lease/limitGrants.ts
@@ -6,20 +6,20 @@
 import { replaceHolding } from "./replaceHolding.js";
 
 /**
- * Lowers leases of targets whose limit has fallen below what is granted, unused slots first. The
+ * Lowers leases of targets whose limit has fallen below what is granted or in use, unused slots first. The
  * slots stay reserved until the entries confirm.
+ *
+ * Work in flight above the lowered grants still occupies the target. An entry keeps a slot that it may reuse only
+ * if the target can handle that beside the work of the other entries; a target that turned cold with 8 requests in
+ * flight otherwise got a new one each time the entry with the last slot finished one.
  */
 export function limitGrants(ledger: PoolLedger, now: number, policy: LedgerPolicy): LedgerResult {
     let state: PoolLedger = { ...ledger, sequence: ledger.sequence + 1 };
     const effects: LedgerEffect[] = [];
     for (const target of Object.keys(ledger.targets)) {
         const ceiling = computeSlotCeiling(ledger, target, now, policy.timings);
-        let excess = -ceiling;
-        for (const entry of Object.values(ledger.entries)) {
-            excess += entry.holdings[target]?.granted ?? 0;
-        }
-        while (excess > 0) {
-            const key = findLargestHolder(state, target);
+        for (;;) {
+            const key = findExcessHolder(state, target, ceiling);
             const holding = key === undefined ? undefined : state.entries[key]?.holdings[target];
             if (key === undefined || !holding) {
                 break;
@@ -32,23 +32,18 @@
             if (!effects.some(effect => effect.type === "push" && effect.entry === key)) {
                 effects.push({ type: "push", entry: key });
             }
-            excess -= 1;
         }
     }
     return effects.length > 0 ? { state, effects } : { state: ledger, effects };
 }
 
-function findLargestHolder(ledger: PoolLedger, target: string): string | undefined {
-    let best: { readonly key: string; readonly unused: number; readonly granted: number; } | undefined;
-    for (const [key, entry] of Object.entries(ledger.entries)) {
-        const holding = entry.holdings[target];
-        if (!holding || holding.granted === 0) {
-            continue;
-        }
-        const unused = holding.granted - holding.inUse;
-        if (!best || unused > best.unused || (unused === best.unused && holding.granted > best.granted)) {
-            best = { key, unused, granted: holding.granted };
-        }
-    }
-    return best?.key;
+/** Returns the entry to take a slot from: one whose slots, beside the work of the others, exceed the ceiling. */
+function findExcessHolder(ledger: PoolLedger, target: string, ceiling: number): string | undefined {
+    const holdings = Object.entries(ledger.entries).flatMap(([key, { holdings: { [target]: holding } }]) =>
+        holding ? [{ key, ...holding }] : []
+    );
+    const occupied = holdings.reduce((sum, { granted, inUse }) => sum + Math.max(granted, inUse), 0);
+    return holdings
+        .filter(({ granted, inUse }) => granted > 0 && occupied - Math.max(0, inUse - granted) > ceiling)
+        .sort((a, b) => (b.granted - b.inUse) - (a.granted - a.inUse) || b.granted - a.granted)[0]?.key;
 }
--- a/test/core/lease/applyLedgerEvent.test.ts
+++ b/test/core/lease/applyLedgerEvent.test.ts
@@ -106,6 +106,23 @@
     t.is(computeGrantable(driver.state, "1", 6, timings), 0);
 });
 
+test("guards against a slot that is reused while the work of other entries already fills a cold target", t => {
+    const driver = PoolLedgerDriver.create(8, 8, 1);
+    for (const now of [1, 2, 3, 4]) {
+        driver.load(0, now);
+    }
+    driver.report("a", { sequence: 1, waiting: { 1: 4 } }, 5);
+    driver.report("b", { sequence: 1, waiting: { 1: 4 } }, 5);
+    driver.report("a", { sequence: 2, held: 4, inUse: 4 }, 6);
+    driver.report("b", { sequence: 2, held: 4, inUse: 4, coldAnswers: 1 }, 6);
+    t.deepEqual([driver.getGranted("a"), driver.getGranted("b")], [0, 0]);
+    // The work has ended and both have confirmed their lower leases, so the one slot is granted again.
+    const appliedSequence = driver.state.sequence;
+    driver.report("a", { sequence: 3, appliedSequence }, 7);
+    driver.report("b", { sequence: 3, appliedSequence, waiting: { 1: 1 } }, 7);
+    t.deepEqual([driver.getGranted("a"), driver.getGranted("b")], [0, 1]);
+});
+
 test("guards against a new owner that grants before the instances have told their holdings", t => {
     const driver = PoolLedgerDriver.create(2);
     const pending = ["a", "c"];
