Reach targets by the address map; claim again while holders are unreachable

addressMap applies to requests and load reads, so the fault proxy can cut, slow and reset the links to targets.

Non-repeatable requests get a new connection each: a target that closes a pooled connection at the moment of the write leaves the outcome open.

Limit breaches: the owner kept the warm limit of a crashed target for 2 s, so entries used their slots at its restart. A refused load read now lowers the target to its cold limit at once. A load report with lag, measured before a cold answer, doubled the limit that this answer had lowered; it no longer does.

The coordinator asks the same attempt again for up to 4 s if unreachable holders, or holders with another view, can complete the quorum.

The target stand-in counted a change to cold as shown when it set the header of an answer; it now does so when the head is sent, and records each breach. fetchLoad names a refused connection, so its test expects `refused` there.

Ruled out for the breaches: cold changes that no answer had shown; these are counted apart.

--- a/src/adapters/target/targetClient.ts
+++ b/src/adapters/target/targetClient.ts
@@ -1,6 +1,7 @@
 import { Agent, type Dispatcher } from "undici";
 import type { AnswerSink } from "./answerSink.js";
 import type { AttemptResult } from "./attemptResult.js";
+import { mapTargetUrl } from "./mapTargetUrl.js";
 import { TargetAttempt } from "./targetAttempt.js";
 import type { TargetOrder } from "./targetOrder.js";
 
@@ -11,26 +12,36 @@
     readonly stallTimeoutMs?: number;
     /** Longest wait for a connection in milliseconds. @default 1000 */
     readonly connectTimeoutMs?: number;
+    /** Published host:port of a target to the one to connect to. @default {} */
+    readonly addressMap?: Readonly<Record<string, string>>;
 }
 
 const DEFAULT_STALL_TIMEOUT_MS = 10_000;
 /** A start deadline lies at most one lease term (2 s) ahead; a slower connection would miss it. */
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 
-/** Sends requests to targets over pooled connections; each connection carries one request at a time. */
+/**
+ * Sends requests to targets; each connection carries one request at a time. Connections of repeatable requests are
+ * pooled. A target may close a pooled connection at the moment of a write, which leaves open whether it ran the request.
+ */
 export class TargetClient {
-    readonly #agent: Agent;
+    readonly #pooled: Agent;
+    /** Opens one connection for each request. */
+    readonly #unpooled: Agent;
+    readonly #addressMap: Readonly<Record<string, string>>;
     readonly #getNow: () => number;
 
     private constructor(options: TargetClientOptions) {
         this.#getNow = options.getNow;
-        this.#agent = new Agent({
-            pipelining: 1,
+        this.#addressMap = options.addressMap ?? {};
+        const connection = {
             // The deadline of the request limits the wait for the head of an answer.
             headersTimeout: 0,
             bodyTimeout: options.stallTimeoutMs ?? DEFAULT_STALL_TIMEOUT_MS,
             connect: { timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
-        });
+        };
+        this.#pooled = new Agent({ ...connection, pipelining: 1 });
+        this.#unpooled = new Agent({ ...connection, pipelining: 0 });
     }
 
     /** Creates a client without connections. */
@@ -48,7 +59,7 @@
                 getNow: this.#getNow,
                 onEnd: resolve,
             });
-            const base = new URL(order.target.url);
+            const base = mapTargetUrl(order.target.url, this.#addressMap);
             const options: Dispatcher.DispatchOptions = {
                 origin: base.origin,
                 path: `${base.pathname.replace(/\/$/, "")}${order.path}`,
@@ -57,7 +68,7 @@
                 body: order.body ?? null,
             };
             try {
-                this.#agent.dispatch(options, attempt);
+                (order.isRepeatable ? this.#pooled : this.#unpooled).dispatch(options, attempt);
             }
             catch (error) {
                 attempt.onResponseError(undefined, error as Error);
@@ -67,6 +78,6 @@
 
     /** Closes all connections. */
     async close(): Promise<void> {
-        await this.#agent.destroy();
+        await Promise.all([this.#pooled.destroy(), this.#unpooled.destroy()]);
     }
 }
--- a/src/adapters/target/targetOrder.ts
+++ b/src/adapters/target/targetOrder.ts
@@ -12,4 +12,6 @@
     readonly body: Uint8Array | undefined;
     /** Monotonic time in milliseconds after which the request may no longer be written. */
     readonly startDeadline: number;
+    /** False gives the request a new connection. */
+    readonly isRepeatable: boolean;
 }
--- a/src/core/lease/applyDemand.ts
+++ b/src/core/lease/applyDemand.ts
@@ -47,7 +47,7 @@
     };
     // The counters of an entry that was not known before say nothing about the present.
     const observed = known && known.reportSequence > 0
-        ? observeAnswers(state, known, report.holdings)
+        ? observeAnswers(state, known, report.holdings, now)
         : { state, effects: [] };
     return {
         state: renewLeases(observed.state, key, now, policy),
@@ -88,6 +88,7 @@
     ledger: PoolLedger,
     known: EntryState,
     holdings: Readonly<Record<string, ReportedHolding>>,
+    now: number,
 ): LedgerResult {
     let state = ledger;
     const effects: LedgerEffect[] = [];
@@ -98,7 +99,7 @@
         if (!slots?.load || (!isCold && reported.busyAnswers <= before.busyAnswers)) {
             continue;
         }
-        const load = limitLoad(slots.load, isCold ? "cold" : "busy", slots.coldLimit);
+        const load = limitLoad(slots.load, isCold ? "cold" : "busy", slots.coldLimit, now);
         state = { ...state, targets: { ...state.targets, [target]: { ...slots, load } } };
         effects.push({ type: "record", reason: isCold ? "target-cold" : "target-busy", count: 1, target });
     }
--- a/src/core/lease/applyLedgerEvent.ts
+++ b/src/core/lease/applyLedgerEvent.ts
@@ -1,6 +1,7 @@
 import { applyDemand } from "./applyDemand.js";
 import { applyHoldings } from "./applyHoldings.js";
 import { applyLoan } from "./applyLoan.js";
+import { applyRefusedLoad } from "./applyRefusedLoad.js";
 import { applyTargetLoad } from "./applyTargetLoad.js";
 import { buildEntryKey } from "./buildEntryKey.js";
 import { endRecovery } from "./endRecovery.js";
@@ -52,6 +53,8 @@
             return { state: applyLoan(ledger, event, now), effects: [] };
         case "load":
             return applyTargetLoad(ledger, event, policy.timings);
+        case "load-refused":
+            return applyRefusedLoad(ledger, event.target, now);
         case "tick":
             return { state: expireRecords(ledger, now, policy), effects: [] };
     }
--- a/src/core/lease/applyLoadReport.ts
+++ b/src/core/lease/applyLoadReport.ts
@@ -4,7 +4,8 @@
 
 /**
  * Advances the cold ramp of a target: a new epoch, a silence or the state `cold` sets the bearable
- * limit to at most `coldLimit`; each further report at most doubles it up to the reported value.
+ * limit to at most `coldLimit`; each further report at most doubles it up to the reported value. A report that may have
+ * been measured before an answer lowered the limit does not raise it again.
  *
  * @param requestedAt Monotonic time in milliseconds at which the report was requested.
  */
@@ -22,6 +23,13 @@
     const continuous = state?.report.epoch === report.epoch
         && requestedAt - state.requestedAt <= timings.loadSilenceMs
         && report.state === "warm";
-    const ceiling = continuous ? Math.max(1, state.bearable * 2) : coldLimit;
-    return { report, bearable: Math.max(0, Math.min(report.bearable, ceiling)), requestedAt };
+    const isOutdated = requestedAt - timings.loadLagMs < (state?.limitedAt ?? Number.NEGATIVE_INFINITY);
+    const grown = isOutdated ? state?.bearable ?? 0 : Math.max(1, (state?.bearable ?? 0) * 2);
+    const ceiling = continuous ? grown : coldLimit;
+    return {
+        report,
+        bearable: Math.max(0, Math.min(report.bearable, ceiling)),
+        requestedAt,
+        limitedAt: state?.limitedAt,
+    };
 }
--- a/src/core/lease/ledgerEffect.ts
+++ b/src/core/lease/ledgerEffect.ts
@@ -14,6 +14,7 @@
             | "entry-cleared"
             | "target-cold"
             | "target-busy"
+            | "target-refused"
             | "recovered-all-replied"
             | "recovered-term-passed";
         readonly count: number;
--- a/src/core/lease/ledgerEvent.ts
+++ b/src/core/lease/ledgerEvent.ts
@@ -43,4 +43,6 @@
         /** Monotonic time in milliseconds at which the report was requested. */
         readonly requestedAt: number;
     }
+    /** The target accepts no connection; it will be cold when it accepts one again. */
+    | { readonly type: "load-refused"; readonly target: string; }
     | { readonly type: "tick"; };
--- a/src/core/lease/limitLoad.ts
+++ b/src/core/lease/limitLoad.ts
@@ -1,7 +1,12 @@
 import type { LoadState } from "./loadState.js";
 
 /** Lowers the bearable limit when an answer of the target shows that it cannot handle its load. */
-export function limitLoad(state: LoadState, answer: "cold" | "busy", coldLimit: number): LoadState {
+export function limitLoad(
+    state: LoadState,
+    answer: "cold" | "busy",
+    coldLimit: number,
+    now: number,
+): LoadState {
     const limit = answer === "cold" ? coldLimit : Math.max(coldLimit, Math.floor(state.bearable / 2));
-    return { ...state, bearable: Math.min(state.bearable, limit) };
+    return { ...state, bearable: Math.min(state.bearable, limit), limitedAt: now };
 }
--- a/src/core/lease/loadState.ts
+++ b/src/core/lease/loadState.ts
@@ -7,4 +7,6 @@
     readonly bearable: number;
     /** Monotonic time in milliseconds at which the report was requested. */
     readonly requestedAt: number;
+    /** Monotonic time in milliseconds at which an answer last lowered the limit; `undefined` if none did. */
+    readonly limitedAt?: number | undefined;
 }
--- a/src/daemon/actors/poolOwnerOptions.ts
+++ b/src/daemon/actors/poolOwnerOptions.ts
@@ -4,8 +4,8 @@
 /** What the owner of pools can be given instead of its defaults. */
 export interface PoolOwnerOptions {
     readonly policy: LedgerPolicy;
-    /** Reads the load report of the target at a base URL within a time in milliseconds. */
-    readonly fetchLoad: (url: string, timeoutMs: number) => Promise<LoadReport | undefined>;
+    /** Reads the load report of the target at a base URL within a time in milliseconds; see `fetchLoad`. */
+    readonly fetchLoad: (url: string, timeoutMs: number) => Promise<LoadReport | "refused" | undefined>;
     /** Time between two requests to the same lender. */
     readonly borrowIntervalMs: number;
     /** Time between two load reports of the same target. */
--- a/src/daemon/actors/targetLoadReader.ts
+++ b/src/daemon/actors/targetLoadReader.ts
@@ -54,7 +54,10 @@
         const requestedAt = context.getNow();
         const report = await options.fetchLoad(url, options.loadIntervalMs);
         this.#reading.delete(target);
-        if (report) {
+        if (report === "refused") {
+            onEvent({ type: "load-refused", target });
+        }
+        else if (report) {
             onEvent({ type: "load", target, report, requestedAt });
             return;
         }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,6 +4,8 @@
 import { v7 as createUuid } from "uuid";
 import { CallerServer } from "../adapters/caller/callerServer.js";
 import { OperatorServer } from "../adapters/operator/operatorServer.js";
+import { fetchLoad } from "../adapters/target/fetchLoad.js";
+import { mapTargetUrl } from "../adapters/target/mapTargetUrl.js";
 import { TargetClient } from "../adapters/target/targetClient.js";
 import { buildStatusReport } from "../core/explain/buildStatusReport.js";
 import { createLogger } from "../observability/createLogger.js";
@@ -123,7 +125,9 @@
             context,
             observeRevisions: (...revisions) => keeper.observeRevisions(...revisions),
         });
-        const owner = PoolOwner.create(context);
+        const owner = PoolOwner.create(context, {
+            fetchLoad: (url, timeoutMs) => fetchLoad(mapTargetUrl(url, settings.addressMap), timeoutMs),
+        });
         const dispatcher = Dispatcher.create({
             context,
             accounting,
@@ -153,12 +157,12 @@
             },
         };
         const peerServer = await PeerServer.create(settings.peerAddress, handlers, traffic);
-        const targets = TargetClient.create({ getNow });
+        const targets = TargetClient.create({ getNow, addressMap: settings.addressMap });
         const executor = RequestExecutor.create({
             context,
             broker: dispatcher,
             targets,
-            claims: ClaimCoordinator.create({ context, holder: claims }),
+            claims: ClaimCoordinator.create({ context, holder: claims, wait: sleep }),
             getRandom: Math.random,
             wait: waitForRetry,
         });
--- a/src/daemon/execution/claimCoordinator.ts
+++ b/src/daemon/execution/claimCoordinator.ts
@@ -4,6 +4,7 @@
 import type { ClaimVerdict } from "../../core/claim/claimVerdict.js";
 import { computeClaimQuorum } from "../../core/claim/computeClaimQuorum.js";
 import { describeClaimRefusal } from "../../core/claim/describeClaimRefusal.js";
+import { isClaimRetryable } from "../../core/claim/isClaimRetryable.js";
 import { listClaimHolders } from "../../core/claim/listClaimHolders.js";
 import { parseKeyTime } from "../../core/claim/parseKeyTime.js";
 import { selectClaimGroup } from "../../core/claim/selectClaimGroup.js";
@@ -18,10 +19,19 @@
     readonly context: Pick<DaemonContext, "identity" | "peers" | "getView" | "getNow">;
     /** The holder in this process. */
     readonly holder: Pick<ClaimHolder, "handleClaim" | "handleSettle">;
+    /** Waits between two rounds. */
+    readonly wait: (ms: number) => Promise<void>;
 }
 
 /** Several round trips between the farthest regions. */
 const CALL_TIMEOUT_MS = 1000;
+/**
+ * Holders are asked again for this long in milliseconds, which covers a change of the instance list and most pauses
+ * of a holder.
+ */
+const RETRY_TIME_MS = 4000;
+const RETRY_INTERVAL_MS = 250;
+const MAX_ROUNDS = 8;
 
 /** Claims keys at the holders of their groups. */
 export class ClaimCoordinator implements ClaimKeeper {
@@ -46,17 +56,26 @@
         }
         const key = request.idempotencyKey ?? createUuid();
         const account = request.account.name;
-        const group = selectClaimGroup(key, listClaimHolders(this.#options.context.getView()))
-            .map(instance => instance.name);
-        const attempt = await this.#collectVerdicts(key, account, {
-            attempt: createUuid(),
-            group,
-            quorum: computeClaimQuorum(group.length),
-            isFresh: request.idempotencyKey === undefined,
-            verdicts: {},
-            phase: group.length > 0 ? "claiming" : "refused",
-        }, request.deadline);
-        const settle = (result: "run" | "released"): void => this.#settle(key, account, attempt, result);
+        const { getNow } = this.#options.context;
+        const start = this.#createAttempt(key, request.idempotencyKey === undefined);
+        const retryDeadline = Math.min(request.deadline, getNow() + RETRY_TIME_MS) - RETRY_INTERVAL_MS;
+        const asked = new Set(start.group);
+        const transient = new Set<string>();
+        let attempt = await this.#collectVerdicts(key, account, start, request.deadline, transient);
+        for (
+            let round = 1;
+            round < MAX_ROUNDS && isClaimRetryable(attempt, transient) && getNow() < retryDeadline;
+            round += 1
+        ) {
+            await this.#options.wait(RETRY_INTERVAL_MS);
+            // A holder grants the same attempt again, so nothing has to be released in between.
+            const next = { ...this.#createAttempt(key, start.isFresh), attempt: start.attempt };
+            next.group.forEach(holder => asked.add(holder));
+            transient.clear();
+            attempt = await this.#collectVerdicts(key, account, next, request.deadline, transient);
+        }
+        const settle = (result: "run" | "released"): void =>
+            this.#settle(key, account, { attempt: start.attempt, group: [...asked] }, result);
         if (attempt.phase === "granted") {
             return { key, settle };
         }
@@ -68,16 +87,33 @@
         });
     }
 
+    #createAttempt(key: string, isFresh: boolean): ClaimAttempt {
+        const group = selectClaimGroup(key, listClaimHolders(this.#options.context.getView()))
+            .map(instance => instance.name);
+        return {
+            attempt: createUuid(),
+            group,
+            quorum: computeClaimQuorum(group.length),
+            isFresh,
+            verdicts: {},
+            phase: group.length > 0 ? "claiming" : "refused",
+        };
+    }
+
     /** Ends as soon as a quorum has granted or all holders have answered or timed out. */
     #collectVerdicts(
         key: string,
         account: string,
         initial: ClaimAttempt,
         deadline: number,
+        transient: Set<string>,
     ): Promise<ClaimAttempt> {
         return new Promise(resolve => {
             let attempt = initial;
             const onVerdict = (holder: string, verdict: ClaimVerdict | "unreachable"): void => {
+                if (verdict === "unreachable" || verdict === "not-holder") {
+                    transient.add(holder);
+                }
                 attempt = applyClaimVerdict(attempt, holder, verdict);
                 if (attempt.phase !== "claiming") {
                     resolve(attempt);
@@ -118,7 +154,12 @@
     }
 
     /** Tells all holders, also those whose grant came late. A lost call leaves the key claimed. */
-    #settle(key: string, account: string, attempt: ClaimAttempt, result: "run" | "released"): void {
+    #settle(
+        key: string,
+        account: string,
+        attempt: Pick<ClaimAttempt, "attempt" | "group">,
+        result: "run" | "released",
+    ): void {
         const message = { key, account, attempt: attempt.attempt, result };
         for (const holder of attempt.group) {
             if (holder === this.#options.context.identity.instance) {
--- a/src/daemon/execution/executionRun.ts
+++ b/src/daemon/execution/executionRun.ts
@@ -144,7 +144,7 @@
     }
 
     async #sendAttempt(grant: SlotGrant): Promise<AttemptResult> {
-        const { broker, request, signal, targets, ticket } = this.#options;
+        const { broker, isRepeatable, request, signal, targets, ticket } = this.#options;
         this.#attempts += 1;
         this.#relay.startAttempt(tokens => broker.chargeTokens(grant, tokens));
         const result = await targets.send(
@@ -155,6 +155,7 @@
                 path: request.path,
                 body: request.body,
                 startDeadline: grant.startDeadline,
+                isRepeatable,
                 headers: {
                     ...request.headers,
                     "x-request-id": request.requestId,
--- a/src/measure/faultTrial/runFaultTrial.ts
+++ b/src/measure/faultTrial/runFaultTrial.ts
@@ -6,6 +6,7 @@
 import { planLightAccounts } from "../planLightAccounts.js";
 import { waitMs } from "../waitMs.js";
 import { computeVerdicts } from "./computeVerdicts.js";
+import { describeFindings } from "./describeFindings.js";
 import { injectFault } from "./injectFault.js";
 import { planFaults } from "./planFaults.js";
 import type { PlannedStop } from "./plannedStop.js";
@@ -64,6 +65,9 @@
         const unanswered = await load.stop(CALL_DEADLINE_MS * 2);
         const arrivals = await Promise.all(fleet.targets.names.map(name => fleet.targets.readArrivals(name)));
         const summaries = await fleet.targets.readSummaries();
+        for (const finding of describeFindings(load.results, summaries, startMs)) {
+            options.logProgress(finding);
+        }
         return {
             ...computeVerdicts(load.results, unanswered, arrivals.flat(), stops),
             faultsInjected: events.length,
--- a/src/standIns/target/answerWriter.ts
+++ b/src/standIns/target/answerWriter.ts
@@ -6,16 +6,22 @@
     readonly #response: ServerResponse;
     readonly #fault: AnswerFault | undefined;
     #sentBytes = 0;
+    readonly #onHead: () => void;
     #broken = false;
 
-    private constructor(response: ServerResponse, fault: AnswerFault | undefined) {
+    private constructor(response: ServerResponse, fault: AnswerFault | undefined, onHead: () => void) {
         this.#response = response;
         this.#fault = fault;
+        this.#onHead = onHead;
     }
 
-    /** Creates a writer over a response whose head is set but not sent. */
-    static create(response: ServerResponse, fault: AnswerFault | undefined): AnswerWriter {
-        return new AnswerWriter(response, fault);
+    /** Creates a writer over a response whose head is set but not sent; `onHead` is told when it is sent. */
+    static create(
+        response: ServerResponse,
+        fault: AnswerFault | undefined,
+        onHead: () => void,
+    ): AnswerWriter {
+        return new AnswerWriter(response, fault, onHead);
     }
 
     /** True after a fault broke the connection. */
@@ -63,6 +69,9 @@
         if (this.#broken) {
             return;
         }
+        if (!this.#response.headersSent) {
+            this.#onHead();
+        }
         const breaks = this.#fault?.kind === "truncate" || this.#fault?.kind === "reset";
         const allowed = breaks ? (this.#fault.afterBytes ?? 0) - this.#sentBytes : Infinity;
         const bytes = Buffer.from(text);
--- a/src/standIns/target/targetCapacity.ts
+++ b/src/standIns/target/targetCapacity.ts
@@ -1,3 +1,4 @@
+import type { LimitBreach } from "./limitBreach.js";
 import type { TargetSettings } from "./targetSettings.js";
 
 /** Times are wall-clock milliseconds. */
@@ -18,7 +19,7 @@
     #cold: boolean;
     #coldSince: number;
     #completedSinceCold = 0;
-    #noticed = true;
+    #noticedAt: number | undefined;
     #overloadSince = 0;
     #lastRefusal = -Infinity;
     #refusedInOverload = 0;
@@ -26,15 +27,14 @@
     /** Highest number of requests held at once. */
     peak = 0;
     /** Arrivals over the bearable limit. */
-    breaches = 0;
-    /** Those breaches that arrived before any answer or load report had shown the last change to cold. */
-    breachesBeforeNotice = 0;
+    readonly breaches: LimitBreach[] = [];
     timesFallen = 0;
 
     private constructor(settings: TargetSettings, now: number) {
         this.#settings = settings;
         this.#cold = settings.startsCold;
         this.#coldSince = now;
+        this.#noticedAt = now;
         this.#setEpoch(now);
     }
 
@@ -73,19 +73,20 @@
     /** Returns the load as it was `loadLagMs` ago and notes that a reader has seen it. */
     readLaggingReport(now: number): CapacityReport {
         if (this.#settings.loadLagMs === 0) {
-            this.#noticed = true;
+            this.markShown(now);
             return this.getReport(now);
         }
         this.recordSample(now);
         const report = this.#samples[0] ?? this.getReport(now);
-        this.#noticed ||= report.measuredAtMs >= this.#coldSince;
+        if (report.measuredAtMs >= this.#coldSince) {
+            this.markShown(now);
+        }
         return report;
     }
 
-    /** Returns the state for an answer's header and notes that a caller has seen it. */
-    readState(now: number): "cold" | "warm" {
-        this.#noticed = true;
-        return this.getReport(now).state;
+    /** Notes that a load report or the head of an answer with the present state has been sent. */
+    markShown(now: number): void {
+        this.#noticedAt ??= now;
     }
 
     /** Admits a request if the target bears it; `overloaded` means that it has to fall over. */
@@ -95,8 +96,15 @@
             this.peak = Math.max(this.peak, this.#running);
             return "started";
         }
-        this.breaches += 1;
-        this.breachesBeforeNotice += this.#noticed ? 0 : 1;
+        const { bearable, state } = this.getReport(now);
+        this.breaches.push({
+            atMs: now,
+            running: this.#running,
+            bearable,
+            state,
+            coldSinceMs: this.#coldSince,
+            noticedAtMs: this.#noticedAt,
+        });
         if (now - this.#lastRefusal > this.#settings.overloadGraceMs) {
             this.#overloadSince = now;
             this.#refusedInOverload = 0;
@@ -120,7 +128,7 @@
         this.#cold = true;
         this.#coldSince = now;
         this.#completedSinceCold = 0;
-        this.#noticed = false;
+        this.#noticedAt = undefined;
     }
 
     /** Starts a new epoch, cold. Warm-up begins now, not when the target fell over. */
--- a/src/standIns/target/targetServer.ts
+++ b/src/standIns/target/targetServer.ts
@@ -117,11 +117,18 @@
         }
         this.#highestFencing = Math.max(this.#highestFencing, fencing);
         const admission = this.#capacity.tryStart(now);
-        response.setHeader("x-target-state", this.#capacity.readState(now));
+        const { state } = this.#capacity.getReport(now);
+        response.setHeader("x-target-state", state);
+        const onHead = (): void => {
+            if (state === "cold") {
+                this.#capacity.markShown(Date.now());
+            }
+        };
         if (admission === "started") {
-            await this.#serve(request, response, body, arrival);
+            await this.#serve(request, response, body, arrival, onHead);
             return;
         }
+        onHead();
         this.#refuse(response, arrival, "overloaded");
         if (admission === "overloaded") {
             this.#failOver();
@@ -140,6 +147,7 @@
         response: ServerResponse,
         body: string,
         arrival: Arrival,
+        onHead: () => void,
     ): Promise<void> {
         this.#records.recordRunning(this.#capacity.running, Date.now());
         const abort = new AbortController();
@@ -160,7 +168,7 @@
                 path: request.url ?? "/",
                 headers: request.headers,
                 body: other?.body ?? body,
-                writer: AnswerWriter.create(response, fault),
+                writer: AnswerWriter.create(response, fault, onHead),
                 arrival,
                 signal: abort.signal,
                 setHeader: (name, value) => response.setHeader(name, value),
@@ -226,15 +234,16 @@
     }
 
     #buildSummary(): object {
-        const { peak, breaches, breachesBeforeNotice, timesFallen } = this.#capacity;
+        const { peak, breaches, timesFallen } = this.#capacity;
         return {
             ...this.#capacity.getReport(Date.now()),
             name: this.#options.settings.name,
             arrivals: this.#records.arrivals.length,
             tokens: this.#records.arrivals.reduce((sum, arrival) => sum + arrival.tokens, 0),
             peak,
-            breaches,
-            breachesBeforeNotice,
+            breaches: breaches.length,
+            breachesBeforeNotice: breaches.filter(breach => breach.noticedAtMs === undefined).length,
+            breachRecords: breaches,
             timesFallen,
             busyMs: this.#records.sumBusyMs(Date.now()),
         };
--- a/src/testing/targetSummary.ts
+++ b/src/testing/targetSummary.ts
@@ -1,3 +1,5 @@
+import type { LimitBreach } from "../standIns/target/limitBreach.js";
+
 /** Counts of a target stand-in since its start. */
 export interface TargetSummary {
     readonly name: string;
@@ -11,6 +13,7 @@
     /** Arrivals over the bearable limit, and those that came before the target had shown that it was cold. */
     readonly breaches: number;
     readonly breachesBeforeNotice: number;
+    readonly breachRecords: readonly LimitBreach[];
     readonly timesFallen: number;
     readonly busyMs: number;
 }
--- a/test/adapters/target/fetchLoad.test.ts
+++ b/test/adapters/target/fetchLoad.test.ts
@@ -20,5 +20,5 @@
     t.is(await fetchLoad(url, 20), undefined);
     server.closeAllConnections();
     await new Promise(resolve => server.close(resolve));
-    t.is(await fetchLoad(url, 10_000), undefined);
+    t.is(await fetchLoad(url, 10_000), "refused");
 });
--- a/test/adapters/target/targetClient.test.ts
+++ b/test/adapters/target/targetClient.test.ts
@@ -27,7 +27,12 @@
 function sendTo(
     client: TargetClient,
     target: Target,
-    options: { readonly requestId?: string; readonly startDeadline?: number; readonly signal?: AbortSignal; },
+    options: {
+        readonly requestId?: string;
+        readonly startDeadline?: number;
+        readonly signal?: AbortSignal;
+        readonly isRepeatable?: boolean;
+    },
     sink: AnswerSink,
 ): Promise<AttemptResult> {
     const requestId = options.requestId ?? "request-1";
@@ -40,6 +45,7 @@
             headers: { "x-request-id": requestId },
             body: Buffer.from("body"),
             startDeadline: options.startDeadline ?? Number.POSITIVE_INFINITY,
+            isRepeatable: options.isRepeatable ?? true,
         },
         sink,
         options.signal ?? new AbortController().signal,
@@ -216,3 +222,30 @@
     t.deepEqual((await answer)?.ending, { kind: "completed" });
     t.is(bytes, total);
 });
+
+test("a mapped address is used instead of the published one", async t => {
+    const { close, requests, target } = await startTarget("target", (_, response) => response.end("ok"));
+    const published = { ...target, url: "http://192.0.2.1/base" };
+    const addressMap = { "192.0.2.1:80": new URL(target.url).host };
+    const client = TargetClient.create({ getNow: () => 0, addressMap });
+    t.like(await sendTo(client, published, {}, makeSink({ text: "" })), { ending: { kind: "completed" } });
+    t.is(requests[0]?.url, "/base/x");
+    await client.close();
+    close();
+});
+
+test("a non-repeatable request never meets a pooled connection that its target closes", async t => {
+    const { close, requests, target } = await startTarget("target", (_, response) => response.end("ok"));
+    const client = TargetClient.create({ getNow: () => 0 });
+    t.teardown(async () => {
+        await client.close();
+        close();
+    });
+    for (const isRepeatable of [true, true, false, true, false]) {
+        await sendTo(client, target, { isRepeatable }, makeSink({ text: "" }));
+    }
+    const sockets = requests.map(request => request.socket);
+    for (const index of [2, 4]) {
+        t.is(sockets.filter(socket => socket === sockets[index]).length, 1);
+    }
+});
--- a/test/core/lease/applyLedgerEvent.test.ts
+++ b/test/core/lease/applyLedgerEvent.test.ts
@@ -186,3 +186,17 @@
     );
     t.pass();
 });
+
+test("guards against full use of a crashed target at its restart, before its first report", t => {
+    const driver = PoolLedgerDriver.create(4, 4, 1);
+    driver.load(0, 1, 4);
+    driver.load(0, 251, 4);
+    driver.load(0, 501, 4);
+    driver.report("a", { sequence: 1, waiting: { 1: 4 } }, 502);
+    t.is(driver.getGranted("a"), 4);
+    t.deepEqual(driver.apply({ type: "load-refused", target: "1" }, 503).slice(0, 2), [
+        "target-refused",
+        "lease-reduced",
+    ]);
+    t.is(driver.getGranted("a"), 1);
+});
--- a/test/core/lease/applyLoadReport.test.ts
+++ b/test/core/lease/applyLoadReport.test.ts
@@ -44,6 +44,14 @@
     t.is(computeBearable(undefined, 2, 0, timings), 2);
     t.is(computeBearable(state, 2, 2000, timings), 32);
     t.is(computeBearable(state, 2, 2001, timings), 2);
-    t.is(limitLoad(state, "cold", 2).bearable, 2);
-    t.is(limitLoad(state, "busy", 2).bearable, 16);
+    t.is(limitLoad(state, "cold", 2, 0).bearable, 2);
+    t.is(limitLoad(state, "busy", 2, 0).bearable, 16);
+});
+
+test("guards against a report from before a cold answer that raises the limit again", t => {
+    const report = { epoch: "a", state: "warm", running: 0, bearable: 32, measuredAtMs: 1 } as const;
+    const limited = limitLoad({ report, bearable: 32, requestedAt: 0 }, "cold", 2, 1000);
+    const outdated = applyLoadReport(limited, { ...report, measuredAtMs: 2 }, 1249, 2, timings);
+    t.is(outdated.bearable, 2);
+    t.is(applyLoadReport(outdated, { ...report, measuredAtMs: 3 }, 1250, 2, timings).bearable, 4);
 });
--- a/test/daemon/execution/claimCoordinator.test.ts
+++ b/test/daemon/execution/claimCoordinator.test.ts
@@ -19,7 +19,7 @@
         isStream: false,
         idempotencyKey,
         receivedAt: 0,
-        deadline: 1000,
+        deadline: 5000,
         hintedCost: undefined,
     };
 }
@@ -86,6 +86,16 @@
     await t.notThrowsAsync(fleet.createCoordinator("b").claim(makeRequest(key)));
 });
 
+test("a key is claimed once holders can be reached again, and a repeat finds it claimed", async t => {
+    const fleet = TestFleet.create(names, NOW_MS);
+    fleet.unreachable.add("d").add("e");
+    fleet.onWait = () => fleet.unreachable.clear();
+    t.is((await fleet.createCoordinator("a").claim(makeRequest(key))).key, key);
+    await t.throwsAsync(fleet.createCoordinator("b").claim(makeRequest(key)), {
+        code: "key-already-claimed",
+    });
+});
+
 test("a key without a time is refused before anything runs under it", async t => {
     const fleet = TestFleet.create(names, NOW_MS);
     const error = await t.throwsAsync(fleet.createCoordinator("a").claim(makeRequest("order-17")));
--- a/test/helpers/testFleet.ts
+++ b/test/helpers/testFleet.ts
@@ -15,6 +15,8 @@
     /** Wall-clock time in milliseconds. */
     nowMs: number;
     view: ClusterView;
+    /** Called instead of a wait between two rounds of a claim. */
+    onWait = (): void => {};
 
     private constructor(names: readonly string[], nowMs: number) {
         this.nowMs = nowMs;
@@ -51,7 +53,14 @@
 
     /** Creates the coordinator of an entry. */
     createCoordinator(name: string): ClaimCoordinator {
-        return ClaimCoordinator.create({ context: this.#makeContext(name), holder: this.getHolder(name) });
+        return ClaimCoordinator.create({
+            context: this.#makeContext(name),
+            holder: this.getHolder(name),
+            wait: () => {
+                this.onWait();
+                return Promise.resolve();
+            },
+        });
     }
 
     #makeContext(name: string): Parameters<typeof ClaimHolder.create>[0] & Pick<DaemonContext, "getNow"> {
