--- /dev/null
+++ b/src/measure/capacity/measureHeap.ts
@@ -0,0 +1,12 @@
+import { collectGarbage } from "./collectGarbage.js";
+
+/** Returns the heap bytes that a value keeps alive. */
+export function measureHeap(build: () => unknown): number {
+    collectGarbage();
+    const before = process.memoryUsage().heapUsed;
+    const value = [build()];
+    collectGarbage();
+    const bytes = process.memoryUsage().heapUsed - before;
+    value.pop();
+    return bytes;
+}
--- /dev/null
+++ b/src/measure/capacity/measureProcessorTime.ts
@@ -0,0 +1,23 @@
+/**
+ * Returns the processor time of one call in microseconds, threads of the runtime included.
+ *
+ * @param seconds How long the call is repeated, after a fifth of that to warm up.
+ */
+export function measureProcessorTime(seconds: number, run: () => void): number {
+    runFor(seconds / 5, run);
+    const before = process.cpuUsage();
+    const count = runFor(seconds, run);
+    const { user, system } = process.cpuUsage(before);
+    return (user + system) / count;
+}
+
+function runFor(seconds: number, run: () => void): number {
+    const endsAt = performance.now() + seconds * 1000;
+    let count = 0;
+    do {
+        run();
+        count += 1;
+    }
+    while (performance.now() < endsAt);
+    return count;
+}
--- a/src/measure/measureCommand.ts
+++ b/src/measure/measureCommand.ts
@@ -30,6 +30,9 @@
         description: "Number of repetitions, where the scenario has any.",
     });
     logs = Option.String("--logs", { description: "Existing directory for the logs of daemons." });
+    quick = Option.Boolean("--quick", false, {
+        description: "Shorter windows and smaller fleets, where the scenario offers them.",
+    });
     json = Option.Boolean("--json", false, { description: "Print one JSON object as the last line." });
 
     async execute(): Promise<number> {
@@ -62,6 +65,7 @@
         return {
             ...result.data,
             durationSeconds: result.data.durationSeconds,
+            quick: this.quick,
             logDirectory: this.logs,
             logProgress: text => void this.context.stderr.write(`${text}\n`),
         };
--- a/src/measure/measureOptions.ts
+++ b/src/measure/measureOptions.ts
@@ -7,6 +7,8 @@
     readonly instances: number;
     readonly accounts: number;
     readonly trials: number;
+    /** Shorter windows and smaller fleets, where the scenario offers them. */
+    readonly quick: boolean;
     /** Directory for logs of daemons; `undefined` for no logs. */
     readonly logDirectory: string | undefined;
     /** Tells the reader of the terminal what happens. */
