--- a/src/measure/capacity/renderSlopes.ts
+++ b/src/measure/capacity/renderSlopes.ts
@@ -7,7 +7,9 @@
 export function renderSlopes(series: readonly SlopeSeries[]): string {
     const rows = series.map(({ name, per, unit, method, points }) => {
         const { slope, intercept, residual } = computeLine(points);
-        const measured = points.map(([size, value]) => `${size}: ${formatNumber(value)}`).join(", ");
+        const measured = points.map(([size, value]) => `${formatNumber(size)}: ${formatNumber(value)}`).join(
+            ", ",
+        );
         return `| ${name} | ${method} | ${unit} | ${per} | ${formatNumber(slope)} | ${
             formatNumber(intercept)
         } | ${formatNumber(residual)} | ${measured} |`;
