--- a/src/testing/fleet.ts
+++ b/src/testing/fleet.ts
@@ -7,23 +7,14 @@
 import { ChildProcess } from "./childProcess.js";
 import { computeDigest } from "./computeDigest.js";
 import { createFleetLinks } from "./createFleetLinks.js";
-import type { FleetLinks } from "./fleetLinks.js";
 import type { FleetOptions } from "./fleetOptions.js";
+import type { FleetParts } from "./fleetParts.js";
 import { FleetPlatform } from "./fleetPlatform.js";
 import { FleetTargets } from "./fleetTargets.js";
 import { isServing } from "./isServing.js";
 import { parseMetrics } from "./parseMetrics.js";
 import { waitUntil } from "./waitUntil.js";
 
-interface FleetParts {
-    readonly options: FleetOptions;
-    readonly directory: string;
-    readonly platform: FleetPlatform;
-    readonly targets: FleetTargets;
-    readonly links: FleetLinks | undefined;
-    readonly configuration: Configuration;
-}
-
 /** A whole fleet of separate processes on the loopback address: platform, targets and daemons. */
 export class Fleet {
     readonly #parts: FleetParts;
@@ -81,7 +72,7 @@
     }
 
     /** Links of the fault proxy; throws for a fleet without one. */
-    get links(): FleetLinks {
+    get links(): NonNullable<FleetParts["links"]> {
         if (!this.#parts.links) {
             throw new Error("The fleet was created without `proxied`.");
         }
@@ -174,11 +165,16 @@
 
     /** Starts a daemon again under its name, with new addresses, and publishes the list. */
     async replaceDaemon(name: string): Promise<void> {
-        await this.getDaemon(name).stop("SIGKILL");
-        await this.#startDaemon(name);
+        await this.spawnDaemon(name);
         await this.publishInstances();
     }
 
+    /** Starts a daemon again under its name, with new addresses, while the platform's list stays as it is. */
+    async spawnDaemon(name: string, settings: object = {}): Promise<void> {
+        await this.getDaemon(name).stop("SIGKILL");
+        await this.#startDaemon(name, settings);
+    }
+
     /** Stops (SIGSTOP) or continues (SIGCONT) the process of a daemon. */
     setFrozen(name: string, frozen: boolean): void {
         this.getDaemon(name).kill(frozen ? "SIGSTOP" : "SIGCONT");
@@ -251,7 +247,7 @@
         await rm(this.#parts.directory, { recursive: true, force: true });
     }
 
-    async #startDaemon(name: string): Promise<void> {
+    async #startDaemon(name: string, more: object = {}): Promise<void> {
         const { options, directory, links, platform } = this.#parts;
         const path = join(directory, `${name}.json`);
         const settings = {
@@ -263,6 +259,7 @@
             platformUrl: `http://${links?.getPlatform(name) ?? platform.address}`,
             ...links ? { addressMap: links.buildAddressMap(name) } : {},
             ...options.daemon,
+            ...more,
         };
         await writeFile(path, JSON.stringify(settings));
         const child = await ChildProcess.create(
