--- a/src/measure/scenarios/measureFairness.ts
+++ b/src/measure/scenarios/measureFairness.ts
@@ -75,6 +75,8 @@
         (sample, running) => (run.callsOpen.get(sample.atMs) ?? 0) - running - plainRunning(sample),
     );
     options.logProgress(`normalised service: ${describeServices(run.samples, weights)}`);
+    const course = gaps.filter((_, index) => index % 8 === 0).map(point => Math.round(point.gap));
+    options.logProgress(`gap every 8 samples: ${course.join(", ")}`);
     const tokensPerSecond = sumServed(run.samples) / run.elapsedSeconds;
     const formatRate = (bytes: number): number | undefined =>
         formatFigure(bytes / run.elapsedSeconds / options.instances, 0);
