--- a/src/core/fairness/levelAdvance.ts
+++ b/src/core/fairness/levelAdvance.ts
@@ -1,7 +1,8 @@
 /** How fast the lowest normalised service of a pool rises. */
 export interface LevelAdvance {
-    /** Newest level in tokens per unit of share, and its monotonic time in milliseconds. */
-    readonly level: number;
+    /** Newest level in tokens per unit of share; `undefined` when nobody waited at the newest observation. */
+    readonly level: number | undefined;
+    /** Monotonic time of the newest observation in milliseconds. */
     readonly observedAt: number;
     /** Rise of the last seconds in tokens per unit of share; older rise counts less. */
     readonly recentRise: number;
--- a/src/core/fairness/observeLevel.ts
+++ b/src/core/fairness/observeLevel.ts
@@ -4,19 +4,21 @@
 const MEMORY_MS = 5000;
 
 /**
- * Adds an observation of the lowest normalised service of a pool. While nobody waits there is no level, and the
- * time does not count.
+ * Adds an observation of the lowest normalised service of a pool. While nobody waits there is no level, and neither
+ * that time nor the rise during it counts: the rise alone would make the rate of a pool with short waits too high.
  */
 export function observeLevel(
     advance: LevelAdvance | undefined,
     level: number | undefined,
     now: number,
-): LevelAdvance | undefined {
-    if (level === undefined) {
-        return advance && { ...advance, observedAt: now };
-    }
-    if (advance === undefined) {
-        return { level, observedAt: now, recentRise: 0, recentMs: 0 };
+): LevelAdvance {
+    if (advance?.level === undefined || level === undefined) {
+        return {
+            level,
+            observedAt: now,
+            recentRise: advance?.recentRise ?? 0,
+            recentMs: advance?.recentMs ?? 0,
+        };
     }
     const passedMs = Math.max(0, now - advance.observedAt);
     const decay = Math.exp(-passedMs / MEMORY_MS);
--- a/test/core/fairness/horizon.test.ts
+++ b/test/core/fairness/horizon.test.ts
@@ -21,8 +21,9 @@
     t.is(computeHorizonSlack(undefined), horizonLimits.min);
 });
 
-test("guards against a horizon that falls while nobody waits", t => {
+test("guards against a horizon that changes by what is served while nobody waits", t => {
     const before = observeRate(200);
     const idle = observeLevel(before, undefined, 60_000);
     t.is(computeHorizonSlack(idle), computeHorizonSlack(before));
+    t.is(computeHorizonSlack(observeLevel(idle, 50_000, 60_250)), computeHorizonSlack(before));
 });
