Let lagging accounts ask other regions at a lag measured in time

An account asks all regions at once when it lags more than half of the gap bound, but the daemons' bound counts all slots at 8,192 tokens each, about 1,000,000 for this half. The threshold is now two H of the measured rate. Ruled out: refused calls (none), foreign work (0 at the end).

--- a/src/daemon/actors/accounting.ts
+++ b/src/daemon/actors/accounting.ts
@@ -189,6 +189,7 @@
 
     #advance(): void {
         const now = this.#context.getNow();
+        this.#place.observeLevel(this.#state.lowest, now);
         const isBusy = this.#changed || this.#state.waiting.size > 0 || this.#state.batches.length > 0;
         // Timers fire a little early or late, so half an interval is subtracted from the idle time.
         const idleMs = (IDLE_INTERVALS - 0.5) * this.#intervalMs;
--- a/src/daemon/actors/aggregationPlace.ts
+++ b/src/daemon/actors/aggregationPlace.ts
@@ -1,7 +1,10 @@
 import type { AggregationTree } from "../../core/fairness/aggregationTree.js";
 import { computeAggregationTree } from "../../core/fairness/computeAggregationTree.js";
 import { computeFairnessLimits } from "../../core/fairness/computeFairnessLimits.js";
+import { computeHorizonSlack } from "../../core/fairness/computeHorizonSlack.js";
 import { horizonLimits } from "../../core/fairness/horizonLimits.js";
+import type { LevelAdvance } from "../../core/fairness/levelAdvance.js";
+import { observeLevel } from "../../core/fairness/observeLevel.js";
 import type { ClusterView } from "../../core/membership/clusterView.js";
 
 interface Place {
@@ -13,11 +16,19 @@
     readonly limits: { readonly maxLag: number; readonly remoteLagThreshold: number; };
 }
 
+/**
+ * An account that lags by more than this many H asks the pools of other regions without delay. Accounts of balanced
+ * regions stay within one H. Half of the configured gap bound is about 1,000,000 tokens; no account lagged that far
+ * while one that was nearly alone in its region got four times the service of the others.
+ */
+const REMOTE_LAG_HORIZONS = 2;
+
 /** Place of this daemon in the aggregation tree, recomputed when the view of the fleet changes. */
 export class AggregationPlace {
     readonly #instance: string;
     readonly #intervalMs: number;
     #place: Place | undefined;
+    #level: LevelAdvance | undefined;
 
     private constructor(instance: string, intervalMs: number) {
         this.#instance = instance;
@@ -45,9 +56,16 @@
         return this.#getPlace(view).reachable.parents.get(child) === this.#instance;
     }
 
+    /** Takes the lowest service of backlogged accounts at a monotonic time in milliseconds. */
+    observeLevel(lowest: number | undefined, now: number): void {
+        this.#level = observeLevel(this.#level, lowest, now);
+    }
+
     /** Returns the lag limits for the configuration in force. */
     getLimits(view: ClusterView): Place["limits"] {
-        return this.#getPlace(view).limits;
+        const { maxLag, remoteLagThreshold } = this.#getPlace(view).limits;
+        const threshold = REMOTE_LAG_HORIZONS * computeHorizonSlack(this.#level);
+        return { maxLag, remoteLagThreshold: Math.min(remoteLagThreshold, threshold) };
     }
 
     #getPlace(view: ClusterView): Place {
--- /dev/null
+++ b/test/daemon/actors/aggregationPlace.test.ts
@@ -0,0 +1,21 @@
+import test from "ava";
+import type { ClusterView } from "../../../src/core/membership/clusterView.js";
+import { AggregationPlace } from "../../../src/daemon/actors/aggregationPlace.js";
+import { makeFacts } from "../../testing/makeFacts.js";
+
+test("guards against accounts that lag for minutes before they ask other regions", t => {
+    const view: ClusterView = {
+        configurationRevision: 1,
+        configurationDigest: "",
+        index: makeFacts().index,
+        instances: { revision: 1, instances: [] },
+        instancesAdoptedAt: 0,
+        suspected: new Set(),
+        leaving: new Set(),
+    };
+    const place = AggregationPlace.create("a", 500);
+    for (let now = 0; now <= 20_000; now += 500) {
+        place.observeLevel(now / 5, now);
+    }
+    t.true(place.getLimits(view).remoteLagThreshold <= 20 * 200, "20 s at 200 tokens/s");
+});
