--- a/src/core/lease/defaultLeaseTimings.ts
+++ b/src/core/lease/defaultLeaseTimings.ts
@@ -6,4 +6,6 @@
     marginMs: 250,
     loadSilenceMs: 2000,
     loadLagMs: 250,
+    // The longest counter exchange interval; peers are also asked for newer lists every second.
+    viewSkewMs: 2000,
 };
--- a/src/core/lease/leaseTimings.ts
+++ b/src/core/lease/leaseTimings.ts
@@ -8,4 +8,6 @@
     readonly loadSilenceMs: number;
     /** A load report counts as measured this long before it was requested, because targets report late. */
     readonly loadLagMs: number;
+    /** Two lenders adopt an instance list at most this long apart. */
+    readonly viewSkewMs: number;
 }
--- a/src/core/lease/lenderEvent.ts
+++ b/src/core/lease/lenderEvent.ts
@@ -5,7 +5,7 @@
         readonly index: number;
         /** Number of lenders; 0 when this daemon is not a lender of the pool. */
         readonly count: number;
-        /** Monotonic time at which the instance list was adopted, in milliseconds. */
+        /** Monotonic time in milliseconds since which no other lender lends these slots anew. */
         readonly from: number;
     }
     | {
--- a/src/daemon/actors/lender.ts
+++ b/src/daemon/actors/lender.ts
@@ -1,6 +1,7 @@
 import { dispatch, type Ref, spawn } from "nact";
 import { hashName } from "../../core/configuration/hashName.js";
 import { applyLenderEvent } from "../../core/lease/applyLenderEvent.js";
+import { computeAssignmentTime } from "../../core/lease/computeAssignmentTime.js";
 import { defaultLeaseTimings } from "../../core/lease/defaultLeaseTimings.js";
 import type { LeaseTimings } from "../../core/lease/leaseTimings.js";
 import type { LenderEvent } from "../../core/lease/lenderEvent.js";
@@ -105,7 +106,7 @@
             type: "assign",
             index,
             count: index < 0 ? 0 : lenders.length,
-            from: Math.max(this.#startedAt, view.instancesAdoptedAt),
+            from: computeAssignmentTime(this.#startedAt, view.instancesAdoptedAt, this.#timings),
         };
         return { ...pool, state: this.#apply(pool.state, event).state };
     }
--- a/test/core/lease/applyLenderEvent.test.ts
+++ b/test/core/lease/applyLenderEvent.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { applyLenderEvent } from "../../../src/core/lease/applyLenderEvent.js";
+import { computeAssignmentTime } from "../../../src/core/lease/computeAssignmentTime.js";
 import { defaultLeaseTimings } from "../../../src/core/lease/defaultLeaseTimings.js";
 import type { LenderEvent } from "../../../src/core/lease/lenderEvent.js";
 import type { LenderState } from "../../../src/core/lease/lenderState.js";
@@ -51,3 +52,20 @@
     t.is(lender.requestLoan("a", 9349), "list-changed 0");
     t.is(lender.requestLoan("a", 9350), "granted 4");
 });
+
+test("guards against two lenders that lend one slot because they adopt the list at different times", t => {
+    const adopt = (lender: LenderDriver, index: number, count: number, adoptedAt: number): void => {
+        const from = computeAssignmentTime(0, adoptedAt, defaultLeaseTimings);
+        lender.apply({ type: "assign", index, count, from }, adoptedAt);
+    };
+    const [early, late] = [new LenderDriver(), new LenderDriver()];
+    adopt(late, 0, 1, 0);
+    const adoptedAt = 10_000;
+    adopt(early, 0, 1, adoptedAt);
+    const lateAt = adoptedAt + defaultLeaseTimings.viewSkewMs;
+    t.is(late.requestLoan("a", lateAt - 1), "granted 4");
+    adopt(late, -1, 0, lateAt);
+    const endsAt = lateAt - 1 + defaultLeaseTimings.termMs + defaultLeaseTimings.marginMs;
+    t.is(early.requestLoan("b", endsAt), "starting 0");
+    t.is(early.requestLoan("b", endsAt + 1), "granted 4");
+});
