Lend without the skew of views after the first instance list; count stray arrivals

The wait of 4.25 s after the first list failed test/daemon/gracefulStop.test.ts: the slow first grant made the entry measure a low service rate, and it refused prompts as deadline-unreachable.

strayArrivals counts arrivals at targets that no call of the trial made, because another process on the machine may call a port that was free for a moment.

--- a/src/daemon/actors/lender.ts
+++ b/src/daemon/actors/lender.ts
@@ -36,11 +36,13 @@
     readonly #timings: LeaseTimings;
     readonly #startedAt: number;
     readonly #actor: Ref<LenderMessage>;
+    #firstAdoptedAt: number | undefined;
 
     private constructor(context: DaemonContext, timings: LeaseTimings) {
         this.#context = context;
         this.#timings = timings;
         this.#startedAt = context.getNow();
+        this.#recordFirstList();
         this.#actor = spawn(
             context.system,
             (pools: ReadonlyMap<string, LenderPool>, message: LenderMessage) => this.#receive(pools, message),
@@ -54,6 +56,7 @@
             },
         );
         context.subscribeView(() => {
+            this.#recordFirstList();
             dispatch(this.#actor, { type: "view" });
         });
     }
@@ -98,15 +101,26 @@
         return new Map([...pools, [key, { ...pool, state: result.state }]]);
     }
 
+    #recordFirstList(): void {
+        const view = this.#context.getView();
+        if (view.instances.instances.length > 0) {
+            this.#firstAdoptedAt ??= view.instancesAdoptedAt;
+        }
+    }
+
     #applyAssignment(pool: LenderPool): LenderPool {
         const view = this.#context.getView();
+        const adoptedAt = view.instancesAdoptedAt;
         const lenders = listLenders(view, pool.service, pool.dataCentre);
         const index = lenders.indexOf(this.#context.identity.instance);
         const event: LenderEvent = {
             type: "assign",
             index,
             count: index < 0 ? 0 : lenders.length,
-            from: computeAssignmentTime(this.#startedAt, view.instancesAdoptedAt, this.#timings),
+            from: computeAssignmentTime(
+                { startedAt: this.#startedAt, adoptedAt, isFirst: adoptedAt === this.#firstAdoptedAt },
+                this.#timings,
+            ),
         };
         return { ...pool, state: this.#apply(pool.state, event).state };
     }
--- /dev/null
+++ b/src/measure/faultTrial/countStrayArrivals.ts
@@ -0,0 +1,12 @@
+import type { CallResult } from "../../standIns/client/callResult.js";
+import type { Arrival } from "../../standIns/target/arrival.js";
+
+/** Counts arrivals since `startMs` whose marker belongs to no call of the trial; calls without an answer count too. */
+export function countStrayArrivals(
+    arrivals: readonly Arrival[],
+    results: readonly CallResult[],
+    startMs: number,
+): number {
+    const markers = new Set(results.map(result => result.marker));
+    return arrivals.filter(arrival => arrival.startMs >= startMs && !markers.has(arrival.marker)).length;
+}
--- a/src/measure/faultTrial/runFaultTrial.ts
+++ b/src/measure/faultTrial/runFaultTrial.ts
@@ -7,6 +7,7 @@
 import { waitMs } from "../waitMs.js";
 import { computeVerdicts } from "./computeVerdicts.js";
 import { countBreaches } from "./countBreaches.js";
+import { countStrayArrivals } from "./countStrayArrivals.js";
 import { describeFindings } from "./describeFindings.js";
 import { injectFault } from "./injectFault.js";
 import { planFaults } from "./planFaults.js";
@@ -15,6 +16,8 @@
 
 interface TrialResult extends VerdictCounts {
     readonly faultsInjected: number;
+    /** Arrivals from outside the trial, as when another process uses a port that was free for a moment. */
+    readonly strayArrivals: number;
     /** Requests that arrived at targets, refused ones and retries included. */
     readonly arrivals: number;
     readonly limitBreaches: number;
@@ -76,6 +79,7 @@
             ...computeVerdicts(load.results, unanswered, arrivals.flat(), stops),
             faultsInjected: events.length,
             arrivals: arrivals.flat().length,
+            strayArrivals: countStrayArrivals(arrivals.flat(), load.results, startMs),
             ...countBreaches(summaries.flatMap(summary => summary.breachRecords)),
             uncleanStops: stops.filter(stop => stop.exitCode !== 0).length,
         };
--- a/test/core/lease/applyLenderEvent.test.ts
+++ b/test/core/lease/applyLenderEvent.test.ts
@@ -55,7 +55,10 @@
 
 test("guards against two lenders that lend one slot because they adopt the list at different times", t => {
     const adopt = (lender: LenderDriver, index: number, count: number, adoptedAt: number): void => {
-        const from = computeAssignmentTime(0, adoptedAt, defaultLeaseTimings);
+        const from = computeAssignmentTime(
+            { startedAt: 0, adoptedAt, isFirst: adoptedAt === 0 },
+            defaultLeaseTimings,
+        );
         lender.apply({ type: "assign", index, count, from }, adoptedAt);
     };
     const [early, late] = [new LenderDriver(), new LenderDriver()];
