Vouch for keys made within a second after a change of the instance list

All five holders of a key refused it for 1 s after every list change, even if none of them was new: findMemberSince stopped at the newest view that began before the key, and isVouchable asks for a membership that began the clock margin (1 s) before it. The search now goes back that far.

Ruled out: lost or unreachable holders, whose replies take 1 s. The new test fails without the change.

--- a/src/core/claim/isVouchable.ts
+++ b/src/core/claim/isVouchable.ts
@@ -1,3 +1,5 @@
+import { clockMarginMs } from "./clockMarginMs.js";
+
 interface VouchFacts {
     /** Wall-clock times in milliseconds. */
     readonly keyTimeMs: number | undefined;
@@ -8,8 +10,6 @@
     readonly nowMs: number;
 }
 
-/** Clocks of two instances, and of a caller that makes keys, may differ by this much. */
-const CLOCK_MARGIN_MS = 1000;
 const RETENTION_MS = 86_400_000;
 
 /**
@@ -21,8 +21,8 @@
     if (facts.keyTimeMs === undefined) {
         return false;
     }
-    const knowsSince = Math.max(facts.startedAtMs, facts.memberSinceMs) + CLOCK_MARGIN_MS;
+    const knowsSince = Math.max(facts.startedAtMs, facts.memberSinceMs) + clockMarginMs;
     return facts.keyTimeMs > knowsSince
-        && facts.keyTimeMs <= facts.nowMs + CLOCK_MARGIN_MS
+        && facts.keyTimeMs <= facts.nowMs + clockMarginMs
         && facts.keyTimeMs > facts.nowMs - RETENTION_MS;
 }
--- a/src/daemon/actors/claimHolder.ts
+++ b/src/daemon/actors/claimHolder.ts
@@ -3,6 +3,7 @@
 import type { Claim } from "../../core/claim/claim.js";
 import type { ClaimEvent } from "../../core/claim/claimEvent.js";
 import type { ClaimVerdict } from "../../core/claim/claimVerdict.js";
+import { clockMarginMs } from "../../core/claim/clockMarginMs.js";
 import { HolderHistory } from "../../core/claim/holderHistory.js";
 import { isVouchable } from "../../core/claim/isVouchable.js";
 import { listClaimHolders } from "../../core/claim/listClaimHolders.js";
@@ -154,7 +155,9 @@
     #checkClaim(message: Extract<ClaimMessage, { readonly kind: "claim"; }>): ClaimEvent {
         const { identity } = this.#context;
         const keyTimeMs = parseKeyTime(message.key);
-        const memberSinceMs = this.#history.findMemberSince(message.key, identity.instance, keyTimeMs ?? 0);
+        // A view that came into force within the margin before the key does not show that the holder vouches for it.
+        const untilMs = (keyTimeMs ?? 0) - clockMarginMs;
+        const memberSinceMs = this.#history.findMemberSince(message.key, identity.instance, untilMs);
         return {
             kind: "claim",
             attempt: message.attempt,
--- a/test/daemon/execution/claimCoordinator.test.ts
+++ b/test/daemon/execution/claimCoordinator.test.ts
@@ -96,6 +96,14 @@
     });
 });
 
+test("a change of the instance list does not stop claims while four holders of a group stay", async t => {
+    const fleet = TestFleet.create([...names, "f"], NOW_MS, names);
+    fleet.setView(makeView([...names, "f"]));
+    fleet.nowMs = NOW_MS + 10;
+    const madeAfter = createUuid({ msecs: NOW_MS + 10 });
+    t.is((await fleet.createCoordinator("a").claim(makeRequest(madeAfter))).key, madeAfter);
+});
+
 test("a key without a time is refused before anything runs under it", async t => {
     const fleet = TestFleet.create(names, NOW_MS);
     const error = await t.throwsAsync(fleet.createCoordinator("a").claim(makeRequest("order-17")));
