Choose the owner of a pool by one rule at entries and owners

Entries used computePoolOwner and owners listOwners, two implementations of the same ranking, and there were two functions named buildPoolKey with different results. listOwners and the key without a prefix stay. A data centre of an unknown region no longer matches other data centres of unknown regions in listPoolInstances, as it already did not in computePoolOwner. The dispatcher test checks the same ranks through listOwners.

--- a/src/core/dispatch/listHoldings.ts
+++ b/src/core/dispatch/listHoldings.ts
@@ -1,4 +1,4 @@
-import { buildPoolKey } from "./buildPoolKey.js";
+import { buildPoolKey } from "../lease/buildPoolKey.js";
 import type { DispatchState } from "./dispatchState.js";
 import type { PoolHolding } from "./poolHolding.js";
 
--- a/src/core/dispatch/listPoolDemands.ts
+++ b/src/core/dispatch/listPoolDemands.ts
@@ -1,4 +1,4 @@
-import { buildPoolKey } from "./buildPoolKey.js";
+import { buildPoolKey } from "../lease/buildPoolKey.js";
 import { computeDistance } from "./computeDistance.js";
 import type { DispatchFacts } from "./dispatchFacts.js";
 import type { DispatchPolicy } from "./dispatchPolicy.js";
--- a/src/core/lease/buildPoolKey.ts
+++ b/src/core/lease/buildPoolKey.ts
@@ -1,4 +1,4 @@
-/** Returns the key under which instances are ranked for a pool. */
+/** Returns the key of a pool in maps. */
 export function buildPoolKey(service: string, dataCentre: string): string {
-    return `pool:${service}@${dataCentre}`;
+    return `${service}@${dataCentre}`;
 }
--- a/src/core/lease/listPoolInstances.ts
+++ b/src/core/lease/listPoolInstances.ts
@@ -16,7 +16,9 @@
     const dataCentres = view.index?.dataCentres;
     const region = dataCentres?.get(dataCentre)?.region;
     const local = live.filter(instance => instance.dataCentre === dataCentre);
-    const regional = live.filter(instance => dataCentres?.get(instance.dataCentre)?.region === region);
+    const regional = live.filter(instance =>
+        region !== undefined && dataCentres?.get(instance.dataCentre)?.region === region
+    );
     const eligible = [local, regional, live].find(instances => instances.length > 0) ?? [];
-    return rankInstances(buildPoolKey(service, dataCentre), eligible);
+    return rankInstances(`pool:${buildPoolKey(service, dataCentre)}`, eligible);
 }
--- a/src/daemon/actors/demandReporter.ts
+++ b/src/daemon/actors/demandReporter.ts
@@ -4,7 +4,8 @@
 import type { DispatchState } from "../../core/dispatch/dispatchState.js";
 import type { PoolDemand } from "../../core/dispatch/poolDemand.js";
 import type { PoolLeases } from "../../core/dispatch/poolLeases.js";
-import { computePoolOwner } from "../../core/membership/computePoolOwner.js";
+import { buildPoolKey } from "../../core/lease/buildPoolKey.js";
+import { listOwners } from "../../core/lease/listOwners.js";
 import { decodeLeaseState } from "../../transport/decodeLeaseState.js";
 import { encodeDemandReport } from "../../transport/encodeDemandReport.js";
 import type { DemandReport__Output } from "../../transport/generated/baobabspread/peer/DemandReport.js";
@@ -113,23 +114,15 @@
     /** Returns the instance that this daemon takes for the owner of a pool. */
     getOwner(service: string, dataCentre: string): string | undefined {
         const { context } = this.#options;
-        const view = context.getView();
         const now = context.getNow();
-        const failed = [...this.#failedUntil].filter(([, until]) => until > now).map(([name]) => name);
-        const excluded = new Set([...view.suspected, ...view.leaving, ...failed]);
-        return computePoolOwner({
-            service,
-            dataCentre,
-            instances: view.instances.instances,
-            dataCentres: view.index?.dataCentres ?? new Map(),
-            excluded,
-        })?.name;
+        return listOwners(context.getView(), service, dataCentre)
+            .find(name => (this.#failedUntil.get(name) ?? Number.NEGATIVE_INFINITY) <= now);
     }
 
     /** Takes a lease state; returns false if its sender is not the owner here or it is out of date. */
     apply(message: LeaseState__Output, service: string, dataCentre: string): boolean {
         const { context, getState, update } = this.#options;
-        const key = `${service}@${dataCentre}`;
+        const key = buildPoolKey(service, dataCentre);
         const owner = this.getOwner(service, dataCentre) ?? "";
         const names = context.getView().index?.targetNames ?? new Map<number, string>();
         // Without a report to count from, the deadlines cannot be known and the leases have expired.
--- a/src/daemon/actors/lender.ts
+++ b/src/daemon/actors/lender.ts
@@ -1,6 +1,7 @@
 import { dispatch, type Ref, spawn } from "nact";
 import { hashName } from "../../core/configuration/hashName.js";
 import { applyLenderEvent } from "../../core/lease/applyLenderEvent.js";
+import { buildPoolKey } from "../../core/lease/buildPoolKey.js";
 import { defaultLeaseTimings } from "../../core/lease/defaultLeaseTimings.js";
 import type { LeaseTimings } from "../../core/lease/leaseTimings.js";
 import type { LenderEvent } from "../../core/lease/lenderEvent.js";
@@ -82,7 +83,7 @@
         if (message.type === "view") {
             return new Map([...pools].map(([key, pool]) => [key, this.#applyAssignment(pool)]));
         }
-        const key = `${message.pool.service}@${message.pool.dataCentre}`;
+        const key = buildPoolKey(message.pool.service, message.pool.dataCentre);
         const known = pools.get(key) ?? { ...message.pool, state: { assignments: [], loan: undefined } };
         const pool = this.#applyAssignment(known);
         const result = this.#apply(pool.state, this.#makeEvent(pool, message.request));
--- a/src/daemon/actors/poolOwner.ts
+++ b/src/daemon/actors/poolOwner.ts
@@ -1,6 +1,7 @@
 import { fetchLoad } from "../../adapters/target/fetchLoad.js";
 import { OwnerClosingError } from "../../core/errors/ownerClosingError.js";
 import { horizonSlack } from "../../core/fairness/horizonSlack.js";
+import { buildPoolKey } from "../../core/lease/buildPoolKey.js";
 import { defaultLeaseTimings } from "../../core/lease/defaultLeaseTimings.js";
 import { pickLowestService } from "../../core/lease/pickLowestService.js";
 import type { DemandReport__Output } from "../../transport/generated/baobabspread/peer/DemandReport.js";
@@ -70,7 +71,7 @@
                 recovering: true,
             });
         }
-        const key = `${service}@${dataCentre}`;
+        const key = buildPoolKey(service, dataCentre);
         let pool = this.#pools.get(key);
         if (!pool) {
             this.#takeovers += 1;
--- a/test/daemon/actors/dispatcher.test.ts
+++ b/test/daemon/actors/dispatcher.test.ts
@@ -2,7 +2,7 @@
 import { hashName } from "../../../src/core/configuration/hashName.js";
 import { RequestError } from "../../../src/core/errors/requestError.js";
 import type { Decision } from "../../../src/core/explain/decision.js";
-import { computePoolOwner } from "../../../src/core/membership/computePoolOwner.js";
+import { listOwners } from "../../../src/core/lease/listOwners.js";
 import type { SlotResult } from "../../../src/core/request/slotResult.js";
 import { Accounting } from "../../../src/daemon/actors/accounting.js";
 import { Dispatcher } from "../../../src/daemon/actors/dispatcher.js";
@@ -135,20 +135,14 @@
 
 test("an owner that does not reply is passed over, and its pool is asked from the next rank", async t => {
     const instances = ["other", "self"];
-    const dataCentres = makeFacts().index.dataCentres;
-    const rank = (excluded: readonly string[]): string | undefined =>
-        computePoolOwner({
-            service: "desk",
-            dataCentre: "near",
-            instances: makeContext({
-                instance: "self",
-                instances,
-                index: makeFacts().index,
-                send: () => Promise.reject(new Error()),
-            }).getView().instances.instances,
-            dataCentres,
-            excluded: new Set(excluded),
-        })?.name;
+    const view = makeContext({
+        instance: "self",
+        instances,
+        index: makeFacts().index,
+        send: () => Promise.reject(new Error()),
+    }).getView();
+    const rank = (suspected: readonly string[]): string | undefined =>
+        listOwners({ ...view, suspected: new Set(suspected) }, "desk", "near")[0];
     t.is(rank(["other"]), "self");
     t.is(rank(["self"]), "other");
     t.is(rank(["other", "self"]), undefined);
