--- /dev/null
+++ b/src/daemon/createDaemonParts.ts
@@ -0,0 +1,152 @@
+import { start } from "nact";
+import { performance } from "node:perf_hooks";
+import { v7 as createUuid } from "uuid";
+import { CallerServer } from "../adapters/caller/callerServer.js";
+import { OperatorServer } from "../adapters/operator/operatorServer.js";
+import { TargetClient } from "../adapters/target/targetClient.js";
+import { buildStatusReport } from "../core/explain/buildStatusReport.js";
+import { createLogger } from "../observability/createLogger.js";
+import { Metrics } from "../observability/metrics.js";
+import { PeerClient } from "../transport/peerClient.js";
+import { PeerServer } from "../transport/peerServer.js";
+import type { PeerTraffic } from "../transport/peerTraffic.js";
+import { Accounting } from "./actors/accounting.js";
+import { ClaimHolder } from "./actors/claimHolder.js";
+import { ConfigurationKeeper } from "./actors/configurationKeeper.js";
+import { DecisionLog } from "./actors/decisionLog.js";
+import { Dispatcher } from "./actors/dispatcher.js";
+import { Lender } from "./actors/lender.js";
+import { PoolOwner } from "./actors/poolOwner.js";
+import { createPeerHandlers } from "./createPeerHandlers.js";
+import type { DaemonContext } from "./daemonContext.js";
+import type { DaemonParts } from "./daemonParts.js";
+import type { DaemonSettings } from "./daemonSettings.js";
+import { ClaimCoordinator } from "./execution/claimCoordinator.js";
+import { recordFinished } from "./execution/recordFinished.js";
+import { RequestExecutor } from "./execution/requestExecutor.js";
+import { waitForRetry } from "./execution/waitForRetry.js";
+import { LoopbackCaller } from "./loopbackCaller.js";
+import { PeerDirectory } from "./peerDirectory.js";
+
+/** Creates the actors of a daemon and starts its servers; the configuration keeper is not started. */
+export async function createDaemonParts(settings: DaemonSettings): Promise<DaemonParts> {
+    const metrics = Metrics.create();
+    const logger = createLogger(settings.logLevel, {
+        instance: settings.instance,
+        dataCentre: settings.dataCentre,
+    });
+    const getNow = (): number => performance.now();
+    const system = start();
+    const keeper = ConfigurationKeeper.create({
+        settings,
+        system,
+        logger,
+        metrics,
+        getNow,
+        getRandom: Math.random,
+    });
+    const traffic: PeerTraffic = {
+        record: (method, direction, bytes) => metrics.count("peer_bytes_total", { method, direction }, bytes),
+    };
+    const peerClient = PeerClient.create(traffic);
+    const decisions = DecisionLog.create();
+    const context: DaemonContext = {
+        settings,
+        identity: {
+            instance: settings.instance,
+            dataCentre: settings.dataCentre,
+            incarnation: createUuid(),
+            startedAtMs: Date.now(),
+        },
+        system,
+        logger,
+        metrics,
+        peers: LoopbackCaller.create({
+            instance: settings.instance,
+            getHandlers: () => handlers,
+            remote: PeerDirectory.create({
+                client: peerClient,
+                addressMap: settings.addressMap,
+                getView: () => keeper.getView(),
+                recordResult: (instance, method, reached) => {
+                    metrics.count("peer_calls_total", {
+                        method,
+                        result: reached ? "reached" : "unreachable",
+                    });
+                    keeper.recordResult(instance, reached);
+                },
+            }),
+        }),
+        getNow,
+        getView: () => keeper.getView(),
+        subscribeView: listener => keeper.subscribeView(listener),
+        recordDecision: decision => decisions.record(decision),
+    };
+    const accounting = Accounting.create({
+        context,
+        observeRevisions: (...revisions) => keeper.observeRevisions(...revisions),
+    });
+    const owner = PoolOwner.create(context);
+    const dispatcher = Dispatcher.create({
+        context,
+        accounting,
+        reportDemand: report => owner.handleDemand(report),
+    });
+    const lender = Lender.create(context);
+    const claims = ClaimHolder.create(context);
+    const handlers = createPeerHandlers({ keeper, dispatcher, owner, lender, accounting, claims });
+    const peerServer = await PeerServer.create(settings.peerAddress, handlers, traffic);
+    const targets = TargetClient.create({ getNow });
+    const executor = RequestExecutor.create({
+        context,
+        broker: dispatcher,
+        targets,
+        claims: ClaimCoordinator.create({ context, holder: claims }),
+        getRandom: Math.random,
+        wait: waitForRetry,
+    });
+    const callers = await CallerServer.create({
+        address: settings.callerAddress,
+        dataCentre: settings.dataCentre,
+        entriesTermMs: settings.entriesTermMs,
+        getView: () => keeper.getView(),
+        getNow,
+        execute: (request, writer, signal) => executor.execute(request, writer, signal),
+        onReceived: request => metrics.count("requests_total", { service: request.service.name }),
+        onFinished: finished => recordFinished(context, finished),
+    });
+    const progress = { leaving: false };
+    const operators = await OperatorServer.create({
+        address: settings.operatorAddress,
+        instance: settings.instance,
+        renderMetrics: () => metrics.render(),
+        getStatus: () =>
+            buildStatusReport({
+                ...context.identity,
+                leaving: progress.leaving,
+                watchesPlatform: keeper.isWatching(),
+                lastRejection: keeper.getLastRejection(),
+                view: keeper.getView(),
+                sections: {},
+            }),
+        explainRequest: requestId => decisions.explainRequest(requestId),
+        explainAccount: (account, limit) => decisions.explainAccount(account, limit),
+        onError: error => logger.error("operator-page-failed", { error: String(error) }),
+    });
+    return {
+        context,
+        keeper,
+        dispatcher,
+        owner,
+        accounting,
+        callers,
+        operators,
+        claims,
+        targets,
+        peerServer,
+        peerClient,
+        onLeaving: () => {
+            progress.leaving = true;
+        },
+    };
+}
