--- a/src/measure/measureCommand.ts
+++ b/src/measure/measureCommand.ts
@@ -1,6 +1,7 @@
 import { Command, Option, UsageError } from "clipanion";
 import { z } from "zod";
 import type { MeasureOptions } from "./measureOptions.js";
+import type { Scenario } from "./scenario.js";
 import { scenarios } from "./scenarios.js";
 
 const optionsSchema = z.object({
@@ -33,13 +34,8 @@
     json = Option.Boolean("--json", false, { description: "Print one JSON object as the last line." });
 
     async execute(): Promise<number> {
-        const run = scenarios[this.scenario];
-        if (!run) {
-            throw new UsageError(
-                `Unknown scenario ${this.scenario}; known: ${Object.keys(scenarios).join(", ")}.`,
-            );
-        }
-        const figures = await run(this.#parseOptions());
+        const { run, options } = this.#parseArguments();
+        const figures = await run(options);
         if (this.json) {
             this.context.stdout.write(
                 `${JSON.stringify(figures, (_key, value: unknown) => value ?? null)}\n`,
@@ -52,6 +48,21 @@
         return 0;
     }
 
+    /** Throws a UsageError when the scenario or the value of an option is invalid. */
+    checkArguments(): void {
+        this.#parseArguments();
+    }
+
+    #parseArguments(): { readonly run: Scenario; readonly options: MeasureOptions; } {
+        const run = scenarios[this.scenario];
+        if (!run) {
+            throw new UsageError(
+                `Unknown scenario ${this.scenario}; known: ${Object.keys(scenarios).join(", ")}.`,
+            );
+        }
+        return { run, options: this.#parseOptions() };
+    }
+
     #parseOptions(): MeasureOptions {
         const result = optionsSchema.safeParse({ ...this, durationSeconds: this.duration });
         if (!result.success) {
