--- a/src/daemon/actors/poolOwner.ts
+++ b/src/daemon/actors/poolOwner.ts
@@ -1,6 +1,7 @@
 import { fetchLoad } from "../../adapters/target/fetchLoad.js";
 import { OwnerClosingError } from "../../core/errors/ownerClosingError.js";
 import { horizonLimits } from "../../core/fairness/horizonLimits.js";
+import { buildPoolKey } from "../../core/lease/buildPoolKey.js";
 import { defaultLeaseTimings } from "../../core/lease/defaultLeaseTimings.js";
 import { pickLowestService } from "../../core/lease/pickLowestService.js";
 import type { PoolLedger } from "../../core/lease/poolLedger.js";
@@ -95,7 +96,7 @@
                 recovering: true,
             });
         }
-        const key = `${service}@${dataCentre}`;
+        const key = buildPoolKey(service, dataCentre);
         let pool = this.#pools.get(key);
         if (!pool) {
             this.#takeovers += 1;
--- a/test/integration/platformFaults.test.ts
+++ b/test/integration/platformFaults.test.ts
@@ -1,8 +1,8 @@
 import test, { type ExecutionContext } from "ava";
 import { gzipSync } from "node:zlib";
 import { serializeCanonical } from "../../src/core/configuration/serializeCanonical.js";
+import { hashText } from "../../src/daemon/keeper/hashText.js";
 import { sendChat } from "../../src/standIns/client/sendChat.js";
-import { computeDigest } from "../../src/testing/computeDigest.js";
 import { createTafOptions } from "../../src/testing/createTafOptions.js";
 import { Fleet } from "../../src/testing/fleet.js";
 import { getAccountKey } from "../../src/testing/getAccountKey.js";
@@ -94,9 +94,13 @@
         ),
     };
     const encode = (value: object): string => gzipSync(serializeCanonical(value)).toString("base64");
-    const compressed = { digest: computeDigest(good), encoding: "gzip+base64", data: encode(good) };
+    const compressed = {
+        digest: hashText(serializeCanonical(good)),
+        encoding: "gzip+base64",
+        data: encode(good),
+    };
     const bundles = [
-        { revision: 2, digest: computeDigest(bad), configuration: bad },
+        { revision: 2, digest: hashText(serializeCanonical(bad)), configuration: bad },
         { revision: 3, ...compressed, data: compressed.data.slice(0, 100) },
     ];
     for (const bundle of bundles) {
