--- a/test/integration/platformFaults.test.ts
+++ b/test/integration/platformFaults.test.ts
@@ -1,6 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import { gzipSync } from "node:zlib";
 import { serializeCanonical } from "../../src/core/configuration/serializeCanonical.js";
+import { serializeConfiguration } from "../../src/core/configuration/serializeConfiguration.js";
 import { hashText } from "../../src/daemon/keeper/hashText.js";
 import { sendChat } from "../../src/standIns/client/sendChat.js";
 import { createTafOptions } from "../../src/testing/createTafOptions.js";
@@ -95,12 +96,12 @@
     };
     const encode = (value: object): string => gzipSync(serializeCanonical(value)).toString("base64");
     const compressed = {
-        digest: hashText(serializeCanonical(good)),
+        digest: hashText(serializeConfiguration(good)),
         encoding: "gzip+base64",
         data: encode(good),
     };
     const bundles = [
-        { revision: 2, digest: hashText(serializeCanonical(bad)), configuration: bad },
+        { revision: 2, digest: hashText(serializeConfiguration(bad)), configuration: bad },
         { revision: 3, ...compressed, data: compressed.data.slice(0, 100) },
     ];
     for (const bundle of bundles) {
