Give free slots back after a cold answer, grow the cold ramp with reports, show targets, accounts and leases in the status

Cause: a lease of several slots was used on after a target had turned cold, until the owner lowered it, and the limit stayed at coldLimit while reports said cold.

--- a/src/core/dispatch/applyRelease.ts
+++ b/src/core/dispatch/applyRelease.ts
@@ -1,9 +1,16 @@
 import { updateCostHistory } from "../fairness/updateCostHistory.js";
+import { buildPoolKey } from "../lease/buildPoolKey.js";
 import type { SlotResult } from "../request/slotResult.js";
 import { buildQueueKey } from "./buildQueueKey.js";
+import { countInUse } from "./countInUse.js";
 import type { DispatchState } from "./dispatchState.js";
+import type { Flight } from "./flight.js";
 
-/** Frees the slot of a request, counts an answer that shows a lower limit, and learns the cost of a completed request. */
+/**
+ * Frees the slot of a request, counts an answer that shows a lower limit, and learns the cost of a
+ * completed request. After an answer that shows a lower limit the free slots of the target go back to the owner, which
+ * knows how many are left; using them again would reach the target before the owner lowers the lease.
+ */
 export function applyRelease(state: DispatchState, id: number, result: SlotResult): DispatchState {
     const flight = state.flights.get(id);
     if (!flight) {
@@ -20,11 +27,28 @@
             busy: (known?.busy ?? 0) + (isBusy ? 1 : 0),
         })
         : state.answers;
+    const pools = isCold || isBusy ? withdrawSlots({ ...state, flights }, flight) : state.pools;
     if (result.ending !== "completed") {
-        return { ...state, flights, answers };
+        return { ...state, flights, answers, pools };
     }
     const { account, service, hintedCost } = flight.ticket;
     const key = buildQueueKey(account, service);
     const history = updateCostHistory(state.costs.get(key), result.cost, hintedCost);
-    return { ...state, flights, answers, costs: new Map(state.costs).set(key, history) };
+    return { ...state, flights, answers, pools, costs: new Map(state.costs).set(key, history) };
+}
+
+function withdrawSlots(state: DispatchState, flight: Flight): DispatchState["pools"] {
+    const key = buildPoolKey(flight.ticket.service, flight.dataCentre);
+    const pool = state.pools.get(key);
+    const lease = pool?.leases.get(flight.target);
+    const used = countInUse(state).get(flight.target) ?? 0;
+    if (!pool || !lease || lease.slots <= used) {
+        return state.pools;
+    }
+    return new Map(state.pools).set(key, {
+        ...pool,
+        leases: new Map(pool.leases).set(flight.target, { ...lease, slots: used, unusedSince: undefined }),
+        returns: pool.returns + 1,
+        returnSequence: pool.reportSequence + 1,
+    });
 }
--- a/src/core/lease/applyDemand.ts
+++ b/src/core/lease/applyDemand.ts
@@ -95,13 +95,19 @@
     for (const [target, reported] of Object.entries(holdings)) {
         const before = known.holdings[target] ?? NOTHING;
         const slots = state.targets[target];
-        const isCold = reported.coldAnswers > before.coldAnswers;
-        if (!slots?.load || (!isCold && reported.busyAnswers <= before.busyAnswers)) {
+        const isBusy = reported.busyAnswers > before.busyAnswers;
+        const isNewlyCold = reported.coldAnswers > before.coldAnswers && slots?.load?.report.state === "warm";
+        if (!slots?.load || (!isNewlyCold && !isBusy)) {
             continue;
         }
-        const load = limitLoad(slots.load, isCold ? "cold" : "busy", slots.coldLimit, now);
+        const load = limitLoad(slots.load, isNewlyCold ? "cold" : "busy", slots.coldLimit, now);
         state = { ...state, targets: { ...state.targets, [target]: { ...slots, load } } };
-        effects.push({ type: "record", reason: isCold ? "target-cold" : "target-busy", count: 1, target });
+        effects.push({
+            type: "record",
+            reason: isNewlyCold ? "target-cold" : "target-busy",
+            count: 1,
+            target,
+        });
     }
     return { state, effects };
 }
--- a/src/core/lease/applyLoadReport.ts
+++ b/src/core/lease/applyLoadReport.ts
@@ -3,8 +3,9 @@
 import type { LoadState } from "./loadState.js";
 
 /**
- * Advances the cold ramp of a target: a new epoch, a silence or the state `cold` sets the bearable
- * limit to at most `coldLimit`; each further report at most doubles it up to the reported value. A report that may have
+ * Advances the cold ramp of a target: a new epoch, a silence or a change from `warm` to `cold`
+ * sets the bearable limit to at most `coldLimit`; each further report, also of a cold target, at most doubles it up to
+ * the reported value. A report that may have
  * been measured before an answer lowered the limit does not raise it again.
  *
  * @param requestedAt Monotonic time in milliseconds at which the report was requested.
@@ -22,7 +23,7 @@
     }
     const continuous = state?.report.epoch === report.epoch
         && requestedAt - state.requestedAt <= timings.loadSilenceMs
-        && report.state === "warm";
+        && !(report.state === "cold" && state.report.state === "warm");
     const isOutdated = requestedAt - timings.loadLagMs < (state?.limitedAt ?? Number.NEGATIVE_INFINITY);
     const grown = isOutdated ? state?.bearable ?? 0 : Math.max(1, (state?.bearable ?? 0) * 2);
     const ceiling = continuous ? grown : coldLimit;
--- a/src/daemon/actors/dispatcher.ts
+++ b/src/daemon/actors/dispatcher.ts
@@ -171,6 +171,11 @@
         });
     }
 
+    /** Queues, requests in flight and leases; a new value at each change. */
+    getState(): DispatchState {
+        return this.#state;
+    }
+
     /** Ends when no request waits or is in flight; new ones are refused from now on. */
     async drain(): Promise<void> {
         this.#leaving = true;
--- a/src/daemon/actors/poolOwner.ts
+++ b/src/daemon/actors/poolOwner.ts
@@ -1,5 +1,6 @@
 import { fetchLoad } from "../../adapters/target/fetchLoad.js";
 import { OwnerClosingError } from "../../core/errors/ownerClosingError.js";
+import { listTargetStatus } from "../../core/explain/listTargetStatus.js";
 import { horizonLimits } from "../../core/fairness/horizonLimits.js";
 import { buildPoolKey } from "../../core/lease/buildPoolKey.js";
 import { defaultLeaseTimings } from "../../core/lease/defaultLeaseTimings.js";
@@ -122,6 +123,16 @@
         return [...this.#pools.keys()];
     }
 
+    /** Lists the targets of owned pools, for operators. */
+    listTargets(): readonly ReturnType<typeof listTargetStatus>[number][] {
+        const { index } = this.#context.getView();
+        const { timings } = this.#options.policy;
+        const now = this.#context.getNow();
+        return index === undefined
+            ? []
+            : [...this.#pools.values()].flatMap(pool => listTargetStatus(pool.ledger, index, now, timings));
+    }
+
     /** Gives borrowed slots back before a planned stop. */
     async close(): Promise<void> {
         this.#closing = true;
--- a/src/daemon/createDaemonParts.ts
+++ b/src/daemon/createDaemonParts.ts
@@ -8,6 +8,8 @@
 import { mapTargetUrl } from "../adapters/target/mapTargetUrl.js";
 import { TargetClient } from "../adapters/target/targetClient.js";
 import { buildStatusReport } from "../core/explain/buildStatusReport.js";
+import { listAccountStatus } from "../core/explain/listAccountStatus.js";
+import { listLeaseStatus } from "../core/explain/listLeaseStatus.js";
 import { createLogger } from "../observability/createLogger.js";
 import { Metrics } from "../observability/metrics.js";
 import { PeerClient } from "../transport/peerClient.js";
@@ -132,7 +134,15 @@
                 watchesPlatform: keeper.isWatching(),
                 lastRejection: keeper.getLastRejection(),
                 view: keeper.getView(),
-                sections: {},
+                sections: {
+                    pools: owner.listPools(),
+                    targets: owner.listTargets(),
+                    accounts: listAccountStatus(
+                        dispatcher.getState(),
+                        account => accounting.getView().getNormalizedService(account),
+                    ),
+                    leases: listLeaseStatus(dispatcher.getState(), getNow()),
+                },
             }),
         explainRequest: requestId => decisions.explainRequest(requestId),
         explainAccount: (account, limit) => decisions.explainAccount(account, limit),
