Let the first callers of a replaced instance wait for its configuration

Cause: an entries answer or the platform's list names an instance that was replaced a moment ago, and it refused calls as not-configured until a peer had sent the configuration (seen once in npm test, and earlier with four instances).

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -149,6 +149,7 @@
         if (this.#isRefusing) {
             throw RequestError.create("instance-leaving", "The instance is leaving; use another entry.");
         }
+        await this.#options.waitForConfiguration?.();
         const index = this.#options.getView().index;
         if (!index) {
             throw RequestError.create("not-configured", "The instance has no configuration yet.", {
--- a/src/adapters/caller/callerServerOptions.ts
+++ b/src/adapters/caller/callerServerOptions.ts
@@ -13,6 +13,8 @@
     /** Time for which an answer of `GET /v1/entries` is valid, in milliseconds. */
     readonly entriesTermMs: number;
     readonly getView: () => ClusterView;
+    /** Waits for a configuration for a bounded time; without it a request is refused at once if there is none. */
+    readonly waitForConfiguration?: () => Promise<void>;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
     /** Executes a request; rejects with a RequestError when no whole answer was written. */
--- a/src/daemon/createDaemonParts.ts
+++ b/src/daemon/createDaemonParts.ts
@@ -22,6 +22,7 @@
 import { Dispatcher } from "./actors/dispatcher.js";
 import { Lender } from "./actors/lender.js";
 import { PoolOwner } from "./actors/poolOwner.js";
+import { createConfigurationWait } from "./createConfigurationWait.js";
 import { createPeerHandlers } from "./createPeerHandlers.js";
 import type { DaemonContext } from "./daemonContext.js";
 import type { DaemonParts } from "./daemonParts.js";
@@ -117,6 +118,7 @@
         dataCentre: settings.dataCentre,
         entriesTermMs: settings.entriesTermMs,
         getView: () => keeper.getView(),
+        waitForConfiguration: createConfigurationWait(context),
         getNow,
         execute: (request, writer, signal) => executor.execute(request, writer, signal),
         onReceived: request => metrics.count("requests_total", { service: request.service.name }),
