--- a/src/adapters/caller/authenticateCaller.ts
+++ b/src/adapters/caller/authenticateCaller.ts
@@ -1,7 +1,7 @@
-import { createHash } from "node:crypto";
 import type { ClientAccount } from "../../core/configuration/clientAccount.js";
 import type { ConfigurationIndex } from "../../core/configuration/configurationIndex.js";
 import { RequestError } from "../../core/errors/requestError.js";
+import { hashText } from "../../shared/hashText.js";
 
 /**
  * Finds the client account of a bearer key.
@@ -16,7 +16,7 @@
     if (key === undefined) {
         throw RequestError.create("unauthenticated", "The request has no bearer key.");
     }
-    const account = index.accountsByDigest.get(createHash("sha256").update(key).digest("hex"));
+    const account = index.accountsByDigest.get(hashText(key));
     if (!account) {
         throw RequestError.create("unauthenticated", "No client account has this key.");
     }
--- a/src/cli/buildPublishedBundle.ts
+++ b/src/cli/buildPublishedBundle.ts
@@ -2,8 +2,8 @@
 import type { CompressedBundle } from "../core/configuration/compressedBundle.js";
 import type { Configuration } from "../core/configuration/configuration.js";
 import { serializeCanonical } from "../core/configuration/serializeCanonical.js";
+import { hashText } from "../shared/hashText.js";
 import { encodeText } from "./encodeText.js";
-import { hashText } from "./hashText.js";
 
 interface PublishedBundle {
     /** JSON text to publish. */
--- a/src/cli/commands/bundleCommand.ts
+++ b/src/cli/commands/bundleCommand.ts
@@ -3,10 +3,10 @@
 import { z } from "zod";
 import { checkPublishedBundle } from "../../core/configuration/checkPublishedBundle.js";
 import { SettingsError } from "../../core/errors/settingsError.js";
+import { hashText } from "../../shared/hashText.js";
 import { BaseCommand } from "../baseCommand.js";
 import { buildPublishedBundle } from "../buildPublishedBundle.js";
 import { decodeText } from "../decodeText.js";
-import { hashText } from "../hashText.js";
 import { readConfigurationFile } from "../readConfigurationFile.js";
 import { readJsonFile } from "../readJsonFile.js";
 
--- a/src/cli/readConfigurationFile.ts
+++ b/src/cli/readConfigurationFile.ts
@@ -1,9 +1,9 @@
 import { checkPublishedBundle } from "../core/configuration/checkPublishedBundle.js";
 import type { ConfigurationCheck } from "../core/configuration/configurationCheck.js";
 import { validateConfiguration } from "../core/configuration/validateConfiguration.js";
+import { hashText } from "../shared/hashText.js";
 import { buildPublishedBundle } from "./buildPublishedBundle.js";
 import { decodeText } from "./decodeText.js";
-import { hashText } from "./hashText.js";
 import { readJsonFile } from "./readJsonFile.js";
 
 /** The size of a bundle is checked with the longest revision. */
--- a/src/daemon/keeper/decodeConfigurationReply.ts
+++ b/src/daemon/keeper/decodeConfigurationReply.ts
@@ -4,8 +4,8 @@
 import { checkDelta } from "../../core/configuration/checkDelta.js";
 import type { ConfigurationDelta } from "../../core/configuration/configurationDelta.js";
 import { configurationDeltaSchema } from "../../core/configuration/configurationDeltaSchema.js";
+import { hashText } from "../../shared/hashText.js";
 import type { ConfigurationReply } from "../../transport/generated/baobabspread/peer/ConfigurationReply.js";
-import { hashText } from "./hashText.js";
 
 /**
  * Returns the bundle that a peer passed on, or `undefined` if it has none that is newer.
--- a/src/measure/capacity/makeScaleConfiguration.ts
+++ b/src/measure/capacity/makeScaleConfiguration.ts
@@ -1,7 +1,7 @@
-import { createHash } from "node:crypto";
 import type { Configuration } from "../../core/configuration/configuration.js";
 import { configurationSchema } from "../../core/configuration/configurationSchema.js";
 import { sortObjects } from "../../core/configuration/sortObjects.js";
+import { hashText } from "../../shared/hashText.js";
 
 const REGIONS = 3;
 const DATA_CENTRES = 8;
@@ -22,7 +22,7 @@
         clientAccounts: makeObjects(accounts, index => ({
             name: `account-${index}`,
             share: `share-${index % SHARES}`,
-            keyDigests: [createHash("sha256").update(String(index)).digest("hex")],
+            keyDigests: [hashText(String(index))],
             services: makeObjects(SERVICES_PER_ACCOUNT, offset => `model-${(index + offset) % MODELS}`),
         })),
         services: makeObjects(MODELS, index => ({ name: `model-${index}`, kind: "model" })),
--- a/src/measure/capacity/measureBundle.ts
+++ b/src/measure/capacity/measureBundle.ts
@@ -7,7 +7,7 @@
 import { ConfigurationIndex } from "../../core/configuration/configurationIndex.js";
 import { configurationSchema } from "../../core/configuration/configurationSchema.js";
 import { diffConfiguration } from "../../core/configuration/diffConfiguration.js";
-import { hashText } from "../../daemon/keeper/hashText.js";
+import { hashText } from "../../shared/hashText.js";
 import { makeScaleConfiguration } from "./makeScaleConfiguration.js";
 import { measureHeap } from "./measureHeap.js";
 import { measureProcessorTime } from "./measureProcessorTime.js";
--- a/src/measure/capacity/measureFleetSeries.ts
+++ b/src/measure/capacity/measureFleetSeries.ts
@@ -1,4 +1,4 @@
-import { createHash } from "node:crypto";
+import { hashText } from "../../shared/hashText.js";
 import { createRandom } from "../../standIns/client/createRandom.js";
 import type { Fleet } from "../../testing/fleet.js";
 import type { AccountPlan } from "../accountPlan.js";
@@ -128,7 +128,7 @@
             { length: Math.max(0, count - current.clientAccounts.length) },
             (_, index) => {
                 const name = `idle-${count}-${index}`;
-                return { ...first, name, keyDigests: [createHash("sha256").update(name).digest("hex")] };
+                return { ...first, name, keyDigests: [hashText(name)] };
             },
         );
         return {
--- a/src/measure/faultTrial/injectFault.ts
+++ b/src/measure/faultTrial/injectFault.ts
@@ -1,5 +1,5 @@
 import { buildBundle } from "../../core/configuration/buildBundle.js";
-import { hashText } from "../../daemon/keeper/hashText.js";
+import { hashText } from "../../shared/hashText.js";
 import type { LinkFault } from "../../standIns/faultProxy/linkFault.js";
 import type { Fleet } from "../../testing/fleet.js";
 import { waitMs } from "../waitMs.js";
--- a/src/measure/scenarios/measureConfiguration.ts
+++ b/src/measure/scenarios/measureConfiguration.ts
@@ -1,5 +1,5 @@
-import { createHash } from "node:crypto";
 import { Agent, request } from "undici";
+import { hashText } from "../../shared/hashText.js";
 import type { Fleet } from "../../testing/fleet.js";
 import { getAccountKey } from "../../testing/getAccountKey.js";
 import { createMeasuredFleet } from "../createMeasuredFleet.js";
@@ -86,7 +86,7 @@
             index === 0
                 ? {
                     ...account,
-                    keyDigests: [createHash("sha256").update(buildProbeKey(change)).digest("hex")],
+                    keyDigests: [hashText(buildProbeKey(change))],
                 }
                 : account
         ),
--- a/src/testing/createTafOptions.ts
+++ b/src/testing/createTafOptions.ts
@@ -1,4 +1,4 @@
-import { createHash } from "node:crypto";
+import { hashText } from "../shared/hashText.js";
 import type { FleetOptions } from "./fleetOptions.js";
 import type { FleetShape } from "./fleetShape.js";
 import { getAccountKey } from "./getAccountKey.js";
@@ -41,7 +41,7 @@
             clientAccounts: Object.entries(shape.accounts).map(([name, weight]) => ({
                 name,
                 share: formatShare(weight),
-                keyDigests: [createHash("sha256").update(getAccountKey(name)).digest("hex")],
+                keyDigests: [hashText(getAccountKey(name))],
                 services: ["model-desk", "order-book"],
             })),
             services: [
--- a/src/testing/fleet.ts
+++ b/src/testing/fleet.ts
@@ -5,7 +5,7 @@
 import { buildBundle } from "../core/configuration/buildBundle.js";
 import type { Configuration } from "../core/configuration/configuration.js";
 import { configurationSchema } from "../core/configuration/configurationSchema.js";
-import { hashText } from "../daemon/keeper/hashText.js";
+import { hashText } from "../shared/hashText.js";
 import { ChildProcess } from "./childProcess.js";
 import { createFleetLinks } from "./createFleetLinks.js";
 import type { FleetOptions } from "./fleetOptions.js";
--- a/test/cli/main.test.ts
+++ b/test/cli/main.test.ts
@@ -1,6 +1,5 @@
 import test from "ava";
 import { spawn } from "node:child_process";
-import { createHash } from "node:crypto";
 import { once } from "node:events";
 import { mkdtemp, readFile, writeFile } from "node:fs/promises";
 import { createServer } from "node:http";
@@ -8,6 +7,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { text } from "node:stream/consumers";
+import { hashText } from "../../src/shared/hashText.js";
 import { makeConfiguration } from "../../src/testing/makeConfiguration.js";
 
 interface CliResult {
@@ -86,7 +86,7 @@
     const valid = makeConfiguration();
     const digests = Array.from(
         { length: 30_000 },
-        (_, index) => createHash("sha256").update(String(index)).digest("hex"),
+        (_, index) => hashText(String(index)),
     );
     const large = {
         ...valid,
--- a/test/daemon/actors/configurationKeeper.test.ts
+++ b/test/daemon/actors/configurationKeeper.test.ts
@@ -2,7 +2,7 @@
 import { buildBundle } from "../../../src/core/configuration/buildBundle.js";
 import type { ConfigurationBundle } from "../../../src/core/configuration/configurationBundle.js";
 import type { StatusReport } from "../../../src/core/explain/statusReport.js";
-import { hashText } from "../../../src/daemon/keeper/hashText.js";
+import { hashText } from "../../../src/shared/hashText.js";
 import { Fleet } from "../../../src/testing/fleet.js";
 import { makeConfiguration } from "../../../src/testing/makeConfiguration.js";
 import { waitForStatus } from "../../../src/testing/waitForStatus.js";
--- a/test/helpers/makeIndex.ts
+++ b/test/helpers/makeIndex.ts
@@ -1,6 +1,6 @@
-import { createHash } from "node:crypto";
 import { ConfigurationIndex } from "../../src/core/configuration/configurationIndex.js";
 import { configurationSchema } from "../../src/core/configuration/configurationSchema.js";
+import { hashText } from "../../src/shared/hashText.js";
 
 /** Builds a configuration with two services and the account `capel`, whose key is `capel-key`. */
 export function makeIndex(outOfService: readonly string[] = []): ConfigurationIndex {
@@ -16,7 +16,7 @@
         clientAccounts: [{
             name: "capel",
             share: "standard",
-            keyDigests: [createHash("sha256").update("capel-key").digest("hex")],
+            keyDigests: [hashText("capel-key")],
             services: ["model-desk", "order-book"],
         }],
         services: [
--- a/test/integration/platformFaults.test.ts
+++ b/test/integration/platformFaults.test.ts
@@ -2,7 +2,7 @@
 import { gzipSync } from "node:zlib";
 import { serializeCanonical } from "../../src/core/configuration/serializeCanonical.js";
 import { serializeConfiguration } from "../../src/core/configuration/serializeConfiguration.js";
-import { hashText } from "../../src/daemon/keeper/hashText.js";
+import { hashText } from "../../src/shared/hashText.js";
 import { sendChat } from "../../src/standIns/client/sendChat.js";
 import { createTafOptions } from "../../src/testing/createTafOptions.js";
 import { Fleet } from "../../src/testing/fleet.js";
