Serve callers on the cooperative's platform through an adapter

Cause: the users run the product on their own platform, where each machine is an entry and the store can only be read. Change: a lean router program (src/router) with its decisions in src/core/routing, and src/platform, which translates the store, the headers, the directory and the settings.

--- /dev/null
+++ b/src/core/routing/decayingSum.ts
@@ -0,0 +1,26 @@
+/** Sum whose parts lose their weight exponentially with age. */
+export class DecayingSum {
+    readonly #timeConstantMs: number;
+    #value = 0;
+    #updatedAt = 0;
+
+    private constructor(timeConstantMs: number) {
+        this.#timeConstantMs = timeConstantMs;
+    }
+
+    /** Creates a sum of zero; after `timeConstantMs` a part still weighs 1/e. */
+    static create(timeConstantMs: number): DecayingSum {
+        return new DecayingSum(timeConstantMs);
+    }
+
+    /** Adds an amount at a monotonic time in milliseconds. */
+    add(amount: number, now: number): void {
+        this.#value = this.get(now) + amount;
+        this.#updatedAt = now;
+    }
+
+    /** Returns the sum at a monotonic time in milliseconds. */
+    get(now: number): number {
+        return this.#value * Math.exp(Math.min(0, this.#updatedAt - now) / this.#timeConstantMs);
+    }
+}
--- /dev/null
+++ b/src/core/routing/membership.ts
@@ -0,0 +1,63 @@
+import type { MemberRecord } from "./memberRecord.js";
+
+interface MemberState {
+    readonly record: MemberRecord;
+    /** Monotonic time in milliseconds until which the member counts as live. */
+    readonly liveUntil: number;
+}
+
+interface MembershipOptions {
+    /** A member that sends no newer report for this long counts as down. */
+    readonly getSilenceMs: (record: MemberRecord) => number;
+    /** A member that is down is remembered for this long, so that limits divided among members stay safe. */
+    readonly memoryMs: number;
+}
+
+/** Instances that report to each other, directly or through a third one. */
+export class Membership {
+    readonly #options: MembershipOptions;
+    readonly #members = new Map<string, MemberState>();
+
+    private constructor(options: MembershipOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a membership without members. */
+    static create(options: MembershipOptions): Membership {
+        return new Membership(options);
+    }
+
+    /** Adopts a report if it is newer than the known one. Returns what it changed. */
+    adopt(record: MemberRecord, now: number): "new" | "changed" | "same" | "stale" {
+        const known = this.#members.get(record.name);
+        if (known && compareAge(record, known.record) <= 0) {
+            return "stale";
+        }
+        this.#members.set(record.name, { record, liveUntil: now + this.#options.getSilenceMs(record) });
+        if (!known || known.record.incarnation !== record.incarnation || known.liveUntil <= now) {
+            return "new";
+        }
+        return known.record.state === record.state ? "same" : "changed";
+    }
+
+    /** Lists live members. */
+    listLive(now: number): readonly MemberRecord[] {
+        return [...this.#members.values()].filter(member => member.liveUntil > now).map(({ record }) =>
+            record
+        );
+    }
+
+    /** Lists members that were live within the memory time, whether or not they still are. */
+    listKnown(now: number): readonly MemberRecord[] {
+        for (const [name, member] of this.#members) {
+            if (member.liveUntil + this.#options.memoryMs <= now) {
+                this.#members.delete(name);
+            }
+        }
+        return [...this.#members.values()].map(({ record }) => record);
+    }
+}
+
+function compareAge(a: MemberRecord, b: MemberRecord): number {
+    return a.incarnation - b.incarnation || a.sequence - b.sequence;
+}
--- /dev/null
+++ b/src/core/routing/pickHomeTarget.ts
@@ -0,0 +1,19 @@
+import murmurhash from "murmurhash";
+
+/**
+ * Returns which of the targets is the home of a prompt part, so that instances agree without messages.
+ *
+ * @remarks Rendezvous (highest random weight) hashing, Thaler and Ravishankar 1998.
+ */
+export function pickHomeTarget(partId: string, targetIds: readonly string[]): string | undefined {
+    let best: string | undefined;
+    let bestWeight = -1;
+    for (const id of targetIds) {
+        const weight = murmurhash.v3(`${partId}|${id}`);
+        if (weight > bestWeight) {
+            bestWeight = weight;
+            best = id;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/src/core/routing/rateBucket.ts
@@ -0,0 +1,34 @@
+const MS_PER_SECOND = 1000;
+
+/** Token bucket: limits events to a rate with a bounded burst. */
+export class RateBucket {
+    #tokens: number;
+    #filledAt: number;
+
+    private constructor(tokens: number, now: number) {
+        this.#tokens = tokens;
+        this.#filledAt = now;
+    }
+
+    /** Creates a full bucket. */
+    static create(burst: number, now: number): RateBucket {
+        return new RateBucket(burst, now);
+    }
+
+    /** Returns whether a token is there, without taking it. */
+    has(now: number, perSecond: number, burst: number): boolean {
+        const gained = (now - this.#filledAt) * perSecond / MS_PER_SECOND;
+        this.#tokens = Math.min(burst, this.#tokens + Math.max(0, gained));
+        this.#filledAt = now;
+        return this.#tokens >= 1;
+    }
+
+    /** Takes one token; false when there is none. */
+    tryTake(now: number, perSecond: number, burst: number): boolean {
+        if (!this.has(now, perSecond, burst)) {
+            return false;
+        }
+        this.#tokens -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/core/routing/targetEntry.ts
@@ -0,0 +1,15 @@
+/** One target as the platform lists it. */
+export interface TargetEntry {
+    /** Identifier of one life of the target's process. */
+    readonly id: string;
+    readonly service: string;
+    /** host:port. */
+    readonly address: string;
+    readonly dataCentre: string;
+    readonly slots: number;
+    readonly isDraining: boolean;
+    /** Monotonic time in milliseconds until which the target is cold. */
+    readonly coldUntil: number;
+    /** Start of the target's process in Unix milliseconds, 0 if unknown. */
+    readonly startedAtMs: number;
+}
--- /dev/null
+++ b/src/core/routing/targetState.ts
@@ -0,0 +1,102 @@
+import { DecayingSum } from "./decayingSum.js";
+import type { PeerLoad } from "./peerLoad.js";
+import { PromptCache } from "./promptCache.js";
+import { RateBucket } from "./rateBucket.js";
+import type { TargetEntry } from "./targetEntry.js";
+
+/** Failures in a row after which a target rests. */
+const FAILURES_TO_EJECT = 3;
+/** First and longest rest of a failing target; the rest doubles with each failure. */
+const MIN_EJECTION_MS = 500;
+const MAX_EJECTION_MS = 4000;
+/** Failures and answers weigh in the failure share for about this time. */
+const HEALTH_WINDOW_MS = 4000;
+/** Weight of the newest sample in the moving average of the slowness. */
+const SLOWNESS_WEIGHT = 0.1;
+const MAX_SLOWNESS = 10;
+/** Part of an engine's memory that one instance assumes to be filled by its own prompts. */
+const CACHE_SHARE = 0.5;
+const DEFAULT_CACHE_TOKENS = 100_000;
+
+/** What one instance knows about one target: its own load, that of its peers, health and cached prompts. */
+export class TargetState {
+    readonly cache: PromptCache;
+    readonly coldBucket: RateBucket;
+    entry: TargetEntry;
+    inFlight = 0;
+    pendingTokens = 0;
+    /** Ratio of the measured to the expected time to the first event. */
+    slowness = 1;
+    ejectedUntil = 0;
+    readonly #peers = new Map<string, PeerLoad>();
+    readonly #failures = DecayingSum.create(HEALTH_WINDOW_MS);
+    readonly #results = DecayingSum.create(HEALTH_WINDOW_MS);
+    #failuresInRow = 0;
+
+    private constructor(entry: TargetEntry, memoryTokens: number, now: number) {
+        this.entry = entry;
+        this.cache = PromptCache.create(memoryTokens);
+        this.coldBucket = RateBucket.create(1, now);
+    }
+
+    /** Creates the state of a target that nothing was sent to. */
+    static create(entry: TargetEntry, memoryTokens: number | undefined, now: number): TargetState {
+        return new TargetState(entry, (memoryTokens ?? DEFAULT_CACHE_TOKENS) * CACHE_SHARE, now);
+    }
+
+    /** Stores what a peer has sent to the target. */
+    setPeerLoad(instance: string, load: PeerLoad): void {
+        this.#peers.set(instance, load);
+    }
+
+    /** Requests in flight at the target, those of peers included. */
+    countInFlight(now: number): number {
+        return this.#sumPeers(now, load => load.inFlight) + this.inFlight;
+    }
+
+    /** Prompt tokens that the target has not finished reading, those of peers included. */
+    countPendingTokens(now: number): number {
+        return this.#sumPeers(now, load => load.pendingTokens) + this.pendingTokens;
+    }
+
+    /** Share of recent requests that failed, from 0 to 1. */
+    getFailureShare(now: number): number {
+        return this.#failures.get(now) / Math.max(1, this.#results.get(now));
+    }
+
+    /** Records an answer. */
+    recordSuccess(now: number): void {
+        this.#results.add(1, now);
+        this.#failuresInRow = 0;
+        this.ejectedUntil = 0;
+    }
+
+    /** Records a failure of the target or of the way to it; several in a row make it rest. */
+    recordFailure(now: number): void {
+        this.#results.add(1, now);
+        this.#failures.add(1, now);
+        this.#failuresInRow += 1;
+        const excess = this.#failuresInRow - FAILURES_TO_EJECT;
+        if (excess >= 0) {
+            this.ejectedUntil = now + Math.min(MAX_EJECTION_MS, MIN_EJECTION_MS * 2 ** excess);
+        }
+    }
+
+    /** Compares a measured time to the first event with the expected one. */
+    recordFirstEvent(measuredMs: number, expectedMs: number): void {
+        const sample = Math.min(MAX_SLOWNESS, Math.max(1, measuredMs / Math.max(1, expectedMs)));
+        this.slowness += (sample - this.slowness) * SLOWNESS_WEIGHT;
+    }
+
+    #sumPeers(now: number, read: (load: PeerLoad) => number): number {
+        let sum = 0;
+        for (const [instance, load] of this.#peers) {
+            if (load.validUntil < now) {
+                this.#peers.delete(instance);
+                continue;
+            }
+            sum += read(load);
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/src/core/routing/waitingRequest.ts
@@ -0,0 +1,15 @@
+import type { RoutedRequest } from "./routedRequest.js";
+import type { TargetGrant } from "./targetGrant.js";
+
+/** A request that waits for a target. */
+export interface WaitingRequest {
+    readonly request: RoutedRequest;
+    /** Identifiers of targets that failed the request. */
+    readonly avoided: ReadonlySet<string>;
+    /** True for a request of which a part was already answered, which is never refused. */
+    readonly isResume: boolean;
+    readonly onGrant: (grant: TargetGrant) => void;
+    readonly onRefuse: (reason: SchedulerRefusal, retryAfterMs: number) => void;
+}
+
+type SchedulerRefusal = "no-target" | "overloaded";
--- /dev/null
+++ b/src/platform/decodeConfiguration.ts
@@ -0,0 +1,105 @@
+import type { RoutedAccount } from "../core/routing/routedAccount.js";
+import type { RoutedService } from "../core/routing/routedService.js";
+import type { RouteKind } from "../core/routing/routeKind.js";
+import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import type { RouteRule } from "../core/routing/routeRule.js";
+
+type Fields = Readonly<Record<string, unknown>>;
+
+const KINDS: Readonly<Record<string, RouteKind>> = { safe: "safe", unsafe: "unsafe", streaming: "stream" };
+const MS_PER_SECOND = 1000;
+
+/**
+ * Decodes the operators' configuration.
+ *
+ * @throws TypeError when it is not of the expected form.
+ */
+export function decodeConfiguration(value: Buffer): RouterConfiguration {
+    const fields = JSON.parse(value.toString("utf8")) as Fields;
+    const limits = (fields["limits"] ?? {}) as Fields;
+    if (!Number.isInteger(fields["version"])) {
+        throw new TypeError("The configuration has no version.");
+    }
+    const services = readList(fields["services"]).map(decodeService);
+    return {
+        version: Number(fields["version"]),
+        routesByHost: groupRoutes(readList(fields["routes"]).map(decodeRoute)),
+        services: new Map(services.map(service => [service.name, service])),
+        hasAccounts: Array.isArray(fields["tenants"]) && fields["tenants"].length > 0,
+        accountsByKey: indexAccounts(readList(fields["tenants"])),
+        limits: {
+            maxHeaderBytes: readNumber(limits["maxHeaderBytes"], 16_384),
+            maxBodyBytes: readNumber(limits["maxBodyBytes"], 4_194_304),
+            headerTimeoutMs: readNumber(limits["headerTimeoutMs"], 3000),
+            idleTimeoutMs: readNumber(limits["idleTimeoutMs"], 15_000),
+            tokensPerSecond: readNumber(limits["tokensPerS"], 0),
+        },
+    };
+}
+
+function readList(value: unknown): readonly Fields[] {
+    return Array.isArray(value) ? value as readonly Fields[] : [];
+}
+
+function readNumber(value: unknown, absent: number): number {
+    return typeof value === "number" ? value : absent;
+}
+
+function readTexts(value: unknown): readonly string[] {
+    return Array.isArray(value) ? value.map(String) : [];
+}
+
+function decodeRoute(fields: Fields): RouteRule {
+    const backends = readList(fields["backends"]);
+    const kind = KINDS[String(fields["kind"])] ?? "unsafe";
+    const timeoutMs = readNumber(fields["timeoutMs"], 10_000);
+    return {
+        name: String(fields["name"]),
+        host: String(fields["host"]).toLowerCase(),
+        pathPrefix: String(fields["pathPrefix"]),
+        kind,
+        timeoutMs,
+        objectiveMs: readNumber(fields["targetLatencyMs"], timeoutMs),
+        backends: backends.length > 0
+            ? backends.map(backend => ({
+                service: String(backend["service"]),
+                weight: readNumber(backend["weight"], 1),
+            }))
+            : [{ service: String(fields["service"]), weight: 1 }],
+        maxAttempts: Math.max(1, readNumber(fields["maxAttempts"], 1)),
+        isPublic: fields["public"] === true,
+        isResumable: kind === "stream" && fields["resumable"] === true,
+        regions: readTexts(fields["allowedRegions"]),
+    };
+}
+
+function groupRoutes(routes: readonly RouteRule[]): ReadonlyMap<string, readonly RouteRule[]> {
+    const byHost = new Map<string, RouteRule[]>();
+    for (const route of routes) {
+        const list = byHost.get(route.host) ?? [];
+        list.push(route);
+        byHost.set(route.host, list);
+    }
+    byHost.forEach(list => list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length));
+    return byHost;
+}
+
+function decodeService(fields: Fields): RoutedService {
+    const engine = fields["engine"] as Fields | undefined;
+    return {
+        name: String(fields["name"]),
+        maxConnections: readNumber(fields["maxConnections"], 0),
+        warmupMs: readNumber(fields["warmupS"], 0) * MS_PER_SECOND,
+        coldRequestsPerSecond: readNumber(fields["coldPerS"], 0),
+        engine: engine
+            ? { slots: readNumber(engine["slots"], 1), memoryTokens: readNumber(engine["kvTokens"], 0) }
+            : undefined,
+    };
+}
+
+function indexAccounts(accounts: readonly Fields[]): ReadonlyMap<string, RoutedAccount> {
+    return new Map(accounts.flatMap(fields => {
+        const account = { name: String(fields["name"]), regions: readTexts(fields["allowedRegions"]) };
+        return readTexts(fields["apiKeys"]).map(key => [key, account] as const);
+    }));
+}
--- /dev/null
+++ b/src/platform/lookupServer.ts
@@ -0,0 +1,71 @@
+import { createServer, type Server } from "node:http";
+import type { Place } from "../core/routing/place.js";
+import type { RouterSettings } from "../router/routerSettings.js";
+
+interface LookupServerOptions {
+    readonly directory: RouterSettings["callers"];
+    readonly readiness: RouterSettings["callers"];
+    readonly termSeconds: number;
+    readonly listAddresses: (caller: Place) => readonly string[];
+    readonly isReady: () => boolean;
+}
+
+const NOT_FOUND = 404;
+const SERVICE_UNAVAILABLE = 503;
+
+/** Answers callers that ask where to connect, and the platform's readiness checks. */
+export class LookupServer {
+    readonly #servers: readonly Server[];
+
+    private constructor(servers: readonly Server[]) {
+        this.#servers = servers;
+    }
+
+    /** Starts to listen on both addresses. */
+    static async create(options: LookupServerOptions): Promise<LookupServer> {
+        const directory = createServer((incoming, response) => {
+            const url = new URL(incoming.url ?? "/", "http://directory");
+            if (url.pathname !== "/lookup") {
+                response.writeHead(NOT_FOUND).end();
+                return;
+            }
+            const addresses = options.listAddresses({
+                dataCentre: url.searchParams.get("zone") ?? "",
+                region: url.searchParams.get("region") ?? "",
+            });
+            if (addresses.length === 0) {
+                response.writeHead(SERVICE_UNAVAILABLE, { "Content-Length": "0" }).end();
+                return;
+            }
+            const body = JSON.stringify({ addresses, ttlS: options.termSeconds });
+            response.writeHead(200, {
+                "Content-Type": "application/json",
+                "Content-Length": String(Buffer.byteLength(body)),
+            }).end(body);
+        });
+        const readiness = createServer((_incoming, response) => {
+            response.writeHead(options.isReady() ? 200 : SERVICE_UNAVAILABLE, { "Content-Length": "0" })
+                .end();
+        });
+        await Promise.all([
+            startListening(directory, options.directory),
+            startListening(readiness, options.readiness),
+        ]);
+        return new LookupServer([directory, readiness]);
+    }
+
+    /** Stops to listen. */
+    close(): void {
+        this.#servers.forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
+    }
+}
+
+function startListening(server: Server, address: RouterSettings["callers"]): Promise<void> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(address.port, address.host, resolve);
+    });
+}
--- /dev/null
+++ b/src/platform/main.ts
@@ -0,0 +1,59 @@
+import { readFileSync } from "node:fs";
+import { performance } from "node:perf_hooks";
+import { LogSink } from "../router/logSink.js";
+import { Router } from "../router/router.js";
+import { LookupServer } from "./lookupServer.js";
+import { parseSettings } from "./parseSettings.js";
+import { platformWireFormat } from "./platformWireFormat.js";
+import { StoreClient } from "./storeClient.js";
+import { StoreFollower } from "./storeFollower.js";
+
+const DEFAULT_SETTINGS_PATH = "/etc/baobabspread/settings.toml";
+const INVALID_SETTINGS_EXIT_CODE = 2;
+
+async function runRouter(): Promise<void> {
+    const path = process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
+    const settings = parseSettings(readFileSync(path, "utf8"));
+    const log = LogSink.create({ instance: settings.router.instance });
+    log.write("started", { dataCentre: settings.router.place.dataCentre });
+    const store = StoreClient.create(settings.store);
+    const router = await Router.create({ settings: settings.router, wire: platformWireFormat, log });
+    const lookup = await LookupServer.create({
+        directory: settings.directory,
+        readiness: settings.readiness,
+        termSeconds: settings.router.addressTermSeconds,
+        listAddresses: caller => router.listCallerAddresses(caller),
+        isReady: () => router.isReady(),
+    });
+    const follower = StoreFollower.create({
+        read: (call, query, timeoutMs) => store.read(call, query, timeoutMs),
+        directory: router.directory,
+        log,
+        getNow: () => performance.now(),
+        getTimeOfDay: () => Date.now(),
+        getRandom: () => Math.random(),
+        wait: ms => new Promise(resolve => setTimeout(resolve, ms)),
+        onConfiguration: configuration => router.applyConfiguration(configuration),
+        onTargets: () => router.refreshTargets(),
+        onEvacuated: dataCentres => router.setEvacuated(dataCentres),
+        onConfirmed: (at, timeOfDay) => router.confirmConfiguration(at, timeOfDay),
+    });
+    process.on("SIGTERM", () => {
+        void router.stop().then(() => {
+            follower.stop();
+            lookup.close();
+            store.close();
+            process.exit(0);
+        });
+    });
+    process.on("SIGHUP", () => {
+        // All settings belong to the machine and stay the same while the process lives.
+        log.write("reload-requested", {});
+    });
+    await follower.run();
+}
+
+runRouter().catch((error: unknown) => {
+    process.stderr.write(`${JSON.stringify({ event: "start-failed", reason: String(error) })}\n`);
+    process.exit(INVALID_SETTINGS_EXIT_CODE);
+});
--- /dev/null
+++ b/src/platform/parseSettings.ts
@@ -0,0 +1,123 @@
+import { SettingsError } from "../core/errors/settingsError.js";
+import type { RouterSettings } from "../router/routerSettings.js";
+import type { PlatformSettings } from "./platformSettings.js";
+
+type Check = (value: unknown) => boolean;
+
+const MS_PER_SECOND = 1000;
+const BYTES_PER_MB = 1_048_576;
+/** Left of the revocation bound for the way to the target and for timers that fire late. */
+const REVOCATION_MARGIN_MS = 300;
+/** Part of the allowed retries that is used, because windows of instances and bench do not start together. */
+const RETRY_SHARE = 0.75;
+/** Callers may keep an answer for three times its term; a short one keeps them near the present list. */
+const ADDRESS_TERM_SECONDS = 2;
+/** Without strict revocation, keys stay usable while the store is away. */
+const UNLIMITED_MS = Number.MAX_SAFE_INTEGER;
+
+const isText: Check = value => typeof value === "string" && value !== "";
+const isAddress: Check = value => typeof value === "string" && /^[\d.]+:\d{1,5}$/.test(value);
+const isAmount: Check = value => typeof value === "number" && Number.isFinite(value) && value >= 0;
+
+const CHECKS: Readonly<Record<string, Check>> = {
+    instance: isText,
+    dataCentre: isText,
+    region: isText,
+    dataCentres: value => typeof value === "object" && value !== null && Object.values(value).every(isText),
+    callerAddress: isAddress,
+    readinessAddress: isAddress,
+    directoryAddress: isAddress,
+    host: isText,
+    peerPort: isAmount,
+    seedAddresses: value => Array.isArray(value) && value.every(isAddress),
+    storeAddress: isAddress,
+    processorShare: isAmount,
+    memoryMb: isAmount,
+    stopTimeoutSeconds: isAmount,
+    strictRevocation: value => typeof value === "boolean",
+    revocationMs: isAmount,
+    retryRatio: isAmount,
+    retryWindowSeconds: isAmount,
+    coldFactor: isAmount,
+    coldSlack: isAmount,
+    maxAddressTermSeconds: isAmount,
+};
+
+interface RawSettings {
+    readonly instance: string;
+    readonly dataCentre: string;
+    readonly region: string;
+    readonly dataCentres: Readonly<Record<string, string>>;
+    readonly callerAddress: string;
+    readonly readinessAddress: string;
+    readonly directoryAddress: string;
+    readonly host: string;
+    readonly peerPort: number;
+    readonly seedAddresses: readonly string[];
+    readonly storeAddress: string;
+    readonly processorShare: number;
+    readonly memoryMb: number;
+    readonly stopTimeoutSeconds: number;
+    readonly strictRevocation: boolean;
+    readonly revocationMs: number;
+    readonly retryRatio: number;
+    readonly retryWindowSeconds: number;
+    readonly coldFactor: number;
+    readonly coldSlack: number;
+    readonly maxAddressTermSeconds: number;
+}
+
+/**
+ * Reads the settings file that the platform renders from `deploy/settings.template.json`.
+ *
+ * @throws SettingsError that names each missing or wrong field.
+ */
+export function parseSettings(text: string): PlatformSettings {
+    let value: unknown;
+    try {
+        value = JSON.parse(text);
+    }
+    catch (error) {
+        throw SettingsError.create([`The settings file is not JSON: ${String(error)}`]);
+    }
+    if (typeof value !== "object" || value === null) {
+        throw SettingsError.create(["The settings file holds no object."]);
+    }
+    const fields = value as Readonly<Record<string, unknown>>;
+    const faults = Object.entries(CHECKS).filter(([name, check]) => !check(fields[name]))
+        .map(([name]) => `${name}: missing or of the wrong form`);
+    if (faults.length > 0) {
+        throw SettingsError.create(faults);
+    }
+    return buildSettings(value as RawSettings);
+}
+
+function buildSettings(raw: RawSettings): PlatformSettings {
+    return {
+        router: {
+            instance: raw.instance,
+            place: { dataCentre: raw.dataCentre, region: raw.region },
+            regions: new Map(Object.entries(raw.dataCentres)),
+            callers: splitAddress(raw.callerAddress),
+            peers: { host: raw.host, port: raw.peerPort },
+            seedHosts: raw.seedAddresses.map(address => splitAddress(address).host),
+            weight: raw.processorShare,
+            memoryBytes: raw.memoryMb * BYTES_PER_MB,
+            stopTimeoutMs: raw.stopTimeoutSeconds * MS_PER_SECOND,
+            keyFreshnessMs: raw.strictRevocation ? raw.revocationMs - REVOCATION_MARGIN_MS : UNLIMITED_MS,
+            retryRatio: raw.retryRatio * RETRY_SHARE,
+            retryWindowMs: raw.retryWindowSeconds * MS_PER_SECOND,
+            coldFactor: raw.coldFactor,
+            coldSlack: raw.coldSlack,
+            addressTermSeconds: Math.min(ADDRESS_TERM_SECONDS, raw.maxAddressTermSeconds),
+        },
+        readiness: splitAddress(raw.readinessAddress),
+        directory: splitAddress(raw.directoryAddress),
+        store: splitAddress(raw.storeAddress),
+    };
+}
+
+function splitAddress(address: string): RouterSettings["callers"] {
+    const separator = address.lastIndexOf(":");
+    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+}
--- /dev/null
+++ b/src/router/answerFacts.ts
@@ -0,0 +1,10 @@
+/** What the head of a target's answer says. */
+export interface AnswerFacts {
+    readonly requestId: string | undefined;
+    /** True if the target states that it did not run the request. */
+    readonly isNotRun: boolean;
+    /** True if another target than the expected one has the address. */
+    readonly isMisdirected: boolean;
+    /** Headers that are passed on, as a flat list of names and values. */
+    readonly passedHeaders: readonly string[];
+}
--- /dev/null
+++ b/src/router/callerExchange.ts
@@ -0,0 +1,12 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { RoutedRequest } from "../core/routing/routedRequest.js";
+import type { RequestFacts } from "./requestFacts.js";
+
+/** A caller's request that was read whole, and the way to answer it. */
+export interface CallerExchange {
+    readonly incoming: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly facts: RequestFacts;
+    readonly request: RoutedRequest;
+    readonly body: Buffer | undefined;
+}
--- /dev/null
+++ b/src/router/ingress.ts
@@ -0,0 +1,159 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { CallerExchange } from "./callerExchange.js";
+import type { LogSink } from "./logSink.js";
+import type { RequestFacts } from "./requestFacts.js";
+import type { ResolvedRequest } from "./resolvedRequest.js";
+import type { WireFormat } from "./wireFormat.js";
+
+interface IngressOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly wire: WireFormat;
+    readonly log: LogSink;
+    /** Bytes of all bodies that are held at one time. */
+    readonly maxBufferedBytes: number;
+    readonly getNow: () => number;
+    /** Finds the route and account of a request. */
+    readonly resolve: (facts: RequestFacts, path: string, receivedAt: number) => ResolvedRequest;
+    readonly getMaxBodyBytes: () => number;
+    readonly isLeaving: () => boolean;
+    readonly serve: (exchange: CallerExchange) => void;
+}
+
+const MAX_HEADER_BYTES = 32_768;
+/** Callers use idle connections for up to four fifths of the configured 15 s; closing later avoids crossing them. */
+const KEEP_ALIVE_MS = 20_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+/** Connections that the operating system queues while the process is busy; a full queue costs a caller seconds. */
+const LISTEN_BACKLOG = 1024;
+const PAYLOAD_TOO_LARGE = 413;
+const SERVICE_UNAVAILABLE = 503;
+const OVERLOAD_RETRY_MS = 500;
+
+/** Accepts callers' connections and reads their requests. */
+export class Ingress {
+    readonly #options: IngressOptions;
+    readonly #server: Server;
+    #bufferedBytes = 0;
+
+    private constructor(options: IngressOptions) {
+        this.#options = options;
+        this.#server = createServer({
+            maxHeaderSize: MAX_HEADER_BYTES,
+            keepAliveTimeout: KEEP_ALIVE_MS,
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            requestTimeout: 0,
+            noDelay: true,
+        }, (incoming, response) => this.#accept(incoming, response));
+        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+            options.log.write("caller-connection-failed", { reason: error.code ?? error.message });
+            if (socket.writable && error.code !== "ECONNRESET") {
+                socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
+            socket.destroy();
+        });
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws Error when the address cannot be bound.
+     */
+    static async create(options: IngressOptions): Promise<Ingress> {
+        const ingress = new Ingress(options);
+        await new Promise<void>((resolve, reject) => {
+            ingress.#server.once("error", reject);
+            ingress.#server.listen(
+                { host: options.host, port: options.port, backlog: LISTEN_BACKLOG },
+                resolve,
+            );
+        });
+        return ingress;
+    }
+
+    /** Closes connections on which no request is open. */
+    closeIdle(): void {
+        this.#server.closeIdleConnections();
+    }
+
+    /** Stops to accept connections and closes the idle ones. */
+    close(): void {
+        this.#server.close();
+        this.#server.closeIdleConnections();
+    }
+
+    #accept(incoming: IncomingMessage, response: ServerResponse): void {
+        const { wire, getNow, resolve, log, isLeaving } = this.#options;
+        const receivedAt = getNow();
+        const facts = wire.readRequest(incoming);
+        if (isLeaving()) {
+            response.shouldKeepAlive = false;
+        }
+        const resolved = resolve(facts, incoming.url ?? "/", receivedAt);
+        if (resolved.kind === "refused") {
+            incoming.resume();
+            log.write("request-refused", { request: facts.requestId, ...resolved });
+            this.#refuse(response, facts, resolved.status, resolved.retryAfterMs);
+            return;
+        }
+        this.#readBody(incoming, response, facts, body => {
+            this.#options.serve({ incoming, response, facts, request: resolved.request, body });
+        });
+    }
+
+    #readBody(
+        incoming: IncomingMessage,
+        response: ServerResponse,
+        facts: RequestFacts,
+        onBody: (body: Buffer | undefined) => void,
+    ): void {
+        const chunks: Buffer[] = [];
+        let length = 0;
+        let isRefused = false;
+        const hasBody = incoming.headers["content-length"] !== undefined
+            || incoming.headers["transfer-encoding"] !== undefined;
+        incoming.on("data", (chunk: Buffer) => {
+            if (isRefused) {
+                return;
+            }
+            length += chunk.length;
+            this.#bufferedBytes += chunk.length;
+            chunks.push(chunk);
+            const isTooLarge = length > this.#options.getMaxBodyBytes();
+            if (isTooLarge || this.#bufferedBytes > this.#options.maxBufferedBytes) {
+                isRefused = true;
+                chunks.length = 0;
+                const status = isTooLarge ? PAYLOAD_TOO_LARGE : SERVICE_UNAVAILABLE;
+                this.#options.log.write("request-refused", {
+                    request: facts.requestId,
+                    status,
+                    reason: isTooLarge ? "body-too-large" : "memory-limit",
+                });
+                this.#refuse(response, facts, status, OVERLOAD_RETRY_MS);
+            }
+        });
+        incoming.on("end", () => {
+            if (!isRefused) {
+                onBody(hasBody ? Buffer.concat(chunks) : undefined);
+            }
+        });
+        incoming.on("error", () => response.destroy());
+        response.on("close", () => {
+            this.#bufferedBytes -= length;
+        });
+    }
+
+    #refuse(
+        response: ServerResponse,
+        facts: RequestFacts,
+        status: number,
+        retryAfterMs: number | undefined,
+    ): void {
+        response.writeHead(status, {
+            ...this.#options.wire.buildOwnHeaders(facts.requestId, retryAfterMs),
+            "Content-Length": "0",
+        });
+        response.end();
+    }
+}
--- /dev/null
+++ b/src/router/logSink.ts
@@ -0,0 +1,86 @@
+import { write } from "node:fs";
+
+/** Lines are collected for this long, to write many with one call. */
+const FLUSH_INTERVAL_MS = 250;
+/** Lines above this size are dropped while the reader of the log does not keep up. */
+const MAX_BUFFERED_BYTES = 262_144;
+const RETRY_MS = 50;
+const STDOUT = 1;
+
+/** Writes structured log lines to standard output without ever blocking; counts what it has to drop. */
+export class LogSink {
+    readonly #fields: Readonly<Record<string, string | number>>;
+    #lines: string[] = [];
+    #bytes = 0;
+    #isWriting = false;
+    #timer: NodeJS.Timeout | undefined;
+    #dropped = 0;
+    #droppedTotal = 0;
+
+    private constructor(fields: Readonly<Record<string, string | number>>) {
+        this.#fields = fields;
+    }
+
+    /** Creates a log whose lines all carry the fields. */
+    static create(fields: Readonly<Record<string, string | number>>): LogSink {
+        return new LogSink(fields);
+    }
+
+    /** Lines dropped since the start. */
+    get droppedTotal(): number {
+        return this.#droppedTotal;
+    }
+
+    /** Appends one event. */
+    write(event: string, fields: object): void {
+        const line = `${JSON.stringify({ at: Date.now(), event, ...this.#fields, ...fields })}\n`;
+        if (this.#bytes + line.length > MAX_BUFFERED_BYTES) {
+            this.#dropped += 1;
+            this.#droppedTotal += 1;
+            return;
+        }
+        this.#lines.push(line);
+        this.#bytes += line.length;
+        this.#timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS);
+    }
+
+    /** Writes what is buffered. */
+    flush(): void {
+        clearTimeout(this.#timer);
+        this.#timer = undefined;
+        if (this.#isWriting || this.#lines.length === 0) {
+            return;
+        }
+        if (this.#dropped > 0) {
+            this.#lines.push(
+                `${JSON.stringify({ at: Date.now(), event: "log-dropped", count: this.#dropped })}\n`,
+            );
+            this.#dropped = 0;
+        }
+        const data = Buffer.from(this.#lines.join(""));
+        this.#lines = [];
+        this.#bytes = 0;
+        this.#isWriting = true;
+        this.#writeAll(data);
+    }
+
+    #writeAll(data: Buffer): void {
+        write(STDOUT, data, (error, written) => {
+            const rest = error ? data : data.subarray(written);
+            if (error && error.code !== "EAGAIN") {
+                // Nobody reads standard output any more, and there is no other place to tell.
+                this.#droppedTotal += 1;
+                this.#isWriting = false;
+                return;
+            }
+            if (rest.length > 0) {
+                setTimeout(() => this.#writeAll(rest), RETRY_MS);
+                return;
+            }
+            this.#isWriting = false;
+            if (this.#lines.length > 0) {
+                this.#timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/router/outgoingRequest.ts
@@ -0,0 +1,7 @@
+/** One request as it is written to a target. */
+export interface OutgoingRequest {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: string[];
+    readonly body: Buffer | undefined;
+}
--- /dev/null
+++ b/src/router/targetAgent.ts
@@ -0,0 +1,46 @@
+import { Agent, type ClientRequest } from "node:http";
+import type { Socket } from "node:net";
+
+/** Connections that stay idle in the pool of one target, at most. */
+const MAX_IDLE_CONNECTIONS = 32;
+
+/** Keeps connections to targets. One on which bytes arrive while no request is open is closed, since they belong to none. */
+export class TargetAgent extends Agent {
+    readonly #onStrayData = new WeakMap<Socket, () => void>();
+
+    private constructor(idleTimeoutMs: number) {
+        super({
+            keepAlive: true,
+            maxFreeSockets: MAX_IDLE_CONNECTIONS,
+            scheduling: "lifo",
+            timeout: idleTimeoutMs,
+            noDelay: true,
+        });
+    }
+
+    /** Creates a pool whose connections are closed after they were idle for a time in milliseconds. */
+    static create(idleTimeoutMs: number): TargetAgent {
+        return new TargetAgent(idleTimeoutMs);
+    }
+
+    override keepSocketAlive(socket: Socket): boolean {
+        // The type definitions omit that the method returns whether the connection is kept.
+        const isKept = super.keepSocketAlive(socket) as unknown as boolean;
+        if (isKept) {
+            const onData = (): void => {
+                socket.destroy();
+            };
+            this.#onStrayData.set(socket, onData);
+            socket.on("data", onData);
+        }
+        return isKept;
+    }
+
+    override reuseSocket(socket: Socket, request: ClientRequest): void {
+        const onData = this.#onStrayData.get(socket);
+        if (onData) {
+            socket.removeListener("data", onData);
+        }
+        super.reuseSocket(socket, request);
+    }
+}
--- /dev/null
+++ b/src/router/targetExchange.ts
@@ -0,0 +1,131 @@
+import { type Agent, type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { OutgoingRequest } from "./outgoingRequest.js";
+
+interface TargetExchangeOptions {
+    /** host:port. */
+    readonly address: string;
+    readonly order: OutgoingRequest;
+    /** `false` opens a connection for this request alone. */
+    readonly agent: Agent | false;
+    readonly onHead: (answer: IncomingMessage) => void;
+    readonly onData: (chunk: Buffer) => void;
+    readonly onEnd: () => void;
+    /** `isWritten` is false if no byte of the request can have reached the target. */
+    readonly onFail: (reason: string, isWritten: boolean) => void;
+}
+
+/** A connection that is not open by then is given up; the longest way to a target and back takes a tenth of it. */
+const CONNECT_TIMEOUT_MS = 400;
+
+/** One request to one target and its answer. */
+export class TargetExchange {
+    readonly #options: TargetExchangeOptions;
+    #request: ClientRequest | undefined;
+    #answer: IncomingMessage | undefined;
+    #connectTimer: NodeJS.Timeout | undefined;
+    #isWritten = false;
+    #isEnded = false;
+
+    private constructor(options: TargetExchangeOptions) {
+        this.#options = options;
+    }
+
+    /** Sends the request. */
+    static create(options: TargetExchangeOptions): TargetExchange {
+        const exchange = new TargetExchange(options);
+        exchange.#send();
+        return exchange;
+    }
+
+    /** Stops the request; no further callback follows. */
+    abort(): void {
+        this.#isEnded = true;
+        clearTimeout(this.#connectTimer);
+        this.#request?.destroy();
+    }
+
+    /** Stops and restarts the reading of the answer, for a caller that reads slowly. */
+    pause(): void {
+        this.#answer?.pause();
+    }
+
+    resume(): void {
+        this.#answer?.resume();
+    }
+
+    #send(): void {
+        const { address, agent, order } = this.#options;
+        const separator = address.lastIndexOf(":");
+        let request: ClientRequest;
+        try {
+            request = sendRequest({
+                host: address.slice(0, separator),
+                port: Number(address.slice(separator + 1)),
+                method: order.method,
+                path: order.path,
+                headers: order.headers,
+                agent,
+            });
+        }
+        catch (error) {
+            queueMicrotask(() => this.#fail(String(error)));
+            return;
+        }
+        this.#request = request;
+        request.on("socket", socket => this.#onSocket(socket));
+        request.on("response", answer => this.#onResponse(answer));
+        request.on("error", (error: NodeJS.ErrnoException) => this.#fail(error.code ?? error.message));
+        request.end(order.body);
+    }
+
+    #onSocket(socket: Socket): void {
+        if (!socket.connecting) {
+            this.#isWritten = true;
+            return;
+        }
+        this.#connectTimer = setTimeout(() => {
+            this.#fail("connect-timeout");
+            this.#request?.destroy();
+        }, CONNECT_TIMEOUT_MS);
+        socket.once("connect", () => {
+            this.#isWritten = true;
+            clearTimeout(this.#connectTimer);
+        });
+    }
+
+    #onResponse(answer: IncomingMessage): void {
+        if (this.#isEnded) {
+            answer.resume();
+            return;
+        }
+        this.#answer = answer;
+        answer.on("data", (chunk: Buffer) => {
+            if (!this.#isEnded) {
+                this.#options.onData(chunk);
+            }
+        });
+        answer.on("end", () => {
+            if (this.#isEnded) {
+                return;
+            }
+            if (!answer.complete) {
+                this.#fail("truncated");
+                return;
+            }
+            this.#isEnded = true;
+            this.#options.onEnd();
+        });
+        answer.on("error", (error: NodeJS.ErrnoException) => this.#fail(error.code ?? error.message));
+        this.#options.onHead(answer);
+    }
+
+    #fail(reason: string): void {
+        if (this.#isEnded) {
+            return;
+        }
+        this.#isEnded = true;
+        clearTimeout(this.#connectTimer);
+        this.#options.onFail(reason, this.#isWritten);
+    }
+}
