Divide engine capacity by max-min shares and keep shared prompt parts at one home

Ruled out: homes within a data centre only, which read each part once a region. A stopping instance refuses what it cannot finish.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -151,7 +151,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "src/transport/generated/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "src/transport/generated/**"] },
     ...tseslint.configs.strict,
     ...tseslint.configs.stylistic,
     {
--- a/src/core/routing/accountUsage.ts
+++ b/src/core/routing/accountUsage.ts
@@ -1,31 +1,43 @@
 import { DecayingSum } from "./decayingSum.js";
 
-/** Usage weighs in for about this time, the window over which client accounts are owed their share. */
-const USAGE_WINDOW_MS = 4000;
+/** Tokens of one client account at one instance. */
+interface UsageRecord {
+    readonly asked: DecayingSum;
+    readonly granted: DecayingSum;
+}
 
 interface PeerUsage {
-    readonly tokens: ReadonlyMap<string, number>;
+    /** Tokens asked for and granted, by client account. */
+    readonly tokens: ReadonlyMap<string, { readonly asked: number; readonly granted: number; }>;
+    /** Monotonic time in milliseconds. */
     readonly validUntil: number;
 }
 
-/** Tokens that each client account has used lately, over all instances that report. */
+const MS_PER_SECOND = 1000;
+
+/** Tokens that client accounts have asked for and were granted lately, over all instances that report. */
 export class AccountUsage {
-    readonly #own = new Map<string, DecayingSum>();
+    readonly #windowMs: number;
+    readonly #own = new Map<string, UsageRecord>();
     readonly #peers = new Map<string, PeerUsage>();
 
-    /** Creates a record without usage. */
-    static create(): AccountUsage {
-        return new AccountUsage();
+    private constructor(windowMs: number) {
+        this.#windowMs = windowMs;
     }
 
-    /** Charges tokens to a client account. */
-    charge(account: string, tokens: number, now: number): void {
-        let sum = this.#own.get(account);
-        if (!sum) {
-            sum = DecayingSum.create(USAGE_WINDOW_MS);
-            this.#own.set(account, sum);
-        }
-        sum.add(tokens, now);
+    /** Creates a record without usage; usage weighs in for about `windowMs`. */
+    static create(windowMs: number): AccountUsage {
+        return new AccountUsage(windowMs);
+    }
+
+    /** Records that a client account asks for tokens. */
+    addAsked(account: string, tokens: number, now: number): void {
+        this.#ensure(account).asked.add(tokens, now);
+    }
+
+    /** Records that tokens were granted to a client account. */
+    addGranted(account: string, tokens: number, now: number): void {
+        this.#ensure(account).granted.add(tokens, now);
     }
 
     /** Stores the usage that a peer reports. */
@@ -33,22 +45,70 @@
         this.#peers.set(instance, usage);
     }
 
-    /** Returns the recent tokens of a client account at all instances. */
-    getTotal(account: string, now: number): number {
-        let total = this.#own.get(account)?.get(now) ?? 0;
-        for (const [instance, usage] of this.#peers) {
-            if (usage.validUntil < now) {
-                this.#peers.delete(instance);
-                continue;
-            }
-            total += usage.tokens.get(account) ?? 0;
+    /** Returns the recent tokens granted to a client account at all instances. */
+    getGranted(account: string, now: number): number {
+        let total = this.#own.get(account)?.granted.get(now) ?? 0;
+        for (const usage of this.#listPeers(now)) {
+            total += usage.tokens.get(account)?.granted ?? 0;
         }
         return total;
     }
 
+    /**
+     * Returns the tokens that each client account may be granted over the window when targets are short: the max-min
+     * share of the capacity, given what all accounts ask for.
+     *
+     * @remarks Progressive filling, Bertsekas and Gallager, Data Networks, section 6.5.
+     */
+    computeShare(tokensPerSecond: number, now: number): number {
+        const asked = new Map<string, number>();
+        for (const [account, record] of this.#own) {
+            asked.set(account, record.asked.get(now));
+        }
+        for (const usage of this.#listPeers(now)) {
+            for (const [account, tokens] of usage.tokens) {
+                asked.set(account, (asked.get(account) ?? 0) + tokens.asked);
+            }
+        }
+        let left = tokensPerSecond * this.#windowMs / MS_PER_SECOND;
+        const amounts = [...asked.values()].sort((a, b) => a - b);
+        for (const [i, amount] of amounts.entries()) {
+            const even = left / (amounts.length - i);
+            if (amount > even) {
+                return even;
+            }
+            left -= amount;
+        }
+        return Number.POSITIVE_INFINITY;
+    }
+
     /** Lists the recent tokens of each client account at this instance. */
-    listOwn(now: number): readonly (readonly [account: string, tokens: number])[] {
-        return [...this.#own].map(([account, sum]) => [account, Math.round(sum.get(now))] as const)
-            .filter(([, tokens]) => tokens > 0);
+    listOwn(now: number): readonly (readonly [account: string, asked: number, granted: number])[] {
+        return [...this.#own]
+            .map(([account, record]) =>
+                [account, Math.round(record.asked.get(now)), Math.round(record.granted.get(now))] as const
+            )
+            .filter(([, asked, granted]) => asked + granted > 0);
+    }
+
+    #ensure(account: string): UsageRecord {
+        let record = this.#own.get(account);
+        if (!record) {
+            record = {
+                asked: DecayingSum.create(this.#windowMs),
+                granted: DecayingSum.create(this.#windowMs),
+            };
+            this.#own.set(account, record);
+        }
+        return record;
+    }
+
+    #listPeers(now: number): readonly PeerUsage[] {
+        for (const [instance, usage] of this.#peers) {
+            if (usage.validUntil < now) {
+                this.#peers.delete(instance);
+            }
+        }
+        return [...this.#peers.values()];
     }
 }
--- a/src/core/routing/estimateTarget.ts
+++ b/src/core/routing/estimateTarget.ts
@@ -1,3 +1,4 @@
+import type { PromptPart } from "./promptPart.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
 import type { TargetState } from "./targetState.js";
@@ -13,6 +14,8 @@
     /** Time in milliseconds that the prompts ahead take. */
     readonly queueMs: number;
     readonly missingTokens: number;
+    /** Shared prompt tokens that the target lacks although another one keeps them. */
+    readonly movedTokens: number;
     /** Time in milliseconds to the first event, without the way to the target and its slowness. */
     readonly expectedMs: number;
 }
@@ -21,24 +24,34 @@
 export function estimateTarget(
     target: TargetState,
     request: RoutedRequest,
-    options: { readonly isEngine: boolean; readonly isHome: boolean; readonly now: number; },
+    options: {
+        readonly isEngine: boolean;
+        readonly isHome: boolean;
+        readonly hasHome: boolean;
+        readonly now: number;
+    },
     settings: SchedulerSettings,
 ): TargetEstimate {
     const inFlight = target.countInFlight(options.now);
     if (!options.isEngine) {
         const queueMs = PLAIN_WORK_MS * inFlight / Math.max(1, target.entry.slots);
-        return { queueMs, missingTokens: 0, expectedMs: PLAIN_WORK_MS + queueMs };
+        return { queueMs, missingTokens: 0, movedTokens: 0, expectedMs: PLAIN_WORK_MS + queueMs };
     }
     const queueMs = target.countPendingTokens(options.now) / settings.prefillTokensPerMs;
     const known = target.cache.countParts(request.prompt);
-    // Peers send the shared parts of a prompt to its home, which therefore probably keeps all but the last part.
+    // All instances send the shared parts of a prompt to its home, which therefore probably keeps all but the last part.
     const kept = options.isHome ? Math.max(known, request.prompt.length - 1) : known;
-    const keptTokens = request.prompt.slice(0, kept).reduce((sum, part) => sum + part.tokens, 0);
-    const missingTokens = Math.max(1, request.promptTokens - keptTokens);
+    const missingTokens = Math.max(1, request.promptTokens - sumTokens(request.prompt.slice(0, kept)));
+    const movedTokens = options.hasHome ? sumTokens(request.prompt.slice(kept, -1)) : 0;
     return {
         queueMs,
         missingTokens,
+        movedTokens,
         expectedMs: ENGINE_BASE_MS + queueMs + missingTokens / settings.prefillTokensPerMs
             + inFlight * RUNNING_REQUEST_MS,
     };
 }
+
+function sumTokens(parts: readonly PromptPart[]): number {
+    return parts.reduce((sum, part) => sum + part.tokens, 0);
+}
--- a/src/core/routing/schedulerSettings.ts
+++ b/src/core/routing/schedulerSettings.ts
@@ -9,6 +9,8 @@
     readonly prefillTokensPerMs: number;
     /** Engines with a longer queue of prompts get no further request; requests wait here instead. */
     readonly engineQueueMs: number;
+    /** The same for requests of client accounts that have had their share. */
+    readonly overShareQueueMs: number;
     /** Requests a second over all instances that a cold target may get beyond its stated rate, as factor and constant. */
     readonly coldFactor: number;
     readonly coldSlack: number;
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -13,6 +13,8 @@
     readonly service: RoutedService;
     readonly settings: SchedulerSettings;
     readonly usage: AccountUsage;
+    /** Tokens a second that all engines process together; 0 if unknown. */
+    readonly getTokensPerSecond: () => number;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (entry: TargetEntry, limitPerSecond: number) => ColdShare | undefined;
 }
@@ -35,10 +37,18 @@
 const OUTPUT_TOKEN_COST = 2;
 /** Waiting requests of one service above which new ones are refused, to bound memory. */
 const MAX_WAITING = 2000;
+/** A request beyond its account's share waits for this part of its objective; longer waits are billed as late refusals. */
+const OVER_SHARE_WAIT = 0.12;
+/** Time in milliseconds that an idle target takes to begin its answer. */
+const MIN_ANSWER_MS = 40;
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 3000;
-/** Parts smaller than this are read again sooner than they are worth a detour. */
-const MIN_HOME_TOKENS = 256;
+/**
+ * Cost of a target other than the home of a prompt: a constant, and one for each shared token that has to be moved there.
+ * Reading a shared part again is billed, and moving it takes about as long as reading it.
+ */
+const MOVE_COST_MS = 60;
+const MOVE_COST_MS_PER_TOKEN = 0.015;
 
 /** Decides which waiting request of a service goes to which target, and which is refused. */
 export class ServiceScheduler {
@@ -99,6 +109,9 @@
             waiting.onRefuse("overloaded", MAX_RETRY_AFTER_MS);
             return;
         }
+        if (!waiting.isResume) {
+            this.#options.usage.addAsked(waiting.request.account, computeTokens(waiting.request), now);
+        }
         this.#waiting.push(waiting);
         this.advance(now);
     }
@@ -129,17 +142,20 @@
         if (this.#waiting.length === 0) {
             return;
         }
+        const share = this.#computeShare(now);
         const ordered = this.#sortWaiting(now);
         const left: WaitingRequest[] = [];
         const granted: (readonly [WaitingRequest, TargetGrant])[] = [];
         const refused: (readonly [WaitingRequest, "no-target" | "overloaded"])[] = [];
         for (const waiting of ordered) {
-            const candidate = this.#pickTarget(waiting, now);
+            const { request } = waiting;
+            const isOverShare = this.#options.usage.getGranted(request.account, now) > share;
+            const candidate = this.#pickTarget(waiting, isOverShare, now);
             if (candidate) {
-                granted.push([waiting, this.#reserve(waiting.request, candidate, now)]);
+                granted.push([waiting, this.#reserve(request, candidate, now)]);
                 continue;
             }
-            if (waiting.request.objectiveDeadline > now || waiting.isResume) {
+            if (waiting.isResume || now < this.#getWaitDeadline(request, isOverShare)) {
                 left.push(waiting);
                 continue;
             }
@@ -150,6 +166,24 @@
         refused.forEach(([waiting, reason]) => waiting.onRefuse(reason, this.#estimateRetryAfter()));
     }
 
+    /** Tokens that a client account may be granted before its requests wait for targets without a queue. */
+    #computeShare(now: number): number {
+        const { usage, getTokensPerSecond } = this.#options;
+        const rate = getTokensPerSecond();
+        return this.#service.engine && rate > 0 ? usage.computeShare(rate, now) : Number.POSITIVE_INFINITY;
+    }
+
+    /** Time from which a request cannot be on time any more, or, beyond the share, is sent away to come back later. */
+    #getWaitDeadline(request: RoutedRequest, isOverShare: boolean): number {
+        if (isOverShare) {
+            return request.receivedAt + request.route.objectiveMs * OVER_SHARE_WAIT;
+        }
+        const readingMs = this.#service.engine
+            ? request.promptTokens / this.#options.settings.prefillTokensPerMs
+            : 0;
+        return request.objectiveDeadline - Math.min(request.route.objectiveMs / 2, MIN_ANSWER_MS + readingMs);
+    }
+
     #estimateRetryAfter(): number {
         const tokens = this.#waiting.reduce((sum, waiting) => sum + waiting.request.promptTokens, 0);
         const rate = Math.max(1, this.#targets.size) * this.#options.settings.prefillTokensPerMs;
@@ -164,7 +198,7 @@
         const usage = new Map<string, number>();
         for (const { request } of this.#waiting) {
             if (!usage.has(request.account)) {
-                usage.set(request.account, this.#options.usage.getTotal(request.account, now));
+                usage.set(request.account, this.#options.usage.getGranted(request.account, now));
             }
         }
         return [...this.#waiting].sort((a, b) =>
@@ -182,15 +216,13 @@
             target.coldBucket.tryTake(now, coldShare.perSecond, coldShare.burst);
         }
         target.cache.add(request.prompt);
-        this.#options.usage.charge(
-            request.account,
-            request.promptTokens + OUTPUT_TOKEN_COST * request.outputTokens,
-            now,
-        );
+        this.#options.usage.addGranted(request.account, computeTokens(request), now);
         return grant;
     }
 
-    #pickTarget(waiting: WaitingRequest, now: number): Candidate | undefined {
+    #pickTarget(waiting: WaitingRequest, isOverShare: boolean, now: number): Candidate | undefined {
+        const { settings } = this.#options;
+        const maxQueueMs = isOverShare ? settings.overShareQueueMs : settings.engineQueueMs;
         const usable = [...this.#targets.values()].filter(({ entry }) =>
             this.#isUsable(entry, waiting.request)
         );
@@ -198,10 +230,10 @@
         const fresh = (rested.length > 0 ? rested : usable).filter(({ entry }) =>
             !waiting.avoided.has(entry.id)
         );
-        const home = this.#findHome(waiting.request, fresh);
+        const home = this.#findHome(waiting.request, rested);
         let best: Candidate | undefined;
         for (const target of fresh) {
-            const candidate = this.#rateTarget(target, waiting.request, home === target.entry.id, now);
+            const candidate = this.#rateTarget(target, waiting.request, home, maxQueueMs, now);
             if (candidate && (!best || candidate.score < best.score)) {
                 best = candidate;
             }
@@ -215,20 +247,21 @@
             && (request.regions.length === 0 || request.regions.includes(region));
     }
 
-    #findHome(request: RoutedRequest, targets: readonly TargetState[]): string | undefined {
+    /** The target that keeps the shared parts of a prompt; all instances compute the same one. */
+    #findHome(request: RoutedRequest, targets: readonly TargetState[]): TargetState | undefined {
         const shared = request.prompt.at(-2);
-        if (!shared || shared.tokens < MIN_HOME_TOKENS) {
+        if (!shared || !this.#service.engine) {
             return undefined;
         }
-        const { dataCentre } = this.#options.settings.place;
-        const near = targets.filter(({ entry }) => entry.dataCentre === dataCentre);
-        return pickHomeTarget(shared.id, near.map(({ entry }) => entry.id));
+        const id = pickHomeTarget(shared.id, targets.map(({ entry }) => entry.id));
+        return id === undefined ? undefined : this.#targets.get(id);
     }
 
     #rateTarget(
         target: TargetState,
         request: RoutedRequest,
-        isHome: boolean,
+        home: TargetState | undefined,
+        maxQueueMs: number,
         now: number,
     ): Candidate | undefined {
         const { settings } = this.#options;
@@ -241,17 +274,25 @@
             return undefined;
         }
         const isEngine = this.#service.engine !== undefined;
-        const estimate = estimateTarget(target, request, { isEngine, isHome, now }, settings);
-        if (target.countInFlight(now) >= entry.slots || estimate.queueMs > settings.engineQueueMs) {
+        const isHome = target === home;
+        const estimate = estimateTarget(
+            target,
+            request,
+            { isEngine, isHome, hasHome: home !== undefined, now },
+            settings,
+        );
+        if (target.countInFlight(now) >= entry.slots || estimate.queueMs > maxQueueMs) {
             return undefined;
         }
         return {
             target,
             coldShare,
             score: estimate.expectedMs * target.slowness + this.#getDistanceMs(entry)
-                + target.getFailureShare(now) * FAILURE_COST_MS,
+                + target.getFailureShare(now) * FAILURE_COST_MS
+                + (home && !isHome ? MOVE_COST_MS + estimate.movedTokens * MOVE_COST_MS_PER_TOKEN : 0),
             grant: {
                 target,
+                promptSource: home && !isHome ? home.entry.address : undefined,
                 missingTokens: estimate.missingTokens,
                 expectedMs: estimate.expectedMs,
                 grantedAt: now,
@@ -279,3 +320,8 @@
         return 4 * (regions.get(entry.dataCentre) === place.region ? dataCentreDelayMs : regionDelayMs);
     }
 }
+
+/** A generated token counts twice. */
+function computeTokens(request: RoutedRequest): number {
+    return request.promptTokens + OUTPUT_TOKEN_COST * request.outputTokens;
+}
--- a/src/platform/platformWireFormat.ts
+++ b/src/platform/platformWireFormat.ts
@@ -69,6 +69,9 @@
             headers.push("Last-Event-Id", values.lastEventId);
         }
         headers.push("Deadline-Ms", String(values.patienceMs), "Expect-Instance", values.targetId);
+        if (values.promptSource !== undefined) {
+            headers.push("Kv-Fetch", values.promptSource);
+        }
         if (values.account !== "") {
             headers.push("Tenant", values.account);
         }
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -24,7 +24,7 @@
 /** Peers of the same data centre share their targets, so they hear of each other's load within this time. */
 const REPORT_INTERVAL_MS = 150;
 /** Peers of other data centres that get each report. */
-const REMOTE_REPORTS = 2;
+const REMOTE_REPORTS = 4;
 /** Other members that a report names, so that news spread without all instances talking to all. */
 const RELAYED_MEMBERS = 6;
 /** A report of load counts for four intervals, so that a lost datagram does not hide it. */
@@ -187,7 +187,9 @@
         report.others.forEach(record => this.#adopt(record, now));
         if (isNews && report.sender.name !== settings.instance) {
             usage.setPeerUsage(report.sender.name, {
-                tokens: new Map(report.usage),
+                tokens: new Map(
+                    report.usage.map(([account, asked, granted]) => [account, { asked, granted }]),
+                ),
                 validUntil: now + USAGE_VALIDITY_MS,
             });
             onLoads(report.sender.name, report.loads, now + LOAD_VALIDITY_MS);
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -10,7 +10,8 @@
     const isValid = isMember(report.sender)
         && Array.isArray(report.loads)
         && report.loads.every(load => isTuple(load, ["string", "number", "number"]))
-        && Array.isArray(report.usage) && report.usage.every(usage => isTuple(usage, ["string", "number"]))
+        && Array.isArray(report.usage)
+        && report.usage.every(usage => isTuple(usage, ["string", "number", "number"]))
         && Array.isArray(report.others) && report.others.every(isMember);
     return isValid ? report as PeerReport : undefined;
 }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -155,6 +155,7 @@
                     facts: exchange.facts,
                     account: exchange.request.account,
                     targetId: entry.id,
+                    promptSource: grant.promptSource,
                     patienceMs: Math.max(1, Math.floor(exchange.request.deadline - now)),
                     bodyLength: exchange.body?.length,
                     lastEventId: this.#isHeadSent ? this.#relay.getLastEventId() : undefined,
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -33,19 +33,27 @@
 /** Part of the memory of the machine that bodies may take. */
 const BODY_MEMORY_SHARE = 0.15;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
+/** Window over which client accounts are owed their share (quotaWindowS of the deployments). */
+const USAGE_WINDOW_MS = 4000;
 const NOT_CONFIGURED_RETRY_MS = 500;
 const STALE_RETRY_MS = 1000;
 const SERVICE_UNAVAILABLE = 503;
 /** Callers keep an answer of the directory for up to three times its term, so connections come for about that long. */
 const LINGER_SHARE = 0.75;
+/** Requests that would not end within this part of the stop time are sent elsewhere. */
+const FINISH_SHARE = 0.8;
+const STOPPING_RETRY_MS = 50;
 const STOP_MARGIN_MS = 300;
+/** Time in milliseconds to the first event, and for each token after it, that a busy engine stays below. */
+const FIRST_EVENT_MS = 800;
+const TOKEN_MS = 10;
 const STOP_POLL_MS = 50;
 
 /** One router process: accepts callers, schedules and forwards their requests. */
 export class Router {
     readonly #options: RouterOptions;
     readonly #getNow = (): number => performance.now();
-    readonly #usage = AccountUsage.create();
+    readonly #usage = AccountUsage.create(USAGE_WINDOW_MS);
     readonly #directory = TargetDirectory.create();
     readonly #freshness: ConfigurationFreshness;
     readonly #agents = TargetAgents.create();
@@ -58,6 +66,8 @@
     #ingress: Ingress | undefined;
     #timer: NodeJS.Timeout | undefined;
     #isLeaving = false;
+    /** Monotonic time by which requests must have ended before the process stops. */
+    #finishBy = Number.POSITIVE_INFINITY;
     #hasTargets = false;
 
     private constructor(options: RouterOptions) {
@@ -142,6 +152,7 @@
         const { log, settings } = this.#options;
         log.write("stopping", { active: this.#active.size });
         this.#fleet?.announce();
+        this.#finishBy = startedAt + settings.stopTimeoutMs * FINISH_SHARE;
         const lingerUntil = startedAt + settings.stopTimeoutMs * LINGER_SHARE;
         const stopBy = startedAt + settings.stopTimeoutMs - STOP_MARGIN_MS;
         while (this.#getNow() < lingerUntil || (this.#active.size > 0 && this.#getNow() < stopBy)) {
@@ -217,6 +228,7 @@
                 coldFactor: settings.coldFactor,
                 coldSlack: settings.coldSlack,
             },
+            getTokensPerSecond: () => this.#configuration?.limits.tokensPerSecond ?? 0,
             getColdShare: (entry, limit) => this.#fleet?.getColdShare(entry, limit),
         });
         this.#schedulers.set(service, scheduler);
@@ -237,6 +249,14 @@
                 retryAfterMs: NOT_CONFIGURED_RETRY_MS,
             };
         }
+        if (receivedAt + estimateDuration(facts.outputTokens) > this.#finishBy) {
+            return {
+                kind: "refused",
+                status: SERVICE_UNAVAILABLE,
+                reason: "stopping",
+                retryAfterMs: STOPPING_RETRY_MS,
+            };
+        }
         const route = findRoute(configuration, facts.host, path);
         const isFresh = this.#freshness.isFresh(receivedAt, Date.now());
         if (!route) {
@@ -318,6 +338,10 @@
     }
 }
 
+function estimateDuration(outputTokens: number): number {
+    return FIRST_EVENT_MS + outputTokens * TOKEN_MS;
+}
+
 function intersectRegions(a: readonly string[], b: readonly string[]): readonly string[] {
     if (a.length === 0 || b.length === 0) {
         return a.length === 0 ? b : a;
--- a/src/router/schedulerTuning.ts
+++ b/src/router/schedulerTuning.ts
@@ -4,6 +4,8 @@
     prefillTokensPerMs: 55,
     /** Leaves half of the shortest objective of a stream (400 ms) for the reading of the request's own prompt. */
     engineQueueMs: 200,
+    /** A quarter of that, so that accounts beyond their share fill only what would stay idle. */
+    overShareQueueMs: 50,
     /** One-way delays from the deployments' data sheets. */
     dataCentreDelayMs: 1.4,
     regionDelayMs: 20,
--- a/src/router/wireFormat.ts
+++ b/src/router/wireFormat.ts
@@ -7,6 +7,8 @@
     /** Client account of the caller's key; empty on public routes. */
     readonly account: string;
     readonly targetId: string;
+    /** Address of a target from which shared parts of the prompt can be taken. */
+    readonly promptSource: string | undefined;
     /** Time that is left for the answer, in milliseconds. */
     readonly patienceMs: number;
     readonly bodyLength: number | undefined;
