--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -47,8 +47,8 @@
  * Cost of a target other than the home of a prompt: a constant, and one for each shared token that has to be moved there.
  * Reading a shared part again is billed, and moving it takes about as long as reading it.
  */
-const MOVE_COST_MS = 60;
-const MOVE_COST_MS_PER_TOKEN = 0.015;
+const MOVE_COST_MS = 80;
+const MOVE_COST_MS_PER_TOKEN = 0.05;
 
 /** Decides which waiting request of a service goes to which target, and which is refused. */
 export class ServiceScheduler {
@@ -232,7 +232,9 @@
         );
         const home = this.#findHome(waiting.request, rested);
         let best: Candidate | undefined;
-        for (const target of fresh) {
+        // Work beyond the share of its account is not worth reading a shared part of a prompt again.
+        const eligible = isOverShare && home ? fresh.filter(target => target === home) : fresh;
+        for (const target of eligible) {
             const candidate = this.#rateTarget(target, waiting.request, home, maxQueueMs, now);
             if (candidate && (!best || candidate.score < best.score)) {
                 best = candidate;
@@ -311,13 +313,13 @@
         );
     }
 
-    /** Both ways, and the same again because other regions are billed and their load is known later. */
+    /** Time for the way to the target and back. */
     #getDistanceMs(entry: TargetEntry): number {
         const { place, regions, dataCentreDelayMs, regionDelayMs } = this.#options.settings;
         if (entry.dataCentre === place.dataCentre) {
             return 0;
         }
-        return 4 * (regions.get(entry.dataCentre) === place.region ? dataCentreDelayMs : regionDelayMs);
+        return 2 * (regions.get(entry.dataCentre) === place.region ? dataCentreDelayMs : regionDelayMs);
     }
 }
 
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -420,6 +420,11 @@
             outcome,
             status: ownStatus ?? attempt?.status,
             target: attempt?.grant.target.entry.id,
+            promptSource: attempt?.grant.promptSource,
+            missingTokens: attempt?.grant.missingTokens,
+            tokens: exchange.request.promptTokens,
+            expectedMs: attempt && Math.round(attempt.grant.expectedMs),
+            queuedMs: attempt && Math.round(attempt.grant.grantedAt - exchange.request.receivedAt),
             attempts: this.#attempts,
             ms: Math.round(getNow() - exchange.request.receivedAt),
         });
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -103,7 +103,10 @@
             return;
         }
         this.#configuration = configuration;
-        this.#options.log.write("configuration-adopted", { version: configuration.version });
+        this.#options.log.write("configuration-adopted", {
+            version: configuration.version,
+            tokensPerSecond: configuration.limits.tokensPerSecond,
+        });
         for (const service of configuration.services.values()) {
             this.#ensureScheduler(service.name).setService(service);
         }
