--- /dev/null
+++ b/src/core/routing/changeLog.ts
@@ -0,0 +1,62 @@
+import type { Change } from "./change.js";
+import type { ChangeBatch } from "./changeBatch.js";
+
+/** Changes kept for readers that lag; a reader that lags more gets everything. */
+const MAX_RECENT = 500;
+
+/** Copy of the platform's data that an instance hands on to its neighbours. */
+export class ChangeLog {
+    readonly #current = new Map<string, Change>();
+    #recent: Change[] = [];
+    #firstKnown = Number.POSITIVE_INFINITY;
+    #last: Omit<ChangeBatch, "changes" | "isWhole"> | undefined;
+
+    /** Creates an empty log. */
+    static create(): ChangeLog {
+        return new ChangeLog();
+    }
+
+    /** Revision up to which the log is complete; `undefined` if it is empty. */
+    get revision(): number | undefined {
+        return this.#last?.revision;
+    }
+
+    /** Adds a batch that was read from the platform. */
+    append(batch: ChangeBatch): void {
+        if (batch.isWhole) {
+            this.#current.clear();
+            this.#recent = [];
+            this.#firstKnown = batch.revision;
+        }
+        for (const change of batch.changes) {
+            if (change.value === undefined) {
+                this.#current.delete(change.key);
+            }
+            else {
+                this.#current.set(change.key, change);
+            }
+        }
+        if (!batch.isWhole) {
+            this.#recent.push(...batch.changes);
+            const excess = this.#recent.splice(0, Math.max(0, this.#recent.length - MAX_RECENT));
+            this.#firstKnown = excess.at(-1)?.revision ?? this.#firstKnown;
+        }
+        const { revision, confirmedAt, confirmedTimeOfDay } = batch;
+        this.#last = { revision, confirmedAt, confirmedTimeOfDay };
+    }
+
+    /** Returns what changed after a revision, or everything if that is not known any more; `undefined` if empty. */
+    listSince(after: number | undefined): ChangeBatch | undefined {
+        if (!this.#last) {
+            return undefined;
+        }
+        const isWhole = after === undefined || after < this.#firstKnown || after > this.#last.revision;
+        return {
+            ...this.#last,
+            isWhole,
+            changes: isWhole
+                ? [...this.#current.values()]
+                : this.#recent.filter(change => change.revision > after),
+        };
+    }
+}
--- a/src/core/routing/configurationFreshness.ts
+++ b/src/core/routing/configurationFreshness.ts
@@ -24,7 +24,7 @@
      * @param at Monotonic time in milliseconds.
      * @param timeOfDay Unix milliseconds of the same moment.
      */
-    confirm(at: number, timeOfDay: number): void {
+    recordConfirmation(at: number, timeOfDay: number): void {
         this.#confirmedAt = Math.max(this.#confirmedAt, at);
         this.#confirmedAtTimeOfDay = timeOfDay;
     }
--- a/src/core/routing/listCallerAddresses.ts
+++ b/src/core/routing/listCallerAddresses.ts
@@ -6,10 +6,10 @@
 
 /**
  * Lists the addresses that a caller at a place should use: open instances of its data centre, else of its region, else
- * any. Instances that only take requests without a key are listed when no other is left.
+ * any. Busy instances, and those that only take requests without a key, are listed when no other is left.
  */
 export function listCallerAddresses(members: readonly MemberRecord[], caller: Place): readonly string[] {
-    for (const state of ["open", "limited"] as const) {
+    for (const state of ["open", "busy", "limited"] as const) {
         const usable = members.filter(member => member.state === state);
         const inDataCentre = usable.filter(member => member.dataCentre === caller.dataCentre);
         const inRegion = usable.filter(member => member.region === caller.region);
--- a/src/core/routing/memberRecord.ts
+++ b/src/core/routing/memberRecord.ts
@@ -11,8 +11,8 @@
     readonly incarnation: number;
     /** Grows with each report of one incarnation. */
     readonly sequence: number;
-    /** `open`: takes requests; `limited`: takes only requests without a key; `closed`: starting or leaving. */
-    readonly state: "open" | "limited" | "closed";
+    /** `open`: takes requests; `busy`: is late, callers should prefer others; `limited`: takes only requests without a key; `closed`: starting or leaving. */
+    readonly state: "open" | "busy" | "limited" | "closed";
     /** Share of the processor relative to other instances. */
     readonly weight: number;
 }
--- /dev/null
+++ b/src/core/routing/resolveRequest.ts
@@ -0,0 +1,118 @@
+import { findRoute } from "./findRoute.js";
+import type { PromptPart } from "./promptPart.js";
+import { resolveAccount } from "./resolveAccount.js";
+import type { RoutedRequest } from "./routedRequest.js";
+import type { RouterConfiguration } from "./routerConfiguration.js";
+import type { RouteRule } from "./routeRule.js";
+
+interface CallerFacts {
+    readonly requestId: string | undefined;
+    readonly host: string;
+    readonly patienceMs: number | undefined;
+    readonly key: string | undefined;
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+    readonly prompt: readonly PromptPart[];
+}
+
+interface ResolveContext {
+    /** `undefined` until a configuration and the targets are known. */
+    readonly configuration: RouterConfiguration | undefined;
+    /** False if a key may have been taken away since the configuration was last confirmed. */
+    readonly isFresh: boolean;
+    /** True if the process has more to do than its share of the processor allows. */
+    readonly isOverloaded: boolean;
+    /** Monotonic time in milliseconds by which requests must have ended; infinite unless the process is stopping. */
+    readonly finishBy: number;
+    /** Monotonic time in milliseconds. */
+    readonly receivedAt: number;
+    /** Uniform in [0, 1). */
+    readonly random: number;
+}
+
+/** What the configuration says of a request. */
+type ResolvedRequest =
+    | { readonly kind: "accepted"; readonly request: RoutedRequest; }
+    | {
+        readonly kind: "refused";
+        readonly status: number;
+        readonly reason: string;
+        readonly retryAfterMs: number | undefined;
+    };
+
+const SERVICE_UNAVAILABLE = 503;
+const NOT_FOUND = 404;
+const UNAUTHORIZED = 401;
+const NOT_CONFIGURED_RETRY_MS = 500;
+const STALE_RETRY_MS = 1000;
+const STOPPING_RETRY_MS = 50;
+const OVERLOAD_RETRY_MS = 400;
+/** Time in milliseconds to the first event, and for each token after it, that a busy engine stays below. */
+const FIRST_EVENT_MS = 800;
+const TOKEN_MS = 10;
+
+/** Finds the route and the client account of a request, or the reason why it cannot be served here now. */
+export function resolveRequest(facts: CallerFacts, path: string, context: ResolveContext): ResolvedRequest {
+    const { configuration, receivedAt } = context;
+    if (!configuration) {
+        return refuse(SERVICE_UNAVAILABLE, "not-configured", NOT_CONFIGURED_RETRY_MS);
+    }
+    if (receivedAt + FIRST_EVENT_MS + facts.outputTokens * TOKEN_MS > context.finishBy) {
+        return refuse(SERVICE_UNAVAILABLE, "stopping", STOPPING_RETRY_MS);
+    }
+    const route = findRoute(configuration, facts.host, path);
+    if (!route) {
+        return refuse(NOT_FOUND, "no-route");
+    }
+    const account = resolveAccount(configuration, route, facts.key);
+    if (account !== undefined && !context.isFresh) {
+        return refuse(SERVICE_UNAVAILABLE, "configuration-stale", STALE_RETRY_MS);
+    }
+    if (account === "unknown") {
+        return refuse(UNAUTHORIZED, "unknown-key");
+    }
+    if (context.isOverloaded && route.kind === "stream") {
+        return refuse(SERVICE_UNAVAILABLE, "instance-overloaded", OVERLOAD_RETRY_MS);
+    }
+    const patienceMs = Math.min(facts.patienceMs ?? route.timeoutMs, route.timeoutMs);
+    return {
+        kind: "accepted",
+        request: {
+            requestId: facts.requestId ?? "",
+            route,
+            service: pickBackend(route, context.random),
+            account: account?.name ?? "",
+            regions: selectRegions(route.regions, account?.regions ?? []),
+            promptTokens: facts.promptTokens,
+            outputTokens: facts.outputTokens,
+            prompt: facts.prompt,
+            receivedAt,
+            objectiveDeadline: receivedAt + Math.min(patienceMs, route.objectiveMs),
+            deadline: receivedAt + patienceMs,
+        },
+    };
+}
+
+function refuse(status: number, reason: string, retryAfterMs?: number): ResolvedRequest {
+    return { kind: "refused", status, reason, retryAfterMs };
+}
+
+/** Picks the service of a request according to the weights of the route. */
+function pickBackend(route: RouteRule, random: number): string {
+    let position = random * route.backends.reduce((sum, backend) => sum + backend.weight, 0);
+    const picked = route.backends.find(backend => {
+        position -= backend.weight;
+        return position < 0;
+    });
+    return (picked ?? route.backends.at(-1))?.service ?? "";
+}
+
+/** Both lists bind if there are two. */
+function selectRegions(a: readonly string[], b: readonly string[]): readonly string[] {
+    if (a.length === 0 || b.length === 0) {
+        return [...a, ...b];
+    }
+    const both = a.filter(region => b.includes(region));
+    // No region has an empty name, so a request that may be served nowhere finds no target.
+    return both.length > 0 ? both : [""];
+}
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -24,6 +24,11 @@
     readonly burst: number;
 }
 
+interface PromptHomes {
+    readonly home?: TargetState | undefined;
+    readonly remote?: TargetState | undefined;
+}
+
 interface Candidate {
     readonly target: TargetState;
     readonly score: number;
@@ -37,6 +42,10 @@
 const OUTPUT_TOKEN_COST = 2;
 /** Waiting requests of one service above which new ones are refused, to bound memory. */
 const MAX_WAITING = 2000;
+/** The stated rate counts each prompt token as read; engines take more, since about a third of them is kept. */
+const KEPT_FACTOR = 1.4;
+/** An account gets at most this many times its share while others want more than theirs. */
+const MAX_EXCESS = 1.8;
 /** A request beyond its account's share waits for this part of its objective; longer waits are billed as late refusals. */
 const OVER_SHARE_WAIT = 0.12;
 /** Time in milliseconds that an idle target takes to begin its answer. */
@@ -104,7 +113,7 @@
     }
 
     /** Adds a request; it is granted a target, refused, or waits until one of both happens. */
-    submit(waiting: WaitingRequest, now: number): void {
+    enqueue(waiting: WaitingRequest, now: number): void {
         if (this.#waiting.length >= MAX_WAITING && !waiting.isResume) {
             waiting.onRefuse("overloaded", MAX_RETRY_AFTER_MS);
             return;
@@ -149,8 +158,9 @@
         const refused: (readonly [WaitingRequest, "no-target" | "overloaded"])[] = [];
         for (const waiting of ordered) {
             const { request } = waiting;
-            const isOverShare = this.#options.usage.getGranted(request.account, now) > share;
-            const candidate = this.#pickTarget(waiting, isOverShare, now);
+            const excess = this.#options.usage.getGranted(request.account, now) / share;
+            const isOverShare = excess > 1;
+            const candidate = excess > MAX_EXCESS ? undefined : this.#pickTarget(waiting, isOverShare, now);
             if (candidate) {
                 granted.push([waiting, this.#reserve(request, candidate, now)]);
                 continue;
@@ -170,7 +180,7 @@
     #computeShare(now: number): number {
         const { usage, getTokensPerSecond } = this.#options;
         const rate = getTokensPerSecond();
-        return this.#service.engine && rate > 0 ? usage.computeShare(rate, now) : Number.POSITIVE_INFINITY;
+        return this.#service.engine && rate > 0 ? usage.computeShare(rate * KEPT_FACTOR, now) : Number.POSITIVE_INFINITY;
     }
 
     /** Time from which a request cannot be on time any more, or, beyond the share, is sent away to come back later. */
@@ -230,12 +240,12 @@
         const fresh = (rested.length > 0 ? rested : usable).filter(({ entry }) =>
             !waiting.avoided.has(entry.id)
         );
-        const home = this.#findHome(waiting.request, rested);
+        const homes = this.#findHomes(waiting.request, rested);
         let best: Candidate | undefined;
         // Work beyond the share of its account is not worth reading a shared part of a prompt again.
-        const eligible = isOverShare && home ? fresh.filter(target => target === home) : fresh;
+        const eligible = isOverShare && homes.home ? fresh.filter(target => target === homes.home) : fresh;
         for (const target of eligible) {
-            const candidate = this.#rateTarget(target, waiting.request, home, maxQueueMs, now);
+            const candidate = this.#buildCandidate(target, waiting.request, homes, maxQueueMs, now);
             if (candidate && (!best || candidate.score < best.score)) {
                 best = candidate;
             }
@@ -249,20 +259,28 @@
             && (request.regions.length === 0 || request.regions.includes(region));
     }
 
-    /** The target that keeps the shared parts of a prompt; all instances compute the same one. */
-    #findHome(request: RoutedRequest, targets: readonly TargetState[]): TargetState | undefined {
+    /**
+     * Finds the target of the region that keeps the shared parts of a prompt, and one of another region that keeps them
+     * too. All instances of a region compute the same home, so that a part is read once a region or taken from the next.
+     */
+    #findHomes(request: RoutedRequest, targets: readonly TargetState[]): PromptHomes {
         const shared = request.prompt.at(-2);
         if (!shared || !this.#service.engine) {
-            return undefined;
+            return {};
         }
-        const id = pickHomeTarget(shared.id, targets.map(({ entry }) => entry.id));
-        return id === undefined ? undefined : this.#targets.get(id);
+        const { place, regions } = this.#options.settings;
+        const isNear = ({ entry }: TargetState): boolean => regions.get(entry.dataCentre) === place.region;
+        const pick = (list: readonly TargetState[]): TargetState | undefined =>
+            this.#targets.get(pickHomeTarget(shared.id, list.map(({ entry }) => entry.id)) ?? "");
+        const near = pick(targets.filter(isNear));
+        const remote = pick(targets.filter(target => !isNear(target)));
+        return near ? { home: near, remote } : { home: remote };
     }
 
-    #rateTarget(
+    #buildCandidate(
         target: TargetState,
         request: RoutedRequest,
-        home: TargetState | undefined,
+        { home, remote }: PromptHomes,
         maxQueueMs: number,
         now: number,
     ): Candidate | undefined {
@@ -294,7 +312,7 @@
                 + (home && !isHome ? MOVE_COST_MS + estimate.movedTokens * MOVE_COST_MS_PER_TOKEN : 0),
             grant: {
                 target,
-                promptSource: home && !isHome ? home.entry.address : undefined,
+                promptSource: (isHome ? remote : home)?.entry.address,
                 missingTokens: estimate.missingTokens,
                 expectedMs: estimate.expectedMs,
                 grantedAt: now,
--- a/src/core/routing/targetDirectory.ts
+++ b/src/core/routing/targetDirectory.ts
@@ -35,7 +35,7 @@
     }
 
     /** Adds or replaces an entry. */
-    put(entry: TargetEntry): void {
+    set(entry: TargetEntry): void {
         this.#entries.set(entry.id, entry);
         this.#removals.delete(entry.id);
     }
@@ -55,7 +55,7 @@
     replaceAll(entries: readonly TargetEntry[], now: number): void {
         const listed = new Set(entries.map(entry => entry.id));
         [...this.#entries.keys()].filter(id => !listed.has(id)).forEach(id => this.remove(id, now));
-        entries.forEach(entry => this.put(entry));
+        entries.forEach(entry => this.set(entry));
     }
 
     /** Lists the targets that count as present. */
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -23,10 +23,10 @@
     const services = readList(fields["services"]).map(decodeService);
     return {
         version: Number(fields["version"]),
-        routesByHost: groupRoutes(readList(fields["routes"]).map(decodeRoute)),
+        routesByHost: buildRouteIndex(readList(fields["routes"]).map(decodeRoute)),
         services: new Map(services.map(service => [service.name, service])),
         hasAccounts: Array.isArray(fields["tenants"]) && fields["tenants"].length > 0,
-        accountsByKey: indexAccounts(readList(fields["tenants"])),
+        accountsByKey: buildAccountIndex(readList(fields["tenants"])),
         limits: {
             maxHeaderBytes: readNumber(limits["maxHeaderBytes"], 16_384),
             maxBodyBytes: readNumber(limits["maxBodyBytes"], 4_194_304),
@@ -73,7 +73,7 @@
     };
 }
 
-function groupRoutes(routes: readonly RouteRule[]): ReadonlyMap<string, readonly RouteRule[]> {
+function buildRouteIndex(routes: readonly RouteRule[]): ReadonlyMap<string, readonly RouteRule[]> {
     const byHost = new Map<string, RouteRule[]>();
     for (const route of routes) {
         const list = byHost.get(route.host) ?? [];
@@ -97,7 +97,7 @@
     };
 }
 
-function indexAccounts(accounts: readonly Fields[]): ReadonlyMap<string, RoutedAccount> {
+function buildAccountIndex(accounts: readonly Fields[]): ReadonlyMap<string, RoutedAccount> {
     return new Map(accounts.flatMap(fields => {
         const account = { name: String(fields["name"]), regions: readTexts(fields["allowedRegions"]) };
         return readTexts(fields["apiKeys"]).map(key => [key, account] as const);
--- a/src/platform/decodeItems.ts
+++ b/src/platform/decodeItems.ts
@@ -1,7 +1,7 @@
-import type { StoreItem } from "./storeItem.js";
+import type { Change } from "../core/routing/change.js";
 
-/** Decodes the items or events of a page; entries of another form are left out. */
-export function decodeItems(list: unknown): readonly StoreItem[] {
+/** Decodes the items or events of a page of the store; entries of another form are left out. */
+export function decodeItems(list: unknown): readonly Change[] {
     if (!Array.isArray(list)) {
         return [];
     }
@@ -13,7 +13,7 @@
         return [{
             key,
             revision: typeof revision === "number" ? revision : 0,
-            value: tombstone !== true && typeof value === "string" ? Buffer.from(value, "base64") : undefined,
+            value: tombstone !== true && typeof value === "string" ? value : undefined,
         }];
     });
 }
--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -8,6 +8,8 @@
     readonly termSeconds: number;
     readonly listAddresses: (caller: Place) => readonly string[];
     readonly isReady: () => boolean;
+    /** Called for each answer, also an empty one. */
+    readonly onAnswered: (dataCentre: string, addresses: readonly string[]) => void;
 }
 
 const NOT_FOUND = 404;
@@ -33,6 +35,7 @@
                 dataCentre: url.searchParams.get("zone") ?? "",
                 region: url.searchParams.get("region") ?? "",
             });
+            options.onAnswered(url.searchParams.get("zone") ?? "", addresses);
             if (addresses.length === 0) {
                 response.writeHead(SERVICE_UNAVAILABLE, { "Content-Length": "0" }).end();
                 return;
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -2,11 +2,12 @@
 import { performance } from "node:perf_hooks";
 import { LogSink } from "../router/logSink.js";
 import { Router } from "../router/router.js";
+import { RouterMetrics } from "../router/routerMetrics.js";
 import { LookupServer } from "./lookupServer.js";
 import { parseSettings } from "./parseSettings.js";
 import { platformWireFormat } from "./platformWireFormat.js";
-import { StoreClient } from "./storeClient.js";
 import { StoreFollower } from "./storeFollower.js";
+import { StoreSource } from "./storeSource.js";
 
 const DEFAULT_SETTINGS_PATH = "/etc/baobabspread/settings.toml";
 const INVALID_SETTINGS_EXIT_CODE = 2;
@@ -16,27 +17,31 @@
     const settings = parseSettings(readFileSync(path, "utf8"));
     const log = LogSink.create({ instance: settings.router.instance });
     log.write("started", { dataCentre: settings.router.place.dataCentre });
-    const store = StoreClient.create(settings.store);
-    const router = await Router.create({ settings: settings.router, wire: platformWireFormat, log });
+    const getNow = (): number => performance.now();
+    const getTimeOfDay = (): number => Date.now();
+    const store = StoreSource.create({ address: settings.store, getNow, getTimeOfDay });
+    const metrics = RouterMetrics.create();
+    const router = await Router.create({ settings: settings.router, wire: platformWireFormat, log, metrics });
     const lookup = await LookupServer.create({
         directory: settings.directory,
         readiness: settings.readiness,
         termSeconds: settings.router.addressTermSeconds,
         listAddresses: caller => router.listCallerAddresses(caller),
         isReady: () => router.isReady(),
+        onAnswered: (dataCentre, addresses) =>
+            log.write("addresses-answered", { dataCentre, count: addresses.length }),
     });
     const follower = StoreFollower.create({
-        read: (call, query, timeoutMs) => store.read(call, query, timeoutMs),
-        directory: router.directory,
+        source: router.createChangeSource(after => store.read(after)),
+        directory: router.targets,
         log,
-        getNow: () => performance.now(),
-        getTimeOfDay: () => Date.now(),
+        getNow,
         getRandom: () => Math.random(),
         wait: ms => new Promise(resolve => setTimeout(resolve, ms)),
         onConfiguration: configuration => router.applyConfiguration(configuration),
-        onTargets: () => router.refreshTargets(),
+        onTargets: () => router.updateTargets(),
         onEvacuated: dataCentres => router.setEvacuated(dataCentres),
-        onConfirmed: (at, timeOfDay) => router.confirmConfiguration(at, timeOfDay),
+        onConfirmed: (at, timeOfDay) => router.recordConfirmation(at, timeOfDay),
     });
     process.on("SIGTERM", () => {
         void router.stop().then(() => {
--- a/src/platform/platformWireFormat.ts
+++ b/src/platform/platformWireFormat.ts
@@ -85,6 +85,7 @@
         return {
             requestId: readText(headers["request-id"]),
             isNotRun: headers["not-executed"] !== undefined,
+            isFramed: headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined,
             isMisdirected: answer.statusCode === MISDIRECTED,
             passedHeaders: listPassedHeaders(answer, DROPPED_FROM_ANSWER),
         };
--- a/src/platform/storeFollower.ts
+++ b/src/platform/storeFollower.ts
@@ -1,23 +1,21 @@
+import type { Change } from "../core/routing/change.js";
+import type { ChangeBatch } from "../core/routing/changeBatch.js";
+import type { ChangeSource } from "../core/routing/changeSource.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import { SourceError } from "../core/routing/sourceError.js";
 import type { TargetDirectory } from "../core/routing/targetDirectory.js";
 import type { TargetEntry } from "../core/routing/targetEntry.js";
 import type { LogSink } from "../router/logSink.js";
 import { decodeConfiguration } from "./decodeConfiguration.js";
-import { decodeItems } from "./decodeItems.js";
 import { decodeTarget } from "./decodeTarget.js";
-import { StoreError } from "./storeError.js";
-import type { StoreItem } from "./storeItem.js";
 
 interface StoreFollowerOptions {
-    readonly read: (
-        path: string,
-        query: Readonly<Record<string, string | number>>,
-        timeoutMs: number,
-    ) => Promise<unknown>;
+    readonly source: ChangeSource;
     readonly directory: TargetDirectory;
     readonly log: LogSink;
+    /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
-    readonly getTimeOfDay: () => number;
+    /** Uniform in [0, 1). */
     readonly getRandom: () => number;
     readonly wait: (ms: number) => Promise<void>;
     readonly onConfiguration: (configuration: RouterConfiguration) => void;
@@ -26,26 +24,15 @@
     readonly onConfirmed: (at: number, timeOfDay: number) => void;
 }
 
-interface Page {
-    readonly items: readonly StoreItem[];
-    readonly at: number;
-    readonly hasMore: boolean;
-}
-
-/** All keys, so that one waiting call covers the configuration, the evacuations and the targets. */
-const ALL_KEYS = "";
 const CONFIGURATION_KEY = "op/config";
 const EVACUATION_PREFIX = "op/evacuate/";
 const TARGET_PREFIX = "servers/";
-/** A third of the shortest revocation bound (5 s), so that one failed call leaves time for another. */
-const WATCH_MS = 1500;
-/** The store answers within 4 ms; on slow days within some hundred. */
-const CALL_TIMEOUT_MS = 1200;
 const MIN_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 400;
-const GONE = 410;
+/** Calls are billed, and the shortest bound for a change is 2.5 s: changes that come soon after others wait. */
+const MIN_INTERVAL_MS = 400;
 
-/** Follows the platform's store: reads everything once, then waits for changes. */
+/** Follows the platform's data and tells the router what has changed. */
 export class StoreFollower {
     readonly #options: StoreFollowerOptions;
     readonly #evacuated = new Set<string>();
@@ -65,30 +52,18 @@
 
     /** Follows the store until `stop` is called. */
     async run(): Promise<void> {
-        const { directory, log, getNow, getRandom, wait } = this.#options;
+        const { source, getNow, wait } = this.#options;
         while (!this.#isStopped) {
+            const startedAt = getNow();
             try {
-                await (this.#revision === undefined ? this.#readAll() : this.#watch(this.#revision));
-                if (this.#isLost) {
-                    this.#isLost = false;
-                    log.write("store-regained", { revision: this.#revision });
-                }
+                this.#apply(await source(this.#revision));
+                await wait(Math.max(0, startedAt + MIN_INTERVAL_MS - getNow()));
             }
             catch (error) {
-                if (!(error instanceof StoreError)) {
+                if (!(error instanceof SourceError)) {
                     throw error;
                 }
-                if (error.status === GONE) {
-                    log.write("store-history-lost", { revision: this.#revision });
-                    this.#revision = undefined;
-                    continue;
-                }
-                directory.setUnreachable(getNow());
-                if (!this.#isLost) {
-                    this.#isLost = true;
-                    log.write("store-lost", { code: error.code, status: error.status });
-                }
-                await wait(MIN_BACKOFF_MS + getRandom() * (MAX_BACKOFF_MS - MIN_BACKOFF_MS));
+                await this.#recover(error);
             }
         }
     }
@@ -98,137 +73,110 @@
         this.#isStopped = true;
     }
 
-    async #readAll(): Promise<void> {
-        const { getNow, getTimeOfDay, onConfirmed, directory, onTargets, onEvacuated } = this.#options;
-        const startedAt = getNow();
-        const startedAtTimeOfDay = getTimeOfDay();
-        const items: StoreItem[] = [];
-        let revision: number | undefined;
-        let page: Page;
-        do {
-            page = await this.#call("/kv-range", {
-                pathPrefix: ALL_KEYS,
-                ...(items.length > 0 ? { after: items.at(-1)?.key ?? "" } : {}),
-            }, CALL_TIMEOUT_MS);
-            // Pages are not a snapshot, so changes are followed from the first one.
-            revision ??= page.at;
-            items.push(...page.items);
+    async #recover(error: SourceError): Promise<void> {
+        const { directory, log, getNow, getRandom, wait } = this.#options;
+        if (error.code === "history-lost") {
+            log.write("store-history-lost", { revision: this.#revision });
+            this.#revision = undefined;
+            return;
+        }
+        directory.setUnreachable(getNow());
+        if (!this.#isLost) {
+            this.#isLost = true;
+            log.write("store-lost", { code: error.code, status: error.status });
+        }
+        await wait(MIN_BACKOFF_MS + getRandom() * (MAX_BACKOFF_MS - MIN_BACKOFF_MS));
+    }
+
+    #apply(batch: ChangeBatch): void {
+        const { directory, log, getNow, onConfirmed } = this.#options;
+        if (this.#isLost) {
+            this.#isLost = false;
+            log.write("store-regained", { revision: batch.revision });
         }
-        while (page.hasMore && page.items.length > 0);
         directory.setReachable(getNow());
-        items.filter(item => item.key === CONFIGURATION_KEY).forEach(item => this.#applyConfiguration(item));
-        this.#evacuated.clear();
-        items.filter(item => item.key.startsWith(EVACUATION_PREFIX))
-            .forEach(item => this.#evacuated.add(item.key.slice(EVACUATION_PREFIX.length)));
-        directory.replaceAll(
-            items.filter(item => item.key.startsWith(TARGET_PREFIX)).flatMap(item =>
-                this.#decodeTarget(item) ?? []
-            ),
-            getNow(),
-        );
-        onEvacuated(new Set(this.#evacuated));
-        onTargets();
-        onConfirmed(startedAt, startedAtTimeOfDay);
-        this.#revision = revision;
+        this.#applyConfiguration(batch);
+        this.#applyEvacuations(batch);
+        this.#applyTargets(batch);
+        onConfirmed(batch.confirmedAt, batch.confirmedTimeOfDay);
+        this.#revision = batch.revision;
     }
 
-    async #watch(after: number): Promise<void> {
-        const { getNow, getTimeOfDay, onConfirmed, directory, onTargets, onEvacuated } = this.#options;
-        const startedAt = getNow();
-        const startedAtTimeOfDay = getTimeOfDay();
-        const page = await this.#call(
-            "/kv-watch",
-            { pathPrefix: ALL_KEYS, after, waitMs: WATCH_MS },
-            WATCH_MS + CALL_TIMEOUT_MS,
-        );
-        directory.setReachable(getNow());
-        let areTargetsChanged = false;
-        let areEvacuationsChanged = false;
-        for (const item of page.items) {
-            if (item.key === CONFIGURATION_KEY) {
-                this.#applyConfiguration(item);
+    #applyConfiguration(batch: ChangeBatch): void {
+        for (const change of batch.changes) {
+            if (change.key !== CONFIGURATION_KEY || change.value === undefined) {
+                continue;
             }
-            else if (item.key.startsWith(EVACUATION_PREFIX)) {
-                areEvacuationsChanged = true;
-                this.#applyEvacuation(item);
+            try {
+                this.#options.onConfiguration(decodeConfiguration(Buffer.from(change.value, "base64")));
             }
-            else if (item.key.startsWith(TARGET_PREFIX)) {
-                areTargetsChanged = true;
-                this.#applyTarget(item);
+            catch (error) {
+                this.#options.log.write("configuration-invalid", {
+                    revision: change.revision,
+                    reason: String(error),
+                });
             }
         }
-        if (areEvacuationsChanged) {
-            onEvacuated(new Set(this.#evacuated));
-        }
-        if (areTargetsChanged) {
-            onTargets();
-        }
-        onConfirmed(startedAt, startedAtTimeOfDay);
-        this.#revision = Math.max(after, page.at);
     }
 
-    async #call(
-        path: string,
-        query: Readonly<Record<string, string | number>>,
-        timeoutMs: number,
-    ): Promise<Page> {
-        const body = await this.#options.read(path, query, timeoutMs) as
-            | Readonly<Record<string, unknown>>
-            | null;
-        const at = body?.["at"];
-        if (!body || typeof at !== "number") {
-            throw StoreError.create("invalid-body");
+    #applyEvacuations(batch: ChangeBatch): void {
+        const changes = batch.changes.filter(change => change.key.startsWith(EVACUATION_PREFIX));
+        if (batch.isWhole) {
+            this.#evacuated.clear();
         }
-        return { items: decodeItems(body["items"] ?? body["events"]), at, hasMore: body["hasMore"] === true };
-    }
-
-    #applyConfiguration(item: StoreItem): void {
-        if (!item.value) {
-            return;
-        }
-        try {
-            this.#options.onConfiguration(decodeConfiguration(item.value));
+        for (const change of changes) {
+            const dataCentre = change.key.slice(EVACUATION_PREFIX.length);
+            if (change.value === undefined) {
+                this.#evacuated.delete(dataCentre);
+            }
+            else {
+                this.#evacuated.add(dataCentre);
+            }
         }
-        catch (error) {
-            this.#options.log.write("configuration-invalid", {
-                revision: item.revision,
-                reason: String(error),
-            });
+        if (batch.isWhole || changes.length > 0) {
+            this.#options.onEvacuated(new Set(this.#evacuated));
         }
     }
 
-    #applyEvacuation(item: StoreItem): void {
-        const dataCentre = item.key.slice(EVACUATION_PREFIX.length);
-        if (item.value) {
-            this.#evacuated.add(dataCentre);
+    #applyTargets(batch: ChangeBatch): void {
+        const { directory, getNow, onTargets } = this.#options;
+        const changes = batch.changes.filter(change => change.key.startsWith(TARGET_PREFIX));
+        if (batch.isWhole) {
+            directory.replaceAll(changes.flatMap(change => this.#decodeTarget(change) ?? []), getNow());
         }
         else {
-            this.#evacuated.delete(dataCentre);
+            changes.forEach(change => this.#applyTarget(change));
+        }
+        if (batch.isWhole || changes.length > 0) {
+            onTargets();
         }
     }
 
-    #applyTarget(item: StoreItem): void {
+    #applyTarget(change: Change): void {
         const { directory, log, getNow } = this.#options;
-        const id = item.key.slice(TARGET_PREFIX.length);
-        const target = item.value ? this.#decodeTarget(item) : undefined;
+        const id = change.key.slice(TARGET_PREFIX.length);
+        const target = this.#decodeTarget(change);
         log.write("target-changed", {
             target: id,
             state: target ? (target.isDraining ? "draining" : "ready") : "removed",
-            revision: item.revision,
+            revision: change.revision,
         });
         if (target) {
-            directory.put(target);
+            directory.set(target);
         }
         else {
             directory.remove(id, getNow());
         }
     }
 
-    #decodeTarget(item: StoreItem): TargetEntry | undefined {
-        const id = item.key.slice(TARGET_PREFIX.length);
-        const target = item.value ? decodeTarget(id, item.value, this.#options.getNow()) : undefined;
+    #decodeTarget(change: Change): TargetEntry | undefined {
+        if (change.value === undefined) {
+            return undefined;
+        }
+        const id = change.key.slice(TARGET_PREFIX.length);
+        const target = decodeTarget(id, Buffer.from(change.value, "base64"), this.#options.getNow());
         if (!target) {
-            this.#options.log.write("target-invalid", { target: id, revision: item.revision });
+            this.#options.log.write("target-invalid", { target: id, revision: change.revision });
         }
         return target;
     }
--- /dev/null
+++ b/src/platform/storeSource.ts
@@ -0,0 +1,114 @@
+import { Agent } from "node:http";
+import type { Change } from "../core/routing/change.js";
+import type { ChangeBatch } from "../core/routing/changeBatch.js";
+import { SourceError } from "../core/routing/sourceError.js";
+import { fetchJson } from "../router/fetchJson.js";
+import type { RouterSettings } from "../router/routerSettings.js";
+import { decodeItems } from "./decodeItems.js";
+
+interface StoreSourceOptions {
+    readonly address: RouterSettings["callers"];
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+    readonly getTimeOfDay: () => number;
+}
+
+interface Page {
+    readonly changes: readonly Change[];
+    readonly revision: number;
+    readonly hasMore: boolean;
+}
+
+/** All keys, so that one waiting call covers the configuration, the evacuations and the targets. */
+const ALL_KEYS = "";
+/** A quarter of the shortest revocation bound (5 s), so that a failed call leaves time for two more. */
+const WATCH_MS = 1200;
+/** The store answers within 4 ms; on slow days within some hundred. */
+const TIMEOUT_MS = 1200;
+const GONE = 410;
+
+/** Reads the platform's store. */
+export class StoreSource {
+    readonly #options: StoreSourceOptions;
+    readonly #agent = new Agent({ keepAlive: true, maxSockets: 4 });
+
+    private constructor(options: StoreSourceOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a source without connections. */
+    static create(options: StoreSourceOptions): StoreSource {
+        return new StoreSource(options);
+    }
+
+    /**
+     * Waits for changes after a revision, or reads everything without one.
+     *
+     * @throws SourceError when the store does not answer; `history-lost` when it has dropped the changes since then.
+     */
+    async read(after: number | undefined): Promise<ChangeBatch> {
+        const confirmedAt = this.#options.getNow();
+        const confirmedTimeOfDay = this.#options.getTimeOfDay();
+        if (after === undefined) {
+            return { ...await this.#readAll(), isWhole: true, confirmedAt, confirmedTimeOfDay };
+        }
+        const query = new URLSearchParams({
+            pathPrefix: ALL_KEYS,
+            after: String(after),
+            waitMs: String(WATCH_MS),
+        });
+        const page = await this.#readPage("/kv-watch", query, WATCH_MS + TIMEOUT_MS);
+        return {
+            changes: page.changes,
+            isWhole: false,
+            revision: Math.max(after, page.revision),
+            confirmedAt,
+            confirmedTimeOfDay,
+        };
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        this.#agent.destroy();
+    }
+
+    async #readAll(): Promise<Pick<ChangeBatch, "changes" | "revision">> {
+        const changes: Change[] = [];
+        let revision: number | undefined;
+        let page: Page;
+        do {
+            const query = new URLSearchParams({ pathPrefix: ALL_KEYS });
+            const last = changes.at(-1);
+            if (last) {
+                query.set("after", last.key);
+            }
+            page = await this.#readPage("/kv-range", query, TIMEOUT_MS);
+            // Pages are not a snapshot, so changes are followed from the revision of the first one.
+            revision ??= page.revision;
+            changes.push(...page.changes);
+        }
+        while (page.hasMore && page.changes.length > 0);
+        return { changes, revision };
+    }
+
+    async #readPage(path: string, query: URLSearchParams, timeoutMs: number): Promise<Page> {
+        const body = await this.#fetch(`${path}?${query.toString()}`, timeoutMs);
+        const { at, items, events, hasMore } = (body ?? {}) as Readonly<Record<string, unknown>>;
+        if (typeof at !== "number") {
+            throw SourceError.create("invalid-body");
+        }
+        return { changes: decodeItems(items ?? events), revision: at, hasMore: hasMore === true };
+    }
+
+    async #fetch(path: string, timeoutMs: number): Promise<unknown> {
+        try {
+            return await fetchJson({ ...this.#options.address, path, agent: this.#agent, timeoutMs });
+        }
+        catch (error) {
+            if (error instanceof SourceError && error.status === GONE) {
+                throw SourceError.create("history-lost", GONE);
+            }
+            throw error;
+        }
+    }
+}
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -3,6 +3,7 @@
 import { listCallerAddresses } from "../core/routing/listCallerAddresses.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import { Membership } from "../core/routing/membership.js";
+import { pickReaders } from "../core/routing/pickReaders.js";
 import type { Place } from "../core/routing/place.js";
 import type { TargetEntry } from "../core/routing/targetEntry.js";
 import type { LogSink } from "./logSink.js";
@@ -76,11 +77,28 @@
         return view;
     }
 
+    /** Number of live peers. */
+    get peerCount(): number {
+        return this.#listPeers().length;
+    }
+
     /** Lists the addresses that a caller should use. */
     listCallerAddresses(caller: Place): readonly string[] {
         return listCallerAddresses([this.#describeSelf(), ...this.#listPeers()], caller);
     }
 
+    /** Hosts of the instances that read the platform for this data centre; empty if this instance reads it itself. */
+    listReaderHosts(): readonly string[] {
+        const { place, instance } = this.#options.settings;
+        const peers = this.#listPeers().filter(peer =>
+            peer.dataCentre === place.dataCentre && peer.state !== "closed"
+        );
+        const readers = pickReaders([instance, ...peers.map(peer => peer.name)]);
+        return readers.includes(instance)
+            ? []
+            : peers.filter(peer => readers.includes(peer.name)).map(peer => peer.ip);
+    }
+
     /** Rate and burst at which this instance may use a cold target; `undefined` if it must not. */
     getColdShare(
         entry: TargetEntry,
@@ -107,7 +125,7 @@
     }
 
     /** Tells all peers of a change of state at once. */
-    announce(): void {
+    notifyPeers(): void {
         this.#send(this.#listPeers());
     }
 
@@ -142,11 +160,11 @@
         const near = peers.filter(peer => peer.dataCentre === dataCentre);
         const remote = pickSome(peers.filter(peer => peer.dataCentre !== dataCentre), REMOTE_REPORTS);
         this.#send([...near, ...remote]);
-        this.#greetSeeds(peers);
+        this.#notifySeeds(peers);
     }
 
     /** Seeds that are not known as live get a report from time to time, in case they have come back. */
-    #greetSeeds(peers: readonly MemberRecord[]): void {
+    #notifySeeds(peers: readonly MemberRecord[]): void {
         const { settings, getNow } = this.#options;
         const now = getNow();
         if (now < this.#nextSeedAt) {
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,8 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { LogSink } from "./logSink.js";
 import type { RequestFacts } from "./requestFacts.js";
-import type { ResolvedRequest } from "./resolvedRequest.js";
 import type { WireFormat } from "./wireFormat.js";
 
 interface IngressOptions {
@@ -14,10 +14,16 @@
     readonly maxBufferedBytes: number;
     readonly getNow: () => number;
     /** Finds the route and account of a request. */
-    readonly resolve: (facts: RequestFacts, path: string, receivedAt: number) => ResolvedRequest;
+    readonly resolve: (
+        facts: RequestFacts,
+        path: string,
+        receivedAt: number,
+    ) => ReturnType<typeof resolveRequest>;
     readonly getMaxBodyBytes: () => number;
     readonly isLeaving: () => boolean;
+    readonly isLate: () => boolean;
     readonly serve: (exchange: CallerExchange) => void;
+    readonly onRefused: (reason: string) => void;
 }
 
 const MAX_HEADER_BYTES = 32_768;
@@ -84,7 +90,7 @@
     }
 
     #accept(incoming: IncomingMessage, response: ServerResponse): void {
-        const { wire, getNow, resolve, log, isLeaving } = this.#options;
+        const { wire, getNow, resolve, log, isLeaving, isLate, onRefused } = this.#options;
         const receivedAt = getNow();
         const facts = wire.readRequest(incoming);
         if (isLeaving()) {
@@ -94,11 +100,17 @@
         if (resolved.kind === "refused") {
             incoming.resume();
             log.write("request-refused", { request: facts.requestId, ...resolved });
+            onRefused(resolved.reason);
             this.#refuse(response, facts, resolved.status, resolved.retryAfterMs);
             return;
         }
         this.#readBody(incoming, response, facts, body => {
-            this.#options.serve({ incoming, response, facts, request: resolved.request, body });
+            const exchange = { incoming, response, facts, request: resolved.request, body };
+            if (isLate()) {
+                this.#serveIfPresent(exchange);
+                return;
+            }
+            this.#options.serve(exchange);
         });
     }
 
@@ -144,6 +156,25 @@
         });
     }
 
+    /**
+     * Serves a request after two turns of the event loop. A late process reads requests whose callers may have left
+     * meanwhile; their closed connections are noticed in the turns after the one that read the request.
+     */
+    #serveIfPresent(exchange: CallerExchange): void {
+        setImmediate(() =>
+            setImmediate(() => {
+                if (!exchange.response.destroyed) {
+                    this.#options.serve(exchange);
+                    return;
+                }
+                this.#options.log.write("request-ended", {
+                    request: exchange.request.requestId,
+                    outcome: "caller-left-unserved",
+                });
+            })
+        );
+    }
+
     #refuse(
         response: ServerResponse,
         facts: RequestFacts,
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -26,5 +26,5 @@
         && [record.name, record.dataCentre, record.region, record.ip, record.callerAddress]
             .every(field => typeof field === "string")
         && [record.incarnation, record.sequence, record.weight].every(field => Number.isFinite(field))
-        && ["open", "limited", "closed"].includes(record.state ?? "");
+        && ["open", "busy", "limited", "closed"].includes(record.state ?? "");
 }
--- /dev/null
+++ b/src/router/peerChangeSource.ts
@@ -0,0 +1,74 @@
+import { Agent } from "node:http";
+import type { Change } from "../core/routing/change.js";
+import type { ChangeBatch } from "../core/routing/changeBatch.js";
+import { SourceError } from "../core/routing/sourceError.js";
+import { fetchJson } from "./fetchJson.js";
+
+interface PeerChangeSourceOptions {
+    readonly port: number;
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+    readonly getTimeOfDay: () => number;
+}
+
+interface FeedAnswer {
+    readonly changes: readonly Change[];
+    readonly isWhole: boolean;
+    readonly revision: number;
+    readonly ageMs: number;
+}
+
+/** The feed answers within 0.7 s; the rest is for a busy instance. */
+const TIMEOUT_MS = 1500;
+
+/** Reads changes from another instance of the data centre. */
+export class PeerChangeSource {
+    readonly #options: PeerChangeSourceOptions;
+    readonly #agent = new Agent({ keepAlive: true, maxSockets: 2 });
+
+    private constructor(options: PeerChangeSourceOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a source without connections. */
+    static create(options: PeerChangeSourceOptions): PeerChangeSource {
+        return new PeerChangeSource(options);
+    }
+
+    /**
+     * Reads the changes after a revision from an instance.
+     *
+     * @throws SourceError when the instance does not answer.
+     */
+    async read(host: string, after: number | undefined): Promise<ChangeBatch> {
+        const { port, getNow, getTimeOfDay } = this.#options;
+        const sentAt = getNow();
+        const sentTimeOfDay = getTimeOfDay();
+        const answer = await fetchJson({
+            host,
+            port,
+            agent: this.#agent,
+            path: `/changes${after === undefined ? "" : `?after=${after}`}`,
+            timeoutMs: TIMEOUT_MS,
+        }) as Partial<FeedAnswer> | null;
+        if (
+            !answer || !Array.isArray(answer.changes) || typeof answer.revision !== "number"
+            || typeof answer.ageMs !== "number"
+        ) {
+            throw SourceError.create("invalid-body");
+        }
+        // The answer was made after the call was sent, so the age is not understated.
+        return {
+            changes: answer.changes as readonly Change[],
+            isWhole: answer.isWhole === true,
+            revision: answer.revision,
+            confirmedAt: sentAt - answer.ageMs,
+            confirmedTimeOfDay: sentTimeOfDay - answer.ageMs,
+        };
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        this.#agent.destroy();
+    }
+}
--- /dev/null
+++ b/src/router/relayedChangeSource.ts
@@ -0,0 +1,84 @@
+import type { ChangeBatch } from "../core/routing/changeBatch.js";
+import type { ChangeLog } from "../core/routing/changeLog.js";
+import type { ChangeSource } from "../core/routing/changeSource.js";
+import { SourceError } from "../core/routing/sourceError.js";
+import type { LogSink } from "./logSink.js";
+
+interface RelayedChangeSourceOptions {
+    readonly direct: ChangeSource;
+    readonly readPeer: (host: string, after: number | undefined) => Promise<ChangeBatch>;
+    /** Hosts of the instances that read the platform for the data centre; empty if this instance does. */
+    readonly listReaderHosts: () => readonly string[];
+    /** What this instance hands on itself. */
+    readonly changes: ChangeLog;
+    readonly log: LogSink;
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+}
+
+/** A reader whose own copy is older has lost the platform; the age includes the waits of both calls. */
+const MAX_AGE_MS = 3200;
+/** After a failure of all readers, the platform is read directly for this long. */
+const DIRECT_MS = 3000;
+
+/** Reads the platform's changes through the readers of the data centre, and directly when they fail. */
+export class RelayedChangeSource {
+    readonly #options: RelayedChangeSourceOptions;
+    #directUntil = 0;
+
+    private constructor(options: RelayedChangeSourceOptions) {
+        this.#options = options;
+    }
+
+    /** Creates the source. */
+    static create(options: RelayedChangeSourceOptions): RelayedChangeSource {
+        return new RelayedChangeSource(options);
+    }
+
+    /**
+     * Waits for changes after a revision.
+     *
+     * @throws SourceError when neither a reader nor the platform answers.
+     */
+    async read(after: number | undefined): Promise<ChangeBatch> {
+        const { direct, changes, listReaderHosts, getNow } = this.#options;
+        const hosts = listReaderHosts();
+        if (hosts.length > 0 && getNow() >= this.#directUntil) {
+            const relayed = await this.#readPeers(hosts, after);
+            if (relayed) {
+                changes.append(relayed);
+                return relayed;
+            }
+            this.#directUntil = getNow() + DIRECT_MS;
+        }
+        const batch = await direct(after);
+        changes.append(batch);
+        return batch;
+    }
+
+    async #readPeers(hosts: readonly string[], after: number | undefined): Promise<ChangeBatch | undefined> {
+        const { readPeer, log, getNow } = this.#options;
+        for (const host of hosts) {
+            try {
+                const batch = await readPeer(host, after);
+                const ageMs = getNow() - batch.confirmedAt;
+                if (ageMs <= MAX_AGE_MS && batch.revision >= (after ?? 0)) {
+                    return batch;
+                }
+                log.write("reader-stale", {
+                    host,
+                    ageMs: Math.round(ageMs),
+                    revision: batch.revision,
+                    after,
+                });
+            }
+            catch (error) {
+                if (!(error instanceof SourceError)) {
+                    throw error;
+                }
+                log.write("reader-lost", { host, code: error.code });
+            }
+        }
+        return undefined;
+    }
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -5,8 +5,8 @@
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import type { WaitingRequest } from "../core/routing/waitingRequest.js";
 import type { AnswerFacts } from "./answerFacts.js";
+import { CallerAnswer } from "./callerAnswer.js";
 import type { CallerExchange } from "./callerExchange.js";
-import { EventRelay } from "./eventRelay.js";
 import type { LogSink } from "./logSink.js";
 import type { TargetAgents } from "./targetAgents.js";
 import { TargetExchange } from "./targetExchange.js";
@@ -21,27 +21,29 @@
     readonly log: LogSink;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
-    readonly onEnd: () => void;
+    readonly isLate: () => boolean;
+    readonly onEnd: (outcome: string, ms: number) => void;
 }
 
 interface Attempt {
     readonly grant: TargetGrant;
-    readonly sentAt: number;
     exchange: TargetExchange | undefined;
     facts: AnswerFacts | undefined;
     status: number;
-    hasData: boolean;
+    /** True once the first event has arrived. */
+    hasEvents: boolean;
     lastDataAt: number;
 }
 
-/** Longest body of a plain answer that is held until it is whole, so that a truncated one can be replaced. */
-const MAX_HELD_BYTES = 262_144;
+type FailureKind = "not-written" | "refused" | "broken";
+
 /** A repeatable request without an answer after this many objectives is sent to another target. */
 const SILENT_OBJECTIVES = 1.5;
 const MIN_SILENT_MS = 500;
-/** A resumable stream goes on elsewhere after this pause. */
+/** A resumable stream goes on elsewhere after this pause, before callers give up at about 3 s. */
 const MAX_PAUSE_MS = 1200;
 const RETRY_AFTER_MS = 300;
+const OK = 200;
 const SERVICE_UNAVAILABLE = 503;
 const BAD_GATEWAY = 502;
 const GATEWAY_TIMEOUT = 504;
@@ -50,22 +52,29 @@
 /** Serves one request: waits for a target, sends it, passes the answer on, and tries again where that is safe. */
 export class RequestForwarder {
     readonly #options: RequestForwarderOptions;
-    readonly #relay = EventRelay.create();
+    readonly #answer: CallerAnswer;
     readonly #avoided = new Set<string>();
     readonly #isStream: boolean;
+    /** `safe` requests and streams that may be resumed; all others run once at most. */
+    readonly #isRepeatable: boolean;
     #waiting: WaitingRequest | undefined;
     #attempt: Attempt | undefined;
     /** Attempts that a target may have run, and all attempts. */
     #runs = 0;
     #attempts = 0;
-    #isHeadSent = false;
-    #held: Buffer[] = [];
-    #heldBytes = 0;
     #isEnded = false;
 
     private constructor(options: RequestForwarderOptions) {
         this.#options = options;
-        this.#isStream = options.exchange.request.route.kind === "stream";
+        const { request, response } = options.exchange;
+        this.#isStream = request.route.kind === "stream";
+        this.#isRepeatable = request.route.kind === "safe" || (this.#isStream && request.route.isResumable);
+        this.#answer = CallerAnswer.create({
+            response,
+            wire: options.wire,
+            requestId: request.requestId,
+            isLate: options.isLate,
+        });
     }
 
     /** Creates the forwarder of one request; `start` begins to serve it. */
@@ -82,32 +91,23 @@
     /** Ends the request if its deadline has passed, or its attempt if the target is silent. */
     checkTimeouts(now: number): void {
         const { request } = this.#options.exchange;
-        if (this.#isEnded) {
-            return;
-        }
+        this.#answer.flush();
         if (now >= request.deadline) {
             this.#expire();
             return;
         }
         const attempt = this.#attempt;
-        if (!attempt || !this.#isRepeatable() || this.#runs >= request.route.maxAttempts) {
+        if (!attempt || !this.#isRepeatable || this.#runs >= request.route.maxAttempts) {
             return;
         }
-        const limitMs = attempt.hasData
+        const limitMs = attempt.hasEvents
             ? MAX_PAUSE_MS
             : Math.max(MIN_SILENT_MS, request.route.objectiveMs * SILENT_OBJECTIVES);
         if (now - attempt.lastDataAt >= limitMs) {
-            attempt.exchange?.abort();
-            this.#failAttempt(attempt, "broken", attempt.hasData ? "stalled" : "silent");
+            this.#abortAttempt(attempt, attempt.hasEvents ? "stalled" : "silent");
         }
     }
 
-    /** `safe` requests and streams that may be resumed; all others run once at most. */
-    #isRepeatable(): boolean {
-        const { route } = this.#options.exchange.request;
-        return route.kind === "safe" || (this.#isStream && route.isResumable);
-    }
-
     #enqueue(): void {
         const { exchange, scheduler, getNow } = this.#options;
         this.#waiting = {
@@ -117,36 +117,30 @@
             onGrant: grant => this.#send(grant),
             onRefuse: (reason, retryAfterMs) => {
                 this.#waiting = undefined;
-                this.#refuse(SERVICE_UNAVAILABLE, reason, retryAfterMs);
+                this.#refuse(this.#runs > 0 ? BAD_GATEWAY : SERVICE_UNAVAILABLE, reason, retryAfterMs);
             },
         };
-        scheduler.submit(this.#waiting, getNow());
+        scheduler.enqueue(this.#waiting, getNow());
     }
 
     #send(grant: TargetGrant): void {
         const { exchange, wire, agents, getNow } = this.#options;
         this.#waiting = undefined;
-        const now = getNow();
-        if (this.#isEnded) {
-            this.#options.scheduler.release(grant, false, now);
-            return;
-        }
         this.#attempts += 1;
         this.#runs += 1;
         const { entry } = grant.target;
         const attempt: Attempt = {
             grant,
-            sentAt: now,
             exchange: undefined,
             facts: undefined,
             status: 0,
-            hasData: false,
-            lastDataAt: now,
+            hasEvents: false,
+            lastDataAt: getNow(),
         };
         this.#attempt = attempt;
         attempt.exchange = TargetExchange.create({
             address: entry.address,
-            agent: agents.getAgent(exchange.request.route, this.#isRepeatable()),
+            agent: agents.getAgent(exchange.request.route, this.#isRepeatable),
             order: {
                 method: exchange.incoming.method ?? "GET",
                 path: exchange.incoming.url ?? "/",
@@ -156,9 +150,9 @@
                     account: exchange.request.account,
                     targetId: entry.id,
                     promptSource: grant.promptSource,
-                    patienceMs: Math.max(1, Math.floor(exchange.request.deadline - now)),
+                    patienceMs: Math.max(1, Math.floor(exchange.request.deadline - getNow())),
                     bodyLength: exchange.body?.length,
-                    lastEventId: this.#isHeadSent ? this.#relay.getLastEventId() : undefined,
+                    lastEventId: this.#answer.getLastEventId(),
                 }),
             },
             onHead: answer => this.#onHead(attempt, answer),
@@ -174,67 +168,46 @@
         attempt.facts = facts;
         attempt.status = answer.statusCode ?? 0;
         attempt.lastDataAt = this.#options.getNow();
-        if (facts.isMisdirected || facts.isNotRun) {
+        if (isRefusal(facts)) {
             // The body of a refusal is read so that the connection can be used again.
             return;
         }
         if (facts.requestId !== this.#options.exchange.request.requestId) {
-            attempt.exchange?.abort();
-            this.#failAttempt(attempt, "broken", "answer-mismatched");
+            this.#abortAttempt(attempt, "answer-mismatched");
             return;
         }
-        const isFailure = attempt.status >= FIRST_SERVER_ERROR;
-        if (this.#isHeadSent && attempt.status !== 200) {
-            attempt.exchange?.abort();
-            this.#failAttempt(attempt, "broken", "resume-refused");
+        if (this.#answer.isStarted) {
+            if (attempt.status !== OK) {
+                this.#abortAttempt(attempt, "resume-refused");
+            }
             return;
         }
-        if (this.#isStream && !isFailure && !this.#isHeadSent && attempt.status === 200) {
-            this.#isHeadSent = true;
-            const { response } = this.#options.exchange;
-            response.writeHead(attempt.status, listStreamHeaders(facts.passedHeaders));
+        if (this.#isStream && attempt.status === OK) {
+            this.#answer.startStream(attempt.status, facts);
         }
     }
 
     #onData(attempt: Attempt, chunk: Buffer): void {
         const { facts } = attempt;
-        if (!facts || facts.isMisdirected || facts.isNotRun) {
+        if (!facts || isRefusal(facts)) {
             return;
         }
         const now = this.#options.getNow();
         attempt.lastDataAt = now;
-        if (!this.#isHeadSent) {
-            this.#hold(attempt, chunk);
-            return;
-        }
-        const events = this.#relay.push(chunk);
-        if (!events) {
+        if (!this.#answer.isStarted) {
+            if (!this.#answer.append(chunk)) {
+                this.#abortAttempt(attempt, "answer-too-long");
+            }
             return;
         }
-        if (!attempt.hasData) {
-            attempt.hasData = true;
+        const hasWritten = this.#answer.writeEvents(chunk, onDrain => {
+            attempt.exchange?.pause();
+            onDrain(() => attempt.exchange?.resume());
+        });
+        if (hasWritten && !attempt.hasEvents) {
+            attempt.hasEvents = true;
             this.#options.scheduler.start(attempt.grant, now);
         }
-        this.#write(attempt, events);
-    }
-
-    #hold(attempt: Attempt, chunk: Buffer): void {
-        this.#heldBytes += chunk.length;
-        if (this.#heldBytes > MAX_HELD_BYTES) {
-            attempt.exchange?.abort();
-            this.#failAttempt(attempt, "broken", "answer-too-long");
-            return;
-        }
-        this.#held.push(chunk);
-    }
-
-    #write(attempt: Attempt, bytes: Buffer): void {
-        const { response } = this.#options.exchange;
-        if (response.write(bytes)) {
-            return;
-        }
-        attempt.exchange?.pause();
-        response.once("drain", () => attempt.exchange?.resume());
     }
 
     #onAnswerEnd(attempt: Attempt): void {
@@ -243,57 +216,44 @@
             this.#failAttempt(attempt, "broken", "no-head");
             return;
         }
-        if (facts.isMisdirected || facts.isNotRun) {
+        if (isRefusal(facts)) {
             this.#failAttempt(attempt, "refused", facts.isMisdirected ? "misdirected" : "target-full");
             return;
         }
-        if (this.#isHeadSent) {
-            if (this.#relay.hasPartialEvent) {
+        if (this.#answer.isStarted) {
+            if (!this.#answer.isWhole(facts)) {
                 this.#failAttempt(attempt, "broken", "truncated");
                 return;
             }
             this.#finishAttempt(attempt, true);
-            this.#options.exchange.response.end();
-            this.#end("served", attempt);
+            this.#answer.endStream();
+            this.#end("served", attempt, status);
             return;
         }
-        if (status >= FIRST_SERVER_ERROR && this.#isRepeatable() && this.#canRetry(attempt, "target-error")) {
-            this.#failAttempt(attempt, "broken", "target-error");
+        const isError = status >= FIRST_SERVER_ERROR;
+        if (isError && status !== GATEWAY_TIMEOUT && this.#hasRetry()) {
+            this.#failAttempt(attempt, "broken", "target-error", () => this.#sendHeld(attempt, facts));
             return;
         }
-        this.#finishAttempt(attempt, status < FIRST_SERVER_ERROR);
+        this.#finishAttempt(attempt, !isError);
         this.#sendHeld(attempt, facts);
     }
 
-    #canRetry(attempt: Attempt, reason: string): boolean {
-        const plan = planForward({ kind: "broken", reason }, this.#getFacts());
-        return plan.kind === "retry" && attempt.status !== GATEWAY_TIMEOUT;
+    #sendHeld(attempt: Attempt, facts: AnswerFacts): void {
+        this.#answer.sendHeld(attempt.status, facts);
+        this.#end("served", attempt, attempt.status);
     }
 
-    #getFacts(): Parameters<typeof planForward>[1] {
+    #hasRetry(): boolean {
         const { exchange, getNow } = this.#options;
-        return {
-            isRepeatable: this.#isRepeatable(),
-            isAnswerStarted: this.#isHeadSent,
-            lastEventId: this.#relay.getLastEventId(),
+        return planForward({
+            isRepeatable: this.#isRepeatable,
             runs: this.#runs,
             attempts: this.#attempts,
             maxRuns: exchange.request.route.maxAttempts,
             now: getNow(),
             deadline: exchange.request.deadline,
-        };
-    }
-
-    #sendHeld(attempt: Attempt, facts: AnswerFacts): void {
-        const { response } = this.#options.exchange;
-        const body = Buffer.concat(this.#held);
-        response.writeHead(attempt.status, [
-            ...listStreamHeaders(facts.passedHeaders),
-            "Content-Length",
-            String(body.length),
-        ]);
-        response.end(body);
-        this.#end("served", attempt);
+        }) === "retry";
     }
 
     #finishAttempt(attempt: Attempt, isSuccess: boolean): void {
@@ -306,94 +266,89 @@
         else {
             attempt.grant.target.recordFailure(now);
         }
-        scheduler.release(attempt.grant, attempt.hasData, now);
+        scheduler.release(attempt.grant, attempt.hasEvents, now);
     }
 
-    #failAttempt(attempt: Attempt, kind: "not-written" | "refused" | "broken", reason: string): void {
+    #abortAttempt(attempt: Attempt, reason: string): void {
+        attempt.exchange?.abort();
+        this.#failAttempt(attempt, "broken", reason);
+    }
+
+    /** @param onFinal Answers the caller if the request is not sent again; by default it is refused. */
+    #failAttempt(
+        attempt: Attempt,
+        kind: FailureKind,
+        reason: string,
+        onFinal: () => void = () => this.#fail(attempt, reason),
+    ): void {
         if (this.#attempt !== attempt) {
             return;
         }
         const { exchange, budget, log, getNow } = this.#options;
+        const now = getNow();
         this.#avoided.add(attempt.grant.target.entry.id);
         if (kind !== "broken") {
             this.#runs -= 1;
         }
         this.#finishAttempt(attempt, kind === "refused");
-        this.#relay.reset();
-        this.#held = [];
-        this.#heldBytes = 0;
-        const plan = planForward({ kind, reason }, this.#getFacts());
-        const isAllowed = plan.kind === "retry" && budget.tryTake(getNow());
+        const willRetry = this.#hasRetry() && budget.tryTake(now);
         log.write("attempt-failed", {
             request: exchange.request.requestId,
             target: attempt.grant.target.entry.id,
             kind,
             reason,
             status: attempt.status,
-            afterMs: Math.round(getNow() - attempt.sentAt),
-            plan: plan.kind,
-            isAllowed,
+            afterMs: Math.round(now - attempt.grant.grantedAt),
+            attempts: this.#attempts,
+            willRetry,
         });
-        if (isAllowed) {
-            this.#enqueue();
+        if (!willRetry) {
+            onFinal();
             return;
         }
-        if (this.#isHeadSent) {
-            exchange.response.destroy();
-            this.#end("broken-off", attempt);
-            return;
-        }
-        if (this.#runs === 0) {
-            this.#refuse(SERVICE_UNAVAILABLE, reason, RETRY_AFTER_MS);
+        this.#answer.resetAttempt();
+        this.#enqueue();
+    }
+
+    #fail(attempt: Attempt, reason: string): void {
+        if (this.#answer.isStarted) {
+            this.#answer.abort();
+            this.#end("broken-off", attempt, attempt.status);
             return;
         }
-        this.#refuse(BAD_GATEWAY, reason, undefined);
+        this.#refuse(this.#runs === 0 ? SERVICE_UNAVAILABLE : BAD_GATEWAY, reason, RETRY_AFTER_MS);
     }
 
     #expire(): void {
-        const attempt = this.#attempt;
         const wasSent = this.#runs > 0;
-        this.#withdraw();
-        if (this.#isHeadSent) {
-            this.#options.exchange.response.destroy();
-            this.#end("expired", attempt);
+        const attempt = this.#withdraw();
+        if (this.#answer.isStarted) {
+            this.#answer.abort();
+            this.#end("expired", attempt, OK);
             return;
         }
         this.#refuse(wasSent ? GATEWAY_TIMEOUT : SERVICE_UNAVAILABLE, "deadline-expired", RETRY_AFTER_MS);
     }
 
-    #refuse(status: number, reason: string, retryAfterMs: number | undefined): void {
-        const { exchange, wire } = this.#options;
-        if (this.#isEnded) {
-            return;
+    /** Gives the caller a final answer; only a 503 states that the request was not run and may come back. */
+    #refuse(status: number, reason: string, retryAfterMs: number): void {
+        if (this.#answer.isStarted) {
+            this.#answer.abort();
         }
-        if (this.#isHeadSent) {
-            exchange.response.destroy();
-            this.#end(reason, undefined);
-            return;
+        else {
+            this.#answer.sendOwn(status, status === SERVICE_UNAVAILABLE ? retryAfterMs : undefined);
         }
-        exchange.response.writeHead(status, {
-            ...wire.buildOwnHeaders(
-                exchange.request.requestId,
-                status === SERVICE_UNAVAILABLE ? retryAfterMs : undefined,
-            ),
-            "Content-Length": "0",
-        });
-        exchange.response.end();
         this.#end(reason, undefined, status);
     }
 
     #onCallerClosed(): void {
-        if (this.#isEnded) {
-            return;
+        if (!this.#isEnded) {
+            this.#end("caller-left", this.#withdraw(), undefined);
         }
-        const attempt = this.#attempt;
-        this.#withdraw();
-        this.#end("caller-left", attempt);
     }
 
-    /** Stops the attempt in progress or the wait for a target. */
-    #withdraw(): void {
+    /** Stops the wait for a target or the attempt in progress, and returns the latter. */
+    #withdraw(): Attempt | undefined {
         const { scheduler, getNow } = this.#options;
         if (this.#waiting) {
             scheduler.withdraw(this.#waiting);
@@ -403,42 +358,38 @@
         if (attempt) {
             this.#attempt = undefined;
             attempt.exchange?.abort();
-            scheduler.release(attempt.grant, attempt.hasData, getNow());
+            scheduler.release(attempt.grant, attempt.hasEvents, getNow());
         }
+        return attempt;
     }
 
-    #end(outcome: string, attempt: Attempt | undefined, ownStatus?: number): void {
+    #end(outcome: string, attempt: Attempt | undefined, status: number | undefined): void {
         if (this.#isEnded) {
             return;
         }
         this.#isEnded = true;
-        const { exchange, log, getNow, onEnd } = this.#options;
+        const { exchange: { request }, log, getNow, onEnd } = this.#options;
+        const grant = attempt?.grant;
+        const ms = Math.round(getNow() - request.receivedAt);
         log.write("request-ended", {
-            request: exchange.request.requestId,
-            route: exchange.request.route.name,
-            account: exchange.request.account,
+            request: request.requestId,
+            route: request.route.name,
+            account: request.account,
             outcome,
-            status: ownStatus ?? attempt?.status,
-            target: attempt?.grant.target.entry.id,
-            promptSource: attempt?.grant.promptSource,
-            missingTokens: attempt?.grant.missingTokens,
-            tokens: exchange.request.promptTokens,
-            expectedMs: attempt && Math.round(attempt.grant.expectedMs),
-            queuedMs: attempt && Math.round(attempt.grant.grantedAt - exchange.request.receivedAt),
+            status,
+            target: grant?.target.entry.id,
+            promptSource: grant?.promptSource,
+            tokens: request.promptTokens,
+            missingTokens: grant?.missingTokens,
+            expectedMs: grant && Math.round(grant.expectedMs),
+            queuedMs: grant && Math.round(grant.grantedAt - request.receivedAt),
             attempts: this.#attempts,
-            ms: Math.round(getNow() - exchange.request.receivedAt),
+            ms,
         });
-        onEnd();
+        onEnd(outcome, ms);
     }
 }
 
-/** The length of a stream or of a held body is stated anew. */
-function listStreamHeaders(headers: readonly string[]): string[] {
-    const kept: string[] = [];
-    for (let i = 0; i + 1 < headers.length; i += 2) {
-        if (headers[i]?.toLowerCase() !== "content-length") {
-            kept.push(headers[i] ?? "", headers[i + 1] ?? "");
-        }
-    }
-    return kept;
+function isRefusal(facts: AnswerFacts): boolean {
+    return facts.isMisdirected || facts.isNotRun;
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,24 +1,25 @@
 import { performance } from "node:perf_hooks";
 import { AccountUsage } from "../core/routing/accountUsage.js";
-import { AttemptBudget } from "../core/routing/attemptBudget.js";
+import { ChangeLog } from "../core/routing/changeLog.js";
+import type { ChangeSource } from "../core/routing/changeSource.js";
 import { ConfigurationFreshness } from "../core/routing/configurationFreshness.js";
-import { findRoute } from "../core/routing/findRoute.js";
+import { LagMeter } from "../core/routing/lagMeter.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { Place } from "../core/routing/place.js";
-import { resolveAccount } from "../core/routing/resolveAccount.js";
+import { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
-import { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import { TargetDirectory } from "../core/routing/targetDirectory.js";
 import type { CallerExchange } from "./callerExchange.js";
+import { ChangeFeedServer } from "./changeFeedServer.js";
 import { FleetView } from "./fleetView.js";
 import { Ingress } from "./ingress.js";
-import { LogSink } from "./logSink.js";
-import { pickBackend } from "./pickBackend.js";
-import type { RequestFacts } from "./requestFacts.js";
+import type { LogSink } from "./logSink.js";
+import { PeerChangeSource } from "./peerChangeSource.js";
+import { RelayedChangeSource } from "./relayedChangeSource.js";
 import { RequestForwarder } from "./requestForwarder.js";
-import type { ResolvedRequest } from "./resolvedRequest.js";
+import type { RouterMetrics } from "./routerMetrics.js";
 import type { RouterSettings } from "./routerSettings.js";
-import { schedulerTuning } from "./schedulerTuning.js";
+import { ServicePool } from "./servicePool.js";
 import { TargetAgents } from "./targetAgents.js";
 import type { WireFormat } from "./wireFormat.js";
 
@@ -26,6 +27,7 @@
     readonly settings: RouterSettings;
     readonly wire: WireFormat;
     readonly log: LogSink;
+    readonly metrics: RouterMetrics;
 }
 
 /** Deadlines are checked this often; callers allow half a second beyond a deadline. */
@@ -33,20 +35,17 @@
 /** Part of the memory of the machine that bodies may take. */
 const BODY_MEMORY_SHARE = 0.15;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
+/** A process this late collects events and looks for callers that have left before it sends their requests. */
+const LATE_MS = 15;
+/** A process this late refuses streams, because it would deliver none of them on time. */
+const OVERLOADED_MS = 200;
 /** Window over which client accounts are owed their share (quotaWindowS of the deployments). */
 const USAGE_WINDOW_MS = 4000;
-const NOT_CONFIGURED_RETRY_MS = 500;
-const STALE_RETRY_MS = 1000;
-const SERVICE_UNAVAILABLE = 503;
 /** Callers keep an answer of the directory for up to three times its term, so connections come for about that long. */
 const LINGER_SHARE = 0.75;
 /** Requests that would not end within this part of the stop time are sent elsewhere. */
 const FINISH_SHARE = 0.8;
-const STOPPING_RETRY_MS = 50;
 const STOP_MARGIN_MS = 300;
-/** Time in milliseconds to the first event, and for each token after it, that a busy engine stays below. */
-const FIRST_EVENT_MS = 800;
-const TOKEN_MS = 10;
 const STOP_POLL_MS = 50;
 
 /** One router process: accepts callers, schedules and forwards their requests. */
@@ -54,25 +53,41 @@
     readonly #options: RouterOptions;
     readonly #getNow = (): number => performance.now();
     readonly #usage = AccountUsage.create(USAGE_WINDOW_MS);
-    readonly #directory = TargetDirectory.create();
+    readonly #targets = TargetDirectory.create();
+    readonly #changes = ChangeLog.create();
     readonly #freshness: ConfigurationFreshness;
+    readonly #lag = LagMeter.create();
     readonly #agents = TargetAgents.create();
-    readonly #schedulers = new Map<string, ServiceScheduler>();
-    readonly #budgets = new Map<string, AttemptBudget>();
+    readonly #services: ServicePool;
     readonly #active = new Set<RequestForwarder>();
+    readonly #peerSource: PeerChangeSource;
     #configuration: RouterConfiguration | undefined;
     #evacuated: ReadonlySet<string> = new Set();
     #fleet: FleetView | undefined;
     #ingress: Ingress | undefined;
+    #feed: ChangeFeedServer | undefined;
     #timer: NodeJS.Timeout | undefined;
+    #nextCheckAt = 0;
     #isLeaving = false;
-    /** Monotonic time by which requests must have ended before the process stops. */
+    /** Monotonic time in milliseconds by which requests must have ended before the process stops. */
     #finishBy = Number.POSITIVE_INFINITY;
     #hasTargets = false;
 
     private constructor(options: RouterOptions) {
         this.#options = options;
-        this.#freshness = ConfigurationFreshness.create(options.settings.keyFreshnessMs);
+        const { settings } = options;
+        this.#freshness = ConfigurationFreshness.create(settings.keyFreshnessMs);
+        this.#peerSource = PeerChangeSource.create({
+            port: settings.peers.port,
+            getNow: this.#getNow,
+            getTimeOfDay: Date.now,
+        });
+        this.#services = ServicePool.create({
+            settings,
+            usage: this.#usage,
+            getTokensPerSecond: () => this.#configuration?.limits.tokensPerSecond ?? 0,
+            getColdShare: (entry, limit) => this.#fleet?.getColdShare(entry, limit),
+        });
     }
 
     /** Starts to listen; requests are refused until a configuration and the targets are known. */
@@ -82,9 +97,9 @@
         return router;
     }
 
-    /** Number of requests in progress. */
-    get activeCount(): number {
-        return this.#active.size;
+    /** Targets as the platform lists them; `updateTargets` puts a change into force. */
+    get targets(): TargetDirectory {
+        return this.#targets;
     }
 
     /** True if callers may use this instance. */
@@ -97,42 +112,43 @@
         return this.#fleet?.listCallerAddresses(caller) ?? [];
     }
 
+    /** Returns a source of the platform's changes that spares the platform where neighbours read it already. */
+    createChangeSource(direct: ChangeSource): ChangeSource {
+        const source = RelayedChangeSource.create({
+            direct,
+            readPeer: (host, after) => this.#peerSource.read(host, after),
+            listReaderHosts: () => this.#fleet?.listReaderHosts() ?? [],
+            changes: this.#changes,
+            log: this.#options.log,
+            getNow: this.#getNow,
+        });
+        return after => source.read(after);
+    }
+
     /** Puts a configuration into force if it is newer than the one in force. */
     applyConfiguration(configuration: RouterConfiguration): void {
         if (this.#configuration && configuration.version <= this.#configuration.version) {
             return;
         }
         this.#configuration = configuration;
-        this.#options.log.write("configuration-adopted", {
-            version: configuration.version,
-            tokensPerSecond: configuration.limits.tokensPerSecond,
-        });
-        for (const service of configuration.services.values()) {
-            this.#ensureScheduler(service.name).setService(service);
-        }
-        this.refreshTargets();
-    }
-
-    /** Targets as the platform lists them; call `refreshTargets` after a change. */
-    get directory(): TargetDirectory {
-        return this.#directory;
+        this.#options.log.write("configuration-adopted", { version: configuration.version });
+        this.#services.applyConfiguration(configuration);
+        this.updateTargets();
     }
 
     /** Replaces the data centres that must get no requests. */
     setEvacuated(dataCentres: ReadonlySet<string>): void {
         this.#evacuated = dataCentres;
         this.#options.log.write("evacuation-changed", { dataCentres: [...dataCentres] });
-        this.refreshTargets();
+        this.updateTargets();
     }
 
     /** Hands the present targets to the schedulers. */
-    refreshTargets(): void {
+    updateTargets(): void {
         const now = this.#getNow();
-        const entries = this.#directory.list(now);
+        const entries = this.#targets.list(now);
         this.#hasTargets ||= entries.length > 0;
-        for (const [name, scheduler] of this.#schedulers) {
-            scheduler.setTargets(entries.filter(entry => entry.service === name), this.#evacuated, now);
-        }
+        this.#services.setTargets(entries, this.#evacuated, now);
     }
 
     /**
@@ -141,8 +157,8 @@
      * @param at Monotonic time in milliseconds.
      * @param timeOfDay Unix milliseconds of the same moment.
      */
-    confirmConfiguration(at: number, timeOfDay: number): void {
-        this.#freshness.confirm(at, timeOfDay);
+    recordConfirmation(at: number, timeOfDay: number): void {
+        this.#freshness.recordConfirmation(at, timeOfDay);
     }
 
     /** Stops gracefully: callers are sent elsewhere, requests in progress are finished. */
@@ -151,44 +167,42 @@
             return;
         }
         this.#isLeaving = true;
-        const startedAt = this.#getNow();
         const { log, settings } = this.#options;
-        log.write("stopping", { active: this.#active.size });
-        this.#fleet?.announce();
+        const startedAt = this.#getNow();
         this.#finishBy = startedAt + settings.stopTimeoutMs * FINISH_SHARE;
+        log.write("stopping", { active: this.#active.size });
+        this.#fleet?.notifyPeers();
         const lingerUntil = startedAt + settings.stopTimeoutMs * LINGER_SHARE;
         const stopBy = startedAt + settings.stopTimeoutMs - STOP_MARGIN_MS;
         while (this.#getNow() < lingerUntil || (this.#active.size > 0 && this.#getNow() < stopBy)) {
             await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS));
         }
         this.#ingress?.close();
-        clearInterval(this.#timer);
+        this.#feed?.close();
         this.#fleet?.close();
+        clearInterval(this.#timer);
         this.#agents.close();
+        this.#peerSource.close();
         log.write("stopped", { active: this.#active.size });
         log.flush();
     }
 
     async #start(): Promise<void> {
-        const { settings, log, wire } = this.#options;
+        const { settings, log, wire, metrics } = this.#options;
         this.#fleet = await FleetView.create({
             settings,
             log,
             usage: this.#usage,
             getNow: this.#getNow,
             getState: () => this.#getState(),
-            listLoads: () => this.#listLoads(),
-            onLoads: (sender, loads, validUntil) => {
-                for (const [id, inFlight, pendingTokens] of loads) {
-                    for (const scheduler of this.#schedulers.values()) {
-                        scheduler.targets.get(id)?.setPeerLoad(sender, {
-                            inFlight,
-                            pendingTokens,
-                            validUntil,
-                        });
-                    }
-                }
-            },
+            listLoads: () => this.#services.listLoads(),
+            onLoads: (peer, loads, validUntil) => this.#services.setPeerLoads(peer, loads, validUntil),
+        });
+        this.#feed = await ChangeFeedServer.create({
+            ...settings.peers,
+            changes: this.#changes,
+            log,
+            getNow: this.#getNow,
         });
         this.#ingress = await Ingress.create({
             ...settings.callers,
@@ -196,159 +210,84 @@
             log,
             maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
             getNow: this.#getNow,
-            resolve: (facts, path, receivedAt) => this.#resolve(facts, path, receivedAt),
+            resolve: (facts, path, receivedAt) =>
+                resolveRequest(facts, path, {
+                    configuration: this.#hasTargets ? this.#configuration : undefined,
+                    isFresh: this.#freshness.isFresh(receivedAt, Date.now()),
+                    isOverloaded: this.#lag.averageMs > OVERLOADED_MS,
+                    finishBy: this.#finishBy,
+                    receivedAt,
+                    random: Math.random(),
+                }),
             getMaxBodyBytes: () => this.#configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
             isLeaving: () => this.#isLeaving,
+            isLate: () => this.#isLate(),
             serve: exchange => this.#serve(exchange),
+            onRefused: reason => metrics.countRefusal(reason),
         });
+        metrics.registerGauge("requests_active", () => this.#active.size);
+        metrics.registerGauge("lag_ms", () => this.#lag.averageMs);
+        metrics.registerGauge(
+            "configuration_age_ms",
+            () => this.#freshness.getAge(this.#getNow(), Date.now()),
+        );
+        metrics.registerGauge("peers_live", () => this.#fleet?.peerCount ?? 0);
+        metrics.registerGauge("log_lines_dropped", () => log.droppedTotal);
+        this.#nextCheckAt = this.#getNow() + CHECK_INTERVAL_MS;
         this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
     }
 
+    #isLate(): boolean {
+        return this.#lag.averageMs > LATE_MS;
+    }
+
     #getState(): MemberRecord["state"] {
         if (this.#isLeaving || !this.#configuration || !this.#hasTargets) {
             return "closed";
         }
-        return this.#freshness.isFresh(this.#getNow(), Date.now()) ? "open" : "limited";
-    }
-
-    #ensureScheduler(service: string): ServiceScheduler {
-        const known = this.#schedulers.get(service);
-        if (known) {
-            return known;
-        }
-        const description = this.#configuration?.services.get(service);
-        if (!description) {
-            throw new Error(`The configuration has no service ${service}.`);
-        }
-        const { settings } = this.#options;
-        const scheduler = ServiceScheduler.create({
-            service: description,
-            usage: this.#usage,
-            settings: {
-                ...schedulerTuning,
-                place: settings.place,
-                regions: settings.regions,
-                coldFactor: settings.coldFactor,
-                coldSlack: settings.coldSlack,
-            },
-            getTokensPerSecond: () => this.#configuration?.limits.tokensPerSecond ?? 0,
-            getColdShare: (entry, limit) => this.#fleet?.getColdShare(entry, limit),
-        });
-        this.#schedulers.set(service, scheduler);
-        this.#budgets.set(
-            service,
-            AttemptBudget.create({ ratio: settings.retryRatio, windowMs: settings.retryWindowMs }),
-        );
-        return scheduler;
-    }
-
-    #resolve(facts: RequestFacts, path: string, receivedAt: number): ResolvedRequest {
-        const configuration = this.#configuration;
-        if (!configuration || !this.#hasTargets) {
-            return {
-                kind: "refused",
-                status: SERVICE_UNAVAILABLE,
-                reason: "not-configured",
-                retryAfterMs: NOT_CONFIGURED_RETRY_MS,
-            };
-        }
-        if (receivedAt + estimateDuration(facts.outputTokens) > this.#finishBy) {
-            return {
-                kind: "refused",
-                status: SERVICE_UNAVAILABLE,
-                reason: "stopping",
-                retryAfterMs: STOPPING_RETRY_MS,
-            };
-        }
-        const route = findRoute(configuration, facts.host, path);
-        const isFresh = this.#freshness.isFresh(receivedAt, Date.now());
-        if (!route) {
-            return { kind: "refused", status: 404, reason: "no-route", retryAfterMs: undefined };
-        }
-        const account = resolveAccount(configuration, route, facts.key);
-        if (account !== undefined && !isFresh) {
-            return {
-                kind: "refused",
-                status: SERVICE_UNAVAILABLE,
-                reason: "configuration-stale",
-                retryAfterMs: STALE_RETRY_MS,
-            };
+        if (!this.#freshness.isFresh(this.#getNow(), Date.now())) {
+            return "limited";
         }
-        if (account === "unknown") {
-            return { kind: "refused", status: 401, reason: "unknown-key", retryAfterMs: undefined };
-        }
-        const patienceMs = Math.min(facts.patienceMs ?? route.timeoutMs, route.timeoutMs);
-        return {
-            kind: "accepted",
-            request: {
-                requestId: facts.requestId ?? "",
-                route,
-                service: pickBackend(route),
-                account: account?.name ?? "",
-                regions: intersectRegions(route.regions, account?.regions ?? []),
-                promptTokens: facts.promptTokens,
-                outputTokens: facts.outputTokens,
-                prompt: facts.prompt,
-                receivedAt,
-                objectiveDeadline: receivedAt + Math.min(patienceMs, route.objectiveMs),
-                deadline: receivedAt + patienceMs,
-            },
-        };
+        return this.#lag.isBusy ? "busy" : "open";
     }
 
     #serve(exchange: CallerExchange): void {
-        const { service } = exchange.request;
-        const scheduler = this.#ensureScheduler(service);
-        const budget = this.#budgets.get(service);
-        if (!budget) {
-            throw new Error(`The service ${service} has no retry budget.`);
+        const { metrics, wire, log } = this.#options;
+        const service = this.#services.find(exchange.request.service);
+        if (!service) {
+            // A configuration is checked as a whole, so its routes name services that it has.
+            throw new Error(`No scheduler for service ${exchange.request.service}.`);
         }
-        budget.addRequest(this.#getNow());
+        service.budget.addRequest(this.#getNow());
         const forwarder: RequestForwarder = RequestForwarder.create({
             exchange,
-            scheduler,
-            budget,
+            ...service,
             agents: this.#agents,
-            wire: this.#options.wire,
-            log: this.#options.log,
+            wire,
+            log,
             getNow: this.#getNow,
-            onEnd: () => this.#active.delete(forwarder),
+            isLate: () => this.#isLate(),
+            onEnd: (outcome, ms) => {
+                this.#active.delete(forwarder);
+                metrics.countEnd(exchange.request.route.kind, outcome, ms);
+            },
         });
         this.#active.add(forwarder);
         forwarder.start();
     }
 
-    #listLoads(): readonly (readonly [string, number, number])[] {
-        return [...this.#schedulers.values()].flatMap(scheduler =>
-            [...scheduler.targets.values()]
-                .filter(target => target.inFlight > 0)
-                .map(target => [target.entry.id, target.inFlight, Math.round(target.pendingTokens)] as const)
-        );
-    }
-
     #check(): void {
         const now = this.#getNow();
-        const nextChangeAt = this.#directory.nextChangeAt;
+        this.#lag.observe(now - this.#nextCheckAt);
+        this.#nextCheckAt = now + CHECK_INTERVAL_MS;
+        const nextChangeAt = this.#targets.nextChangeAt;
         if (nextChangeAt !== undefined && nextChangeAt <= now) {
-            this.refreshTargets();
+            this.updateTargets();
         }
         for (const forwarder of this.#active) {
             forwarder.checkTimeouts(now);
         }
-        for (const scheduler of this.#schedulers.values()) {
-            scheduler.advance(now);
-        }
-    }
-}
-
-function estimateDuration(outputTokens: number): number {
-    return FIRST_EVENT_MS + outputTokens * TOKEN_MS;
-}
-
-function intersectRegions(a: readonly string[], b: readonly string[]): readonly string[] {
-    if (a.length === 0 || b.length === 0) {
-        return a.length === 0 ? b : a;
+        this.#services.advance(now);
+        this.#feed?.flush();
     }
-    const both = a.filter(region => b.includes(region));
-    return both.length > 0 ? both : ["none"];
 }
--- /dev/null
+++ b/src/router/servicePool.ts
@@ -0,0 +1,109 @@
+import type { AccountUsage } from "../core/routing/accountUsage.js";
+import { AttemptBudget } from "../core/routing/attemptBudget.js";
+import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import { ServiceScheduler } from "../core/routing/serviceScheduler.js";
+import type { TargetEntry } from "../core/routing/targetEntry.js";
+import type { RouterSettings } from "./routerSettings.js";
+import { schedulerTuning } from "./schedulerTuning.js";
+
+interface ServicePoolOptions {
+    readonly settings: RouterSettings;
+    readonly usage: AccountUsage;
+    readonly getTokensPerSecond: () => number;
+    readonly getColdShare: (
+        entry: TargetEntry,
+        limitPerSecond: number,
+    ) => { readonly perSecond: number; readonly burst: number; } | undefined;
+}
+
+interface PooledService {
+    readonly scheduler: ServiceScheduler;
+    readonly budget: AttemptBudget;
+}
+
+/** Schedulers and retry budgets of all services. */
+export class ServicePool {
+    readonly #options: ServicePoolOptions;
+    readonly #services = new Map<string, PooledService>();
+
+    private constructor(options: ServicePoolOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a pool without services. */
+    static create(options: ServicePoolOptions): ServicePool {
+        return new ServicePool(options);
+    }
+
+    /** Returns a service, or `undefined` if no configuration has named it. */
+    find(name: string): PooledService | undefined {
+        return this.#services.get(name);
+    }
+
+    /** Adds the services of a configuration. */
+    applyConfiguration(configuration: RouterConfiguration): void {
+        const { settings, usage, getTokensPerSecond, getColdShare } = this.#options;
+        for (const service of configuration.services.values()) {
+            const known = this.#services.get(service.name);
+            if (known) {
+                known.scheduler.setService(service);
+                continue;
+            }
+            this.#services.set(service.name, {
+                scheduler: ServiceScheduler.create({
+                    service,
+                    usage,
+                    settings: {
+                        ...schedulerTuning,
+                        place: settings.place,
+                        regions: settings.regions,
+                        coldFactor: settings.coldFactor,
+                        coldSlack: settings.coldSlack,
+                    },
+                    getTokensPerSecond,
+                    getColdShare,
+                }),
+                budget: AttemptBudget.create({
+                    ratio: settings.retryRatio,
+                    windowMs: settings.retryWindowMs,
+                }),
+            });
+        }
+    }
+
+    /** Hands the present targets to their services. */
+    setTargets(entries: readonly TargetEntry[], evacuated: ReadonlySet<string>, now: number): void {
+        for (const [name, { scheduler }] of this.#services) {
+            scheduler.setTargets(entries.filter(entry => entry.service === name), evacuated, now);
+        }
+    }
+
+    /** Lists the load that this instance has put on targets. */
+    listLoads(): readonly (readonly [id: string, inFlight: number, pendingTokens: number])[] {
+        return [...this.#services.values()].flatMap(({ scheduler }) =>
+            [...scheduler.targets.values()]
+                .filter(target => target.inFlight > 0)
+                .map(target => [target.entry.id, target.inFlight, Math.round(target.pendingTokens)] as const)
+        );
+    }
+
+    /** Stores the load that a peer has put on targets, until a monotonic time in milliseconds. */
+    setPeerLoads(
+        peer: string,
+        loads: readonly (readonly [id: string, inFlight: number, pendingTokens: number])[],
+        validUntil: number,
+    ): void {
+        for (const [id, inFlight, pendingTokens] of loads) {
+            for (const { scheduler } of this.#services.values()) {
+                scheduler.targets.get(id)?.setPeerLoad(peer, { inFlight, pendingTokens, validUntil });
+            }
+        }
+    }
+
+    /** Lets waiting requests proceed. */
+    advance(now: number): void {
+        for (const { scheduler } of this.#services.values()) {
+            scheduler.advance(now);
+        }
+    }
+}
