--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -96,6 +96,7 @@
     "recover",
     "refuse",
     "register",
+    "relay",
     "release",
     "remove",
     "render",
--- a/src/core/routing/accountUsage.ts
+++ b/src/core/routing/accountUsage.ts
@@ -19,7 +19,9 @@
 export class AccountUsage {
     readonly #windowMs: number;
     readonly #own = new Map<string, UsageRecord>();
+    /** By instance of the own data centre, and by other data centre. */
     readonly #peers = new Map<string, PeerUsage>();
+    readonly #remote = new Map<string, PeerUsage>();
 
     private constructor(windowMs: number) {
         this.#windowMs = windowMs;
@@ -40,11 +42,16 @@
         this.#ensure(account).granted.add(tokens, now);
     }
 
-    /** Stores the usage that a peer reports. */
+    /** Stores the usage at another instance of the data centre. */
     setPeerUsage(instance: string, usage: PeerUsage): void {
         this.#peers.set(instance, usage);
     }
 
+    /** Stores the usage at all instances of another data centre. */
+    setRemoteUsage(dataCentre: string, usage: PeerUsage): void {
+        this.#remote.set(dataCentre, usage);
+    }
+
     /** Returns the recent tokens granted to a client account at all instances. */
     getGranted(account: string, now: number): number {
         let total = this.#own.get(account)?.granted.get(now) ?? 0;
@@ -91,6 +98,20 @@
             .filter(([, asked, granted]) => asked + granted > 0);
     }
 
+    /** Lists the recent tokens of each client account at all instances of the data centre. */
+    listDataCentre(now: number): readonly (readonly [account: string, asked: number, granted: number])[] {
+        const totals = new Map(
+            this.listOwn(now).map(([account, asked, granted]) => [account, { asked, granted }]),
+        );
+        for (const usage of this.#listValid(this.#peers, now)) {
+            for (const [account, { asked, granted }] of usage.tokens) {
+                const total = totals.get(account) ?? { asked: 0, granted: 0 };
+                totals.set(account, { asked: total.asked + asked, granted: total.granted + granted });
+            }
+        }
+        return [...totals].map(([account, { asked, granted }]) => [account, asked, granted] as const);
+    }
+
     #ensure(account: string): UsageRecord {
         let record = this.#own.get(account);
         if (!record) {
@@ -104,11 +125,15 @@
     }
 
     #listPeers(now: number): readonly PeerUsage[] {
-        for (const [instance, usage] of this.#peers) {
+        return [...this.#listValid(this.#peers, now), ...this.#listValid(this.#remote, now)];
+    }
+
+    #listValid(usages: Map<string, PeerUsage>, now: number): readonly PeerUsage[] {
+        for (const [name, usage] of usages) {
             if (usage.validUntil < now) {
-                this.#peers.delete(instance);
+                usages.delete(name);
             }
         }
-        return [...this.#peers.values()];
+        return [...usages.values()];
     }
 }
--- /dev/null
+++ b/src/core/routing/listColdUsers.ts
@@ -0,0 +1,13 @@
+import type { MemberRecord } from "./memberRecord.js";
+
+/** Lists the instances that may use a cold target: those of its data centre, else of its region, else all. */
+export function listColdUsers(
+    members: readonly MemberRecord[],
+    dataCentre: string,
+    regions: ReadonlyMap<string, string>,
+): readonly MemberRecord[] {
+    const region = regions.get(dataCentre);
+    const near = members.filter(member => member.dataCentre === dataCentre);
+    const inRegion = members.filter(member => member.region === region);
+    return [near, inRegion].find(list => list.length > 0) ?? members;
+}
--- /dev/null
+++ b/src/core/routing/listDelegates.ts
@@ -0,0 +1,19 @@
+import type { MemberRecord } from "./memberRecord.js";
+import { pickReaders } from "./pickReaders.js";
+
+/** Lists, for each data centre but the own one, the members that receive news for it. */
+export function listDelegates(
+    members: readonly MemberRecord[],
+    ownDataCentre: string,
+): readonly (readonly MemberRecord[])[] {
+    const groups = new Map<string, MemberRecord[]>();
+    for (const member of members) {
+        if (member.dataCentre !== ownDataCentre) {
+            groups.set(member.dataCentre, [...groups.get(member.dataCentre) ?? [], member]);
+        }
+    }
+    return [...groups.values()].map(group => {
+        const delegates = pickReaders(group.map(member => member.name));
+        return group.filter(member => delegates.includes(member.name));
+    });
+}
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,11 +1,11 @@
 import type { AccountUsage } from "./accountUsage.js";
-import { estimateTarget } from "./estimateTarget.js";
-import { pickHomeTarget } from "./pickHomeTarget.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
+import type { TargetCandidate } from "./targetCandidate.js";
 import type { TargetEntry } from "./targetEntry.js";
 import type { TargetGrant } from "./targetGrant.js";
+import { TargetPicker } from "./targetPicker.js";
 import { TargetState } from "./targetState.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
@@ -16,28 +16,9 @@
     /** Tokens a second that all engines process together; 0 if unknown. */
     readonly getTokensPerSecond: () => number;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
-    readonly getColdShare: (entry: TargetEntry, limitPerSecond: number) => ColdShare | undefined;
+    readonly getColdShare: (entry: TargetEntry, limitPerSecond: number) => TargetCandidate["coldShare"];
 }
 
-interface ColdShare {
-    readonly perSecond: number;
-    readonly burst: number;
-}
-
-interface PromptHomes {
-    readonly home?: TargetState | undefined;
-    readonly remote?: TargetState | undefined;
-}
-
-interface Candidate {
-    readonly target: TargetState;
-    readonly score: number;
-    readonly grant: TargetGrant;
-    readonly coldShare: ColdShare | undefined;
-}
-
-/** Cost in milliseconds of a target that fails all its requests, so that a faulty one is picked last. */
-const FAILURE_COST_MS = 2000;
 /** A generated token costs an engine about as much as this many prompt tokens. */
 const OUTPUT_TOKEN_COST = 2;
 /** Waiting requests of one service above which new ones are refused, to bound memory. */
@@ -52,16 +33,10 @@
 const MIN_ANSWER_MS = 40;
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 3000;
-/**
- * Cost of a target other than the home of a prompt: a constant, and one for each shared token that has to be moved there.
- * Reading a shared part again is billed, and moving it takes about as long as reading it.
- */
-const MOVE_COST_MS = 80;
-const MOVE_COST_MS_PER_TOKEN = 0.05;
-
 /** Decides which waiting request of a service goes to which target, and which is refused. */
 export class ServiceScheduler {
     readonly #options: ServiceSchedulerOptions;
+    readonly #picker: TargetPicker;
     #service: RoutedService;
     readonly #targets = new Map<string, TargetState>();
     #evacuated: ReadonlySet<string> = new Set();
@@ -70,6 +45,13 @@
     private constructor(options: ServiceSchedulerOptions) {
         this.#options = options;
         this.#service = options.service;
+        this.#picker = TargetPicker.create({
+            targets: this.#targets,
+            settings: options.settings,
+            getService: () => this.#service,
+            getEvacuated: () => this.#evacuated,
+            getColdShare: options.getColdShare,
+        });
     }
 
     /** Creates a scheduler without targets. */
@@ -94,6 +76,7 @@
 
     /** Replaces the list of targets and of data centres that must get no requests. */
     setTargets(entries: readonly TargetEntry[], evacuated: ReadonlySet<string>, now: number): void {
+        const returned = [...this.#evacuated].filter(dataCentre => !evacuated.has(dataCentre));
         this.#evacuated = evacuated;
         const listed = new Set(entries.map(entry => entry.id));
         for (const id of this.#targets.keys()) {
@@ -109,6 +92,12 @@
             }
             this.#targets.set(entry.id, TargetState.create(entry, this.#service.engine?.memoryTokens, now));
         }
+        // Targets without requests may have become cold before their registration says so.
+        for (const target of this.#targets.values()) {
+            if (returned.includes(target.entry.dataCentre)) {
+                target.presumedColdUntil = now + this.#service.warmupMs;
+            }
+        }
         this.advance(now);
     }
 
@@ -160,7 +149,7 @@
             const { request } = waiting;
             const excess = this.#options.usage.getGranted(request.account, now) / share;
             const isOverShare = excess > 1;
-            const candidate = excess > MAX_EXCESS ? undefined : this.#pickTarget(waiting, isOverShare, now);
+            const candidate = excess > MAX_EXCESS ? undefined : this.#picker.pick(waiting, isOverShare, now);
             if (candidate) {
                 granted.push([waiting, this.#reserve(request, candidate, now)]);
                 continue;
@@ -180,7 +169,9 @@
     #computeShare(now: number): number {
         const { usage, getTokensPerSecond } = this.#options;
         const rate = getTokensPerSecond();
-        return this.#service.engine && rate > 0 ? usage.computeShare(rate * KEPT_FACTOR, now) : Number.POSITIVE_INFINITY;
+        return this.#service.engine && rate > 0
+            ? usage.computeShare(rate * KEPT_FACTOR, now)
+            : Number.POSITIVE_INFINITY;
     }
 
     /** Time from which a request cannot be on time any more, or, beyond the share, is sent away to come back later. */
@@ -218,7 +209,7 @@
         );
     }
 
-    #reserve(request: RoutedRequest, candidate: Candidate, now: number): TargetGrant {
+    #reserve(request: RoutedRequest, candidate: TargetCandidate, now: number): TargetGrant {
         const { target, grant, coldShare } = candidate;
         target.inFlight += 1;
         target.pendingTokens += grant.missingTokens;
@@ -229,116 +220,6 @@
         this.#options.usage.addGranted(request.account, computeTokens(request), now);
         return grant;
     }
-
-    #pickTarget(waiting: WaitingRequest, isOverShare: boolean, now: number): Candidate | undefined {
-        const { settings } = this.#options;
-        const maxQueueMs = isOverShare ? settings.overShareQueueMs : settings.engineQueueMs;
-        const usable = [...this.#targets.values()].filter(({ entry }) =>
-            this.#isUsable(entry, waiting.request)
-        );
-        const rested = usable.filter(target => target.ejectedUntil <= now);
-        const fresh = (rested.length > 0 ? rested : usable).filter(({ entry }) =>
-            !waiting.avoided.has(entry.id)
-        );
-        const homes = this.#findHomes(waiting.request, rested);
-        let best: Candidate | undefined;
-        // Work beyond the share of its account is not worth reading a shared part of a prompt again.
-        const eligible = isOverShare && homes.home ? fresh.filter(target => target === homes.home) : fresh;
-        for (const target of eligible) {
-            const candidate = this.#buildCandidate(target, waiting.request, homes, maxQueueMs, now);
-            if (candidate && (!best || candidate.score < best.score)) {
-                best = candidate;
-            }
-        }
-        return best;
-    }
-
-    #isUsable(entry: TargetEntry, request: RoutedRequest): boolean {
-        const region = this.#options.settings.regions.get(entry.dataCentre) ?? "";
-        return !entry.isDraining && !this.#evacuated.has(entry.dataCentre)
-            && (request.regions.length === 0 || request.regions.includes(region));
-    }
-
-    /**
-     * Finds the target of the region that keeps the shared parts of a prompt, and one of another region that keeps them
-     * too. All instances of a region compute the same home, so that a part is read once a region or taken from the next.
-     */
-    #findHomes(request: RoutedRequest, targets: readonly TargetState[]): PromptHomes {
-        const shared = request.prompt.at(-2);
-        if (!shared || !this.#service.engine) {
-            return {};
-        }
-        const { place, regions } = this.#options.settings;
-        const isNear = ({ entry }: TargetState): boolean => regions.get(entry.dataCentre) === place.region;
-        const pick = (list: readonly TargetState[]): TargetState | undefined =>
-            this.#targets.get(pickHomeTarget(shared.id, list.map(({ entry }) => entry.id)) ?? "");
-        const near = pick(targets.filter(isNear));
-        const remote = pick(targets.filter(target => !isNear(target)));
-        return near ? { home: near, remote } : { home: remote };
-    }
-
-    #buildCandidate(
-        target: TargetState,
-        request: RoutedRequest,
-        { home, remote }: PromptHomes,
-        maxQueueMs: number,
-        now: number,
-    ): Candidate | undefined {
-        const { settings } = this.#options;
-        const { entry } = target;
-        const coldShare = this.#getColdShare(entry, now);
-        if (coldShare && !target.coldBucket.has(now, coldShare.perSecond, coldShare.burst)) {
-            return undefined;
-        }
-        if (entry.coldUntil > now && !coldShare && this.#service.coldRequestsPerSecond > 0) {
-            return undefined;
-        }
-        const isEngine = this.#service.engine !== undefined;
-        const isHome = target === home;
-        const estimate = estimateTarget(
-            target,
-            request,
-            { isEngine, isHome, hasHome: home !== undefined, now },
-            settings,
-        );
-        if (target.countInFlight(now) >= entry.slots || estimate.queueMs > maxQueueMs) {
-            return undefined;
-        }
-        return {
-            target,
-            coldShare,
-            score: estimate.expectedMs * target.slowness + this.#getDistanceMs(entry)
-                + target.getFailureShare(now) * FAILURE_COST_MS
-                + (home && !isHome ? MOVE_COST_MS + estimate.movedTokens * MOVE_COST_MS_PER_TOKEN : 0),
-            grant: {
-                target,
-                promptSource: (isHome ? remote : home)?.entry.address,
-                missingTokens: estimate.missingTokens,
-                expectedMs: estimate.expectedMs,
-                grantedAt: now,
-            },
-        };
-    }
-
-    #getColdShare(entry: TargetEntry, now: number): ColdShare | undefined {
-        const { settings, getColdShare } = this.#options;
-        if (entry.coldUntil <= now || this.#service.coldRequestsPerSecond <= 0) {
-            return undefined;
-        }
-        return getColdShare(
-            entry,
-            this.#service.coldRequestsPerSecond * settings.coldFactor + settings.coldSlack,
-        );
-    }
-
-    /** Time for the way to the target and back. */
-    #getDistanceMs(entry: TargetEntry): number {
-        const { place, regions, dataCentreDelayMs, regionDelayMs } = this.#options.settings;
-        if (entry.dataCentre === place.dataCentre) {
-            return 0;
-        }
-        return 2 * (regions.get(entry.dataCentre) === place.region ? dataCentreDelayMs : regionDelayMs);
-    }
 }
 
 /** A generated token counts twice. */
--- /dev/null
+++ b/src/core/routing/targetPicker.ts
@@ -0,0 +1,159 @@
+import { estimateTarget } from "./estimateTarget.js";
+import { pickHomeTarget } from "./pickHomeTarget.js";
+import type { RoutedRequest } from "./routedRequest.js";
+import type { RoutedService } from "./routedService.js";
+import type { SchedulerSettings } from "./schedulerSettings.js";
+import type { TargetCandidate } from "./targetCandidate.js";
+import type { TargetEntry } from "./targetEntry.js";
+import type { TargetState } from "./targetState.js";
+import type { WaitingRequest } from "./waitingRequest.js";
+
+interface TargetPickerOptions {
+    /** Targets by identifier. */
+    readonly targets: ReadonlyMap<string, TargetState>;
+    readonly settings: SchedulerSettings;
+    readonly getService: () => RoutedService;
+    /** Data centres that must get no requests. */
+    readonly getEvacuated: () => ReadonlySet<string>;
+    /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
+    readonly getColdShare: (entry: TargetEntry, limitPerSecond: number) => TargetCandidate["coldShare"];
+}
+
+interface PromptHomes {
+    readonly home?: TargetState | undefined;
+    readonly remote?: TargetState | undefined;
+}
+
+/** Cost in milliseconds of a target that fails all its requests, so that a faulty one is picked last. */
+const FAILURE_COST_MS = 2000;
+/**
+ * Cost of a target other than the home of a prompt: a constant, and one for each shared token that has to be moved there.
+ * Reading a shared part again is billed, and moving it takes about as long as reading it.
+ */
+const MOVE_COST_MS = 80;
+const MOVE_COST_MS_PER_TOKEN = 0.05;
+
+/** Picks the target of a request. */
+export class TargetPicker {
+    readonly #options: TargetPickerOptions;
+
+    private constructor(options: TargetPickerOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a picker. */
+    static create(options: TargetPickerOptions): TargetPicker {
+        return new TargetPicker(options);
+    }
+
+    /** Returns the best target that has room, or `undefined`. */
+    pick(waiting: WaitingRequest, isOverShare: boolean, now: number): TargetCandidate | undefined {
+        const { settings } = this.#options;
+        const maxQueueMs = isOverShare ? settings.overShareQueueMs : settings.engineQueueMs;
+        const usable = [...this.#options.targets.values()].filter(({ entry }) =>
+            this.#isUsable(entry, waiting.request)
+        );
+        const rested = usable.filter(target => target.ejectedUntil <= now);
+        const fresh = (rested.length > 0 ? rested : usable).filter(({ entry }) =>
+            !waiting.avoided.has(entry.id)
+        );
+        const homes = this.#findHomes(waiting.request, rested);
+        let best: TargetCandidate | undefined;
+        // Work beyond the share of its account is not worth reading a shared part of a prompt again.
+        const eligible = isOverShare && homes.home ? fresh.filter(target => target === homes.home) : fresh;
+        for (const target of eligible) {
+            const candidate = this.#buildCandidate(target, waiting.request, homes, maxQueueMs, now);
+            if (candidate && (!best || candidate.score < best.score)) {
+                best = candidate;
+            }
+        }
+        return best;
+    }
+
+    #isUsable(entry: TargetEntry, request: RoutedRequest): boolean {
+        const region = this.#options.settings.regions.get(entry.dataCentre) ?? "";
+        return !entry.isDraining && !this.#options.getEvacuated().has(entry.dataCentre)
+            && (request.regions.length === 0 || request.regions.includes(region));
+    }
+
+    /**
+     * Finds the target of the region that keeps the shared parts of a prompt, and one of another region that keeps them
+     * too. All instances of a region compute the same home, so that a part is read once a region or taken from the next.
+     */
+    #findHomes(request: RoutedRequest, targets: readonly TargetState[]): PromptHomes {
+        const shared = request.prompt.at(-2);
+        if (!shared || !this.#options.getService().engine) {
+            return {};
+        }
+        const { place, regions } = this.#options.settings;
+        const isNear = ({ entry }: TargetState): boolean => regions.get(entry.dataCentre) === place.region;
+        const pick = (list: readonly TargetState[]): TargetState | undefined =>
+            this.#options.targets.get(pickHomeTarget(shared.id, list.map(({ entry }) => entry.id)) ?? "");
+        const near = pick(targets.filter(isNear));
+        const remote = pick(targets.filter(target => !isNear(target)));
+        return near ? { home: near, remote } : { home: remote };
+    }
+
+    #buildCandidate(
+        target: TargetState,
+        request: RoutedRequest,
+        { home, remote }: PromptHomes,
+        maxQueueMs: number,
+        now: number,
+    ): TargetCandidate | undefined {
+        const { settings } = this.#options;
+        const { entry } = target;
+        const coldShare = this.#getColdShare(target, now);
+        if (coldShare && !target.coldBucket.has(now, coldShare.perSecond, coldShare.burst)) {
+            return undefined;
+        }
+        if (target.isCold(now) && !coldShare && this.#options.getService().coldRequestsPerSecond > 0) {
+            return undefined;
+        }
+        const isEngine = this.#options.getService().engine !== undefined;
+        const isHome = target === home;
+        const estimate = estimateTarget(
+            target,
+            request,
+            { isEngine, isHome, hasHome: home !== undefined, now },
+            settings,
+        );
+        if (target.countInFlight(now) >= entry.slots || estimate.queueMs > maxQueueMs) {
+            return undefined;
+        }
+        return {
+            target,
+            coldShare,
+            score: estimate.expectedMs * target.slowness + this.#getDistanceMs(entry)
+                + target.getFailureShare(now) * FAILURE_COST_MS
+                + (home && !isHome ? MOVE_COST_MS + estimate.movedTokens * MOVE_COST_MS_PER_TOKEN : 0),
+            grant: {
+                target,
+                promptSource: (isHome ? remote : home)?.entry.address,
+                missingTokens: estimate.missingTokens,
+                expectedMs: estimate.expectedMs,
+                grantedAt: now,
+            },
+        };
+    }
+
+    #getColdShare(target: TargetState, now: number): TargetCandidate["coldShare"] {
+        const { settings, getColdShare } = this.#options;
+        if (!target.isCold(now) || this.#options.getService().coldRequestsPerSecond <= 0) {
+            return undefined;
+        }
+        return getColdShare(
+            target.entry,
+            this.#options.getService().coldRequestsPerSecond * settings.coldFactor + settings.coldSlack,
+        );
+    }
+
+    /** Time for the way to the target and back. */
+    #getDistanceMs(entry: TargetEntry): number {
+        const { place, regions, dataCentreDelayMs, regionDelayMs } = this.#options.settings;
+        if (entry.dataCentre === place.dataCentre) {
+            return 0;
+        }
+        return 2 * (regions.get(entry.dataCentre) === place.region ? dataCentreDelayMs : regionDelayMs);
+    }
+}
--- a/src/core/routing/targetState.ts
+++ b/src/core/routing/targetState.ts
@@ -28,6 +28,8 @@
     /** Ratio of the measured to the expected time to the first event. */
     slowness = 1;
     ejectedUntil = 0;
+    /** Monotonic time in milliseconds until which the target is treated as cold whatever it says. */
+    presumedColdUntil = 0;
     readonly #peers = new Map<string, PeerLoad>();
     readonly #failures = DecayingSum.create(HEALTH_WINDOW_MS);
     readonly #results = DecayingSum.create(HEALTH_WINDOW_MS);
@@ -44,6 +46,11 @@
         return new TargetState(entry, (memoryTokens ?? DEFAULT_CACHE_TOKENS) * CACHE_SHARE, now);
     }
 
+    /** Returns whether the target must only get the requests that a cold one bears. */
+    isCold(now: number): boolean {
+        return now < Math.max(this.entry.coldUntil, this.presumedColdUntil);
+    }
+
     /** Stores what a peer has sent to the target. */
     setPeerLoad(instance: string, load: PeerLoad): void {
         this.#peers.set(instance, load);
@@ -64,16 +71,14 @@
         return this.#failures.get(now) / Math.max(1, this.#results.get(now));
     }
 
-    /** Records an answer. */
-    recordSuccess(now: number): void {
-        this.#results.add(1, now);
-        this.#failuresInRow = 0;
-        this.ejectedUntil = 0;
-    }
-
-    /** Records a failure of the target or of the way to it; several in a row make it rest. */
-    recordFailure(now: number): void {
+    /** Records an answer, or a failure of the target or of the way to it; several failures in a row make it rest. */
+    recordResult(isSuccess: boolean, now: number): void {
         this.#results.add(1, now);
+        if (isSuccess) {
+            this.#failuresInRow = 0;
+            this.ejectedUntil = 0;
+            return;
+        }
         this.#failures.add(1, now);
         this.#failuresInRow += 1;
         const excess = this.#failuresInRow - FAILURES_TO_EJECT;
--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -8,10 +8,14 @@
     readonly termSeconds: number;
     readonly listAddresses: (caller: Place) => readonly string[];
     readonly isReady: () => boolean;
+    readonly renderMetrics: () => string;
+    readonly onMetricsFailed: (reason: string) => void;
     /** Called for each answer, also an empty one. */
     readonly onAnswered: (dataCentre: string, addresses: readonly string[]) => void;
 }
 
+/** The same as in deploy/system.toml. */
+const METRICS_PORT = 9464;
 const NOT_FOUND = 404;
 const SERVICE_UNAVAILABLE = 503;
 
@@ -50,11 +54,19 @@
             response.writeHead(options.isReady() ? 200 : SERVICE_UNAVAILABLE, { "Content-Length": "0" })
                 .end();
         });
+        const metrics = createServer((_incoming, response) => {
+            response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" }).end(
+                options.renderMetrics(),
+            );
+        });
+        // Requests are served also where the port of the metrics page is taken.
+        metrics.on("error", error => options.onMetricsFailed(error.message));
+        metrics.listen(METRICS_PORT, options.readiness.host);
         await Promise.all([
             startListening(directory, options.directory),
             startListening(readiness, options.readiness),
         ]);
-        return new LookupServer([directory, readiness]);
+        return new LookupServer([directory, readiness, metrics]);
     }
 
     /** Stops to listen. */
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -11,6 +11,7 @@
 
 const DEFAULT_SETTINGS_PATH = "/etc/baobabspread/settings.toml";
 const INVALID_SETTINGS_EXIT_CODE = 2;
+const INTERNAL_ERROR_EXIT_CODE = 1;
 
 async function runRouter(): Promise<void> {
     const path = process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
@@ -28,20 +29,26 @@
         termSeconds: settings.router.addressTermSeconds,
         listAddresses: caller => router.listCallerAddresses(caller),
         isReady: () => router.isReady(),
+        renderMetrics: () => metrics.render(),
+        onMetricsFailed: reason => log.write("metrics-failed", { reason }),
         onAnswered: (dataCentre, addresses) =>
             log.write("addresses-answered", { dataCentre, count: addresses.length }),
     });
     const follower = StoreFollower.create({
         source: router.createChangeSource(after => store.read(after)),
-        directory: router.targets,
+        directory: router.view.targets,
         log,
         getNow,
         getRandom: () => Math.random(),
         wait: ms => new Promise(resolve => setTimeout(resolve, ms)),
-        onConfiguration: configuration => router.applyConfiguration(configuration),
-        onTargets: () => router.updateTargets(),
-        onEvacuated: dataCentres => router.setEvacuated(dataCentres),
-        onConfirmed: (at, timeOfDay) => router.recordConfirmation(at, timeOfDay),
+        onConfiguration: configuration => router.view.applyConfiguration(configuration),
+        onTargets: () => router.view.updateTargets(),
+        onEvacuated: dataCentres => router.view.setEvacuated(dataCentres),
+        onConfirmed: (at, timeOfDay) => router.view.recordConfirmation(at, timeOfDay),
+    });
+    process.on("uncaughtException", error => {
+        process.stderr.write(`${JSON.stringify({ event: "internal-error", reason: error.stack })}\n`);
+        process.exit(INTERNAL_ERROR_EXIT_CODE);
     });
     process.on("SIGTERM", () => {
         void router.stop().then(() => {
--- /dev/null
+++ b/src/router/deploymentView.ts
@@ -0,0 +1,99 @@
+import { ConfigurationFreshness } from "../core/routing/configurationFreshness.js";
+import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import { TargetDirectory } from "../core/routing/targetDirectory.js";
+import type { LogSink } from "./logSink.js";
+import type { ServicePool } from "./servicePool.js";
+
+interface DeploymentViewOptions {
+    readonly services: ServicePool;
+    readonly log: LogSink;
+    /** A key may be used this long after the configuration was last confirmed, in milliseconds. */
+    readonly keyFreshnessMs: number;
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+    readonly getTimeOfDay: () => number;
+}
+
+/** Configuration, targets and evacuations that are in force at this instance, and how old they are. */
+export class DeploymentView {
+    readonly #options: DeploymentViewOptions;
+    readonly #targets = TargetDirectory.create();
+    readonly #freshness: ConfigurationFreshness;
+    #configuration: RouterConfiguration | undefined;
+    #evacuated: ReadonlySet<string> = new Set();
+    #hasTargets = false;
+
+    private constructor(options: DeploymentViewOptions) {
+        this.#options = options;
+        this.#freshness = ConfigurationFreshness.create(options.keyFreshnessMs);
+    }
+
+    /** Creates a view without a configuration. */
+    static create(options: DeploymentViewOptions): DeploymentView {
+        return new DeploymentView(options);
+    }
+
+    /** The configuration in force; `undefined` until one and the targets are known. */
+    get configuration(): RouterConfiguration | undefined {
+        return this.#hasTargets ? this.#configuration : undefined;
+    }
+
+    /** Targets as the platform lists them; `updateTargets` puts a change into force. */
+    get targets(): TargetDirectory {
+        return this.#targets;
+    }
+
+    /** Milliseconds since the configuration was last known to be the newest. */
+    get ageMs(): number {
+        return this.#freshness.getAge(this.#options.getNow(), this.#options.getTimeOfDay());
+    }
+
+    /** True while no key can have been revoked for longer than the platform allows. */
+    isFresh(): boolean {
+        return this.#freshness.isFresh(this.#options.getNow(), this.#options.getTimeOfDay());
+    }
+
+    /** Puts a configuration into force if it is newer than the one in force. */
+    applyConfiguration(configuration: RouterConfiguration): void {
+        if (this.#configuration && configuration.version <= this.#configuration.version) {
+            return;
+        }
+        this.#configuration = configuration;
+        this.#options.log.write("configuration-adopted", { version: configuration.version });
+        this.#options.services.applyConfiguration(configuration);
+        this.updateTargets();
+    }
+
+    /** Replaces the data centres that must get no requests. */
+    setEvacuated(dataCentres: ReadonlySet<string>): void {
+        this.#evacuated = dataCentres;
+        this.#options.log.write("evacuation-changed", { dataCentres: [...dataCentres] });
+        this.updateTargets();
+    }
+
+    /** Hands the present targets to the schedulers. */
+    updateTargets(): void {
+        const now = this.#options.getNow();
+        const entries = this.#targets.list(now);
+        this.#hasTargets ||= entries.length > 0;
+        this.#options.services.setTargets(entries, this.#evacuated, now);
+    }
+
+    /** Drops targets whose grace time is over. */
+    expireTargets(now: number): void {
+        const nextChangeAt = this.#targets.nextChangeAt;
+        if (nextChangeAt !== undefined && nextChangeAt <= now) {
+            this.updateTargets();
+        }
+    }
+
+    /**
+     * Records that the configuration in force was the newest at a time.
+     *
+     * @param at Monotonic time in milliseconds.
+     * @param timeOfDay Unix milliseconds of the same moment.
+     */
+    recordConfirmation(at: number, timeOfDay: number): void {
+        this.#freshness.recordConfirmation(at, timeOfDay);
+    }
+}
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -1,11 +1,15 @@
 import type { AccountUsage } from "../core/routing/accountUsage.js";
 import { computeColdShare } from "../core/routing/computeColdShare.js";
 import { listCallerAddresses } from "../core/routing/listCallerAddresses.js";
+import { listColdUsers } from "../core/routing/listColdUsers.js";
+import { listDelegates } from "../core/routing/listDelegates.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
-import { Membership } from "../core/routing/membership.js";
+import type { Membership } from "../core/routing/membership.js";
 import { pickReaders } from "../core/routing/pickReaders.js";
 import type { Place } from "../core/routing/place.js";
 import type { TargetEntry } from "../core/routing/targetEntry.js";
+import { pickSome } from "../shared/pickSome.js";
+import { createMembership } from "./createMembership.js";
 import type { LogSink } from "./logSink.js";
 import { parsePeerReport } from "./parsePeerReport.js";
 import { PeerExchange } from "./peerExchange.js";
@@ -24,19 +28,13 @@
 
 /** Peers of the same data centre share their targets, so they hear of each other's load within this time. */
 const REPORT_INTERVAL_MS = 150;
-/** Peers of other data centres that get each report. */
-const REMOTE_REPORTS = 4;
-/** Other members that a report names, so that news spread without all instances talking to all. */
-const RELAYED_MEMBERS = 6;
+/** Delegates tell other data centres about theirs this often; traffic between regions is billed. */
+const SUMMARY_INTERVAL_MS = 600;
+/** Other members that a report names, so that a starting instance learns of all. */
+const RELAYED_MEMBERS = 3;
 /** A report of load counts for four intervals, so that a lost datagram does not hide it. */
 const LOAD_VALIDITY_MS = 600;
 const USAGE_VALIDITY_MS = 3000;
-/** Eight reports missed in a row. */
-const NEAR_SILENCE_MS = 1200;
-/** News of other data centres come through others and take several intervals longer. */
-const REMOTE_SILENCE_MS = 3000;
-/** Instances that are down count as users of cold targets for this long, because they may only be out of reach. */
-const MEMORY_MS = 120_000;
 /** A starting instance does not know yet among how many it has to divide the limit of a cold target. */
 const LEARNING_MS = 2000;
 const SEED_INTERVAL_MS = 1000;
@@ -44,22 +42,18 @@
 /** Knows the other instances of the fleet and exchanges reports with them. */
 export class FleetView {
     readonly #options: FleetViewOptions;
-    readonly #membership = Membership.create({
-        getSilenceMs: record =>
-            record.dataCentre === this.#options.settings.place.dataCentre
-                ? NEAR_SILENCE_MS
-                : REMOTE_SILENCE_MS,
-        memoryMs: MEMORY_MS,
-    });
+    readonly #membership: Membership;
     readonly #incarnation = Date.now();
     readonly #startedAt: number;
     #exchange: PeerExchange | undefined;
     #sequence = 0;
     #nextSeedAt = 0;
+    #nextSummaryAt = 0;
     #timer: NodeJS.Timeout | undefined;
 
     private constructor(options: FleetViewOptions) {
         this.#options = options;
+        this.#membership = createMembership(options.settings.place.dataCentre);
         this.#startedAt = options.getNow();
     }
 
@@ -71,14 +65,14 @@
             host,
             port,
             log: options.log,
-            onMessage: message => view.#receive(message),
+            onMessage: (message, sender) => view.#receive(message, sender),
         });
         view.#timer = setInterval(() => view.#report(), REPORT_INTERVAL_MS);
         return view;
     }
 
     /** Number of live peers. */
-    get peerCount(): number {
+    countPeers(): number {
         return this.#listPeers().length;
     }
 
@@ -109,13 +103,11 @@
         if (now - this.#startedAt < LEARNING_MS) {
             return undefined;
         }
-        const members = [this.#describeSelf(), ...this.#membership.listKnown(now)];
-        const region = settings.regions.get(entry.dataCentre);
-        const users = [
-            members.filter(member => member.dataCentre === entry.dataCentre),
-            members.filter(member => member.region === region),
-            members,
-        ].find(list => list.length > 0) ?? members;
+        const users = listColdUsers(
+            [this.#describeSelf(), ...this.#membership.listKnown(now)],
+            entry.dataCentre,
+            settings.regions,
+        );
         return computeColdShare(
             entry.id,
             limitPerSecond,
@@ -157,12 +149,36 @@
     #report(): void {
         const peers = this.#listPeers();
         const { dataCentre } = this.#options.settings.place;
-        const near = peers.filter(peer => peer.dataCentre === dataCentre);
-        const remote = pickSome(peers.filter(peer => peer.dataCentre !== dataCentre), REMOTE_REPORTS);
-        this.#send([...near, ...remote]);
+        this.#send(peers.filter(peer => peer.dataCentre === dataCentre));
+        this.#sendSummary(peers);
         this.#notifySeeds(peers);
     }
 
+    /** A delegate tells one delegate of each other data centre about all instances of its own. */
+    #sendSummary(peers: readonly MemberRecord[]): void {
+        const { settings, usage, listLoads, getNow } = this.#options;
+        const now = getNow();
+        if (now < this.#nextSummaryAt) {
+            return;
+        }
+        this.#nextSummaryAt = now + SUMMARY_INTERVAL_MS;
+        const { dataCentre } = settings.place;
+        const near = [this.#describeSelf(), ...peers.filter(peer => peer.dataCentre === dataCentre)];
+        if (!pickReaders(near.map(member => member.name)).includes(settings.instance)) {
+            return;
+        }
+        const receivers = listDelegates(peers, dataCentre).flatMap(delegates => pickSome(delegates, 1));
+        this.#sequence += 1;
+        const report: PeerReport = {
+            scope: "data-centre",
+            sender: this.#describeSelf(),
+            loads: listLoads(),
+            usage: usage.listDataCentre(now),
+            others: near,
+        };
+        this.#exchange?.send(report, receivers.map(member => member.ip));
+    }
+
     /** Seeds that are not known as live get a report from time to time, in case they have come back. */
     #notifySeeds(peers: readonly MemberRecord[]): void {
         const { settings, getNow } = this.#options;
@@ -186,6 +202,7 @@
         const { usage, listLoads, getNow } = this.#options;
         this.#sequence += 1;
         return {
+            scope: "instance",
             sender: this.#describeSelf(),
             loads: listLoads(),
             usage: usage.listOwn(getNow()),
@@ -193,7 +210,7 @@
         };
     }
 
-    #receive(message: unknown): void {
+    #receive(message: unknown, host: string): void {
         const report = parsePeerReport(message);
         const { log, settings, usage, onLoads, getNow } = this.#options;
         if (!report) {
@@ -203,14 +220,31 @@
         const now = getNow();
         const isNews = this.#adopt(report.sender, now);
         report.others.forEach(record => this.#adopt(record, now));
-        if (isNews && report.sender.name !== settings.instance) {
-            usage.setPeerUsage(report.sender.name, {
-                tokens: new Map(
-                    report.usage.map(([account, asked, granted]) => [account, { asked, granted }]),
-                ),
-                validUntil: now + USAGE_VALIDITY_MS,
-            });
-            onLoads(report.sender.name, report.loads, now + LOAD_VALIDITY_MS);
+        const { sender } = report;
+        if (!isNews || sender.name === settings.instance) {
+            return;
+        }
+        const isNear = sender.dataCentre === settings.place.dataCentre;
+        const validUntil = now + USAGE_VALIDITY_MS;
+        const tokens = new Map(
+            report.usage.map(([account, asked, granted]) => [account, { asked, granted }]),
+        );
+        if (isNear) {
+            usage.setPeerUsage(sender.name, { tokens, validUntil });
+        }
+        else if (report.scope === "data-centre") {
+            usage.setRemoteUsage(sender.dataCentre, { tokens, validUntil });
+            this.#relay(report, host);
+        }
+        onLoads(sender.name, report.loads, now + (isNear ? LOAD_VALIDITY_MS : USAGE_VALIDITY_MS));
+    }
+
+    /** Passes a summary of another data centre on to the own one, if it came from there and not from a neighbour. */
+    #relay(report: PeerReport, host: string): void {
+        if (host === report.sender.ip) {
+            const { dataCentre } = this.#options.settings.place;
+            const near = this.#listPeers().filter(peer => peer.dataCentre === dataCentre);
+            this.#exchange?.send(report, near.map(peer => peer.ip));
         }
     }
 
@@ -229,12 +263,3 @@
         return result !== "stale";
     }
 }
-
-function pickSome<T>(items: readonly T[], count: number): readonly T[] {
-    const rest = [...items];
-    const picked: T[] = [];
-    while (picked.length < count && rest.length > 0) {
-        picked.push(...rest.splice(Math.floor(Math.random() * rest.length), 1));
-    }
-    return picked;
-}
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -7,7 +7,7 @@
         return undefined;
     }
     const report = message as Partial<PeerReport>;
-    const isValid = isMember(report.sender)
+    const isValid = ["instance", "data-centre"].includes(report.scope ?? "") && isMember(report.sender)
         && Array.isArray(report.loads)
         && report.loads.every(load => isTuple(load, ["string", "number", "number"]))
         && Array.isArray(report.usage)
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -1,5 +1,5 @@
-import type { IncomingMessage } from "node:http";
 import type { AttemptBudget } from "../core/routing/attemptBudget.js";
+import { findSilence } from "../core/routing/findSilence.js";
 import { planForward } from "../core/routing/planForward.js";
 import type { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
@@ -7,9 +7,10 @@
 import type { AnswerFacts } from "./answerFacts.js";
 import { CallerAnswer } from "./callerAnswer.js";
 import type { CallerExchange } from "./callerExchange.js";
+import { describeEnd } from "./describeEnd.js";
+import { ForwardAttempt } from "./forwardAttempt.js";
 import type { LogSink } from "./logSink.js";
 import type { TargetAgents } from "./targetAgents.js";
-import { TargetExchange } from "./targetExchange.js";
 import type { WireFormat } from "./wireFormat.js";
 
 interface RequestForwarderOptions {
@@ -25,25 +26,9 @@
     readonly onEnd: (outcome: string, ms: number) => void;
 }
 
-interface Attempt {
-    readonly grant: TargetGrant;
-    exchange: TargetExchange | undefined;
-    facts: AnswerFacts | undefined;
-    status: number;
-    /** True once the first event has arrived. */
-    hasEvents: boolean;
-    lastDataAt: number;
-}
-
 type FailureKind = "not-written" | "refused" | "broken";
 
-/** A repeatable request without an answer after this many objectives is sent to another target. */
-const SILENT_OBJECTIVES = 1.5;
-const MIN_SILENT_MS = 500;
-/** A resumable stream goes on elsewhere after this pause, before callers give up at about 3 s. */
-const MAX_PAUSE_MS = 1200;
 const RETRY_AFTER_MS = 300;
-const OK = 200;
 const SERVICE_UNAVAILABLE = 503;
 const BAD_GATEWAY = 502;
 const GATEWAY_TIMEOUT = 504;
@@ -58,7 +43,7 @@
     /** `safe` requests and streams that may be resumed; all others run once at most. */
     readonly #isRepeatable: boolean;
     #waiting: WaitingRequest | undefined;
-    #attempt: Attempt | undefined;
+    #attempt: ForwardAttempt | undefined;
     /** Attempts that a target may have run, and all attempts. */
     #runs = 0;
     #attempts = 0;
@@ -100,18 +85,18 @@
         if (!attempt || !this.#isRepeatable || this.#runs >= request.route.maxAttempts) {
             return;
         }
-        const limitMs = attempt.hasEvents
-            ? MAX_PAUSE_MS
-            : Math.max(MIN_SILENT_MS, request.route.objectiveMs * SILENT_OBJECTIVES);
-        if (now - attempt.lastDataAt >= limitMs) {
-            this.#abortAttempt(attempt, attempt.hasEvents ? "stalled" : "silent");
+        const { lastDataAt, hasEvents } = attempt;
+        const silence = findSilence({ now, lastDataAt, hasEvents, objectiveMs: request.route.objectiveMs });
+        if (silence !== undefined) {
+            attempt.abort();
+            this.#failAttempt(attempt, "broken", silence);
         }
     }
 
     #enqueue(): void {
-        const { exchange, scheduler, getNow } = this.#options;
+        const { exchange: { request }, scheduler, getNow } = this.#options;
         this.#waiting = {
-            request: exchange.request,
+            request,
             avoided: this.#avoided,
             isResume: this.#attempts > 0,
             onGrant: grant => this.#send(grant),
@@ -124,107 +109,28 @@
     }
 
     #send(grant: TargetGrant): void {
-        const { exchange, wire, agents, getNow } = this.#options;
+        const { exchange, wire, agents, scheduler, getNow } = this.#options;
         this.#waiting = undefined;
         this.#attempts += 1;
         this.#runs += 1;
-        const { entry } = grant.target;
-        const attempt: Attempt = {
+        const attempt: ForwardAttempt = ForwardAttempt.create({
             grant,
-            exchange: undefined,
-            facts: undefined,
-            status: 0,
-            hasEvents: false,
-            lastDataAt: getNow(),
-        };
-        this.#attempt = attempt;
-        attempt.exchange = TargetExchange.create({
-            address: entry.address,
+            caller: exchange,
+            answer: this.#answer,
+            wire,
             agent: agents.getAgent(exchange.request.route, this.#isRepeatable),
-            order: {
-                method: exchange.incoming.method ?? "GET",
-                path: exchange.incoming.url ?? "/",
-                body: exchange.body,
-                headers: wire.buildTargetHeaders({
-                    facts: exchange.facts,
-                    account: exchange.request.account,
-                    targetId: entry.id,
-                    promptSource: grant.promptSource,
-                    patienceMs: Math.max(1, Math.floor(exchange.request.deadline - getNow())),
-                    bodyLength: exchange.body?.length,
-                    lastEventId: this.#answer.getLastEventId(),
-                }),
-            },
-            onHead: answer => this.#onHead(attempt, answer),
-            onData: chunk => this.#onData(attempt, chunk),
-            onEnd: () => this.#onAnswerEnd(attempt),
-            onFail: (reason, isWritten) =>
-                this.#failAttempt(attempt, isWritten ? "broken" : "not-written", reason),
-        });
-    }
-
-    #onHead(attempt: Attempt, answer: IncomingMessage): void {
-        const facts = this.#options.wire.readAnswer(answer);
-        attempt.facts = facts;
-        attempt.status = answer.statusCode ?? 0;
-        attempt.lastDataAt = this.#options.getNow();
-        if (isRefusal(facts)) {
-            // The body of a refusal is read so that the connection can be used again.
-            return;
-        }
-        if (facts.requestId !== this.#options.exchange.request.requestId) {
-            this.#abortAttempt(attempt, "answer-mismatched");
-            return;
-        }
-        if (this.#answer.isStarted) {
-            if (attempt.status !== OK) {
-                this.#abortAttempt(attempt, "resume-refused");
-            }
-            return;
-        }
-        if (this.#isStream && attempt.status === OK) {
-            this.#answer.startStream(attempt.status, facts);
-        }
-    }
-
-    #onData(attempt: Attempt, chunk: Buffer): void {
-        const { facts } = attempt;
-        if (!facts || isRefusal(facts)) {
-            return;
-        }
-        const now = this.#options.getNow();
-        attempt.lastDataAt = now;
-        if (!this.#answer.isStarted) {
-            if (!this.#answer.append(chunk)) {
-                this.#abortAttempt(attempt, "answer-too-long");
-            }
-            return;
-        }
-        const hasWritten = this.#answer.writeEvents(chunk, onDrain => {
-            attempt.exchange?.pause();
-            onDrain(() => attempt.exchange?.resume());
+            getNow,
+            onFirstEvent: () => scheduler.start(grant, getNow()),
+            onWhole: facts => this.#onWhole(attempt, facts),
+            onFail: (kind, reason) => this.#failAttempt(attempt, kind, reason),
         });
-        if (hasWritten && !attempt.hasEvents) {
-            attempt.hasEvents = true;
-            this.#options.scheduler.start(attempt.grant, now);
-        }
+        this.#attempt = attempt;
+        attempt.send();
     }
 
-    #onAnswerEnd(attempt: Attempt): void {
-        const { facts, status } = attempt;
-        if (!facts) {
-            this.#failAttempt(attempt, "broken", "no-head");
-            return;
-        }
-        if (isRefusal(facts)) {
-            this.#failAttempt(attempt, "refused", facts.isMisdirected ? "misdirected" : "target-full");
-            return;
-        }
+    #onWhole(attempt: ForwardAttempt, facts: AnswerFacts): void {
+        const { status } = attempt;
         if (this.#answer.isStarted) {
-            if (!this.#answer.isWhole(facts)) {
-                this.#failAttempt(attempt, "broken", "truncated");
-                return;
-            }
             this.#finishAttempt(attempt, true);
             this.#answer.endStream();
             this.#end("served", attempt, status);
@@ -239,7 +145,7 @@
         this.#sendHeld(attempt, facts);
     }
 
-    #sendHeld(attempt: Attempt, facts: AnswerFacts): void {
+    #sendHeld(attempt: ForwardAttempt, facts: AnswerFacts): void {
         this.#answer.sendHeld(attempt.status, facts);
         this.#end("served", attempt, attempt.status);
     }
@@ -256,30 +162,20 @@
         }) === "retry";
     }
 
-    #finishAttempt(attempt: Attempt, isSuccess: boolean): void {
+    #finishAttempt(attempt: ForwardAttempt, isSuccess: boolean): void {
         const { scheduler, getNow } = this.#options;
         const now = getNow();
         this.#attempt = undefined;
-        if (isSuccess) {
-            attempt.grant.target.recordSuccess(now);
-        }
-        else {
-            attempt.grant.target.recordFailure(now);
-        }
+        attempt.grant.target.recordResult(isSuccess, now);
         scheduler.release(attempt.grant, attempt.hasEvents, now);
     }
 
-    #abortAttempt(attempt: Attempt, reason: string): void {
-        attempt.exchange?.abort();
-        this.#failAttempt(attempt, "broken", reason);
-    }
-
     /** @param onFinal Answers the caller if the request is not sent again; by default it is refused. */
     #failAttempt(
-        attempt: Attempt,
+        attempt: ForwardAttempt,
         kind: FailureKind,
         reason: string,
-        onFinal: () => void = () => this.#fail(attempt, reason),
+        onFinal: () => void = () => this.#fail(reason),
     ): void {
         if (this.#attempt !== attempt) {
             return;
@@ -310,23 +206,13 @@
         this.#enqueue();
     }
 
-    #fail(attempt: Attempt, reason: string): void {
-        if (this.#answer.isStarted) {
-            this.#answer.abort();
-            this.#end("broken-off", attempt, attempt.status);
-            return;
-        }
+    #fail(reason: string): void {
         this.#refuse(this.#runs === 0 ? SERVICE_UNAVAILABLE : BAD_GATEWAY, reason, RETRY_AFTER_MS);
     }
 
     #expire(): void {
         const wasSent = this.#runs > 0;
-        const attempt = this.#withdraw();
-        if (this.#answer.isStarted) {
-            this.#answer.abort();
-            this.#end("expired", attempt, OK);
-            return;
-        }
+        this.#withdraw();
         this.#refuse(wasSent ? GATEWAY_TIMEOUT : SERVICE_UNAVAILABLE, "deadline-expired", RETRY_AFTER_MS);
     }
 
@@ -348,7 +234,7 @@
     }
 
     /** Stops the wait for a target or the attempt in progress, and returns the latter. */
-    #withdraw(): Attempt | undefined {
+    #withdraw(): ForwardAttempt | undefined {
         const { scheduler, getNow } = this.#options;
         if (this.#waiting) {
             scheduler.withdraw(this.#waiting);
@@ -357,39 +243,26 @@
         const attempt = this.#attempt;
         if (attempt) {
             this.#attempt = undefined;
-            attempt.exchange?.abort();
+            attempt.abort();
             scheduler.release(attempt.grant, attempt.hasEvents, getNow());
         }
         return attempt;
     }
 
-    #end(outcome: string, attempt: Attempt | undefined, status: number | undefined): void {
+    #end(outcome: string, attempt: ForwardAttempt | undefined, status: number | undefined): void {
         if (this.#isEnded) {
             return;
         }
         this.#isEnded = true;
         const { exchange: { request }, log, getNow, onEnd } = this.#options;
-        const grant = attempt?.grant;
         const ms = Math.round(getNow() - request.receivedAt);
         log.write("request-ended", {
-            request: request.requestId,
-            route: request.route.name,
-            account: request.account,
+            ...describeEnd(request, attempt?.grant),
             outcome,
             status,
-            target: grant?.target.entry.id,
-            promptSource: grant?.promptSource,
-            tokens: request.promptTokens,
-            missingTokens: grant?.missingTokens,
-            expectedMs: grant && Math.round(grant.expectedMs),
-            queuedMs: grant && Math.round(grant.grantedAt - request.receivedAt),
             attempts: this.#attempts,
             ms,
         });
         onEnd(outcome, ms);
     }
 }
-
-function isRefusal(facts: AnswerFacts): boolean {
-    return facts.isMisdirected || facts.isNotRun;
-}
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -2,15 +2,13 @@
 import { AccountUsage } from "../core/routing/accountUsage.js";
 import { ChangeLog } from "../core/routing/changeLog.js";
 import type { ChangeSource } from "../core/routing/changeSource.js";
-import { ConfigurationFreshness } from "../core/routing/configurationFreshness.js";
 import { LagMeter } from "../core/routing/lagMeter.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { Place } from "../core/routing/place.js";
 import { resolveRequest } from "../core/routing/resolveRequest.js";
-import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
-import { TargetDirectory } from "../core/routing/targetDirectory.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { ChangeFeedServer } from "./changeFeedServer.js";
+import { DeploymentView } from "./deploymentView.js";
 import { FleetView } from "./fleetView.js";
 import { Ingress } from "./ingress.js";
 import type { LogSink } from "./logSink.js";
@@ -21,6 +19,7 @@
 import type { RouterSettings } from "./routerSettings.js";
 import { ServicePool } from "./servicePool.js";
 import { TargetAgents } from "./targetAgents.js";
+import { waitForRequests } from "./waitForRequests.js";
 import type { WireFormat } from "./wireFormat.js";
 
 interface RouterOptions {
@@ -46,23 +45,19 @@
 /** Requests that would not end within this part of the stop time are sent elsewhere. */
 const FINISH_SHARE = 0.8;
 const STOP_MARGIN_MS = 300;
-const STOP_POLL_MS = 50;
 
 /** One router process: accepts callers, schedules and forwards their requests. */
 export class Router {
     readonly #options: RouterOptions;
     readonly #getNow = (): number => performance.now();
     readonly #usage = AccountUsage.create(USAGE_WINDOW_MS);
-    readonly #targets = TargetDirectory.create();
     readonly #changes = ChangeLog.create();
-    readonly #freshness: ConfigurationFreshness;
+    readonly #view: DeploymentView;
     readonly #lag = LagMeter.create();
     readonly #agents = TargetAgents.create();
     readonly #services: ServicePool;
     readonly #active = new Set<RequestForwarder>();
     readonly #peerSource: PeerChangeSource;
-    #configuration: RouterConfiguration | undefined;
-    #evacuated: ReadonlySet<string> = new Set();
     #fleet: FleetView | undefined;
     #ingress: Ingress | undefined;
     #feed: ChangeFeedServer | undefined;
@@ -71,12 +66,10 @@
     #isLeaving = false;
     /** Monotonic time in milliseconds by which requests must have ended before the process stops. */
     #finishBy = Number.POSITIVE_INFINITY;
-    #hasTargets = false;
 
     private constructor(options: RouterOptions) {
         this.#options = options;
         const { settings } = options;
-        this.#freshness = ConfigurationFreshness.create(settings.keyFreshnessMs);
         this.#peerSource = PeerChangeSource.create({
             port: settings.peers.port,
             getNow: this.#getNow,
@@ -85,9 +78,16 @@
         this.#services = ServicePool.create({
             settings,
             usage: this.#usage,
-            getTokensPerSecond: () => this.#configuration?.limits.tokensPerSecond ?? 0,
+            getTokensPerSecond: () => this.#view.configuration?.limits.tokensPerSecond ?? 0,
             getColdShare: (entry, limit) => this.#fleet?.getColdShare(entry, limit),
         });
+        this.#view = DeploymentView.create({
+            services: this.#services,
+            log: options.log,
+            keyFreshnessMs: settings.keyFreshnessMs,
+            getNow: this.#getNow,
+            getTimeOfDay: Date.now,
+        });
     }
 
     /** Starts to listen; requests are refused until a configuration and the targets are known. */
@@ -97,9 +97,9 @@
         return router;
     }
 
-    /** Targets as the platform lists them; `updateTargets` puts a change into force. */
-    get targets(): TargetDirectory {
-        return this.#targets;
+    /** What the platform says; its adapter keeps it up to date. */
+    get view(): DeploymentView {
+        return this.#view;
     }
 
     /** True if callers may use this instance. */
@@ -125,42 +125,6 @@
         return after => source.read(after);
     }
 
-    /** Puts a configuration into force if it is newer than the one in force. */
-    applyConfiguration(configuration: RouterConfiguration): void {
-        if (this.#configuration && configuration.version <= this.#configuration.version) {
-            return;
-        }
-        this.#configuration = configuration;
-        this.#options.log.write("configuration-adopted", { version: configuration.version });
-        this.#services.applyConfiguration(configuration);
-        this.updateTargets();
-    }
-
-    /** Replaces the data centres that must get no requests. */
-    setEvacuated(dataCentres: ReadonlySet<string>): void {
-        this.#evacuated = dataCentres;
-        this.#options.log.write("evacuation-changed", { dataCentres: [...dataCentres] });
-        this.updateTargets();
-    }
-
-    /** Hands the present targets to the schedulers. */
-    updateTargets(): void {
-        const now = this.#getNow();
-        const entries = this.#targets.list(now);
-        this.#hasTargets ||= entries.length > 0;
-        this.#services.setTargets(entries, this.#evacuated, now);
-    }
-
-    /**
-     * Records that the configuration in force was the newest at a time.
-     *
-     * @param at Monotonic time in milliseconds.
-     * @param timeOfDay Unix milliseconds of the same moment.
-     */
-    recordConfirmation(at: number, timeOfDay: number): void {
-        this.#freshness.recordConfirmation(at, timeOfDay);
-    }
-
     /** Stops gracefully: callers are sent elsewhere, requests in progress are finished. */
     async stop(): Promise<void> {
         if (this.#isLeaving) {
@@ -172,11 +136,12 @@
         this.#finishBy = startedAt + settings.stopTimeoutMs * FINISH_SHARE;
         log.write("stopping", { active: this.#active.size });
         this.#fleet?.notifyPeers();
-        const lingerUntil = startedAt + settings.stopTimeoutMs * LINGER_SHARE;
-        const stopBy = startedAt + settings.stopTimeoutMs - STOP_MARGIN_MS;
-        while (this.#getNow() < lingerUntil || (this.#active.size > 0 && this.#getNow() < stopBy)) {
-            await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS));
-        }
+        await waitForRequests({
+            lingerUntil: startedAt + settings.stopTimeoutMs * LINGER_SHARE,
+            stopBy: startedAt + settings.stopTimeoutMs - STOP_MARGIN_MS,
+            countActive: () => this.#active.size,
+            getNow: this.#getNow,
+        });
         this.#ingress?.close();
         this.#feed?.close();
         this.#fleet?.close();
@@ -212,27 +177,26 @@
             getNow: this.#getNow,
             resolve: (facts, path, receivedAt) =>
                 resolveRequest(facts, path, {
-                    configuration: this.#hasTargets ? this.#configuration : undefined,
-                    isFresh: this.#freshness.isFresh(receivedAt, Date.now()),
+                    configuration: this.#view.configuration,
+                    isFresh: this.#view.isFresh(),
                     isOverloaded: this.#lag.averageMs > OVERLOADED_MS,
                     finishBy: this.#finishBy,
                     receivedAt,
                     random: Math.random(),
                 }),
-            getMaxBodyBytes: () => this.#configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+            getMaxBodyBytes: () => this.#view.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
             isLeaving: () => this.#isLeaving,
             isLate: () => this.#isLate(),
             serve: exchange => this.#serve(exchange),
             onRefused: reason => metrics.countRefusal(reason),
         });
-        metrics.registerGauge("requests_active", () => this.#active.size);
-        metrics.registerGauge("lag_ms", () => this.#lag.averageMs);
-        metrics.registerGauge(
-            "configuration_age_ms",
-            () => this.#freshness.getAge(this.#getNow(), Date.now()),
-        );
-        metrics.registerGauge("peers_live", () => this.#fleet?.peerCount ?? 0);
-        metrics.registerGauge("log_lines_dropped", () => log.droppedTotal);
+        metrics.registerGauges({
+            requests_active: () => this.#active.size,
+            lag_ms: () => this.#lag.averageMs,
+            configuration_age_ms: () => this.#view.ageMs,
+            peers_live: () => this.#fleet?.countPeers() ?? 0,
+            log_lines_dropped: () => log.droppedTotal,
+        });
         this.#nextCheckAt = this.#getNow() + CHECK_INTERVAL_MS;
         this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
     }
@@ -242,10 +206,10 @@
     }
 
     #getState(): MemberRecord["state"] {
-        if (this.#isLeaving || !this.#configuration || !this.#hasTargets) {
+        if (this.#isLeaving || !this.#view.configuration) {
             return "closed";
         }
-        if (!this.#freshness.isFresh(this.#getNow(), Date.now())) {
+        if (!this.#view.isFresh()) {
             return "limited";
         }
         return this.#lag.isBusy ? "busy" : "open";
@@ -280,10 +244,7 @@
         const now = this.#getNow();
         this.#lag.observe(now - this.#nextCheckAt);
         this.#nextCheckAt = now + CHECK_INTERVAL_MS;
-        const nextChangeAt = this.#targets.nextChangeAt;
-        if (nextChangeAt !== undefined && nextChangeAt <= now) {
-            this.updateTargets();
-        }
+        this.#view.expireTargets(now);
         for (const forwarder of this.#active) {
             forwarder.checkTimeouts(now);
         }
--- a/src/router/routerMetrics.ts
+++ b/src/router/routerMetrics.ts
@@ -40,9 +40,9 @@
         histogram.sum += ms;
     }
 
-    /** Registers a value that is read when the page is rendered. */
-    registerGauge(name: string, read: () => number): void {
-        this.#gauges.set(name, read);
+    /** Registers values that are read when the page is rendered. */
+    registerGauges(gauges: Readonly<Record<string, () => number>>): void {
+        Object.entries(gauges).forEach(([name, read]) => this.#gauges.set(name, read));
     }
 
     /** Renders the text page. */
--- /dev/null
+++ b/test/core/routing/membership.test.ts
@@ -0,0 +1,54 @@
+import test from "ava";
+import { listCallerAddresses } from "../../../src/core/routing/listCallerAddresses.js";
+import type { MemberRecord } from "../../../src/core/routing/memberRecord.js";
+import { Membership } from "../../../src/core/routing/membership.js";
+
+function makeMember(name: string, fields: Partial<MemberRecord> = {}): MemberRecord {
+    return {
+        name,
+        dataCentre: "a",
+        region: "r",
+        ip: "127.0.0.1",
+        callerAddress: `${name}:1`,
+        incarnation: 1,
+        sequence: 1,
+        state: "open",
+        weight: 1,
+        ...fields,
+    };
+}
+
+function createMembership(): Membership {
+    return Membership.create({ getSilenceMs: () => 1000, memoryMs: 5000 });
+}
+
+test("an old report that arrives late does not make a silent member live", t => {
+    const membership = createMembership();
+    membership.adopt(makeMember("x", { sequence: 5 }), 0);
+    t.is(membership.adopt(makeMember("x", { sequence: 4 }), 1500), "stale");
+    t.deepEqual(membership.listLive(1500), []);
+});
+
+test("a member that started again replaces its earlier life though its count begins anew", t => {
+    const membership = createMembership();
+    membership.adopt(makeMember("x", { sequence: 500 }), 0);
+    t.is(membership.adopt(makeMember("x", { incarnation: 2, sequence: 1 }), 100), "new");
+});
+
+test("a member that may only be out of reach still counts for divided limits", t => {
+    const membership = createMembership();
+    membership.adopt(makeMember("x"), 0);
+    t.is(membership.listKnown(4000).length, 1);
+    t.is(membership.listKnown(6000).length, 0);
+});
+
+test("callers are sent to their data centre, else to their region, and to busy or limited instances last", t => {
+    const near = makeMember("near");
+    const region = makeMember("region", { dataCentre: "b" });
+    const far = makeMember("far", { dataCentre: "c", region: "s" });
+    const place = { dataCentre: "a", region: "r" };
+    t.deepEqual(listCallerAddresses([far, region, near], place), ["near:1"]);
+    t.deepEqual(listCallerAddresses([far, region, { ...near, state: "closed" }], place), ["region:1"]);
+    t.deepEqual(listCallerAddresses([far, { ...near, state: "busy" }], place), ["far:1"]);
+    t.deepEqual(listCallerAddresses([{ ...near, state: "limited" }], place), ["near:1"]);
+});
--- /dev/null
+++ b/test/core/routing/resolveRequest.test.ts
@@ -0,0 +1,93 @@
+import test from "ava";
+import { resolveRequest } from "../../../src/core/routing/resolveRequest.js";
+import type { RouterConfiguration } from "../../../src/core/routing/routerConfiguration.js";
+import type { RouteRule } from "../../../src/core/routing/routeRule.js";
+
+function makeRoute(pathPrefix: string, fields: Partial<RouteRule> = {}): RouteRule {
+    return {
+        name: pathPrefix,
+        host: "h",
+        pathPrefix,
+        kind: "unsafe",
+        timeoutMs: 1000,
+        objectiveMs: 200,
+        backends: [{ service: "s", weight: 90 }, { service: "s2", weight: 10 }],
+        maxAttempts: 1,
+        isPublic: false,
+        isResumable: false,
+        regions: [],
+        ...fields,
+    };
+}
+
+const CONFIGURATION: RouterConfiguration = {
+    version: 1,
+    routesByHost: new Map([["h", [
+        makeRoute("/a/b/"),
+        makeRoute("/a/"),
+        makeRoute("/open/", { isPublic: true }),
+    ]]]),
+    services: new Map(),
+    hasAccounts: true,
+    accountsByKey: new Map([["k", { name: "account", regions: ["r"] }]]),
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1, tokensPerSecond: 0 },
+};
+const FACTS = {
+    requestId: "1",
+    host: "h",
+    patienceMs: 800,
+    key: "k",
+    promptTokens: 0,
+    outputTokens: 0,
+    prompt: [],
+};
+const CONTEXT = {
+    configuration: CONFIGURATION,
+    isFresh: true,
+    isOverloaded: false,
+    finishBy: Number.POSITIVE_INFINITY,
+    receivedAt: 0,
+    random: 0,
+};
+
+function getStatus(result: ReturnType<typeof resolveRequest>): number | string {
+    return result.kind === "refused" ? result.status : result.request.route.name;
+}
+
+test("the longest prefix that begins the path wins", t => {
+    t.is(getStatus(resolveRequest(FACTS, "/a/b/c", CONTEXT)), "/a/b/");
+    t.is(getStatus(resolveRequest(FACTS, "/a/c", CONTEXT)), "/a/");
+});
+
+test("an instance without a configuration denies nothing, it asks callers to come back", t => {
+    t.is(getStatus(resolveRequest(FACTS, "/none/", { ...CONTEXT, configuration: undefined })), 503);
+    t.is(getStatus(resolveRequest(FACTS, "/none/", CONTEXT)), 404);
+});
+
+test("a key that may have been revoked is not accepted, requests without a key are served on", t => {
+    const stale = { ...CONTEXT, isFresh: false };
+    t.is(getStatus(resolveRequest(FACTS, "/a/", stale)), 503);
+    t.is(getStatus(resolveRequest({ ...FACTS, key: "new" }, "/a/", stale)), 503);
+    t.is(getStatus(resolveRequest({ ...FACTS, key: undefined }, "/open/", stale)), "/open/");
+    t.is(getStatus(resolveRequest({ ...FACTS, key: "new" }, "/a/", CONTEXT)), 401);
+});
+
+test("a stopping instance takes only what it can finish, so that no answer is cut", t => {
+    const stopping = { ...CONTEXT, finishBy: 2000 };
+    t.is(getStatus(resolveRequest(FACTS, "/a/", stopping)), "/a/");
+    t.is(getStatus(resolveRequest({ ...FACTS, outputTokens: 500 }, "/a/", stopping)), 503);
+});
+
+test("the deadline is the earlier one of the caller's patience and the route's limit", t => {
+    const result = resolveRequest({ ...FACTS, patienceMs: 5000 }, "/a/", CONTEXT);
+    t.is(result.kind === "accepted" ? result.request.deadline : 0, 1000);
+});
+
+test("weights divide the requests of a route among its services", t => {
+    const pick = (random: number): string => {
+        const result = resolveRequest(FACTS, "/a/", { ...CONTEXT, random });
+        return result.kind === "accepted" ? result.request.service : "";
+    };
+    t.is(pick(0.89), "s");
+    t.is(pick(0.91), "s2");
+});
--- /dev/null
+++ b/test/core/routing/targetDirectory.test.ts
@@ -0,0 +1,41 @@
+import test from "ava";
+import { TargetDirectory } from "../../../src/core/routing/targetDirectory.js";
+import type { TargetEntry } from "../../../src/core/routing/targetEntry.js";
+
+const ENTRY: TargetEntry = {
+    id: "t1",
+    service: "s",
+    address: "127.0.0.1:1",
+    dataCentre: "a",
+    slots: 1,
+    isDraining: false,
+    coldUntil: 0,
+    startedAtMs: 0,
+};
+
+test("a target that is removed while the store is well gets no further request", t => {
+    const directory = TargetDirectory.create();
+    directory.set(ENTRY);
+    directory.remove("t1", 100);
+    t.deepEqual(directory.list(100), []);
+});
+
+test("registrations that lapsed during an outage of the store serve until the grace time is over", t => {
+    const directory = TargetDirectory.create();
+    directory.set(ENTRY);
+    directory.setUnreachable(0);
+    directory.setReachable(5000);
+    directory.remove("t1", 5000);
+    t.is(directory.list(6000).length, 1);
+    t.deepEqual(directory.list(7300), []);
+});
+
+test("a target that registers again within the grace time stays", t => {
+    const directory = TargetDirectory.create();
+    directory.set(ENTRY);
+    directory.setUnreachable(0);
+    directory.setReachable(5000);
+    directory.replaceAll([], 5000);
+    directory.set(ENTRY);
+    t.is(directory.list(9000).length, 1);
+});
--- /dev/null
+++ b/test/platform/decode.test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import { SettingsError } from "../../src/core/errors/settingsError.js";
+import { decodeConfiguration } from "../../src/platform/decodeConfiguration.js";
+import { decodeTarget } from "../../src/platform/decodeTarget.js";
+import { parseSettings } from "../../src/platform/parseSettings.js";
+
+const ENTRY = {
+    service: "s",
+    address: "10.0.0.1:8080",
+    zone: "a",
+    slots: 4,
+    state: "ready",
+    coldRemainingMs: 500,
+    born: 17,
+    sequence: 1,
+};
+
+test("a target's own entry is decoded, its cold time into a deadline", t => {
+    t.deepEqual(decodeTarget("t1", Buffer.from(JSON.stringify(ENTRY)), 100), {
+        id: "t1",
+        service: "s",
+        address: "10.0.0.1:8080",
+        dataCentre: "a",
+        slots: 4,
+        isDraining: false,
+        coldUntil: 600,
+        startedAtMs: 17,
+    });
+});
+
+test("an entry of another writer names no target and breaks nothing", t => {
+    const faulty = ["", "null", "[]", "7", "\u0000", JSON.stringify({ ...ENTRY, state: "odd" })];
+    const missing = ["service", "address", "zone", "slots", "state"]
+        .map(name => JSON.stringify({ ...ENTRY, [name]: undefined }));
+    for (const value of [...faulty, ...missing]) {
+        t.is(decodeTarget("t1", Buffer.from(value), 0), undefined, value);
+    }
+});
+
+test("routes are ordered by prefix and keys lead to their account", t => {
+    const configuration = decodeConfiguration(Buffer.from(JSON.stringify({
+        version: 7,
+        routes: [
+            {
+                name: "r1",
+                host: "H.example",
+                pathPrefix: "/a/",
+                kind: "streaming",
+                service: "s",
+                resumable: true,
+            },
+            {
+                name: "r2",
+                host: "h.example",
+                pathPrefix: "/a/b/",
+                kind: "unsafe",
+                service: "s",
+                resumable: true,
+            },
+        ],
+        services: [{ name: "s", engine: { slots: 64, kvTokens: 1000 } }],
+        limits: {},
+        tenants: [{ name: "x", apiKeys: ["k1", "k2"] }],
+    })));
+    const routes = configuration.routesByHost.get("h.example") ?? [];
+    t.deepEqual(routes.map(route => [route.name, route.kind, route.isResumable]), [
+        ["r2", "unsafe", false],
+        ["r1", "stream", true],
+    ]);
+    t.is(configuration.accountsByKey.get("k2")?.name, "x");
+});
+
+test("a configuration without a version is refused whole", t => {
+    t.throws(() => decodeConfiguration(Buffer.from("{}")), { instanceOf: TypeError });
+});
+
+test("wrong settings are refused with the name of each wrong field", t => {
+    const error: unknown = t.throws(() => parseSettings(JSON.stringify({ instance: "" })));
+    const faults = error instanceof SettingsError ? error.faults : [];
+    t.true(faults.some(fault => fault.startsWith("instance:")));
+    t.true(faults.some(fault => fault.startsWith("storeAddress:")));
+    t.throws(() => parseSettings("no json"), { name: "SettingsError" });
+});
