--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -14,7 +14,7 @@
 const INTERNAL_ERROR_EXIT_CODE = 1;
 
 async function runRouter(): Promise<void> {
-    const path = process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
+    const path = process.argv[2] ?? process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
     const settings = parseSettings(readFileSync(path, "utf8"));
     const log = LogSink.create({ instance: settings.router.instance });
     log.write("started", { dataCentre: settings.router.place.dataCentre });
--- /dev/null
+++ b/src/soak/runSoak.ts
@@ -0,0 +1,148 @@
+import { Agent } from "node:http";
+import { createRandom } from "../standIns/client/createRandom.js";
+import { CooperativeFleet } from "../testing/cooperativeFleet.js";
+import { sendCaller } from "../testing/sendCaller.js";
+import { soakFaults } from "./soakFaults.js";
+import { SoakObserver } from "./soakObserver.js";
+
+interface SoakOptions {
+    readonly seed: number;
+    readonly durationMs: number;
+    readonly instances: number;
+    readonly callers: number;
+}
+
+interface SoakResult {
+    readonly seed: number;
+    readonly sent: number;
+    readonly served: number;
+    readonly servedAfter: number;
+    readonly faults: readonly string[];
+    readonly violations: readonly string[];
+}
+
+const ROUTES = ["stream", "once", "safe", "unsafe"] as const;
+/** Faults that overlap. */
+const LANES = 3;
+const PAUSE_MS = 300;
+const CALLER_PAUSE_MS = 20;
+/** The pages give the deployments 12 s to serve again after the last fault; the small fleet gets the same. */
+const RECOVERY_MS = 12_000;
+const RECOVERY_REQUESTS = 20;
+
+/** Runs real processes under faults from a seed and checks the promises to callers and targets. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+    const fleet = await CooperativeFleet.create({
+        instances: options.instances,
+        engines: 4,
+        plainTargets: 3,
+        revocationMs: 5000,
+        stopTimeoutSeconds: 4,
+    });
+    const observer = SoakObserver.create();
+    const deadline = performance.now() + options.durationMs;
+    const names: string[] = [];
+    const wait = (ms: number): Promise<void> =>
+        new Promise(resolve => setTimeout(resolve, Math.max(0, Math.min(ms, deadline - performance.now()))));
+    try {
+        const lanes = Array.from({ length: LANES }, async (_, lane) => {
+            const pick = createRandom(options.seed * LANES + lane);
+            while (performance.now() < deadline) {
+                await wait(pick() * PAUSE_MS);
+                const fault = soakFaults[Math.floor(pick() * soakFaults.length)];
+                names.push(fault?.name ?? "");
+                await fault?.inject(fleet, pick, wait);
+            }
+        });
+        const callers = Array.from(
+            { length: options.callers },
+            (_, i) => runCaller(fleet, observer, i, deadline),
+        );
+        await Promise.all([...lanes, ...callers]);
+        const servedAfter = await countServed(fleet, observer);
+        observer.checkTargets(fleet);
+        return {
+            seed: options.seed,
+            sent: observer.sent,
+            served: observer.served,
+            servedAfter,
+            faults: names,
+            violations: [
+                ...observer.violations,
+                ...(servedAfter < RECOVERY_REQUESTS / 4
+                    ? [`only ${servedAfter} requests served after the faults`]
+                    : []),
+            ],
+        };
+    }
+    finally {
+        await fleet.close();
+    }
+}
+
+/** Sends one request after the other on kept connections, until the deadline. */
+async function runCaller(
+    fleet: CooperativeFleet,
+    observer: SoakObserver,
+    caller: number,
+    deadline: number,
+): Promise<void> {
+    const agent = new Agent({ keepAlive: true });
+    for (let i = 0; performance.now() < deadline; i += 1) {
+        await sendOne(fleet, observer, `c${caller}-${i}`, i + caller, agent);
+        await new Promise(resolve => setTimeout(resolve, CALLER_PAUSE_MS));
+    }
+    agent.destroy();
+}
+
+async function sendOne(
+    fleet: CooperativeFleet,
+    observer: SoakObserver,
+    requestId: string,
+    turn: number,
+    agent: Agent,
+): Promise<boolean> {
+    const route = ROUTES[turn % ROUTES.length] ?? "safe";
+    const instance = fleet.instances[Math.floor(turn / ROUTES.length) % fleet.instances.length];
+    if (!instance) {
+        return false;
+    }
+    const isStream = route === "stream" || route === "once";
+    const result = await sendCaller(`${fleet.getUrls(instance).callers}/${route}/x`, {
+        method: "POST",
+        agent,
+        body: "question",
+        headers: {
+            "Host": "h",
+            "Request-Id": requestId,
+            "Deadline-Ms": "3000",
+            ...(isStream
+                ? {
+                    "Token-Usage": "100,20",
+                    "Prompt-Prefix": `s${turn % 5}:50,${requestId}:50`,
+                    "Authorization": `Bearer ${fleet.key}`,
+                }
+                : {}),
+        },
+    });
+    observer.record({ requestId, route }, result);
+    return result.status === 200 && result.isWhole;
+}
+
+/** Counts the served requests of one batch, once the time to recover has passed or earlier if all are served. */
+async function countServed(fleet: CooperativeFleet, observer: SoakObserver): Promise<number> {
+    const agent = new Agent({ keepAlive: true });
+    const deadline = performance.now() + RECOVERY_MS;
+    let served = 0;
+    for (let round = 0; served < RECOVERY_REQUESTS && performance.now() < deadline; round += 1) {
+        const results = await Promise.all(
+            Array.from(
+                { length: RECOVERY_REQUESTS },
+                (_, i) => sendOne(fleet, observer, `r${round}-${i}`, i, agent),
+            ),
+        );
+        served = results.filter(Boolean).length;
+    }
+    agent.destroy();
+    return served;
+}
--- /dev/null
+++ b/src/soak/soakFaults.ts
@@ -0,0 +1,100 @@
+import type { LinkFault } from "../standIns/faultProxy/linkFault.js";
+import type { CooperativeFleet } from "../testing/cooperativeFleet.js";
+import type { SoakFault } from "./soakFault.js";
+
+type TargetFault = ReturnType<Parameters<CooperativeFleet["targets"][number]["target"]["setFault"]>[0]>;
+
+const TARGET_FAULTS: readonly TargetFault[] = ["cut", "lost", "crossed", "doubled", "full", "error", "mute"];
+/** Share of the requests that a faulty target spoils. */
+const FAULT_SHARE = 0.3;
+const SHORT_MS = 400;
+const LONG_MS = 2500;
+
+function pickItem<T>(items: readonly T[], pick: () => number): T {
+    const item = items[Math.floor(pick() * items.length)];
+    if (item === undefined) {
+        throw new Error("Nothing to pick from.");
+    }
+    return item;
+}
+
+function createLinkFault(name: string, fault: LinkFault): SoakFault {
+    return {
+        name,
+        inject: async (fleet, pick, wait) => {
+            const link = pick() < 0.3 ? fleet.storeLink : pickItem(fleet.targets, pick).link;
+            link.setFault(fault);
+            await wait(SHORT_MS + pick() * LONG_MS);
+            link.setFault({});
+            // What was held or lost meanwhile leaves connections that no process may trust again.
+            link.reset();
+        },
+    };
+}
+
+function createProcessFault(
+    name: string,
+    end: (process: CooperativeFleet["instances"][number]["process"]) => Promise<unknown>,
+): SoakFault {
+    return {
+        name,
+        inject: async (fleet, pick, wait) => {
+            const instance = pickItem(fleet.instances, pick);
+            if (!instance.process.running) {
+                return;
+            }
+            await end(instance.process);
+            await wait(pick() * SHORT_MS);
+            await fleet.startAgain(instance);
+        },
+    };
+}
+
+/** Faults of links, processes, the store and targets. */
+export const soakFaults: readonly SoakFault[] = [
+    createLinkFault("delayed-link", { delayMs: 60 }),
+    createLinkFault("cut-link", { mode: "cut" }),
+    createLinkFault("silent-link", { mode: "halfOpen" }),
+    createLinkFault("one-way-link", { backward: "drop" }),
+    createLinkFault("resetting-link", { resetAfterBytes: 2000 }),
+    createProcessFault("killed", process => process.stop("SIGKILL")),
+    createProcessFault("stopped", process => process.stop("SIGTERM")),
+    {
+        name: "paused",
+        inject: async (fleet, pick, wait) => {
+            const { process } = pickItem(fleet.instances, pick);
+            process.kill("SIGSTOP");
+            await wait(SHORT_MS + pick() * LONG_MS);
+            process.kill("SIGCONT");
+        },
+    },
+    {
+        name: "store-away",
+        inject: async (fleet, pick, wait) => {
+            fleet.store.setMode(pickItem(["silent", "busy", "reset"] as const, pick));
+            await wait(SHORT_MS + pick() * LONG_MS);
+            fleet.store.setMode("ok");
+        },
+    },
+    { name: "history-lost", inject: async fleet => fleet.store.dropHistory() },
+    { name: "configuration-changed", inject: async fleet => fleet.publish() },
+    {
+        name: "faulty-target",
+        inject: async (fleet, pick, wait) => {
+            const { target } = pickItem(fleet.targets, pick);
+            const fault = pickItem(TARGET_FAULTS, pick);
+            target.setFault(() => pick() < FAULT_SHARE ? fault : "none");
+            await wait(SHORT_MS + pick() * LONG_MS);
+            target.setFault(() => "none");
+        },
+    },
+    {
+        name: "draining-target",
+        inject: async (fleet, pick, wait) => {
+            const target = pickItem(fleet.targets, pick);
+            fleet.setRegistration(target, "draining");
+            await wait(LONG_MS);
+            fleet.setRegistration(target, "ready");
+        },
+    },
+];
--- /dev/null
+++ b/src/soak/soakObserver.ts
@@ -0,0 +1,96 @@
+import type { CooperativeFleet } from "../testing/cooperativeFleet.js";
+import type { sendCaller } from "../testing/sendCaller.js";
+
+type CallerResult = Awaited<ReturnType<typeof sendCaller>>;
+
+interface ObservedRequest {
+    readonly requestId: string;
+    readonly route: "stream" | "once" | "safe" | "unsafe";
+}
+
+const EVENT_PATTERN = /^id: (\d+)\ndata: (\S+) (\d+)$/;
+/** Events of each stream of the fleet under test. */
+const FLEET_EVENTS = 12;
+const REFUSALS: readonly number[] = [408, 421, 429, 503];
+
+/** Checks the promises to callers and targets from what both have seen. */
+export class SoakObserver {
+    readonly #violations: string[] = [];
+    readonly #refused = new Set<string>();
+    readonly #single = new Set<string>();
+    #served = 0;
+    #sent = 0;
+
+    /** Creates an observer that has seen nothing. */
+    static create(): SoakObserver {
+        return new SoakObserver();
+    }
+
+    get violations(): readonly string[] {
+        return this.#violations;
+    }
+
+    get served(): number {
+        return this.#served;
+    }
+
+    get sent(): number {
+        return this.#sent;
+    }
+
+    /** Records what a caller got. */
+    record({ requestId, route }: ObservedRequest, result: CallerResult): void {
+        this.#sent += 1;
+        if (route === "unsafe" || route === "once") {
+            this.#single.add(requestId);
+            if (REFUSALS.includes(result.status)) {
+                this.#refused.add(requestId);
+            }
+        }
+        if (result.status === 200 && result.isWhole) {
+            this.#served += 1;
+            this.#checkAnswer(requestId, route, result);
+        }
+        if (result.status === 401 || result.status === 404) {
+            this.#violations.push(
+                `${requestId}: denied with ${result.status} though the configuration allows it`,
+            );
+        }
+    }
+
+    /** Compares what the targets ran with what the callers were told. */
+    checkTargets(fleet: CooperativeFleet): void {
+        const runs = new Map<string, number>();
+        for (const { requestId } of fleet.targets.flatMap(({ target }) => target.arrivals)) {
+            runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
+        }
+        for (const requestId of this.#single) {
+            const count = runs.get(requestId) ?? 0;
+            if (count > 1) {
+                this.#violations.push(`${requestId}: ran ${count} times though it must run once`);
+            }
+            if (count > 0 && this.#refused.has(requestId)) {
+                this.#violations.push(`${requestId}: ran though its refusal says that it did not`);
+            }
+        }
+    }
+
+    #checkAnswer(requestId: string, route: ObservedRequest["route"], result: CallerResult): void {
+        if (route === "safe" || route === "unsafe") {
+            if (result.body !== `answer to ${requestId}`) {
+                this.#violations.push(`${requestId}: got "${result.body}"`);
+            }
+            return;
+        }
+        const events = result.body.split("\n\n").slice(0, -1);
+        events.forEach((event, i) => {
+            const [, id, owner] = EVENT_PATTERN.exec(event) ?? [];
+            if (Number(id) !== i + 1 || owner !== requestId) {
+                this.#violations.push(`${requestId}: event ${i + 1} is "${event.replaceAll("\n", " ")}"`);
+            }
+        });
+        if (events.length !== FLEET_EVENTS) {
+            this.#violations.push(`${requestId}: complete after ${events.length} events`);
+        }
+    }
+}
--- a/src/standIns/faultProxy/faultLink.ts
+++ b/src/standIns/faultProxy/faultLink.ts
@@ -52,6 +52,12 @@
         return connection !== undefined;
     }
 
+    /** Stops to listen and resets every connection. */
+    close(): void {
+        this.#server.close();
+        this.reset();
+    }
+
     /** Describes the link for the control call. */
     describe(): object {
         return {
--- /dev/null
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -0,0 +1,183 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+interface CooperativeTargetOptions {
+    readonly id: string;
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly slots: number;
+    /** Events of each stream and the pause between them in milliseconds. */
+    readonly events: number;
+    readonly eventMs: number;
+}
+
+interface TargetArrival {
+    readonly requestId: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+    readonly lastEventId: number;
+}
+
+/**
+ * - `cut`: the connection is reset in the middle of the answer.
+ * - `lost`: the request runs and the connection is reset instead of an answer.
+ * - `crossed`: the answer carries the identifier of another request.
+ * - `doubled`: a second answer follows the first.
+ * - `unframed`: the body has no length and ends with the connection, in the middle.
+ * - `full`: the request is not run.
+ * - `error`: the request runs and fails.
+ * - `mute`: no answer at all.
+ */
+type TargetFault = "none" | "cut" | "lost" | "crossed" | "doubled" | "unframed" | "full" | "error" | "mute";
+
+/** Stand-in of a target of the cooperative: answers with its own identity and with faults on demand. */
+export class CooperativeTarget {
+    readonly #options: CooperativeTargetOptions;
+    readonly #server: Server;
+    readonly #arrivals: TargetArrival[] = [];
+    #pickFault: () => TargetFault = () => "none";
+    #startedAtMs = 0;
+
+    private constructor(options: CooperativeTargetOptions) {
+        this.#options = options;
+        this.#server = createServer((request, response) => void this.#serve(request, response));
+        this.#server.keepAliveTimeout = 60_000;
+    }
+
+    /** Starts a target on a free port. */
+    static async create(options: CooperativeTargetOptions): Promise<CooperativeTarget> {
+        const target = new CooperativeTarget(options);
+        await new Promise<void>(resolve => target.#server.listen(0, "127.0.0.1", resolve));
+        target.#startedAtMs = Date.now();
+        return target;
+    }
+
+    get id(): string {
+        return this.#options.id;
+    }
+
+    /** host:port. */
+    get address(): string {
+        return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    }
+
+    /** Requests that the target has run. */
+    get arrivals(): readonly TargetArrival[] {
+        return this.#arrivals;
+    }
+
+    /** Sets what chooses the fault of each request. */
+    setFault(pickFault: () => TargetFault): void {
+        this.#pickFault = pickFault;
+    }
+
+    /** What the target writes to the store, reachable at `address`. */
+    describe(address: string, state: "ready" | "draining"): object {
+        const { service, dataCentre, slots } = this.#options;
+        return {
+            service,
+            address,
+            zone: dataCentre,
+            slots,
+            state,
+            coldRemainingMs: 0,
+            version: "v1",
+            sequence: 1,
+            born: this.#startedAtMs,
+        };
+    }
+
+    /** Closes the target and resets its connections. */
+    close(): void {
+        this.#server.close();
+        this.#server.closeAllConnections();
+    }
+
+    async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of request) {
+            chunks.push(chunk as Buffer);
+        }
+        const { headers } = request;
+        const requestId = String(headers["request-id"]);
+        if (headers["expect-instance"] !== this.#options.id) {
+            response.writeHead(421, { "Instance-Id": this.#options.id, "Content-Length": "0" }).end();
+            return;
+        }
+        const fault = this.#pickFault();
+        if (fault === "full") {
+            response.writeHead(503, { "Request-Id": requestId, "Not-Executed": "1", "Content-Length": "0" })
+                .end();
+            return;
+        }
+        const lastEventId = Number(headers["last-event-id"] ?? 0);
+        this.#arrivals.push({ requestId, headers, body: Buffer.concat(chunks).toString(), lastEventId });
+        if (fault === "mute") {
+            return;
+        }
+        if (fault === "lost") {
+            request.socket.resetAndDestroy();
+            return;
+        }
+        if (headers["token-usage"] === undefined) {
+            this.#sendPlain(request, response, requestId, fault);
+            return;
+        }
+        await this.#sendStream(request, response, requestId, lastEventId, fault);
+    }
+
+    #sendPlain(
+        request: IncomingMessage,
+        response: ServerResponse,
+        requestId: string,
+        fault: TargetFault,
+    ): void {
+        const body = `answer to ${requestId}`;
+        const id = fault === "crossed" ? "another" : requestId;
+        const head = { "Request-Id": id, "Response-Signature": `${requestId}.${this.#options.id}` };
+        if (fault === "cut" || fault === "unframed") {
+            const length = fault === "cut" ? `Content-Length: ${body.length}\r\n` : "";
+            const lines = Object.entries(head).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+            request.socket.write(`HTTP/1.1 200 OK\r\n${lines}${length}\r\n${body.slice(0, 6)}`);
+            request.socket.end();
+            return;
+        }
+        response.writeHead(fault === "error" ? 500 : 200, { ...head, "Content-Length": String(body.length) });
+        response.end(body);
+        if (fault === "doubled") {
+            request.socket.write("HTTP/1.1 200 OK\r\nRequest-Id: stray\r\nContent-Length: 1\r\n\r\nx");
+        }
+    }
+
+    async #sendStream(
+        request: IncomingMessage,
+        response: ServerResponse,
+        requestId: string,
+        lastEventId: number,
+        fault: TargetFault,
+    ): Promise<void> {
+        const { events, eventMs, id } = this.#options;
+        if (fault === "error") {
+            response.writeHead(500, { "Request-Id": requestId, "Content-Length": "0" }).end();
+            return;
+        }
+        response.writeHead(200, {
+            "Request-Id": fault === "crossed" ? "another" : requestId,
+            "Response-Signature": `${requestId}.${id}`,
+            "Content-Type": "text/event-stream",
+        });
+        for (let event = lastEventId + 1; event <= events; event += 1) {
+            await new Promise(resolve => setTimeout(resolve, eventMs));
+            if (response.destroyed) {
+                return;
+            }
+            if (event > events / 2 && (fault === "cut" || fault === "unframed")) {
+                response.write(`id: ${event}\ndata: ${requestId}`);
+                request.socket.end();
+                return;
+            }
+            response.write(`id: ${event}\ndata: ${requestId} ${event}\n\n`);
+        }
+        response.end();
+    }
+}
--- /dev/null
+++ b/src/testing/cooperativeFleet.ts
@@ -0,0 +1,214 @@
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { type AddressInfo, createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { FaultLink } from "../standIns/faultProxy/faultLink.js";
+import { CooperativeStore } from "../standIns/platform/cooperative/cooperativeStore.js";
+import { CooperativeTarget } from "../standIns/platform/cooperative/cooperativeTarget.js";
+import { ChildProcess } from "./childProcess.js";
+
+interface CooperativeFleetOptions {
+    readonly instances: number;
+    readonly engines: number;
+    readonly plainTargets: number;
+    /** Time in milliseconds for which keys are accepted without a new confirmation. */
+    readonly revocationMs: number;
+    readonly stopTimeoutSeconds: number;
+}
+
+interface FleetInstance {
+    readonly host: string;
+    readonly settingsPath: string;
+    process: ChildProcess;
+}
+
+interface FleetTarget {
+    readonly target: CooperativeTarget;
+    readonly link: FaultLink;
+    readonly address: string;
+}
+
+const MAIN = new URL("../platform/main.js", import.meta.url);
+/** Loopback addresses of the instances begin after those that other tests use. */
+const FIRST_HOST = 11;
+const ENGINE_EVENTS = 12;
+const EVENT_MS = 10;
+const ENGINE_SLOTS = 16;
+
+/** Real router processes on loopback addresses, before stand-ins of the store and of targets behind fault links. */
+export class CooperativeFleet {
+    readonly store: CooperativeStore;
+    readonly instances: FleetInstance[] = [];
+    readonly targets: FleetTarget[] = [];
+    readonly key = "key-of-the-account";
+    readonly #options: CooperativeFleetOptions;
+    readonly #ports: readonly number[];
+    readonly #storeLink: FaultLink;
+    #version = 1;
+    #isKeyValid = true;
+
+    private constructor(
+        options: CooperativeFleetOptions,
+        store: CooperativeStore,
+        storeLink: FaultLink,
+        ports: readonly number[],
+    ) {
+        this.#options = options;
+        this.store = store;
+        this.#storeLink = storeLink;
+        this.#ports = ports;
+    }
+
+    /** Starts everything and waits until no process has ended at its start. */
+    static async create(options: CooperativeFleetOptions): Promise<CooperativeFleet> {
+        const store = await CooperativeStore.create();
+        const link = await FaultLink.create(store.address);
+        const fleet = new CooperativeFleet(options, store, link, await findPorts(4));
+        for (let i = 0; i < options.engines + options.plainTargets; i += 1) {
+            await fleet.addTarget(i < options.engines ? "engine" : "plain");
+        }
+        fleet.publish();
+        const directory = await mkdtemp(join(tmpdir(), "baobabspread-"));
+        for (let i = 0; i < options.instances; i += 1) {
+            const host = `127.0.0.${FIRST_HOST + i}`;
+            const settingsPath = join(directory, `${host}.json`);
+            await writeFile(settingsPath, JSON.stringify(fleet.#buildSettings(host)));
+            fleet.instances.push({
+                host,
+                settingsPath,
+                process: await ChildProcess.create(MAIN, [settingsPath]),
+            });
+        }
+        return fleet;
+    }
+
+    get storeLink(): FaultLink {
+        return this.#storeLink;
+    }
+
+    /** URL of an instance for callers, the directory and readiness. */
+    getUrls(
+        instance: FleetInstance,
+    ): { readonly callers: string; readonly lookup: string; readonly ready: string; } {
+        const [callers, ready, directory] = this.#ports;
+        return {
+            callers: `http://${instance.host}:${callers}`,
+            ready: `http://${instance.host}:${ready}/readiness`,
+            lookup: `http://${instance.host}:${directory}/lookup?name=h&region=r&zone=a`,
+        };
+    }
+
+    /** Starts and registers a target. */
+    async addTarget(service: "engine" | "plain"): Promise<FleetTarget> {
+        const target = await CooperativeTarget.create({
+            id: `i-${this.targets.length}`,
+            service,
+            dataCentre: "a",
+            slots: service === "engine" ? ENGINE_SLOTS : 6,
+            events: ENGINE_EVENTS,
+            eventMs: EVENT_MS,
+        });
+        const link = await FaultLink.create(target.address);
+        const { address } = link.describe() as { readonly address: string; };
+        const entry = { target, link, address };
+        this.targets.push(entry);
+        this.store.write(`servers/${target.id}`, target.describe(address, "ready"));
+        return entry;
+    }
+
+    /** Registers a target again in a state, or removes its registration. */
+    setRegistration({ target, address }: FleetTarget, state: "ready" | "draining" | "removed"): void {
+        if (state === "removed") {
+            this.store.remove(`servers/${target.id}`);
+            return;
+        }
+        this.store.write(`servers/${target.id}`, target.describe(address, state));
+    }
+
+    /** Publishes a new version of the configuration, with or without the key. */
+    publish(isKeyValid = this.#isKeyValid): void {
+        this.#isKeyValid = isKeyValid;
+        this.#version += 1;
+        const stream = {
+            host: "h",
+            kind: "streaming",
+            timeoutMs: 5000,
+            targetLatencyMs: 500,
+            service: "engine",
+        };
+        const plain = { host: "h", timeoutMs: 1000, targetLatencyMs: 200, service: "plain", public: true };
+        this.store.write("op/config", {
+            version: this.#version,
+            routes: [
+                { ...stream, name: "stream", pathPrefix: "/stream/", maxAttempts: 3, resumable: true },
+                { ...stream, name: "once", pathPrefix: "/once/", maxAttempts: 1, resumable: false },
+                { ...plain, name: "safe", pathPrefix: "/safe/", kind: "safe", maxAttempts: 2 },
+                { ...plain, name: "unsafe", pathPrefix: "/unsafe/", kind: "unsafe", maxAttempts: 2 },
+            ],
+            services: [
+                { name: "engine", engine: { slots: ENGINE_SLOTS, kvTokens: 100_000 } },
+                { name: "plain" },
+            ],
+            limits: { idleTimeoutMs: 15_000, maxBodyBytes: 65_536 },
+            tenants: [{ name: "account", apiKeys: isKeyValid ? [this.key] : [] }],
+        });
+    }
+
+    /** Starts an instance again that has ended. */
+    async startAgain(instance: FleetInstance): Promise<void> {
+        instance.process = await ChildProcess.create(MAIN, [instance.settingsPath]);
+    }
+
+    /** Ends all processes and stand-ins. */
+    async close(): Promise<void> {
+        for (const { process } of this.instances) {
+            process.kill("SIGCONT");
+            await process.stop("SIGKILL");
+        }
+        for (const { target, link } of this.targets) {
+            link.close();
+            target.close();
+        }
+        this.#storeLink.close();
+        this.store.close();
+    }
+
+    #buildSettings(host: string): object {
+        const [callers, ready, directory, peers] = this.#ports;
+        const { address } = this.#storeLink.describe() as { readonly address: string; };
+        return {
+            instance: `instance-${host}`,
+            dataCentre: "a",
+            region: "r",
+            dataCentres: { a: "r" },
+            callerAddress: `${host}:${callers}`,
+            readinessAddress: `${host}:${ready}`,
+            directoryAddress: `${host}:${directory}`,
+            host,
+            peerPort: peers,
+            seedAddresses: [`127.0.0.${FIRST_HOST}:1`],
+            storeAddress: address,
+            processorShare: 1,
+            memoryMb: 256,
+            stopTimeoutSeconds: this.#options.stopTimeoutSeconds,
+            strictRevocation: true,
+            revocationMs: this.#options.revocationMs,
+            retryRatio: 4,
+            retryWindowSeconds: 10,
+            coldFactor: 1,
+            coldSlack: 5,
+            maxAddressTermSeconds: 5,
+        };
+    }
+}
+
+async function findPorts(count: number): Promise<readonly number[]> {
+    const servers = await Promise.all(Array.from({ length: count }, async () => {
+        const server = createServer();
+        await new Promise<void>(resolve => server.listen(0, resolve));
+        return server;
+    }));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
--- /dev/null
+++ b/test/platform/routerProcess.test.ts
@@ -0,0 +1,186 @@
+import test, { type ExecutionContext } from "ava";
+import { CooperativeFleet } from "../../src/testing/cooperativeFleet.js";
+import { sendCaller } from "../../src/testing/sendCaller.js";
+import { waitUntil } from "../../src/testing/waitUntil.js";
+
+const OPTIONS = { instances: 1, engines: 2, plainTargets: 2, revocationMs: 3000, stopTimeoutSeconds: 4 };
+const EVENTS = 12;
+let count = 0;
+
+async function createFleet(
+    t: ExecutionContext,
+    options: Partial<typeof OPTIONS> = {},
+): Promise<CooperativeFleet> {
+    const fleet = await CooperativeFleet.create({ ...OPTIONS, ...options });
+    t.teardown(() => fleet.close());
+    for (const instance of fleet.instances) {
+        const { ready } = fleet.getUrls(instance);
+        await waitUntil(
+            "the instance is ready",
+            async () => (await sendCaller(ready, { method: "GET", headers: {} })).status === 200,
+        );
+    }
+    await waitUntil(
+        "the retry budget covers a retry",
+        async () => (await send(fleet, "/safe/x")).status === 200,
+    );
+    return fleet;
+}
+
+function send(
+    fleet: CooperativeFleet,
+    path: string,
+    headers: Readonly<Record<string, string>> = {},
+): ReturnType<typeof sendCaller> {
+    const [instance] = fleet.instances;
+    if (!instance) {
+        throw new Error("The fleet has no instance.");
+    }
+    count += 1;
+    const isStream = path.startsWith("/stream") || path.startsWith("/once");
+    return sendCaller(`${fleet.getUrls(instance).callers}${path}`, {
+        method: "POST",
+        headers: {
+            "Host": "h",
+            "Request-Id": `request-${count}`,
+            "Deadline-Ms": "4000",
+            ...(isStream
+                ? {
+                    "Token-Usage": "100,20",
+                    "Prompt-Prefix": "a:50,b:50",
+                    "Authorization": `Bearer ${fleet.key}`,
+                }
+                : {}),
+            ...headers,
+        },
+        body: "question",
+    });
+}
+
+function listEventIds(body: string): readonly number[] {
+    return [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+}
+
+const ALL_EVENTS = Array.from({ length: EVENTS }, (_, i) => i + 1);
+
+test.serial("targets get the account, the time left and their own identity, and never a key or what callers must not set", async t => {
+    const fleet = await createFleet(t);
+    const result = await send(fleet, "/stream/x", { "Hold": "1", "Kv-From": "x", "Tenant": "other" });
+    t.is(result.status, 200);
+    t.true(result.isWhole);
+    t.deepEqual(listEventIds(result.body), ALL_EVENTS);
+    const { headers, body } = fleet.targets.flatMap(({ target }) => target.arrivals)
+        .filter(arrival => arrival.headers["token-usage"]).at(-1) ?? t.fail("nothing arrived") as never;
+    t.is(headers["tenant"], "account");
+    t.is(headers.authorization, undefined);
+    t.is(headers["hold"], undefined);
+    t.is(headers["kv-from"], undefined);
+    t.true(Number(headers["deadline-ms"]) <= 4000);
+    t.is(body, "question");
+    t.is((await send(fleet, "/stream/x", { Authorization: "Bearer wrong" })).status, 401);
+    t.is((await send(fleet, "/none/x")).status, 404);
+});
+
+test.serial("a stream that its target breaks off goes on at another one without a gap or a repeat", async t => {
+    const fleet = await createFleet(t);
+    for (const fault of ["cut", "lost", "crossed", "mute", "error", "full"] as const) {
+        let faults = 1;
+        fleet.targets.forEach(({ target }) => target.setFault(() => faults-- > 0 ? fault : "none"));
+        const result = await send(fleet, "/stream/x");
+        t.is(result.status, 200, fault);
+        t.true(result.isWhole, fault);
+        t.deepEqual(listEventIds(result.body), ALL_EVENTS, fault);
+    }
+});
+
+test.serial("a request that must run once is not sent again when it may have run, and the caller is not told otherwise", async t => {
+    const fleet = await createFleet(t);
+    for (const fault of ["lost", "cut", "crossed"] as const) {
+        const before = fleet.targets.flatMap(({ target }) => target.arrivals).length;
+        fleet.targets.forEach(({ target }) => target.setFault(() => fault));
+        const result = await send(fleet, "/unsafe/x");
+        t.is(result.status, 502, fault);
+        t.is(fleet.targets.flatMap(({ target }) => target.arrivals).length, before + 1, fault);
+    }
+    let refusals = 1;
+    fleet.targets.forEach(({ target }) => target.setFault(() => refusals-- > 0 ? "full" : "none"));
+    t.is((await send(fleet, "/unsafe/x")).status, 200);
+    fleet.targets.forEach(({ target }) => target.setFault(() => "full"));
+    t.is((await send(fleet, "/unsafe/x")).status, 503);
+});
+
+test.serial("an answer that ends with its connection is not given a length that would make it look whole", async t => {
+    const fleet = await createFleet(t);
+    fleet.targets.forEach(({ target }) => target.setFault(() => "unframed"));
+    const result = await send(fleet, "/unsafe/x");
+    t.is(result.headers["content-length"], undefined);
+    t.is(result.headers["transfer-encoding"], undefined);
+    const stream = await send(fleet, "/once/x");
+    t.false(stream.isWhole);
+});
+
+test.serial("a second answer on a connection reaches no caller", async t => {
+    const fleet = await createFleet(t);
+    fleet.targets.forEach(({ target }) => target.setFault(() => "doubled"));
+    for (let i = 0; i < 10; i += 1) {
+        const result = await send(fleet, "/safe/x");
+        t.regex(result.body, /^answer to request-\d+$/);
+    }
+});
+
+test.serial("without the store, keys end with the revocation bound and requests without a key are served on", async t => {
+    const fleet = await createFleet(t);
+    fleet.store.setMode("silent");
+    await waitUntil("keys are refused", async () => (await send(fleet, "/stream/x")).status === 503);
+    t.is((await send(fleet, "/safe/x")).status, 200);
+    fleet.store.setMode("ok");
+    await waitUntil("keys are accepted again", async () => (await send(fleet, "/stream/x")).status === 200);
+    fleet.publish(false);
+    await waitUntil(
+        "the revoked key is unknown",
+        async () => (await send(fleet, "/stream/x")).status === 401,
+    );
+});
+
+test.serial("lost history, removed and draining targets are followed", async t => {
+    const fleet = await createFleet(t);
+    const [first, , third] = fleet.targets;
+    if (!first || !third) {
+        t.fail("too few targets");
+        return;
+    }
+    fleet.setRegistration(first, "draining");
+    fleet.store.dropHistory();
+    fleet.store.write("servers/foreign", "no registration");
+    fleet.setRegistration(third, "removed");
+    await waitUntil("the targets get nothing", async () => {
+        const before = first.target.arrivals.length + third.target.arrivals.length;
+        for (let i = 0; i < 4; i += 1) {
+            await Promise.all([send(fleet, "/stream/x"), send(fleet, "/safe/x")]);
+        }
+        return first.target.arrivals.length + third.target.arrivals.length === before;
+    });
+    t.is((await send(fleet, "/stream/x")).status, 200);
+});
+
+test.serial("a planned stop ends the streams in progress whole and takes the instance out of the directory", async t => {
+    const fleet = await createFleet(t, { instances: 2 });
+    const [leaving, staying] = fleet.instances;
+    if (!leaving || !staying) {
+        t.fail("too few instances");
+        return;
+    }
+    const { lookup } = fleet.getUrls(staying);
+    const listAddresses = async (): Promise<string> =>
+        (await sendCaller(lookup, { method: "GET", headers: {} })).body;
+    await waitUntil("both are listed", async () => (await listAddresses()).includes(leaving.host));
+    const streams = Array.from({ length: 5 }, () => send(fleet, "/stream/x"));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const stopped = leaving.process.stop("SIGTERM");
+    await waitUntil("it is not listed any more", async () => !(await listAddresses()).includes(leaving.host));
+    for (const result of await Promise.all(streams)) {
+        t.true(result.isWhole);
+        t.deepEqual(listEventIds(result.body), ALL_EVENTS);
+    }
+    t.is(await stopped, 0);
+});
--- /dev/null
+++ b/test/soak/soak.test.ts
@@ -0,0 +1,12 @@
+import test from "ava";
+import { runSoak } from "../../src/soak/runSoak.js";
+
+const SEEDS = [1, 2];
+
+for (const seed of SEEDS) {
+    test.serial(`random faults break no promise to callers and targets, seed ${seed}`, async t => {
+        const result = await runSoak({ seed, durationMs: 5000, instances: 3, callers: 6 });
+        t.log(`sent ${result.sent}, served ${result.served}, faults ${result.faults.join(" ")}`);
+        t.deepEqual(result.violations, []);
+    });
+}
