Explain a request from logs; write the pages of the platform

Cause: people on call have only logs and metrics, and the design on the platform was not written down. Ruled out: nothing. Change: explain log, docs/platform.md, docs/incidents.md, events in docs/operations.md, DEVELOPERS.md, a linter rule that keeps the platform's folder out of the core and the router.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -213,13 +213,24 @@
                     },
                     {
                         regex:
-                            "^(\\.\\./)+(daemon|cli|transport|adapters|observability|standIns|measure|demo)/",
+                            "^(\\.\\./)+(daemon|cli|transport|adapters|observability|standIns|measure|demo|platform|router)/",
                         message: "The core does not import the shell.",
                     },
                 ],
             }],
         },
     },
+    {
+        files: ["src/router/**/*.ts"],
+        rules: {
+            "no-restricted-imports": ["error", {
+                patterns: [{
+                    regex: "^(\\.\\./)+(platform|daemon|cli|standIns)/",
+                    message: "The router does not depend on the platform that it runs on.",
+                }],
+            }],
+        },
+    },
     {
         files: ["src/standIns/**/*.ts"],
         rules: {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import { DiffCommand } from "./commands/diffCommand.js";
 import { EntriesCommand } from "./commands/entriesCommand.js";
 import { ExplainAccountCommand } from "./commands/explainAccountCommand.js";
+import { ExplainLogCommand } from "./commands/explainLogCommand.js";
 import { ExplainRequestCommand } from "./commands/explainRequestCommand.js";
 import { StatusCommand } from "./commands/statusCommand.js";
 
@@ -18,6 +19,7 @@
     StatusCommand,
     ExplainRequestCommand,
     ExplainAccountCommand,
+    ExplainLogCommand,
     EntriesCommand,
 ], { binaryName: "baobabspread", binaryLabel: "Operate a baobabspread fleet", enableColors: false });
 process.exitCode = await runCli(process.argv.slice(2));
