Keep the platform's names out of the test harness

Cause: the soak and the fleet under test spelled the platform's headers and keys outside of platform folders. Ruled out: nothing. Change: harness moved to src/testing/platform, one builder of callers' headers, one type for what a caller says.

--- a/src/core/routing/resolveRequest.ts
+++ b/src/core/routing/resolveRequest.ts
@@ -1,20 +1,10 @@
+import type { CallerFacts } from "./callerFacts.js";
 import { findRoute } from "./findRoute.js";
-import type { PromptPart } from "./promptPart.js";
 import { resolveAccount } from "./resolveAccount.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RouterConfiguration } from "./routerConfiguration.js";
 import type { RouteRule } from "./routeRule.js";
 
-interface CallerFacts {
-    readonly requestId: string | undefined;
-    readonly host: string;
-    readonly patienceMs: number | undefined;
-    readonly key: string | undefined;
-    readonly promptTokens: number;
-    readonly outputTokens: number;
-    readonly prompt: readonly PromptPart[];
-}
-
 interface ResolveContext {
     /** `undefined` until a configuration and the targets are known. */
     readonly configuration: RouterConfiguration | undefined;
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -1,6 +1,7 @@
 import { Agent } from "node:http";
 import { createRandom } from "../standIns/client/createRandom.js";
-import { CooperativeFleet } from "../testing/cooperativeFleet.js";
+import { buildCallerHeaders } from "../testing/platform/buildCallerHeaders.js";
+import { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import { sendCaller } from "../testing/sendCaller.js";
 import { soakFaults } from "./soakFaults.js";
 import { SoakObserver } from "./soakObserver.js";
@@ -25,6 +26,9 @@
 /** Faults that overlap. */
 const LANES = 3;
 const PAUSE_MS = 300;
+const CALLER_PATIENCE_MS = 3000;
+/** Prompts share one of this many parts, so that homes matter. */
+const SHARED_PARTS = 5;
 const CALLER_PAUSE_MS = 20;
 /** The pages give the deployments 12 s to serve again after the last fault; the small fleet gets the same. */
 const RECOVERY_MS = 12_000;
@@ -112,18 +116,11 @@
         method: "POST",
         agent,
         body: "question",
-        headers: {
-            "Host": "h",
-            "Request-Id": requestId,
-            "Deadline-Ms": "3000",
-            ...(isStream
-                ? {
-                    "Token-Usage": "100,20",
-                    "Prompt-Prefix": `s${turn % 5}:50,${requestId}:50`,
-                    "Authorization": `Bearer ${fleet.key}`,
-                }
-                : {}),
-        },
+        headers: buildCallerHeaders({
+            requestId,
+            patienceMs: CALLER_PATIENCE_MS,
+            ...(isStream ? { engine: { key: fleet.key, sharedPart: `s${turn % SHARED_PARTS}` } } : {}),
+        }),
     });
     observer.record({ requestId, route }, result);
     return result.status === 200 && result.isWhole;
--- a/src/soak/soakFault.ts
+++ b/src/soak/soakFault.ts
@@ -1,4 +1,4 @@
-import type { CooperativeFleet } from "../testing/cooperativeFleet.js";
+import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 
 /** A fault that the soak injects from outside of the processes; it ends by itself. */
 export interface SoakFault {
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -1,5 +1,5 @@
 import type { LinkFault } from "../standIns/faultProxy/linkFault.js";
-import type { CooperativeFleet } from "../testing/cooperativeFleet.js";
+import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import type { SoakFault } from "./soakFault.js";
 
 type TargetFault = ReturnType<Parameters<CooperativeFleet["targets"][number]["target"]["setFault"]>[0]>;
--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -1,4 +1,4 @@
-import type { CooperativeFleet } from "../testing/cooperativeFleet.js";
+import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import type { sendCaller } from "../testing/sendCaller.js";
 
 type CallerResult = Awaited<ReturnType<typeof sendCaller>>;
--- a/src/testing/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -2,10 +2,10 @@
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { FaultLink } from "../standIns/faultProxy/faultLink.js";
-import { CooperativeStore } from "../standIns/platform/cooperative/cooperativeStore.js";
-import { CooperativeTarget } from "../standIns/platform/cooperative/cooperativeTarget.js";
-import { ChildProcess } from "./childProcess.js";
+import { FaultLink } from "../../standIns/faultProxy/faultLink.js";
+import { CooperativeStore } from "../../standIns/platform/cooperative/cooperativeStore.js";
+import { CooperativeTarget } from "../../standIns/platform/cooperative/cooperativeTarget.js";
+import { ChildProcess } from "../childProcess.js";
 
 interface CooperativeFleetOptions {
     readonly instances: number;
@@ -28,7 +28,7 @@
     readonly address: string;
 }
 
-const MAIN = new URL("../platform/main.js", import.meta.url);
+const MAIN = new URL("../../platform/main.js", import.meta.url);
 /** Loopback addresses of the instances begin after those that other tests use. */
 const FIRST_HOST = 11;
 const ENGINE_EVENTS = 12;
--- a/test/platform/routerProcess.test.ts
+++ b/test/platform/routerProcess.test.ts
@@ -1,7 +1,8 @@
 import test, { type ExecutionContext, registerCompletionHandler } from "ava";
 import { once } from "node:events";
 import { connect } from "node:net";
-import { CooperativeFleet } from "../../src/testing/cooperativeFleet.js";
+import { buildCallerHeaders } from "../../src/testing/platform/buildCallerHeaders.js";
+import { CooperativeFleet } from "../../src/testing/platform/cooperativeFleet.js";
 import { sendCaller } from "../../src/testing/sendCaller.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
 
@@ -46,16 +47,11 @@
     return sendCaller(`${fleet.getUrls(instance).callers}${path}`, {
         method: "POST",
         headers: {
-            "Host": "h",
-            "Request-Id": `request-${count}`,
-            "Deadline-Ms": "4000",
-            ...(isStream
-                ? {
-                    "Token-Usage": "100,20",
-                    "Prompt-Prefix": "a:50,b:50",
-                    "Authorization": `Bearer ${fleet.key}`,
-                }
-                : {}),
+            ...buildCallerHeaders({
+                requestId: `request-${count}`,
+                patienceMs: 4000,
+                ...(isStream ? { engine: { key: fleet.key, sharedPart: "a" } } : {}),
+            }),
             ...headers,
         },
         body: "question",
