Spread callers over instances, choose targets at less cost, and let one instance read the store

Cause: on the grown deployments one client account's callers all use one instance. Its log shows 30 to 45 ms of delay, so it never counted as busy; Node.js accepts one connection a turn. Each request that waited was tried at each event, with a hash for each target and a sum over all peers. Ruled out: a directory that names one instance only (all answers named 14). Change: each caller gets four addresses of its own, by weighted rendezvous hashing; a loop that does not rest makes an instance busy; busy instances of the region go before open ones of another region. Homes, sums and shares are kept; a new request is tried alone; excluded accounts are refused at once with the time until their usage has fallen. The first instance of a data centre reads the store, the second when that fails. Summaries carry the load of the whole data centre. Times of the configuration's limits apply to callers' connections. Conclusion: the busy state comes 2 s late and callers keep answers for 6 s; thresholds and term are lowered, not measured yet.

--- a/src/core/routing/accountUsage.ts
+++ b/src/core/routing/accountUsage.ts
@@ -17,14 +17,15 @@
 
 /** Tokens that client accounts have asked for and were granted lately, over all instances that report. */
 export class AccountUsage {
-    readonly #windowMs: number;
+    /** Time constant of the sums in milliseconds. */
+    readonly windowMs: number;
     readonly #own = new Map<string, UsageRecord>();
     /** By instance of the own data centre, and by other data centre. */
     readonly #peers = new Map<string, PeerUsage>();
     readonly #remote = new Map<string, PeerUsage>();
 
     private constructor(windowMs: number) {
-        this.#windowMs = windowMs;
+        this.windowMs = windowMs;
     }
 
     /** Creates a record without usage; usage weighs in for about `windowMs`. */
@@ -77,7 +78,7 @@
                 asked.set(account, (asked.get(account) ?? 0) + tokens.asked);
             }
         }
-        let left = tokensPerSecond * this.#windowMs / MS_PER_SECOND;
+        let left = tokensPerSecond * this.windowMs / MS_PER_SECOND;
         const amounts = [...asked.values()].sort((a, b) => a - b);
         for (const [i, amount] of amounts.entries()) {
             const even = left / (amounts.length - i);
@@ -116,8 +117,8 @@
         let record = this.#own.get(account);
         if (!record) {
             record = {
-                asked: DecayingSum.create(this.#windowMs),
-                granted: DecayingSum.create(this.#windowMs),
+                asked: DecayingSum.create(this.windowMs),
+                granted: DecayingSum.create(this.windowMs),
             };
             this.#own.set(account, record);
         }
--- a/src/core/routing/listCallerAddresses.ts
+++ b/src/core/routing/listCallerAddresses.ts
@@ -1,22 +1,43 @@
 import type { MemberRecord } from "./memberRecord.js";
 import type { Place } from "./place.js";
+import { rankMembers } from "./rankMembers.js";
 
-/** A longer answer gains a caller nothing, and the platform limits it to this many. */
-const MAX_ADDRESSES = 64;
+/**
+ * Addresses of one answer. Each caller gets its own few, so that the callers of one client account, which may all choose
+ * by the same rule, do not meet at one instance.
+ */
+const ANSWER_SIZE = 4;
 
 /**
- * Lists the addresses that a caller at a place should use: open instances of its data centre, else of its region, else
- * any. Busy instances, and those that only take requests without a key, are listed when no other is left.
+ * Lists the addresses that a caller at a place should use: open instances of its data centre, else of its region. Busy
+ * instances of the region go before open ones of another, because ways between regions are slow and billed, and requests
+ * may have to stay in theirs. Those that only take requests without a key are listed when no other is left.
+ *
+ * @param callerId Identifies the caller, so that it gets the same addresses as long as the members stay the same.
  */
-export function listCallerAddresses(members: readonly MemberRecord[], caller: Place): readonly string[] {
-    for (const state of ["open", "busy", "limited"] as const) {
-        const usable = members.filter(member => member.state === state);
-        const inDataCentre = usable.filter(member => member.dataCentre === caller.dataCentre);
-        const inRegion = usable.filter(member => member.region === caller.region);
-        const nearest = [inDataCentre, inRegion, usable].find(list => list.length > 0);
-        if (nearest) {
-            return nearest.slice(0, MAX_ADDRESSES).map(member => member.callerAddress);
-        }
-    }
-    return [];
+export function listCallerAddresses(
+    members: readonly MemberRecord[],
+    caller: Place,
+    callerId: string,
+): readonly string[] {
+    const isNear = (member: MemberRecord): boolean => member.dataCentre === caller.dataCentre;
+    const isInRegion = (member: MemberRecord): boolean => member.region === caller.region;
+    const list = (state: MemberRecord["state"]): readonly MemberRecord[] =>
+        members.filter(member => member.state === state);
+    const [open, busy, limited] = [list("open"), list("busy"), list("limited")];
+    const near = open.filter(isNear);
+    const nearBusy = busy.filter(isNear);
+    const pools = [
+        // The few that are open could not bear the load of all.
+        near.length > 0 && nearBusy.length > near.length ? [...open.filter(isInRegion), ...nearBusy] : near,
+        open.filter(isInRegion),
+        busy.filter(isInRegion),
+        open,
+        busy,
+        limited.filter(isNear),
+        limited.filter(isInRegion),
+        limited,
+    ];
+    const pool = pools.find(candidates => candidates.length > 0) ?? [];
+    return rankMembers(pool, callerId).slice(0, ANSWER_SIZE).map(member => member.callerAddress);
 }
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,3 +1,4 @@
+import { AccountShares } from "./accountShares.js";
 import type { AccountUsage } from "./accountUsage.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
@@ -23,20 +24,27 @@
 const OUTPUT_TOKEN_COST = 2;
 /** Waiting requests of one service above which new ones are refused, to bound memory. */
 const MAX_WAITING = 2000;
-/** The stated rate counts each prompt token as read; engines take more, since about a third of them is kept. */
-const KEPT_FACTOR = 1.4;
-/** An account gets at most this many times its share while others want more than theirs. */
-const MAX_EXCESS = 1.8;
 /** A request beyond its account's share waits for this part of its objective; longer waits are billed as late refusals. */
 const OVER_SHARE_WAIT = 0.12;
 /** Time in milliseconds that an idle target takes to begin its answer. */
 const MIN_ANSWER_MS = 40;
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 3000;
+
+type Decision =
+    | { readonly kind: "granted"; readonly grant: TargetGrant; }
+    | { readonly kind: "waiting"; }
+    | {
+        readonly kind: "refused";
+        readonly reason: "no-target" | "overloaded";
+        readonly retryAfterMs: number;
+    };
+
 /** Decides which waiting request of a service goes to which target, and which is refused. */
 export class ServiceScheduler {
     readonly #options: ServiceSchedulerOptions;
     readonly #picker: TargetPicker;
+    readonly #shares: AccountShares;
     #service: RoutedService;
     readonly #targets = new Map<string, TargetState>();
     #evacuated: ReadonlySet<string> = new Set();
@@ -45,6 +53,10 @@
     private constructor(options: ServiceSchedulerOptions) {
         this.#options = options;
         this.#service = options.service;
+        this.#shares = AccountShares.create({
+            usage: options.usage,
+            getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
+        });
         this.#picker = TargetPicker.create({
             targets: this.#targets,
             settings: options.settings,
@@ -110,8 +122,12 @@
         if (!waiting.isResume) {
             this.#options.usage.addAsked(waiting.request.account, computeTokens(waiting.request), now);
         }
-        this.#waiting.push(waiting);
-        this.advance(now);
+        // Requests that wait already had no use for the present places, so only the new one is tried.
+        const decision = this.#resolve(waiting, new Set(), now);
+        if (decision.kind === "waiting") {
+            this.#waiting.push(waiting);
+        }
+        notifyWaiting(waiting, decision);
     }
 
     /** Removes a request whose caller has left. */
@@ -140,38 +156,56 @@
         if (this.#waiting.length === 0) {
             return;
         }
-        const share = this.#computeShare(now);
-        const ordered = this.#sortWaiting(now);
-        const left: WaitingRequest[] = [];
-        const granted: (readonly [WaitingRequest, TargetGrant])[] = [];
-        const refused: (readonly [WaitingRequest, "no-target" | "overloaded"])[] = [];
-        for (const waiting of ordered) {
-            const { request } = waiting;
-            const excess = this.#options.usage.getGranted(request.account, now) / share;
-            const isOverShare = excess > 1;
-            const candidate = excess > MAX_EXCESS ? undefined : this.#picker.pick(waiting, isOverShare, now);
-            if (candidate) {
-                granted.push([waiting, this.#reserve(request, candidate, now)]);
-                continue;
-            }
-            if (waiting.isResume || now < this.#getWaitDeadline(request, isOverShare)) {
-                left.push(waiting);
-                continue;
-            }
-            refused.push([waiting, this.#targets.size === 0 ? "no-target" : "overloaded"]);
+        const blocked = new Set<string>();
+        const decided = this.#sortWaiting(now).map(waiting =>
+            [waiting, this.#resolve(waiting, blocked, now)] as const
+        );
+        this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
+        decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision));
+    }
+
+    /**
+     * Decides about one request.
+     *
+     * @param blocked Kinds of requests for which no target has room; the rest of them is not tried.
+     */
+    #resolve(waiting: WaitingRequest, blocked: Set<string>, now: number): Decision {
+        const { request, isResume } = waiting;
+        const standing = this.#shares.getStanding(request.account, now);
+        const isExcluded = standing.kind === "excluded";
+        const isOverShare = standing.kind === "over";
+        const candidate = isExcluded ? undefined : this.#pick(waiting, isOverShare, blocked, now);
+        if (candidate) {
+            return { kind: "granted", grant: this.#reserve(request, candidate, now) };
+        }
+        if (isResume || (!isExcluded && now < this.#getWaitDeadline(request, isOverShare))) {
+            return { kind: "waiting" };
         }
-        this.#waiting = left;
-        granted.forEach(([waiting, grant]) => waiting.onGrant(grant));
-        refused.forEach(([waiting, reason]) => waiting.onRefuse(reason, this.#estimateRetryAfter()));
+        const reason = this.#targets.size === 0 ? "no-target" : "overloaded";
+        const retryAfterMs = isExcluded
+            ? Math.min(MAX_RETRY_AFTER_MS, standing.returnMs)
+            : this.#estimateRetryAfter();
+        return { kind: "refused", reason, retryAfterMs };
     }
 
-    /** Tokens that a client account may be granted before its requests wait for targets without a queue. */
-    #computeShare(now: number): number {
-        const { usage, getTokensPerSecond } = this.#options;
-        const rate = getTokensPerSecond();
-        return this.#service.engine && rate > 0
-            ? usage.computeShare(rate * KEPT_FACTOR, now)
-            : Number.POSITIVE_INFINITY;
+    #pick(
+        waiting: WaitingRequest,
+        isOverShare: boolean,
+        blocked: Set<string>,
+        now: number,
+    ): TargetCandidate | undefined {
+        const { request, avoided } = waiting;
+        // Beyond the share only the home of the prompt is tried, otherwise any target of the regions will do.
+        const scope = isOverShare ? `home of ${request.prompt.at(-2)?.id}` : "any";
+        const kind = `${scope} ${request.regions.join()}`;
+        if (blocked.has(kind)) {
+            return undefined;
+        }
+        const candidate = this.#picker.pick(waiting, isOverShare, now);
+        if (!candidate && avoided.size === 0) {
+            blocked.add(kind);
+        }
+        return candidate;
     }
 
     /** Time from which a request cannot be on time any more, or, beyond the share, is sent away to come back later. */
@@ -222,6 +256,15 @@
     }
 }
 
+function notifyWaiting(waiting: WaitingRequest, decision: Decision): void {
+    if (decision.kind === "granted") {
+        waiting.onGrant(decision.grant);
+    }
+    else if (decision.kind === "refused") {
+        waiting.onRefuse(decision.reason, decision.retryAfterMs);
+    }
+}
+
 /** A generated token counts twice. */
 function computeTokens(request: RoutedRequest): number {
     return request.promptTokens + OUTPUT_TOKEN_COST * request.outputTokens;
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -1,5 +1,5 @@
 import { estimateTarget } from "./estimateTarget.js";
-import { pickHomeTarget } from "./pickHomeTarget.js";
+import { PromptHomes } from "./promptHomes.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
@@ -19,10 +19,7 @@
     readonly getColdShare: (entry: TargetEntry, limitPerSecond: number) => TargetCandidate["coldShare"];
 }
 
-interface PromptHomes {
-    readonly home?: TargetState | undefined;
-    readonly remote?: TargetState | undefined;
-}
+type Homes = ReturnType<PromptHomes["find"]>;
 
 /** Cost in milliseconds of a target that fails all its requests, so that a faulty one is picked last. */
 const FAILURE_COST_MS = 2000;
@@ -36,9 +33,12 @@
 /** Picks the target of a request. */
 export class TargetPicker {
     readonly #options: TargetPickerOptions;
+    readonly #homes: PromptHomes;
 
     private constructor(options: TargetPickerOptions) {
         this.#options = options;
+        const { place, regions } = options.settings;
+        this.#homes = PromptHomes.create(({ entry }) => regions.get(entry.dataCentre) === place.region);
     }
 
     /** Creates a picker. */
@@ -76,28 +76,15 @@
             && (request.regions.length === 0 || request.regions.includes(region));
     }
 
-    /**
-     * Finds the target of the region that keeps the shared parts of a prompt, and one of another region that keeps them
-     * too. All instances of a region compute the same home, so that a part is read once a region or taken from the next.
-     */
-    #findHomes(request: RoutedRequest, targets: readonly TargetState[]): PromptHomes {
+    #findHomes(request: RoutedRequest, targets: readonly TargetState[]): Homes {
         const shared = request.prompt.at(-2);
-        if (!shared || !this.#options.getService().engine) {
-            return {};
-        }
-        const { place, regions } = this.#options.settings;
-        const isNear = ({ entry }: TargetState): boolean => regions.get(entry.dataCentre) === place.region;
-        const pick = (list: readonly TargetState[]): TargetState | undefined =>
-            this.#options.targets.get(pickHomeTarget(shared.id, list.map(({ entry }) => entry.id)) ?? "");
-        const near = pick(targets.filter(isNear));
-        const remote = pick(targets.filter(target => !isNear(target)));
-        return near ? { home: near, remote } : { home: remote };
+        return shared && this.#options.getService().engine ? this.#homes.find(shared.id, targets) : {};
     }
 
     #buildCandidate(
         target: TargetState,
         request: RoutedRequest,
-        { home, remote }: PromptHomes,
+        { home, remote }: Homes,
         maxQueueMs: number,
         now: number,
     ): TargetCandidate | undefined {
--- a/src/core/routing/targetState.ts
+++ b/src/core/routing/targetState.ts
@@ -1,5 +1,6 @@
 import { DecayingSum } from "./decayingSum.js";
 import type { PeerLoad } from "./peerLoad.js";
+import { PeerLoads } from "./peerLoads.js";
 import { PromptCache } from "./promptCache.js";
 import { RateBucket } from "./rateBucket.js";
 import type { TargetEntry } from "./targetEntry.js";
@@ -30,7 +31,7 @@
     ejectedUntil = 0;
     /** Monotonic time in milliseconds until which the target is treated as cold whatever it says. */
     presumedColdUntil = 0;
-    readonly #peers = new Map<string, PeerLoad>();
+    readonly #peers = PeerLoads.create();
     readonly #failures = DecayingSum.create(HEALTH_WINDOW_MS);
     readonly #results = DecayingSum.create(HEALTH_WINDOW_MS);
     #failuresInRow = 0;
@@ -51,19 +52,24 @@
         return now < Math.max(this.entry.coldUntil, this.presumedColdUntil);
     }
 
-    /** Stores what a peer has sent to the target. */
-    setPeerLoad(instance: string, load: PeerLoad): void {
-        this.#peers.set(instance, load);
+    /** Stores what a peer, or all instances of another data centre, have sent to the target; `undefined` if nothing. */
+    setPeerLoad(peer: string, load: PeerLoad | undefined): void {
+        this.#peers.set(peer, load);
+    }
+
+    /** Sums what some peers have sent to the target. */
+    sumPeerLoads(peers: readonly string[], now: number): PeerLoad {
+        return this.#peers.sumOf(peers, now);
     }
 
     /** Requests in flight at the target, those of peers included. */
     countInFlight(now: number): number {
-        return this.#sumPeers(now, load => load.inFlight) + this.inFlight;
+        return this.#peers.sum(now).inFlight + this.inFlight;
     }
 
     /** Prompt tokens that the target has not finished reading, those of peers included. */
     countPendingTokens(now: number): number {
-        return this.#sumPeers(now, load => load.pendingTokens) + this.pendingTokens;
+        return this.#peers.sum(now).pendingTokens + this.pendingTokens;
     }
 
     /** Share of recent requests that failed, from 0 to 1. */
@@ -92,16 +98,4 @@
         const sample = Math.min(MAX_SLOWNESS, Math.max(1, measuredMs / Math.max(1, expectedMs)));
         this.slowness += (sample - this.slowness) * SLOWNESS_WEIGHT;
     }
-
-    #sumPeers(now: number, read: (load: PeerLoad) => number): number {
-        let sum = 0;
-        for (const [instance, load] of this.#peers) {
-            if (load.validUntil < now) {
-                this.#peers.delete(instance);
-                continue;
-            }
-            sum += read(load);
-        }
-        return sum;
-    }
 }
--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -6,12 +6,12 @@
     readonly directory: RouterSettings["callers"];
     readonly readiness: RouterSettings["callers"];
     readonly termSeconds: number;
-    readonly listAddresses: (caller: Place) => readonly string[];
+    readonly listAddresses: (caller: Place, callerId: string) => readonly string[];
     readonly isReady: () => boolean;
     readonly renderMetrics: () => string;
     readonly onMetricsFailed: (reason: string) => void;
     /** Called for each answer, also an empty one. */
-    readonly onAnswered: (dataCentre: string, addresses: readonly string[]) => void;
+    readonly onAnswered: (dataCentre: string, callerId: string, addresses: readonly string[]) => void;
 }
 
 /** The same as in deploy/system.toml. */
@@ -35,11 +35,11 @@
                 response.writeHead(NOT_FOUND).end();
                 return;
             }
-            const addresses = options.listAddresses({
-                dataCentre: url.searchParams.get("zone") ?? "",
-                region: url.searchParams.get("region") ?? "",
-            });
-            options.onAnswered(url.searchParams.get("zone") ?? "", addresses);
+            const dataCentre = url.searchParams.get("zone") ?? "";
+            const region = url.searchParams.get("region") ?? "";
+            const callerId = incoming.socket.remoteAddress ?? "";
+            const addresses = options.listAddresses({ dataCentre, region }, callerId);
+            options.onAnswered(dataCentre, callerId, addresses);
             if (addresses.length === 0) {
                 response.writeHead(SERVICE_UNAVAILABLE, { "Content-Length": "0" }).end();
                 return;
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -27,15 +27,15 @@
         directory: settings.directory,
         readiness: settings.readiness,
         termSeconds: settings.router.addressTermSeconds,
-        listAddresses: caller => router.listCallerAddresses(caller),
+        listAddresses: (caller, callerId) => router.listCallerAddresses(caller, callerId),
         isReady: () => router.isReady(),
         renderMetrics: () => metrics.render(),
         onMetricsFailed: reason => log.write("metrics-failed", { reason }),
-        onAnswered: (dataCentre, addresses) =>
-            log.write("addresses-answered", { dataCentre, count: addresses.length }),
+        onAnswered: (dataCentre, caller, addresses) =>
+            log.write("addresses-answered", { dataCentre, caller, count: addresses.length }),
     });
     const follower = StoreFollower.create({
-        source: router.createChangeSource(after => store.read(after)),
+        source: router.createChangeSource((after, isUrgent) => store.read(after, isUrgent)),
         directory: router.view.targets,
         log,
         getNow,
--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -10,8 +10,8 @@
 const REVOCATION_MARGIN_MS = 300;
 /** Part of the allowed retries that is used, because windows of instances and bench do not start together. */
 const RETRY_SHARE = 0.75;
-/** Callers may keep an answer for three times its term; a short one keeps them near the present list. */
-const ADDRESS_TERM_SECONDS = 2;
+/** Callers may keep an answer for three times its term; a short one lets a busy instance shed them soon. */
+const ADDRESS_TERM_SECONDS = 1;
 /** Without strict revocation, keys stay usable while the store is away. */
 const UNLIMITED_MS = Number.MAX_SAFE_INTEGER;
 
--- a/src/platform/storeFollower.ts
+++ b/src/platform/storeFollower.ts
@@ -27,10 +27,11 @@
 const CONFIGURATION_KEY = "op/config";
 const EVACUATION_PREFIX = "op/evacuate/";
 const TARGET_PREFIX = "servers/";
+/** Refused calls are billed too; keys are accepted for 4.7 s without a confirmation, so the store is asked often enough. */
 const MIN_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 400;
+const MAX_BACKOFF_MS = 1000;
 /** Calls are billed, and the shortest bound for a change is 2.5 s: changes that come soon after others wait. */
-const MIN_INTERVAL_MS = 400;
+const MIN_INTERVAL_MS = 600;
 
 /** Follows the platform's data and tells the router what has changed. */
 export class StoreFollower {
@@ -38,7 +39,7 @@
     readonly #evacuated = new Set<string>();
     /** Revision up to which everything is known. */
     #revision: number | undefined;
-    #isLost = false;
+    #failures = 0;
     #isStopped = false;
 
     private constructor(options: StoreFollowerOptions) {
@@ -81,17 +82,18 @@
             return;
         }
         directory.setUnreachable(getNow());
-        if (!this.#isLost) {
-            this.#isLost = true;
+        this.#failures += 1;
+        if (this.#failures === 1) {
             log.write("store-lost", { code: error.code, status: error.status });
         }
-        await wait(MIN_BACKOFF_MS + getRandom() * (MAX_BACKOFF_MS - MIN_BACKOFF_MS));
+        const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.#failures);
+        await wait(backoffMs / 2 + getRandom() * backoffMs / 2);
     }
 
     #apply(batch: ChangeBatch): void {
         const { directory, log, getNow, onConfirmed } = this.#options;
-        if (this.#isLost) {
-            this.#isLost = false;
+        if (this.#failures > 0) {
+            this.#failures = 0;
             log.write("store-regained", { revision: batch.revision });
         }
         directory.setReachable(getNow());
--- a/src/platform/storeSource.ts
+++ b/src/platform/storeSource.ts
@@ -42,11 +42,11 @@
     }
 
     /**
-     * Waits for changes after a revision, or reads everything without one.
+     * Waits for changes after a revision, or reads everything without one; an urgent call does not wait.
      *
      * @throws SourceError when the store does not answer; `history-lost` when it has dropped the changes since then.
      */
-    async read(after: number | undefined): Promise<ChangeBatch> {
+    async read(after: number | undefined, isUrgent = false): Promise<ChangeBatch> {
         const confirmedAt = this.#options.getNow();
         const confirmedTimeOfDay = this.#options.getTimeOfDay();
         if (after === undefined) {
@@ -55,7 +55,7 @@
         const query = new URLSearchParams({
             pathPrefix: ALL_KEYS,
             after: String(after),
-            waitMs: String(WATCH_MS),
+            waitMs: String(isUrgent ? 0 : WATCH_MS),
         });
         const page = await this.#readPage("/kv-watch", query, WATCH_MS + TIMEOUT_MS);
         return {
--- a/src/router/changeFeedServer.ts
+++ b/src/router/changeFeedServer.ts
@@ -13,11 +13,13 @@
 
 interface WaitingReader {
     readonly after: number;
+    /** Monotonic time in milliseconds at which the call was received. */
+    readonly receivedAt: number;
     readonly response: ServerResponse;
     readonly deadline: number;
 }
 
-/** Longest wait for a change; the age of the configuration grows by it. */
+/** Longest wait for a change. */
 const MAX_WAIT_MS = 700;
 const POLL_MS = 100;
 const SERVICE_UNAVAILABLE = 503;
@@ -56,7 +58,7 @@
         const isDue = (reader: WaitingReader): boolean => reader.after !== revision || reader.deadline <= now;
         const due = this.#waiting.filter(isDue);
         this.#waiting = this.#waiting.filter(reader => !isDue(reader));
-        due.forEach(reader => this.#send(reader.after, reader.response));
+        due.forEach(reader => this.#send(reader.after, reader.receivedAt, reader.response));
     }
 
     /** Stops to listen. */
@@ -67,18 +69,20 @@
     }
 
     #serve(after: number | undefined, response: ServerResponse): void {
+        const receivedAt = this.#options.getNow();
         if (after === undefined || after !== this.#options.changes.revision) {
-            this.#send(after, response);
+            this.#send(after, receivedAt, response);
             return;
         }
         this.#waiting = [...this.#waiting, {
             after,
+            receivedAt,
             response,
-            deadline: this.#options.getNow() + MAX_WAIT_MS,
+            deadline: receivedAt + MAX_WAIT_MS,
         }];
     }
 
-    #send(after: number | undefined, response: ServerResponse): void {
+    #send(after: number | undefined, receivedAt: number, response: ServerResponse): void {
         const batch = this.#options.changes.listSince(after);
         if (!batch) {
             response.writeHead(SERVICE_UNAVAILABLE, { "Content-Length": "0" }).end();
@@ -86,8 +90,9 @@
         }
         const { confirmedAt, confirmedTimeOfDay, ...content } = batch;
         // Clocks of two instances cannot be compared, so the age is sent; the greater one counts after a pause.
-        const ageMs = Math.max(this.#options.getNow() - confirmedAt, Date.now() - confirmedTimeOfDay);
-        const body = JSON.stringify({ ...content, ageMs });
+        const now = this.#options.getNow();
+        const ageMs = Math.max(now - confirmedAt, Date.now() - confirmedTimeOfDay);
+        const body = JSON.stringify({ ...content, ageMs, waitedMs: now - receivedAt });
         response.writeHead(200, {
             "Content-Type": "application/json",
             "Content-Length": String(Buffer.byteLength(body)),
--- a/src/router/deploymentView.ts
+++ b/src/router/deploymentView.ts
@@ -7,6 +7,7 @@
 interface DeploymentViewOptions {
     readonly services: ServicePool;
     readonly log: LogSink;
+    readonly onConfiguration: (configuration: RouterConfiguration) => void;
     /** A key may be used this long after the configuration was last confirmed, in milliseconds. */
     readonly keyFreshnessMs: number;
     /** Monotonic time in milliseconds. */
@@ -61,6 +62,7 @@
         this.#configuration = configuration;
         this.#options.log.write("configuration-adopted", { version: configuration.version });
         this.#options.services.applyConfiguration(configuration);
+        this.#options.onConfiguration(configuration);
         this.updateTargets();
     }
 
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -1,5 +1,7 @@
 import type { AccountUsage } from "../core/routing/accountUsage.js";
+import type { ChangeReaders } from "../core/routing/changeReaders.js";
 import { computeColdShare } from "../core/routing/computeColdShare.js";
+import { findChangeReaders } from "../core/routing/findChangeReaders.js";
 import { listCallerAddresses } from "../core/routing/listCallerAddresses.js";
 import { listColdUsers } from "../core/routing/listColdUsers.js";
 import { listDelegates } from "../core/routing/listDelegates.js";
@@ -9,6 +11,7 @@
 import type { Place } from "../core/routing/place.js";
 import type { TargetEntry } from "../core/routing/targetEntry.js";
 import { pickSome } from "../shared/pickSome.js";
+import { buildMemberRecord } from "./buildMemberRecord.js";
 import { createMembership } from "./createMembership.js";
 import type { LogSink } from "./logSink.js";
 import { parsePeerReport } from "./parsePeerReport.js";
@@ -23,17 +26,21 @@
     readonly getNow: () => number;
     readonly getState: () => MemberRecord["state"];
     readonly listLoads: () => PeerReport["loads"];
+    /** Loads that this instance and the named peers have put on targets. */
+    readonly listDataCentreLoads: (peers: readonly string[]) => PeerReport["loads"];
     readonly onLoads: (sender: string, loads: PeerReport["loads"], validUntil: number) => void;
 }
 
 /** Peers of the same data centre share their targets, so they hear of each other's load within this time. */
 const REPORT_INTERVAL_MS = 150;
-/** Delegates tell other data centres about theirs this often; traffic between regions is billed. */
-const SUMMARY_INTERVAL_MS = 600;
+/** The first delegate tells other data centres about its own this often; traffic between regions is billed. */
+const SUMMARY_INTERVAL_MS = 300;
 /** Other members that a report names, so that a starting instance learns of all. */
 const RELAYED_MEMBERS = 3;
 /** A report of load counts for four intervals, so that a lost datagram does not hide it. */
 const LOAD_VALIDITY_MS = 600;
+/** The same for the loads of another data centre. */
+const REMOTE_LOAD_VALIDITY_MS = 1200;
 const USAGE_VALIDITY_MS = 3000;
 /** A starting instance does not know yet among how many it has to divide the limit of a cold target. */
 const LEARNING_MS = 2000;
@@ -77,20 +84,17 @@
     }
 
     /** Lists the addresses that a caller should use. */
-    listCallerAddresses(caller: Place): readonly string[] {
-        return listCallerAddresses([this.#describeSelf(), ...this.#listPeers()], caller);
+    listCallerAddresses(caller: Place, callerId: string): readonly string[] {
+        return listCallerAddresses([this.#describeSelf(), ...this.#listPeers()], caller, callerId);
     }
 
-    /** Hosts of the instances that read the platform for this data centre; empty if this instance reads it itself. */
-    listReaderHosts(): readonly string[] {
+    /** Finds the instances that read the platform for this data centre. */
+    findReaders(): ChangeReaders {
         const { place, instance } = this.#options.settings;
         const peers = this.#listPeers().filter(peer =>
             peer.dataCentre === place.dataCentre && peer.state !== "closed"
         );
-        const readers = pickReaders([instance, ...peers.map(peer => peer.name)]);
-        return readers.includes(instance)
-            ? []
-            : peers.filter(peer => readers.includes(peer.name)).map(peer => peer.ip);
+        return findChangeReaders(instance, peers);
     }
 
     /** Rate and burst at which this instance may use a cold target; `undefined` if it must not. */
@@ -133,17 +137,11 @@
 
     #describeSelf(): MemberRecord {
         const { settings, getState } = this.#options;
-        return {
-            name: settings.instance,
-            dataCentre: settings.place.dataCentre,
-            region: settings.place.region,
-            ip: settings.peers.host,
-            callerAddress: `${settings.callers.host}:${settings.callers.port}`,
+        return buildMemberRecord(settings, {
             incarnation: this.#incarnation,
             sequence: this.#sequence,
             state: getState(),
-            weight: settings.weight,
-        };
+        });
     }
 
     #report(): void {
@@ -156,15 +154,16 @@
 
     /** A delegate tells one delegate of each other data centre about all instances of its own. */
     #sendSummary(peers: readonly MemberRecord[]): void {
-        const { settings, usage, listLoads, getNow } = this.#options;
+        const { settings, usage, listDataCentreLoads, getNow } = this.#options;
         const now = getNow();
         if (now < this.#nextSummaryAt) {
             return;
         }
         this.#nextSummaryAt = now + SUMMARY_INTERVAL_MS;
         const { dataCentre } = settings.place;
-        const near = [this.#describeSelf(), ...peers.filter(peer => peer.dataCentre === dataCentre)];
-        if (!pickReaders(near.map(member => member.name)).includes(settings.instance)) {
+        const neighbours = peers.filter(peer => peer.dataCentre === dataCentre);
+        const near = [this.#describeSelf(), ...neighbours];
+        if (pickReaders(near.map(member => member.name))[0] !== settings.instance) {
             return;
         }
         const receivers = listDelegates(peers, dataCentre).flatMap(delegates => pickSome(delegates, 1));
@@ -172,7 +171,7 @@
         const report: PeerReport = {
             scope: "data-centre",
             sender: this.#describeSelf(),
-            loads: listLoads(),
+            loads: listDataCentreLoads(neighbours.map(peer => peer.name)),
             usage: usage.listDataCentre(now),
             others: near,
         };
@@ -236,7 +235,12 @@
             usage.setRemoteUsage(sender.dataCentre, { tokens, validUntil });
             this.#relay(report, host);
         }
-        onLoads(sender.name, report.loads, now + (isNear ? LOAD_VALIDITY_MS : USAGE_VALIDITY_MS));
+        if (isNear) {
+            onLoads(sender.name, report.loads, now + LOAD_VALIDITY_MS);
+        }
+        else if (report.scope === "data-centre") {
+            onLoads(`data centre ${sender.dataCentre}`, report.loads, now + REMOTE_LOAD_VALIDITY_MS);
+        }
     }
 
     /** Passes a summary of another data centre on to the own one, if it came from there and not from a neighbour. */
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
+import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { LogSink } from "./logSink.js";
 import type { RequestFacts } from "./requestFacts.js";
@@ -19,16 +20,21 @@
         path: string,
         receivedAt: number,
     ) => ReturnType<typeof resolveRequest>;
-    readonly getMaxBodyBytes: () => number;
+    /** What callers may send and for how long they may rest; `undefined` until a configuration is known. */
+    readonly getLimits: () => RouterConfiguration["limits"] | undefined;
     readonly isLeaving: () => boolean;
     readonly serve: (exchange: CallerExchange) => void;
     readonly onRefused: (reason: string) => void;
 }
 
 const MAX_HEADER_BYTES = 32_768;
-/** Callers use idle connections for up to four fifths of the configured 15 s; closing later avoids crossing them. */
-const KEEP_ALIVE_MS = 20_000;
-const HEADERS_TIMEOUT_MS = 10_000;
+/** Callers use idle connections for up to four fifths of the configured time; closing later avoids crossing them. */
+const IDLE_MARGIN_MS = 5000;
+const DEFAULT_IDLE_MS = 15_000;
+/** Callers stay within the configured time for headers; a late process reads them later. */
+const HEADERS_MARGIN_MS = 7000;
+const DEFAULT_HEADERS_MS = 3000;
+const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** Connections that the operating system queues while the process is busy; a full queue costs a caller seconds. */
 const LISTEN_BACKLOG = 1024;
 const PAYLOAD_TOO_LARGE = 413;
@@ -45,8 +51,8 @@
         this.#options = options;
         this.#server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
-            keepAliveTimeout: KEEP_ALIVE_MS,
-            headersTimeout: HEADERS_TIMEOUT_MS,
+            keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_MARGIN_MS,
+            headersTimeout: DEFAULT_HEADERS_MS + HEADERS_MARGIN_MS,
             requestTimeout: 0,
             noDelay: true,
         }, (incoming, response) => this.#accept(incoming, response));
@@ -77,9 +83,10 @@
         return ingress;
     }
 
-    /** Closes connections on which no request is open. */
-    closeIdle(): void {
-        this.#server.closeIdleConnections();
+    /** Applies the time limits of a new configuration. */
+    applyLimits(limits: RouterConfiguration["limits"]): void {
+        this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+        this.#server.headersTimeout = limits.headerTimeoutMs + HEADERS_MARGIN_MS;
     }
 
     /** Stops to accept connections and closes the idle ones. */
@@ -127,7 +134,7 @@
             length += chunk.length;
             this.#bufferedBytes += chunk.length;
             chunks.push(chunk);
-            const isTooLarge = length > this.#options.getMaxBodyBytes();
+            const isTooLarge = length > (this.#options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
             if (isTooLarge || this.#bufferedBytes > this.#options.maxBufferedBytes) {
                 isRefused = true;
                 chunks.length = 0;
--- a/src/router/peerChangeSource.ts
+++ b/src/router/peerChangeSource.ts
@@ -16,6 +16,8 @@
     readonly isWhole: boolean;
     readonly revision: number;
     readonly ageMs: number;
+    /** Time for which the reader kept the call waiting. */
+    readonly waitedMs: number;
 }
 
 /** The feed answers within 0.7 s; the rest is for a busy instance. */
@@ -53,17 +55,18 @@
         }) as Partial<FeedAnswer> | null;
         if (
             !answer || !Array.isArray(answer.changes) || typeof answer.revision !== "number"
-            || typeof answer.ageMs !== "number"
+            || typeof answer.ageMs !== "number" || typeof answer.waitedMs !== "number"
         ) {
             throw SourceError.create("invalid-body");
         }
-        // The answer was made after the call was sent, so the age is not understated.
+        // The answer was made at least its wait after the call was sent, so the age is not understated.
+        const sinceSentMs = answer.waitedMs - answer.ageMs;
         return {
             changes: answer.changes as readonly Change[],
             isWhole: answer.isWhole === true,
             revision: answer.revision,
-            confirmedAt: sentAt - answer.ageMs,
-            confirmedTimeOfDay: sentTimeOfDay - answer.ageMs,
+            confirmedAt: sentAt + sinceSentMs,
+            confirmedTimeOfDay: sentTimeOfDay + sinceSentMs,
         };
     }
 
--- a/src/router/relayedChangeSource.ts
+++ b/src/router/relayedChangeSource.ts
@@ -1,5 +1,6 @@
 import type { ChangeBatch } from "../core/routing/changeBatch.js";
 import type { ChangeLog } from "../core/routing/changeLog.js";
+import type { ChangeReaders } from "../core/routing/changeReaders.js";
 import type { ChangeSource } from "../core/routing/changeSource.js";
 import { SourceError } from "../core/routing/sourceError.js";
 import type { LogSink } from "./logSink.js";
@@ -7,8 +8,7 @@
 interface RelayedChangeSourceOptions {
     readonly direct: ChangeSource;
     readonly readPeer: (host: string, after: number | undefined) => Promise<ChangeBatch>;
-    /** Hosts of the instances that read the platform for the data centre; empty if this instance does. */
-    readonly listReaderHosts: () => readonly string[];
+    readonly findReaders: () => ChangeReaders;
     /** What this instance hands on itself. */
     readonly changes: ChangeLog;
     readonly log: LogSink;
@@ -16,8 +16,6 @@
     readonly getNow: () => number;
 }
 
-/** A reader whose own copy is older has lost the platform; the age includes the waits of both calls. */
-const MAX_AGE_MS = 3200;
 /** After a failure of all readers, the platform is read directly for this long. */
 const DIRECT_MS = 3000;
 
@@ -41,28 +39,33 @@
      * @throws SourceError when neither a reader nor the platform answers.
      */
     async read(after: number | undefined): Promise<ChangeBatch> {
-        const { direct, changes, listReaderHosts, getNow } = this.#options;
-        const hosts = listReaderHosts();
-        if (hosts.length > 0 && getNow() >= this.#directUntil) {
-            const relayed = await this.#readPeers(hosts, after);
+        let isUrgent = false;
+        const { direct, changes, findReaders, getNow } = this.#options;
+        const readers = findReaders();
+        if (readers.hosts.length > 0 && getNow() >= this.#directUntil) {
+            const relayed = await this.#readPeers(readers, after);
             if (relayed) {
                 changes.append(relayed);
                 return relayed;
             }
             this.#directUntil = getNow() + DIRECT_MS;
+            isUrgent = true;
         }
-        const batch = await direct(after);
+        const batch = await direct(after, isUrgent);
         changes.append(batch);
         return batch;
     }
 
-    async #readPeers(hosts: readonly string[], after: number | undefined): Promise<ChangeBatch | undefined> {
+    async #readPeers(
+        { hosts, maxAgeMs }: ChangeReaders,
+        after: number | undefined,
+    ): Promise<ChangeBatch | undefined> {
         const { readPeer, log, getNow } = this.#options;
         for (const host of hosts) {
             try {
                 const batch = await readPeer(host, after);
                 const ageMs = getNow() - batch.confirmedAt;
-                if (ageMs <= MAX_AGE_MS && batch.revision >= (after ?? 0)) {
+                if (ageMs <= maxAgeMs && batch.revision >= (after ?? 0)) {
                     return batch;
                 }
                 log.write("reader-stale", {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -2,7 +2,6 @@
 import { AccountUsage } from "../core/routing/accountUsage.js";
 import { ChangeLog } from "../core/routing/changeLog.js";
 import type { ChangeSource } from "../core/routing/changeSource.js";
-import { LagMeter } from "../core/routing/lagMeter.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { Place } from "../core/routing/place.js";
 import { resolveRequest } from "../core/routing/resolveRequest.js";
@@ -11,6 +10,7 @@
 import { DeploymentView } from "./deploymentView.js";
 import { FleetView } from "./fleetView.js";
 import { Ingress } from "./ingress.js";
+import { LoadObserver } from "./loadObserver.js";
 import type { LogSink } from "./logSink.js";
 import { PeerChangeSource } from "./peerChangeSource.js";
 import { RelayedChangeSource } from "./relayedChangeSource.js";
@@ -33,7 +33,6 @@
 const CHECK_INTERVAL_MS = 40;
 /** Part of the memory of the machine that bodies may take. */
 const BODY_MEMORY_SHARE = 0.15;
-const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** A process this late collects events and writes them together. */
 const LATE_MS = 15;
 /** A process this late refuses streams, because it would deliver none of them on time. */
@@ -53,7 +52,7 @@
     readonly #usage = AccountUsage.create(USAGE_WINDOW_MS);
     readonly #changes = ChangeLog.create();
     readonly #view: DeploymentView;
-    readonly #lag = LagMeter.create();
+    readonly #load: LoadObserver;
     readonly #agents = TargetAgents.create();
     readonly #services: ServicePool;
     readonly #active = new Set<RequestForwarder>();
@@ -70,6 +69,7 @@
     private constructor(options: RouterOptions) {
         this.#options = options;
         const { settings } = options;
+        this.#load = LoadObserver.create(options.log);
         this.#peerSource = PeerChangeSource.create({
             port: settings.peers.port,
             getNow: this.#getNow,
@@ -84,6 +84,7 @@
         this.#view = DeploymentView.create({
             services: this.#services,
             log: options.log,
+            onConfiguration: ({ limits }) => this.#ingress?.applyLimits(limits),
             keyFreshnessMs: settings.keyFreshnessMs,
             getNow: this.#getNow,
             getTimeOfDay: Date.now,
@@ -107,9 +108,9 @@
         return this.#getState() !== "closed";
     }
 
-    /** Lists the addresses that a caller at a place should use. */
-    listCallerAddresses(caller: Place): readonly string[] {
-        return this.#fleet?.listCallerAddresses(caller) ?? [];
+    /** Lists the addresses that a caller at a place should use; `callerId` tells callers of a place apart. */
+    listCallerAddresses(caller: Place, callerId: string): readonly string[] {
+        return this.#fleet?.listCallerAddresses(caller, callerId) ?? [];
     }
 
     /** Returns a source of the platform's changes that spares the platform where neighbours read it already. */
@@ -117,7 +118,7 @@
         const source = RelayedChangeSource.create({
             direct,
             readPeer: (host, after) => this.#peerSource.read(host, after),
-            listReaderHosts: () => this.#fleet?.listReaderHosts() ?? [],
+            findReaders: () => this.#fleet?.findReaders() ?? { hosts: [], maxAgeMs: 0 },
             changes: this.#changes,
             log: this.#options.log,
             getNow: this.#getNow,
@@ -161,6 +162,7 @@
             getNow: this.#getNow,
             getState: () => this.#getState(),
             listLoads: () => this.#services.listLoads(),
+            listDataCentreLoads: peers => this.#services.listDataCentreLoads(this.#getNow(), peers),
             onLoads: (peer, loads, validUntil) => this.#services.setPeerLoads(peer, loads, validUntil),
         });
         this.#feed = await ChangeFeedServer.create({
@@ -179,19 +181,19 @@
                 resolveRequest(facts, path, {
                     configuration: this.#view.configuration,
                     isFresh: this.#view.isFresh(),
-                    isOverloaded: this.#lag.averageMs > OVERLOADED_MS,
+                    isOverloaded: this.#load.averageMs > OVERLOADED_MS,
                     finishBy: this.#finishBy,
                     receivedAt,
                     random: Math.random(),
                 }),
-            getMaxBodyBytes: () => this.#view.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+            getLimits: () => this.#view.configuration?.limits,
             isLeaving: () => this.#isLeaving,
             serve: exchange => this.#serve(exchange),
             onRefused: reason => metrics.countRefusal(reason),
         });
         metrics.registerGauges({
             requests_active: () => this.#active.size,
-            lag_ms: () => this.#lag.averageMs,
+            lag_ms: () => this.#load.averageMs,
             configuration_age_ms: () => this.#view.ageMs,
             peers_live: () => this.#fleet?.countPeers() ?? 0,
             log_lines_dropped: () => log.droppedTotal,
@@ -201,7 +203,7 @@
     }
 
     #isLate(): boolean {
-        return this.#lag.averageMs > LATE_MS;
+        return this.#load.averageMs > LATE_MS;
     }
 
     #getState(): MemberRecord["state"] {
@@ -211,7 +213,7 @@
         if (!this.#view.isFresh()) {
             return "limited";
         }
-        return this.#lag.isBusy ? "busy" : "open";
+        return this.#load.isBusy ? "busy" : "open";
     }
 
     #serve(exchange: CallerExchange): void {
@@ -241,7 +243,7 @@
 
     #check(): void {
         const now = this.#getNow();
-        this.#lag.observe(now - this.#nextCheckAt);
+        this.#load.observe(now - this.#nextCheckAt, this.#active.size);
         this.#nextCheckAt = now + CHECK_INTERVAL_MS;
         this.#view.expireTargets(now);
         for (const forwarder of this.#active) {
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -3,6 +3,7 @@
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import type { TargetEntry } from "../core/routing/targetEntry.js";
+import type { TargetState } from "../core/routing/targetState.js";
 import type { RouterSettings } from "./routerSettings.js";
 import { schedulerTuning } from "./schedulerTuning.js";
 
@@ -25,6 +26,8 @@
 export class ServicePool {
     readonly #options: ServicePoolOptions;
     readonly #services = new Map<string, PooledService>();
+    /** Targets that each peer has named with load in its last report. */
+    readonly #peerTargets = new Map<string, ReadonlySet<string>>();
 
     private constructor(options: ServicePoolOptions) {
         this.#options = options;
@@ -80,24 +83,61 @@
 
     /** Lists the load that this instance has put on targets. */
     listLoads(): readonly (readonly [id: string, inFlight: number, pendingTokens: number])[] {
-        return [...this.#services.values()].flatMap(({ scheduler }) =>
-            [...scheduler.targets.values()]
-                .filter(target => target.inFlight > 0)
-                .map(target => [target.entry.id, target.inFlight, Math.round(target.pendingTokens)] as const)
-        );
+        return this.#listTargets()
+            .filter(target => target.inFlight > 0)
+            .map(target => [target.entry.id, target.inFlight, Math.round(target.pendingTokens)] as const);
     }
 
-    /** Stores the load that a peer has put on targets, until a monotonic time in milliseconds. */
+    /** Replaces the loads that a peer has put on targets; they count until a monotonic time in milliseconds. */
     setPeerLoads(
         peer: string,
         loads: readonly (readonly [id: string, inFlight: number, pendingTokens: number])[],
         validUntil: number,
     ): void {
+        const named = new Set(loads.map(([id]) => id));
+        for (const id of this.#peerTargets.get(peer) ?? []) {
+            if (!named.has(id)) {
+                this.#findTarget(id)?.setPeerLoad(peer, undefined);
+            }
+        }
+        this.#peerTargets.set(peer, named);
         for (const [id, inFlight, pendingTokens] of loads) {
-            for (const { scheduler } of this.#services.values()) {
-                scheduler.targets.get(id)?.setPeerLoad(peer, { inFlight, pendingTokens, validUntil });
+            this.#findTarget(id)?.setPeerLoad(peer, { inFlight, pendingTokens, validUntil });
+        }
+    }
+
+    /** Lists the load that the instances of this data centre have put on targets, as far as they have reported it. */
+    listDataCentreLoads(
+        now: number,
+        peers: readonly string[],
+    ): readonly (readonly [id: string, inFlight: number, pendingTokens: number])[] {
+        return this.#listTargets().flatMap(target => {
+            const near = target.sumPeerLoads(peers, now);
+            const inFlight = target.inFlight + near.inFlight;
+            return inFlight > 0
+                ? [
+                    [
+                        target.entry.id,
+                        inFlight,
+                        Math.round(target.pendingTokens + near.pendingTokens),
+                    ] as const,
+                ]
+                : [];
+        });
+    }
+
+    #listTargets(): readonly TargetState[] {
+        return [...this.#services.values()].flatMap(({ scheduler }) => [...scheduler.targets.values()]);
+    }
+
+    #findTarget(id: string): TargetState | undefined {
+        for (const { scheduler } of this.#services.values()) {
+            const target = scheduler.targets.get(id);
+            if (target) {
+                return target;
             }
         }
+        return undefined;
     }
 
     /** Lets waiting requests proceed. */
--- /dev/null
+++ b/test/core/routing/findChangeReaders.test.ts
@@ -0,0 +1,44 @@
+import test from "ava";
+import { findChangeReaders } from "../../../src/core/routing/findChangeReaders.js";
+import type { MemberRecord } from "../../../src/core/routing/memberRecord.js";
+import { pickReaders } from "../../../src/core/routing/pickReaders.js";
+
+const NAMES = Array.from({ length: 8 }, (_, i) => `m${i}`);
+
+function makePeer(name: string): MemberRecord {
+    return {
+        name,
+        dataCentre: "a",
+        region: "r",
+        ip: `ip-${name}`,
+        callerAddress: `${name}:1`,
+        incarnation: 1,
+        sequence: 1,
+        state: "open",
+        weight: 1,
+    };
+}
+
+function find(instance: string, names: readonly string[]): ReturnType<typeof findChangeReaders> {
+    return findChangeReaders(instance, names.filter(name => name !== instance).map(makePeer));
+}
+
+test("one instance of a large data centre reads the platform; the second reader goes through it, the rest through both", t => {
+    const [first = "", second = ""] = pickReaders(NAMES);
+    t.deepEqual(find(first, NAMES).hosts, []);
+    t.deepEqual(find(second, NAMES).hosts, [`ip-${first}`]);
+    const others = NAMES.filter(name => name !== first && name !== second);
+    others.forEach(name => t.deepEqual(find(name, NAMES).hosts, [`ip-${first}`, `ip-${second}`]));
+});
+
+test("the second reader gives a reader up before the others do, so that they find one that is up to date", t => {
+    const [, second = "", ...rest] = pickReaders(NAMES);
+    const other = NAMES.find(name => !pickReaders(NAMES).includes(name)) ?? "";
+    t.is(rest.length, 0);
+    t.true(find(second, NAMES).maxAgeMs < find(other, NAMES).maxAgeMs);
+});
+
+test("each instance of a small data centre reads the platform itself", t => {
+    const names = NAMES.slice(0, 3);
+    names.forEach(name => t.deepEqual(find(name, names).hosts, []));
+});
--- /dev/null
+++ b/test/core/routing/lagMeter.test.ts
@@ -0,0 +1,23 @@
+import test from "ava";
+import { LagMeter } from "../../../src/core/routing/lagMeter.js";
+
+test("burst: a process whose loop never rests counts as busy though its timers are on time", t => {
+    const meter = LagMeter.create();
+    for (let i = 0; i < 50; i += 1) {
+        meter.observe(5, 1);
+    }
+    t.true(meter.isBusy);
+    for (let i = 0; i < 50; i += 1) {
+        meter.observe(5, 0.3);
+    }
+    t.false(meter.isBusy);
+});
+
+test("a short time of full use does not take an instance out of the directory", t => {
+    const meter = LagMeter.create();
+    meter.observe(0, 0.2);
+    for (let i = 0; i < 5; i += 1) {
+        meter.observe(20, 1);
+    }
+    t.false(meter.isBusy);
+});
--- /dev/null
+++ b/test/testing/scheduler/createScheduler.ts
@@ -0,0 +1,36 @@
+import { AccountUsage } from "../../../src/core/routing/accountUsage.js";
+import { ServiceScheduler } from "../../../src/core/routing/serviceScheduler.js";
+
+const WINDOW_MS = 4000;
+
+/** Creates the scheduler of the service `s` in data centre `a`, without targets. */
+export function createScheduler(
+    tokensPerSecond = 0,
+    getColdShare: () => undefined = () => undefined,
+): { scheduler: ServiceScheduler; usage: AccountUsage; } {
+    const usage = AccountUsage.create(WINDOW_MS);
+    const scheduler = ServiceScheduler.create({
+        service: {
+            name: "s",
+            maxConnections: 100,
+            warmupMs: 3000,
+            coldRequestsPerSecond: 13,
+            engine: { slots: 4, memoryTokens: 100_000 },
+        },
+        settings: {
+            place: { dataCentre: "a", region: "r" },
+            regions: new Map([["a", "r"], ["b", "s"]]),
+            prefillTokensPerMs: 50,
+            engineQueueMs: 200,
+            overShareQueueMs: 50,
+            coldFactor: 1.5,
+            coldSlack: 5,
+            dataCentreDelayMs: 1,
+            regionDelayMs: 20,
+        },
+        usage,
+        getTokensPerSecond: () => tokensPerSecond,
+        getColdShare,
+    });
+    return { scheduler, usage };
+}
--- /dev/null
+++ b/test/testing/scheduler/enqueueRequest.ts
@@ -0,0 +1,26 @@
+import type { RoutedRequest } from "../../../src/core/routing/routedRequest.js";
+import type { ServiceScheduler } from "../../../src/core/routing/serviceScheduler.js";
+import type { TargetGrant } from "../../../src/core/routing/targetGrant.js";
+
+interface Outcome {
+    grant: TargetGrant | undefined;
+    refusal: string | undefined;
+}
+
+/** Enqueues a request and records what becomes of it. */
+export function enqueueRequest(
+    scheduler: ServiceScheduler,
+    request: RoutedRequest,
+    now: number,
+    options: { readonly avoided?: ReadonlySet<string>; readonly isResume?: boolean; } = {},
+): Outcome {
+    const outcome: Outcome = { grant: undefined, refusal: undefined };
+    scheduler.enqueue({
+        request,
+        avoided: options.avoided ?? new Set(),
+        isResume: options.isResume ?? false,
+        onGrant: grant => outcome.grant = grant,
+        onRefuse: reason => outcome.refusal = reason,
+    }, now);
+    return outcome;
+}
