Tell others which targets have read a prompt part; keep a flood from clogging one instance

The home of a part in each region read it anew, because a router did not know which target of another region had read it. Ruled out: an own subset of addresses for each caller, since these callers do not follow it (reverted here). Change: reports carry sightings (part, target) of parts of 256 tokens and more; a target that lacks a part fetches it from one that has it, and a target that has it is preferred. The accept queue holds 32 connections. Requests of an account that gets nothing are refused from their head. The accept queue and the early refusal are not measured yet.

--- a/src/core/routing/estimateTarget.ts
+++ b/src/core/routing/estimateTarget.ts
@@ -26,8 +26,10 @@
     request: RoutedRequest,
     options: {
         readonly isEngine: boolean;
-        readonly isHome: boolean;
-        readonly hasHome: boolean;
+        /** True if the target probably keeps the shared parts of the prompt, whoever has sent them. */
+        readonly keepsShared: boolean;
+        /** True if it can fetch them from another target. */
+        readonly canFetch: boolean;
         readonly now: number;
     },
     settings: SchedulerSettings,
@@ -39,10 +41,9 @@
     }
     const queueMs = target.countPendingTokens(options.now) / settings.prefillTokensPerMs;
     const known = target.cache.countParts(request.prompt);
-    // All instances send the shared parts of a prompt to its home, which therefore probably keeps all but the last part.
-    const kept = options.isHome ? Math.max(known, request.prompt.length - 1) : known;
+    const kept = options.keepsShared ? Math.max(known, request.prompt.length - 1) : known;
     const missingTokens = Math.max(1, request.promptTokens - sumTokens(request.prompt.slice(0, kept)));
-    const movedTokens = options.hasHome ? sumTokens(request.prompt.slice(kept, -1)) : 0;
+    const movedTokens = options.canFetch ? sumTokens(request.prompt.slice(kept, -1)) : 0;
     return {
         queueMs,
         missingTokens,
--- a/src/core/routing/listCallerAddresses.ts
+++ b/src/core/routing/listCallerAddresses.ts
@@ -1,25 +1,15 @@
 import type { MemberRecord } from "./memberRecord.js";
 import type { Place } from "./place.js";
-import { rankMembers } from "./rankMembers.js";
 
-/**
- * Addresses of one answer. Each caller gets its own few, so that the callers of one client account, which may all choose
- * by the same rule, do not meet at one instance.
- */
-const ANSWER_SIZE = 4;
+/** A longer answer gains a caller nothing, and the platform limits it to this many. */
+const MAX_ADDRESSES = 64;
 
 /**
  * Lists the addresses that a caller at a place should use: open instances of its data centre, else of its region. Busy
  * instances of the region go before open ones of another, because ways between regions are slow and billed, and requests
  * may have to stay in theirs. Those that only take requests without a key are listed when no other is left.
- *
- * @param callerId Identifies the caller, so that it gets the same addresses as long as the members stay the same.
  */
-export function listCallerAddresses(
-    members: readonly MemberRecord[],
-    caller: Place,
-    callerId: string,
-): readonly string[] {
+export function listCallerAddresses(members: readonly MemberRecord[], caller: Place): readonly string[] {
     const isNear = (member: MemberRecord): boolean => member.dataCentre === caller.dataCentre;
     const isInRegion = (member: MemberRecord): boolean => member.region === caller.region;
     const list = (state: MemberRecord["state"]): readonly MemberRecord[] =>
@@ -39,5 +29,5 @@
         limited,
     ];
     const pool = pools.find(candidates => candidates.length > 0) ?? [];
-    return rankMembers(pool, callerId).slice(0, ANSWER_SIZE).map(member => member.callerAddress);
+    return pool.slice(0, MAX_ADDRESSES).map(member => member.callerAddress);
 }
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,7 +1,10 @@
 import { AccountShares } from "./accountShares.js";
 import type { AccountUsage } from "./accountUsage.js";
+import { computeRequestTokens } from "./computeRequestTokens.js";
+import type { PromptHolders } from "./promptHolders.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
+import type { SchedulerDecision } from "./schedulerDecision.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
 import type { TargetCandidate } from "./targetCandidate.js";
 import type { TargetEntry } from "./targetEntry.js";
@@ -14,14 +17,13 @@
     readonly service: RoutedService;
     readonly settings: SchedulerSettings;
     readonly usage: AccountUsage;
+    readonly holders: PromptHolders;
     /** Tokens a second that all engines process together; 0 if unknown. */
     readonly getTokensPerSecond: () => number;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (entry: TargetEntry, limitPerSecond: number) => TargetCandidate["coldShare"];
 }
 
-/** A generated token costs an engine about as much as this many prompt tokens. */
-const OUTPUT_TOKEN_COST = 2;
 /** Waiting requests of one service above which new ones are refused, to bound memory. */
 const MAX_WAITING = 2000;
 /** A request beyond its account's share waits for this part of its objective; longer waits are billed as late refusals. */
@@ -31,15 +33,6 @@
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 3000;
 
-type Decision =
-    | { readonly kind: "granted"; readonly grant: TargetGrant; }
-    | { readonly kind: "waiting"; }
-    | {
-        readonly kind: "refused";
-        readonly reason: "no-target" | "overloaded";
-        readonly retryAfterMs: number;
-    };
-
 /** Decides which waiting request of a service goes to which target, and which is refused. */
 export class ServiceScheduler {
     readonly #options: ServiceSchedulerOptions;
@@ -60,6 +53,7 @@
         this.#picker = TargetPicker.create({
             targets: this.#targets,
             settings: options.settings,
+            holders: options.holders,
             getService: () => this.#service,
             getEvacuated: () => this.#evacuated,
             getColdShare: options.getColdShare,
@@ -120,7 +114,7 @@
             return;
         }
         if (!waiting.isResume) {
-            this.#options.usage.addAsked(waiting.request.account, computeTokens(waiting.request), now);
+            this.#options.usage.addAsked(waiting.request.account, computeRequestTokens(waiting.request), now);
         }
         // Requests that wait already had no use for the present places, so only the new one is tried.
         const decision = this.#resolve(waiting, new Set(), now);
@@ -130,6 +124,16 @@
         notifyWaiting(waiting, decision);
     }
 
+    /** Returns the time in milliseconds after which a request of an account that gets nothing now may come back. */
+    findReturnTime(request: RoutedRequest, now: number): number | undefined {
+        const { kind, returnMs } = this.#shares.getStanding(request.account, now);
+        if (kind !== "excluded") {
+            return undefined;
+        }
+        this.#options.usage.addAsked(request.account, computeRequestTokens(request), now);
+        return Math.min(MAX_RETRY_AFTER_MS, returnMs);
+    }
+
     /** Removes a request whose caller has left. */
     withdraw(waiting: WaitingRequest): void {
         this.#waiting = this.#waiting.filter(other => other !== waiting);
@@ -138,6 +142,9 @@
     /** Records the first event of an answer: the target has read the prompt. */
     start(grant: TargetGrant, now: number): void {
         grant.target.pendingTokens -= grant.missingTokens;
+        if (grant.sharedPartId !== undefined) {
+            this.#options.holders.record(grant.sharedPartId, grant.target.entry.id, now);
+        }
         grant.target.recordFirstEvent(now - grant.grantedAt, grant.expectedMs);
         this.advance(now);
     }
@@ -169,11 +176,10 @@
      *
      * @param blocked Kinds of requests for which no target has room; the rest of them is not tried.
      */
-    #resolve(waiting: WaitingRequest, blocked: Set<string>, now: number): Decision {
+    #resolve(waiting: WaitingRequest, blocked: Set<string>, now: number): SchedulerDecision {
         const { request, isResume } = waiting;
-        const standing = this.#shares.getStanding(request.account, now);
-        const isExcluded = standing.kind === "excluded";
-        const isOverShare = standing.kind === "over";
+        const { kind, returnMs } = this.#shares.getStanding(request.account, now);
+        const [isExcluded, isOverShare] = [kind === "excluded", kind === "over"];
         const candidate = isExcluded ? undefined : this.#pick(waiting, isOverShare, blocked, now);
         if (candidate) {
             return { kind: "granted", grant: this.#reserve(request, candidate, now) };
@@ -181,11 +187,12 @@
         if (isResume || (!isExcluded && now < this.#getWaitDeadline(request, isOverShare))) {
             return { kind: "waiting" };
         }
-        const reason = this.#targets.size === 0 ? "no-target" : "overloaded";
-        const retryAfterMs = isExcluded
-            ? Math.min(MAX_RETRY_AFTER_MS, standing.returnMs)
-            : this.#estimateRetryAfter();
-        return { kind: "refused", reason, retryAfterMs };
+        const retryAfterMs = isExcluded ? returnMs : this.#estimateRetryAfter();
+        return {
+            kind: "refused",
+            reason: this.#targets.size === 0 ? "no-target" : "overloaded",
+            retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, retryAfterMs),
+        };
     }
 
     #pick(
@@ -222,14 +229,11 @@
     #estimateRetryAfter(): number {
         const tokens = this.#waiting.reduce((sum, waiting) => sum + waiting.request.promptTokens, 0);
         const rate = Math.max(1, this.#targets.size) * this.#options.settings.prefillTokensPerMs;
-        return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, tokens / rate));
+        return Math.max(MIN_RETRY_AFTER_MS, tokens / rate);
     }
 
     /** Resumed streams first, then the client account with the least recent usage, then the oldest. */
     #sortWaiting(now: number): readonly WaitingRequest[] {
-        if (this.#waiting.length === 1) {
-            return this.#waiting;
-        }
         const usage = new Map<string, number>();
         for (const { request } of this.#waiting) {
             if (!usage.has(request.account)) {
@@ -251,12 +255,12 @@
             target.coldBucket.tryTake(now, coldShare.perSecond, coldShare.burst);
         }
         target.cache.add(request.prompt);
-        this.#options.usage.addGranted(request.account, computeTokens(request), now);
+        this.#options.usage.addGranted(request.account, computeRequestTokens(request), now);
         return grant;
     }
 }
 
-function notifyWaiting(waiting: WaitingRequest, decision: Decision): void {
+function notifyWaiting(waiting: WaitingRequest, decision: SchedulerDecision): void {
     if (decision.kind === "granted") {
         waiting.onGrant(decision.grant);
     }
@@ -264,8 +268,3 @@
         waiting.onRefuse(decision.reason, decision.retryAfterMs);
     }
 }
-
-/** A generated token counts twice. */
-function computeTokens(request: RoutedRequest): number {
-    return request.promptTokens + OUTPUT_TOKEN_COST * request.outputTokens;
-}
--- a/src/core/routing/targetGrant.ts
+++ b/src/core/routing/targetGrant.ts
@@ -5,6 +5,8 @@
     readonly target: TargetState;
     /** Address of another target from which it can take shared parts of the prompt. */
     readonly promptSource: string | undefined;
+    /** Shared prompt part that the target keeps once it has begun its answer. */
+    readonly sharedPartId: string | undefined;
     /** Prompt tokens that the target still has to read. */
     readonly missingTokens: number;
     /** Expected time to the first event in milliseconds. */
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -1,4 +1,6 @@
 import { estimateTarget } from "./estimateTarget.js";
+import { findSharedPart } from "./findSharedPart.js";
+import type { PromptHolders } from "./promptHolders.js";
 import { PromptHomes } from "./promptHomes.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
@@ -12,6 +14,7 @@
     /** Targets by identifier. */
     readonly targets: ReadonlyMap<string, TargetState>;
     readonly settings: SchedulerSettings;
+    readonly holders: PromptHolders;
     readonly getService: () => RoutedService;
     /** Data centres that must get no requests. */
     readonly getEvacuated: () => ReadonlySet<string>;
@@ -19,7 +22,16 @@
     readonly getColdShare: (entry: TargetEntry, limitPerSecond: number) => TargetCandidate["coldShare"];
 }
 
-type Homes = ReturnType<PromptHomes["find"]>;
+/** Where the shared parts of a prompt are kept. */
+interface KeptPrompt {
+    /** Last shared part, if it is long enough to tell others who keeps it. */
+    readonly reportedPartId?: string | undefined;
+    readonly home?: TargetState | undefined;
+    /** Home of another region. */
+    readonly remote?: TargetState | undefined;
+    /** Targets that are known to have read the parts. */
+    readonly holders: readonly TargetState[];
+}
 
 /** Cost in milliseconds of a target that fails all its requests, so that a faulty one is picked last. */
 const FAILURE_COST_MS = 2000;
@@ -29,6 +41,8 @@
  */
 const MOVE_COST_MS = 80;
 const MOVE_COST_MS_PER_TOKEN = 0.05;
+/** Shorter parts are read in less time than a report of them takes. */
+const MIN_REPORTED_TOKENS = 256;
 
 /** Picks the target of a request. */
 export class TargetPicker {
@@ -57,12 +71,14 @@
         const fresh = (rested.length > 0 ? rested : usable).filter(({ entry }) =>
             !waiting.avoided.has(entry.id)
         );
-        const homes = this.#findHomes(waiting.request, rested);
+        const kept = this.#findKept(waiting.request, rested, now);
         let best: TargetCandidate | undefined;
         // Work beyond the share of its account is not worth reading a shared part of a prompt again.
-        const eligible = isOverShare && homes.home ? fresh.filter(target => target === homes.home) : fresh;
+        const eligible = isOverShare && kept.home
+            ? fresh.filter(target => target === kept.home || kept.holders.includes(target))
+            : fresh;
         for (const target of eligible) {
-            const candidate = this.#buildCandidate(target, waiting.request, homes, maxQueueMs, now);
+            const candidate = this.#buildCandidate(target, waiting.request, kept, maxQueueMs, now);
             if (candidate && (!best || candidate.score < best.score)) {
                 best = candidate;
             }
@@ -76,15 +92,35 @@
             && (request.regions.length === 0 || request.regions.includes(region));
     }
 
-    #findHomes(request: RoutedRequest, targets: readonly TargetState[]): Homes {
-        const shared = request.prompt.at(-2);
-        return shared && this.#options.getService().engine ? this.#homes.find(shared.id, targets) : {};
+    #findKept(request: RoutedRequest, targets: readonly TargetState[], now: number): KeptPrompt {
+        const shared = findSharedPart(request.prompt);
+        if (!shared || !this.#options.getService().engine) {
+            return { holders: [] };
+        }
+        const { holders } = this.#options;
+        return {
+            reportedPartId: shared.tokens >= MIN_REPORTED_TOKENS ? shared.id : undefined,
+            ...this.#homes.find(shared.id, targets),
+            holders: holders.isKnown(shared.id, now)
+                ? targets.filter(({ entry }) => holders.has(shared.id, entry.id, now))
+                : [],
+        };
+    }
+
+    /** Finds another target from which a target can fetch the shared parts; one of its region if there is one. */
+    #findSource(target: TargetState, { home, remote, holders }: KeptPrompt): TargetState | undefined {
+        const { regions } = this.#options.settings;
+        const region = regions.get(target.entry.dataCentre);
+        const others = holders.filter(holder => holder !== target);
+        return others.find(({ entry }) => regions.get(entry.dataCentre) === region)
+            ?? others[0]
+            ?? (target === home ? remote : home);
     }
 
     #buildCandidate(
         target: TargetState,
         request: RoutedRequest,
-        { home, remote }: Homes,
+        kept: KeptPrompt,
         maxQueueMs: number,
         now: number,
     ): TargetCandidate | undefined {
@@ -98,11 +134,14 @@
             return undefined;
         }
         const isEngine = this.#options.getService().engine !== undefined;
-        const isHome = target === home;
+        const isHome = target === kept.home;
+        // Without reports, the home is the best guess, since all instances of the region send the parts there.
+        const keepsShared = kept.holders.length > 0 ? kept.holders.includes(target) : isHome;
+        const source = kept.holders.includes(target) ? undefined : this.#findSource(target, kept);
         const estimate = estimateTarget(
             target,
             request,
-            { isEngine, isHome, hasHome: home !== undefined, now },
+            { isEngine, keepsShared, canFetch: source !== undefined, now },
             settings,
         );
         if (target.countInFlight(now) >= entry.slots || estimate.queueMs > maxQueueMs) {
@@ -113,10 +152,11 @@
             coldShare,
             score: estimate.expectedMs * target.slowness + this.#getDistanceMs(entry)
                 + target.getFailureShare(now) * FAILURE_COST_MS
-                + (home && !isHome ? MOVE_COST_MS + estimate.movedTokens * MOVE_COST_MS_PER_TOKEN : 0),
+                + (source && !isHome ? MOVE_COST_MS : 0) + estimate.movedTokens * MOVE_COST_MS_PER_TOKEN,
             grant: {
                 target,
-                promptSource: (isHome ? remote : home)?.entry.address,
+                promptSource: source?.entry.address,
+                sharedPartId: kept.reportedPartId,
                 missingTokens: estimate.missingTokens,
                 expectedMs: estimate.expectedMs,
                 grantedAt: now,
--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -6,12 +6,12 @@
     readonly directory: RouterSettings["callers"];
     readonly readiness: RouterSettings["callers"];
     readonly termSeconds: number;
-    readonly listAddresses: (caller: Place, callerId: string) => readonly string[];
+    readonly listAddresses: (caller: Place) => readonly string[];
     readonly isReady: () => boolean;
     readonly renderMetrics: () => string;
     readonly onMetricsFailed: (reason: string) => void;
     /** Called for each answer, also an empty one. */
-    readonly onAnswered: (dataCentre: string, callerId: string, addresses: readonly string[]) => void;
+    readonly onAnswered: (dataCentre: string, callerHost: string, addresses: readonly string[]) => void;
 }
 
 /** The same as in deploy/system.toml. */
@@ -37,9 +37,8 @@
             }
             const dataCentre = url.searchParams.get("zone") ?? "";
             const region = url.searchParams.get("region") ?? "";
-            const callerId = incoming.socket.remoteAddress ?? "";
-            const addresses = options.listAddresses({ dataCentre, region }, callerId);
-            options.onAnswered(dataCentre, callerId, addresses);
+            const addresses = options.listAddresses({ dataCentre, region });
+            options.onAnswered(dataCentre, incoming.socket.remoteAddress ?? "", addresses);
             if (addresses.length === 0) {
                 response.writeHead(SERVICE_UNAVAILABLE, { "Content-Length": "0" }).end();
                 return;
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -27,7 +27,7 @@
         directory: settings.directory,
         readiness: settings.readiness,
         termSeconds: settings.router.addressTermSeconds,
-        listAddresses: (caller, callerId) => router.listCallerAddresses(caller, callerId),
+        listAddresses: caller => router.listCallerAddresses(caller),
         isReady: () => router.isReady(),
         renderMetrics: () => metrics.render(),
         onMetricsFailed: reason => log.write("metrics-failed", { reason }),
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -9,6 +9,7 @@
 import type { Membership } from "../core/routing/membership.js";
 import { pickReaders } from "../core/routing/pickReaders.js";
 import type { Place } from "../core/routing/place.js";
+import type { PromptHolders } from "../core/routing/promptHolders.js";
 import type { TargetEntry } from "../core/routing/targetEntry.js";
 import { pickSome } from "../shared/pickSome.js";
 import { buildMemberRecord } from "./buildMemberRecord.js";
@@ -23,6 +24,7 @@
     readonly settings: RouterSettings;
     readonly log: LogSink;
     readonly usage: AccountUsage;
+    readonly holders: PromptHolders;
     readonly getNow: () => number;
     readonly getState: () => MemberRecord["state"];
     readonly listLoads: () => PeerReport["loads"];
@@ -84,8 +86,8 @@
     }
 
     /** Lists the addresses that a caller should use. */
-    listCallerAddresses(caller: Place, callerId: string): readonly string[] {
-        return listCallerAddresses([this.#describeSelf(), ...this.#listPeers()], caller, callerId);
+    listCallerAddresses(caller: Place): readonly string[] {
+        return listCallerAddresses([this.#describeSelf(), ...this.#listPeers()], caller);
     }
 
     /** Finds the instances that read the platform for this data centre. */
@@ -107,11 +109,8 @@
         if (now - this.#startedAt < LEARNING_MS) {
             return undefined;
         }
-        const users = listColdUsers(
-            [this.#describeSelf(), ...this.#membership.listKnown(now)],
-            entry.dataCentre,
-            settings.regions,
-        );
+        const members = [this.#describeSelf(), ...this.#membership.listKnown(now)];
+        const users = listColdUsers(members, entry.dataCentre, settings.regions);
         return computeColdShare(
             entry.id,
             limitPerSecond,
@@ -137,24 +136,22 @@
 
     #describeSelf(): MemberRecord {
         const { settings, getState } = this.#options;
-        return buildMemberRecord(settings, {
-            incarnation: this.#incarnation,
-            sequence: this.#sequence,
-            state: getState(),
-        });
+        const [incarnation, sequence] = [this.#incarnation, this.#sequence];
+        return buildMemberRecord(settings, { incarnation, sequence, state: getState() });
     }
 
     #report(): void {
         const peers = this.#listPeers();
         const { dataCentre } = this.#options.settings.place;
-        this.#send(peers.filter(peer => peer.dataCentre === dataCentre));
+        const prompts = this.#options.holders.takeNews(this.#options.getNow());
+        this.#send(peers.filter(peer => peer.dataCentre === dataCentre), prompts);
         this.#sendSummary(peers);
         this.#notifySeeds(peers);
     }
 
     /** A delegate tells one delegate of each other data centre about all instances of its own. */
     #sendSummary(peers: readonly MemberRecord[]): void {
-        const { settings, usage, listDataCentreLoads, getNow } = this.#options;
+        const { settings, usage, holders, listDataCentreLoads, getNow } = this.#options;
         const now = getNow();
         if (now < this.#nextSummaryAt) {
             return;
@@ -173,6 +170,7 @@
             sender: this.#describeSelf(),
             loads: listDataCentreLoads(neighbours.map(peer => peer.name)),
             usage: usage.listDataCentre(now),
+            prompts: holders.takeSummary(),
             others: near,
         };
         this.#exchange?.send(report, receivers.map(member => member.ip));
@@ -186,18 +184,17 @@
             return;
         }
         this.#nextSeedAt = now + SEED_INTERVAL_MS;
-        const known = new Set([settings.peers.host, ...peers.map(peer => peer.ip)]);
-        const unknown = settings.seedHosts.filter(host => !known.has(host));
-        this.#exchange?.send(this.#buildReport(), unknown);
+        const known = [settings.peers.host, ...peers.map(peer => peer.ip)];
+        this.#exchange?.send(this.#buildReport(), settings.seedHosts.filter(host => !known.includes(host)));
     }
 
-    #send(peers: readonly MemberRecord[]): void {
+    #send(peers: readonly MemberRecord[], prompts: PeerReport["prompts"] = []): void {
         if (peers.length > 0) {
-            this.#exchange?.send(this.#buildReport(), peers.map(peer => peer.ip));
+            this.#exchange?.send(this.#buildReport(prompts), peers.map(peer => peer.ip));
         }
     }
 
-    #buildReport(): PeerReport {
+    #buildReport(prompts: PeerReport["prompts"] = []): PeerReport {
         const { usage, listLoads, getNow } = this.#options;
         this.#sequence += 1;
         return {
@@ -205,13 +202,14 @@
             sender: this.#describeSelf(),
             loads: listLoads(),
             usage: usage.listOwn(getNow()),
+            prompts,
             others: pickSome(this.#listPeers(), RELAYED_MEMBERS),
         };
     }
 
     #receive(message: unknown, host: string): void {
         const report = parsePeerReport(message);
-        const { log, settings, usage, onLoads, getNow } = this.#options;
+        const { log, settings, usage, holders, onLoads, getNow } = this.#options;
         if (!report) {
             log.write("peer-report-invalid", {});
             return;
@@ -224,6 +222,7 @@
             return;
         }
         const isNear = sender.dataCentre === settings.place.dataCentre;
+        holders.adopt(report.prompts, isNear, now);
         const validUntil = now + USAGE_VALIDITY_MS;
         const tokens = new Map(
             report.usage.map(([account, asked, granted]) => [account, { asked, granted }]),
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -35,8 +35,12 @@
 const HEADERS_MARGIN_MS = 7000;
 const DEFAULT_HEADERS_MS = 3000;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
-/** Connections that the operating system queues while the process is busy; a full queue costs a caller seconds. */
-const LISTEN_BACKLOG = 1024;
+/**
+ * Connections that the operating system queues while the process is busy. Callers give up on a request that is not read
+ * within a second, so a longer queue would consist of requests that nobody waits for; turned away, callers try another
+ * instance.
+ */
+const LISTEN_BACKLOG = 32;
 const PAYLOAD_TOO_LARGE = 413;
 const SERVICE_UNAVAILABLE = 503;
 const OVERLOAD_RETRY_MS = 500;
--- a/src/router/loadObserver.ts
+++ b/src/router/loadObserver.ts
@@ -27,6 +27,11 @@
         return this.#meter.averageMs;
     }
 
+    /** Mean share of the time in which the event loop did not rest, from 0 to 1. */
+    get utilisation(): number {
+        return this.#meter.utilisation;
+    }
+
     /** Records by how many milliseconds a timer was late; `active` requests are only logged. */
     observe(lagMs: number, active: number): void {
         const wasBusy = this.#meter.isBusy;
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -12,6 +12,8 @@
         && report.loads.every(load => isTuple(load, ["string", "number", "number"]))
         && Array.isArray(report.usage)
         && report.usage.every(usage => isTuple(usage, ["string", "number", "number"]))
+        && Array.isArray(report.prompts)
+        && report.prompts.every(prompt => isTuple(prompt, ["string", "string"]))
         && Array.isArray(report.others) && report.others.every(isMember);
     return isValid ? report as PeerReport : undefined;
 }
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -8,6 +8,8 @@
     readonly loads: readonly (readonly [id: string, inFlight: number, pendingTokens: number])[];
     /** Recent tokens by client account. */
     readonly usage: readonly (readonly [account: string, asked: number, granted: number])[];
+    /** Shared prompt parts that targets have read since the last report. */
+    readonly prompts: readonly (readonly [partId: string, targetId: string])[];
     /** Other members that the sender knows: some, or all of its data centre. */
     readonly others: readonly MemberRecord[];
 }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -59,6 +59,7 @@
             wire: options.wire,
             requestId: request.requestId,
             isLate: options.isLate,
+            getNow: options.getNow,
         });
     }
 
@@ -76,7 +77,7 @@
     /** Ends the request if its deadline has passed, or its attempt if the target is silent. */
     checkTimeouts(now: number): void {
         const { request } = this.#options.exchange;
-        this.#answer.flush();
+        this.#answer.flushDue(now);
         if (now >= request.deadline) {
             this.#expire();
             return;
--- /dev/null
+++ b/src/router/requestResolver.ts
@@ -0,0 +1,57 @@
+import { resolveRequest } from "../core/routing/resolveRequest.js";
+import type { DeploymentView } from "./deploymentView.js";
+import type { LoadObserver } from "./loadObserver.js";
+import type { RequestFacts } from "./requestFacts.js";
+import type { ServicePool } from "./servicePool.js";
+
+interface RequestResolverOptions {
+    readonly view: DeploymentView;
+    readonly services: ServicePool;
+    readonly load: LoadObserver;
+    /** Monotonic time in milliseconds by which requests must have ended; infinite unless the process is stopping. */
+    readonly getFinishBy: () => number;
+}
+
+/** A process this late refuses streams, because it would deliver none of them on time. */
+const OVERLOADED_MS = 200;
+const SERVICE_UNAVAILABLE = 503;
+
+/** Decides from the head of a request whether it is served here. */
+export class RequestResolver {
+    readonly #options: RequestResolverOptions;
+
+    private constructor(options: RequestResolverOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a resolver. */
+    static create(options: RequestResolverOptions): RequestResolver {
+        return new RequestResolver(options);
+    }
+
+    /**
+     * Finds the route and the client account of a request, or the reason why it is refused.
+     *
+     * @param receivedAt Monotonic time in milliseconds.
+     */
+    resolve(facts: RequestFacts, path: string, receivedAt: number): ReturnType<typeof resolveRequest> {
+        const { view, services, load, getFinishBy } = this.#options;
+        const resolved = resolveRequest(facts, path, {
+            configuration: view.configuration,
+            isFresh: view.isFresh(),
+            isOverloaded: load.averageMs > OVERLOADED_MS,
+            finishBy: getFinishBy(),
+            receivedAt,
+            random: Math.random(),
+        });
+        if (resolved.kind === "refused") {
+            return resolved;
+        }
+        const { request } = resolved;
+        // Refused before its body is read: a flood of one account costs as little as possible.
+        const retryAfterMs = services.find(request.service)?.scheduler.findReturnTime(request, receivedAt);
+        return retryAfterMs === undefined
+            ? resolved
+            : { kind: "refused", status: SERVICE_UNAVAILABLE, reason: "over-share", retryAfterMs };
+    }
+}
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -4,7 +4,7 @@
 import type { ChangeSource } from "../core/routing/changeSource.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { Place } from "../core/routing/place.js";
-import { resolveRequest } from "../core/routing/resolveRequest.js";
+import { PromptHolders } from "../core/routing/promptHolders.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { ChangeFeedServer } from "./changeFeedServer.js";
 import { DeploymentView } from "./deploymentView.js";
@@ -15,6 +15,7 @@
 import { PeerChangeSource } from "./peerChangeSource.js";
 import { RelayedChangeSource } from "./relayedChangeSource.js";
 import { RequestForwarder } from "./requestForwarder.js";
+import { RequestResolver } from "./requestResolver.js";
 import type { RouterMetrics } from "./routerMetrics.js";
 import type { RouterSettings } from "./routerSettings.js";
 import { ServicePool } from "./servicePool.js";
@@ -33,10 +34,9 @@
 const CHECK_INTERVAL_MS = 40;
 /** Part of the memory of the machine that bodies may take. */
 const BODY_MEMORY_SHARE = 0.15;
-/** A process this late collects events and writes them together. */
+/** A process that is this late, or this busy, collects events and writes them together. */
 const LATE_MS = 15;
-/** A process this late refuses streams, because it would deliver none of them on time. */
-const OVERLOADED_MS = 200;
+const LATE_UTILISATION = 0.6;
 /** Window over which client accounts are owed their share (quotaWindowS of the deployments). */
 const USAGE_WINDOW_MS = 4000;
 /** Callers keep an answer of the directory for up to three times its term, so connections come for about that long. */
@@ -50,6 +50,7 @@
     readonly #options: RouterOptions;
     readonly #getNow = (): number => performance.now();
     readonly #usage = AccountUsage.create(USAGE_WINDOW_MS);
+    readonly #holders = PromptHolders.create();
     readonly #changes = ChangeLog.create();
     readonly #view: DeploymentView;
     readonly #load: LoadObserver;
@@ -78,6 +79,7 @@
         this.#services = ServicePool.create({
             settings,
             usage: this.#usage,
+            holders: this.#holders,
             getTokensPerSecond: () => this.#view.configuration?.limits.tokensPerSecond ?? 0,
             getColdShare: (entry, limit) => this.#fleet?.getColdShare(entry, limit),
         });
@@ -108,9 +110,9 @@
         return this.#getState() !== "closed";
     }
 
-    /** Lists the addresses that a caller at a place should use; `callerId` tells callers of a place apart. */
-    listCallerAddresses(caller: Place, callerId: string): readonly string[] {
-        return this.#fleet?.listCallerAddresses(caller, callerId) ?? [];
+    /** Lists the addresses that a caller at a place should use. */
+    listCallerAddresses(caller: Place): readonly string[] {
+        return this.#fleet?.listCallerAddresses(caller) ?? [];
     }
 
     /** Returns a source of the platform's changes that spares the platform where neighbours read it already. */
@@ -159,6 +161,7 @@
             settings,
             log,
             usage: this.#usage,
+            holders: this.#holders,
             getNow: this.#getNow,
             getState: () => this.#getState(),
             listLoads: () => this.#services.listLoads(),
@@ -171,21 +174,19 @@
             log,
             getNow: this.#getNow,
         });
+        const resolver = RequestResolver.create({
+            view: this.#view,
+            services: this.#services,
+            load: this.#load,
+            getFinishBy: () => this.#finishBy,
+        });
         this.#ingress = await Ingress.create({
             ...settings.callers,
             wire,
             log,
             maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
             getNow: this.#getNow,
-            resolve: (facts, path, receivedAt) =>
-                resolveRequest(facts, path, {
-                    configuration: this.#view.configuration,
-                    isFresh: this.#view.isFresh(),
-                    isOverloaded: this.#load.averageMs > OVERLOADED_MS,
-                    finishBy: this.#finishBy,
-                    receivedAt,
-                    random: Math.random(),
-                }),
+            resolve: (facts, path, receivedAt) => resolver.resolve(facts, path, receivedAt),
             getLimits: () => this.#view.configuration?.limits,
             isLeaving: () => this.#isLeaving,
             serve: exchange => this.#serve(exchange),
@@ -203,7 +204,7 @@
     }
 
     #isLate(): boolean {
-        return this.#load.averageMs > LATE_MS;
+        return this.#load.averageMs > LATE_MS || this.#load.utilisation > LATE_UTILISATION;
     }
 
     #getState(): MemberRecord["state"] {
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -1,5 +1,6 @@
 import type { AccountUsage } from "../core/routing/accountUsage.js";
 import { AttemptBudget } from "../core/routing/attemptBudget.js";
+import type { PromptHolders } from "../core/routing/promptHolders.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import type { TargetEntry } from "../core/routing/targetEntry.js";
@@ -10,6 +11,7 @@
 interface ServicePoolOptions {
     readonly settings: RouterSettings;
     readonly usage: AccountUsage;
+    readonly holders: PromptHolders;
     readonly getTokensPerSecond: () => number;
     readonly getColdShare: (
         entry: TargetEntry,
@@ -45,7 +47,7 @@
 
     /** Adds the services of a configuration. */
     applyConfiguration(configuration: RouterConfiguration): void {
-        const { settings, usage, getTokensPerSecond, getColdShare } = this.#options;
+        const { settings, usage, holders, getTokensPerSecond, getColdShare } = this.#options;
         for (const service of configuration.services.values()) {
             const known = this.#services.get(service.name);
             if (known) {
@@ -56,6 +58,7 @@
                 scheduler: ServiceScheduler.create({
                     service,
                     usage,
+                    holders,
                     settings: {
                         ...schedulerTuning,
                         place: settings.place,
--- a/test/core/routing/loadPatterns.test.ts
+++ b/test/core/routing/loadPatterns.test.ts
@@ -85,3 +85,15 @@
     t.is(scheduler.waitingCount, 500);
     t.true(searches <= 2, String(searches));
 });
+
+test("hot tenant: a flood is counted as demand though it is refused from the head of each request", t => {
+    const { scheduler, usage } = createScheduler(1000);
+    usage.addAsked("small", 100_000, 0);
+    usage.addAsked("flood", 100_000, 0);
+    usage.addGranted("flood", 6000, 0);
+    t.is(scheduler.findReturnTime(makeRoutedRequest({ account: "small" }), 0), undefined);
+    const returnMs = scheduler.findReturnTime(makeRoutedRequest({ account: "flood" }), 0) ?? 0;
+    t.true(returnMs > 2500 && returnMs <= 3000, String(returnMs));
+    const asked = usage.listOwn(0).find(([account]) => account === "flood")?.[1];
+    t.is(asked, 101_020);
+});
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -1,4 +1,5 @@
 import { AccountUsage } from "../../../src/core/routing/accountUsage.js";
+import { PromptHolders } from "../../../src/core/routing/promptHolders.js";
 import { ServiceScheduler } from "../../../src/core/routing/serviceScheduler.js";
 
 const WINDOW_MS = 4000;
@@ -7,6 +8,7 @@
 export function createScheduler(
     tokensPerSecond = 0,
     getColdShare: () => undefined = () => undefined,
+    holders = PromptHolders.create(),
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -29,6 +31,7 @@
             regionDelayMs: 20,
         },
         usage,
+        holders,
         getTokensPerSecond: () => tokensPerSecond,
         getColdShare,
     });
