--- a/src/router/callerAnswer.ts
+++ b/src/router/callerAnswer.ts
@@ -7,15 +7,8 @@
     readonly response: ServerResponse;
     readonly wire: WireFormat;
     readonly requestId: string | undefined;
-    /** True while the process is late, so that events are collected and written together. */
-    readonly isLate: () => boolean;
-    /** Monotonic time in milliseconds. */
-    readonly getNow: () => number;
 }
 
-/** A third of the time by which the platform lets a router delay an event (300 ms); several events come in it. */
-const COLLECT_MS = 100;
-
 /** Longest body of a plain answer that is held until it is whole, so that a truncated one can be replaced. */
 const MAX_HELD_BYTES = 262_144;
 
@@ -24,15 +17,10 @@
     readonly #options: CallerAnswerOptions;
     readonly #relay = EventRelay.create();
     #isStarted = false;
-    /** True once the first events were written, which are never held back. */
-    #hasWritten = false;
     /** False if the caller gets an answer that ends with its connection, like that of the target. */
     #isFramed = true;
     #held: Buffer[] = [];
     #heldBytes = 0;
-    /** Whole events that wait to be written together, and the monotonic time in milliseconds by which they are. */
-    #collected: Buffer[] = [];
-    #flushBy = 0;
 
     private constructor(options: CallerAnswerOptions) {
         this.#options = options;
@@ -75,38 +63,13 @@
         if (!events) {
             return false;
         }
-        if (this.#options.isLate() && this.#hasWritten) {
-            if (this.#collected.length === 0) {
-                this.#flushBy = this.#options.getNow() + COLLECT_MS;
-            }
-            this.#collected.push(events);
-            return true;
-        }
-        this.#hasWritten = true;
         const { response } = this.#options;
-        const bytes = this.#collected.length > 0
-            ? Buffer.concat([...this.#collected.splice(0), events])
-            : events;
-        if (!response.write(bytes)) {
+        if (!response.write(events)) {
             onBlocked(listener => response.once("drain", listener));
         }
         return true;
     }
 
-    /** Writes collected events whose time has come. */
-    flushDue(now: number): void {
-        if (now >= this.#flushBy) {
-            this.flush();
-        }
-    }
-
-    /** Writes collected events. */
-    flush(): void {
-        if (this.#collected.length > 0) {
-            this.#options.response.write(Buffer.concat(this.#collected.splice(0)));
-        }
-    }
-
     /** Keeps a part of a plain answer; false if it is too long. */
     append(chunk: Buffer): boolean {
         this.#heldBytes += chunk.length;
@@ -131,7 +94,6 @@
 
     /** Ends a stream as complete. */
     endStream(): void {
-        this.flush();
         this.#options.response.end();
     }
 
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -10,6 +10,7 @@
 import { pickReaders } from "../core/routing/pickReaders.js";
 import type { Place } from "../core/routing/place.js";
 import type { PromptHolders } from "../core/routing/promptHolders.js";
+import { SummarySchedule } from "../core/routing/summarySchedule.js";
 import type { TargetEntry } from "../core/routing/targetEntry.js";
 import { pickSome } from "../shared/pickSome.js";
 import { buildMemberRecord } from "./buildMemberRecord.js";
@@ -35,8 +36,6 @@
 
 /** Peers of the same data centre share their targets, so they hear of each other's load within this time. */
 const REPORT_INTERVAL_MS = 150;
-/** The first delegate tells other data centres about its own this often; traffic between regions is billed. */
-const SUMMARY_INTERVAL_MS = 300;
 /** Other members that a report names, so that a starting instance learns of all. */
 const RELAYED_MEMBERS = 3;
 /** A report of load counts for four intervals, so that a lost datagram does not hide it. */
@@ -54,10 +53,10 @@
     readonly #membership: Membership;
     readonly #incarnation = Date.now();
     readonly #startedAt: number;
+    readonly #summaries = SummarySchedule.create();
     #exchange: PeerExchange | undefined;
     #sequence = 0;
     #nextSeedAt = 0;
-    #nextSummaryAt = 0;
     #timer: NodeJS.Timeout | undefined;
 
     private constructor(options: FleetViewOptions) {
@@ -153,24 +152,25 @@
     #sendSummary(peers: readonly MemberRecord[]): void {
         const { settings, usage, holders, listDataCentreLoads, getNow } = this.#options;
         const now = getNow();
-        if (now < this.#nextSummaryAt) {
+        const turn = this.#summaries.takeTurn(now);
+        if (turn === "none") {
             return;
         }
-        this.#nextSummaryAt = now + SUMMARY_INTERVAL_MS;
         const { dataCentre } = settings.place;
         const neighbours = peers.filter(peer => peer.dataCentre === dataCentre);
         const near = [this.#describeSelf(), ...neighbours];
         if (pickReaders(near.map(member => member.name))[0] !== settings.instance) {
             return;
         }
-        const receivers = listDelegates(peers, dataCentre).flatMap(delegates => pickSome(delegates, 1));
+        const receivers = listDelegates(peers, dataCentre).flatMap(delegates => pickSome(delegates, 1))
+            .filter(({ region }) => turn === "all" || region === settings.place.region);
         this.#sequence += 1;
         const report: PeerReport = {
             scope: "data-centre",
             sender: this.#describeSelf(),
             loads: listDataCentreLoads(neighbours.map(peer => peer.name)),
             usage: usage.listDataCentre(now),
-            prompts: holders.takeSummary(),
+            prompts: turn === "all" ? holders.takeSummary() : [],
             others: near,
         };
         this.#exchange?.send(report, receivers.map(member => member.ip));
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -15,6 +15,8 @@
     readonly agent: Agent | false;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
+    /** True while the process is late or busy, so that events are collected and passed on together. */
+    readonly isLate: () => boolean;
     readonly onFirstEvent: () => void;
     /** The whole answer has arrived. */
     readonly onWhole: (facts: AnswerFacts) => void;
@@ -23,6 +25,8 @@
 }
 
 const OK = 200;
+/** A third of the time by which the platform lets a router delay an event (300 ms); several events come in it. */
+const COLLECT_MS = 100;
 
 /** One attempt to have a request answered by one target. */
 export class ForwardAttempt {
@@ -32,6 +36,8 @@
     #status = 0;
     #hasEvents = false;
     #lastDataAt: number;
+    /** Monotonic time in milliseconds at which reading goes on, while it is paused. */
+    #resumeAt: number | undefined;
 
     private constructor(options: ForwardAttemptOptions) {
         this.#options = options;
@@ -90,6 +96,14 @@
         });
     }
 
+    /** Reads on if enough time has passed for several events to be there. */
+    resumeDue(now: number): void {
+        if (this.#resumeAt !== undefined && this.#resumeAt <= now) {
+            this.#resumeAt = undefined;
+            this.#exchange?.resumeConnection();
+        }
+    }
+
     /** Stops the attempt; no further callback follows. */
     abort(): void {
         this.#exchange?.abort();
@@ -121,7 +135,7 @@
     }
 
     #onData(chunk: Buffer): void {
-        const { answer, getNow, onFirstEvent } = this.#options;
+        const { answer, getNow, isLate, onFirstEvent } = this.#options;
         if (!this.#facts || isRefusal(this.#facts)) {
             return;
         }
@@ -140,6 +154,10 @@
             this.#hasEvents = true;
             onFirstEvent();
         }
+        else if (isLate()) {
+            this.#resumeAt = this.#lastDataAt + COLLECT_MS;
+            this.#exchange?.pauseConnection();
+        }
     }
 
     #onEnd(): void {
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -40,7 +40,7 @@
  * within a second, so a longer queue would consist of requests that nobody waits for; turned away, callers try another
  * instance.
  */
-const LISTEN_BACKLOG = 32;
+const LISTEN_BACKLOG = 64;
 const PAYLOAD_TOO_LARGE = 413;
 const SERVICE_UNAVAILABLE = 503;
 const OVERLOAD_RETRY_MS = 500;
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -58,8 +58,6 @@
             response,
             wire: options.wire,
             requestId: request.requestId,
-            isLate: options.isLate,
-            getNow: options.getNow,
         });
     }
 
@@ -77,7 +75,7 @@
     /** Ends the request if its deadline has passed, or its attempt if the target is silent. */
     checkTimeouts(now: number): void {
         const { request } = this.#options.exchange;
-        this.#answer.flushDue(now);
+        this.#attempt?.resumeDue(now);
         if (now >= request.deadline) {
             this.#expire();
             return;
@@ -121,6 +119,7 @@
             wire,
             agent: agents.getAgent(exchange.request.route, this.#isRepeatable),
             getNow,
+            isLate: this.#options.isLate,
             onFirstEvent: () => scheduler.start(grant, getNow()),
             onWhole: facts => this.#onWhole(attempt, facts),
             onFail: (kind, reason) => this.#failAttempt(attempt, kind, reason),
--- a/src/router/targetAgent.ts
+++ b/src/router/targetAgent.ts
@@ -1,5 +1,6 @@
 import { Agent, type ClientRequest } from "node:http";
-import type { Socket } from "node:net";
+import type { Socket, TcpNetConnectOpts } from "node:net";
+import { PausableSocket } from "./pausableSocket.js";
 
 /** Connections that stay idle in the pool of one target, at most. */
 const MAX_IDLE_CONNECTIONS = 32;
@@ -23,6 +24,10 @@
         return new TargetAgent(idleTimeoutMs);
     }
 
+    override createConnection(options: TcpNetConnectOpts): Socket {
+        return PausableSocket.create(options);
+    }
+
     override keepSocketAlive(socket: Socket): boolean {
         // The type definitions omit that the method returns whether the connection is kept.
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -1,6 +1,7 @@
 import { type Agent, type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { OutgoingRequest } from "./outgoingRequest.js";
+import { PausableSocket } from "./pausableSocket.js";
 
 interface TargetExchangeOptions {
     /** host:port. */
@@ -54,6 +55,21 @@
         this.#answer?.resume();
     }
 
+    /** Stops and restarts the reading from the target's connection, so that several events are read at once. */
+    pauseConnection(): void {
+        this.#getPausable()?.pauseReading();
+    }
+
+    resumeConnection(): void {
+        this.#getPausable()?.releaseReading();
+    }
+
+    /** Connections of requests that must run once are plain sockets; their answers come as a whole. */
+    #getPausable(): PausableSocket | undefined {
+        const socket = this.#request?.socket;
+        return socket instanceof PausableSocket ? socket : undefined;
+    }
+
     #send(): void {
         const { address, agent, order } = this.#options;
         const separator = address.lastIndexOf(":");
@@ -114,6 +130,8 @@
                 return;
             }
             this.#isEnded = true;
+            // The connection goes back to its pool.
+            this.resumeConnection();
             this.#options.onEnd();
         });
         answer.on("error", (error: NodeJS.ErrnoException) => this.#fail(error.code ?? error.message));
--- /dev/null
+++ b/test/router/ingress.test.ts
@@ -0,0 +1,48 @@
+import test from "ava";
+import { once } from "node:events";
+import { Agent, get, type IncomingMessage } from "node:http";
+import { type AddressInfo, createServer } from "node:net";
+import { platformWireFormat } from "../../src/platform/platformWireFormat.js";
+import { Ingress } from "../../src/router/ingress.js";
+import { LogSink } from "../../src/router/logSink.js";
+
+async function findPort(): Promise<number> {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
+
+test("an idle connection outlives the time for which callers may use it, so that no request crosses a close", async t => {
+    const port = await findPort();
+    const limits = {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1024,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 40_000,
+        tokensPerSecond: 0,
+    };
+    const ingress = await Ingress.create({
+        host: "127.0.0.1",
+        port,
+        wire: platformWireFormat,
+        log: LogSink.create({}),
+        maxBufferedBytes: 1_000_000,
+        getNow: () => performance.now(),
+        resolve: () => ({ kind: "refused", status: 404, reason: "no-route", retryAfterMs: undefined }),
+        getLimits: () => limits,
+        isLeaving: () => false,
+        serve: () => t.fail("served"),
+        onRefused: () => undefined,
+    });
+    ingress.applyLimits(limits);
+    const agent = new Agent({ keepAlive: true });
+    const [answer] = await once(get({ port, host: "127.0.0.1", agent }), "response") as [IncomingMessage];
+    answer.resume();
+    const [, seconds] = /timeout=(\d+)/.exec(String(answer.headers["keep-alive"])) ?? [];
+    t.true(Number(seconds) * 1000 > limits.idleTimeoutMs, String(seconds));
+    agent.destroy();
+    ingress.close();
+});
