Send requests to targets without delay on pausable connections; name the account of a refused flood; check keys in the soak

Cause: the pausable connection dropped the options of the agent, so Nagle's algorithm held parts of requests back; a line of a refused flood did not name its account; the soak did not check that a key that was taken away is not used. Ruled out: nothing. Change: options are handed on; the refusal carries the account; soak fault key-revoked with a check of what targets ran.

--- a/src/core/routing/resolveRequest.ts
+++ b/src/core/routing/resolveRequest.ts
@@ -28,6 +28,8 @@
         readonly status: number;
         readonly reason: string;
         readonly retryAfterMs: number | undefined;
+        /** Client account whose usage is the reason, if it is. */
+        readonly account?: string;
     };
 
 const SERVICE_UNAVAILABLE = 503;
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -25,7 +25,7 @@
 }
 
 const OK = 200;
-/** A third of the time by which the platform lets a router delay an event (300 ms); several events come in it. */
+/** A third of the time by which the platform lets a router delay an event (passMs, 300 ms); several events come in it. */
 const COLLECT_MS = 100;
 
 /** One attempt to have a request answered by one target. */
--- a/src/router/pausableSocket.ts
+++ b/src/router/pausableSocket.ts
@@ -12,18 +12,18 @@
 export class PausableSocket extends Socket {
     #isHeld = false;
 
-    private constructor() {
+    private constructor(options: TcpNetConnectOpts) {
         const onread: OnReadOpts = {
             buffer: readBuffer,
             callback: (length, buffer) => this.push(Buffer.from(buffer.subarray(0, length))),
         };
-        // The type definitions know this option for `connect` only, which hands it to the constructor.
-        super({ onread } as SocketConstructorOpts);
+        // The type definitions know the options for `connect` only, which hands them to the constructor, like `noDelay`.
+        super({ ...options, onread } as SocketConstructorOpts);
     }
 
     /** Opens a connection. */
     static create(options: TcpNetConnectOpts): PausableSocket {
-        const socket = new PausableSocket();
+        const socket = new PausableSocket(options);
         socket.connect(options);
         return socket;
     }
--- a/src/router/requestResolver.ts
+++ b/src/router/requestResolver.ts
@@ -50,8 +50,10 @@
         const { request } = resolved;
         // Refused before its body is read: a flood of one account costs as little as possible.
         const retryAfterMs = services.find(request.service)?.scheduler.findReturnTime(request, receivedAt);
-        return retryAfterMs === undefined
-            ? resolved
-            : { kind: "refused", status: SERVICE_UNAVAILABLE, reason: "over-share", retryAfterMs };
+        if (retryAfterMs === undefined) {
+            return resolved;
+        }
+        const { account } = request;
+        return { kind: "refused", status: SERVICE_UNAVAILABLE, reason: "over-share", retryAfterMs, account };
     }
 }
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -112,6 +112,7 @@
         return false;
     }
     const isStream = route === "stream" || route === "once";
+    const sentAt = performance.now();
     const result = await sendCaller(`${fleet.getUrls(instance).callers}/${route}/x`, {
         method: "POST",
         agent,
@@ -122,7 +123,7 @@
             ...(isStream ? { engine: { key: fleet.key, sharedPart: `s${turn % SHARED_PARTS}` } } : {}),
         }),
     });
-    observer.record({ requestId, route }, result);
+    observer.record({ requestId, route, sentAt, endedAt: performance.now() }, result);
     return result.status === 200 && result.isWhole;
 }
 
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -78,6 +78,14 @@
     },
     { name: "history-lost", inject: async fleet => fleet.store.dropHistory() },
     { name: "configuration-changed", inject: async fleet => fleet.publish() },
+    {
+        name: "key-revoked",
+        inject: async (fleet, pick, wait) => {
+            fleet.publish(false);
+            await wait(fleet.revocationMs + pick() * LONG_MS);
+            fleet.publish(true);
+        },
+    },
     {
         name: "faulty-target",
         inject: async (fleet, pick, wait) => {
--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -6,6 +6,9 @@
 interface ObservedRequest {
     readonly requestId: string;
     readonly route: "stream" | "once" | "safe" | "unsafe";
+    /** Monotonic times in milliseconds. */
+    readonly sentAt: number;
+    readonly endedAt: number;
 }
 
 const EVENT_PATTERN = /^id: (\d+)\ndata: (\S+) (\d+)$/;
@@ -18,6 +21,9 @@
     readonly #violations: string[] = [];
     readonly #refused = new Set<string>();
     readonly #single = new Set<string>();
+    /** Requests with a key, by identifier. */
+    readonly #keyed = new Map<string, ObservedRequest>();
+    readonly #denied: (ObservedRequest & { readonly status: number; })[] = [];
     #served = 0;
     #sent = 0;
 
@@ -39,8 +45,12 @@
     }
 
     /** Records what a caller got. */
-    record({ requestId, route }: ObservedRequest, result: CallerResult): void {
+    record(request: ObservedRequest, result: CallerResult): void {
+        const { requestId, route } = request;
         this.#sent += 1;
+        if (route === "stream" || route === "once") {
+            this.#keyed.set(requestId, request);
+        }
         if (route === "unsafe" || route === "once") {
             this.#single.add(requestId);
             if (REFUSALS.includes(result.status)) {
@@ -52,9 +62,7 @@
             this.#checkAnswer(requestId, route, result);
         }
         if (result.status === 401 || result.status === 404) {
-            this.#violations.push(
-                `${requestId}: denied with ${result.status} though the configuration allows it`,
-            );
+            this.#denied.push({ ...request, status: result.status });
         }
     }
 
@@ -73,6 +81,26 @@
                 this.#violations.push(`${requestId}: ran though its refusal says that it did not`);
             }
         }
+        this.#checkKeys(fleet, new Set(runs.keys()));
+    }
+
+    /** A key that was taken away is accepted for a limited time, and denied for no longer than that after it is back. */
+    #checkKeys({ revocations, revocationMs }: CooperativeFleet, ran: ReadonlySet<string>): void {
+        for (const { requestId, sentAt, endedAt } of this.#keyed.values()) {
+            const isLate = revocations.some(({ from, until }) =>
+                sentAt > from + revocationMs && endedAt < until
+            );
+            if (isLate && ran.has(requestId)) {
+                this.#violations.push(`${requestId}: ran with a key that was taken away before`);
+            }
+        }
+        for (const { requestId, sentAt, endedAt, status } of this.#denied) {
+            const isAllowed = status === 401 && this.#keyed.has(requestId)
+                && revocations.some(({ from, until }) => endedAt > from && sentAt < until + revocationMs);
+            if (!isAllowed) {
+                this.#violations.push(`${requestId}: denied with ${status} though it is allowed`);
+            }
+        }
     }
 
     #checkAnswer(requestId: string, route: ObservedRequest["route"], result: CallerResult): void {
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -22,6 +22,12 @@
     process: ChildProcess;
 }
 
+/** Time in which the callers' key was not valid, as monotonic times in milliseconds; `until` is infinite while it lasts. */
+interface Revocation {
+    readonly from: number;
+    readonly until: number;
+}
+
 interface FleetTarget {
     readonly target: CooperativeTarget;
     readonly link: FaultLink;
@@ -46,6 +52,7 @@
     readonly #storeLink: FaultLink;
     #version = 1;
     #isKeyValid = true;
+    #revocations: readonly Revocation[] = [];
 
     private constructor(
         options: CooperativeFleetOptions,
@@ -82,6 +89,16 @@
         return fleet;
     }
 
+    /** Times in which the key was taken away, the latest last. */
+    get revocations(): readonly Revocation[] {
+        return this.#revocations;
+    }
+
+    /** Time in milliseconds for which instances may accept a key that was taken away. */
+    get revocationMs(): number {
+        return this.#options.revocationMs;
+    }
+
     get storeLink(): FaultLink {
         return this.#storeLink;
     }
@@ -127,6 +144,19 @@
 
     /** Publishes a new version of the configuration, with or without the key. */
     publish(isKeyValid = this.#isKeyValid): void {
+        const last = this.#revocations.at(-1);
+        if (this.#isKeyValid && !isKeyValid) {
+            this.#revocations = [...this.#revocations, {
+                from: performance.now(),
+                until: Number.POSITIVE_INFINITY,
+            }];
+        }
+        else if (last && !this.#isKeyValid && isKeyValid) {
+            this.#revocations = [...this.#revocations.slice(0, -1), {
+                from: last.from,
+                until: performance.now(),
+            }];
+        }
         this.#isKeyValid = isKeyValid;
         this.#version += 1;
         const stream = {
--- a/test/router/targetExchange.test.ts
+++ b/test/router/targetExchange.test.ts
@@ -67,3 +67,27 @@
     t.is(again, text);
     t.is(connections, 1);
 });
+
+test("a request is not held back to be sent with later bytes, whatever the connection can pause", async t => {
+    const delays: boolean[] = [];
+    const server = createServer((_, response) => response.end());
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const agent = TargetAgent.create(5000);
+    const socket = agent.createConnection({
+        port: (server.address() as AddressInfo).port,
+        host: "127.0.0.1",
+        noDelay: true,
+    });
+    const handle = (socket as unknown as { _handle: { setNoDelay(isOn: boolean): number; }; })._handle;
+    const setNoDelay = handle.setNoDelay.bind(handle);
+    handle.setNoDelay = isOn => {
+        delays.push(isOn);
+        return setNoDelay(isOn);
+    };
+    await once(socket, "connect");
+    t.deepEqual(delays, [true]);
+    socket.destroy();
+    agent.destroy();
+    server.close();
+});
