--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -51,10 +51,11 @@
         process.exit(INTERNAL_ERROR_EXIT_CODE);
     });
     process.on("SIGTERM", () => {
-        void router.stop().then(() => {
+        void router.stop().then(async () => {
             follower.stop();
             lookup.close();
             store.close();
+            await log.close();
             process.exit(0);
         });
     });
--- a/src/router/logSink.ts
+++ b/src/router/logSink.ts
@@ -5,6 +5,8 @@
 /** Lines above this size are dropped while the reader of the log does not keep up. */
 const MAX_BUFFERED_BYTES = 262_144;
 const RETRY_MS = 50;
+/** A stopping process keeps 300 ms before it would be killed; it waits for the reader of its log for half of them. */
+const CLOSE_TIMEOUT_MS = 150;
 const STDOUT = 1;
 
 /** Writes structured log lines to standard output without ever blocking; counts what it has to drop. */
@@ -16,6 +18,8 @@
     #timer: NodeJS.Timeout | undefined;
     #dropped = 0;
     #droppedTotal = 0;
+    /** Set while `close` waits for the last write. */
+    #onWritten: (() => void) | undefined;
 
     private constructor(fields: Readonly<Record<string, string | number>>) {
         this.#fields = fields;
@@ -64,6 +68,22 @@
         this.#writeAll(data);
     }
 
+    /** Writes what is buffered and waits until that is done, or for a limited time if nobody reads the log. */
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.#onWritten = resolve;
+            setTimeout(resolve, CLOSE_TIMEOUT_MS);
+            this.flush();
+            this.#notifyWritten();
+        });
+    }
+
+    #notifyWritten(): void {
+        if (!this.#isWriting && this.#lines.length === 0) {
+            this.#onWritten?.();
+        }
+    }
+
     #writeAll(data: Buffer): void {
         write(STDOUT, data, (error, written) => {
             const rest = error ? data : data.subarray(written);
@@ -71,6 +91,7 @@
                 // Nobody reads standard output any more, and there is no other place to tell.
                 this.#droppedTotal += 1;
                 this.#isWriting = false;
+                this.#onWritten?.();
                 return;
             }
             if (rest.length > 0) {
@@ -78,7 +99,11 @@
                 return;
             }
             this.#isWriting = false;
-            if (this.#lines.length > 0) {
+            this.#notifyWritten();
+            if (this.#onWritten) {
+                this.flush();
+            }
+            else if (this.#lines.length > 0) {
                 this.#timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS);
             }
         });
