--- a/src/core/routing/promptHolders.ts
+++ b/src/core/routing/promptHolders.ts
@@ -1,11 +1,11 @@
-/** A target that has read a prompt part. */
-type Sighting = readonly [partId: string, targetId: string];
+/** A prompt part and a target that keeps it. */
+type PartLocation = readonly [partId: string, targetId: string];
 
 /** Engines keep a part for about this long after its last use; parts that are read again within it are billed. */
 const HOLD_MS = 10_000;
-/** Sightings in one report; more wait for the next one, so that a datagram stays small. */
+/** Locations in one report; more wait for the next one, so that a datagram stays small. */
 const MAX_REPORTED = 60;
-/** Sightings that wait for the next summary; older ones are dropped by instances that send none. */
+/** Locations that wait for the next summary; older ones are dropped by instances that send none. */
 const MAX_SUMMARISED = 200;
 
 /**
@@ -15,8 +15,8 @@
 export class PromptHolders {
     /** Monotonic time in milliseconds until which a target counts as holder, by part and target. */
     readonly #holders = new Map<string, Map<string, number>>();
-    #news: Sighting[] = [];
-    #summary: Sighting[] = [];
+    #news: PartLocation[] = [];
+    #summary: PartLocation[] = [];
     #nextEvictionAt = 0;
 
     /** Creates an empty record. */
@@ -26,18 +26,18 @@
 
     /** Records that a target has read a part for a request of this instance. */
     record(partId: string, targetId: string, now: number): void {
-        const sighting = [partId, targetId] as const;
-        if (this.#renew(sighting, now)) {
-            this.#news.push(sighting);
-            this.#addToSummary(sighting);
+        const location = [partId, targetId] as const;
+        if (this.#renew(location, now)) {
+            this.#news.push(location);
+            this.#addToSummary(location);
         }
     }
 
-    /** Adopts what a peer reports; sightings of the own data centre go into its summary. */
-    adopt(sightings: readonly Sighting[], isNear: boolean, now: number): void {
-        for (const sighting of sightings) {
-            if (this.#renew(sighting, now) && isNear) {
-                this.#addToSummary(sighting);
+    /** Adopts what a peer reports; locations of the own data centre go into its summary. */
+    adopt(locations: readonly PartLocation[], isNear: boolean, now: number): void {
+        for (const location of locations) {
+            if (this.#renew(location, now) && isNear) {
+                this.#addToSummary(location);
             }
         }
     }
@@ -52,19 +52,19 @@
         return [...this.#holders.get(partId)?.values() ?? []].some(until => until > now);
     }
 
-    /** Takes the sightings of this instance that its neighbours do not know yet. */
-    takeNews(now: number): readonly Sighting[] {
+    /** Takes the locations of this instance that its neighbours do not know yet. */
+    takeNews(now: number): readonly PartLocation[] {
         this.#evictExpired(now);
         return this.#news.splice(0, MAX_REPORTED);
     }
 
-    /** Takes the sightings of the data centre that others do not know yet. */
-    takeSummary(): readonly Sighting[] {
+    /** Takes the locations of the data centre that others do not know yet. */
+    takeSummary(): readonly PartLocation[] {
         return this.#summary.splice(0);
     }
 
-    /** Returns true if the sighting was not known, or only from long ago. */
-    #renew([partId, targetId]: Sighting, now: number): boolean {
+    /** Returns true if the location was not known, or only from long ago. */
+    #renew([partId, targetId]: PartLocation, now: number): boolean {
         let targets = this.#holders.get(partId);
         if (!targets) {
             targets = new Map();
@@ -77,8 +77,8 @@
         return isNews;
     }
 
-    #addToSummary(sighting: Sighting): void {
-        this.#summary.push(sighting);
+    #addToSummary(location: PartLocation): void {
+        this.#summary.push(location);
         this.#summary.splice(0, Math.max(0, this.#summary.length - MAX_SUMMARISED));
     }
 
--- a/test/core/routing/promptHolders.test.ts
+++ b/test/core/routing/promptHolders.test.ts
@@ -5,7 +5,7 @@
 import { makeRoutedRequest } from "../../testing/scheduler/makeRoutedRequest.js";
 import { makeTargetEntry } from "../../testing/scheduler/makeTargetEntry.js";
 
-test("a sighting is told once, and again only when it gets old, so that reports stay small", t => {
+test("a location is told once, and again only when it gets old, so that reports stay small", t => {
     const holders = PromptHolders.create();
     holders.record("p", "t1", 0);
     holders.record("p", "t1", 1000);
