Let the soak mix the faults of a target, hold crossed answers to their owner, and outlast the key's term

Crossed answers had the right body, a faulty target drew one kind of fault, and no outage of the store was as long as keys are accepted. Ruled out: nothing.

--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -1,3 +1,4 @@
+import { createRandom } from "../standIns/client/createRandom.js";
 import type { LinkFault } from "../standIns/faultProxy/linkFault.js";
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import type { SoakFault } from "./soakFault.js";
@@ -7,6 +8,7 @@
 const TARGET_FAULTS: readonly TargetFault[] = ["cut", "lost", "crossed", "doubled", "full", "error", "mute"];
 /** Share of the requests that a faulty target spoils. */
 const FAULT_SHARE = 0.3;
+const MAX_SEED = 2 ** 31;
 const SHORT_MS = 400;
 const LONG_MS = 2500;
 
@@ -72,7 +74,8 @@
         name: "store-away",
         inject: async (fleet, pick, wait) => {
             fleet.store.setMode(pickItem(["silent", "busy", "reset"] as const, pick));
-            await wait(SHORT_MS + pick() * LONG_MS);
+            // Some outages are longer than keys are accepted without a confirmation.
+            await wait(SHORT_MS + pick() * (fleet.revocationMs + LONG_MS));
             fleet.store.setMode("ok");
         },
     },
@@ -90,8 +93,9 @@
         name: "faulty-target",
         inject: async (fleet, pick, wait) => {
             const { target } = pickItem(fleet.targets, pick);
-            const fault = pickItem(TARGET_FAULTS, pick);
-            target.setFault(() => pick() < FAULT_SHARE ? fault : "none");
+            // Requests draw from a generator of their own, so that their number does not change the faults to come.
+            const draw = createRandom(Math.floor(pick() * MAX_SEED));
+            target.setFault(() => draw() < FAULT_SHARE ? pickItem(TARGET_FAULTS, draw) : "none");
             await wait(SHORT_MS + pick() * LONG_MS);
             target.setFault(() => "none");
         },
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -132,8 +132,8 @@
         requestId: string,
         fault: TargetFault,
     ): void {
-        const body = `answer to ${requestId}`;
         const id = fault === "crossed" ? "another" : requestId;
+        const body = `answer to ${id}`;
         const head = { "Request-Id": id, "Response-Signature": `${requestId}.${this.#options.id}` };
         if (fault === "cut" || fault === "unframed") {
             const length = fault === "cut" ? `Content-Length: ${body.length}\r\n` : "";
@@ -161,8 +161,9 @@
             response.writeHead(500, { "Request-Id": requestId, "Content-Length": "0" }).end();
             return;
         }
+        const owner = fault === "crossed" ? "another" : requestId;
         response.writeHead(200, {
-            "Request-Id": fault === "crossed" ? "another" : requestId,
+            "Request-Id": owner,
             "Response-Signature": `${requestId}.${id}`,
             "Content-Type": "text/event-stream",
         });
@@ -176,7 +177,7 @@
                 request.socket.end();
                 return;
             }
-            response.write(`id: ${event}\ndata: ${requestId} ${event}\n\n`);
+            response.write(`id: ${event}\ndata: ${owner} ${event}\n\n`);
         }
         response.end();
     }
