--- /dev/null
+++ b/src/soak/createFaultSource.ts
@@ -0,0 +1,18 @@
+import { createRandom } from "../standIns/client/createRandom.js";
+import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
+
+type FaultSource = Parameters<CooperativeFleet["targets"][number]["target"]["setFault"]>[0];
+type TargetFault = ReturnType<FaultSource>;
+
+const TARGET_FAULTS: readonly TargetFault[] = ["cut", "lost", "crossed", "doubled", "full", "error", "mute"];
+
+/**
+ * Creates the source of one target's faults, which has a generator of its own, so that the number of requests does not
+ * change the faults to come.
+ *
+ * @param share Share of the requests that are spoilt, from 0 to 1.
+ */
+export function createFaultSource(seed: number, share: number): FaultSource {
+    const draw = createRandom(seed);
+    return () => draw() < share ? TARGET_FAULTS[Math.floor(draw() * TARGET_FAULTS.length)] ?? "none" : "none";
+}
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -3,8 +3,10 @@
 import { buildCallerHeaders } from "../testing/platform/buildCallerHeaders.js";
 import { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import { sendCaller } from "../testing/sendCaller.js";
+import { createFaultSource } from "./createFaultSource.js";
 import { soakFaults } from "./soakFaults.js";
 import { SoakObserver } from "./soakObserver.js";
+import { USUAL_FAULT_SHARE } from "./usualFaultShare.js";
 
 interface SoakOptions {
     readonly seed: number;
@@ -44,6 +46,9 @@
         stopTimeoutSeconds: 4,
     });
     const observer = SoakObserver.create();
+    fleet.targets.forEach(({ target }, i) =>
+        target.setFault(createFaultSource(options.seed + i, USUAL_FAULT_SHARE))
+    );
     const deadline = performance.now() + options.durationMs;
     const names: string[] = [];
     const wait = (ms: number): Promise<void> =>
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -1,11 +1,9 @@
-import { createRandom } from "../standIns/client/createRandom.js";
 import type { LinkFault } from "../standIns/faultProxy/linkFault.js";
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
+import { createFaultSource } from "./createFaultSource.js";
 import type { SoakFault } from "./soakFault.js";
+import { USUAL_FAULT_SHARE } from "./usualFaultShare.js";
 
-type TargetFault = ReturnType<Parameters<CooperativeFleet["targets"][number]["target"]["setFault"]>[0]>;
-
-const TARGET_FAULTS: readonly TargetFault[] = ["cut", "lost", "crossed", "doubled", "full", "error", "mute"];
 /** Share of the requests that a faulty target spoils. */
 const FAULT_SHARE = 0.3;
 const MAX_SEED = 2 ** 31;
@@ -93,11 +91,10 @@
         name: "faulty-target",
         inject: async (fleet, pick, wait) => {
             const { target } = pickItem(fleet.targets, pick);
-            // Requests draw from a generator of their own, so that their number does not change the faults to come.
-            const draw = createRandom(Math.floor(pick() * MAX_SEED));
-            target.setFault(() => draw() < FAULT_SHARE ? pickItem(TARGET_FAULTS, draw) : "none");
+            const seed = Math.floor(pick() * MAX_SEED);
+            target.setFault(createFaultSource(seed, FAULT_SHARE));
             await wait(SHORT_MS + pick() * LONG_MS);
-            target.setFault(() => "none");
+            target.setFault(createFaultSource(seed, USUAL_FAULT_SHARE));
         },
     },
     {
