Judge a response by its events, and limit what a target may send

Cause: any byte counted as progress, so a target that sends a byte now and then kept a stream until its deadline, while a stream whose caller reads slowly, or whose instance was suspended, was taken for stalled.

Change: ProgressTracker counts a complete event or 1 KiB as progress and no time in which the caller holds the stream back; RunningClock leaves out the time in which the process did not run; the limits of findInactivity follow what the target is expected to take and its pauses. EventStreamSplitter takes linear time; events, interim responses and drained bodies have limits. `request-ended` logs the time to the first event.

--- a/src/core/routing/targetState.ts
+++ b/src/core/routing/targetState.ts
@@ -15,6 +15,9 @@
 /** Weight of the newest sample in the moving average of the slowness. */
 const SLOWNESS_WEIGHT = 0.1;
 const MAX_SLOWNESS = 10;
+/** Weight and deviations of the estimate of a long pause, as in TCP's retransmission timer (RFC 6298). */
+const PAUSE_WEIGHT = 0.125;
+const PAUSE_DEVIATIONS = 4;
 /** Share of an engine's memory that one instance assumes to be filled by its own prompts. */
 const CACHE_SHARE = 0.5;
 const DEFAULT_CACHE_TOKENS = 100_000;
@@ -35,6 +38,9 @@
     readonly #failures = DecayingSum.create(HEALTH_WINDOW_MS);
     readonly #results = DecayingSum.create(HEALTH_WINDOW_MS);
     #consecutiveFailures = 0;
+    /** Moving averages of the longest pause of a response, and of its deviation. */
+    #pauseMs = 0;
+    #pauseDeviationMs = 0;
 
     private constructor(descriptor: TargetDescriptor, memoryTokens: number, now: number) {
         this.descriptor = descriptor;
@@ -93,6 +99,17 @@
         }
     }
 
+    /** Records the longest pause between the events of a complete response, in milliseconds. */
+    recordPause(pauseMs: number): void {
+        this.#pauseDeviationMs += (Math.abs(pauseMs - this.#pauseMs) - this.#pauseDeviationMs) * PAUSE_WEIGHT;
+        this.#pauseMs += (pauseMs - this.#pauseMs) * PAUSE_WEIGHT;
+    }
+
+    /** Returns a pause in milliseconds that sound responses of the target rarely exceed; 0 if none is known. */
+    getLongPauseMs(): number {
+        return this.#pauseMs + PAUSE_DEVIATIONS * this.#pauseDeviationMs;
+    }
+
     /** Updates the slowness from a measured and an expected time to first event. */
     recordFirstEvent(measuredMs: number, expectedMs: number): void {
         const sample = Math.min(MAX_SLOWNESS, Math.max(1, measuredMs / Math.max(1, expectedMs)));
--- a/src/router/callerResponse.ts
+++ b/src/router/callerResponse.ts
@@ -41,6 +41,11 @@
         return this.#eventSplitter.getLastEventId();
     }
 
+    /** Bytes received of an event that is not complete. */
+    get partialEventBytes(): number {
+        return this.#eventSplitter.partialBytes;
+    }
+
     /** Sends the status and headers of a stream. */
     startStream(status: number, head: ResponseHead): void {
         this.#isStarted = true;
--- a/src/router/describeRequestEnd.ts
+++ b/src/router/describeRequestEnd.ts
@@ -1,8 +1,12 @@
 import type { RoutedRequest } from "../core/routing/routedRequest.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 
-/** Builds the log fields for the end of a request: its attributes, the selected target and the time in the queue. */
-export function describeRequestEnd(request: RoutedRequest, grant: TargetGrant | undefined): object {
+/** Builds the log fields for the end of a request: its attributes, the selected target, the time in the queue and at the target. */
+export function describeRequestEnd(
+    request: RoutedRequest,
+    grant: TargetGrant | undefined,
+    firstEventAt: number | undefined,
+): object {
     return {
         request: request.requestId,
         route: request.route.name,
@@ -13,5 +17,8 @@
         missingTokens: grant?.missingTokens,
         expectedMs: grant && Math.round(grant.expectedMs),
         queuedMs: grant && Math.round(grant.grantedAt - request.receivedAt),
+        firstEventMs: grant && firstEventAt !== undefined
+            ? Math.round(firstEventAt - grant.grantedAt)
+            : undefined,
     };
 }
--- a/src/router/eventStreamSplitter.ts
+++ b/src/router/eventStreamSplitter.ts
@@ -1,9 +1,12 @@
+import { GrowingBuffer } from "./growingBuffer.js";
+
 const EVENT_END = "\n\n";
+const LINE_FEED = 0x0a;
 const ID_PATTERN = /(?:^|\n)id: ?(\S+)/g;
 
 /** Splits a stream into complete events and tracks the last event identifier, so that another target can resume it. */
 export class EventStreamSplitter {
-    #partial: Buffer | undefined;
+    readonly #partial = GrowingBuffer.create();
     #lastCompleted: Buffer | undefined;
     #lastEventId: string | undefined;
 
@@ -14,27 +17,31 @@
 
     /** Adds received bytes. Returns the events that they complete, or `undefined` if there are none. */
     push(chunk: Buffer): Buffer | undefined {
-        const bytes = this.#partial ? Buffer.concat([this.#partial, chunk]) : chunk;
-        const end = bytes.lastIndexOf(EVENT_END);
-        if (end < 0) {
-            this.#partial = bytes;
+        const length = this.#findEventsLength(chunk);
+        if (length === 0) {
+            this.#partial.append(chunk);
             return undefined;
         }
-        const length = end + EVENT_END.length;
-        this.#partial = length < bytes.length ? bytes.subarray(length) : undefined;
-        const complete = length < bytes.length ? bytes.subarray(0, length) : bytes;
+        const head = chunk.subarray(0, length);
+        const complete = this.#partial.length > 0 ? this.#partial.takeWith(head) : head;
+        this.#partial.append(chunk.subarray(length));
         this.#lastCompleted = complete;
         return complete;
     }
 
+    /** Bytes of the incomplete event at the end of the stream so far. */
+    get partialBytes(): number {
+        return this.#partial.length;
+    }
+
     /** True if the bytes so far end within an event. */
     get hasPartialEvent(): boolean {
-        return this.#partial !== undefined;
+        return this.#partial.length > 0;
     }
 
     /** Discards an incomplete event of a failed attempt. */
     reset(): void {
-        this.#partial = undefined;
+        this.#partial.clear();
     }
 
     /** Identifier of the last complete event, or `undefined` if there was none. */
@@ -46,4 +53,14 @@
         }
         return this.#lastEventId;
     }
+
+    /** Returns the length of the part of a chunk that ends with its last complete event; 0 if it completes none. */
+    #findEventsLength(chunk: Buffer): number {
+        const end = chunk.lastIndexOf(EVENT_END);
+        if (end >= 0) {
+            return end + EVENT_END.length;
+        }
+        // The bytes before the chunk contain no end of an event, so only one that spans the boundary is left.
+        return chunk[0] === LINE_FEED && this.#partial.lastByte === LINE_FEED ? 1 : 0;
+    }
 }
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -1,4 +1,5 @@
 import type { Agent, IncomingMessage } from "node:http";
+import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { CallerResponse } from "./callerResponse.js";
@@ -15,6 +16,8 @@
     readonly agent: Agent | false;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
+    /** The same without the time in which the process was suspended. */
+    readonly getRunningTime: () => number;
     /** True while the event loop is delayed or busy, so that events are batched before they are forwarded. */
     readonly isBatching: () => boolean;
     readonly onFirstEvent: () => void;
@@ -25,6 +28,8 @@
 }
 
 const OK = 200;
+/** Bytes of one event; a stream that sends more without completing an event sends none. */
+const MAX_EVENT_BYTES = 262_144;
 /** A third of the delay that the platform allows a router to add to an event (passMs, 300 ms); covers several events. */
 const BATCHING_MS = 100;
 
@@ -34,14 +39,14 @@
     #exchange: TargetExchange | undefined;
     #head: ResponseHead | undefined;
     #status = 0;
-    #hasEvents = false;
-    #lastDataAt: number;
+    #firstEventAt: number | undefined;
+    readonly #progress: ProgressTracker;
     /** Monotonic time in milliseconds at which reading resumes; `undefined` while it is not paused. */
     #resumeAt: number | undefined;
 
     private constructor(options: ForwardAttemptOptions) {
         this.#options = options;
-        this.#lastDataAt = options.getNow();
+        this.#progress = ProgressTracker.create(options.getRunningTime());
     }
 
     /** Creates an attempt; `send` starts it. */
@@ -60,12 +65,22 @@
 
     /** True once the first event has arrived. */
     get hasEvents(): boolean {
-        return this.#hasEvents;
+        return this.#firstEventAt !== undefined;
     }
 
-    /** Monotonic time in milliseconds of the last data from the target, or of the start of the attempt. */
-    get lastDataAt(): number {
-        return this.#lastDataAt;
+    /** Monotonic time in milliseconds of the first event; `undefined` before it. */
+    get firstEventAt(): number | undefined {
+        return this.#firstEventAt;
+    }
+
+    /** Time in milliseconds since the response last made progress, or since the start of the attempt. */
+    getInactiveMs(): number {
+        return this.#progress.getInactiveMs(this.#options.getRunningTime());
+    }
+
+    /** Longest time in milliseconds for which the response made no progress. */
+    get longestPauseMs(): number {
+        return this.#progress.longestPauseMs;
     }
 
     /** Sends the request. */
@@ -110,19 +125,22 @@
     }
 
     #onHead(incoming: IncomingMessage): void {
-        const { wire, caller, response, getNow } = this.#options;
+        const { wire, caller, response, getRunningTime } = this.#options;
         const head = wire.readResponseHead(incoming);
         this.#head = head;
         this.#status = incoming.statusCode ?? 0;
-        this.#lastDataAt = getNow();
         if (isRefusal(head)) {
-            // The body of a refusal is read so that the connection can be reused.
+            this.#exchange?.drain();
+            this.#options.onFail("refused", head.isMisdirected ? "misdirected" : "target-full");
             return;
         }
         if (head.requestId !== caller.request.requestId) {
             this.#fail("answer-mismatched");
             return;
         }
+        if (caller.request.route.kind !== "stream") {
+            this.#progress.recordProgress(getRunningTime());
+        }
         if (response.isStarted) {
             if (this.#status !== OK) {
                 this.#fail("resume-refused");
@@ -135,12 +153,9 @@
     }
 
     #onData(chunk: Buffer): void {
-        const { response, getNow, isBatching, onFirstEvent } = this.#options;
-        if (!this.#head || isRefusal(this.#head)) {
-            return;
-        }
-        this.#lastDataAt = getNow();
+        const { response, getNow, getRunningTime, isBatching, onFirstEvent } = this.#options;
         if (!response.isStarted) {
+            this.#progress.recordBytes(chunk.length, getRunningTime());
             if (!response.appendBody(chunk)) {
                 this.#fail("answer-too-long");
             }
@@ -148,14 +163,28 @@
         }
         const hasWritten = response.writeEvents(chunk, onDrain => {
             this.#exchange?.pause();
-            onDrain(() => this.#exchange?.resume());
+            this.#progress.setBlocked(true, getRunningTime());
+            onDrain(() => {
+                this.#progress.setBlocked(false, getRunningTime());
+                this.#exchange?.resume();
+            });
         });
-        if (hasWritten && !this.#hasEvents) {
-            this.#hasEvents = true;
+        if (hasWritten) {
+            this.#progress.recordProgress(getRunningTime());
+        }
+        else {
+            this.#progress.recordBytes(chunk.length, getRunningTime());
+        }
+        if (!hasWritten && response.partialEventBytes > MAX_EVENT_BYTES) {
+            this.#fail("event-too-long");
+            return;
+        }
+        if (hasWritten && this.#firstEventAt === undefined) {
+            this.#firstEventAt = getNow();
             onFirstEvent();
         }
         else if (isBatching()) {
-            this.#resumeAt = this.#lastDataAt + BATCHING_MS;
+            this.#resumeAt = getNow() + BATCHING_MS;
             this.#exchange?.pauseConnection();
         }
     }
@@ -167,10 +196,6 @@
             onFail("broken", "no-head");
             return;
         }
-        if (isRefusal(head)) {
-            onFail("refused", head.isMisdirected ? "misdirected" : "target-full");
-            return;
-        }
         if (response.isStarted && !response.isStreamComplete(head)) {
             onFail("broken", "truncated");
             return;
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -22,6 +22,8 @@
     readonly log: LogSink;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
+    /** The same without the time in which the process was suspended. */
+    readonly getRunningTime: () => number;
     readonly isBatching: () => boolean;
     readonly onEnd: (outcome: string, ms: number) => void;
 }
@@ -84,8 +86,14 @@
         if (!attempt || !this.#isRepeatable || this.#executions >= request.route.maxAttempts) {
             return;
         }
-        const { lastDataAt, hasEvents } = attempt;
-        const reason = findInactivity({ now, lastDataAt, hasEvents, objectiveMs: request.route.objectiveMs });
+        const { grant, hasEvents } = attempt;
+        const reason = findInactivity({
+            inactiveMs: attempt.getInactiveMs(),
+            hasEvents,
+            objectiveMs: request.route.objectiveMs,
+            expectedFirstMs: grant.expectedMs * grant.target.slowness,
+            expectedPauseMs: grant.target.getLongPauseMs(),
+        });
         if (reason !== undefined) {
             attempt.abort();
             this.#failAttempt(attempt, "broken", reason);
@@ -119,6 +127,7 @@
             wire,
             agent: targetAgents.getAgent(exchange.request.route, this.#isRepeatable),
             getNow,
+            getRunningTime: this.#options.getRunningTime,
             isBatching: this.#options.isBatching,
             onFirstEvent: () => scheduler.start(grant, getNow()),
             onComplete: head => this.#onComplete(attempt, head),
@@ -167,6 +176,9 @@
         const now = getNow();
         this.#attempt = undefined;
         attempt.grant.target.recordResult(isSuccess, now);
+        if (isSuccess && attempt.hasEvents) {
+            attempt.grant.target.recordPause(attempt.longestPauseMs);
+        }
         scheduler.release(attempt.grant, attempt.hasEvents, now);
     }
 
@@ -260,7 +272,7 @@
         const { exchange: { request }, log, getNow, onEnd } = this.#options;
         const ms = Math.round(getNow() - request.receivedAt);
         log.write("request-ended", {
-            ...describeRequestEnd(request, attempt?.grant),
+            ...describeRequestEnd(request, attempt?.grant, attempt?.firstEventAt),
             outcome,
             status,
             attempts: this.#attempts,
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -5,6 +5,7 @@
 import type { Locality } from "../core/routing/locality.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import { PromptLocations } from "../core/routing/promptLocations.js";
+import { RunningClock } from "../core/routing/runningClock.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { ChangeFeedServer } from "./changeFeedServer.js";
 import { DeploymentView } from "./deploymentView.js";
@@ -49,6 +50,7 @@
 export class Router {
     readonly #options: RouterOptions;
     readonly #getNow = (): number => performance.now();
+    readonly #runningClock = RunningClock.create();
     readonly #usage = AccountUsage.create(USAGE_WINDOW_MS);
     readonly #promptLocations = PromptLocations.create();
     readonly #changeLog = ChangeLog.create();
@@ -233,6 +235,7 @@
             wire,
             log,
             getNow: this.#getNow,
+            getRunningTime: () => this.#runningClock.toRunningTime(this.#getNow()),
             isBatching: () => this.#isBatching(),
             onEnd: (outcome, ms) => {
                 this.#activeRequests.delete(forwarder);
@@ -245,7 +248,9 @@
 
     #check(): void {
         const now = this.#getNow();
-        this.#loadObserver.observe(now - this.#nextCheckAt, this.#activeRequests.size);
+        const delayMs = now - this.#nextCheckAt;
+        this.#runningClock.recordDelay(delayMs);
+        this.#loadObserver.observe(delayMs, this.#activeRequests.size);
         this.#nextCheckAt = now + CHECK_INTERVAL_MS;
         this.#view.expireTargets(now);
         for (const forwarder of this.#activeRequests) {
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -18,6 +18,11 @@
 
 /** The longest round trip to a target takes a tenth of this. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Interim responses (1xx) that a target may send before its response; none is expected, as no request asks for one. */
+const MAX_INTERIM_RESPONSES = 8;
+/** A response that nobody needs is read to its end within these limits, so that its connection can be reused. */
+const MAX_DRAINED_BYTES = 65_536;
+const DRAIN_TIMEOUT_MS = 500;
 
 /** One request to one target and its response. */
 export class TargetExchange {
@@ -27,6 +32,7 @@
     #connectTimer: NodeJS.Timeout | undefined;
     #isWritten = false;
     #isEnded = false;
+    #interimResponses = 0;
 
     private constructor(options: TargetExchangeOptions) {
         this.#options = options;
@@ -46,6 +52,30 @@
         this.#request?.destroy();
     }
 
+    /**
+     * Ends the exchange without a further callback, and reads the rest of a short response so that the connection can be
+     * reused. The connection of a long or slow response is closed.
+     */
+    drain(): void {
+        this.#isEnded = true;
+        const request = this.#request;
+        const response = this.#response;
+        if (!response || response.readableEnded) {
+            return;
+        }
+        let drainedBytes = 0;
+        const timer = setTimeout(() => request?.destroy(), DRAIN_TIMEOUT_MS);
+        response.on("data", (chunk: Buffer) => {
+            drainedBytes += chunk.length;
+            if (drainedBytes > MAX_DRAINED_BYTES) {
+                request?.destroy();
+            }
+        });
+        response.on("close", () => clearTimeout(timer));
+        this.resumeConnection();
+        response.resume();
+    }
+
     /** Stops reading the response until `resume`, because the caller reads slowly (back pressure). */
     pause(): void {
         this.#response?.pause();
@@ -90,6 +120,7 @@
         }
         this.#request = request;
         request.on("socket", socket => this.#onSocket(socket));
+        request.on("information", () => this.#onInterimResponse());
         request.on("response", response => this.#onResponse(response));
         request.on("error", (error: NodeJS.ErrnoException) => this.#fail(error.code ?? error.message));
         request.end(outgoing.body);
@@ -110,6 +141,14 @@
         });
     }
 
+    #onInterimResponse(): void {
+        this.#interimResponses += 1;
+        if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+            this.#request?.destroy();
+            this.#fail("too-many-interim-responses");
+        }
+    }
+
     #onResponse(response: IncomingMessage): void {
         if (this.#isEnded) {
             response.resume();
