Fetch prompt parts only where that is quicker, and learn the prefill rate

Change: a fetch is estimated from the size of a token, the links and the round trip, and used where it takes less than three times the reading. The prefill rate is learned from first events (EngineModel). Limits of an engine's queue follow the shortest objective of its routes.

--- a/src/core/routing/estimateTarget.ts
+++ b/src/core/routing/estimateTarget.ts
@@ -1,6 +1,5 @@
 import type { PromptPart } from "./promptPart.js";
 import type { RoutedRequest } from "./routedRequest.js";
-import type { SchedulerSettings } from "./schedulerSettings.js";
 import type { TargetState } from "./targetState.js";
 
 /** Time to first event of an idle engine in milliseconds, without prompt processing. */
@@ -9,51 +8,95 @@
 const RUNNING_REQUEST_MS = 0.3;
 /** Typical processing time of a request at a plain service in milliseconds. */
 const PLAIN_WORK_MS = 20;
+/** Reading a prompt holds up all requests of an engine, fetching it only one, so fetching may take longer. */
+const FETCH_ADVANTAGE = 3;
 
 interface TargetEstimate {
     /** Time in milliseconds that the requests ahead take; for an engine, the processing of their prompts. */
     readonly queueMs: number;
-    /** Prompt tokens that the target does not have cached. */
+    /** Prompt tokens that the requests ahead and this one have to read. */
+    readonly tokensAhead: number;
+    /** Prompt tokens that the target has to read. */
     readonly missingTokens: number;
-    /** Shared prompt tokens that the target lacks and can fetch from another one. */
-    readonly fetchedTokens: number;
+    /** Shared prompt tokens that the target lacks; they are fetched or read again. */
+    readonly uncachedTokens: number;
+    /** True if the target should fetch the shared tokens that it lacks. */
+    readonly isFetching: boolean;
+    /** Part of `expectedMs` that is not spent reading prompts. */
+    readonly overheadMs: number;
     /** Time to first event in milliseconds, without the network delay and the slowness of the target. */
     readonly expectedMs: number;
 }
 
+interface EstimateOptions {
+    /** Prompt tokens that the engines of the service read per millisecond; `undefined` for a plain service. */
+    readonly prefillTokensPerMs: number | undefined;
+    /**
+     * Whether the target has the shared parts of the prompt cached, by the reports of all instances; `unknown` if only the
+     * requests of this instance tell.
+     */
+    readonly sharedParts: "cached" | "uncached" | "unknown";
+    /** Returns the time in milliseconds to fetch tokens from another target; `undefined` if there is no source. */
+    readonly estimateFetchMs: ((tokens: number) => number) | undefined;
+    readonly now: number;
+}
+
 /** Estimates the time to first event of a request at a target. */
 export function estimateTarget(
     target: TargetState,
     request: RoutedRequest,
-    options: {
-        readonly isEngine: boolean;
-        /** True if the target probably has the shared parts of the prompt cached, whichever instance sent them. */
-        readonly hasSharedCached: boolean;
-        /** True if the target can fetch the shared parts from another one. */
-        readonly canFetch: boolean;
-        readonly now: number;
-    },
-    settings: SchedulerSettings,
+    { prefillTokensPerMs, sharedParts, estimateFetchMs, now }: EstimateOptions,
 ): TargetEstimate {
-    const inFlight = target.countInFlight(options.now);
-    if (!options.isEngine) {
+    const inFlight = target.countInFlight(now);
+    if (prefillTokensPerMs === undefined) {
         const queueMs = PLAIN_WORK_MS * inFlight / Math.max(1, target.descriptor.slots);
-        return { queueMs, missingTokens: 0, fetchedTokens: 0, expectedMs: PLAIN_WORK_MS + queueMs };
+        return {
+            queueMs,
+            tokensAhead: 0,
+            missingTokens: 0,
+            uncachedTokens: 0,
+            isFetching: false,
+            overheadMs: PLAIN_WORK_MS,
+            expectedMs: PLAIN_WORK_MS + queueMs,
+        };
     }
-    const queueMs = target.countPendingTokens(options.now) / settings.prefillTokensPerMs;
-    const known = target.cache.countParts(request.prompt);
-    const cachedParts = options.hasSharedCached ? Math.max(known, request.prompt.length - 1) : known;
-    const missingTokens = Math.max(1, request.promptTokens - sumTokens(request.prompt.slice(0, cachedParts)));
-    const fetchedTokens = options.canFetch ? sumTokens(request.prompt.slice(cachedParts, -1)) : 0;
+    const pendingTokens = target.countPendingTokens(now);
+    const cachedParts = countCachedParts(target, request.prompt, sharedParts);
+    const cachedTokens = sumTokens(request.prompt.slice(0, cachedParts));
+    const uncachedTokens = sumTokens(request.prompt.slice(cachedParts, -1));
+    const possibleFetchMs = uncachedTokens > 0 ? estimateFetchMs?.(uncachedTokens) : undefined;
+    const isFetching = possibleFetchMs !== undefined
+        && possibleFetchMs < FETCH_ADVANTAGE * uncachedTokens / prefillTokensPerMs;
+    const overheadMs = ENGINE_BASE_MS + (isFetching ? possibleFetchMs : 0) + inFlight * RUNNING_REQUEST_MS;
+    const missingTokens = Math.max(
+        1,
+        request.promptTokens - cachedTokens - (isFetching ? uncachedTokens : 0),
+    );
+    const queueMs = pendingTokens / prefillTokensPerMs;
     return {
         queueMs,
+        tokensAhead: pendingTokens + missingTokens,
         missingTokens,
-        fetchedTokens,
-        expectedMs: ENGINE_BASE_MS + queueMs + missingTokens / settings.prefillTokensPerMs
-            + inFlight * RUNNING_REQUEST_MS,
+        uncachedTokens,
+        isFetching,
+        overheadMs,
+        expectedMs: overheadMs + queueMs + missingTokens / prefillTokensPerMs,
     };
 }
 
+function countCachedParts(
+    target: TargetState,
+    prompt: readonly PromptPart[],
+    sharedParts: EstimateOptions["sharedParts"],
+): number {
+    const known = target.cache.countParts(prompt);
+    if (sharedParts === "cached") {
+        return Math.max(known, prompt.length - 1);
+    }
+    // What this instance has sent there long ago may have been evicted since.
+    return sharedParts === "uncached" ? Math.max(0, Math.min(known, prompt.length - 2)) : known;
+}
+
 function sumTokens(parts: readonly PromptPart[]): number {
     return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,6 +1,7 @@
 import { AccountShares } from "./accountShares.js";
 import type { AccountUsage } from "./accountUsage.js";
 import { countRequestTokens } from "./countRequestTokens.js";
+import { EngineModel } from "./engineModel.js";
 import type { PromptLocations } from "./promptLocations.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
@@ -38,6 +39,7 @@
     readonly #options: ServiceSchedulerOptions;
     readonly #picker: TargetPicker;
     readonly #shares: AccountShares;
+    readonly #engineModel: EngineModel;
     #service: RoutedService;
     readonly #targets = new Map<string, TargetState>();
     #evacuated: ReadonlySet<string> = new Set();
@@ -50,7 +52,9 @@
             usage: options.usage,
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
         });
+        this.#engineModel = EngineModel.create(options.settings);
         this.#picker = TargetPicker.create({
+            engineModel: this.#engineModel,
             targets: this.#targets,
             settings: options.settings,
             promptLocations: options.promptLocations,
@@ -145,7 +149,11 @@
         if (grant.sharedPartId !== undefined) {
             this.#options.promptLocations.record(grant.sharedPartId, grant.target.descriptor.id, now);
         }
-        grant.target.recordFirstEvent(now - grant.grantedAt, grant.expectedMs);
+        const measuredMs = now - grant.grantedAt;
+        grant.target.recordFirstEvent(measuredMs, grant.expectedMs);
+        if (this.#service.engine) {
+            this.#engineModel.recordFirstEvent(grant.tokensAhead, measuredMs - grant.overheadMs, now);
+        }
         this.advance(now);
     }
 
@@ -184,10 +192,10 @@
         if (candidate) {
             return { kind: "granted", grant: this.#reserve(request, candidate, now) };
         }
-        if (isResume || (!isExcluded && now < this.#getWaitDeadline(request, isOverShare))) {
+        if (isResume || (!isExcluded && now < this.#getWaitDeadline(request, isOverShare, now))) {
             return { kind: "waiting" };
         }
-        const retryAfterMs = isExcluded ? decayMs : this.#estimateRetryAfter();
+        const retryAfterMs = isExcluded ? decayMs : this.#estimateRetryAfter(now);
         return {
             kind: "refused",
             reason: this.#targets.size === 0 ? "no-target" : "overloaded",
@@ -216,19 +224,19 @@
     }
 
     /** Time after which a request cannot meet its objective or, over its share, is refused to be sent again later. */
-    #getWaitDeadline(request: RoutedRequest, isOverShare: boolean): number {
+    #getWaitDeadline(request: RoutedRequest, isOverShare: boolean, now: number): number {
         if (isOverShare) {
             return request.receivedAt + request.route.objectiveMs * OVER_SHARE_WAIT_RATIO;
         }
         const readingMs = this.#service.engine
-            ? request.promptTokens / this.#options.settings.prefillTokensPerMs
+            ? request.promptTokens / this.#engineModel.getPrefillTokensPerMs(now)
             : 0;
         return request.objectiveDeadline - Math.min(request.route.objectiveMs / 2, MIN_START_MS + readingMs);
     }
 
-    #estimateRetryAfter(): number {
+    #estimateRetryAfter(now: number): number {
         const tokens = this.#waiting.reduce((sum, waiting) => sum + waiting.request.promptTokens, 0);
-        const rate = Math.max(1, this.#targets.size) * this.#options.settings.prefillTokensPerMs;
+        const rate = Math.max(1, this.#targets.size) * this.#engineModel.getPrefillTokensPerMs(now);
         return Math.max(MIN_RETRY_AFTER_MS, tokens / rate);
     }
 
--- a/src/core/routing/targetGrant.ts
+++ b/src/core/routing/targetGrant.ts
@@ -9,7 +9,11 @@
     readonly sharedPartId: string | undefined;
     /** Prompt tokens that the target does not have cached and must read. */
     readonly missingTokens: number;
-    /** Expected time to first event in milliseconds. */
+    /** The same with those of the requests ahead. */
+    readonly tokensAhead: number;
+    /** Part of `expectedMs` that is not spent reading prompts. */
+    readonly overheadMs: number;
+    /** Expected time to first event in milliseconds, with the network delay. */
     readonly expectedMs: number;
     /** Monotonic time in milliseconds. */
     readonly grantedAt: number;
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -1,3 +1,5 @@
+import type { EngineModel } from "./engineModel.js";
+import { estimateFetch } from "./estimateFetch.js";
 import { estimateTarget } from "./estimateTarget.js";
 import { findSharedPrefix } from "./findSharedPrefix.js";
 import { PromptAffinity } from "./promptAffinity.js";
@@ -15,6 +17,7 @@
     readonly targets: ReadonlyMap<string, TargetState>;
     readonly settings: SchedulerSettings;
     readonly promptLocations: PromptLocations;
+    readonly engineModel: EngineModel;
     readonly getService: () => RoutedService;
     /** Evacuated data centres, which get no requests. */
     readonly getEvacuated: () => ReadonlySet<string>;
@@ -37,11 +40,11 @@
 /** Penalty in milliseconds of a target that fails all its requests, so that a faulty one is picked last. */
 const FAILURE_PENALTY_MS = 2000;
 /**
- * Penalty of a target other than the affinity target of a prompt: a constant, and one per shared token that has to be
- * moved there. Reading a shared part again is billed, and moving it takes about as long as reading it.
+ * Penalties per shared token that a target lacks, beyond the time that it takes: moving it uses the links of the engines
+ * and is billed, reading it again holds up the other requests of the engine and is billed several times as much.
  */
-const FETCH_PENALTY_MS = 80;
-const FETCH_PENALTY_MS_PER_TOKEN = 0.05;
+const MOVED_TOKEN_PENALTY_MS = 0.02;
+const REREAD_TOKEN_PENALTY_MS = 0.06;
 /** Shorter prefixes are read again in less time than it takes to report their location. */
 const MIN_REPORTED_TOKENS = 256;
 
@@ -66,7 +69,8 @@
     /** Returns the best target with capacity, or `undefined`. */
     pick(waiting: WaitingRequest, isOverShare: boolean, now: number): TargetCandidate | undefined {
         const { settings } = this.#options;
-        const maxQueueMs = isOverShare ? settings.overShareQueueMs : settings.engineQueueMs;
+        const maxQueueMs = this.#options.getService().shortestObjectiveMs
+            * (isOverShare ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
         const usable = [...this.#options.targets.values()].filter(({ descriptor }) =>
             this.#isUsable(descriptor, waiting.request)
         );
@@ -112,16 +116,17 @@
         };
     }
 
-    /** Finds another target from which a target can fetch the shared parts, preferably in the same region. */
+    /** Finds another target from which a target can fetch the shared parts, the nearest first; only one that lacks them is asked. */
     #findSource(
         target: TargetState,
         { affinityTarget, remoteAffinityTarget, cachingTargets }: CachedPrompt,
     ): TargetState | undefined {
         const { regionsByDataCentre } = this.#options.settings;
-        const region = regionsByDataCentre.get(target.descriptor.dataCentre);
-        const others = cachingTargets.filter(cachingTarget => cachingTarget !== target);
-        return others.find(({ descriptor }) => regionsByDataCentre.get(descriptor.dataCentre) === region)
-            ?? others[0]
+        const { dataCentre } = target.descriptor;
+        const region = regionsByDataCentre.get(dataCentre);
+        return cachingTargets.find(({ descriptor }) => descriptor.dataCentre === dataCentre)
+            ?? cachingTargets.find(({ descriptor }) => regionsByDataCentre.get(descriptor.dataCentre) === region)
+            ?? cachingTargets[0]
             ?? (target === affinityTarget ? remoteAffinityTarget : affinityTarget);
     }
 
@@ -132,7 +137,6 @@
         maxQueueMs: number,
         now: number,
     ): TargetCandidate | undefined {
-        const { settings } = this.#options;
         const { descriptor } = target;
         const coldShare = this.#getColdShare(target, now);
         if (coldShare && !target.coldBucket.has(now, coldShare.perSecond, coldShare.burst)) {
@@ -141,35 +145,41 @@
         if (target.isCold(now) && !coldShare && this.#options.getService().coldRequestsPerSecond > 0) {
             return undefined;
         }
-        const isEngine = this.#options.getService().engine !== undefined;
+        const isCachingTarget = cached.cachingTargets.includes(target);
         const isAffinityTarget = target === cached.affinityTarget;
-        // Without reports, the affinity target is the best guess: all instances of the region send the parts there.
-        const hasSharedCached = cached.cachingTargets.length > 0
-            ? cached.cachingTargets.includes(target)
-            : isAffinityTarget;
-        const source = cached.cachingTargets.includes(target) ? undefined : this.#findSource(target, cached);
-        const estimate = estimateTarget(
-            target,
-            request,
-            { isEngine, hasSharedCached, canFetch: source !== undefined, now },
-            settings,
-        );
+        const source = isCachingTarget ? undefined : this.#findSource(target, cached);
+        const { engine } = this.#options.getService();
+        const estimate = estimateTarget(target, request, {
+            prefillTokensPerMs: engine && this.#options.engineModel.getPrefillTokensPerMs(now),
+            sharedParts: describeSharedParts(isCachingTarget, isAffinityTarget, cached.cachingTargets.length > 0),
+            estimateFetchMs: engine && source
+                ? tokens =>
+                    estimateFetch(engine, tokens, {
+                        roundTripMs: this.#getRoundTripMs(target.descriptor, source.descriptor),
+                        isSameDataCentre: target.descriptor.dataCentre === source.descriptor.dataCentre,
+                    })
+                : undefined,
+            now,
+        });
         if (target.countInFlight(now) >= descriptor.slots || estimate.queueMs > maxQueueMs) {
             return undefined;
         }
+        const roundTripMs = this.#getRoundTripMs(descriptor, this.#options.settings.locality);
         return {
             target,
             coldShare,
-            score: estimate.expectedMs * target.slowness + this.#getRoundTripMs(descriptor)
+            score: estimate.expectedMs * target.slowness + roundTripMs
                 + target.getFailureShare(now) * FAILURE_PENALTY_MS
-                + (source && !isAffinityTarget ? FETCH_PENALTY_MS : 0)
-                + estimate.fetchedTokens * FETCH_PENALTY_MS_PER_TOKEN,
+                + estimate.uncachedTokens
+                    * (estimate.isFetching ? MOVED_TOKEN_PENALTY_MS : REREAD_TOKEN_PENALTY_MS),
             grant: {
                 target,
-                promptSource: source?.descriptor.address,
+                promptSource: estimate.isFetching ? source?.descriptor.address : undefined,
                 sharedPartId: cached.reportedPartId,
                 missingTokens: estimate.missingTokens,
-                expectedMs: estimate.expectedMs,
+                tokensAhead: estimate.tokensAhead,
+                overheadMs: estimate.overheadMs + roundTripMs,
+                expectedMs: estimate.expectedMs + roundTripMs,
                 grantedAt: now,
             },
         };
@@ -186,15 +196,25 @@
         );
     }
 
-    /** Returns the network round-trip time to the target in milliseconds. */
-    #getRoundTripMs(descriptor: TargetDescriptor): number {
-        const { locality, regionsByDataCentre, dataCentreDelayMs, regionDelayMs } = this.#options.settings;
-        if (descriptor.dataCentre === locality.dataCentre) {
+    /** Returns the network round-trip time between two places in milliseconds. */
+    #getRoundTripMs(from: { readonly dataCentre: string; }, to: { readonly dataCentre: string; }): number {
+        const { regionsByDataCentre, dataCentreDelayMs, regionDelayMs } = this.#options.settings;
+        if (from.dataCentre === to.dataCentre) {
             return 0;
         }
-        return 2
-            * (regionsByDataCentre.get(descriptor.dataCentre) === locality.region
-                ? dataCentreDelayMs
-                : regionDelayMs);
+        const isSameRegion = regionsByDataCentre.get(from.dataCentre) === regionsByDataCentre.get(to.dataCentre);
+        return 2 * (isSameRegion ? dataCentreDelayMs : regionDelayMs);
+    }
+}
+
+/** Without reports, the affinity target is the best guess: all instances of the region send the parts there. */
+function describeSharedParts(
+    isCachingTarget: boolean,
+    isAffinityTarget: boolean,
+    hasReports: boolean,
+): "cached" | "uncached" | "unknown" {
+    if (isCachingTarget || (isAffinityTarget && !hasReports)) {
+        return "cached";
     }
+    return hasReports ? "uncached" : "unknown";
 }
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -8,6 +8,8 @@
 
 const KINDS: Readonly<Record<string, RouteKind>> = { safe: "safe", unsafe: "unsafe", streaming: "stream" };
 const MS_PER_SECOND = 1000;
+/** Objective of a service that no route names. */
+const DEFAULT_OBJECTIVE_MS = 10_000;
 
 /**
  * Decodes the operators' configuration.
@@ -20,10 +22,11 @@
     if (!Number.isInteger(fields["version"])) {
         throw new TypeError("The configuration has no version.");
     }
-    const services = readList(fields["services"]).map(decodeService);
+    const routes = readList(fields["routes"]).map(decodeRoute);
+    const services = readList(fields["services"]).map(service => decodeService(service, routes));
     return {
         version: Number(fields["version"]),
-        routesByHost: buildRouteIndex(readList(fields["routes"]).map(decodeRoute)),
+        routesByHost: buildRouteIndex(routes),
         services: new Map(services.map(service => [service.name, service])),
         hasAccounts: Array.isArray(fields["tenants"]) && fields["tenants"].length > 0,
         accountsByKey: buildAccountIndex(readList(fields["tenants"])),
@@ -84,15 +87,25 @@
     return byHost;
 }
 
-function decodeService(fields: Fields): RoutedService {
+function decodeService(fields: Fields, routes: readonly RouteRule[]): RoutedService {
     const engine = fields["engine"] as Fields | undefined;
+    const name = String(fields["name"]);
+    const objectives = routes
+        .filter(route => route.backends.some(backend => backend.service === name))
+        .map(route => route.objectiveMs);
     return {
-        name: String(fields["name"]),
+        name,
+        shortestObjectiveMs: Math.min(DEFAULT_OBJECTIVE_MS, ...objectives),
         maxConnections: readNumber(fields["maxConnections"], 0),
         warmupMs: readNumber(fields["warmupS"], 0) * MS_PER_SECOND,
         coldRequestsPerSecond: readNumber(fields["coldPerS"], 0),
         engine: engine
-            ? { slots: readNumber(engine["slots"], 1), memoryTokens: readNumber(engine["kvTokens"], 0) }
+            ? {
+                slots: readNumber(engine["slots"], 1),
+                memoryTokens: readNumber(engine["kvTokens"], 0),
+                tokenBytes: readNumber(engine["kvTokenBytes"], 0),
+                linkMbps: readNumber(engine["linkMbps"], 0),
+            }
             : undefined,
     };
 }
