Tell refused callers a time that covers the demand of their account

Change: the time covers the decay of the account's usage and what it has requested beyond its share, up to 4 s, spread by the request's identifier. Refusals log the share that decided them. The usage that peers report is summed as reports arrive rather than for each decision.

--- a/src/core/routing/accountShares.ts
+++ b/src/core/routing/accountShares.ts
@@ -30,15 +30,22 @@
 
     /**
      * Returns the fair-share status of an account. `over` its share, it only gets capacity that would stay idle;
-     * `excluded`, it gets nothing until `returnMs` have passed.
+     * `excluded`, it gets nothing until its usage has decayed.
      */
     getStatus(account: string, now: number): FairShareStatus {
         const { usage } = this.#options;
-        const shareRatio = usage.getGranted(account, now) / this.#getShare(now);
-        if (shareRatio > MAX_SHARE_RATIO) {
-            return { kind: "excluded", decayMs: usage.windowMs * Math.log(shareRatio) };
+        const share = this.#getShare(now);
+        const shareRatio = usage.getGranted(account, now) / share;
+        if (shareRatio <= 1) {
+            return { kind: "within", shareRatio, returnMs: 0 };
         }
-        return { kind: shareRatio > 1 ? "over" : "within", decayMs: 0 };
+        const demandRatio = usage.getRequested(account, now) / share;
+        return {
+            kind: shareRatio > MAX_SHARE_RATIO ? "excluded" : "over",
+            shareRatio,
+            // Its usage decays to its share, and then its share serves what was requested beyond it.
+            returnMs: usage.windowMs * (Math.log(shareRatio) + Math.max(0, demandRatio - 1)),
+        };
     }
 
     #getShare(now: number): number {
@@ -55,6 +62,8 @@
 
 interface FairShareStatus {
     readonly kind: "within" | "over" | "excluded";
-    /** Time in milliseconds until the usage of an excluded account has decayed to its share; 0 for other accounts. */
-    readonly decayMs: number;
+    /** Tokens granted to the account, as a multiple of its share. */
+    readonly shareRatio: number;
+    /** Time in milliseconds after which a refused request of the account can expect to be served; 0 within its share. */
+    readonly returnMs: number;
 }
--- a/src/core/routing/accountUsage.ts
+++ b/src/core/routing/accountUsage.ts
@@ -1,4 +1,5 @@
 import { DecayingSum } from "./decayingSum.js";
+import { UsageReports } from "./usageReports.js";
 
 /** Recent tokens of one client account at this instance. */
 interface UsageRecord {
@@ -6,13 +7,6 @@
     readonly granted: DecayingSum;
 }
 
-interface PeerUsage {
-    /** Tokens requested and granted, by client account. */
-    readonly tokens: ReadonlyMap<string, { readonly asked: number; readonly granted: number; }>;
-    /** Monotonic time in milliseconds. */
-    readonly validUntil: number;
-}
-
 const MS_PER_SECOND = 1000;
 
 /** Tokens that client accounts recently requested and were granted, over all instances that report. */
@@ -21,8 +15,8 @@
     readonly windowMs: number;
     readonly #local = new Map<string, UsageRecord>();
     /** By instance of the local data centre, and by remote data centre. */
-    readonly #peers = new Map<string, PeerUsage>();
-    readonly #remote = new Map<string, PeerUsage>();
+    readonly #peers = UsageReports.create();
+    readonly #remote = UsageReports.create();
 
     private constructor(windowMs: number) {
         this.windowMs = windowMs;
@@ -44,22 +38,25 @@
     }
 
     /** Replaces the usage that another instance of the local data centre has reported. */
-    setPeerUsage(instance: string, usage: PeerUsage): void {
+    setPeerUsage(instance: string, usage: Parameters<UsageReports["set"]>[1]): void {
         this.#peers.set(instance, usage);
     }
 
     /** Replaces the usage that a remote data centre has reported for all its instances. */
-    setRemoteUsage(dataCentre: string, usage: PeerUsage): void {
+    setRemoteUsage(dataCentre: string, usage: Parameters<UsageReports["set"]>[1]): void {
         this.#remote.set(dataCentre, usage);
     }
 
     /** Returns the tokens recently granted to a client account by all instances. */
     getGranted(account: string, now: number): number {
-        let total = this.#local.get(account)?.granted.get(now) ?? 0;
-        for (const usage of this.#listValidReports(now)) {
-            total += usage.tokens.get(account)?.granted ?? 0;
-        }
-        return total;
+        return (this.#local.get(account)?.granted.get(now) ?? 0)
+            + this.#peers.get(account, now).granted + this.#remote.get(account, now).granted;
+    }
+
+    /** Returns the tokens that a client account recently requested from all instances. */
+    getRequested(account: string, now: number): number {
+        return (this.#local.get(account)?.requested.get(now) ?? 0)
+            + this.#peers.get(account, now).asked + this.#remote.get(account, now).asked;
     }
 
     /**
@@ -73,9 +70,9 @@
         for (const [account, record] of this.#local) {
             demand.set(account, record.requested.get(now));
         }
-        for (const usage of this.#listValidReports(now)) {
-            for (const [account, tokens] of usage.tokens) {
-                demand.set(account, (demand.get(account) ?? 0) + tokens.asked);
+        for (const reports of [this.#peers, this.#remote]) {
+            for (const [account, { asked }] of reports.listTotals(now)) {
+                demand.set(account, (demand.get(account) ?? 0) + asked);
             }
         }
         let remaining = tokensPerSecond * this.windowMs / MS_PER_SECOND;
@@ -107,11 +104,9 @@
         const totals = new Map(
             this.listLocal(now).map(([account, requested, granted]) => [account, { requested, granted }]),
         );
-        for (const usage of this.#listValid(this.#peers, now)) {
-            for (const [account, { asked, granted }] of usage.tokens) {
-                const total = totals.get(account) ?? { requested: 0, granted: 0 };
-                totals.set(account, { requested: total.requested + asked, granted: total.granted + granted });
-            }
+        for (const [account, { asked, granted }] of this.#peers.listTotals(now)) {
+            const total = totals.get(account) ?? { requested: 0, granted: 0 };
+            totals.set(account, { requested: total.requested + asked, granted: total.granted + granted });
         }
         return [...totals].map(([account, { requested, granted }]) => [account, requested, granted] as const);
     }
@@ -127,17 +122,4 @@
         }
         return record;
     }
-
-    #listValidReports(now: number): readonly PeerUsage[] {
-        return [...this.#listValid(this.#peers, now), ...this.#listValid(this.#remote, now)];
-    }
-
-    #listValid(usages: Map<string, PeerUsage>, now: number): readonly PeerUsage[] {
-        for (const [name, usage] of usages) {
-            if (usage.validUntil < now) {
-                usages.delete(name);
-            }
-        }
-        return [...usages.values()];
-    }
 }
--- a/src/core/routing/schedulerDecision.ts
+++ b/src/core/routing/schedulerDecision.ts
@@ -1,11 +1,8 @@
+import type { SchedulerRefusal } from "./schedulerRefusal.js";
 import type { TargetGrant } from "./targetGrant.js";
 
 /** Outcome of a request for a target. */
 export type SchedulerDecision =
     | { readonly kind: "granted"; readonly grant: TargetGrant; }
     | { readonly kind: "waiting"; }
-    | {
-        readonly kind: "refused";
-        readonly reason: "no-target" | "overloaded";
-        readonly retryAfterMs: number;
-    };
+    | ({ readonly kind: "refused"; } & SchedulerRefusal);
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,3 +1,4 @@
+import murmurhash from "murmurhash";
 import { AccountShares } from "./accountShares.js";
 import type { AccountUsage } from "./accountUsage.js";
 import { countRequestTokens } from "./countRequestTokens.js";
@@ -32,7 +33,11 @@
 /** Time in milliseconds that an idle target takes to begin its response. */
 const MIN_START_MS = 40;
 const MIN_RETRY_AFTER_MS = 250;
-const MAX_RETRY_AFTER_MS = 3000;
+const MAX_RETRY_AFTER_MS = 4000;
+/** Refused requests return at times that differ by up to this share, so that they don't meet again. */
+const RETRY_SPREAD = 0.5;
+
+const HASH_RANGE = 2 ** 32;
 
 /** Assigns the waiting requests of a service to targets, and refuses those that cannot be served in time. */
 export class ServiceScheduler {
@@ -114,7 +119,11 @@
     /** Adds a request, which is granted a target or refused, now or later. */
     enqueue(waiting: WaitingRequest, now: number): void {
         if (this.#waiting.length >= MAX_WAITING && !waiting.isResume) {
-            waiting.onRefuse("overloaded", MAX_RETRY_AFTER_MS);
+            waiting.onRefuse({
+                reason: "overloaded",
+                retryAfterMs: limitRetryAfter(MAX_RETRY_AFTER_MS, waiting.request.requestId),
+                shareRatio: undefined,
+            });
             return;
         }
         if (!waiting.isResume) {
@@ -130,12 +139,12 @@
 
     /** Returns the retry delay in milliseconds if the account is excluded; the request then still counts as demand. */
     findRetryDelay(request: RoutedRequest, now: number): number | undefined {
-        const { kind, decayMs } = this.#shares.getStatus(request.account, now);
+        const { kind, returnMs } = this.#shares.getStatus(request.account, now);
         if (kind !== "excluded") {
             return undefined;
         }
         this.#options.usage.addDemand(request.account, countRequestTokens(request), now);
-        return Math.min(MAX_RETRY_AFTER_MS, decayMs);
+        return limitRetryAfter(returnMs, request.requestId);
     }
 
     /** Removes a waiting request whose caller has disconnected. */
@@ -186,7 +195,7 @@
      */
     #resolve(waiting: WaitingRequest, blocked: Set<string>, now: number): SchedulerDecision {
         const { request, isResume } = waiting;
-        const { kind, decayMs } = this.#shares.getStatus(request.account, now);
+        const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
         const [isExcluded, isOverShare] = [kind === "excluded", kind === "over"];
         const candidate = isExcluded ? undefined : this.#pick(waiting, isOverShare, blocked, now);
         if (candidate) {
@@ -195,11 +204,11 @@
         if (isResume || (!isExcluded && now < this.#getWaitDeadline(request, isOverShare, now))) {
             return { kind: "waiting" };
         }
-        const retryAfterMs = isExcluded ? decayMs : this.#estimateRetryAfter(now);
         return {
             kind: "refused",
             reason: this.#targets.size === 0 ? "no-target" : "overloaded",
-            retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, retryAfterMs),
+            retryAfterMs: limitRetryAfter(Math.max(returnMs, this.#estimateRetryAfter(now)), request.requestId),
+            shareRatio,
         };
     }
 
@@ -237,7 +246,7 @@
     #estimateRetryAfter(now: number): number {
         const tokens = this.#waiting.reduce((sum, waiting) => sum + waiting.request.promptTokens, 0);
         const rate = Math.max(1, this.#targets.size) * this.#engineModel.getPrefillTokensPerMs(now);
-        return Math.max(MIN_RETRY_AFTER_MS, tokens / rate);
+        return tokens / rate;
     }
 
     /** Requests attempted before come first, then those of accounts with the lowest recent usage, then the oldest. */
@@ -273,6 +282,13 @@
         waiting.onGrant(decision.grant);
     }
     else if (decision.kind === "refused") {
-        waiting.onRefuse(decision.reason, decision.retryAfterMs);
+        waiting.onRefuse(decision);
     }
 }
+
+/** Limits a time to return to what callers can use, and spreads the requests that are told the same one. */
+function limitRetryAfter(retryAfterMs: number, requestId: string): number {
+    const position = murmurhash.v3(requestId) / HASH_RANGE;
+    const limitedMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs));
+    return limitedMs * (1 - RETRY_SPREAD * position);
+}
--- a/src/core/routing/waitingRequest.ts
+++ b/src/core/routing/waitingRequest.ts
@@ -1,4 +1,5 @@
 import type { RoutedRequest } from "./routedRequest.js";
+import type { SchedulerRefusal } from "./schedulerRefusal.js";
 import type { TargetGrant } from "./targetGrant.js";
 
 /** A request that waits for a target. */
@@ -9,7 +10,5 @@
     /** True for a request with an earlier attempt, whose response may have begun; it is never refused. */
     readonly isResume: boolean;
     readonly onGrant: (grant: TargetGrant) => void;
-    readonly onRefuse: (reason: SchedulerRefusal, retryAfterMs: number) => void;
+    readonly onRefuse: (refusal: SchedulerRefusal) => void;
 }
-
-type SchedulerRefusal = "no-target" | "overloaded";
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -107,9 +107,12 @@
             excludedTargets: this.#excludedTargets,
             isResume: this.#attempts > 0,
             onGrant: grant => this.#send(grant),
-            onRefuse: (reason, retryAfterMs) => {
+            onRefuse: ({ reason, retryAfterMs, shareRatio }) => {
                 this.#waiting = undefined;
-                this.#refuse(this.#executions > 0 ? BAD_GATEWAY : SERVICE_UNAVAILABLE, reason, retryAfterMs);
+                this.#refuse(this.#executions > 0 ? BAD_GATEWAY : SERVICE_UNAVAILABLE, reason, retryAfterMs, {
+                    retryAfterMs: Math.round(retryAfterMs),
+                    shareRatio: shareRatio === undefined ? undefined : Number(shareRatio.toFixed(2)),
+                });
             },
         };
         scheduler.enqueue(this.#waiting, getNow());
@@ -229,7 +232,7 @@
     }
 
     /** Sends the caller a final response; only a 503 states that the request was not executed and may be sent again. */
-    #refuse(status: number, reason: string, retryAfterMs: number): void {
+    #refuse(status: number, reason: string, retryAfterMs: number, inputs: object = {}): void {
         if (this.#response.isStarted) {
             this.#response.abort();
         }
@@ -239,7 +242,7 @@
                 status === SERVICE_UNAVAILABLE ? retryAfterMs : undefined,
             );
         }
-        this.#end(reason, undefined, status);
+        this.#end(reason, undefined, status, inputs);
     }
 
     #onCallerClosed(): void {
@@ -264,7 +267,13 @@
         return attempt;
     }
 
-    #end(outcome: string, attempt: ForwardAttempt | undefined, status: number | undefined): void {
+    /** @param inputs What decided a refusal, for the log. */
+    #end(
+        outcome: string,
+        attempt: ForwardAttempt | undefined,
+        status: number | undefined,
+        inputs: object = {},
+    ): void {
         if (this.#isEnded) {
             return;
         }
@@ -277,6 +286,7 @@
             status,
             attempts: this.#attempts,
             ms,
+            ...inputs,
         });
         onEnd(outcome, ms);
     }
--- a/test/testing/scheduler/enqueueRequest.ts
+++ b/test/testing/scheduler/enqueueRequest.ts
@@ -20,7 +20,7 @@
         excludedTargets: options.excludedTargets ?? new Set(),
         isResume: options.isResume ?? false,
         onGrant: grant => outcome.grant = grant,
-        onRefuse: reason => outcome.refusal = reason,
+        onRefuse: ({ reason }) => outcome.refusal = reason,
     }, now);
     return outcome;
 }
