Exchange reports through two delegates in a large data centre

Cause: each instance sent its report to all peers of its data centre every 150 ms: 233 datagrams a second each way in a data centre of 36.

Change: above six instances in a data centre, an instance reports to two delegates and one random peer, and the first delegate sends all a summary from which each takes out its own part. Without a summary for 600 ms it reports to all peers again; the second delegate steps in after 400 ms.

--- a/src/core/routing/engineModel.ts
+++ b/src/core/routing/engineModel.ts
@@ -48,7 +48,10 @@
             return;
         }
         const expectedMs = tokens / this.getPrefillTokensPerMs(now);
-        const boundedMs = Math.min(expectedMs * MAX_DEVIATION, Math.max(expectedMs / MAX_DEVIATION, readingMs));
+        const boundedMs = Math.min(
+            expectedMs * MAX_DEVIATION,
+            Math.max(expectedMs / MAX_DEVIATION, readingMs),
+        );
         this.#tokens.add(tokens, now);
         this.#ms.add(boundedMs, now);
     }
--- a/src/core/routing/membership.ts
+++ b/src/core/routing/membership.ts
@@ -1,4 +1,5 @@
 import type { MemberRecord } from "./memberRecord.js";
+import type { MemberStatus } from "./memberStatus.js";
 
 interface MemberState {
     readonly record: MemberRecord;
@@ -46,6 +47,15 @@
         return known.record.state === record.state ? "same" : "changed";
     }
 
+    /** Adopts what a third instance says of a member whose record is known; an unknown or restarted member is ignored. */
+    renew(status: MemberStatus, now: number): ReturnType<Membership["adopt"]> {
+        const [name, incarnation, sequence, state] = status;
+        const known = this.#members.get(name)?.record;
+        return known?.incarnation === incarnation
+            ? this.adopt({ ...known, sequence, state }, now)
+            : "stale";
+    }
+
     /** Lists live members. */
     listLive(now: number): readonly MemberRecord[] {
         return [...this.#members.values()].filter(member => member.liveUntil > now).map(({ record }) =>
--- a/src/core/routing/promptLocations.ts
+++ b/src/core/routing/promptLocations.ts
@@ -17,6 +17,7 @@
     readonly #cachedUntil = new Map<string, Map<string, number>>();
     #pending: PartLocation[] = [];
     #summary: PartLocation[] = [];
+    #localSummary: PartLocation[] = [];
     #nextEvictionAt = 0;
 
     /** Creates an empty record. */
@@ -63,6 +64,11 @@
         return this.#summary.splice(0);
     }
 
+    /** Takes the locations of the local data centre that were not yet reported to all of its instances. */
+    takeLocalSummary(): readonly PartLocation[] {
+        return this.#localSummary.splice(0);
+    }
+
     /** Renews a location that is unknown or has passed half of its time; returns whether it did. */
     #renew([partId, targetId]: PartLocation, now: number): boolean {
         let targets = this.#cachedUntil.get(partId);
@@ -79,7 +85,10 @@
 
     #addToSummary(location: PartLocation): void {
         this.#summary.push(location);
-        this.#summary.splice(0, Math.max(0, this.#summary.length - MAX_SUMMARISED));
+        this.#localSummary.push(location);
+        for (const list of [this.#summary, this.#localSummary]) {
+            list.splice(0, Math.max(0, list.length - MAX_SUMMARISED));
+        }
     }
 
     #evictExpired(now: number): void {
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,13 +1,14 @@
-import murmurhash from "murmurhash";
 import { AccountShares } from "./accountShares.js";
 import type { AccountUsage } from "./accountUsage.js";
 import { countRequestTokens } from "./countRequestTokens.js";
 import { EngineModel } from "./engineModel.js";
+import { limitRetryAfter } from "./limitRetryAfter.js";
 import type { PromptLocations } from "./promptLocations.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
 import type { SchedulerDecision } from "./schedulerDecision.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
+import { sortWaiting } from "./sortWaiting.js";
 import type { TargetCandidate } from "./targetCandidate.js";
 import type { TargetDescriptor } from "./targetDescriptor.js";
 import type { TargetGrant } from "./targetGrant.js";
@@ -32,12 +33,6 @@
 const OVER_SHARE_WAIT_RATIO = 0.12;
 /** Time in milliseconds that an idle target takes to begin its response. */
 const MIN_START_MS = 40;
-const MIN_RETRY_AFTER_MS = 250;
-const MAX_RETRY_AFTER_MS = 4000;
-/** Refused requests return at times that differ by up to this share, so that they don't meet again. */
-const RETRY_SPREAD = 0.5;
-
-const HASH_RANGE = 2 ** 32;
 
 /** Assigns the waiting requests of a service to targets, and refuses those that cannot be served in time. */
 export class ServiceScheduler {
@@ -121,7 +116,7 @@
         if (this.#waiting.length >= MAX_WAITING && !waiting.isResume) {
             waiting.onRefuse({
                 reason: "overloaded",
-                retryAfterMs: limitRetryAfter(MAX_RETRY_AFTER_MS, waiting.request.requestId),
+                retryAfterMs: limitRetryAfter(Number.POSITIVE_INFINITY, waiting.request.requestId),
                 shareRatio: undefined,
             });
             return;
@@ -181,7 +176,7 @@
             return;
         }
         const blocked = new Set<string>();
-        const decided = this.#sortWaiting(now).map(waiting =>
+        const decided = sortWaiting(this.#waiting, this.#options.usage, now).map(waiting =>
             [waiting, this.#resolve(waiting, blocked, now)] as const
         );
         this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
@@ -207,7 +202,10 @@
         return {
             kind: "refused",
             reason: this.#targets.size === 0 ? "no-target" : "overloaded",
-            retryAfterMs: limitRetryAfter(Math.max(returnMs, this.#estimateRetryAfter(now)), request.requestId),
+            retryAfterMs: limitRetryAfter(
+                Math.max(returnMs, this.#estimateRetryAfter(now)),
+                request.requestId,
+            ),
             shareRatio,
         };
     }
@@ -249,21 +247,6 @@
         return tokens / rate;
     }
 
-    /** Requests attempted before come first, then those of accounts with the lowest recent usage, then the oldest. */
-    #sortWaiting(now: number): readonly WaitingRequest[] {
-        const usage = new Map<string, number>();
-        for (const { request } of this.#waiting) {
-            if (!usage.has(request.account)) {
-                usage.set(request.account, this.#options.usage.getGranted(request.account, now));
-            }
-        }
-        return [...this.#waiting].sort((a, b) =>
-            Number(b.isResume) - Number(a.isResume)
-            || (usage.get(a.request.account) ?? 0) - (usage.get(b.request.account) ?? 0)
-            || a.request.receivedAt - b.request.receivedAt
-        );
-    }
-
     #reserve(request: RoutedRequest, candidate: TargetCandidate, now: number): TargetGrant {
         const { target, grant, coldShare } = candidate;
         target.inFlight += 1;
@@ -285,10 +268,3 @@
         waiting.onRefuse(decision);
     }
 }
-
-/** Limits a time to return to what callers can use, and spreads the requests that are told the same one. */
-function limitRetryAfter(retryAfterMs: number, requestId: string): number {
-    const position = murmurhash.v3(requestId) / HASH_RANGE;
-    const limitedMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs));
-    return limitedMs * (1 - RETRY_SPREAD * position);
-}
--- /dev/null
+++ b/src/core/routing/sortWaiting.ts
@@ -0,0 +1,21 @@
+import type { AccountUsage } from "./accountUsage.js";
+import type { WaitingRequest } from "./waitingRequest.js";
+
+/** Requests attempted before come first, then those of accounts with the lowest recent usage, then the oldest. */
+export function sortWaiting(
+    waiting: readonly WaitingRequest[],
+    usage: AccountUsage,
+    now: number,
+): readonly WaitingRequest[] {
+    const granted = new Map<string, number>();
+    for (const { request } of waiting) {
+        if (!granted.has(request.account)) {
+            granted.set(request.account, usage.getGranted(request.account, now));
+        }
+    }
+    return [...waiting].sort((a, b) =>
+        Number(b.isResume) - Number(a.isResume)
+        || (granted.get(a.request.account) ?? 0) - (granted.get(b.request.account) ?? 0)
+        || a.request.receivedAt - b.request.receivedAt
+    );
+}
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -125,7 +125,9 @@
         const { dataCentre } = target.descriptor;
         const region = regionsByDataCentre.get(dataCentre);
         return cachingTargets.find(({ descriptor }) => descriptor.dataCentre === dataCentre)
-            ?? cachingTargets.find(({ descriptor }) => regionsByDataCentre.get(descriptor.dataCentre) === region)
+            ?? cachingTargets.find(({ descriptor }) =>
+                regionsByDataCentre.get(descriptor.dataCentre) === region
+            )
             ?? cachingTargets[0]
             ?? (target === affinityTarget ? remoteAffinityTarget : affinityTarget);
     }
@@ -151,7 +153,11 @@
         const { engine } = this.#options.getService();
         const estimate = estimateTarget(target, request, {
             prefillTokensPerMs: engine && this.#options.engineModel.getPrefillTokensPerMs(now),
-            sharedParts: describeSharedParts(isCachingTarget, isAffinityTarget, cached.cachingTargets.length > 0),
+            sharedParts: describeSharedParts(
+                isCachingTarget,
+                isAffinityTarget,
+                cached.cachingTargets.length > 0,
+            ),
             estimateFetchMs: engine && source
                 ? tokens =>
                     estimateFetch(engine, tokens, {
@@ -202,7 +208,8 @@
         if (from.dataCentre === to.dataCentre) {
             return 0;
         }
-        const isSameRegion = regionsByDataCentre.get(from.dataCentre) === regionsByDataCentre.get(to.dataCentre);
+        const isSameRegion =
+            regionsByDataCentre.get(from.dataCentre) === regionsByDataCentre.get(to.dataCentre);
         return 2 * (isSameRegion ? dataCentreDelayMs : regionDelayMs);
     }
 }
--- /dev/null
+++ b/src/router/describeAttemptFailure.ts
@@ -0,0 +1,12 @@
+import type { RoutedRequest } from "../core/routing/routedRequest.js";
+import type { ForwardAttempt } from "./forwardAttempt.js";
+
+/** Builds the log fields that identify a failed attempt. */
+export function describeAttemptFailure(request: RoutedRequest, attempt: ForwardAttempt, now: number): object {
+    return {
+        request: request.requestId,
+        target: attempt.grant.target.descriptor.id,
+        status: attempt.status,
+        afterMs: Math.round(now - attempt.grant.grantedAt),
+    };
+}
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -1,4 +1,5 @@
 import type { Agent, IncomingMessage } from "node:http";
+import { findInactivity } from "../core/routing/findInactivity.js";
 import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import type { CallerExchange } from "./callerExchange.js";
@@ -73,9 +74,16 @@
         return this.#firstEventAt;
     }
 
-    /** Time in milliseconds since the response last made progress, or since the start of the attempt. */
-    getInactiveMs(): number {
-        return this.#progress.getInactiveMs(this.#options.getRunningTime());
+    /** Returns the reason why the target counts as unresponsive, or `undefined` if it does not. */
+    findInactivity(): string | undefined {
+        const { grant, caller, getRunningTime } = this.#options;
+        return findInactivity({
+            inactiveMs: this.#progress.getInactiveMs(getRunningTime()),
+            hasEvents: this.hasEvents,
+            objectiveMs: caller.request.route.objectiveMs,
+            expectedFirstMs: grant.expectedMs * grant.target.slowness,
+            expectedPauseMs: grant.target.getLongPauseMs(),
+        });
     }
 
     /** Longest time in milliseconds for which the response made no progress. */
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -1,32 +1,83 @@
 import type { MemberRecord } from "../core/routing/memberRecord.js";
+import type { MemberStatus } from "../core/routing/memberStatus.js";
 import type { PeerReport } from "./peerReport.js";
 
-/** Validates a datagram of a peer. Returns `undefined` if it is not a report. */
-export function parsePeerReport(message: unknown): PeerReport | undefined {
+/** A report with more entries of one kind, or with a larger amount, is taken for damaged. */
+const MAX_ENTRIES = 5000;
+const MAX_AMOUNT = 1e12;
+/** Clocks of instances may be wrong by less than this; a start later than that would outrank the instance for good. */
+const MAX_CLOCK_LEAD_MS = 600_000;
+
+/**
+ * Validates a datagram of a peer. Returns `undefined` if it is not a report.
+ *
+ * @param timeOfDay Unix milliseconds.
+ */
+export function parsePeerReport(message: unknown, timeOfDay: number): PeerReport | undefined {
     if (typeof message !== "object" || message === null) {
         return undefined;
     }
     const report = message as Partial<PeerReport>;
-    const isValid = ["instance", "data-centre"].includes(report.scope ?? "") && isMember(report.sender)
-        && Array.isArray(report.loads)
-        && report.loads.every(load => isTuple(load, ["string", "number", "number"]))
-        && Array.isArray(report.usage)
-        && report.usage.every(usage => isTuple(usage, ["string", "number", "number"]))
-        && Array.isArray(report.prompts)
-        && report.prompts.every(prompt => isTuple(prompt, ["string", "string"]))
-        && Array.isArray(report.others) && report.others.every(isMember);
+    const latestIncarnation = timeOfDay + MAX_CLOCK_LEAD_MS;
+    const isValidMember = (member: unknown): boolean => isMember(member, latestIncarnation);
+    const isValid = ["instance", "data-centre", "local-summary"].includes(report.scope ?? "")
+        && isValidMember(report.sender)
+        && isListOf(report.loads, load => isTuple(load, [isText, isAmount, isAmount]))
+        && isListOf(report.usage, usage => isTuple(usage, [isText, isAmount, isAmount]))
+        && isListOf(report.prompts, prompt => isTuple(prompt, [isText, isText]))
+        && isListOf(report.others, isValidMember)
+        && (report.included === undefined
+            || isListOf(report.included, status => isStatus(status, latestIncarnation)));
     return isValid ? report as PeerReport : undefined;
 }
 
-function isTuple(value: unknown, types: readonly string[]): boolean {
-    return Array.isArray(value) && types.every((type, i) => typeof value[i] === type);
+function isListOf(value: unknown, isEntry: (entry: unknown) => boolean): boolean {
+    return Array.isArray(value) && value.length <= MAX_ENTRIES && value.every(isEntry);
+}
+
+function isTuple(value: unknown, checks: readonly ((entry: unknown) => boolean)[]): boolean {
+    return Array.isArray(value) && value.length === checks.length
+        && checks.every((check, i) => check(value[i]));
+}
+
+function isText(value: unknown): boolean {
+    return typeof value === "string";
+}
+
+function isAmount(value: unknown): boolean {
+    return typeof value === "number" && value >= 0 && value <= MAX_AMOUNT;
+}
+
+function isSequence(value: unknown): boolean {
+    return typeof value === "number" && Number.isSafeInteger(value) && value >= 0;
+}
+
+function isIncarnation(value: unknown, latest: number): boolean {
+    return isSequence(value) && Number(value) <= latest;
+}
+
+function isState(value: unknown): value is MemberRecord["state"] {
+    return ["open", "busy", "limited", "closed"].includes(value as string);
+}
+
+function isStatus(value: unknown, latestIncarnation: number): value is MemberStatus {
+    return isTuple(value, [
+        isText,
+        incarnation => isIncarnation(incarnation, latestIncarnation),
+        isSequence,
+        isState,
+    ]);
+}
+
+function isAddress(value: unknown): boolean {
+    return typeof value === "string" && /^\d{1,3}(\.\d{1,3}){3}(:\d{1,5})?$/.test(value);
 }
 
-function isMember(value: unknown): value is MemberRecord {
+function isMember(value: unknown, latestIncarnation: number): value is MemberRecord {
     const record = value as Partial<MemberRecord> | null;
     return typeof record === "object" && record !== null
-        && [record.name, record.dataCentre, record.region, record.ip, record.callerAddress]
-            .every(field => typeof field === "string")
-        && [record.incarnation, record.sequence, record.weight].every(field => Number.isFinite(field))
-        && ["open", "busy", "limited", "closed"].includes(record.state ?? "");
+        && [record.name, record.dataCentre, record.region].every(isText)
+        && [record.ip, record.callerAddress].every(isAddress)
+        && isIncarnation(record.incarnation, latestIncarnation) && isSequence(record.sequence)
+        && isAmount(record.weight) && isState(record.state);
 }
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -1,8 +1,12 @@
 import type { MemberRecord } from "../core/routing/memberRecord.js";
+import type { MemberStatus } from "../core/routing/memberStatus.js";
 
-/** Datagram between instances: the report of the sender, or the summary of its whole data centre. */
+/**
+ * Datagram between instances: the report of the sender, or the summary of its whole data centre for remote ones
+ * (`data-centre`) or for its own instances (`local-summary`).
+ */
 export interface PeerReport {
-    readonly scope: "instance" | "data-centre";
+    readonly scope: "instance" | "data-centre" | "local-summary";
     readonly sender: MemberRecord;
     /** Targets with load: identifier, requests in flight, prompt tokens that the target has yet to process. */
     readonly loads: readonly (readonly [id: string, inFlight: number, pendingTokens: number])[];
@@ -12,4 +16,6 @@
     readonly prompts: readonly (readonly [partId: string, targetId: string])[];
     /** Other members known to the sender: a random sample, or in a summary all of its data centre. */
     readonly others: readonly MemberRecord[];
+    /** Instances whose reports a local summary includes, with the sequence number of the report. */
+    readonly included?: readonly MemberStatus[];
 }
--- /dev/null
+++ b/src/router/reportSender.ts
@@ -0,0 +1,128 @@
+import type { AccountUsage } from "../core/routing/accountUsage.js";
+import { listDelegates } from "../core/routing/listDelegates.js";
+import type { MemberRecord } from "../core/routing/memberRecord.js";
+import type { MemberStatus } from "../core/routing/memberStatus.js";
+import { pickReaders } from "../core/routing/pickReaders.js";
+import type { PromptLocations } from "../core/routing/promptLocations.js";
+import type { ReportRole } from "../core/routing/reportRole.js";
+import type { SentReports } from "../core/routing/sentReports.js";
+import { SummarySchedule } from "../core/routing/summarySchedule.js";
+import { pickRandom } from "../shared/pickRandom.js";
+import type { PeerReport } from "./peerReport.js";
+import type { RouterSettings } from "./routerSettings.js";
+
+interface ReportSenderOptions {
+    readonly settings: RouterSettings;
+    readonly usage: AccountUsage;
+    readonly promptLocations: PromptLocations;
+    readonly sentReports: SentReports;
+    readonly listLoads: () => PeerReport["loads"];
+    /** Loads that this instance and the named peers have put on targets. */
+    readonly listDataCentreLoads: (peers: readonly string[]) => PeerReport["loads"];
+    /** Live peers of all data centres. */
+    readonly listPeers: () => readonly MemberRecord[];
+    /** Builds the next record of this instance; each report needs a new one. */
+    readonly buildRecord: () => MemberRecord;
+    readonly send: (report: PeerReport, hosts: readonly string[]) => void;
+}
+
+/** Other members included in each report (gossip), so that a starting instance learns of all members. */
+const RELAYED_MEMBERS = 3;
+const SEED_INTERVAL_MS = 1000;
+
+/** Builds and sends the reports of an instance, and the summaries of a delegate. Times are monotonic milliseconds. */
+export class ReportSender {
+    readonly #options: ReportSenderOptions;
+    readonly #summarySchedule = SummarySchedule.create();
+    #nextSeedAt = 0;
+
+    private constructor(options: ReportSenderOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a sender that has sent nothing. */
+    static create(options: ReportSenderOptions): ReportSender {
+        return new ReportSender(options);
+    }
+
+    /** Sends the load and usage of this instance and the prompt parts that its targets have read since the last report. */
+    sendReport(receivers: readonly MemberRecord[], now: number, prompts: PeerReport["prompts"] = []): void {
+        if (receivers.length > 0) {
+            this.#options.send(this.#buildReport(now, prompts), receivers.map(peer => peer.ip));
+        }
+    }
+
+    /** Sends the load and usage of the data centre to all its instances. */
+    sendLocalSummary(
+        localPeers: readonly MemberRecord[],
+        included: readonly MemberStatus[],
+        now: number,
+    ): void {
+        const { usage, promptLocations, listDataCentreLoads, buildRecord, send } = this.#options;
+        send({
+            scope: "local-summary",
+            sender: buildRecord(),
+            loads: listDataCentreLoads(localPeers.map(peer => peer.name)),
+            usage: usage.listDataCentre(now),
+            prompts: promptLocations.takeLocalSummary(),
+            others: pickRandom(localPeers, RELAYED_MEMBERS),
+            included,
+        }, localPeers.map(peer => peer.ip));
+    }
+
+    /** Sends a summary of the data centre to one delegate of each remote one, if this is the first delegate. */
+    sendRemoteSummary(role: ReportRole, now: number): void {
+        const { settings, usage, promptLocations, listDataCentreLoads, listPeers, buildRecord, send } =
+            this.#options;
+        const turn = this.#summarySchedule.takeTurn(now);
+        if (turn === "none" || (role.kind !== "mesh" && !(role.kind === "delegate" && role.rank === 0))) {
+            return;
+        }
+        const { dataCentre, region } = settings.locality;
+        const peers = listPeers();
+        const localPeers = peers.filter(peer => peer.dataCentre === dataCentre);
+        const record = buildRecord();
+        if (pickReaders([record, ...localPeers].map(member => member.name))[0] !== settings.instance) {
+            return;
+        }
+        const receivers = listDelegates(peers, dataCentre).flatMap(delegates => pickRandom(delegates, 1))
+            .filter(receiver => turn === "all" || receiver.region === region);
+        send({
+            scope: "data-centre",
+            sender: record,
+            loads: listDataCentreLoads(localPeers.map(peer => peer.name)),
+            usage: usage.listDataCentre(now),
+            prompts: turn === "all" ? promptLocations.takeSummary() : [],
+            others: [record, ...localPeers],
+        }, receivers.map(member => member.ip));
+    }
+
+    /** Periodically sends a report to seeds that are not known as live, in case they have come back. */
+    reportToSeeds(now: number): void {
+        const { settings, listPeers, send } = this.#options;
+        if (now < this.#nextSeedAt) {
+            return;
+        }
+        this.#nextSeedAt = now + SEED_INTERVAL_MS;
+        const known = [settings.peerAddress.host, ...listPeers().map(peer => peer.ip)];
+        const hosts = settings.seedHosts.filter(host => !known.includes(host));
+        if (hosts.length > 0) {
+            send(this.#buildReport(now, []), hosts);
+        }
+    }
+
+    #buildReport(now: number, prompts: PeerReport["prompts"]): PeerReport {
+        const { usage, sentReports, listLoads, listPeers, buildRecord } = this.#options;
+        const sender = buildRecord();
+        const report: PeerReport = {
+            scope: "instance",
+            sender,
+            loads: listLoads(),
+            usage: usage.listLocal(now),
+            prompts,
+            others: pickRandom(listPeers(), RELAYED_MEMBERS),
+        };
+        sentReports.add({ sequence: sender.sequence, loads: report.loads, usage: report.usage });
+        return report;
+    }
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -1,4 +1,3 @@
-import { findInactivity } from "../core/routing/findInactivity.js";
 import { planNextAttempt } from "../core/routing/planNextAttempt.js";
 import type { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import type { SlidingRetryBudget } from "../core/routing/slidingRetryBudget.js";
@@ -6,6 +5,7 @@
 import type { WaitingRequest } from "../core/routing/waitingRequest.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { CallerResponse } from "./callerResponse.js";
+import { describeAttemptFailure } from "./describeAttemptFailure.js";
 import { describeRequestEnd } from "./describeRequestEnd.js";
 import { ForwardAttempt } from "./forwardAttempt.js";
 import type { LogSink } from "./logSink.js";
@@ -86,14 +86,7 @@
         if (!attempt || !this.#isRepeatable || this.#executions >= request.route.maxAttempts) {
             return;
         }
-        const { grant, hasEvents } = attempt;
-        const reason = findInactivity({
-            inactiveMs: attempt.getInactiveMs(),
-            hasEvents,
-            objectiveMs: request.route.objectiveMs,
-            expectedFirstMs: grant.expectedMs * grant.target.slowness,
-            expectedPauseMs: grant.target.getLongPauseMs(),
-        });
+        const reason = attempt.findInactivity();
         if (reason !== undefined) {
             attempt.abort();
             this.#failAttempt(attempt, "broken", reason);
@@ -109,29 +102,23 @@
             onGrant: grant => this.#send(grant),
             onRefuse: ({ reason, retryAfterMs, shareRatio }) => {
                 this.#waiting = undefined;
-                this.#refuse(this.#executions > 0 ? BAD_GATEWAY : SERVICE_UNAVAILABLE, reason, retryAfterMs, {
-                    retryAfterMs: Math.round(retryAfterMs),
-                    shareRatio: shareRatio === undefined ? undefined : Number(shareRatio.toFixed(2)),
-                });
+                this.#refuse(this.#getFailureStatus(), reason, retryAfterMs, shareRatio);
             },
         };
         scheduler.enqueue(this.#waiting, getNow());
     }
 
     #send(grant: TargetGrant): void {
-        const { exchange, wire, targetAgents, scheduler, getNow } = this.#options;
+        const { exchange, targetAgents, scheduler, getNow } = this.#options;
         this.#waiting = undefined;
         this.#attempts += 1;
         this.#executions += 1;
         const attempt: ForwardAttempt = ForwardAttempt.create({
+            ...this.#options,
             grant,
             caller: exchange,
             response: this.#response,
-            wire,
             agent: targetAgents.getAgent(exchange.request.route, this.#isRepeatable),
-            getNow,
-            getRunningTime: this.#options.getRunningTime,
-            isBatching: this.#options.isBatching,
             onFirstEvent: () => scheduler.start(grant, getNow()),
             onComplete: head => this.#onComplete(attempt, head),
             onFail: (kind, reason) => this.#failAttempt(attempt, kind, reason),
@@ -203,15 +190,10 @@
         }
         this.#finishAttempt(attempt, kind === "refused");
         const willRetry = this.#isRetryAllowed() && retryBudget.tryTake(now);
+        const failure = { kind, reason, attempts: this.#attempts, willRetry };
         log.write("attempt-failed", {
-            request: exchange.request.requestId,
-            target: attempt.grant.target.descriptor.id,
-            kind,
-            reason,
-            status: attempt.status,
-            afterMs: Math.round(now - attempt.grant.grantedAt),
-            attempts: this.#attempts,
-            willRetry,
+            ...describeAttemptFailure(exchange.request, attempt, now),
+            ...failure,
         });
         if (!willRetry) {
             onFinal();
@@ -222,17 +204,21 @@
     }
 
     #fail(reason: string): void {
-        this.#refuse(this.#executions === 0 ? SERVICE_UNAVAILABLE : BAD_GATEWAY, reason, RETRY_AFTER_MS);
+        this.#refuse(this.#getFailureStatus(), reason, RETRY_AFTER_MS);
+    }
+
+    #getFailureStatus(): number {
+        return this.#executions > 0 ? BAD_GATEWAY : SERVICE_UNAVAILABLE;
     }
 
     #expire(): void {
-        const wasSent = this.#executions > 0;
+        const status = this.#executions > 0 ? GATEWAY_TIMEOUT : SERVICE_UNAVAILABLE;
         this.#withdraw();
-        this.#refuse(wasSent ? GATEWAY_TIMEOUT : SERVICE_UNAVAILABLE, "deadline-expired", RETRY_AFTER_MS);
+        this.#refuse(status, "deadline-expired", RETRY_AFTER_MS);
     }
 
     /** Sends the caller a final response; only a 503 states that the request was not executed and may be sent again. */
-    #refuse(status: number, reason: string, retryAfterMs: number, inputs: object = {}): void {
+    #refuse(status: number, reason: string, retryAfterMs: number, shareRatio?: number): void {
         if (this.#response.isStarted) {
             this.#response.abort();
         }
@@ -242,12 +228,13 @@
                 status === SERVICE_UNAVAILABLE ? retryAfterMs : undefined,
             );
         }
-        this.#end(reason, undefined, status, inputs);
+        const decidedBy = { retryAfterMs: Math.round(retryAfterMs), shareRatio: shareRatio?.toFixed(2) };
+        this.#end(reason, undefined, status, decidedBy);
     }
 
     #onCallerClosed(): void {
         if (!this.#isEnded) {
-            this.#end("caller-left", this.#withdraw(), undefined);
+            this.#end("caller-left", this.#withdraw());
         }
     }
 
@@ -267,13 +254,8 @@
         return attempt;
     }
 
-    /** @param inputs What decided a refusal, for the log. */
-    #end(
-        outcome: string,
-        attempt: ForwardAttempt | undefined,
-        status: number | undefined,
-        inputs: object = {},
-    ): void {
+    /** @param decidedBy What decided a refusal, for the log. */
+    #end(outcome: string, attempt?: ForwardAttempt, status?: number, decidedBy: object = {}): void {
         if (this.#isEnded) {
             return;
         }
@@ -286,7 +268,7 @@
             status,
             attempts: this.#attempts,
             ms,
-            ...inputs,
+            ...decidedBy,
         });
         onEnd(outcome, ms);
     }
--- a/test/core/routing/findInactivity.test.ts
+++ b/test/core/routing/findInactivity.test.ts
@@ -49,6 +49,12 @@
     const clock = RunningClock.create();
     const progress = ProgressTracker.create(clock.toRunningTime(1000));
     clock.recordDelay(4000);
-    t.is(findInactivity({ ...STREAM, inactiveMs: progress.getInactiveMs(clock.toRunningTime(5040)) }), undefined);
-    t.is(findInactivity({ ...STREAM, inactiveMs: progress.getInactiveMs(clock.toRunningTime(6400)) }), "stalled");
+    t.is(
+        findInactivity({ ...STREAM, inactiveMs: progress.getInactiveMs(clock.toRunningTime(5040)) }),
+        undefined,
+    );
+    t.is(
+        findInactivity({ ...STREAM, inactiveMs: progress.getInactiveMs(clock.toRunningTime(6400)) }),
+        "stalled",
+    );
 });
--- /dev/null
+++ b/test/router/reportReceiver.test.ts
@@ -0,0 +1,132 @@
+import test from "ava";
+import { AccountUsage } from "../../src/core/routing/accountUsage.js";
+import type { MemberRecord } from "../../src/core/routing/memberRecord.js";
+import { pickReportRole } from "../../src/core/routing/pickReportRole.js";
+import { PromptLocations } from "../../src/core/routing/promptLocations.js";
+import type { ReportRole } from "../../src/core/routing/reportRole.js";
+import { SentReports } from "../../src/core/routing/sentReports.js";
+import { parsePeerReport } from "../../src/router/parsePeerReport.js";
+import type { PeerReport } from "../../src/router/peerReport.js";
+import { ReportReceiver } from "../../src/router/reportReceiver.js";
+import type { RouterSettings } from "../../src/router/routerSettings.js";
+
+const WINDOW_MS = 4000;
+const MEMBER: ReportRole = { kind: "member", rank: 0, delegates: [] };
+const NOW_UNIX_MS = 1_700_000_000_000;
+
+function makeMember(name: string, fields: Partial<MemberRecord> = {}): MemberRecord {
+    return {
+        name,
+        dataCentre: "a",
+        region: "r",
+        ip: "10.0.0.1",
+        callerAddress: "10.0.0.1:80",
+        incarnation: 1,
+        sequence: 1,
+        state: "open",
+        weight: 1,
+        ...fields,
+    };
+}
+
+function makeReport(name: string, fields: Partial<PeerReport> = {}): PeerReport {
+    return {
+        scope: "instance",
+        sender: makeMember(name),
+        loads: [["t", 2, 100]],
+        usage: [["account", 30, 20]],
+        prompts: [],
+        others: [],
+        ...fields,
+    };
+}
+
+function createReceiver(): {
+    receiver: ReportReceiver;
+    usage: AccountUsage;
+    sentReports: SentReports;
+    sumLoad: () => number;
+} {
+    const usage = AccountUsage.create(WINDOW_MS);
+    const sentReports = SentReports.create();
+    const loads = new Map<string, PeerReport["loads"]>();
+    const receiver = ReportReceiver.create({
+        settings: { instance: "self", locality: { dataCentre: "a", region: "r" } } as RouterSettings,
+        usage,
+        promptLocations: PromptLocations.create(),
+        sentReports,
+        onLoads: (sender, reported) => loads.set(sender, reported),
+    });
+    const sumLoad = (): number => [...loads.values()].flat().reduce((sum, [, inFlight]) => sum + inFlight, 0);
+    return { receiver, usage, sentReports, sumLoad };
+}
+
+test("large data centre: an instance that gets summaries counts each peer once and itself not at all", t => {
+    const { receiver, usage, sentReports, sumLoad } = createReceiver();
+    receiver.apply(makeReport("peer"), MEMBER, 0);
+    t.is(sumLoad(), 2);
+    sentReports.add({ sequence: 7, loads: [["t", 3, 50]], usage: [["account", 10, 10]] });
+    sentReports.add({ sequence: 8, loads: [["t", 5, 50]], usage: [["account", 11, 11]] });
+    receiver.apply(
+        makeReport("delegate", {
+            scope: "local-summary",
+            loads: [["t", 9, 300]],
+            usage: [["account", 100, 90]],
+            included: [["self", 1, 7, "open"], ["peer", 1, 1, "open"]],
+        }),
+        MEMBER,
+        100,
+    );
+    t.is(sumLoad(), 6);
+    t.is(usage.getGranted("account", 100), 80);
+    // A report that came by gossip is part of the summary and must not count again.
+    receiver.apply(makeReport("peer"), MEMBER, 150);
+    t.is(sumLoad(), 6);
+});
+
+test("loss of both delegates: reports of single peers count again when the summaries have stopped", t => {
+    const { receiver, usage, sumLoad } = createReceiver();
+    receiver.apply(makeReport("delegate", { scope: "local-summary", included: [] }), MEMBER, 0);
+    t.is(usage.getGranted("account", 0), 20);
+    receiver.apply(makeReport("peer", { loads: [["t", 4, 0]], usage: [["account", 7, 7]] }), MEMBER, 700);
+    t.false(receiver.hasSummary(700));
+    t.is(sumLoad(), 4);
+    t.is(usage.getGranted("account", 700), 7);
+});
+
+test("large data centre: each instance reports to two delegates, however many peers there are", t => {
+    const roles = [6, 30, 300].map(size => {
+        const members = Array.from({ length: size }, (_, i) => makeMember(`m${i}`));
+        return members.map(member =>
+            pickReportRole(member.name, members.filter(other => other.name !== member.name))
+        );
+    });
+    t.true(roles[0]?.every(role => role.kind === "mesh"));
+    for (const large of roles.slice(1)) {
+        t.is(large.filter(role => role.kind === "delegate").length, 2);
+        t.true(large.every(role => role.kind === "delegate" || role.delegates.length === 2));
+        t.is(large.filter(role => role.kind === "delegate" && role.rank === 0).length, 1);
+    }
+});
+
+test("hostile peer: a report with impossible amounts, names or starts is no report", t => {
+    const isAccepted = (report: unknown): boolean => parsePeerReport(report, NOW_UNIX_MS) !== undefined;
+    t.true(isAccepted(makeReport("peer")));
+    for (
+        const report of [
+            undefined,
+            "text",
+            makeReport("peer", { loads: [["t", Number.POSITIVE_INFINITY, 0]] }),
+            makeReport("peer", { loads: [["t", -1, 0]] }),
+            makeReport("peer", { usage: [["account", 1, 1e300]] }),
+            makeReport("peer", { loads: Array.from({ length: 100_000 }, () => ["t", 1, 1] as const) }),
+            makeReport("peer", { sender: makeMember("peer", { incarnation: NOW_UNIX_MS * 2 }) }),
+            makeReport("peer", { sender: makeMember("peer", { sequence: -1 }) }),
+            makeReport("peer", { sender: makeMember("peer", { ip: "some.host" }) }),
+            makeReport("peer", { included: [["peer", 1, 1.5, "open"]] }),
+            { ...makeReport("peer"), others: [null] },
+        ]
+    ) {
+        t.false(isAccepted(report), JSON.stringify(report)?.slice(0, 200));
+    }
+});
