Confine an unexpected error to the message or request that caused it

Cause: `uncaughtException` ended the process, a malformed change of a peer reached the core unchecked and ended the store's follower, and documents of peers and of the store had no limit in bytes.

Change: ErrorBoundary with a log line and a counter, and an end of the process only for more than 50 errors in 10 s; changes of peers are checked; fetchJson has a limit.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
 import { performance } from "node:perf_hooks";
+import { ErrorBoundary } from "../router/errorBoundary.js";
 import { LogSink } from "../router/logSink.js";
 import { Router } from "../router/router.js";
 import { RouterMetrics } from "../router/routerMetrics.js";
@@ -22,7 +23,24 @@
     const getTimeOfDay = (): number => Date.now();
     const store = StoreSource.create({ address: settings.storeAddress, getNow, getTimeOfDay });
     const metrics = RouterMetrics.create();
-    const router = await Router.create({ settings: settings.router, wire: platformWireFormat, log, metrics });
+    const errorBoundary = ErrorBoundary.create({
+        log,
+        onError: () => metrics.countInternalError(),
+        onFatal: () => {
+            log.write("stopped", { reason: "too-many-errors" });
+            void log.close().then(() => process.exit(INTERNAL_ERROR_EXIT_CODE));
+        },
+        getNow,
+    });
+    process.on("uncaughtException", error => errorBoundary.record("process", error));
+    process.on("unhandledRejection", error => errorBoundary.record("promise", error));
+    const router = await Router.create({
+        settings: settings.router,
+        wire: platformWireFormat,
+        log,
+        metrics,
+        errorBoundary,
+    });
     const lookup = await LookupServer.create({
         directoryAddress: settings.directoryAddress,
         readinessAddress: settings.readinessAddress,
@@ -46,10 +64,6 @@
         onEvacuated: dataCentres => router.view.setEvacuated(dataCentres),
         onConfirmed: (at, timeOfDay) => router.view.recordConfirmation(at, timeOfDay),
     });
-    process.on("uncaughtException", error => {
-        process.stderr.write(`${JSON.stringify({ event: "internal-error", reason: error.stack })}\n`);
-        process.exit(INTERNAL_ERROR_EXIT_CODE);
-    });
     process.on("SIGTERM", () => {
         void router.stop().then(async () => {
             follower.stop();
--- a/src/platform/storeFollower.ts
+++ b/src/platform/storeFollower.ts
@@ -62,9 +62,11 @@
             }
             catch (error) {
                 if (!(error instanceof SourceError)) {
-                    throw error;
+                    this.#options.log.write("internal-error", { source: "store", reason: String(error) });
                 }
-                await this.#recover(error);
+                await this.#recover(
+                    error instanceof SourceError ? error : SourceError.create("internal-error"),
+                );
             }
         }
     }
--- /dev/null
+++ b/src/router/errorBoundary.ts
@@ -0,0 +1,55 @@
+import type { LogSink } from "./logSink.js";
+
+interface ErrorBoundaryOptions {
+    readonly log: Pick<LogSink, "write">;
+    readonly onError: () => void;
+    /** Called when errors come so often that the process cannot be relied on any more. */
+    readonly onFatal: (error: unknown) => void;
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+}
+
+/** With more errors than this within the window, the process is restarted rather than kept. */
+const MAX_ERRORS = 50;
+const WINDOW_MS = 10_000;
+/** Characters of a stack trace in a log line. */
+const MAX_STACK_LENGTH = 1000;
+
+/** Confines unexpected errors to the message or request that caused them, with a log line and a counter. */
+export class ErrorBoundary {
+    readonly #options: ErrorBoundaryOptions;
+    #errorTimes: readonly number[] = [];
+
+    private constructor(options: ErrorBoundaryOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a boundary that has seen no error. */
+    static create(options: ErrorBoundaryOptions): ErrorBoundary {
+        return new ErrorBoundary(options);
+    }
+
+    /** Runs a handler; if it throws, records the error and runs `onFailure`. */
+    run(source: string, handler: () => void, onFailure: () => void = () => undefined): void {
+        try {
+            handler();
+        }
+        catch (error) {
+            this.record(source, error);
+            onFailure();
+        }
+    }
+
+    /** Records an error that no handler has caught. */
+    record(source: string, error: unknown): void {
+        const { log, onError, onFatal, getNow } = this.#options;
+        const now = getNow();
+        const stack = error instanceof Error ? error.stack ?? error.message : String(error);
+        log.write("internal-error", { source, reason: stack.slice(0, MAX_STACK_LENGTH) });
+        onError();
+        this.#errorTimes = [...this.#errorTimes.filter(time => now - time < WINDOW_MS), now];
+        if (this.#errorTimes.length > MAX_ERRORS) {
+            onFatal(error);
+        }
+    }
+}
--- a/src/router/fetchJson.ts
+++ b/src/router/fetchJson.ts
@@ -10,11 +10,14 @@
     readonly timeoutMs: number;
 }
 
+/** A page of the store has about 1 MB, and the copy of a peer holds several pages. */
+const MAX_BODY_BYTES = 16_777_216;
+
 /**
  * Fetches a JSON document over HTTP.
  *
- * @throws SourceError when the connection fails, or the response exceeds the timeout, is truncated, has a status other
- * than 200 or is not JSON.
+ * @throws SourceError when the connection fails, or the response exceeds the timeout or the size limit, is truncated, has
+ * a status other than 200 or is not JSON.
  */
 export function fetchJson(options: FetchOptions): Promise<unknown> {
     const { timeoutMs, ...target } = options;
@@ -32,7 +35,16 @@
         request.on("error", (error: NodeJS.ErrnoException) => fail(error.code ?? "connection-failed"));
         request.on("response", response => {
             const chunks: Buffer[] = [];
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            let length = 0;
+            response.on("data", (chunk: Buffer) => {
+                length += chunk.length;
+                if (length > MAX_BODY_BYTES) {
+                    request.destroy();
+                    fail("body-too-long", response.statusCode);
+                    return;
+                }
+                chunks.push(chunk);
+            });
             response.on("error", (error: NodeJS.ErrnoException) => fail(error.code ?? "truncated"));
             response.on("end", () => {
                 if (response.statusCode !== 200) {
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -15,6 +15,7 @@
 import { pickRandom } from "../shared/pickRandom.js";
 import { buildMemberRecord } from "./buildMemberRecord.js";
 import { createMembership } from "./createMembership.js";
+import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
 import { parsePeerReport } from "./parsePeerReport.js";
 import { PeerExchange } from "./peerExchange.js";
@@ -26,6 +27,7 @@
 interface FleetViewOptions {
     readonly settings: RouterSettings;
     readonly log: LogSink;
+    readonly errorBoundary: ErrorBoundary;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
     readonly getNow: () => number;
@@ -79,9 +81,13 @@
             host,
             port,
             log: options.log,
-            onMessage: (message, sender) => view.#receive(message, sender),
+            onMessage: (message, sender) =>
+                options.errorBoundary.run("peer-report", () => view.#receive(message, sender)),
         });
-        view.#timer = setInterval(() => view.#sendReports(), REPORT_INTERVAL_MS);
+        view.#timer = setInterval(
+            () => options.errorBoundary.run("peer-report", () => view.#sendReports()),
+            REPORT_INTERVAL_MS,
+        );
         return view;
     }
 
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -2,6 +2,7 @@
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import type { CallerExchange } from "./callerExchange.js";
+import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
 import type { RequestHead } from "./requestHead.js";
 import type { WireFormat } from "./wireFormat.js";
@@ -11,6 +12,7 @@
     readonly port: number;
     readonly wire: WireFormat;
     readonly log: LogSink;
+    readonly errorBoundary: ErrorBoundary;
     /** Limit for the total size of all buffered request bodies, in bytes. */
     readonly maxBufferedBytes: number;
     readonly getNow: () => number;
@@ -59,7 +61,7 @@
             headersTimeout: DEFAULT_HEADERS_MS + HEADERS_MARGIN_MS,
             requestTimeout: 0,
             noDelay: true,
-        }, (incoming, response) => this.#accept(incoming, response));
+        }, (incoming, response) => this.#acceptGuarded(incoming, response));
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
             options.log.write("caller-connection-failed", { reason: error.code ?? error.message });
             if (socket.writable && error.code !== "ECONNRESET") {
@@ -99,6 +101,12 @@
         this.#server.closeIdleConnections();
     }
 
+    /** An unexpected error ends the request that caused it; nothing is claimed about whether it was executed. */
+    #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
+        const { errorBoundary } = this.#options;
+        errorBoundary.run("request", () => this.#accept(incoming, response), () => response.destroy());
+    }
+
     #accept(incoming: IncomingMessage, response: ServerResponse): void {
         const { wire, getNow, resolve, log, isStopping, onRefused } = this.#options;
         const receivedAt = getNow();
@@ -172,7 +180,8 @@
             setImmediate(() => {
                 const { socket } = exchange.incoming;
                 if (!exchange.response.destroyed && !socket.destroyed && !socket.readableEnded) {
-                    this.#options.serve(exchange);
+                    const { errorBoundary, serve } = this.#options;
+                    errorBoundary.run("request", () => serve(exchange), () => exchange.response.destroy());
                     return;
                 }
                 this.#options.log.write("request-ended", {
--- a/src/router/peerChangeSource.ts
+++ b/src/router/peerChangeSource.ts
@@ -1,6 +1,7 @@
 import { Agent } from "node:http";
 import type { Change } from "../core/routing/change.js";
 import type { ChangeBatch } from "../core/routing/changeBatch.js";
+import { isChange } from "../core/routing/isChange.js";
 import { SourceError } from "../core/routing/sourceError.js";
 import { fetchJson } from "./fetchJson.js";
 
@@ -54,17 +55,18 @@
             timeoutMs: TIMEOUT_MS,
         }) as Partial<FeedResponse> | null;
         if (
-            !response || !Array.isArray(response.changes) || typeof response.revision !== "number"
-            || typeof response.ageMs !== "number" || typeof response.waitedMs !== "number"
+            !response || !Array.isArray(response.changes) || !response.changes.every(isChange)
+            || !Number.isSafeInteger(response.revision)
+            || !isDuration(response.ageMs) || !isDuration(response.waitedMs)
         ) {
             throw SourceError.create("invalid-body");
         }
         // The response was built at least `waitedMs` after the call was sent, so the age is not understated.
         const confirmationOffsetMs = response.waitedMs - response.ageMs;
         return {
-            changes: response.changes as readonly Change[],
+            changes: response.changes,
             isWhole: response.isWhole === true,
-            revision: response.revision,
+            revision: Number(response.revision),
             confirmedAt: sentAt + confirmationOffsetMs,
             confirmedTimeOfDay: sentTimeOfDay + confirmationOffsetMs,
         };
@@ -75,3 +77,7 @@
         this.#agent.destroy();
     }
 }
+
+function isDuration(value: unknown): value is number {
+    return typeof value === "number" && value >= 0;
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -1,32 +1,12 @@
 import { planNextAttempt } from "../core/routing/planNextAttempt.js";
-import type { ServiceScheduler } from "../core/routing/serviceScheduler.js";
-import type { SlidingRetryBudget } from "../core/routing/slidingRetryBudget.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import type { WaitingRequest } from "../core/routing/waitingRequest.js";
-import type { CallerExchange } from "./callerExchange.js";
 import { CallerResponse } from "./callerResponse.js";
 import { describeAttemptFailure } from "./describeAttemptFailure.js";
 import { describeRequestEnd } from "./describeRequestEnd.js";
 import { ForwardAttempt } from "./forwardAttempt.js";
-import type { LogSink } from "./logSink.js";
+import type { RequestForwarderOptions } from "./requestForwarderOptions.js";
 import type { ResponseHead } from "./responseHead.js";
-import type { TargetAgents } from "./targetAgents.js";
-import type { WireFormat } from "./wireFormat.js";
-
-interface RequestForwarderOptions {
-    readonly exchange: CallerExchange;
-    readonly scheduler: ServiceScheduler;
-    readonly retryBudget: SlidingRetryBudget;
-    readonly targetAgents: TargetAgents;
-    readonly wire: WireFormat;
-    readonly log: LogSink;
-    /** Monotonic time in milliseconds. */
-    readonly getNow: () => number;
-    /** The same without the time in which the process was suspended. */
-    readonly getRunningTime: () => number;
-    readonly isBatching: () => boolean;
-    readonly onEnd: (outcome: string, ms: number) => void;
-}
 
 type FailureKind = "not-written" | "refused" | "broken";
 
@@ -93,6 +73,11 @@
         }
     }
 
+    /** Closes the caller's connection after an unexpected error; nothing is claimed about the request. */
+    abort(): void {
+        this.#response.abort();
+    }
+
     #enqueue(): void {
         const { exchange: { request }, scheduler, getNow } = this.#options;
         this.#waiting = {
--- /dev/null
+++ b/src/router/requestForwarderOptions.ts
@@ -0,0 +1,22 @@
+import type { ServiceScheduler } from "../core/routing/serviceScheduler.js";
+import type { SlidingRetryBudget } from "../core/routing/slidingRetryBudget.js";
+import type { CallerExchange } from "./callerExchange.js";
+import type { LogSink } from "./logSink.js";
+import type { TargetAgents } from "./targetAgents.js";
+import type { WireFormat } from "./wireFormat.js";
+
+/** Collaborators of the forwarder of one request. */
+export interface RequestForwarderOptions {
+    readonly exchange: CallerExchange;
+    readonly scheduler: ServiceScheduler;
+    readonly retryBudget: SlidingRetryBudget;
+    readonly targetAgents: TargetAgents;
+    readonly wire: WireFormat;
+    readonly log: LogSink;
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+    /** The same without the time in which the process was suspended. */
+    readonly getRunningTime: () => number;
+    readonly isBatching: () => boolean;
+    readonly onEnd: (outcome: string, ms: number) => void;
+}
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -12,24 +12,14 @@
 import { FleetView } from "./fleetView.js";
 import { Ingress } from "./ingress.js";
 import { LoadObserver } from "./loadObserver.js";
-import type { LogSink } from "./logSink.js";
 import { PeerChangeSource } from "./peerChangeSource.js";
 import { RelayedChangeSource } from "./relayedChangeSource.js";
 import { RequestForwarder } from "./requestForwarder.js";
 import { RequestResolver } from "./requestResolver.js";
-import type { RouterMetrics } from "./routerMetrics.js";
-import type { RouterSettings } from "./routerSettings.js";
+import type { RouterOptions } from "./routerOptions.js";
 import { ServicePool } from "./servicePool.js";
 import { TargetAgents } from "./targetAgents.js";
 import { waitForRequests } from "./waitForRequests.js";
-import type { WireFormat } from "./wireFormat.js";
-
-interface RouterOptions {
-    readonly settings: RouterSettings;
-    readonly wire: WireFormat;
-    readonly log: LogSink;
-    readonly metrics: RouterMetrics;
-}
 
 /** Interval of the deadline checks; callers tolerate half a second beyond a deadline. */
 const CHECK_INTERVAL_MS = 40;
@@ -158,10 +148,11 @@
     }
 
     async #start(): Promise<void> {
-        const { settings, log, wire, metrics } = this.#options;
+        const { settings, log, wire, metrics, errorBoundary } = this.#options;
         this.#fleet = await FleetView.create({
             settings,
             log,
+            errorBoundary,
             usage: this.#usage,
             promptLocations: this.#promptLocations,
             getNow: this.#getNow,
@@ -186,6 +177,7 @@
             ...settings.callerAddress,
             wire,
             log,
+            errorBoundary,
             maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
             getNow: this.#getNow,
             resolve: (head, path, receivedAt) => resolver.resolve(head, path, receivedAt),
@@ -253,10 +245,11 @@
         this.#loadObserver.observe(delayMs, this.#activeRequests.size);
         this.#nextCheckAt = now + CHECK_INTERVAL_MS;
         this.#view.expireTargets(now);
+        const { errorBoundary } = this.#options;
         for (const forwarder of this.#activeRequests) {
-            forwarder.checkTimeouts(now);
+            errorBoundary.run("request", () => forwarder.checkTimeouts(now), () => forwarder.abort());
         }
-        this.#servicePool.advance(now);
+        errorBoundary.run("scheduler", () => this.#servicePool.advance(now));
         this.#changeFeed?.flush();
     }
 }
--- a/src/router/routerMetrics.ts
+++ b/src/router/routerMetrics.ts
@@ -13,6 +13,7 @@
     readonly #ends = new Map<string, number>();
     readonly #refusals = new Map<string, number>();
     readonly #latencies = new Map<RouteKind, LatencyHistogram>();
+    #internalErrors = 0;
     readonly #gauges = new Map<string, () => number>();
 
     /** Creates metrics with nothing counted. */
@@ -25,6 +26,11 @@
         this.#refusals.set(reason, (this.#refusals.get(reason) ?? 0) + 1);
     }
 
+    /** Counts an unexpected error. */
+    countInternalError(): void {
+        this.#internalErrors += 1;
+    }
+
     /** Counts a request that has ended after `ms` milliseconds. */
     countEnd(kind: RouteKind, outcome: string, ms: number): void {
         const labels = `kind="${kind}",outcome="${outcome}"`;
@@ -54,6 +60,7 @@
             ...[...this.#refusals].map(([reason, count]) =>
                 `baobabspread_requests_refused_total{reason="${reason}"} ${count}`
             ),
+            `baobabspread_internal_errors_total ${this.#internalErrors}`,
             ...[...this.#gauges].map(([name, read]) => `baobabspread_${name} ${read()}`),
             ...[...this.#latencies].flatMap(([kind, histogram]) => renderHistogram(kind, histogram)),
         ];
--- a/test/router/ingress.test.ts
+++ b/test/router/ingress.test.ts
@@ -3,6 +3,7 @@
 import { Agent, get, type IncomingMessage } from "node:http";
 import { type AddressInfo, createServer } from "node:net";
 import { platformWireFormat } from "../../src/platform/platformWireFormat.js";
+import { ErrorBoundary } from "../../src/router/errorBoundary.js";
 import { Ingress } from "../../src/router/ingress.js";
 import { LogSink } from "../../src/router/logSink.js";
 
@@ -24,13 +25,21 @@
         idleTimeoutMs: 40_000,
         tokensPerSecond: 0,
     };
+    const log = LogSink.create({});
+    const getNow = (): number => performance.now();
     const ingress = await Ingress.create({
+        errorBoundary: ErrorBoundary.create({
+            log,
+            getNow,
+            onError: () => t.fail(),
+            onFatal: () => t.fail(),
+        }),
         host: "127.0.0.1",
         port,
         wire: platformWireFormat,
-        log: LogSink.create({}),
+        log,
         maxBufferedBytes: 1_000_000,
-        getNow: () => performance.now(),
+        getNow,
         resolve: () => ({ kind: "refused", status: 404, reason: "no-route", retryAfterMs: undefined }),
         getLimits: () => limits,
         isStopping: () => false,
