Serve requests that can still be on time before returning ones

Change: a returning request counts as over the share once its account has used 85 in 100 of it. Lists of directory answers that are too long are cut to a weighted subset for each caller (weighted rendezvous hashing); the weight takes in the speed of the processor.

--- a/src/core/routing/engineModel.ts
+++ b/src/core/routing/engineModel.ts
@@ -8,7 +8,7 @@
 /** Responses that are older than a few of these no longer count. */
 const WINDOW_MS = 10_000;
 /** Prompt tokens by which the prior counts. */
-const PRIOR_TOKENS = 50_000;
+const PRIOR_TOKENS = 20_000;
 /** With fewer prompt tokens ahead, the time to the first event shows the base time of an engine and not its rate. */
 const MIN_SAMPLE_TOKENS = 1500;
 /** A response that took longer than this multiple of the expected time shows a fault rather than the engine's rate. */
--- a/src/core/routing/listCallerAddresses.ts
+++ b/src/core/routing/listCallerAddresses.ts
@@ -1,5 +1,6 @@
 import type { Locality } from "./locality.js";
 import type { MemberRecord } from "./memberRecord.js";
+import { pickWeightedSubset } from "./pickWeightedSubset.js";
 
 /** A longer list is of no use to a caller, and the platform limits it to this many addresses. */
 const MAX_ADDRESSES = 64;
@@ -8,8 +9,14 @@
  * Lists the addresses that a caller should use, by its locality: open instances of its data centre, else of its region.
  * Busy instances of the region come before open ones of another, because links between regions are slow and billed, and
  * requests may have to stay in their region. Instances that only accept requests without a key are the last resort.
+ *
+ * @param callerKey Identifies the caller; a list that is too long is cut for each caller to a subset of its own.
  */
-export function listCallerAddresses(members: readonly MemberRecord[], caller: Locality): readonly string[] {
+export function listCallerAddresses(
+    members: readonly MemberRecord[],
+    caller: Locality,
+    callerKey = "",
+): readonly string[] {
     const isLocal = (member: MemberRecord): boolean => member.dataCentre === caller.dataCentre;
     const isInRegion = (member: MemberRecord): boolean => member.region === caller.region;
     const listByState = (state: MemberRecord["state"]): readonly MemberRecord[] =>
@@ -31,5 +38,5 @@
         limited,
     ];
     const group = groups.find(candidates => candidates.length > 0) ?? [];
-    return group.slice(0, MAX_ADDRESSES).map(member => member.callerAddress);
+    return pickWeightedSubset(group, callerKey, MAX_ADDRESSES).map(member => member.callerAddress);
 }
--- a/src/core/routing/resolveRequest.ts
+++ b/src/core/routing/resolveRequest.ts
@@ -82,6 +82,8 @@
             promptTokens: attributes.promptTokens,
             outputTokens: attributes.outputTokens,
             prompt: attributes.prompt,
+            // A caller states the time that it has left, so one that returns states less than the route allows.
+            isReturning: timeoutMs < route.timeoutMs - route.objectiveMs,
             receivedAt,
             objectiveDeadline: receivedAt + Math.min(timeoutMs, route.objectiveMs),
             deadline: receivedAt + timeoutMs,
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -3,6 +3,7 @@
 import { countRequestTokens } from "./countRequestTokens.js";
 import { EngineModel } from "./engineModel.js";
 import { limitRetryAfter } from "./limitRetryAfter.js";
+import { notifyWaiting } from "./notifyWaiting.js";
 import type { PromptLocations } from "./promptLocations.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
@@ -31,6 +32,11 @@
 const MAX_WAITING = 2000;
 /** Share of its objective that a request over its account's share waits; longer waits are billed as late refusals. */
 const OVER_SHARE_WAIT_RATIO = 0.12;
+/**
+ * Share of its account's capacity beyond which a request that can only be late counts as over the share, so that the
+ * last part of the share serves requests that can still be on time.
+ */
+const RETURNING_SHARE_RATIO = 0.85;
 /** Time in milliseconds that an idle target takes to begin its response. */
 const MIN_START_MS = 40;
 
@@ -191,7 +197,8 @@
     #resolve(waiting: WaitingRequest, blocked: Set<string>, now: number): SchedulerDecision {
         const { request, isResume } = waiting;
         const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
-        const [isExcluded, isOverShare] = [kind === "excluded", kind === "over"];
+        const isExcluded = kind === "excluded";
+        const isOverShare = kind === "over" || (request.isReturning && shareRatio > RETURNING_SHARE_RATIO);
         const candidate = isExcluded ? undefined : this.#pick(waiting, isOverShare, blocked, now);
         if (candidate) {
             return { kind: "granted", grant: this.#reserve(request, candidate, now) };
@@ -217,7 +224,7 @@
         now: number,
     ): TargetCandidate | undefined {
         const { request, excludedTargets } = waiting;
-        // Over its share, a request only goes to targets that have its prompt cached, else to any target of its regions.
+        // Over its share, which targets a request may use depends on where its prompt is cached.
         const scope = isOverShare ? `affinity target of ${request.prompt.at(-2)?.id}` : "any";
         const kind = `${scope} ${request.regions.join()}`;
         if (blocked.has(kind)) {
@@ -259,12 +266,3 @@
         return grant;
     }
 }
-
-function notifyWaiting(waiting: WaitingRequest, decision: SchedulerDecision): void {
-    if (decision.kind === "granted") {
-        waiting.onGrant(decision.grant);
-    }
-    else if (decision.kind === "refused") {
-        waiting.onRefuse(decision);
-    }
-}
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -68,9 +68,6 @@
 
     /** Returns the best target with capacity, or `undefined`. */
     pick(waiting: WaitingRequest, isOverShare: boolean, now: number): TargetCandidate | undefined {
-        const { settings } = this.#options;
-        const maxQueueMs = this.#options.getService().shortestObjectiveMs
-            * (isOverShare ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
         const usable = [...this.#options.targets.values()].filter(({ descriptor }) =>
             this.#isUsable(descriptor, waiting.request)
         );
@@ -80,14 +77,14 @@
         );
         const cached = this.#findCached(waiting.request, notEjected, now);
         let best: TargetCandidate | undefined;
-        // A request over the share of its account is not worth reading a shared part of a prompt again.
+        // A request over the share of its account is not worth moving a shared part of a prompt or reading it again.
         const eligible = isOverShare && cached.affinityTarget
             ? notExcluded.filter(target =>
                 target === cached.affinityTarget || cached.cachingTargets.includes(target)
             )
             : notExcluded;
         for (const target of eligible) {
-            const candidate = this.#buildCandidate(target, waiting.request, cached, maxQueueMs, now);
+            const candidate = this.#buildCandidate(target, waiting.request, cached, isOverShare, now);
             if (candidate && (!best || candidate.score < best.score)) {
                 best = candidate;
             }
@@ -136,7 +133,7 @@
         target: TargetState,
         request: RoutedRequest,
         cached: CachedPrompt,
-        maxQueueMs: number,
+        isOverShare: boolean,
         now: number,
     ): TargetCandidate | undefined {
         const { descriptor } = target;
@@ -167,7 +164,10 @@
                 : undefined,
             now,
         });
-        if (target.countInFlight(now) >= descriptor.slots || estimate.queueMs > maxQueueMs) {
+        if (
+            target.countInFlight(now) >= descriptor.slots
+            || estimate.queueMs > this.#getMaxQueueMs(isOverShare)
+        ) {
             return undefined;
         }
         const roundTripMs = this.#getRoundTripMs(descriptor, this.#options.settings.locality);
@@ -191,6 +191,13 @@
         };
     }
 
+    #getMaxQueueMs(isOverShare: boolean): number {
+        const { settings, getService } = this.#options;
+        const { shortestObjectiveMs } = getService();
+        return shortestObjectiveMs
+            * (isOverShare ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
+    }
+
     #getColdShare(target: TargetState, now: number): TargetCandidate["coldShare"] {
         const { settings, getColdShare } = this.#options;
         if (!target.isCold(now) || this.#options.getService().coldRequestsPerSecond <= 0) {
--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -6,7 +6,7 @@
     readonly directoryAddress: RouterSettings["callerAddress"];
     readonly readinessAddress: RouterSettings["callerAddress"];
     readonly termSeconds: number;
-    readonly listAddresses: (caller: Locality) => readonly string[];
+    readonly listAddresses: (caller: Locality, callerHost: string) => readonly string[];
     readonly isReady: () => boolean;
     readonly renderMetrics: () => string;
     readonly onMetricsFailed: (reason: string) => void;
@@ -41,8 +41,9 @@
             }
             const dataCentre = url.searchParams.get("zone") ?? "";
             const region = url.searchParams.get("region") ?? "";
-            const addresses = options.listAddresses({ dataCentre, region });
-            options.onLookup(dataCentre, incoming.socket.remoteAddress ?? "", addresses);
+            const callerHost = incoming.socket.remoteAddress ?? "";
+            const addresses = options.listAddresses({ dataCentre, region }, callerHost);
+            options.onLookup(dataCentre, callerHost, addresses);
             if (addresses.length === 0) {
                 response.writeHead(SERVICE_UNAVAILABLE, { "Content-Length": "0" }).end();
                 return;
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -45,7 +45,7 @@
         directoryAddress: settings.directoryAddress,
         readinessAddress: settings.readinessAddress,
         termSeconds: settings.router.addressTermSeconds,
-        listAddresses: caller => router.listCallerAddresses(caller),
+        listAddresses: (caller, host) => router.listCallerAddresses(caller, host),
         isReady: () => router.isReady(),
         renderMetrics: () => metrics.render(),
         onMetricsFailed: reason => log.write("metrics-failed", { reason }),
--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -32,6 +32,7 @@
     seedAddresses: value => Array.isArray(value) && value.every(isAddress),
     storeAddress: isAddress,
     processorShare: isNonNegativeNumber,
+    processorSpeed: isNonNegativeNumber,
     memoryMb: isNonNegativeNumber,
     stopTimeoutSeconds: isNonNegativeNumber,
     strictRevocation: value => typeof value === "boolean",
@@ -56,6 +57,8 @@
     readonly seedAddresses: readonly string[];
     readonly storeAddress: string;
     readonly processorShare: number;
+    /** Speed of the processor as a multiple of that of a common core. */
+    readonly processorSpeed: number;
     readonly memoryMb: number;
     readonly stopTimeoutSeconds: number;
     readonly strictRevocation: boolean;
@@ -101,7 +104,7 @@
             callerAddress: splitAddress(raw.callerAddress),
             peerAddress: { host: raw.host, port: raw.peerPort },
             seedHosts: raw.seedAddresses.map(address => splitAddress(address).host),
-            weight: raw.processorShare,
+            weight: raw.processorShare * raw.processorSpeed,
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
             stopTimeoutMs: raw.stopTimeoutSeconds * MS_PER_SECOND,
             keyFreshnessMs: raw.strictRevocation ? raw.revocationMs - REVOCATION_MARGIN_MS : UNLIMITED_MS,
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -97,8 +97,8 @@
     }
 
     /** Lists the addresses that a caller in a locality should use. */
-    listCallerAddresses(caller: Locality): readonly string[] {
-        return listCallerAddresses([this.#describeSelf(), ...this.#listPeers()], caller);
+    listCallerAddresses(caller: Locality, callerKey: string): readonly string[] {
+        return listCallerAddresses([this.#describeSelf(), ...this.#listPeers()], caller, callerKey);
     }
 
     /** Finds the peers in this data centre from which the platform's changes are read. */
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -103,8 +103,8 @@
     }
 
     /** Lists the addresses that a caller in a locality should use. */
-    listCallerAddresses(caller: Locality): readonly string[] {
-        return this.#fleet?.listCallerAddresses(caller) ?? [];
+    listCallerAddresses(caller: Locality, callerKey: string): readonly string[] {
+        return this.#fleet?.listCallerAddresses(caller, callerKey) ?? [];
     }
 
     /** Returns a source of the platform's changes that reads through peers in the data centre where possible. */
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -219,6 +219,7 @@
             seedAddresses: [`127.0.0.${FIRST_HOST_BYTE}:1`],
             storeAddress: address,
             processorShare: 1,
+            processorSpeed: 1,
             memoryMb: 256,
             stopTimeoutSeconds: this.#options.stopTimeoutSeconds,
             strictRevocation: true,
