Answer requests that are still being read before a planned stop

Cause: the wait of a stopping instance counted requests that were being served, not those that were still being read; their connections were closed without an answer when the process ended. The new test fails on the code before (an empty answer).

Change: the wait counts every request whose head has been read.

--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -52,6 +52,7 @@
     readonly #options: IngressOptions;
     readonly #server: Server;
     #bufferedBytes = 0;
+    #openRequests = 0;
 
     private constructor(options: IngressOptions) {
         this.#options = options;
@@ -95,6 +96,11 @@
         this.#server.headersTimeout = limits.headerTimeoutMs + HEADERS_MARGIN_MS;
     }
 
+    /** Requests that are being read or served. */
+    get openRequests(): number {
+        return this.#openRequests;
+    }
+
     /** Stops accepting connections and closes the idle ones. */
     close(): void {
         this.#server.close();
@@ -104,6 +110,10 @@
     /** An unexpected error ends the request that caused it; nothing is claimed about whether it was executed. */
     #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
         const { errorBoundary } = this.#options;
+        this.#openRequests += 1;
+        response.on("close", () => {
+            this.#openRequests -= 1;
+        });
         errorBoundary.run("request", () => this.#accept(incoming, response), () => response.destroy());
     }
 
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -134,7 +134,8 @@
         await waitForRequests({
             lingerUntil: startedAt + settings.stopTimeoutMs * LINGER_SHARE,
             stopBy: startedAt + settings.stopTimeoutMs - STOP_MARGIN_MS,
-            countActive: () => this.#activeRequests.size,
+            // A request that is still being read has been accepted, too.
+            countActive: () => Math.max(this.#activeRequests.size, this.#ingress?.openRequests ?? 0),
             getNow: this.#getNow,
         });
         this.#ingress?.close();
--- a/test/platform/routerProcess.test.ts
+++ b/test/platform/routerProcess.test.ts
@@ -210,3 +210,48 @@
     t.is((await send(fleet, "/safe/x")).status, 200);
     t.is(countArrivals(), before + 1);
 });
+
+test.serial("planned stop under load: answers requests that were accepted in the last moments, also one that is still being read", async t => {
+    const fleet = await createFleet(t);
+    const [instance] = fleet.instances;
+    if (!instance) {
+        t.fail("no instance");
+        return;
+    }
+    const { hostname, port } = new URL(fleet.getUrls(instance).callers);
+    const open = async (): Promise<{ write: (text: string) => void; readAll: () => Promise<string>; }> => {
+        const socket = connect(Number(port), hostname);
+        await once(socket, "connect");
+        let received = "";
+        socket.on("data", data => received += data.toString());
+        const closed = once(socket, "close");
+        return {
+            write: text => socket.write(text),
+            readAll: async () => {
+                await closed;
+                return received;
+            },
+        };
+    };
+    const buildHead = (id: string, length: number): string =>
+        `POST /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: ${id}\r\nDeadline-Ms: 4000\r\nContent-Length: ${length}\r\n\r\n`;
+    const slow = await open();
+    const pipelined = await open();
+    const stopped = instance.process.stop("SIGTERM");
+    const load: Promise<unknown>[] = [];
+    let answers = 0;
+    for (let i = 0; i < 20; i += 1) {
+        load.push(send(fleet, "/safe/x").then(result => answers += result.isWhole ? 1 : 0));
+        await new Promise(resolve => setTimeout(resolve, 100));
+    }
+    slow.write(`${buildHead("slow-1", 10)}12345`);
+    pipelined.write(`${buildHead("pipelined-1", 1)}x${buildHead("pipelined-2", 1)}x`);
+    // The stop timeout is 4 s, and the instance lingers for 3 s of it.
+    await new Promise(resolve => setTimeout(resolve, 1200));
+    slow.write("67890");
+    t.regex(await slow.readAll(), /^HTTP\/1\.1 200 .*answer to slow-1$/s);
+    t.regex(await pipelined.readAll(), /^HTTP\/1\.1 200 .*answer to pipelined-1/s);
+    await Promise.all(load);
+    t.is(answers, load.length);
+    t.is(await stopped, 0);
+});
