--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -32,11 +32,6 @@
 const MAX_WAITING = 2000;
 /** Share of its objective that a request over its account's share waits; longer waits are billed as late refusals. */
 const OVER_SHARE_WAIT_RATIO = 0.12;
-/**
- * Share of its account's capacity beyond which a request that can only be late counts as over the share, so that the
- * last part of the share serves requests that can still be on time.
- */
-const RETURNING_SHARE_RATIO = 0.85;
 /** Time in milliseconds that an idle target takes to begin its response. */
 const MIN_START_MS = 40;
 
@@ -198,8 +193,10 @@
         const { request, isResume } = waiting;
         const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
         const isExcluded = kind === "excluded";
-        const isOverShare = kind === "over" || (request.isReturning && shareRatio > RETURNING_SHARE_RATIO);
-        const candidate = isExcluded ? undefined : this.#pick(waiting, isOverShare, blocked, now);
+        const isOverShare = kind === "over";
+        // What can only be late must not take the place of what can still be on time.
+        const usesIdleOnly = isOverShare || (request.isReturning && !isResume);
+        const candidate = isExcluded ? undefined : this.#pick(waiting, usesIdleOnly, blocked, now);
         if (candidate) {
             return { kind: "granted", grant: this.#reserve(request, candidate, now) };
         }
@@ -219,18 +216,18 @@
 
     #pick(
         waiting: WaitingRequest,
-        isOverShare: boolean,
+        usesIdleOnly: boolean,
         blocked: Set<string>,
         now: number,
     ): TargetCandidate | undefined {
         const { request, excludedTargets } = waiting;
-        // Over its share, which targets a request may use depends on where its prompt is cached.
-        const scope = isOverShare ? `affinity target of ${request.prompt.at(-2)?.id}` : "any";
+        // For idle capacity, which targets a request may use depends on where its prompt is cached.
+        const scope = usesIdleOnly ? `affinity target of ${request.prompt.at(-2)?.id}` : "any";
         const kind = `${scope} ${request.regions.join()}`;
         if (blocked.has(kind)) {
             return undefined;
         }
-        const candidate = this.#picker.pick(waiting, isOverShare, now);
+        const candidate = this.#picker.pick(waiting, usesIdleOnly, now);
         if (!candidate && excludedTargets.size === 0) {
             blocked.add(kind);
         }
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -66,8 +66,12 @@
         return new TargetPicker(options);
     }
 
-    /** Returns the best target with capacity, or `undefined`. */
-    pick(waiting: WaitingRequest, isOverShare: boolean, now: number): TargetCandidate | undefined {
+    /**
+     * Returns the best target with capacity, or `undefined`.
+     *
+     * @param usesIdleOnly True if the request may only use capacity that would stay idle.
+     */
+    pick(waiting: WaitingRequest, usesIdleOnly: boolean, now: number): TargetCandidate | undefined {
         const usable = [...this.#options.targets.values()].filter(({ descriptor }) =>
             this.#isUsable(descriptor, waiting.request)
         );
@@ -77,14 +81,14 @@
         );
         const cached = this.#findCached(waiting.request, notEjected, now);
         let best: TargetCandidate | undefined;
-        // A request over the share of its account is not worth moving a shared part of a prompt or reading it again.
-        const eligible = isOverShare && cached.affinityTarget
+        // A request that only gets idle capacity is not worth moving a shared part of a prompt or reading it again.
+        const eligible = usesIdleOnly && cached.affinityTarget
             ? notExcluded.filter(target =>
                 target === cached.affinityTarget || cached.cachingTargets.includes(target)
             )
             : notExcluded;
         for (const target of eligible) {
-            const candidate = this.#buildCandidate(target, waiting.request, cached, isOverShare, now);
+            const candidate = this.#buildCandidate(target, waiting.request, cached, usesIdleOnly, now);
             if (candidate && (!best || candidate.score < best.score)) {
                 best = candidate;
             }
@@ -133,7 +137,7 @@
         target: TargetState,
         request: RoutedRequest,
         cached: CachedPrompt,
-        isOverShare: boolean,
+        usesIdleOnly: boolean,
         now: number,
     ): TargetCandidate | undefined {
         const { descriptor } = target;
@@ -166,7 +170,7 @@
         });
         if (
             target.countInFlight(now) >= descriptor.slots
-            || estimate.queueMs > this.#getMaxQueueMs(isOverShare)
+            || estimate.queueMs > this.#getMaxQueueMs(usesIdleOnly)
         ) {
             return undefined;
         }
@@ -191,11 +195,11 @@
         };
     }
 
-    #getMaxQueueMs(isOverShare: boolean): number {
+    #getMaxQueueMs(usesIdleOnly: boolean): number {
         const { settings, getService } = this.#options;
         const { shortestObjectiveMs } = getService();
         return shortestObjectiveMs
-            * (isOverShare ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
+            * (usesIdleOnly ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
     }
 
     #getColdShare(target: TargetState, now: number): TargetCandidate["coldShare"] {
