Go back to the former times to return, and treat returning requests like others

A request that is told to return after seconds can only be late, and takes the place of a fresh one; after 250 ms it can still meet an objective of 800 ms.

The rule for returning requests and its tracker are removed.

--- a/src/core/routing/accountShares.ts
+++ b/src/core/routing/accountShares.ts
@@ -39,13 +39,9 @@
         if (shareRatio <= 1) {
             return { kind: "within", shareRatio, returnMs: 0 };
         }
-        const demandRatio = usage.getRequested(account, now) / share;
-        return {
-            kind: shareRatio > MAX_SHARE_RATIO ? "excluded" : "over",
-            shareRatio,
-            // Its usage decays to its share, and then its share serves what was requested beyond it.
-            returnMs: usage.windowMs * (Math.log(shareRatio) + Math.max(0, demandRatio - 1)),
-        };
+        return shareRatio > MAX_SHARE_RATIO
+            ? { kind: "excluded", shareRatio, returnMs: usage.windowMs * Math.log(shareRatio) }
+            : { kind: "over", shareRatio, returnMs: 0 };
     }
 
     #getShare(now: number): number {
@@ -64,6 +60,6 @@
     readonly kind: "within" | "over" | "excluded";
     /** Tokens granted to the account, as a multiple of its share. */
     readonly shareRatio: number;
-    /** Time in milliseconds after which a refused request of the account can expect to be served; 0 within its share. */
+    /** Time in milliseconds until the usage of an excluded account has decayed to its share; 0 for other accounts. */
     readonly returnMs: number;
 }
--- a/src/core/routing/accountUsage.ts
+++ b/src/core/routing/accountUsage.ts
@@ -53,12 +53,6 @@
             + this.#peers.get(account, now).granted + this.#remote.get(account, now).granted;
     }
 
-    /** Returns the tokens that a client account recently requested from all instances. */
-    getRequested(account: string, now: number): number {
-        return (this.#local.get(account)?.requested.get(now) ?? 0)
-            + this.#peers.get(account, now).asked + this.#remote.get(account, now).asked;
-    }
-
     /**
      * Returns the max-min fair share: the tokens that each client account may be granted over the window, given the
      * capacity and the demand of all accounts; infinite if the capacity covers the demand.
--- a/src/core/routing/limitRetryAfter.ts
+++ b/src/core/routing/limitRetryAfter.ts
@@ -1,10 +1,10 @@
 import murmurhash from "murmurhash";
 
+/** Short enough for a request that returns to meet its objective, if there is capacity then. */
 const MIN_RETRY_AFTER_MS = 250;
-/** Callers wait for at most a third of the time that they have left, which is 4 s for the longest requests. */
-const MAX_RETRY_AFTER_MS = 4000;
+const MAX_RETRY_AFTER_MS = 2500;
 /** Refused requests return later by up to this share of their time, so that they do not meet again. */
-const RETRY_SPREAD = 0.5;
+const RETRY_SPREAD = 0.2;
 const HASH_RANGE = 2 ** 32;
 
 /** Limits a time to return, in milliseconds, to what callers can use, and spreads requests that would return together. */
--- a/src/core/routing/resolveRequest.ts
+++ b/src/core/routing/resolveRequest.ts
@@ -18,8 +18,6 @@
     readonly receivedAt: number;
     /** Uniformly distributed in [0, 1). */
     readonly random: number;
-    /** Records how long the caller waits, in milliseconds; returns how long callers of the route wait at most. */
-    readonly recordPatience: (route: string, patienceMs: number) => number;
 }
 
 /** A request with its route and client account, or its refusal. */
@@ -84,7 +82,6 @@
             promptTokens: attributes.promptTokens,
             outputTokens: attributes.outputTokens,
             prompt: attributes.prompt,
-            isReturning: timeoutMs < context.recordPatience(route.name, timeoutMs) - route.objectiveMs,
             receivedAt,
             objectiveDeadline: receivedAt + Math.min(timeoutMs, route.objectiveMs),
             deadline: receivedAt + timeoutMs,
--- a/src/core/routing/routedRequest.ts
+++ b/src/core/routing/routedRequest.ts
@@ -13,8 +13,6 @@
     readonly promptTokens: number;
     readonly outputTokens: number;
     readonly prompt: readonly PromptPart[];
-    /** True if the caller has been refused before and its latency objective has passed since. */
-    readonly isReturning: boolean;
     /** Monotonic times in milliseconds. */
     readonly receivedAt: number;
     /** Time by which the response, or its first event, meets the latency objective. */
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -194,9 +194,7 @@
         const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
         const isExcluded = kind === "excluded";
         const isOverShare = kind === "over";
-        // What can only be late must not take the place of what can still be on time.
-        const usesIdleOnly = isOverShare || (request.isReturning && !isResume);
-        const candidate = isExcluded ? undefined : this.#pick(waiting, usesIdleOnly, blocked, now);
+        const candidate = isExcluded ? undefined : this.#pick(waiting, isOverShare, blocked, now);
         if (candidate) {
             return { kind: "granted", grant: this.#reserve(request, candidate, now) };
         }
@@ -216,18 +214,18 @@
 
     #pick(
         waiting: WaitingRequest,
-        usesIdleOnly: boolean,
+        isOverShare: boolean,
         blocked: Set<string>,
         now: number,
     ): TargetCandidate | undefined {
         const { request, excludedTargets } = waiting;
-        // For idle capacity, which targets a request may use depends on where its prompt is cached.
-        const scope = usesIdleOnly ? `affinity target of ${request.prompt.at(-2)?.id}` : "any";
+        // Over its share, which targets a request may use depends on where its prompt is cached.
+        const scope = isOverShare ? `affinity target of ${request.prompt.at(-2)?.id}` : "any";
         const kind = `${scope} ${request.regions.join()}`;
         if (blocked.has(kind)) {
             return undefined;
         }
-        const candidate = this.#picker.pick(waiting, usesIdleOnly, now);
+        const candidate = this.#picker.pick(waiting, isOverShare, now);
         if (!candidate && excludedTargets.size === 0) {
             blocked.add(kind);
         }
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -69,9 +69,9 @@
     /**
      * Returns the best target with capacity, or `undefined`.
      *
-     * @param usesIdleOnly True if the request may only use capacity that would stay idle.
+     * @param isOverShare True if the account is over its share, so that only capacity is used that would stay idle.
      */
-    pick(waiting: WaitingRequest, usesIdleOnly: boolean, now: number): TargetCandidate | undefined {
+    pick(waiting: WaitingRequest, isOverShare: boolean, now: number): TargetCandidate | undefined {
         const usable = [...this.#options.targets.values()].filter(({ descriptor }) =>
             this.#isUsable(descriptor, waiting.request)
         );
@@ -81,14 +81,14 @@
         );
         const cached = this.#findCached(waiting.request, notEjected, now);
         let best: TargetCandidate | undefined;
-        // A request that only gets idle capacity is not worth moving a shared part of a prompt or reading it again.
-        const eligible = usesIdleOnly && cached.affinityTarget
+        // A request over the share of its account is not worth moving a shared part of a prompt or reading it again.
+        const eligible = isOverShare && cached.affinityTarget
             ? notExcluded.filter(target =>
                 target === cached.affinityTarget || cached.cachingTargets.includes(target)
             )
             : notExcluded;
         for (const target of eligible) {
-            const candidate = this.#buildCandidate(target, waiting.request, cached, usesIdleOnly, now);
+            const candidate = this.#buildCandidate(target, waiting.request, cached, isOverShare, now);
             if (candidate && (!best || candidate.score < best.score)) {
                 best = candidate;
             }
@@ -137,7 +137,7 @@
         target: TargetState,
         request: RoutedRequest,
         cached: CachedPrompt,
-        usesIdleOnly: boolean,
+        isOverShare: boolean,
         now: number,
     ): TargetCandidate | undefined {
         const { descriptor } = target;
@@ -170,7 +170,7 @@
         });
         if (
             target.countInFlight(now) >= descriptor.slots
-            || estimate.queueMs > this.#getMaxQueueMs(usesIdleOnly)
+            || estimate.queueMs > this.#getMaxQueueMs(isOverShare)
         ) {
             return undefined;
         }
@@ -195,11 +195,11 @@
         };
     }
 
-    #getMaxQueueMs(usesIdleOnly: boolean): number {
+    #getMaxQueueMs(isOverShare: boolean): number {
         const { settings, getService } = this.#options;
         const { shortestObjectiveMs } = getService();
         return shortestObjectiveMs
-            * (usesIdleOnly ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
+            * (isOverShare ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
     }
 
     #getColdShare(target: TargetState, now: number): TargetCandidate["coldShare"] {
--- a/src/router/requestResolver.ts
+++ b/src/router/requestResolver.ts
@@ -1,4 +1,3 @@
-import { PatienceTracker } from "../core/routing/patienceTracker.js";
 import { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { DeploymentView } from "./deploymentView.js";
 import type { LoadObserver } from "./loadObserver.js";
@@ -20,7 +19,6 @@
 /** Decides by the headers of a request whether this instance serves it. */
 export class RequestResolver {
     readonly #options: RequestResolverOptions;
-    readonly #patience = PatienceTracker.create();
 
     private constructor(options: RequestResolverOptions) {
         this.#options = options;
@@ -45,7 +43,6 @@
             finishBy: getFinishBy(),
             receivedAt,
             random: Math.random(),
-            recordPatience: (route, patienceMs) => this.#patience.record(route, patienceMs, receivedAt),
         });
         if (resolved.kind === "refused") {
             return resolved;
