--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -159,16 +159,16 @@
     }
 
     #sendReports(): void {
-        const { settings, promptLocations, getNow } = this.#options;
+        const { promptLocations, getNow } = this.#options;
         const now = getNow();
         const localPeers = this.#listLocalPeers();
-        const role = pickReportRole(settings.instance, localPeers);
+        const role = pickReportRole(this.#describeSelf(), localPeers);
         this.#role = role;
         const usesDelegates = role.kind === "delegate"
             || (role.kind === "member" && this.#receiver.hasSummary(now));
         // One more peer learns of this instance even if no delegate can hear it.
         const receivers = usesDelegates ? [...role.delegates, ...pickRandom(localPeers, 1)] : localPeers;
-        this.#sender.sendReport(receivers, now, promptLocations.takePending(now));
+        this.#sender.sendReport([...new Set(receivers)], now, promptLocations.takePending(now));
         const isFirst = role.rank === 0 || !this.#receiver.hasSummary(now, DELEGATE_TIMEOUT_MS);
         if (role.kind === "delegate" && isFirst) {
             this.#sender.sendLocalSummary(localPeers, this.#receiver.listIncluded(now), now);
--- a/src/router/reportSender.ts
+++ b/src/router/reportSender.ts
@@ -82,7 +82,9 @@
         const peers = listPeers();
         const localPeers = peers.filter(peer => peer.dataCentre === dataCentre);
         const record = buildRecord();
-        if (pickReaders([record, ...localPeers].map(member => member.name))[0] !== settings.instance) {
+        const isFirst =
+            pickReaders([record, ...localPeers].map(member => member.name))[0] === settings.instance;
+        if (role.kind === "mesh" && !isFirst) {
             return;
         }
         const receivers = listDelegates(peers, dataCentre).flatMap(delegates => pickRandom(delegates, 1))
--- a/test/router/reportReceiver.test.ts
+++ b/test/router/reportReceiver.test.ts
@@ -98,7 +98,7 @@
     const roles = [6, 30, 300].map(size => {
         const members = Array.from({ length: size }, (_, i) => makeMember(`m${i}`));
         return members.map(member =>
-            pickReportRole(member.name, members.filter(other => other.name !== member.name))
+            pickReportRole(member, members.filter(other => other.name !== member.name))
         );
     });
     t.true(roles[0]?.every(role => role.kind === "mesh"));
@@ -109,6 +109,23 @@
     }
 });
 
+test("large data centre: a busy or leaving instance is no delegate, because its summaries would be late", t => {
+    const members = Array.from({ length: 30 }, (_, i) => makeMember(`m${i}`));
+    const [self, ...peers] = members;
+    if (!self) {
+        t.fail("no member");
+        return;
+    }
+    const { delegates } = pickReportRole(self, peers);
+    const busy = peers.map(peer => delegates.includes(peer) ? { ...peer, state: "busy" as const } : peer);
+    const names = pickReportRole(self, busy).delegates.map(({ name }) => name);
+    t.true(names.length > 0 && delegates.every(({ name }) => !names.includes(name)));
+    // While all start, there are delegates all the same.
+    const starting = members.map(member => ({ ...member, state: "closed" as const }));
+    const [first, ...others] = starting;
+    t.true(first !== undefined && pickReportRole(first, others).delegates.length > 0);
+});
+
 test("hostile peer: a report with impossible amounts, names or starts is no report", t => {
     const isAccepted = (report: unknown): boolean => parsePeerReport(report, NOW_UNIX_MS) !== undefined;
     t.true(isAccepted(makeReport("peer")));
