Count only uncaught errors towards the end of the process

Change: errors that a boundary has confined to their message never end it; the progress tracker keeps a flag in place of a time that nobody read.

--- a/src/core/routing/progressTracker.ts
+++ b/src/core/routing/progressTracker.ts
@@ -8,7 +8,7 @@
 export class ProgressTracker {
     #lastProgressAt: number;
     #partialBytes = 0;
-    #blockedSince: number | undefined;
+    #isBlocked = false;
     #hasProgressed = false;
     #longestPauseMs = 0;
 
@@ -28,7 +28,7 @@
 
     /** Returns the time since the last progress; 0 while the caller, and not the target, holds the response back. */
     getInactiveMs(now: number): number {
-        return this.#blockedSince === undefined ? now - this.#lastProgressAt : 0;
+        return this.#isBlocked ? 0 : now - this.#lastProgressAt;
     }
 
     /** Records the head of the response or a completed event. */
@@ -51,13 +51,9 @@
 
     /** Records whether the caller reads too slowly for more of the response to be read from the target. */
     setBlocked(isBlocked: boolean, now: number): void {
-        if (isBlocked) {
-            this.#blockedSince ??= now;
-            return;
-        }
-        if (this.#blockedSince !== undefined) {
+        if (this.#isBlocked && !isBlocked) {
             this.#lastProgressAt = Math.max(this.#lastProgressAt, now);
-            this.#blockedSince = undefined;
         }
+        this.#isBlocked = isBlocked;
     }
 }
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -32,8 +32,8 @@
         },
         getNow,
     });
-    process.on("uncaughtException", error => errorBoundary.record("process", error));
-    process.on("unhandledRejection", error => errorBoundary.record("promise", error));
+    process.on("uncaughtException", error => errorBoundary.recordUncaught("process", error));
+    process.on("unhandledRejection", error => errorBoundary.recordUncaught("promise", error));
     const router = await Router.create({
         settings: settings.router,
         wire: platformWireFormat,
