Log targets that a complete read removes, keeps and lets expire

Cause: after an outage of the store everything is read again, and nothing in the log told which targets were removed, which were kept for the grace period and when that ended, so the hypotheses on DRAIN could not be told apart.

Change: target-changed with the states missing and expired, also for complete reads, and store-regained with the length of the outage.

--- a/src/core/routing/targetDirectory.ts
+++ b/src/core/routing/targetDirectory.ts
@@ -40,32 +40,47 @@
         this.#removals.delete(descriptor.id);
     }
 
-    /** Removes a target, or schedules its removal for the end of the grace period. */
-    remove(id: string, now: number): void {
-        if (this.#graceUntil <= now) {
-            this.#descriptors.delete(id);
-            return;
-        }
-        if (this.#descriptors.has(id)) {
+    /**
+     * Removes a target, or schedules its removal for the end of the grace period.
+     *
+     * @returns False if the target is kept until then.
+     */
+    remove(id: string, now: number): boolean {
+        if (this.#graceUntil > now && this.#descriptors.has(id)) {
             this.#removals.set(id, this.#graceUntil);
+            return false;
         }
+        this.#descriptors.delete(id);
+        return true;
     }
 
-    /** Adopts a complete list; targets missing from it are removed. */
-    replaceAll(descriptors: readonly TargetDescriptor[], now: number): void {
+    /** Adopts a complete list and removes targets missing from it, whose identifiers it returns. */
+    replaceAll(descriptors: readonly TargetDescriptor[], now: number): readonly string[] {
         const listed = new Set(descriptors.map(descriptor => descriptor.id));
-        [...this.#descriptors.keys()].filter(id => !listed.has(id)).forEach(id => this.remove(id, now));
+        const missing = [...this.#descriptors.keys()].filter(id => !listed.has(id));
+        missing.forEach(id => this.remove(id, now));
         descriptors.forEach(descriptor => this.set(descriptor));
+        return missing;
+    }
+
+    /** Drops removed targets whose grace period is over, and returns their identifiers. */
+    expire(now: number): readonly string[] {
+        const expired = [...this.#removals].filter(([, dropAt]) => dropAt <= now).map(([id]) => id);
+        for (const id of expired) {
+            this.#removals.delete(id);
+            this.#descriptors.delete(id);
+        }
+        return expired;
+    }
+
+    /** Returns whether a target is listed or kept. */
+    has(id: string): boolean {
+        return this.#descriptors.has(id);
     }
 
     /** Lists the targets, including removed ones whose grace period is not over. */
     list(now: number): readonly TargetDescriptor[] {
-        for (const [id, dropAt] of this.#removals) {
-            if (dropAt <= now) {
-                this.#removals.delete(id);
-                this.#descriptors.delete(id);
-            }
-        }
+        this.expire(now);
         return [...this.#descriptors.values()];
     }
 
--- a/src/platform/storeFollower.ts
+++ b/src/platform/storeFollower.ts
@@ -40,6 +40,8 @@
     /** Revision up to which all changes are applied; `undefined` if everything has to be read. */
     #revision: number | undefined;
     #failures = 0;
+    /** Monotonic time in milliseconds of the first failure of the current outage. */
+    #lostAt = 0;
     #isStopped = false;
 
     private constructor(options: StoreFollowerOptions) {
@@ -86,6 +88,7 @@
         targetDirectory.setUnreachable(getNow());
         this.#failures += 1;
         if (this.#failures === 1) {
+            this.#lostAt = getNow();
             log.write("store-lost", { code: error.code, status: error.status });
         }
         const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.#failures);
@@ -96,7 +99,10 @@
         const { targetDirectory, log, getNow, onConfirmed } = this.#options;
         if (this.#failures > 0) {
             this.#failures = 0;
-            log.write("store-regained", { revision: batch.revision });
+            log.write("store-regained", {
+                revision: batch.revision,
+                outageMs: Math.round(getNow() - this.#lostAt),
+            });
         }
         targetDirectory.setReachable(getNow());
         this.#applyConfiguration(batch);
@@ -143,10 +149,14 @@
     }
 
     #applyTargets(batch: ChangeBatch): void {
-        const { targetDirectory, getNow, onTargets } = this.#options;
+        const { targetDirectory, log, getNow, onTargets } = this.#options;
         const changes = batch.changes.filter(change => change.key.startsWith(TARGET_PREFIX));
         if (batch.isWhole) {
-            targetDirectory.replaceAll(changes.flatMap(change => this.#decodeTarget(change) ?? []), getNow());
+            const listed = changes.flatMap(change => this.#decodeTarget(change) ?? []);
+            for (const target of targetDirectory.replaceAll(listed, getNow())) {
+                const state = targetDirectory.has(target) ? "missing" : "removed";
+                log.write("target-changed", { target, state, revision: batch.revision });
+            }
         }
         else {
             changes.forEach(change => this.#applyTarget(change));
@@ -160,17 +170,15 @@
         const { targetDirectory, log, getNow } = this.#options;
         const id = change.key.slice(TARGET_PREFIX.length);
         const target = this.#decodeTarget(change);
-        log.write("target-changed", {
-            target: id,
-            state: target ? (target.isDraining ? "draining" : "ready") : "removed",
-            revision: change.revision,
-        });
+        let state: string;
         if (target) {
             targetDirectory.set(target);
+            state = target.isDraining ? "draining" : "ready";
         }
         else {
-            targetDirectory.remove(id, getNow());
+            state = targetDirectory.remove(id, getNow()) ? "removed" : "missing";
         }
+        log.write("target-changed", { target: id, state, revision: change.revision });
     }
 
     #decodeTarget(change: Change): TargetDescriptor | undefined {
--- a/src/router/deploymentView.ts
+++ b/src/router/deploymentView.ts
@@ -85,6 +85,9 @@
     expireTargets(now: number): void {
         const nextChangeAt = this.#targets.nextChangeAt;
         if (nextChangeAt !== undefined && nextChangeAt <= now) {
+            for (const target of this.#targets.expire(now)) {
+                this.#options.log.write("target-changed", { target, state: "expired" });
+            }
             this.updateTargets();
         }
     }
