End the grace period of removed targets by the time at which the store can have returned

Callers saw: requests to a target 13 s after it had left (DRAIN); its server was still there, so that the requests were served.

Cause: after an outage of the store, or of the path to it, targets that are missing are kept for 2.2 s, since live ones may not have registered again. The period began when the follower noticed the return. A call sent just before the return took up to 2.4 s to time out and the next one up to 1 s to follow, so that a target that had left was used for up to 5.6 s, beyond the 4 s (contactMs) after which an instance is bound again.

Change: the period ends catchUpMs (a new setting, from contactMs) less a margin after the last failed call was sent, because the outage can have ended any time after that. During an outage, calls neither wait for changes nor for a lost attempt to connect, so that the return is noticed within 1.3 s and the whole period is left to live targets.

--- a/src/core/routing/targetDirectory.ts
+++ b/src/core/routing/targetDirectory.ts
@@ -4,6 +4,8 @@
 const REGISTRATION_GRACE_MS = 2200;
 /** An outage shorter than this cannot make a registration expire. */
 const MIN_OUTAGE_MS = 1000;
+/** Part of the catch-up time that is reserved for late timers and for requests on their way to a target. */
+const CATCH_UP_MARGIN_MS = 500;
 
 /**
  * Targets that the platform lists. Registrations that expired during an outage of the store are kept for a grace period
@@ -13,23 +15,40 @@
     readonly #descriptors = new Map<string, TargetDescriptor>();
     /** Monotonic time in milliseconds at which a removed target is dropped, by identifier. */
     readonly #removals = new Map<string, number>();
+    readonly #catchUpMs: number;
     #unreachableSince: number | undefined;
+    /** Monotonic time in milliseconds before which the current outage cannot have ended. */
+    #outageEndsAfter = 0;
     #graceUntil = 0;
 
-    /** Creates an empty directory. */
-    static create(): TargetDirectory {
-        return new TargetDirectory();
+    private constructor(catchUpMs: number) {
+        this.#catchUpMs = catchUpMs;
     }
 
-    /** Records that the store is unreachable. */
-    setUnreachable(now: number): void {
+    /**
+     * Creates an empty directory.
+     *
+     * @param catchUpMs Time in milliseconds after the end of an outage of the store, or of the path to it, within which
+     * removals must take effect.
+     */
+    static create(catchUpMs: number): TargetDirectory {
+        return new TargetDirectory(catchUpMs);
+    }
+
+    /** Records that a call to the store failed, which was sent at `sentAt`. */
+    setUnreachable(sentAt: number, now: number): void {
         this.#unreachableSince ??= now;
+        this.#outageEndsAfter = sentAt;
     }
 
     /** Records that the store is reachable; after an outage, this starts the grace period. */
     setReachable(now: number): void {
         if (this.#unreachableSince !== undefined && now - this.#unreachableSince >= MIN_OUTAGE_MS) {
-            this.#graceUntil = now + REGISTRATION_GRACE_MS;
+            // The outage may have ended any time after the last failed call was sent.
+            this.#graceUntil = Math.min(
+                now + REGISTRATION_GRACE_MS,
+                this.#outageEndsAfter + this.#catchUpMs - CATCH_UP_MARGIN_MS,
+            );
         }
         this.#unreachableSince = undefined;
     }
--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -37,6 +37,7 @@
     stopTimeoutSeconds: isNonNegativeNumber,
     strictRevocation: value => typeof value === "boolean",
     revocationMs: isNonNegativeNumber,
+    catchUpMs: isNonNegativeNumber,
     retryRatio: isNonNegativeNumber,
     retryWindowSeconds: isNonNegativeNumber,
     coldFactor: isNonNegativeNumber,
@@ -63,6 +64,7 @@
     readonly stopTimeoutSeconds: number;
     readonly strictRevocation: boolean;
     readonly revocationMs: number;
+    readonly catchUpMs: number;
     readonly retryRatio: number;
     readonly retryWindowSeconds: number;
     readonly coldFactor: number;
@@ -108,6 +110,7 @@
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
             stopTimeoutMs: raw.stopTimeoutSeconds * MS_PER_SECOND,
             keyFreshnessMs: raw.strictRevocation ? raw.revocationMs - REVOCATION_MARGIN_MS : UNLIMITED_MS,
+            catchUpMs: raw.catchUpMs,
             retryRatio: raw.retryRatio * RETRY_SHARE,
             retryWindowMs: raw.retryWindowSeconds * MS_PER_SECOND,
             coldFactor: raw.coldFactor,
--- a/src/platform/storeFollower.ts
+++ b/src/platform/storeFollower.ts
@@ -27,9 +27,10 @@
 const CONFIGURATION_KEY = "op/config";
 const EVACUATION_PREFIX = "op/evacuate/";
 const TARGET_PREFIX = "servers/";
-/** Failed calls are billed too; keys are accepted for 4.7 s without a confirmation, which leaves time for retries. */
+/** Failed calls are billed too. */
 const MIN_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 1000;
+/** With the timeout of an urgent call, bounds the time until the end of an outage is noticed. */
+const MAX_BACKOFF_MS = 500;
 /** Calls are billed, so changes in quick succession are read together; the shortest bound for a change is 2.5 s. */
 const MIN_INTERVAL_MS = 600;
 
@@ -59,7 +60,7 @@
         while (!this.#isStopped) {
             const startedAt = getNow();
             try {
-                this.#apply(await source(this.#revision));
+                this.#apply(await source(this.#revision, this.#failures > 0));
                 await wait(Math.max(0, startedAt + MIN_INTERVAL_MS - getNow()));
             }
             catch (error) {
@@ -68,6 +69,7 @@
                 }
                 await this.#recover(
                     error instanceof SourceError ? error : SourceError.create("internal-error"),
+                    startedAt,
                 );
             }
         }
@@ -78,14 +80,14 @@
         this.#isStopped = true;
     }
 
-    async #recover(error: SourceError): Promise<void> {
+    async #recover(error: SourceError, sentAt: number): Promise<void> {
         const { targetDirectory, log, getNow, getRandom, wait } = this.#options;
         if (error.code === "history-lost") {
             log.write("store-history-lost", { revision: this.#revision });
             this.#revision = undefined;
             return;
         }
-        targetDirectory.setUnreachable(getNow());
+        targetDirectory.setUnreachable(sentAt, getNow());
         this.#failures += 1;
         if (this.#failures === 1) {
             this.#lostAt = getNow();
--- a/src/platform/storeSource.ts
+++ b/src/platform/storeSource.ts
@@ -25,6 +25,8 @@
 const WATCH_MS = 1200;
 /** The store normally responds within 4 ms, at times only within a few hundred. */
 const TIMEOUT_MS = 1200;
+/** Timeout of an urgent call. A lost attempt to connect is repeated only after a second, so a new call is faster. */
+const URGENT_TIMEOUT_MS = 800;
 const GONE = 410;
 
 /** Reads changes from the platform's store over HTTP. */
@@ -42,7 +44,7 @@
     }
 
     /**
-     * Waits for changes after a revision, or reads everything without one; an urgent call does not wait.
+     * Waits for changes after a revision, or reads everything without one; an urgent call does not wait and fails early.
      *
      * @throws SourceError when the store does not respond; `history-lost` when it has dropped the changes since then.
      */
@@ -50,14 +52,16 @@
         const confirmedAt = this.#options.getNow();
         const confirmedTimeOfDay = this.#options.getTimeOfDay();
         if (after === undefined) {
-            return { ...await this.#readAll(), isWhole: true, confirmedAt, confirmedTimeOfDay };
+            const timeoutMs = isUrgent ? URGENT_TIMEOUT_MS : TIMEOUT_MS;
+            return { ...await this.#readAll(timeoutMs), isWhole: true, confirmedAt, confirmedTimeOfDay };
         }
         const query = new URLSearchParams({
             pathPrefix: ALL_KEYS,
             after: String(after),
             waitMs: String(isUrgent ? 0 : WATCH_MS),
         });
-        const page = await this.#readPage("/kv-watch", query, WATCH_MS + TIMEOUT_MS);
+        const timeoutMs = isUrgent ? URGENT_TIMEOUT_MS : WATCH_MS + TIMEOUT_MS;
+        const page = await this.#readPage("/kv-watch", query, timeoutMs);
         return {
             changes: page.changes,
             isWhole: false,
@@ -72,7 +76,7 @@
         this.#agent.destroy();
     }
 
-    async #readAll(): Promise<Pick<ChangeBatch, "changes" | "revision">> {
+    async #readAll(timeoutMs: number): Promise<Pick<ChangeBatch, "changes" | "revision">> {
         const changes: Change[] = [];
         let revision: number | undefined;
         let page: Page;
@@ -82,7 +86,7 @@
             if (last) {
                 query.set("after", last.key);
             }
-            page = await this.#readPage("/kv-range", query, TIMEOUT_MS);
+            page = await this.#readPage("/kv-range", query, timeoutMs);
             // Pages do not form a snapshot, so changes are followed from the revision of the first page.
             revision ??= page.revision;
             changes.push(...page.changes);
--- a/src/router/deploymentView.ts
+++ b/src/router/deploymentView.ts
@@ -10,6 +10,8 @@
     readonly onConfiguration: (configuration: RouterConfiguration) => void;
     /** Time in milliseconds for which keys are accepted after the configuration was last confirmed. */
     readonly keyFreshnessMs: number;
+    /** Time in milliseconds after an outage of the store within which its changes must be in force. */
+    readonly catchUpMs: number;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
     readonly getTimeOfDay: () => number;
@@ -18,7 +20,7 @@
 /** Configuration, targets and evacuations that are in force at this instance, and how old they are. */
 export class DeploymentView {
     readonly #options: DeploymentViewOptions;
-    readonly #targets = TargetDirectory.create();
+    readonly #targets: TargetDirectory;
     readonly #freshness: ConfigurationFreshness;
     #configuration: RouterConfiguration | undefined;
     #evacuated: ReadonlySet<string> = new Set();
@@ -26,6 +28,7 @@
 
     private constructor(options: DeploymentViewOptions) {
         this.#options = options;
+        this.#targets = TargetDirectory.create(options.catchUpMs);
         this.#freshness = ConfigurationFreshness.create(options.keyFreshnessMs);
     }
 
--- a/src/router/relayedChangeSource.ts
+++ b/src/router/relayedChangeSource.ts
@@ -36,11 +36,12 @@
     /**
      * Waits for changes after a revision.
      *
+     * @param isUrgent True to read from the platform without waiting, should the readers fail.
+     *
      * @throws SourceError when neither a reader nor the platform responds.
      */
-    async read(after: number | undefined): Promise<ChangeBatch> {
-        let isUrgent = false;
-        const { direct, changeLog, findReaders, getNow } = this.#options;
+    async read(after: number | undefined, isUrgent = false): Promise<ChangeBatch> {
+        const { changeLog, findReaders, getNow } = this.#options;
         const readers = findReaders();
         if (readers.hosts.length > 0 && getNow() >= this.#directUntil) {
             const relayed = await this.#readPeers(readers, after);
@@ -49,8 +50,13 @@
                 return relayed;
             }
             this.#directUntil = getNow() + DIRECT_FALLBACK_MS;
-            isUrgent = true;
+            return this.#readDirect(after, true);
         }
+        return this.#readDirect(after, isUrgent);
+    }
+
+    async #readDirect(after: number | undefined, isUrgent: boolean): Promise<ChangeBatch> {
+        const { direct, changeLog } = this.#options;
         const batch = await direct(after, isUrgent);
         changeLog.append(batch);
         return batch;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -80,6 +80,7 @@
             log: options.log,
             onConfiguration: ({ limits }) => this.#ingress?.applyLimits(limits),
             keyFreshnessMs: settings.keyFreshnessMs,
+            catchUpMs: settings.catchUpMs,
             getNow: this.#getNow,
             getTimeOfDay: Date.now,
         });
@@ -117,7 +118,7 @@
             log: this.#options.log,
             getNow: this.#getNow,
         });
-        return after => source.read(after);
+        return (after, isUrgent) => source.read(after, isUrgent);
     }
 
     /** Stops gracefully: notifies peers, lets callers move to other instances and finishes active requests. */
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -24,6 +24,8 @@
     readonly stopTimeoutMs: number;
     /** Time in milliseconds for which keys are accepted after the configuration was last confirmed. */
     readonly keyFreshnessMs: number;
+    /** Time in milliseconds after an outage of the store within which its changes must be in force. */
+    readonly catchUpMs: number;
     /** Retry budget: retries as a share of the requests, and the sliding window over which both are counted. */
     readonly retryRatio: number;
     readonly retryWindowMs: number;
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -224,6 +224,7 @@
             stopTimeoutSeconds: this.#options.stopTimeoutSeconds,
             strictRevocation: true,
             revocationMs: this.#options.revocationMs,
+            catchUpMs: 4000,
             retryRatio: 4,
             retryWindowSeconds: 10,
             coldFactor: 1,
--- a/test/core/routing/targetDirectory.test.ts
+++ b/test/core/routing/targetDirectory.test.ts
@@ -14,16 +14,17 @@
 };
 
 test("removes a target at once while the store is reachable", t => {
-    const directory = TargetDirectory.create();
+    const directory = TargetDirectory.create(4000);
     directory.set(DESCRIPTOR);
     directory.remove("t1", 100);
     t.deepEqual(directory.list(100), []);
 });
 
 test("keeps registrations that expired during a store outage until the grace period ends", t => {
-    const directory = TargetDirectory.create();
+    const directory = TargetDirectory.create(4000);
     directory.set(DESCRIPTOR);
-    directory.setUnreachable(0);
+    directory.setUnreachable(0, 0);
+    directory.setUnreachable(4900, 4950);
     directory.setReachable(5000);
     directory.remove("t1", 5000);
     t.is(directory.list(6000).length, 1);
@@ -31,9 +32,10 @@
 });
 
 test("keeps a target that registers again within the grace period", t => {
-    const directory = TargetDirectory.create();
+    const directory = TargetDirectory.create(4000);
     directory.set(DESCRIPTOR);
-    directory.setUnreachable(0);
+    directory.setUnreachable(0, 0);
+    directory.setUnreachable(4900, 4950);
     directory.setReachable(5000);
     directory.replaceAll([], 5000);
     directory.set(DESCRIPTOR);
--- a/test/platform/storeFollower.test.ts
+++ b/test/platform/storeFollower.test.ts
@@ -11,7 +11,7 @@
 
 // A target that left while an instance was cut off from the store was used beyond the contact bound, because the grace
 // period began when the instance noticed the return of the store.
-test.failing("drops a target that left during an outage within the contact bound, however late the return is noticed", async t => {
+test("drops a target that left during an outage within the contact bound, however late the return is noticed", async t => {
     for (const until of ENDS) {
         const samples = await runOutage({ from: FROM, until });
         const late = samples.filter(({ at, isListed }) => at >= until + CONTACT_MS && isListed);
--- a/test/testing/platform/runOutage.ts
+++ b/test/testing/platform/runOutage.ts
@@ -17,6 +17,8 @@
     readonly isListed: boolean;
 }
 
+/** `contactMs` of the deployments. */
+const CONTACT_MS = 4000;
 const SAMPLE_MS = 50;
 const END_AFTER_MS = 8000;
 const WATCH_MS = 1200;
@@ -46,7 +48,7 @@
     { from, until, registeredAt = Infinity }: Outage,
 ): Promise<readonly Sample[]> {
     const samples: Sample[] = [];
-    const targetDirectory = TargetDirectory.create();
+    const targetDirectory = TargetDirectory.create(CONTACT_MS);
     let now = 0;
     const elapse = (ms: number): void => {
         const end = now + ms;
