Use relayed copies of the store only for as long as a change may take

Found by reading, while looking for the cause of DRAIN elsewhere: a limit that is counted from when an instance notices, instead of from the bound.

Change: the limit comes from the bounds (new settings targetChangeMs and configurationChangeMs, and the revocation bound). If they leave no time for copies of a usual age, each instance reads the store itself.

Measured: findChangeReaders.test "uses no relayed copy for longer ..." fails with the former limit and passes now.

--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -38,6 +38,8 @@
     strictRevocation: value => typeof value === "boolean",
     revocationMs: isNonNegativeNumber,
     catchUpMs: isNonNegativeNumber,
+    targetChangeMs: isNonNegativeNumber,
+    configurationChangeMs: isNonNegativeNumber,
     retryRatio: isNonNegativeNumber,
     retryWindowSeconds: isNonNegativeNumber,
     coldFactor: isNonNegativeNumber,
@@ -65,6 +67,8 @@
     readonly strictRevocation: boolean;
     readonly revocationMs: number;
     readonly catchUpMs: number;
+    readonly targetChangeMs: number;
+    readonly configurationChangeMs: number;
     readonly retryRatio: number;
     readonly retryWindowSeconds: number;
     readonly coldFactor: number;
@@ -98,6 +102,7 @@
 }
 
 function buildSettings(raw: RawSettings): PlatformSettings {
+    const keyFreshnessMs = raw.strictRevocation ? raw.revocationMs - REVOCATION_MARGIN_MS : UNLIMITED_MS;
     return {
         router: {
             instance: raw.instance,
@@ -109,8 +114,9 @@
             weight: raw.processorShare * raw.processorSpeed,
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
             stopTimeoutMs: raw.stopTimeoutSeconds * MS_PER_SECOND,
-            keyFreshnessMs: raw.strictRevocation ? raw.revocationMs - REVOCATION_MARGIN_MS : UNLIMITED_MS,
+            keyFreshnessMs,
             catchUpMs: raw.catchUpMs,
+            maxChangeDelayMs: Math.min(raw.targetChangeMs, raw.configurationChangeMs, keyFreshnessMs),
             retryRatio: raw.retryRatio * RETRY_SHARE,
             retryWindowMs: raw.retryWindowSeconds * MS_PER_SECOND,
             coldFactor: raw.coldFactor,
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -103,8 +103,9 @@
 
     /** Finds the peers in this data centre from which the platform's changes are read. */
     findReaders(): ChangeReaders {
+        const { instance, maxChangeDelayMs } = this.#options.settings;
         const peers = this.#listLocalPeers().filter(peer => peer.state !== "closed");
-        return findChangeReaders(this.#options.settings.instance, peers);
+        return findChangeReaders(instance, peers, maxChangeDelayMs);
     }
 
     /** Returns this instance's share of the request limit of a cold target; `undefined` if it may not use it. */
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -26,6 +26,8 @@
     readonly keyFreshnessMs: number;
     /** Time in milliseconds after an outage of the store within which its changes must be in force. */
     readonly catchUpMs: number;
+    /** Time in milliseconds within which a change of the targets or of the configuration must be in force. */
+    readonly maxChangeDelayMs: number;
     /** Retry budget: retries as a share of the requests, and the sliding window over which both are counted. */
     readonly retryRatio: number;
     readonly retryWindowMs: number;
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -225,6 +225,8 @@
             strictRevocation: true,
             revocationMs: this.#options.revocationMs,
             catchUpMs: 4000,
+            targetChangeMs: 4000,
+            configurationChangeMs: 4000,
             retryRatio: 4,
             retryWindowSeconds: 10,
             coldFactor: 1,
--- a/test/core/routing/findChangeReaders.test.ts
+++ b/test/core/routing/findChangeReaders.test.ts
@@ -19,8 +19,12 @@
     };
 }
 
-function find(instance: string, names: readonly string[]): ReturnType<typeof findChangeReaders> {
-    return findChangeReaders(instance, names.filter(name => name !== instance).map(makePeer));
+function find(
+    instance: string,
+    names: readonly string[],
+    maxDelayMs = 4000,
+): ReturnType<typeof findChangeReaders> {
+    return findChangeReaders(instance, names.filter(name => name !== instance).map(makePeer), maxDelayMs);
 }
 
 test("lets one instance of a large data centre read the platform, and relays to the second reader and the rest", t => {
@@ -42,3 +46,15 @@
     const names = NAMES.slice(0, 3);
     names.forEach(name => t.deepEqual(find(name, names).hosts, []));
 });
+
+// Copies of a reader that was cut off from the store were used for 3.4 s and one more poll, longer than the 4 s within
+// which a target that leaves must get no more requests.
+test("uses no relayed copy for longer than a change may take, whatever the bound", t => {
+    const LONG_POLL_MS = 700;
+    for (const maxDelayMs of [1000, 2500, 4000, 5000, 10_000]) {
+        for (const name of NAMES) {
+            const { hosts, maxAgeMs } = find(name, NAMES, maxDelayMs);
+            t.true(hosts.length === 0 || maxAgeMs + LONG_POLL_MS < maxDelayMs, `${name} ${maxDelayMs}`);
+        }
+    }
+});
