Name the shared prompt parts of a failed attempt in the log

Cause: requests with one prompt part crashed target after target, and the log did not tell which parts the broken requests had in common.

Change: attempt-failed carries the identifiers of the shared parts.

--- a/src/router/describeAttemptFailure.ts
+++ b/src/router/describeAttemptFailure.ts
@@ -8,5 +8,6 @@
         target: attempt.grant.target.descriptor.id,
         status: attempt.status,
         afterMs: Math.round(now - attempt.grant.grantedAt),
+        parts: request.prompt.length > 0 ? request.prompt.slice(0, -1).map(({ id }) => id) : undefined,
     };
 }
