Add a failing test: requests with one prompt part crash target after target

Callers saw: responses broken off whenever a target crashed, every one to three seconds, because requests with one prompt part were sent to one target after another (BUDGET).

--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 
 interface CooperativeTargetOptions {
     readonly id: string;
@@ -9,6 +9,9 @@
     /** Number of events of each stream, and the pause before each event in milliseconds. */
     readonly events: number;
     readonly eventMs: number;
+    /** Prompt part, other than the last of a prompt, on which the target crashes once it begins to respond. */
+    readonly crashesOn?: string;
+    readonly onCrash?: () => void;
 }
 
 interface TargetArrival {
@@ -36,12 +39,17 @@
     readonly #server: Server;
     readonly #arrivals: TargetArrival[] = [];
     #pickFault: () => TargetFault = () => "none";
+    readonly #sockets = new Set<Socket>();
     #startedAtMs = 0;
 
     private constructor(options: CooperativeTargetOptions) {
         this.#options = options;
         this.#server = createServer((request, response) => void this.#serve(request, response));
         this.#server.keepAliveTimeout = 60_000;
+        this.#server.on("connection", socket => {
+            this.#sockets.add(socket);
+            socket.on("close", () => this.#sockets.delete(socket));
+        });
     }
 
     /** Starts a target on a free port. */
@@ -93,6 +101,12 @@
         this.#server.closeAllConnections();
     }
 
+    #abort(): void {
+        this.#server.close();
+        this.#sockets.forEach(socket => socket.resetAndDestroy());
+        this.#options.onCrash?.();
+    }
+
     async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const chunks: Buffer[] = [];
         for await (const chunk of request) {
@@ -168,6 +182,12 @@
             return;
         }
         const responseId = fault === "crossed" ? "another" : requestId;
+        const sharedParts = String(request.headers["prompt-prefix"]).split(",").slice(0, -1);
+        if (sharedParts.some(part => part.split(":")[0] === this.#options.crashesOn)) {
+            await new Promise(resolve => setTimeout(resolve, eventMs));
+            this.#abort();
+            return;
+        }
         response.writeHead(200, {
             "Request-Id": responseId,
             "Response-Signature": `${requestId}.${id}`,
