Refuse requests with a prompt part on which targets crash

Cause: a target that crashed was only a failed target. What its requests had in common was not kept, so each new request with the part, and each retry, went to a target that was still alive.

Change: an instance remembers the shared parts of responses that broke off. If the target then refuses connections, is replaced or removed, it has crashed, and the crash counts for these parts. A complete response clears a part; a crash counts only if its request was sent after the crash before, so targets that fail together count once. Instances report crashes and complete responses to each other. After three crashes, requests with the part are refused at once (503, crashing-prompt), also those that wait; one crash earlier they are not retried. A part is accepted again after a complete response, or ten minutes. Logs: target-crashed, prompt-part-changed; gauge prompt_parts_blocked.

Why this works: a crashing part never has a complete response, while the other parts of its requests have one at some instance before the third crash. Responses that end with their connection count as complete only if their target has not crashed within six seconds.

--- /dev/null
+++ b/src/core/routing/findWaitDeadline.ts
@@ -0,0 +1,19 @@
+import type { RoutedRequest } from "./routedRequest.js";
+
+/** Share of its objective that a request over its account's share waits; longer waits are billed as late refusals. */
+const OVER_SHARE_WAIT_RATIO = 0.12;
+/** Time in milliseconds that an idle target takes to begin its response. */
+const MIN_START_MS = 40;
+
+/**
+ * Returns the time after which a request cannot meet its objective or, over its share, is refused to be sent again
+ * later.
+ *
+ * @param readingMs Time in milliseconds that a target takes to read the prompt.
+ */
+export function findWaitDeadline(request: RoutedRequest, isOverShare: boolean, readingMs: number): number {
+    if (isOverShare) {
+        return request.receivedAt + request.route.objectiveMs * OVER_SHARE_WAIT_RATIO;
+    }
+    return request.objectiveDeadline - Math.min(request.route.objectiveMs / 2, MIN_START_MS + readingMs);
+}
--- /dev/null
+++ b/src/core/routing/promptCrash.ts
@@ -0,0 +1,7 @@
+/** A crash of a target while it was serving a request. Times are monotonic, in milliseconds. */
+export interface PromptCrash {
+    /** When the request was sent to the target. */
+    readonly sentAt: number;
+    /** When the connection to the target broke. */
+    readonly endedAt: number;
+}
--- /dev/null
+++ b/src/core/routing/promptOutcome.ts
@@ -0,0 +1,12 @@
+/**
+ * What was seen of a prompt part, as instances report it: its request was being served by a target that crashed, or was
+ * answered completely. Ages are in milliseconds, because clocks of two instances cannot be compared.
+ */
+export type PromptOutcome = readonly [
+    partId: string,
+    outcome: "crash" | "success",
+    /** Time since the request was sent to the target. */
+    sentAgeMs: number,
+    /** Time since the target crashed, or completed the response. */
+    endedAgeMs: number,
+];
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -2,8 +2,10 @@
 import type { AccountUsage } from "./accountUsage.js";
 import { countRequestTokens } from "./countRequestTokens.js";
 import { EngineModel } from "./engineModel.js";
+import { findWaitDeadline } from "./findWaitDeadline.js";
 import { limitRetryAfter } from "./limitRetryAfter.js";
 import { notifyWaiting } from "./notifyWaiting.js";
+import type { PromptCrashes } from "./promptCrashes.js";
 import type { PromptLocations } from "./promptLocations.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
@@ -22,6 +24,7 @@
     readonly settings: SchedulerSettings;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
+    readonly promptCrashes: PromptCrashes;
     /** Tokens a second that all engines process together; 0 if unknown. */
     readonly getTokensPerSecond: () => number;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
@@ -30,10 +33,6 @@
 
 /** Waiting requests of one service above which new ones are refused, to bound memory. */
 const MAX_WAITING = 2000;
-/** Share of its objective that a request over its account's share waits; longer waits are billed as late refusals. */
-const OVER_SHARE_WAIT_RATIO = 0.12;
-/** Time in milliseconds that an idle target takes to begin its response. */
-const MIN_START_MS = 40;
 
 /** Assigns the waiting requests of a service to targets, and refuses those that cannot be served in time. */
 export class ServiceScheduler {
@@ -122,8 +121,9 @@
             });
             return;
         }
-        if (!waiting.isResume) {
-            this.#options.usage.addDemand(waiting.request.account, countRequestTokens(waiting.request), now);
+        const { usage, promptCrashes } = this.#options;
+        if (!waiting.isResume && promptCrashes.findBlockedUntil(waiting.request.prompt, now) === undefined) {
+            usage.addDemand(waiting.request.account, countRequestTokens(waiting.request), now);
         }
         // Requests already waiting could not use the free slots, so only the new one is tried.
         const decision = this.#resolve(waiting, new Set(), now);
@@ -191,6 +191,15 @@
      */
     #resolve(waiting: WaitingRequest, blocked: Set<string>, now: number): SchedulerDecision {
         const { request, isResume } = waiting;
+        const blockedUntil = this.#options.promptCrashes.findBlockedUntil(request.prompt, now);
+        if (blockedUntil !== undefined) {
+            return {
+                kind: "refused",
+                reason: "crashing-prompt",
+                retryAfterMs: blockedUntil - now,
+                shareRatio: undefined,
+            };
+        }
         const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
         const isExcluded = kind === "excluded";
         const isOverShare = kind === "over";
@@ -198,7 +207,8 @@
         if (candidate) {
             return { kind: "granted", grant: this.#reserve(request, candidate, now) };
         }
-        if (isResume || (!isExcluded && now < this.#getWaitDeadline(request, isOverShare, now))) {
+        const readingMs = this.#estimateReadingMs(request, now);
+        if (isResume || (!isExcluded && now < findWaitDeadline(request, isOverShare, readingMs))) {
             return { kind: "waiting" };
         }
         return {
@@ -232,15 +242,10 @@
         return candidate;
     }
 
-    /** Time after which a request cannot meet its objective or, over its share, is refused to be sent again later. */
-    #getWaitDeadline(request: RoutedRequest, isOverShare: boolean, now: number): number {
-        if (isOverShare) {
-            return request.receivedAt + request.route.objectiveMs * OVER_SHARE_WAIT_RATIO;
-        }
-        const readingMs = this.#service.engine
+    #estimateReadingMs(request: RoutedRequest, now: number): number {
+        return this.#service.engine
             ? request.promptTokens / this.#engineModel.getPrefillTokensPerMs(now)
             : 0;
-        return request.objectiveDeadline - Math.min(request.route.objectiveMs / 2, MIN_START_MS + readingMs);
     }
 
     #estimateRetryAfter(now: number): number {
--- a/src/router/deploymentView.ts
+++ b/src/router/deploymentView.ts
@@ -1,17 +1,18 @@
 import { ConfigurationFreshness } from "../core/routing/configurationFreshness.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
 import { TargetDirectory } from "../core/routing/targetDirectory.js";
 import type { LogSink } from "./logSink.js";
+import type { RouterSettings } from "./routerSettings.js";
 import type { ServicePool } from "./servicePool.js";
 
 interface DeploymentViewOptions {
     readonly servicePool: ServicePool;
     readonly log: LogSink;
+    /** Called with each new list of targets. */
+    readonly onTargets: (targets: readonly TargetDescriptor[]) => void;
     readonly onConfiguration: (configuration: RouterConfiguration) => void;
-    /** Time in milliseconds for which keys are accepted after the configuration was last confirmed. */
-    readonly keyFreshnessMs: number;
-    /** Time in milliseconds after an outage of the store within which its changes must be in force. */
-    readonly catchUpMs: number;
+    readonly settings: Pick<RouterSettings, "keyFreshnessMs" | "catchUpMs">;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
     readonly getTimeOfDay: () => number;
@@ -28,8 +29,8 @@
 
     private constructor(options: DeploymentViewOptions) {
         this.#options = options;
-        this.#targets = TargetDirectory.create(options.catchUpMs);
-        this.#freshness = ConfigurationFreshness.create(options.keyFreshnessMs);
+        this.#targets = TargetDirectory.create(options.settings.catchUpMs);
+        this.#freshness = ConfigurationFreshness.create(options.settings.keyFreshnessMs);
     }
 
     /** Creates a view without a configuration. */
@@ -81,6 +82,7 @@
         const now = this.#options.getNow();
         const targets = this.#targets.list(now);
         this.#hasTargets ||= targets.length > 0;
+        this.#options.onTargets(targets);
         this.#options.servicePool.setTargets(targets, this.#evacuated, now);
     }
 
--- a/src/router/describeAttemptFailure.ts
+++ b/src/router/describeAttemptFailure.ts
@@ -1,3 +1,4 @@
+import { listSharedParts } from "../core/routing/listSharedParts.js";
 import type { RoutedRequest } from "../core/routing/routedRequest.js";
 import type { ForwardAttempt } from "./forwardAttempt.js";
 
@@ -8,6 +9,6 @@
         target: attempt.grant.target.descriptor.id,
         status: attempt.status,
         afterMs: Math.round(now - attempt.grant.grantedAt),
-        parts: request.prompt.length > 0 ? request.prompt.slice(0, -1).map(({ id }) => id) : undefined,
+        parts: request.prompt.length > 0 ? listSharedParts(request.prompt) : undefined,
     };
 }
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -8,6 +8,7 @@
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { Membership } from "../core/routing/membership.js";
 import { pickReportRole } from "../core/routing/pickReportRole.js";
+import type { PromptCrashes } from "../core/routing/promptCrashes.js";
 import type { PromptLocations } from "../core/routing/promptLocations.js";
 import type { ReportRole } from "../core/routing/reportRole.js";
 import { SentReports } from "../core/routing/sentReports.js";
@@ -30,6 +31,7 @@
     readonly errorBoundary: ErrorBoundary;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
+    readonly promptCrashes: PromptCrashes;
     readonly getNow: () => number;
     readonly getState: () => MemberRecord["state"];
     readonly listLoads: () => PeerReport["loads"];
@@ -160,7 +162,7 @@
     }
 
     #sendReports(): void {
-        const { promptLocations, getNow } = this.#options;
+        const { promptLocations, promptCrashes, getNow } = this.#options;
         const now = getNow();
         const localPeers = this.#listLocalPeers();
         const role = pickReportRole(this.#describeSelf(), localPeers);
@@ -169,7 +171,10 @@
             || (role.kind === "member" && this.#receiver.hasSummary(now));
         // One more peer learns of this instance even if no delegate can hear it.
         const receivers = usesDelegates ? [...role.delegates, ...pickRandom(localPeers, 1)] : localPeers;
-        this.#sender.sendReport([...new Set(receivers)], now, promptLocations.takePending(now));
+        this.#sender.sendReport([...new Set(receivers)], now, {
+            prompts: promptLocations.takePending(now),
+            promptOutcomes: promptCrashes.takePending(now),
+        });
         const isFirst = role.rank === 0 || !this.#receiver.hasSummary(now, DELEGATE_TIMEOUT_MS);
         if (role.kind === "delegate" && isFirst) {
             this.#sender.sendLocalSummary(localPeers, this.#receiver.listIncluded(now), now);
--- a/src/router/loadObserver.ts
+++ b/src/router/loadObserver.ts
@@ -2,6 +2,10 @@
 import { EventLoopMeter } from "../core/routing/eventLoopMeter.js";
 import type { LogSink } from "./logSink.js";
 
+/** Above this event loop delay or utilisation, events are batched before they are forwarded. */
+const BATCHING_LOOP_DELAY_MS = 15;
+const BATCHING_UTILISATION = 0.6;
+
 /** Measures the event loop delay and utilisation of this process and logs when it becomes busy or recovers. */
 export class LoadObserver {
     readonly #log: LogSink;
@@ -32,6 +36,11 @@
         return this.#meter.utilisation;
     }
 
+    /** True while events are batched before they are forwarded, because the event loop is delayed or busy. */
+    get isBatching(): boolean {
+        return this.loopDelayMs > BATCHING_LOOP_DELAY_MS || this.utilisation > BATCHING_UTILISATION;
+    }
+
     /** Records the event loop delay in milliseconds; the number of `active` requests is only logged. */
     observe(loopDelayMs: number, active: number): void {
         const wasBusy = this.#meter.isBusy;
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -25,6 +25,7 @@
         && isListOf(report.loads, load => isTuple(load, [isText, isAmount, isAmount]))
         && isListOf(report.usage, usage => isTuple(usage, [isText, isAmount, isAmount]))
         && isListOf(report.prompts, prompt => isTuple(prompt, [isText, isText]))
+        && (report.promptOutcomes === undefined || isListOf(report.promptOutcomes, isOutcome))
         && isListOf(report.others, isValidMember)
         && (report.included === undefined
             || isListOf(report.included, status => isStatus(status, latestIncarnation)));
@@ -56,6 +57,10 @@
     return isSequence(value) && Number(value) <= latest;
 }
 
+function isOutcome(value: unknown): boolean {
+    return isTuple(value, [isText, kind => kind === "crash" || kind === "success", isAmount, isAmount]);
+}
+
 function isState(value: unknown): value is MemberRecord["state"] {
     return ["open", "busy", "limited", "closed"].includes(value as string);
 }
--- a/src/router/reportReceiver.ts
+++ b/src/router/reportReceiver.ts
@@ -1,5 +1,6 @@
 import type { AccountUsage } from "../core/routing/accountUsage.js";
 import type { MemberStatus } from "../core/routing/memberStatus.js";
+import type { PromptCrashes } from "../core/routing/promptCrashes.js";
 import type { PromptLocations } from "../core/routing/promptLocations.js";
 import type { ReportRole } from "../core/routing/reportRole.js";
 import type { SentReports } from "../core/routing/sentReports.js";
@@ -10,6 +11,7 @@
     readonly settings: RouterSettings;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
+    readonly promptCrashes: PromptCrashes;
     readonly sentReports: SentReports;
     readonly onLoads: (sender: string, loads: PeerReport["loads"], validUntil: number) => void;
 }
@@ -61,9 +63,10 @@
 
     /** Applies a report that is newer than the last one of its sender. */
     apply(report: PeerReport, role: ReportRole, now: number): void {
-        const { settings, usage, promptLocations, onLoads } = this.#options;
+        const { settings, usage, promptLocations, promptCrashes, onLoads } = this.#options;
         const isLocal = report.sender.dataCentre === settings.locality.dataCentre;
         promptLocations.adopt(report.prompts, isLocal, now);
+        promptCrashes.adopt(report.promptOutcomes ?? [], isLocal, now);
         if (!isLocal) {
             if (report.scope === "data-centre") {
                 const { dataCentre } = report.sender;
--- a/src/router/reportSender.ts
+++ b/src/router/reportSender.ts
@@ -3,6 +3,7 @@
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { MemberStatus } from "../core/routing/memberStatus.js";
 import { pickReaders } from "../core/routing/pickReaders.js";
+import type { PromptCrashes } from "../core/routing/promptCrashes.js";
 import type { PromptLocations } from "../core/routing/promptLocations.js";
 import type { ReportRole } from "../core/routing/reportRole.js";
 import type { SentReports } from "../core/routing/sentReports.js";
@@ -15,6 +16,7 @@
     readonly settings: RouterSettings;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
+    readonly promptCrashes: PromptCrashes;
     readonly sentReports: SentReports;
     readonly listLoads: () => PeerReport["loads"];
     /** Loads that this instance and the named peers have put on targets. */
@@ -26,6 +28,9 @@
     readonly send: (report: PeerReport, hosts: readonly string[]) => void;
 }
 
+type PromptNews = Pick<PeerReport, "prompts" | "promptOutcomes">;
+
+const NO_NEWS: PromptNews = { prompts: [] };
 /** Other members included in each report (gossip), so that a starting instance learns of all members. */
 const RELAYED_MEMBERS = 3;
 const SEED_INTERVAL_MS = 1000;
@@ -45,10 +50,10 @@
         return new ReportSender(options);
     }
 
-    /** Sends the load and usage of this instance and the prompt parts that its targets have read since the last report. */
-    sendReport(receivers: readonly MemberRecord[], now: number, prompts: PeerReport["prompts"] = []): void {
+    /** Sends the load and usage of this instance and what is new of prompt parts since the last report. */
+    sendReport(receivers: readonly MemberRecord[], now: number, news: PromptNews = NO_NEWS): void {
         if (receivers.length > 0) {
-            this.#options.send(this.#buildReport(now, prompts), receivers.map(peer => peer.ip));
+            this.#options.send(this.#buildReport(now, news), receivers.map(peer => peer.ip));
         }
     }
 
@@ -58,13 +63,15 @@
         included: readonly MemberStatus[],
         now: number,
     ): void {
-        const { usage, promptLocations, listDataCentreLoads, buildRecord, send } = this.#options;
+        const { usage, promptLocations, promptCrashes, listDataCentreLoads, buildRecord, send } =
+            this.#options;
         send({
             scope: "local-summary",
             sender: buildRecord(),
             loads: listDataCentreLoads(localPeers.map(peer => peer.name)),
             usage: usage.listDataCentre(now),
             prompts: promptLocations.takeLocalSummary(),
+            promptOutcomes: promptCrashes.takeLocalSummary(now),
             others: pickRandom(localPeers, RELAYED_MEMBERS),
             included,
         }, localPeers.map(peer => peer.ip));
@@ -72,8 +79,8 @@
 
     /** Sends a summary of the data centre to one delegate of each remote one, if this is the first delegate. */
     sendRemoteSummary(role: ReportRole, now: number): void {
-        const { settings, usage, promptLocations, listDataCentreLoads, listPeers, buildRecord, send } =
-            this.#options;
+        const { settings, usage, promptLocations, promptCrashes, listDataCentreLoads } = this.#options;
+        const { listPeers, buildRecord, send } = this.#options;
         const turn = this.#summarySchedule.takeTurn(now);
         if (turn === "none" || (role.kind !== "mesh" && !(role.kind === "delegate" && role.rank === 0))) {
             return;
@@ -95,6 +102,7 @@
             loads: listDataCentreLoads(localPeers.map(peer => peer.name)),
             usage: usage.listDataCentre(now),
             prompts: turn === "all" ? promptLocations.takeSummary() : [],
+            promptOutcomes: turn === "all" ? promptCrashes.takeSummary(now) : undefined,
             others: [record, ...localPeers],
         }, receivers.map(member => member.ip));
     }
@@ -109,11 +117,11 @@
         const known = [settings.peerAddress.host, ...listPeers().map(peer => peer.ip)];
         const hosts = settings.seedHosts.filter(host => !known.includes(host));
         if (hosts.length > 0) {
-            send(this.#buildReport(now, []), hosts);
+            send(this.#buildReport(now, NO_NEWS), hosts);
         }
     }
 
-    #buildReport(now: number, prompts: PeerReport["prompts"]): PeerReport {
+    #buildReport(now: number, news: PromptNews): PeerReport {
         const { usage, sentReports, listLoads, listPeers, buildRecord } = this.#options;
         const sender = buildRecord();
         const report: PeerReport = {
@@ -121,7 +129,7 @@
             sender,
             loads: listLoads(),
             usage: usage.listLocal(now),
-            prompts,
+            ...news,
             others: pickRandom(listPeers(), RELAYED_MEMBERS),
         };
         sentReports.add({ sequence: sender.sequence, loads: report.loads, usage: report.usage });
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -5,6 +5,8 @@
 import { describeAttemptFailure } from "./describeAttemptFailure.js";
 import { describeRequestEnd } from "./describeRequestEnd.js";
 import { ForwardAttempt } from "./forwardAttempt.js";
+import { recordAttemptFailure } from "./recordAttemptFailure.js";
+import { recordAttemptSuccess } from "./recordAttemptSuccess.js";
 import type { RequestForwarderOptions } from "./requestForwarderOptions.js";
 import type { ResponseHead } from "./responseHead.js";
 
@@ -114,6 +116,8 @@
 
     #onComplete(attempt: ForwardAttempt, head: ResponseHead): void {
         const { status } = attempt;
+        const { exchange, crashDetector, getNow } = this.#options;
+        recordAttemptSuccess(crashDetector, exchange.request, attempt, head, getNow());
         if (this.#response.isStarted) {
             this.#finishAttempt(attempt, true);
             this.#response.endStream();
@@ -167,17 +171,20 @@
         if (this.#attempt !== attempt) {
             return;
         }
-        const { exchange, retryBudget, log, getNow } = this.#options;
+        const { exchange: { request }, retryBudget, promptCrashes, crashDetector, log, getNow } =
+            this.#options;
         const now = getNow();
+        const mayHaveCrashed = recordAttemptFailure(crashDetector, request, attempt, kind, reason, now);
         this.#excludedTargets.add(attempt.grant.target.descriptor.id);
         if (kind !== "broken") {
             this.#executions -= 1;
         }
         this.#finishAttempt(attempt, kind === "refused");
-        const willRetry = this.#isRetryAllowed() && retryBudget.tryTake(now);
+        const isSuspect = mayHaveCrashed && promptCrashes.isSuspect(request.prompt);
+        const willRetry = !isSuspect && this.#isRetryAllowed() && retryBudget.tryTake(now);
         const failure = { kind, reason, attempts: this.#attempts, willRetry };
         log.write("attempt-failed", {
-            ...describeAttemptFailure(exchange.request, attempt, now),
+            ...describeAttemptFailure(request, attempt, now),
             ...failure,
         });
         if (!willRetry) {
--- a/src/router/requestForwarderOptions.ts
+++ b/src/router/requestForwarderOptions.ts
@@ -1,3 +1,5 @@
+import type { CrashDetector } from "../core/routing/crashDetector.js";
+import type { PromptCrashes } from "../core/routing/promptCrashes.js";
 import type { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import type { SlidingRetryBudget } from "../core/routing/slidingRetryBudget.js";
 import type { CallerExchange } from "./callerExchange.js";
@@ -9,6 +11,8 @@
 export interface RequestForwarderOptions {
     readonly exchange: CallerExchange;
     readonly scheduler: ServiceScheduler;
+    readonly promptCrashes: PromptCrashes;
+    readonly crashDetector: CrashDetector;
     readonly retryBudget: SlidingRetryBudget;
     readonly targetAgents: TargetAgents;
     readonly wire: WireFormat;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -2,12 +2,16 @@
 import { AccountUsage } from "../core/routing/accountUsage.js";
 import { ChangeLog } from "../core/routing/changeLog.js";
 import type { ChangeSource } from "../core/routing/changeSource.js";
+import type { CrashDetector } from "../core/routing/crashDetector.js";
 import type { Locality } from "../core/routing/locality.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
+import type { PromptCrashes } from "../core/routing/promptCrashes.js";
 import { PromptLocations } from "../core/routing/promptLocations.js";
 import { RunningClock } from "../core/routing/runningClock.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { ChangeFeedServer } from "./changeFeedServer.js";
+import { createCrashDetector } from "./createCrashDetector.js";
+import { createPromptCrashes } from "./createPromptCrashes.js";
 import { DeploymentView } from "./deploymentView.js";
 import { FleetView } from "./fleetView.js";
 import { Ingress } from "./ingress.js";
@@ -25,9 +29,6 @@
 const CHECK_INTERVAL_MS = 40;
 /** Share of the instance's memory that buffered request bodies may take. */
 const BODY_MEMORY_SHARE = 0.15;
-/** Above this event loop delay or utilisation, events are batched before they are forwarded. */
-const BATCHING_LOOP_DELAY_MS = 15;
-const BATCHING_UTILISATION = 0.6;
 /** Time window of the fair shares of client accounts (quotaWindowS of the deployments). */
 const USAGE_WINDOW_MS = 4000;
 /** Callers cache a directory response for up to three times its term, so new connections arrive for about that long. */
@@ -43,6 +44,8 @@
     readonly #runningClock = RunningClock.create();
     readonly #usage = AccountUsage.create(USAGE_WINDOW_MS);
     readonly #promptLocations = PromptLocations.create();
+    readonly #promptCrashes: PromptCrashes;
+    readonly #crashDetector: CrashDetector;
     readonly #changeLog = ChangeLog.create();
     readonly #view: DeploymentView;
     readonly #loadObserver: LoadObserver;
@@ -62,6 +65,8 @@
     private constructor(options: RouterOptions) {
         this.#options = options;
         const { settings } = options;
+        this.#promptCrashes = createPromptCrashes(options.log);
+        this.#crashDetector = createCrashDetector(this.#promptCrashes, options.log);
         this.#loadObserver = LoadObserver.create(options.log);
         this.#peerChangeSource = PeerChangeSource.create({
             port: settings.peerAddress.port,
@@ -72,15 +77,16 @@
             settings,
             usage: this.#usage,
             promptLocations: this.#promptLocations,
+            promptCrashes: this.#promptCrashes,
             getTokensPerSecond: () => this.#view.configuration?.limits.tokensPerSecond ?? 0,
             getColdShare: (target, limit) => this.#fleet?.getColdShare(target, limit),
         });
         this.#view = DeploymentView.create({
             servicePool: this.#servicePool,
             log: options.log,
+            onTargets: targets => this.#crashDetector.setTargets(targets, this.#getNow()),
             onConfiguration: ({ limits }) => this.#ingress?.applyLimits(limits),
-            keyFreshnessMs: settings.keyFreshnessMs,
-            catchUpMs: settings.catchUpMs,
+            settings,
             getNow: this.#getNow,
             getTimeOfDay: Date.now,
         });
@@ -157,6 +163,7 @@
             errorBoundary,
             usage: this.#usage,
             promptLocations: this.#promptLocations,
+            promptCrashes: this.#promptCrashes,
             getNow: this.#getNow,
             getState: () => this.#getState(),
             listLoads: () => this.#servicePool.listLoads(),
@@ -193,17 +200,13 @@
             lag_ms: () => this.#loadObserver.loopDelayMs,
             configuration_age_ms: () => this.#view.ageMs,
             peers_live: () => this.#fleet?.countPeers() ?? 0,
+            prompt_parts_blocked: () => this.#promptCrashes.blockedCount,
             log_lines_dropped: () => log.droppedTotal,
         });
         this.#nextCheckAt = this.#getNow() + CHECK_INTERVAL_MS;
         this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
     }
 
-    #isBatching(): boolean {
-        return this.#loadObserver.loopDelayMs > BATCHING_LOOP_DELAY_MS
-            || this.#loadObserver.utilisation > BATCHING_UTILISATION;
-    }
-
     #getState(): MemberRecord["state"] {
         if (this.#isStopping || !this.#view.configuration) {
             return "closed";
@@ -225,12 +228,14 @@
         const forwarder: RequestForwarder = RequestForwarder.create({
             exchange,
             ...service,
+            promptCrashes: this.#promptCrashes,
+            crashDetector: this.#crashDetector,
             targetAgents: this.#targetAgents,
             wire,
             log,
             getNow: this.#getNow,
             getRunningTime: () => this.#runningClock.toRunningTime(this.#getNow()),
-            isBatching: () => this.#isBatching(),
+            isBatching: () => this.#loadObserver.isBatching,
             onEnd: (outcome, ms) => {
                 this.#activeRequests.delete(forwarder);
                 metrics.countEnd(exchange.request.route.kind, outcome, ms);
@@ -247,6 +252,7 @@
         this.#loadObserver.observe(delayMs, this.#activeRequests.size);
         this.#nextCheckAt = now + CHECK_INTERVAL_MS;
         this.#view.expireTargets(now);
+        this.#crashDetector.expire(now);
         const { errorBoundary } = this.#options;
         for (const forwarder of this.#activeRequests) {
             errorBoundary.run("request", () => forwarder.checkTimeouts(now), () => forwarder.abort());
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -1,4 +1,5 @@
 import type { AccountUsage } from "../core/routing/accountUsage.js";
+import type { PromptCrashes } from "../core/routing/promptCrashes.js";
 import type { PromptLocations } from "../core/routing/promptLocations.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { ServiceScheduler } from "../core/routing/serviceScheduler.js";
@@ -12,6 +13,7 @@
     readonly settings: RouterSettings;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
+    readonly promptCrashes: PromptCrashes;
     readonly getTokensPerSecond: () => number;
     readonly getColdShare: (
         target: TargetDescriptor,
@@ -47,7 +49,8 @@
 
     /** Adds the new services of a configuration and updates the known ones. */
     applyConfiguration(configuration: RouterConfiguration): void {
-        const { settings, usage, promptLocations, getTokensPerSecond, getColdShare } = this.#options;
+        const { settings, usage, promptLocations, promptCrashes, getTokensPerSecond, getColdShare } =
+            this.#options;
         for (const service of configuration.services.values()) {
             const known = this.#services.get(service.name);
             if (known) {
@@ -59,6 +62,7 @@
                     service,
                     usage,
                     promptLocations,
+                    promptCrashes,
                     settings: {
                         ...schedulerTuning,
                         locality: settings.locality,
--- a/test/router/reportReceiver.test.ts
+++ b/test/router/reportReceiver.test.ts
@@ -2,6 +2,7 @@
 import { AccountUsage } from "../../src/core/routing/accountUsage.js";
 import type { MemberRecord } from "../../src/core/routing/memberRecord.js";
 import { pickReportRole } from "../../src/core/routing/pickReportRole.js";
+import { PromptCrashes } from "../../src/core/routing/promptCrashes.js";
 import { PromptLocations } from "../../src/core/routing/promptLocations.js";
 import type { ReportRole } from "../../src/core/routing/reportRole.js";
 import { SentReports } from "../../src/core/routing/sentReports.js";
@@ -54,6 +55,7 @@
         settings: { instance: "self", locality: { dataCentre: "a", region: "r" } } as RouterSettings,
         usage,
         promptLocations: PromptLocations.create(),
+        promptCrashes: PromptCrashes.create({ onBlockedChanged: () => undefined }),
         sentReports,
         onLoads: (sender, reported) => loads.set(sender, reported),
     });
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -1,4 +1,5 @@
 import { AccountUsage } from "../../../src/core/routing/accountUsage.js";
+import { PromptCrashes } from "../../../src/core/routing/promptCrashes.js";
 import { PromptLocations } from "../../../src/core/routing/promptLocations.js";
 import { ServiceScheduler } from "../../../src/core/routing/serviceScheduler.js";
 
@@ -9,6 +10,7 @@
     tokensPerSecond = 0,
     getColdShare: () => undefined = () => undefined,
     promptLocations = PromptLocations.create(),
+    promptCrashes = PromptCrashes.create({ onBlockedChanged: () => undefined }),
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -33,6 +35,7 @@
         },
         usage,
         promptLocations,
+        promptCrashes,
         getTokensPerSecond: () => tokensPerSecond,
         getColdShare,
     });
