Suspect no proven prompt part while its prompt has an unproven one

A crash counts for the parts without one, or for all if there is none, so that a part that crashes targets from some time on is found too.

--- a/src/core/routing/promptCrashes.ts
+++ b/src/core/routing/promptCrashes.ts
@@ -22,14 +22,15 @@
  *
  * @remarks A crash breaks all responses of a target, most of them to harmless requests. Their parts are told apart by
  * complete responses, which a crashing part never has, and by counting only crashes of requests sent after the previous
- * crash, so that targets that fail together count once.
+ * crash, so that targets that fail together count once. While a prompt has parts without any complete response, its
+ * other parts are not suspected.
  */
 export class PromptCrashes {
     readonly #options: PromptCrashesOptions;
     /** Newest crashes since the last complete response, in order of time. */
     readonly #crashes = new Map<string, readonly PromptCrash[]>();
-    /** Monotonic times in milliseconds of the complete responses that have cleared a part. */
-    readonly #clearedAt = new Map<string, number>();
+    /** Monotonic time in milliseconds of the last complete response to each part. */
+    readonly #succeededAt = new Map<string, number>();
     readonly #blocked = new Set<string>();
     readonly #toPeers = OutcomeQueue.create();
     readonly #toRemote = OutcomeQueue.create();
@@ -71,7 +72,8 @@
     /** Records a crash of a target that was serving a request with these parts. */
     recordCrash(partIds: readonly string[], crash: PromptCrash, now: number): void {
         this.#evictExpired(now);
-        for (const partId of partIds) {
+        const unproven = partIds.filter(partId => !this.#succeededAt.has(partId));
+        for (const partId of unproven.length > 0 ? unproven : partIds) {
             if (this.#addCrash(partId, crash, 0)) {
                 this.#enqueue({ partId, outcome: "crash", ...crash }, true);
             }
@@ -80,7 +82,9 @@
 
     /** Records a complete response to a request with these parts, which shows that they crash no target. */
     recordSuccess(partIds: readonly string[], sentAt: number, now: number): void {
+        this.#evictExpired(now);
         for (const partId of partIds) {
+            this.#renewSuccess(partId, now);
             if (this.#clear(partId, now)) {
                 this.#enqueue({ partId, outcome: "success", sentAt, endedAt: now }, true);
             }
@@ -122,7 +126,7 @@
         const isKnown = known.some(other =>
             crash.sentAt < other.endedAt + clockErrorMs && other.sentAt < crash.endedAt + clockErrorMs
         );
-        if (isKnown || crash.endedAt <= (this.#clearedAt.get(partId) ?? Number.NEGATIVE_INFINITY)) {
+        if (isKnown || crash.endedAt <= (this.#succeededAt.get(partId) ?? Number.NEGATIVE_INFINITY)) {
             return false;
         }
         const newest = [...known, crash].sort((a, b) => a.endedAt - b.endedAt).slice(-CRASHES_TO_BLOCK);
@@ -143,12 +147,18 @@
         if (!known || newer.length === known.length) {
             return false;
         }
-        this.#clearedAt.delete(partId);
-        this.#clearedAt.set(partId, at);
+        this.#renewSuccess(partId, at);
         this.#replace(partId, newer);
         return true;
     }
 
+    /** Keeps the parts in order of their last response, in which they expire. */
+    #renewSuccess(partId: string, at: number): void {
+        const last = this.#succeededAt.get(partId) ?? at;
+        this.#succeededAt.delete(partId);
+        this.#succeededAt.set(partId, Math.max(last, at));
+    }
+
     #replace(partId: string, crashes: readonly PromptCrash[]): void {
         if (crashes.length > 0) {
             this.#crashes.set(partId, crashes);
@@ -183,11 +193,11 @@
             }
             this.#replace(partId, []);
         }
-        for (const [partId, clearedAt] of this.#clearedAt) {
-            if (clearedAt + RETENTION_MS > now && this.#clearedAt.size <= MAX_PARTS) {
+        for (const [partId, succeededAt] of this.#succeededAt) {
+            if (succeededAt + RETENTION_MS > now && this.#succeededAt.size <= MAX_PARTS) {
                 break;
             }
-            this.#clearedAt.delete(partId);
+            this.#succeededAt.delete(partId);
         }
     }
 }
--- a/test/core/routing/promptCrashes.test.ts
+++ b/test/core/routing/promptCrashes.test.ts
@@ -39,6 +39,26 @@
     t.is(crashes.findBlockedUntil(SOUND_PROMPT, 3000), undefined);
 });
 
+// Crashes in quick succession leave no time for a complete response to the other parts of the crashing requests.
+test("suspects no part with a complete response while the prompt has a part without any", t => {
+    const { crashes, crash, detector } = createInstance();
+    detector.recordComplete(["base"], 0, 500);
+    [1000, 1200, 1400].forEach(at => crash(["base", "bad"], at - 100, at));
+    t.not(crashes.findBlockedUntil(PROMPT, 1400), undefined);
+    t.is(crashes.findBlockedUntil(SOUND_PROMPT, 1400), undefined);
+});
+
+test("blocks a part that crashes targets from some time on", t => {
+    const { crashes, crash, detector } = createInstance();
+    detector.recordComplete(["base", "bad"], 0, 500);
+    for (const at of [1000, 2000, 3000]) {
+        crash(["base", "bad"], at - 100, at);
+        detector.recordComplete(["base"], at, at + 50);
+    }
+    t.not(crashes.findBlockedUntil(PROMPT, 3100), undefined);
+    t.is(crashes.findBlockedUntil(SOUND_PROMPT, 3100), undefined);
+});
+
 // Targets of a data centre that lose power together break many requests with the same parts at once.
 test("counts targets that crash together once", t => {
     const { crashes, crash } = createInstance();
