--- a/src/core/routing/schedulerRefusal.ts
+++ b/src/core/routing/schedulerRefusal.ts
@@ -4,5 +4,5 @@
     /** Time in milliseconds after which the request can expect to be served. */
     readonly retryAfterMs: number;
     /** Tokens recently granted to the client account, as a multiple of its fair share; `undefined` if it was not read. */
-    readonly shareRatio: number | undefined;
+    readonly shareRatio?: number | undefined;
 }
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -84,8 +84,14 @@
         this.#service = service;
     }
 
-    /** Replaces the list of targets and of evacuated data centres, which get no requests. */
+    /** Replaces the list of targets and of evacuated data centres, and grants targets to waiting requests. */
     setTargets(targets: readonly TargetDescriptor[], evacuated: ReadonlySet<string>, now: number): void {
+        this.replaceTargets(targets, evacuated, now);
+        this.advance(now);
+    }
+
+    /** Replaces the list of targets and of evacuated data centres, which get no requests, before `advance` is called. */
+    replaceTargets(targets: readonly TargetDescriptor[], evacuated: ReadonlySet<string>, now: number): void {
         const reinstated = [...this.#evacuated].filter(dataCentre => !evacuated.has(dataCentre));
         this.#evacuated = evacuated;
         const listed = new Set(targets.map(target => target.id));
@@ -108,7 +114,6 @@
                 state.presumedColdUntil = now + this.#service.warmupMs;
             }
         }
-        this.advance(now);
     }
 
     /** Adds a request, which is granted a target or refused, now or later. */
@@ -117,7 +122,6 @@
             waiting.onRefuse({
                 reason: "overloaded",
                 retryAfterMs: limitRetryAfter(Number.POSITIVE_INFINITY, waiting.request.requestId),
-                shareRatio: undefined,
             });
             return;
         }
@@ -197,7 +201,6 @@
                 kind: "refused",
                 reason: "crashing-prompt",
                 retryAfterMs: blockedUntil - now,
-                shareRatio: undefined,
             };
         }
         const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -84,8 +84,14 @@
     /** Replaces the targets of each service. */
     setTargets(targets: readonly TargetDescriptor[], evacuated: ReadonlySet<string>, now: number): void {
         for (const [name, { scheduler }] of this.#services) {
-            scheduler.setTargets(targets.filter(descriptor => descriptor.service === name), evacuated, now);
+            scheduler.replaceTargets(
+                targets.filter(descriptor => descriptor.service === name),
+                evacuated,
+                now,
+            );
         }
+        // An error in a request that is granted a target must not keep the list from another service.
+        this.advance(now);
     }
 
     /** Lists the load that this instance has put on targets. */
--- /dev/null
+++ b/test/router/servicePool.test.ts
@@ -0,0 +1,58 @@
+import test from "ava";
+import { AccountUsage } from "../../src/core/routing/accountUsage.js";
+import { PromptCrashes } from "../../src/core/routing/promptCrashes.js";
+import { PromptLocations } from "../../src/core/routing/promptLocations.js";
+import type { RoutedService } from "../../src/core/routing/routedService.js";
+import type { RouterConfiguration } from "../../src/core/routing/routerConfiguration.js";
+import type { RouterSettings } from "../../src/router/routerSettings.js";
+import { ServicePool } from "../../src/router/servicePool.js";
+import { makeRoutedRequest } from "../testing/scheduler/makeRoutedRequest.js";
+import { makeTargetDescriptor } from "../testing/scheduler/makeTargetDescriptor.js";
+
+const SETTINGS = {
+    locality: { dataCentre: "a", region: "r" },
+    regionsByDataCentre: new Map([["a", "r"]]),
+    coldFactor: 1,
+    coldSlack: 5,
+    retryRatio: 1,
+    retryWindowMs: 10_000,
+} as unknown as RouterSettings;
+
+function makeService(name: string): RoutedService {
+    return {
+        name,
+        maxConnections: 10,
+        warmupMs: 0,
+        coldRequestsPerSecond: 0,
+        shortestObjectiveMs: 400,
+        engine: undefined,
+    };
+}
+
+// A target that had left stayed in use if an error ended the update of another service, until the next change.
+test("gives each service its new targets, whatever happens to a request of another service that waits for one", t => {
+    const pool = ServicePool.create({
+        settings: SETTINGS,
+        usage: AccountUsage.create(4000),
+        promptLocations: PromptLocations.create(),
+        promptCrashes: PromptCrashes.create({ onBlockedChanged: () => undefined }),
+        getTokensPerSecond: () => 0,
+        getColdShare: () => undefined,
+    });
+    const services = [makeService("s"), makeService("other")];
+    pool.applyConfiguration({
+        services: new Map(services.map(service => [service.name, service])),
+    } as unknown as RouterConfiguration);
+    pool.setTargets([makeTargetDescriptor("left", { service: "other" })], new Set(), 0);
+    pool.find("s")?.scheduler.enqueue({
+        request: makeRoutedRequest(),
+        excludedTargets: new Set(),
+        isResume: false,
+        onGrant: () => {
+            throw new Error("unexpected");
+        },
+        onRefuse: () => t.fail("refused"),
+    }, 0);
+    t.throws(() => pool.setTargets([makeTargetDescriptor("new")], new Set(), 10), { message: "unexpected" });
+    t.deepEqual([...pool.find("other")?.scheduler.targets.keys() ?? []], []);
+});
