--- a/test/core/routing/serviceScheduler.test.ts
+++ b/test/core/routing/serviceScheduler.test.ts
@@ -87,3 +87,22 @@
     }
     t.not(enqueueRequest(scheduler, makeRoutedRequest(), 10).grant?.target, faulty);
 });
+
+// The failure share of a target with many successes is small, so that only the ejection keeps requests from it.
+test("does not grant an ejected target although it is expected to be faster than the others", t => {
+    const { scheduler } = createScheduler();
+    scheduler.setTargets([makeTargetDescriptor("t1"), makeTargetDescriptor("t2")], new Set(), 0);
+    const [ejected, other] = [...scheduler.targets.values()];
+    for (let i = 0; i < 200; i += 1) {
+        ejected?.recordResult(true, 0);
+    }
+    if (other) {
+        other.pendingTokens = 9000;
+    }
+    const request = makeRoutedRequest({ prompt: [{ id: "own", tokens: 1000 }] });
+    t.is(enqueueRequest(scheduler, request, 0).grant?.target, ejected);
+    for (let i = 0; i < 3; i += 1) {
+        ejected?.recordResult(false, 0);
+    }
+    t.is(enqueueRequest(scheduler, request, 10).grant?.target, other);
+});
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -28,6 +28,11 @@
     });
 });
 
+test("decodes a target that leaves as draining, so that it gets no more requests", t => {
+    const value = Buffer.from(JSON.stringify({ ...ENTRY, state: "draining" }));
+    t.true(decodeTarget("t1", value, 100)?.isDraining);
+});
+
 test("ignores store entries that are not valid target registrations", t => {
     const faulty = ["", "null", "[]", "7", "\u0000", JSON.stringify({ ...ENTRY, state: "odd" })];
     const missing = ["service", "address", "zone", "slots", "state"]
--- a/test/router/hostileTarget.test.ts
+++ b/test/router/hostileTarget.test.ts
@@ -88,6 +88,7 @@
 }
 
 test("bytes without end: closes the connection of a target whose head, interim responses, chunk extension or trailer never end", async t => {
+    t.timeout(20_000, "a response without end is still being read");
     const openings = {
         head: [`${HEAD}1\r\nX: `, CHUNK],
         interim: ["", Buffer.from("HTTP/1.1 100 Continue\r\n\r\n".repeat(100))],
