Test the refusal of crashing prompts, and what instances tell each other of them

Cause: in a copy, the refusal in the scheduler, the adoption of reports and the care with broken responses could be switched off without a failing test.

Change: a test each; the process test runs six instances, so that none sees enough crashes by itself.

--- a/test/core/routing/promptCrashes.test.ts
+++ b/test/core/routing/promptCrashes.test.ts
@@ -80,6 +80,17 @@
     t.is(crashes.findBlockedUntil(PROMPT, 4000), undefined);
 });
 
+test("takes a broken response of a target that has not crashed for no complete one", t => {
+    const { crashes, crash, detector } = createInstance();
+    crash(["bad"], 900, 1000);
+    crash(["bad"], 1900, 2000);
+    const response = { partIds: ["bad"], sentAt: 2400, mayBeComplete: false };
+    detector.recordEnd(makeTargetDescriptor("other"), response, 2500);
+    detector.expire(9000);
+    crash(["bad"], 9900, 10_000);
+    t.not(crashes.findBlockedUntil(PROMPT, 10_000), undefined);
+});
+
 test("confirms a crash by the removal or the restart of the target", t => {
     const { crashes, detector } = createInstance();
     const lists = [[], [makeTargetDescriptor("t", { startedAtMs: 5 })], []];
--- a/test/core/routing/serviceScheduler.test.ts
+++ b/test/core/routing/serviceScheduler.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { PromptCrashes } from "../../../src/core/routing/promptCrashes.js";
 import { createScheduler } from "../../testing/scheduler/createScheduler.js";
 import { enqueueRequest } from "../../testing/scheduler/enqueueRequest.js";
 import { makeRoutedRequest } from "../../testing/scheduler/makeRoutedRequest.js";
@@ -106,3 +107,21 @@
     }
     t.is(enqueueRequest(scheduler, request, 10).grant?.target, other);
 });
+
+test("refuses requests with a prompt part on which targets crash at once, also those that wait", t => {
+    const promptCrashes = PromptCrashes.create({ onBlockedChanged: () => undefined });
+    const { scheduler, usage } = createScheduler(0, undefined, undefined, promptCrashes);
+    const waiting = enqueueRequest(scheduler, makeRoutedRequest(), 0);
+    const resumed = enqueueRequest(scheduler, makeRoutedRequest(), 0, { isResume: true });
+    [10, 20, 30].forEach(at => promptCrashes.recordCrash(["shared"], { sentAt: at - 5, endedAt: at }, at));
+    scheduler.setTargets([makeTargetDescriptor("t")], new Set(), 40);
+    const demand = usage.listLocal(40);
+    const later = enqueueRequest(scheduler, makeRoutedRequest(), 40);
+    t.deepEqual([waiting, resumed, later].map(({ refusal }) => refusal), Array(3).fill("crashing-prompt"));
+    // Refused for good, a request is no demand for a share of the capacity.
+    t.deepEqual(usage.listLocal(40), demand);
+    const other = makeRoutedRequest({
+        prompt: [{ id: "other", tokens: 800 }, { id: "shared", tokens: 200 }],
+    });
+    t.not(enqueueRequest(scheduler, other, 50).grant, undefined);
+});
--- a/test/platform/crashingPrompt.test.ts
+++ b/test/platform/crashingPrompt.test.ts
@@ -17,7 +17,7 @@
 
 // Requests with a prompt part on which targets crash were sent to one target after another, by all instances.
 test.serial("crashing prompt part: stops its requests at all instances after five targets have crashed, and serves those that share its other parts", async t => {
-    const fleet = await createRouterFleet(t, { instances: 3, engines: 0 });
+    const fleet = await createRouterFleet(t, { instances: 6, engines: 0 });
     const engines = await CrashingEngines.create(fleet, "bad", 10);
     t.teardown(() => engines.close());
     let sent = 0;
--- a/test/router/reportReceiver.test.ts
+++ b/test/router/reportReceiver.test.ts
@@ -46,21 +46,23 @@
     receiver: ReportReceiver;
     usage: AccountUsage;
     sentReports: SentReports;
+    promptCrashes: PromptCrashes;
     sumLoad: () => number;
 } {
     const usage = AccountUsage.create(WINDOW_MS);
     const sentReports = SentReports.create();
+    const promptCrashes = PromptCrashes.create({ onBlockedChanged: () => undefined });
     const loads = new Map<string, PeerReport["loads"]>();
     const receiver = ReportReceiver.create({
         settings: { instance: "self", locality: { dataCentre: "a", region: "r" } } as RouterSettings,
         usage,
         promptLocations: PromptLocations.create(),
-        promptCrashes: PromptCrashes.create({ onBlockedChanged: () => undefined }),
+        promptCrashes,
         sentReports,
         onLoads: (sender, reported) => loads.set(sender, reported),
     });
     const sumLoad = (): number => [...loads.values()].flat().reduce((sum, [, inFlight]) => sum + inFlight, 0);
-    return { receiver, usage, sentReports, sumLoad };
+    return { receiver, usage, sentReports, promptCrashes, sumLoad };
 }
 
 test("large data centre: an instance that gets summaries counts each peer once and itself not at all", t => {
@@ -86,6 +88,29 @@
     t.is(sumLoad(), 6);
 });
 
+test("learns from reports of all scopes on which prompt parts targets crash, and forwards only what is local", t => {
+    for (const scope of ["instance", "local-summary", "data-centre"] as const) {
+        const { receiver, promptCrashes } = createReceiver();
+        const sender = makeMember("peer", { dataCentre: scope === "data-centre" ? "b" : "a" });
+        const promptOutcomes = [3000, 2000, 1000].map(ageMs => ["bad", "crash", ageMs + 100, ageMs] as const);
+        const report = parsePeerReport(makeReport("peer", { scope, sender, promptOutcomes }), NOW_UNIX_MS);
+        if (!report) {
+            t.fail("invalid report");
+            return;
+        }
+        receiver.apply(report, MEMBER, 5000);
+        t.is(promptCrashes.blockedCount, 1, scope);
+        // Crashes that block a part are repeated to all; the others would be sent twice.
+        const crashes = promptCrashes.takeSummary(5000) ?? [];
+        t.is(crashes.length, scope === "data-centre" ? 3 : 6, scope);
+    }
+    const invalid = [["bad", "crash", -1, 0], ["bad", "other", 1, 0], ["bad", "crash", 1]];
+    for (const outcome of invalid) {
+        const report = { ...makeReport("peer"), promptOutcomes: [outcome] };
+        t.is(parsePeerReport(report, NOW_UNIX_MS), undefined);
+    }
+});
+
 test("loss of both delegates: reports of single peers count again when the summaries have stopped", t => {
     const { receiver, usage, sumLoad } = createReceiver();
     receiver.apply(makeReport("delegate", { scope: "local-summary", included: [] }), MEMBER, 0);
