Test that requests of a crashing part are not retried

Change: a process test with one instance; the store's stand-in tells when its watcher has applied all changes.

--- a/src/standIns/platform/cooperative/cooperativeStore.ts
+++ b/src/standIns/platform/cooperative/cooperativeStore.ts
@@ -31,6 +31,7 @@
     #events: StoreEvent[] = [];
     #firstRevision = 0;
     #revision = 1;
+    #followedRevision = 0;
     #mode: StoreMode = "ok";
     #waiting: WaitingWatch[] = [];
 
@@ -50,6 +51,11 @@
         return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
     }
 
+    /** True if a watch has gone on from the newest change, so that its caller has applied all changes. */
+    get isFollowed(): boolean {
+        return this.#followedRevision >= this.#revision;
+    }
+
     /** Sets how the store responds from now on. Every mode except `ok` also breaks off the waiting watches. */
     setMode(mode: StoreMode): void {
         this.#mode = mode;
@@ -115,6 +121,7 @@
             return;
         }
         const after = Number(url.searchParams.get("after"));
+        this.#followedRevision = Math.max(this.#followedRevision, after);
         if (after < this.#firstRevision) {
             response.writeHead(410).end();
             return;
--- a/test/platform/crashingPrompt.test.ts
+++ b/test/platform/crashingPrompt.test.ts
@@ -4,6 +4,7 @@
 import { waitUntil } from "../../src/testing/waitUntil.js";
 import { CrashingEngines } from "../testing/platform/crashingEngines.js";
 import { createRouterFleet } from "../testing/router/createRouterFleet.js";
+import { sendToFleet } from "../testing/router/sendToFleet.js";
 
 // Half-open connections left by a fault would keep the test process alive.
 registerCompletionHandler(() => process.exit());
@@ -67,3 +68,22 @@
     t.true(results.filter(({ isServed }) => isServed).length >= LATE_ROUNDS / 2, "sound requests are served");
     t.true(results.filter(({ isRefused }) => isRefused).length >= LATE_ROUNDS - MAX_LATE_CRASHES, "refused");
 });
+
+// Each retry of a request with a prompt part on which targets crash ended one more target.
+test.serial("crashing prompt part: does not retry a request whose part has crashed two targets", async t => {
+    const fleet = await createRouterFleet(t, { instances: 1, engines: 0 });
+    const engines = await CrashingEngines.create(fleet, "bad", 6);
+    t.teardown(() => engines.close());
+    const isSettled = (): Promise<boolean> =>
+        Promise.resolve(engines.runningCount === 6 && fleet.store.isFollowed);
+    const crashing = { "Prompt-Prefix": "bad:50,own:50" };
+    await waitUntil("engines are known", async () => (await sendToFleet(fleet, "/stream/x")).status === 200);
+    for (const crashes of [1, 2]) {
+        t.is((await sendToFleet(fleet, "/once/x", crashing)).status, 502);
+        t.is(engines.crashes.length, crashes);
+        await waitUntil("the crashed engine is replaced", isSettled);
+    }
+    t.is((await sendToFleet(fleet, "/stream/x", crashing)).status, 502);
+    t.is(engines.crashes.length, 3);
+    t.is((await sendToFleet(fleet, "/stream/x")).status, 200);
+});
--- a/test/testing/platform/crashingEngines.ts
+++ b/test/testing/platform/crashingEngines.ts
@@ -33,6 +33,11 @@
         return this.#crashes;
     }
 
+    /** Number of engines that have not crashed. */
+    get runningCount(): number {
+        return this.#running.size;
+    }
+
     /** Closes all engines. */
     close(): void {
         this.#isClosed = true;
