Log each target that expires, also when another change is applied at that moment

Cause: the grace period of a target may end while the list is updated for another reason, and was then not logged.

Change: the list logs what expires wherever it is updated; a removal that takes effect at once cancels a scheduled one.

Measured: logs only; the tests of targets and of the process pass.

--- a/src/core/routing/targetDirectory.ts
+++ b/src/core/routing/targetDirectory.ts
@@ -70,6 +70,7 @@
             return false;
         }
         this.#descriptors.delete(id);
+        this.#removals.delete(id);
         return true;
     }
 
--- a/src/router/deploymentView.ts
+++ b/src/router/deploymentView.ts
@@ -80,6 +80,9 @@
     /** Updates the schedulers with the current targets. */
     updateTargets(): void {
         const now = this.#options.getNow();
+        for (const target of this.#targets.expire(now)) {
+            this.#options.log.write("target-changed", { target, state: "expired" });
+        }
         const targets = this.#targets.list(now);
         this.#hasTargets ||= targets.length > 0;
         this.#options.onTargets(targets);
@@ -90,9 +93,6 @@
     expireTargets(now: number): void {
         const nextChangeAt = this.#targets.nextChangeAt;
         if (nextChangeAt !== undefined && nextChangeAt <= now) {
-            for (const target of this.#targets.expire(now)) {
-                this.#options.log.write("target-changed", { target, state: "expired" });
-            }
             this.updateTargets();
         }
     }
