--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -86,3 +86,41 @@
     t.true(faults.some(fault => fault.startsWith("storeAddress:")));
     t.throws(() => parseSettings("no json"), { name: "SettingsError" });
 });
+
+const SETTINGS = {
+    instance: "i",
+    dataCentre: "a",
+    region: "r",
+    dataCentres: { a: "r" },
+    callerAddress: "10.0.0.1:1",
+    readinessAddress: "10.0.0.1:2",
+    directoryAddress: "10.0.0.1:3",
+    host: "10.0.0.1",
+    peerPort: 4,
+    seedAddresses: [],
+    storeAddress: "10.0.0.2:1",
+    processorShare: 1,
+    processorSpeed: 1,
+    memoryMb: 256,
+    stopTimeoutSeconds: 8,
+    strictRevocation: true,
+    revocationMs: 5000,
+    catchUpMs: 4000,
+    targetChangeMs: 6000,
+    configurationChangeMs: 6000,
+    retryRatio: 0.2,
+    retryWindowSeconds: 10,
+    coldFactor: 1.5,
+    coldSlack: 5,
+    maxAddressTermSeconds: 5,
+};
+
+test("takes the shortest of the bounds for targets, configurations and keys as the delay of changes", t => {
+    const parse = (fields: object): number =>
+        parseSettings(JSON.stringify({ ...SETTINGS, ...fields })).router.maxChangeDelayMs;
+    t.is(parse({ targetChangeMs: 2500 }), 2500);
+    t.is(parse({ configurationChangeMs: 4000 }), 4000);
+    t.true(parse({}) < 5000);
+    t.is(parse({ strictRevocation: false }), 6000);
+    t.throws(() => parse({ catchUpMs: "4000" }), { name: "SettingsError" });
+});
