--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -19,6 +19,8 @@
     readonly headers: IncomingMessage["headers"];
     readonly body: string;
     readonly lastEventId: number;
+    /** Monotonic time in milliseconds. */
+    readonly at: number;
 }
 
 /**
@@ -41,6 +43,7 @@
     #pickFault: () => TargetFault = () => "none";
     readonly #sockets = new Set<Socket>();
     #startedAtMs = 0;
+    #limitHeaders: readonly string[] = [];
 
     private constructor(options: CooperativeTargetOptions) {
         this.#options = options;
@@ -79,6 +82,11 @@
         this.#pickFault = pickFault;
     }
 
+    /** Sets the values of the `Server-Limit` headers of all responses from now on; none by default. */
+    setLimitHeaders(...values: readonly string[]): void {
+        this.#limitHeaders = values;
+    }
+
     /** Returns the registration of the target in the store, with `address` (host:port) as its address. */
     describe(address: string, state: "ready" | "draining"): object {
         const { service, dataCentre, slots } = this.#options;
@@ -118,6 +126,9 @@
             response.writeHead(421, { "Instance-Id": this.#options.id, "Content-Length": "0" }).end();
             return;
         }
+        if (this.#limitHeaders.length > 0) {
+            response.setHeader("Server-Limit", this.#limitHeaders);
+        }
         const fault = this.#pickFault();
         if (fault === "full") {
             response.writeHead(503, { "Request-Id": requestId, "Not-Executed": "1", "Content-Length": "0" })
@@ -125,7 +136,8 @@
             return;
         }
         const lastEventId = Number(headers["last-event-id"] ?? 0);
-        this.#arrivals.push({ requestId, headers, body: Buffer.concat(chunks).toString(), lastEventId });
+        const body = Buffer.concat(chunks).toString();
+        this.#arrivals.push({ requestId, headers, body, lastEventId, at: performance.now() });
         if (fault === "mute") {
             return;
         }
--- a/test/testing/router/sendToFleet.ts
+++ b/test/testing/router/sendToFleet.ts
@@ -4,15 +4,16 @@
 
 let requestCount = 0;
 
-/** Sends a request to the first instance of a fleet; paths that begin with /stream or /once name routes to engines. */
+/** Sends a request to an instance of a fleet, by default the first; paths that begin with /stream or /once name routes to engines. */
 export function sendToFleet(
     fleet: CooperativeFleet,
     path: string,
     headers: Readonly<Record<string, string>> = {},
+    instanceIndex = 0,
 ): ReturnType<typeof sendCaller> {
-    const [instance] = fleet.instances;
+    const instance = fleet.instances[instanceIndex];
     if (!instance) {
-        throw new Error("The fleet has no instance.");
+        throw new Error(`The fleet has no instance ${instanceIndex}.`);
     }
     requestCount += 1;
     const isStream = path.startsWith("/stream") || path.startsWith("/once");
