--- a/src/core/limits/limitCoordinator.ts
+++ b/src/core/limits/limitCoordinator.ts
@@ -31,10 +31,8 @@
 
 /** Demand is used for longer than a vote, since a wrong division breaks no limit. */
 const DEMAND_VALIDITY_MS = 1500;
-/** Longest time for which unused permits of a target are saved up, beyond the fraction of the next one. */
+/** Bounds what a process sends that was suspended. Longest time for which unused permits of a target are saved up, beyond the fraction of the next one. */
 const MAX_SAVING_MS = 300;
-/** Longest time between two divisions that is paid for; a process that was suspended must not catch up. */
-const MAX_INTERVAL_MS = 400;
 /** Permits beyond the demand of the own data centre that stay there, so that its callers need not wait for them. */
 const LOCAL_HEADROOM = 1.2;
 const MS_PER_SECOND = 1000;
@@ -84,6 +82,7 @@
 
     /** Returns the permits that are due, for this instance and for others. */
     advance({ instance, targets, own, now }: AdvanceInputs): readonly PermitGrant[] {
+        this.#dropExpired(now);
         const share = this.#computeShare(instance, own, now);
         const known = new Set(targets.map(({ id }) => id));
         [...this.#buckets.keys()].filter(id => !known.has(id)).forEach(id => this.#buckets.delete(id));
@@ -170,9 +169,8 @@
 
     #takeDue(target: LimitedTarget, perSecond: number, hasDemand: boolean, now: number): number {
         const bucket = this.#buckets.get(target.id) ?? { permits: 0, filledAt: now };
-        const intervalMs = Math.min(MAX_INTERVAL_MS, now - bucket.filledAt);
         const most = 1 + perSecond * MAX_SAVING_MS / MS_PER_SECOND;
-        const permits = Math.min(most, bucket.permits + intervalMs * perSecond / MS_PER_SECOND);
+        const permits = Math.min(most, bucket.permits + (now - bucket.filledAt) * perSecond / MS_PER_SECOND);
         const count = hasDemand ? Math.floor(permits) : 0;
         this.#buckets.set(target.id, { permits: permits - count, filledAt: now });
         return count;
@@ -184,8 +182,18 @@
         return divider;
     }
 
+    #dropExpired(now: number): void {
+        for (const reports of [this.#members, this.#remotes]) {
+            for (const [name, { validUntil }] of reports) {
+                if (validUntil <= now) {
+                    reports.delete(name);
+                }
+            }
+        }
+    }
+
     #listFresh(
-        reports: Map<string, MemberReport>,
+        reports: ReadonlyMap<string, MemberReport>,
         now: number,
     ): readonly (readonly [name: string, report: LimitReport])[] {
         return [...reports].flatMap(([name, { report, validUntil }]) =>
--- a/test/core/routing/membership.test.ts
+++ b/test/core/routing/membership.test.ts
@@ -70,3 +70,13 @@
     t.is(addresses.length, 8);
     t.false(addresses.includes("far:1"));
 });
+
+// An instance that forgets the others while it is cut off takes limits that are divided among all for its own.
+test("forgets members that are down, but none while most of them cannot be heard", t => {
+    const membership = createMembership();
+    ["b", "c", "d"].forEach(name => membership.adopt(makeMember(name), 0));
+    t.is(membership.listKnown(100_000).length, 3);
+    membership.adopt(makeMember("b", { sequence: 2 }), 100_000);
+    membership.adopt(makeMember("c", { sequence: 2 }), 100_000);
+    t.deepEqual(membership.listKnown(100_000).map(({ name }) => name), ["b", "c"]);
+});
