--- a/src/standIns/platform/cooperative/cooperativeStore.ts
+++ b/src/standIns/platform/cooperative/cooperativeStore.ts
@@ -14,6 +14,12 @@
     readonly tombstone?: true;
 }
 
+/** Contents at one moment, from which the store can be restored. */
+interface StoreCopy {
+    readonly items: readonly StoredItem[];
+    readonly revision: number;
+}
+
 interface WaitingWatch {
     readonly after: number;
     readonly response: ServerResponse;
@@ -32,6 +38,8 @@
     #firstRevision = 0;
     #revision = 1;
     #followedRevision = 0;
+    #era = 1;
+    #eraHeader: string | undefined = "1";
     #mode: StoreMode = "ok";
     #waiting: WaitingWatch[] = [];
 
@@ -89,6 +97,27 @@
         this.#firstRevision = this.#revision;
     }
 
+    /** Copies the contents. */
+    exportCopy(): StoreCopy {
+        return { items: [...this.#items.values()], revision: this.#revision };
+    }
+
+    /** Goes back to a copy: later changes are lost, their revisions are given out again, and the era rises. */
+    recover(copy: StoreCopy): void {
+        this.#items.clear();
+        copy.items.forEach(item => this.#items.set(item.key, item));
+        this.#revision = copy.revision;
+        this.#followedRevision = 0;
+        this.#events = this.#events.filter(event => event.revision <= copy.revision);
+        this.#era += 1;
+        this.#eraHeader = String(this.#era);
+    }
+
+    /** Sets the `Store-Era` header of all responses until the store is restored; `undefined` leaves it out. */
+    setEraHeader(value: string | undefined): void {
+        this.#eraHeader = value;
+    }
+
     /** Closes the store. */
     close(): void {
         this.#server.close();
@@ -115,6 +144,9 @@
             response.writeHead(503).end();
             return;
         }
+        if (this.#eraHeader !== undefined) {
+            response.setHeader("Store-Era", this.#eraHeader);
+        }
         const url = new URL(request.url ?? "/", "http://store");
         if (url.pathname === "/kv-range") {
             this.#sendRange(url.searchParams, response);
@@ -122,7 +154,7 @@
         }
         const after = Number(url.searchParams.get("after"));
         this.#followedRevision = Math.max(this.#followedRevision, after);
-        if (after < this.#firstRevision) {
+        if (after < this.#firstRevision || after > this.#revision) {
             response.writeHead(410).end();
             return;
         }
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -88,7 +88,7 @@
     }
 
     /** Returns the registration of the target in the store, with `address` (host:port) as its address. */
-    describe(address: string, state: "ready" | "draining"): object {
+    describe(address: string, state: "ready" | "draining", sequence = 1): object {
         const { service, dataCentre, slots } = this.#options;
         return {
             service,
@@ -98,7 +98,7 @@
             state,
             coldRemainingMs: 0,
             version: "v1",
-            sequence: 1,
+            sequence,
             born: this.#startedAtMs,
         };
     }
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -133,13 +133,17 @@
         return entry;
     }
 
-    /** Registers a target again with a state, or removes its registration. */
-    setRegistration({ target, address }: FleetTarget, state: "ready" | "draining" | "removed"): void {
+    /** Registers a target again with a state and the number of its report, or removes its registration. */
+    setRegistration(
+        { target, address }: FleetTarget,
+        state: "ready" | "draining" | "removed",
+        sequence = 1,
+    ): void {
         if (state === "removed") {
             this.store.remove(`servers/${target.id}`);
             return;
         }
-        this.store.write(`servers/${target.id}`, target.describe(address, state));
+        this.store.write(`servers/${target.id}`, target.describe(address, state, sequence));
     }
 
     /** Publishes a new version of the configuration, with or without the key. */
