Play restored stores and request limits in the soak, and test what lived when switched off

Cause: five protections lived when switched off in a copy: lower revisions of a store without eras, eras of pages, outdated contents, the grace period after a restore, the validity of votes. Change: a test for each; the era over the feed of peers; the soak restores the store from a copy, with what is in force written again, and lets targets name limits, which it checks over each four seconds.

--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -9,6 +9,9 @@
 const MAX_SEED = 2 ** 31;
 const SHORT_MS = 400;
 const LONG_MS = 2500;
+/** Longer than the time after which a limit must be kept, with a window over which it is checked. */
+const LIMITED_MS = 8500;
+const MAX_LIMIT_PER_SECOND = 6;
 
 function pickItem<T>(items: readonly T[], random: () => number): T {
     const item = items[Math.floor(random() * items.length)];
@@ -97,6 +100,26 @@
             target.setFault(createFaultSource(seed, BASELINE_FAULT_SHARE));
         },
     },
+    {
+        name: "limited-target",
+        inject: async (fleet, random, wait) => {
+            const target = pickItem(fleet.targets, random);
+            fleet.setLimit(target, 1 + Math.floor(random() * MAX_LIMIT_PER_SECOND));
+            await wait(LIMITED_MS + random() * LONG_MS);
+            fleet.setLimit(target, undefined);
+        },
+    },
+    {
+        name: "store-restored",
+        inject: async (fleet, random, wait) => {
+            const copy = fleet.store.exportCopy();
+            await wait(SHORT_MS + random() * LONG_MS);
+            fleet.store.setMode("reset");
+            await wait(random() * SHORT_MS);
+            fleet.recoverStore(copy);
+            fleet.store.setMode("ok");
+        },
+    },
     {
         name: "draining-target",
         inject: async (fleet, random, wait) => {
--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -14,6 +14,8 @@
 const EVENT_PATTERN = /^id: (\d+)\ndata: (\S+) (\d+)$/;
 /** Number of events in each stream of `CooperativeFleet`. */
 const EVENTS_PER_STREAM = 12;
+const LIMIT_SETTLE_MS = 4000;
+const LIMIT_WINDOW_MS = 4000;
 /** Statuses that tell the caller that the request was not run. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
@@ -83,6 +85,23 @@
             }
         }
         this.#checkKeys(fleet, new Set(runs.keys()));
+        this.#checkLimits(fleet);
+    }
+
+    /** From four seconds after it was named, the platform tolerates one and a half times a limit and five requests. */
+    #checkLimits({ limitedPeriods }: CooperativeFleet): void {
+        for (const { target, perSecond, from, until } of limitedPeriods) {
+            const times = target.arrivals.map(({ at }) => at)
+                .filter(at => at >= from + LIMIT_SETTLE_MS && at < until);
+            const allowed = 1.5 * perSecond * LIMIT_WINDOW_MS / 1000 + 5;
+            const most = Math.max(
+                0,
+                ...times.map(first => times.filter(at => at >= first && at < first + LIMIT_WINDOW_MS).length),
+            );
+            if (most > allowed) {
+                this.#violations.push(`${target.id}: got ${most} requests in 4 s, ${allowed} allowed`);
+            }
+        }
     }
 
     /** A revoked key may be accepted for `revocationMs`, and a restored key may be denied for as long. */
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -1,11 +1,11 @@
 import { mkdtemp, writeFile } from "node:fs/promises";
-import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { FaultLink } from "../../standIns/faultProxy/faultLink.js";
 import { CooperativeStore } from "../../standIns/platform/cooperative/cooperativeStore.js";
 import { CooperativeTarget } from "../../standIns/platform/cooperative/cooperativeTarget.js";
 import { ChildProcess } from "../childProcess.js";
+import { findPorts } from "./findPorts.js";
 
 interface CooperativeFleetOptions {
     readonly instances: number;
@@ -32,6 +32,16 @@
     readonly target: CooperativeTarget;
     readonly link: FaultLink;
     readonly address: string;
+    /** Newest report of the target to the store. */
+    registration: { readonly state: "ready" | "draining" | "removed"; readonly sequence: number; };
+}
+
+/** Period in which a target named a request limit, in monotonic milliseconds. */
+interface LimitedPeriod {
+    readonly target: CooperativeTarget;
+    readonly perSecond: number;
+    readonly from: number;
+    readonly until: number;
 }
 
 const MAIN = new URL("../../platform/main.js", import.meta.url);
@@ -49,10 +59,11 @@
     readonly key = "key-of-the-account";
     readonly #options: CooperativeFleetOptions;
     readonly #ports: readonly number[];
-    readonly #storeLink: FaultLink;
+    readonly storeLink: FaultLink;
     #version = 1;
     #isKeyValid = true;
     #revocations: readonly Revocation[] = [];
+    readonly limitedPeriods: LimitedPeriod[] = [];
 
     private constructor(
         options: CooperativeFleetOptions,
@@ -62,7 +73,7 @@
     ) {
         this.#options = options;
         this.store = store;
-        this.#storeLink = storeLink;
+        this.storeLink = storeLink;
         this.#ports = ports;
     }
 
@@ -99,10 +110,6 @@
         return this.#options.revocationMs;
     }
 
-    get storeLink(): FaultLink {
-        return this.#storeLink;
-    }
-
     /** Returns the URLs of an instance for callers, directory lookups and readiness checks. */
     getUrls(
         instance: FleetInstance,
@@ -127,18 +134,18 @@
         });
         const link = await FaultLink.create(target.address);
         const { address } = link.describe() as { readonly address: string; };
-        const entry = { target, link, address };
+        const registration = { state: "ready", sequence: 0 } as const;
+        const entry: FleetTarget = { target, link, address, registration };
         this.targets.push(entry);
-        this.store.write(`servers/${target.id}`, target.describe(address, "ready"));
+        this.setRegistration(entry, "ready");
         return entry;
     }
 
-    /** Registers a target again with a state and the number of its report, or removes its registration. */
-    setRegistration(
-        { target, address }: FleetTarget,
-        state: "ready" | "draining" | "removed",
-        sequence = 1,
-    ): void {
+    /** Registers a target again with a state, or removes its registration. */
+    setRegistration(entry: FleetTarget, state: FleetTarget["registration"]["state"]): void {
+        const { target, address } = entry;
+        const sequence = entry.registration.sequence + 1;
+        entry.registration = { state, sequence };
         if (state === "removed") {
             this.store.remove(`servers/${target.id}`);
             return;
@@ -146,6 +153,27 @@
         this.store.write(`servers/${target.id}`, target.describe(address, state, sequence));
     }
 
+    /** Makes the store go back to a copy; the operator and the targets then write again what is in force. */
+    recoverStore(copy: ReturnType<CooperativeStore["exportCopy"]>): void {
+        this.store.recover(copy);
+        this.publish();
+        this.targets.forEach(entry => this.setRegistration(entry, entry.registration.state));
+    }
+
+    /** Makes a target name a request limit, or none any more if `perSecond` is `undefined`. */
+    setLimit({ target }: FleetTarget, perSecond: number | undefined): void {
+        const now = performance.now();
+        const last = this.limitedPeriods.findLastIndex(period => period.target === target);
+        const period = this.limitedPeriods[last];
+        if (period && period.until > now) {
+            this.limitedPeriods[last] = { ...period, until: now };
+        }
+        if (perSecond !== undefined) {
+            this.limitedPeriods.push({ target, perSecond, from: now, until: Number.POSITIVE_INFINITY });
+        }
+        target.setLimitHeaders(...perSecond === undefined ? [] : [String(perSecond)]);
+    }
+
     /** Publishes a new version of the configuration, with or without the key. */
     publish(isKeyValid = this.#isKeyValid): void {
         const last = this.#revocations.at(-1);
@@ -203,13 +231,13 @@
             link.close();
             target.close();
         }
-        this.#storeLink.close();
+        this.storeLink.close();
         this.store.close();
     }
 
     #buildSettings(host: string): object {
         const [callers, ready, directory, peers] = this.#ports;
-        const { address } = this.#storeLink.describe() as { readonly address: string; };
+        const { address } = this.storeLink.describe() as { readonly address: string; };
         return {
             instance: `instance-${host}`,
             dataCentre: "a",
@@ -239,14 +267,3 @@
         };
     }
 }
-
-async function findPorts(count: number): Promise<readonly number[]> {
-    const servers = await Promise.all(Array.from({ length: count }, async () => {
-        const server = createServer();
-        await new Promise<void>(resolve => server.listen(0, resolve));
-        return server;
-    }));
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
--- a/test/platform/restoredStore.test.ts
+++ b/test/platform/restoredStore.test.ts
@@ -216,3 +216,19 @@
     t.true(events.some(({ event, state }) => event === "target-changed" && state === "outdated"));
     instances[0]?.stop();
 });
+
+test("keeps a live target that the copy lacks until it has registered again", async t => {
+    const { clock, store, instances } = createSetting(1, 1);
+    const copy = store.contents;
+    store.write("servers/t0", describeTarget({ sequence: 1, state: "ready" }));
+    await clock.run(3000);
+    store.recover(copy);
+    for (let now = 3100; now <= 8000; now += 100) {
+        if (now === 4500) {
+            store.write("servers/t0", describeTarget({ sequence: 2, state: "ready" }));
+        }
+        await clock.run(now);
+        t.deepEqual(listTargets(instances[0] ?? t.fail() as never, now), { t0: false }, String(now));
+    }
+    instances[0]?.stop();
+});
--- a/test/platform/storeRestore.test.ts
+++ b/test/platform/storeRestore.test.ts
@@ -68,14 +68,14 @@
     const fleet = await createFollowedFleet(t);
     const used = await findUsedTarget(fleet);
     const copy = fleet.store.exportCopy();
-    fleet.setRegistration(used, "draining", 2);
+    fleet.setRegistration(used, "draining");
     await waitForChanges(fleet);
     fleet.store.recover(copy);
     t.is(await countArrivals(fleet, [used]), 0);
     // Its next report is newer than what is known of it.
-    fleet.setRegistration(used, "ready", 3);
+    fleet.setRegistration(used, "ready");
     fleet.targets.filter(target => target !== used).forEach(target =>
-        fleet.setRegistration(target, "draining", 3)
+        fleet.setRegistration(target, "draining")
     );
     await waitForChanges(fleet);
     t.true(await countArrivals(fleet, [used]) > 0);
--- a/test/platform/storeSource.test.ts
+++ b/test/platform/storeSource.test.ts
@@ -1,4 +1,6 @@
 import test, { type ExecutionContext } from "ava";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { NO_ERA } from "../../src/core/routing/noEra.js";
 import { SourceError } from "../../src/core/routing/sourceError.js";
 import { StoreSource } from "../../src/platform/storeSource.js";
@@ -66,6 +68,29 @@
     t.is(await getFailure(source.read(position, true)), undefined);
 });
 
+// A restore between two pages of a complete read mixes two histories.
+test("takes neither pages of two eras nor a revision that has gone back", async t => {
+    const replies = [
+        { era: "1", body: { items: [{ key: "a", revision: 1, value: "" }], hasMore: true, at: 9 } },
+        { era: "2", body: { items: [], hasMore: false, at: 5 } },
+        { era: undefined, body: { events: [], at: 3 } },
+    ];
+    const server = createServer((_, response) => {
+        const { era, body } = replies.shift() ?? { era: undefined, body: {} };
+        response.writeHead(200, era === undefined ? {} : { "Store-Era": era }).end(JSON.stringify(body));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.teardown(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    const { port } = server.address() as AddressInfo;
+    const create = (): StoreSource =>
+        StoreSource.create({ address: { host: "127.0.0.1", port }, getNow: () => 0, getTimeOfDay: () => 0 });
+    t.is(await getFailure(create().read(undefined)), "history-lost");
+    t.is(await getFailure(create().read({ era: NO_ERA, revision: 4 }, true)), "history-lost");
+});
+
 test("a store that names no era: reads everything again if the revision has gone back", async t => {
     const { store, source } = await createSource(t);
     store.setEraHeader(undefined);
--- /dev/null
+++ b/test/router/changeFeed.test.ts
@@ -0,0 +1,52 @@
+import test from "ava";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { ChangeLog } from "../../src/core/routing/changeLog.js";
+import { ChangeFeedServer } from "../../src/router/changeFeedServer.js";
+import type { LogSink } from "../../src/router/logSink.js";
+import { PeerChangeSource } from "../../src/router/peerChangeSource.js";
+
+const HOST = "127.0.0.1";
+
+async function findPort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, HOST, resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+// A peer that waits for changes after a revision of an earlier era would wait, or get changes that do not fit.
+test("relays the era with each revision, and a whole copy to a peer of another era at once", async t => {
+    const port = await findPort();
+    const changeLog = ChangeLog.create();
+    const getNow = (): number => performance.now();
+    const feed = await ChangeFeedServer.create({
+        host: HOST,
+        port,
+        changeLog,
+        log: { write: () => undefined } as unknown as LogSink,
+        getNow,
+    });
+    const source = PeerChangeSource.create({ port, getNow, getTimeOfDay: () => Date.now() });
+    t.teardown(() => {
+        source.close();
+        feed.close();
+    });
+    changeLog.append({
+        changes: [{ key: "a", revision: 7, value: "" }],
+        isWhole: true,
+        era: 3,
+        revision: 9,
+        confirmedAt: getNow(),
+        confirmedTimeOfDay: Date.now(),
+    });
+    const whole = await source.read(HOST, undefined);
+    t.deepEqual([whole.era, whole.revision, whole.isWhole], [3, 9, true]);
+    const same = await source.read(HOST, { era: 3, revision: 9 });
+    t.deepEqual([same.era, same.isWhole, same.changes.length], [3, false, 0]);
+    for (const era of [2, 4]) {
+        const other = await source.read(HOST, { era, revision: 9 });
+        t.deepEqual([other.era, other.isWhole, other.changes.length], [3, true, 1]);
+    }
+});
