--- a/src/core/limits/limitCoordinator.ts
+++ b/src/core/limits/limitCoordinator.ts
@@ -31,7 +31,7 @@
 
 /** Demand is used for longer than a vote, since a wrong division breaks no limit. */
 const DEMAND_VALIDITY_MS = 1500;
-/** Bounds what a process sends that was suspended. Longest time for which unused permits of a target are saved up, beyond the fraction of the next one. */
+/** Longest time for which unused permits of a target are saved up, so that a suspended process does not catch up. */
 const MAX_SAVING_MS = 300;
 /** Permits beyond the demand of the own data centre that stay there, so that its callers need not wait for them. */
 const LOCAL_HEADROOM = 1.2;
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -83,7 +83,8 @@
         );
         const cached = this.#findCached(waiting.request, notEjected, now);
         let best: TargetCandidate | undefined;
-        // A request over the share of its account is not worth moving a shared part of a prompt or reading it again.
+        // A request over the share of its account is not worth moving a shared part of a prompt or reading it again, unless
+        // the part is short and a permit for the target would be lost.
         const eligible = isOverShare && cached.affinityTarget
             ? notExcluded.filter(target =>
                 target === cached.affinityTarget || cached.cachingTargets.includes(target)
