Count waiting requests, distinct headers and permits only where request limits exist

Each new request compared the usage of its account with those of all that wait, also when it was granted at once or no target had a limit; each response parsed its headers a second time; each report interval tried all waiting requests, limits or not. Change: the count is a function that is called only for the estimate of permits; headersDistinct is read only if the header is there; permits are announced only while a target has a limit. Result: decisions are the same; the tests of the limits, the scheduler and the router pass unchanged.

--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -129,12 +129,8 @@
             usage.addDemand(waiting.request.account, countRequestTokens(waiting.request), now);
         }
         // Requests already waiting could not use the free slots, so only the new one is tried.
-        const decision = this.#resolve(
-            waiting,
-            new Set(),
-            this.#waits.countAhead(waiting, this.#waiting, now),
-            now,
-        );
+        const countAhead = (): number => this.#waits.countAhead(waiting, this.#waiting, now);
+        const decision = this.#resolve(waiting, new Set(), countAhead, now);
         if (decision.kind === "waiting") {
             this.#waiting.push(waiting);
         }
@@ -186,7 +182,7 @@
         }
         const blocked = new Set<string>();
         const decided = sortWaiting(this.#waiting, this.#options.usage, now).map((waiting, i) =>
-            [waiting, this.#resolve(waiting, blocked, i, now)] as const
+            [waiting, this.#resolve(waiting, blocked, () => i, now)] as const
         );
         this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
         decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision));
@@ -196,12 +192,12 @@
      * Decides on one request.
      *
      * @param blocked Kinds of requests for which no target has capacity; further requests of these kinds are not tried.
-     * @param ahead Number of waiting requests that go before this one.
+     * @param countAhead Counts the waiting requests that go before this one.
      */
     #resolve(
         waiting: WaitingRequest,
         blocked: Set<string>,
-        ahead: number,
+        countAhead: () => number,
         now: number,
     ): SchedulerDecision {
         const { request, isResume } = waiting;
@@ -221,7 +217,7 @@
             isOverShare,
             this.#waits.estimateReadingMs(request, now),
         );
-        const permitMs = this.#waits.estimatePermitMs(request, ahead, now);
+        const permitMs = this.#waits.estimatePermitMs(request, countAhead, now);
         if (isResume || (!isExcluded && now < waitDeadline && now + permitMs < waitDeadline)) {
             return { kind: "waiting" };
         }
--- a/src/core/routing/waitEstimator.ts
+++ b/src/core/routing/waitEstimator.ts
@@ -40,14 +40,18 @@
         return waiting.filter(other => usage.getGranted(other.request.account, now) <= granted).length;
     }
 
-    /** Estimates when a request gets a permit; 0 if it may use a target without a request limit. */
-    estimatePermitMs(request: RoutedRequest, ahead: number, now: number): number {
+    /**
+     * Estimates when a request gets a permit; 0 if it may use a target without a request limit.
+     *
+     * @param countAhead Counts the waiting requests that go before it; not called unless the count matters.
+     */
+    estimatePermitMs(request: RoutedRequest, countAhead: () => number, now: number): number {
         const { limits, getService, hasOnlyLimited } = this.#options;
         const perSecond = limits.getPermitsPerSecond(getService().name, now);
         if (perSecond === undefined || !hasOnlyLimited(request)) {
             return 0;
         }
-        return perSecond > 0 ? (ahead + 1) / perSecond * MS_PER_SECOND : Number.POSITIVE_INFINITY;
+        return perSecond > 0 ? (countAhead() + 1) / perSecond * MS_PER_SECOND : Number.POSITIVE_INFINITY;
     }
 
     /** Estimates how long a target takes to read the prompt of a request. */
--- a/src/platform/platformWireFormat.ts
+++ b/src/platform/platformWireFormat.ts
@@ -88,7 +88,10 @@
             isNotExecuted: headers["not-executed"] !== undefined,
             isFramed: headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined,
             isMisdirected: response.statusCode === MISDIRECTED,
-            requestLimit: parseRequestLimit(response.headersDistinct["server-limit"]),
+            // Reading `headersDistinct` parses all headers again.
+            requestLimit: headers["server-limit"] === undefined
+                ? { kind: "none" }
+                : parseRequestLimit(response.headersDistinct["server-limit"]),
             forwardedHeaders: listForwardedHeaders(response, DROPPED_FROM_RESPONSE),
         };
     },
--- a/src/router/permitExchange.ts
+++ b/src/router/permitExchange.ts
@@ -41,7 +41,9 @@
         const expectsPeers = settings.seedHosts.some(host => host !== settings.peerAddress.host);
         const isIsolated = known.length === 0 && expectsPeers && now - startedAt < ISOLATION_MS;
         this.#send(limits.advance({ live: membership.listLive(now), known, isClosed, isIsolated }, now), now);
-        onPermits();
+        if (limits.limitedCount > 0) {
+            onPermits();
+        }
     }
 
     /**
