Use one piece of code for nearest members, rates, report scopes and windows

The home of a limit repeated the choice of the users of a cold target; two meters repeated the rate of a decaying sum; three places named the scopes of reports; the soak had a slower twin of countMostWithin, and a test one of findPorts. Change: listNearestMembers (was listColdTargetUsers), DecayingSum.getPerSecond, ReportScope, countMostWithin in src/testing, findPorts.

--- a/src/core/limits/demandMeter.ts
+++ b/src/core/limits/demandMeter.ts
@@ -8,7 +8,6 @@
 
 /** Time constant of the demand: long enough to see slow callers, short enough to follow a change of traffic. */
 const WINDOW_MS = 2000;
-const MS_PER_SECOND = 1000;
 /** Smaller rates are not reported. */
 const MIN_PER_SECOND = 0.05;
 
@@ -34,10 +33,10 @@
     /** Lists the demand of all services with recent requests. */
     list(now: number): readonly ServiceDemand[] {
         return [...this.#services].flatMap(([service, { requests, refusals }]) => {
-            const perSecond = toRate(requests.get(now));
+            const perSecond = normalizeRate(requests.getPerSecond(now));
             return perSecond < MIN_PER_SECOND
                 ? []
-                : [[service, perSecond, toRate(refusals.get(now))] as const];
+                : [[service, perSecond, normalizeRate(refusals.getPerSecond(now))] as const];
         });
     }
 
@@ -51,7 +50,7 @@
     }
 }
 
-/** A steady rate r makes a decaying sum of r times its time constant. */
-function toRate(sum: number): number {
-    return Math.round(sum / WINDOW_MS * MS_PER_SECOND * 100) / 100;
+/** Rounds to hundredths, to keep reports short. */
+function normalizeRate(perSecond: number): number {
+    return Math.round(perSecond * 100) / 100;
 }
--- a/src/core/limits/findLimitHome.ts
+++ b/src/core/limits/findLimitHome.ts
@@ -1,3 +1,4 @@
+import { listNearestMembers } from "../routing/listNearestMembers.js";
 import type { Locality } from "../routing/locality.js";
 import { pickByHash } from "../routing/pickByHash.js";
 
@@ -12,11 +13,6 @@
     members: readonly Locality[],
     regionsByDataCentre: ReadonlyMap<string, string>,
 ): string | undefined {
-    if (members.some(member => member.dataCentre === dataCentre)) {
-        return dataCentre;
-    }
-    const region = regionsByDataCentre.get(dataCentre);
-    const inRegion = members.filter(member => member.region === region);
-    const candidates = inRegion.length > 0 ? inRegion : members;
-    return pickByHash(dataCentre, [...new Set(candidates.map(member => member.dataCentre))]);
+    const nearest = listNearestMembers(members, dataCentre, regionsByDataCentre);
+    return pickByHash(dataCentre, [...new Set(nearest.map(member => member.dataCentre))]);
 }
--- a/src/core/limits/permitUsage.ts
+++ b/src/core/limits/permitUsage.ts
@@ -11,7 +11,6 @@
 const WINDOW_MS = 2000;
 /** Below this number of recent permits, what was used of them says nothing. */
 const MIN_RECEIVED = 1;
-const MS_PER_SECOND = 1000;
 
 /** Permits that this instance has received and used lately, by service. Times are monotonic milliseconds. */
 export class PermitUsage {
@@ -53,7 +52,7 @@
         const known = this.#services.get(service);
         return known === undefined || now - known.limitedSince < WINDOW_MS
             ? undefined
-            : known.received.get(now) / WINDOW_MS * MS_PER_SECOND;
+            : known.received.getPerSecond(now);
     }
 
     /** Returns the share of the recent permits that were used, from 0 to 1. */
--- a/src/core/limits/requestLimiter.ts
+++ b/src/core/limits/requestLimiter.ts
@@ -11,6 +11,7 @@
 import type { PermitGrant } from "./permitGrant.js";
 import { PermitStock } from "./permitStock.js";
 import { PermitUsage } from "./permitUsage.js";
+import type { ReportScope } from "./reportScope.js";
 import { TargetLimits } from "./targetLimits.js";
 
 interface RequestLimiterOptions {
@@ -45,6 +46,7 @@
 const SPARE_MS = 300;
 /** A starting instance backs no coordinator for this long: it does not know yet how many instances share a limit. */
 const DISCOVERY_MS = 2000;
+
 /** Keeps the request limits that targets name, for this instance and, if others back it, as their coordinator. */
 export class RequestLimiter implements LimitGate {
     readonly #options: RequestLimiterOptions;
@@ -144,7 +146,7 @@
     }
 
     /** Builds the same for a summary of the data centre. */
-    buildSummary(scope: "local-summary" | "data-centre", now: number): LimitReport | undefined {
+    buildSummary(scope: Exclude<ReportScope, "instance">, now: number): LimitReport | undefined {
         return this.#limits.isIdle(scope)
             ? undefined
             : {
@@ -160,7 +162,7 @@
     applyReport(
         report: LimitReport,
         sender: MemberRecord,
-        scope: "instance" | "local-summary" | "data-centre",
+        scope: ReportScope,
         now: number,
     ): void {
         const news = report.news.filter(([target]) => this.#targets.has(target));
--- a/src/core/limits/targetLimits.ts
+++ b/src/core/limits/targetLimits.ts
@@ -1,5 +1,6 @@
 import type { LimitNews } from "./limitNews.js";
 import type { LimitStatement } from "./limitStatement.js";
+import type { ReportScope } from "./reportScope.js";
 
 interface KnownLimit {
     /** `undefined` once the limit is lifted. */
@@ -8,8 +9,6 @@
     readonly observedAt: number;
 }
 
-type ReportScope = "instance" | "local-summary" | "data-centre";
-
 const SCOPES: readonly ReportScope[] = ["instance", "local-summary", "data-centre"];
 /** A target that takes nothing gets one request in four seconds, whose response tells when the limit is lifted. */
 const MIN_PER_SECOND = 0.25;
@@ -39,7 +38,7 @@
 
     /** Returns the number of targets with a limit. */
     count(): number {
-        return [...this.#limits.values()].filter(({ perSecond }) => perSecond !== undefined).length;
+        return this.listLimited().length;
     }
 
     /** Returns the limit of a target in requests per second, or `undefined`. */
--- a/src/core/routing/decayingSum.ts
+++ b/src/core/routing/decayingSum.ts
@@ -1,3 +1,5 @@
+const MS_PER_SECOND = 1000;
+
 /** Sum of amounts that decay exponentially with age. */
 export class DecayingSum {
     readonly #timeConstantMs: number;
@@ -19,6 +21,11 @@
         this.#updatedAt = now;
     }
 
+    /** Returns the steady rate per second that makes the sum what it is at a monotonic time in milliseconds. */
+    getPerSecond(now: number): number {
+        return this.get(now) / this.#timeConstantMs * MS_PER_SECOND;
+    }
+
     /** Returns the sum at a monotonic time in milliseconds. */
     get(now: number): number {
         return this.#value * Math.exp(Math.min(0, this.#updatedAt - now) / this.#timeConstantMs);
--- a/src/core/routing/listColdTargetUsers.ts
+++ b/src/core/routing/listNearestMembers.ts
@@ -1,11 +1,11 @@
-import type { MemberRecord } from "./memberRecord.js";
+import type { Locality } from "./locality.js";
 
-/** Lists the instances that may send to a cold target: those in its data centre, else in its region, else all. */
-export function listColdTargetUsers(
-    members: readonly MemberRecord[],
+/** Lists the members in a data centre; if there are none, those in its region, and if there are none either, all. */
+export function listNearestMembers<T extends Locality>(
+    members: readonly T[],
     dataCentre: string,
     regionsByDataCentre: ReadonlyMap<string, string>,
-): readonly MemberRecord[] {
+): readonly T[] {
     const region = regionsByDataCentre.get(dataCentre);
     const local = members.filter(member => member.dataCentre === dataCentre);
     const inRegion = members.filter(member => member.region === region);
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -4,7 +4,7 @@
 import { computeColdShare } from "../core/routing/computeColdShare.js";
 import { findChangeReaders } from "../core/routing/findChangeReaders.js";
 import { listCallerAddresses } from "../core/routing/listCallerAddresses.js";
-import { listColdTargetUsers } from "../core/routing/listColdTargetUsers.js";
+import { listNearestMembers } from "../core/routing/listNearestMembers.js";
 import type { Locality } from "../core/routing/locality.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { Membership } from "../core/routing/membership.js";
@@ -135,7 +135,7 @@
             return undefined;
         }
         const members = [this.#describeSelf(), ...this.#membership.listKnown(now)];
-        const users = listColdTargetUsers(members, target.dataCentre, settings.regionsByDataCentre);
+        const users = listNearestMembers(members, target.dataCentre, settings.regionsByDataCentre);
         return computeColdShare(
             target.id,
             limitPerSecond,
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -1,4 +1,5 @@
 import type { LimitReport } from "../core/limits/limitReport.js";
+import type { ReportScope } from "../core/limits/reportScope.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { MemberStatus } from "../core/routing/memberStatus.js";
 import type { PromptOutcome } from "../core/routing/promptOutcome.js";
@@ -8,7 +9,7 @@
  * (`data-centre`) or for its own instances (`local-summary`).
  */
 export interface PeerReport {
-    readonly scope: "instance" | "data-centre" | "local-summary";
+    readonly scope: ReportScope;
     readonly sender: MemberRecord;
     /** Targets with load: identifier, requests in flight, prompt tokens that the target has yet to process. */
     readonly loads: readonly (readonly [id: string, inFlight: number, pendingTokens: number])[];
--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -1,3 +1,4 @@
+import { countMostWithin } from "../testing/countMostWithin.js";
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import type { sendCaller } from "../testing/sendCaller.js";
 
@@ -94,10 +95,7 @@
             const times = target.arrivals.map(({ at }) => at)
                 .filter(at => at >= from + LIMIT_SETTLE_MS && at < until);
             const allowed = 1.5 * perSecond * LIMIT_WINDOW_MS / 1000 + 5;
-            const most = Math.max(
-                0,
-                ...times.map(first => times.filter(at => at >= first && at < first + LIMIT_WINDOW_MS).length),
-            );
+            const most = countMostWithin(times, LIMIT_WINDOW_MS);
             if (most > allowed) {
                 this.#violations.push(`${target.id}: got ${most} requests in 4 s, ${allowed} allowed`);
             }
--- a/test/core/limits/requestLimiter.test.ts
+++ b/test/core/limits/requestLimiter.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { createRandom } from "../../../src/standIns/client/createRandom.js";
-import { countMostWithin } from "../../testing/countMostWithin.js";
+import { countMostWithin } from "../../../src/testing/countMostWithin.js";
 import { LimitFleet } from "../../testing/limits/limitFleet.js";
 
 const WINDOW_MS = 4000;
--- a/test/platform/requestLimit.test.ts
+++ b/test/platform/requestLimit.test.ts
@@ -1,5 +1,5 @@
 import test, { registerCompletionHandler } from "ava";
-import { countMostWithin } from "../testing/countMostWithin.js";
+import { countMostWithin } from "../../src/testing/countMostWithin.js";
 import { createRouterFleet } from "../testing/router/createRouterFleet.js";
 import { sendToFleet } from "../testing/router/sendToFleet.js";
 
--- a/test/router/changeFeed.test.ts
+++ b/test/router/changeFeed.test.ts
@@ -1,24 +1,15 @@
 import test from "ava";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { ChangeLog } from "../../src/core/routing/changeLog.js";
 import { ChangeFeedServer } from "../../src/router/changeFeedServer.js";
 import type { LogSink } from "../../src/router/logSink.js";
 import { PeerChangeSource } from "../../src/router/peerChangeSource.js";
+import { findPorts } from "../../src/testing/platform/findPorts.js";
 
 const HOST = "127.0.0.1";
 
-async function findPort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, HOST, resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 // A peer that waits for changes after a revision of an earlier era would wait, or get changes that do not fit.
 test("relays the era with each revision, and a whole copy to a peer of another era at once", async t => {
-    const port = await findPort();
+    const [port = 0] = await findPorts(1);
     const changeLog = ChangeLog.create();
     const getNow = (): number => performance.now();
     const feed = await ChangeFeedServer.create({
