--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -9,13 +9,14 @@
     /** Number of events of each stream, and the pause before each event in milliseconds. */
     readonly events: number;
     readonly eventMs: number;
-    /** Prompt part, other than the last of a prompt, on which the target crashes once it begins to respond. */
-    readonly crashesOn?: string;
+    /** Whether a request that the target runs makes it crash after the pause before an event. */
+    readonly isCrashedBy?: (arrival: TargetArrival) => boolean;
     readonly onCrash?: () => void;
 }
 
 interface TargetArrival {
     readonly requestId: string;
+    readonly path: string;
     readonly headers: IncomingMessage["headers"];
     readonly body: string;
     readonly lastEventId: number;
@@ -109,7 +110,11 @@
         this.#server.closeAllConnections();
     }
 
-    #abort(): void {
+    /** Ends the target as a crash does: its connections are reset, and its port refuses new ones. */
+    kill(): void {
+        if (!this.#server.listening) {
+            return;
+        }
         this.#server.close();
         this.#sockets.forEach(socket => socket.resetAndDestroy());
         this.#options.onCrash?.();
@@ -137,7 +142,13 @@
         }
         const lastEventId = Number(headers["last-event-id"] ?? 0);
         const body = Buffer.concat(chunks).toString();
-        this.#arrivals.push({ requestId, headers, body, lastEventId, at: performance.now() });
+        const path = request.url ?? "/";
+        const arrival = { requestId, path, headers, body, lastEventId, at: performance.now() };
+        this.#arrivals.push(arrival);
+        if (this.#options.isCrashedBy?.(arrival)) {
+            setTimeout(() => this.kill(), this.#options.eventMs);
+            return;
+        }
         if (fault === "mute") {
             return;
         }
@@ -194,12 +205,6 @@
             return;
         }
         const responseId = fault === "crossed" ? "another" : requestId;
-        const sharedParts = String(request.headers["prompt-prefix"]).split(",").slice(0, -1);
-        if (sharedParts.some(part => part.split(":")[0] === this.#options.crashesOn)) {
-            await new Promise(resolve => setTimeout(resolve, eventMs));
-            this.#abort();
-            return;
-        }
         response.writeHead(200, {
             "Request-Id": responseId,
             "Response-Signature": `${requestId}.${id}`,
--- a/test/platform/crashingPrompt.test.ts
+++ b/test/platform/crashingPrompt.test.ts
@@ -1,8 +1,9 @@
 import test, { registerCompletionHandler } from "ava";
 import { buildCallerHeaders } from "../../src/testing/platform/buildCallerHeaders.js";
+import type { CooperativeFleet } from "../../src/testing/platform/cooperativeFleet.js";
 import { sendCaller } from "../../src/testing/sendCaller.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
-import { CrashingEngines } from "../testing/platform/crashingEngines.js";
+import { CrashingTargets } from "../testing/platform/crashingTargets.js";
 import { createRouterFleet } from "../testing/router/createRouterFleet.js";
 import { sendToFleet } from "../testing/router/sendToFleet.js";
 
@@ -18,11 +19,23 @@
 /** Rounds of one crashing and one sound request each, until the fifth crash and after the contact time. */
 const MAX_ROUNDS = 50;
 const LATE_ROUNDS = 8;
+const RESTART_MS = 1500;
+
+/** Creates engines that crash on prompts in which a part other than the last is `bad`. */
+function createCrashingEngines(fleet: CooperativeFleet, count: number): Promise<CrashingTargets> {
+    return CrashingTargets.create(fleet, {
+        service: "engine",
+        count,
+        restartMs: RESTART_MS,
+        isCrashedBy: ({ headers }) =>
+            String(headers["prompt-prefix"]).split(",").slice(0, -1).some(part => part.startsWith("bad:")),
+    });
+}
 
 // Requests with a prompt part on which targets crash were sent to one target after another, by all instances.
 test.serial("crashing prompt part: stops its requests at all instances after five targets have crashed, and serves those that share its other parts", async t => {
     const fleet = await createRouterFleet(t, { instances: 7, engines: 0 });
-    const engines = await CrashingEngines.create(fleet, "bad", 10);
+    const engines = await createCrashingEngines(fleet, 10);
     t.teardown(() => engines.close());
     let sent = 0;
     const send = (parts: readonly string[], route = "stream"): ReturnType<typeof sendCaller> => {
@@ -72,7 +85,7 @@
 // Each retry of a request with a prompt part on which targets crash ended one more target.
 test.serial("crashing prompt part: does not retry a request whose part has crashed two targets", async t => {
     const fleet = await createRouterFleet(t, { instances: 1, engines: 0 });
-    const engines = await CrashingEngines.create(fleet, "bad", 6);
+    const engines = await createCrashingEngines(fleet, 6);
     t.teardown(() => engines.close());
     const isSettled = (): Promise<boolean> =>
         Promise.resolve(engines.runningCount === 6 && fleet.store.isFollowed);
--- a/test/testing/router/sendToFleet.ts
+++ b/test/testing/router/sendToFleet.ts
@@ -10,6 +10,7 @@
     path: string,
     headers: Readonly<Record<string, string>> = {},
     instanceIndex = 0,
+    body = "question",
 ): ReturnType<typeof sendCaller> {
     const instance = fleet.instances[instanceIndex];
     if (!instance) {
@@ -27,6 +28,6 @@
             }),
             ...headers,
         },
-        body: "question",
+        body,
     });
 }
