Believe targets that say that they leave, or that they want no requests for some time

No code read Server-Leaving or the Retry-After of a target's 503. Change: each response that belongs to its request is read for both (parseTargetNotice); unreadable values are ignored with a line target-notice-unusual, of several times the longest counts. TargetNotices keeps them by target and start, whatever the list says: a leaving target gets no request any more, a pausing one none until the end of its pause. A request that no target may serve in time is refused at once: no-target if none is left for it (also for retries and resumed streams, whose targets have all failed), targets-paused with a Retry-After from the end of the first pause on, spread over a quarter of it and at least a second. While all are evacuated, or none is listed yet, requests wait as before.

--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -10,6 +10,8 @@
 import { notifyWaiting } from "./notifyWaiting.js";
 import type { PromptLocations } from "./promptLocations.js";
 import { replaceTargetStates } from "./replaceTargetStates.js";
+import { RequestProspects } from "./requestProspects.js";
+import { reserveTarget } from "./reserveTarget.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
 import type { SchedulerDecision } from "./schedulerDecision.js";
@@ -17,7 +19,9 @@
 import { sortWaiting } from "./sortWaiting.js";
 import type { TargetCandidate } from "./targetCandidate.js";
 import type { TargetDescriptor } from "./targetDescriptor.js";
+import { TargetEligibility } from "./targetEligibility.js";
 import type { TargetGrant } from "./targetGrant.js";
+import type { TargetNotices } from "./targetNotices.js";
 import { TargetPicker } from "./targetPicker.js";
 import type { TargetState } from "./targetState.js";
 import { WaitEstimator } from "./waitEstimator.js";
@@ -30,6 +34,7 @@
     readonly promptLocations: PromptLocations;
     readonly crashRecord: CrashRecord;
     readonly limits: LimitGate;
+    readonly notices: TargetNotices;
     /** Tokens a second that all engines process together; 0 if unknown. */
     readonly getTokensPerSecond: () => number;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
@@ -43,6 +48,8 @@
 export class ServiceScheduler {
     readonly #options: ServiceSchedulerOptions;
     readonly #picker: TargetPicker;
+    /** What the targets of the service let a request expect. */
+    readonly prospects: RequestProspects;
     readonly #shares: AccountShares;
     readonly #engineModel: EngineModel;
     readonly #waits: WaitEstimator;
@@ -59,19 +66,25 @@
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
         });
         this.#engineModel = EngineModel.create(options.settings);
+        const eligibility = TargetEligibility.create({
+            ...options,
+            targets: this.#targets,
+            getEvacuated: () => this.#evacuated,
+        });
+        this.prospects = RequestProspects.create(eligibility, () => this.#targets.size);
         this.#picker = TargetPicker.create({
             ...options,
+            eligibility,
             engineModel: this.#engineModel,
             targets: this.#targets,
             getService: () => this.#service,
-            getEvacuated: () => this.#evacuated,
         });
         this.#waits = WaitEstimator.create({
             ...options,
             engineModel: this.#engineModel,
             getService: () => this.#service,
             countTargets: () => this.#targets.size,
-            hasOnlyLimited: request => this.#picker.hasOnlyLimited(request),
+            hasOnlyLimited: request => eligibility.hasOnlyLimited(request),
         });
     }
 
@@ -207,16 +220,19 @@
         }
         const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
         const isExcluded = kind === "excluded";
-        const isOverShare = kind === "over";
-        const candidate = isExcluded ? undefined : this.#pick(waiting, isOverShare, blocked, now);
+        const candidate = isExcluded ? undefined : this.#pick(waiting, kind === "over", blocked, now);
         if (candidate) {
-            return { kind: "granted", grant: this.#reserve(request, candidate, now) };
+            return { kind: "granted", grant: reserveTarget(this.#options, request, candidate, now) };
         }
         const waitDeadline = findWaitDeadline(
             request,
-            isOverShare,
+            kind === "over",
             this.#waits.estimateReadingMs(request, now),
         );
+        const hopeless = this.prospects.findHopeless(waiting, waitDeadline, now);
+        if (hopeless) {
+            return { kind: "refused", ...hopeless, shareRatio };
+        }
         const permitMs = this.#waits.estimatePermitMs(request, countAhead, now);
         if (isResume || (!isExcluded && now < waitDeadline && now + permitMs < waitDeadline)) {
             return { kind: "waiting" };
@@ -249,18 +265,4 @@
         }
         return candidate;
     }
-
-    #reserve(request: RoutedRequest, candidate: TargetCandidate, now: number): TargetGrant {
-        const { target, grant, coldShare } = candidate;
-        target.inFlight += 1;
-        target.pendingTokens += grant.missingTokens;
-        this.#options.limits.takePermit(target.descriptor.id, now);
-        this.#options.crashRecord.recordSent(request, now);
-        if (coldShare) {
-            target.coldBucket.tryTake(now, coldShare.perSecond, coldShare.burst);
-        }
-        target.cache.add(request.prompt);
-        this.#options.usage.addGranted(request.account, countRequestTokens(request), now);
-        return grant;
-    }
 }
--- /dev/null
+++ b/src/core/routing/targetEligibility.ts
@@ -0,0 +1,78 @@
+import type { LimitGate } from "../limits/limitGate.js";
+import type { RoutedRequest } from "./routedRequest.js";
+import type { SchedulerSettings } from "./schedulerSettings.js";
+import type { TargetDescriptor } from "./targetDescriptor.js";
+import type { TargetNotices } from "./targetNotices.js";
+import type { TargetOutlook } from "./targetOutlook.js";
+import type { TargetState } from "./targetState.js";
+import type { WaitingRequest } from "./waitingRequest.js";
+
+interface TargetEligibilityOptions {
+    /** Targets by identifier. */
+    readonly targets: ReadonlyMap<string, TargetState>;
+    readonly settings: SchedulerSettings;
+    readonly limits: LimitGate;
+    readonly notices: TargetNotices;
+    /** Evacuated data centres, which get no requests. */
+    readonly getEvacuated: () => ReadonlySet<string>;
+}
+
+/** Decides which targets of a service a request may use, whatever their load. */
+export class TargetEligibility {
+    readonly #options: TargetEligibilityOptions;
+
+    private constructor(options: TargetEligibilityOptions) {
+        this.#options = options;
+    }
+
+    /** Creates the rules for the targets of a service. */
+    static create(options: TargetEligibilityOptions): TargetEligibility {
+        return new TargetEligibility(options);
+    }
+
+    /** Returns what a request may expect that was given no target. */
+    findOutlook(
+        { request, excludedTargets }: Pick<WaitingRequest, "request" | "excludedTargets">,
+        now: number,
+    ): TargetOutlook {
+        const { targets, notices } = this.#options;
+        let until = Number.POSITIVE_INFINITY;
+        for (const { descriptor } of targets.values()) {
+            if (excludedTargets.has(descriptor.id) || !this.#isPermitted(descriptor, request)) {
+                continue;
+            }
+            const pausedUntil = notices.getPausedUntil(descriptor);
+            if (pausedUntil <= now) {
+                return { kind: "open" };
+            }
+            until = Math.min(until, pausedUntil);
+        }
+        return Number.isFinite(until) ? { kind: "paused", until } : { kind: "none" };
+    }
+
+    /** Returns whether all targets that a request may use have a request limit. */
+    hasOnlyLimited(request: RoutedRequest): boolean {
+        const { targets, limits } = this.#options;
+        return [...targets.values()].every(({ descriptor }) =>
+            limits.isLimited(descriptor.id) || !this.isUsable(descriptor, request)
+        );
+    }
+
+    /** Returns whether a target may get a request at all: it stays, and its data centre and region are allowed. */
+    isUsable(descriptor: TargetDescriptor, request: RoutedRequest): boolean {
+        return this.#isPermitted(descriptor, request)
+            && !this.#options.getEvacuated().has(descriptor.dataCentre);
+    }
+
+    /** The same for a target whose data centre is not evacuated; an evacuation may end at any moment. */
+    #isPermitted(descriptor: TargetDescriptor, request: RoutedRequest): boolean {
+        const region = this.#options.settings.regionsByDataCentre.get(descriptor.dataCentre) ?? "";
+        return !descriptor.isDraining && !this.#options.notices.isLeaving(descriptor)
+            && (request.regions.length === 0 || request.regions.includes(region));
+    }
+
+    /** Returns the monotonic time in milliseconds until which a target wants no requests of this instance. */
+    getPausedUntil(descriptor: TargetDescriptor): number {
+        return this.#options.notices.getPausedUntil(descriptor);
+    }
+}
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -10,6 +10,7 @@
 import type { SchedulerSettings } from "./schedulerSettings.js";
 import type { TargetCandidate } from "./targetCandidate.js";
 import type { TargetDescriptor } from "./targetDescriptor.js";
+import type { TargetEligibility } from "./targetEligibility.js";
 import type { TargetState } from "./targetState.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
@@ -19,10 +20,9 @@
     readonly settings: SchedulerSettings;
     readonly promptLocations: PromptLocations;
     readonly limits: LimitGate;
+    readonly eligibility: TargetEligibility;
     readonly engineModel: EngineModel;
     readonly getService: () => RoutedService;
-    /** Evacuated data centres, which get no requests. */
-    readonly getEvacuated: () => ReadonlySet<string>;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
 }
@@ -74,8 +74,10 @@
      * @param isOverShare True if the account is over its share, so that only capacity is used that would stay idle.
      */
     pick(waiting: WaitingRequest, isOverShare: boolean, now: number): TargetCandidate | undefined {
-        const usable = [...this.#options.targets.values()].filter(({ descriptor }) =>
-            this.#isUsable(descriptor, waiting.request)
+        const { targets, eligibility } = this.#options;
+        const usable = [...targets.values()].filter(({ descriptor }) =>
+            eligibility.isUsable(descriptor, waiting.request)
+            && eligibility.getPausedUntil(descriptor) <= now
         );
         const notEjected = usable.filter(target => target.ejectedUntil <= now);
         const notExcluded = (notEjected.length > 0 ? notEjected : usable).filter(({ descriptor }) =>
@@ -101,20 +103,6 @@
         return best;
     }
 
-    /** Returns whether all targets that a request may use have a request limit. */
-    hasOnlyLimited(request: RoutedRequest): boolean {
-        const { targets, limits } = this.#options;
-        return [...targets.values()].every(({ descriptor }) =>
-            limits.isLimited(descriptor.id) || !this.#isUsable(descriptor, request)
-        );
-    }
-
-    #isUsable(descriptor: TargetDescriptor, request: RoutedRequest): boolean {
-        const region = this.#options.settings.regionsByDataCentre.get(descriptor.dataCentre) ?? "";
-        return !descriptor.isDraining && !this.#options.getEvacuated().has(descriptor.dataCentre)
-            && (request.regions.length === 0 || request.regions.includes(region));
-    }
-
     #findCached(request: RoutedRequest, targets: readonly TargetState[], now: number): CachedPrompt {
         const prefix = findSharedPrefix(request.prompt);
         if (!prefix || !this.#options.getService().engine) {
--- a/src/platform/platformWireFormat.ts
+++ b/src/platform/platformWireFormat.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage } from "node:http";
 import type { PromptPart } from "../core/routing/promptPart.js";
+import type { TargetNotice } from "../core/routing/targetNotice.js";
 import type { WireFormat } from "../router/wireFormat.js";
 import { parseRequestLimit } from "./parseRequestLimit.js";
+import { parseTargetNotice } from "./parseTargetNotice.js";
 
 /** Hop-by-hop headers, and those that only the system sets; callers' values never reach a target. */
 const DROPPED_FROM_REQUEST: ReadonlySet<string> = new Set([
@@ -37,6 +39,7 @@
     "server-load",
 ]);
 const KEY_SCHEME = "Bearer ";
+const NO_NOTICE: TargetNotice = { isLeaving: false, pauseMs: undefined, unusualHeaders: [] };
 const MISDIRECTED = 421;
 const MS_PER_SECOND = 1000;
 
@@ -92,6 +95,7 @@
             requestLimit: headers["server-limit"] === undefined
                 ? { kind: "none" }
                 : parseRequestLimit(response.headersDistinct["server-limit"]),
+            notice: readNotice(response),
             forwardedHeaders: listForwardedHeaders(response, DROPPED_FROM_RESPONSE),
         };
     },
@@ -101,6 +105,19 @@
     }),
 };
 
+function readNotice(response: IncomingMessage): TargetNotice {
+    const { headers } = response;
+    // Reading `headersDistinct` parses all headers again.
+    return headers["server-leaving"] === undefined && headers["retry-after"] === undefined
+        ? NO_NOTICE
+        : parseTargetNotice({
+            statusCode: response.statusCode,
+            leaving: response.headersDistinct["server-leaving"],
+            retryAfter: response.headersDistinct["retry-after"],
+            timeOfDay: Date.now(),
+        });
+}
+
 function readText(value: string | string[] | undefined): string | undefined {
     return Array.isArray(value) ? value[0] : value;
 }
--- a/src/router/createRoutingState.ts
+++ b/src/router/createRoutingState.ts
@@ -4,11 +4,14 @@
 import { createCrashDetector } from "./createCrashDetector.js";
 import { createCrashRecord } from "./createCrashRecord.js";
 import { createRequestLimiter } from "./createRequestLimiter.js";
+import { createTargetNotices } from "./createTargetNotices.js";
 import type { LogSink } from "./logSink.js";
 import type { RouterSettings } from "./routerSettings.js";
 import type { RoutingState } from "./routingState.js";
 
 interface RoutingStateCallbacks {
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
     readonly countInstances: () => number;
     /** Called when a response has ended with its connection to the target. */
     readonly onBroken: (target: TargetDescriptor) => void;
@@ -31,5 +34,6 @@
         crashRecord,
         crashDetector: createCrashDetector(crashRecord, log, callbacks.onBroken),
         limits: createRequestLimiter(settings, log, startedAt),
+        notices: createTargetNotices(log, callbacks.getNow),
     };
 }
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -3,6 +3,7 @@
 import { findInactivity } from "../core/routing/findInactivity.js";
 import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
+import type { TargetNotices } from "../core/routing/targetNotices.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { CallerResponse } from "./callerResponse.js";
 import type { ResponseHead } from "./responseHead.js";
@@ -15,6 +16,7 @@
     readonly response: CallerResponse;
     readonly wire: WireFormat;
     readonly limits: RequestLimiter;
+    readonly notices: TargetNotices;
     /** `false` opens a dedicated connection for this request. */
     readonly agent: Agent | false;
     /** Monotonic time in milliseconds. */
@@ -139,7 +141,7 @@
         const head = wire.readResponseHead(incoming);
         this.#head = head;
         this.#status = incoming.statusCode ?? 0;
-        this.#observeLimit(head);
+        this.#observeStatements(head);
         if (isRefusal(head)) {
             this.#exchange?.drain();
             this.#options.onFail("refused", head.isMisdirected ? "misdirected" : "target-full");
@@ -163,12 +165,14 @@
         }
     }
 
-    #observeLimit(head: ResponseHead): void {
-        const { grant, caller, limits, getNow } = this.#options;
+    /** Records what the target says of itself, unless the response is from another target or to another request. */
+    #observeStatements(head: ResponseHead): void {
+        const { grant, caller, limits, notices, getNow } = this.#options;
         const isOwn = head.requestId === caller.request.requestId || head.isNotExecuted;
         if (head.isMisdirected || !isOwn) {
             return;
         }
+        notices.observe(grant.target.descriptor, head.notice, getNow());
         // Only a success shows that the limit is lifted: responses to failures may come from before it was named.
         if (head.requestLimit.kind !== "none" || this.#status === OK) {
             limits.observe(grant.target.descriptor.id, head.requestLimit, grant.grantedAt, getNow());
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -195,7 +195,12 @@
     }
 
     #fail(reason: string): void {
-        this.#refuse(this.#getFailureStatus(), reason, RETRY_AFTER_MS);
+        const { exchange: { request }, scheduler, getNow } = this.#options;
+        const retryAfterMs = Math.max(
+            RETRY_AFTER_MS,
+            scheduler.prospects.findPauseReturn(request, getNow()) ?? 0,
+        );
+        this.#refuse(this.#getFailureStatus(), reason, retryAfterMs);
     }
 
     #getFailureStatus(): number {
--- a/src/router/requestForwarderOptions.ts
+++ b/src/router/requestForwarderOptions.ts
@@ -3,6 +3,7 @@
 import type { CrashRecord } from "../core/routing/crashRecord.js";
 import type { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import type { SlidingRetryBudget } from "../core/routing/slidingRetryBudget.js";
+import type { TargetNotices } from "../core/routing/targetNotices.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { LogSink } from "./logSink.js";
 import type { TargetAgents } from "./targetAgents.js";
@@ -15,6 +16,7 @@
     readonly crashRecord: CrashRecord;
     readonly crashDetector: CrashDetector;
     readonly limits: RequestLimiter;
+    readonly notices: TargetNotices;
     readonly retryBudget: SlidingRetryBudget;
     readonly targetAgents: TargetAgents;
     readonly wire: WireFormat;
--- a/src/router/responseHead.ts
+++ b/src/router/responseHead.ts
@@ -1,4 +1,5 @@
 import type { LimitStatement } from "../core/limits/limitStatement.js";
+import type { TargetNotice } from "../core/routing/targetNotice.js";
 
 /** Attributes of a target's response that its status and headers give. */
 export interface ResponseHead {
@@ -11,6 +12,8 @@
     readonly isFramed: boolean;
     /** What the response says of the request limit of its target. */
     readonly requestLimit: LimitStatement;
+    /** What the response says of the requests that its target wants. */
+    readonly notice: TargetNotice;
     /** Headers to forward, as a flat list of names and values. */
     readonly forwardedHeaders: readonly string[];
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -61,6 +61,7 @@
         this.#options = options;
         const { settings } = options;
         this.#state = createRoutingState(settings, options.log, this.#getNow(), {
+            getNow: this.#getNow,
             countInstances: () => 1 + (this.#fleet?.countPeers() ?? 0),
             onBroken: target => this.#targetProber.check(target),
         });
--- a/src/router/routingState.ts
+++ b/src/router/routingState.ts
@@ -3,6 +3,7 @@
 import type { CrashDetector } from "../core/routing/crashDetector.js";
 import type { CrashRecord } from "../core/routing/crashRecord.js";
 import type { PromptLocations } from "../core/routing/promptLocations.js";
+import type { TargetNotices } from "../core/routing/targetNotices.js";
 
 /** What an instance knows beyond single targets and requests, from its own traffic and from the reports of peers. */
 export interface RoutingState {
@@ -11,4 +12,5 @@
     readonly crashRecord: CrashRecord;
     readonly crashDetector: CrashDetector;
     readonly limits: RequestLimiter;
+    readonly notices: TargetNotices;
 }
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -6,6 +6,7 @@
 import { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import { SlidingRetryBudget } from "../core/routing/slidingRetryBudget.js";
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
+import type { TargetNotices } from "../core/routing/targetNotices.js";
 import type { TargetState } from "../core/routing/targetState.js";
 import type { RouterSettings } from "./routerSettings.js";
 import { schedulerTuning } from "./schedulerTuning.js";
@@ -16,6 +17,7 @@
     readonly promptLocations: PromptLocations;
     readonly crashRecord: CrashRecord;
     readonly limits: LimitGate;
+    readonly notices: TargetNotices;
     readonly getTokensPerSecond: () => number;
     readonly getColdShare: (
         target: TargetDescriptor,
@@ -51,7 +53,7 @@
 
     /** Adds the new services of a configuration and updates the known ones. */
     applyConfiguration(configuration: RouterConfiguration): void {
-        const { settings, usage, promptLocations, crashRecord, limits } = this.#options;
+        const { settings, usage, promptLocations, crashRecord, limits, notices } = this.#options;
         const { getTokensPerSecond, getColdShare } = this.#options;
         for (const service of configuration.services.values()) {
             const known = this.#services.get(service.name);
@@ -66,6 +68,7 @@
                     promptLocations,
                     crashRecord,
                     limits,
+                    notices,
                     settings: {
                         ...schedulerTuning,
                         locality: settings.locality,
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -41,10 +41,11 @@
     readonly #options: CooperativeTargetOptions;
     readonly #server: Server;
     readonly #arrivals: TargetArrival[] = [];
+    readonly #attempts: number[] = [];
     #pickFault: () => TargetFault = () => "none";
     readonly #sockets = new Set<Socket>();
     #startedAtMs = 0;
-    #limitHeaders: readonly string[] = [];
+    readonly #headers = new Map<string, readonly string[]>();
 
     private constructor(options: CooperativeTargetOptions) {
         this.#options = options;
@@ -68,6 +69,10 @@
         return this.#options.id;
     }
 
+    get service(): string {
+        return this.#options.service;
+    }
+
     /** host:port. */
     get address(): string {
         return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
@@ -78,14 +83,19 @@
         return this.#arrivals;
     }
 
+    /** Monotonic times in milliseconds of all requests, also of those that the target has refused. */
+    get attempts(): readonly number[] {
+        return this.#attempts;
+    }
+
     /** Sets the function that picks the fault of each request. */
     setFault(pickFault: () => TargetFault): void {
         this.#pickFault = pickFault;
     }
 
-    /** Sets the values of the `Server-Limit` headers of all responses from now on; none by default. */
-    setLimitHeaders(...values: readonly string[]): void {
-        this.#limitHeaders = values;
+    /** Sets the values of a header of all responses from now on; without values there is none. */
+    setHeader(name: string, ...values: readonly string[]): void {
+        this.#headers.set(name, values);
     }
 
     /** Returns the registration of the target in the store, with `address` (host:port) as its address. */
@@ -131,9 +141,12 @@
             response.writeHead(421, { "Instance-Id": this.#options.id, "Content-Length": "0" }).end();
             return;
         }
-        if (this.#limitHeaders.length > 0) {
-            response.setHeader("Server-Limit", this.#limitHeaders);
-        }
+        this.#headers.forEach((values, name) => {
+            if (values.length > 0) {
+                response.setHeader(name, values);
+            }
+        });
+        this.#attempts.push(performance.now());
         const fault = this.#pickFault();
         if (fault === "full") {
             response.writeHead(503, { "Request-Id": requestId, "Not-Executed": "1", "Content-Length": "0" })
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -171,7 +171,7 @@
         if (perSecond !== undefined) {
             this.limitedPeriods.push({ target, perSecond, from: now, until: Number.POSITIVE_INFINITY });
         }
-        target.setLimitHeaders(...perSecond === undefined ? [] : [String(perSecond)]);
+        target.setHeader("Server-Limit", ...perSecond === undefined ? [] : [String(perSecond)]);
     }
 
     /** Publishes a new version of the configuration, with or without the key. */
--- a/test/platform/requestLimit.test.ts
+++ b/test/platform/requestLimit.test.ts
@@ -24,7 +24,7 @@
         return;
     }
     const startedAt = performance.now();
-    engine.setLimitHeaders(String(LIMIT_PER_SECOND));
+    engine.setHeader("Server-Limit", String(LIMIT_PER_SECOND));
     await Promise.all(
         fleet.instances.flatMap((_, index) =>
             Array.from({ length: CALLERS_PER_INSTANCE }, async () => {
--- a/test/router/forwardAttempt.test.ts
+++ b/test/router/forwardAttempt.test.ts
@@ -8,6 +8,7 @@
 import { ForwardAttempt } from "../../src/router/forwardAttempt.js";
 import { TargetAgent } from "../../src/router/targetAgent.js";
 import { createLimiter } from "../testing/createLimiter.js";
+import { createTargetNotices } from "../testing/createTargetNotices.js";
 import { createScheduler } from "../testing/scheduler/createScheduler.js";
 import { enqueueRequest } from "../testing/scheduler/enqueueRequest.js";
 import { makeRoutedRequest } from "../testing/scheduler/makeRoutedRequest.js";
@@ -60,6 +61,7 @@
             wire: platformWireFormat,
             agent,
             limits: createLimiter(),
+            notices: createTargetNotices(),
             getNow: () => 0,
             getRunningTime: () => 0,
             isBatching: () => false,
--- a/test/router/servicePool.test.ts
+++ b/test/router/servicePool.test.ts
@@ -7,6 +7,7 @@
 import { ServicePool } from "../../src/router/servicePool.js";
 import { createCrashRecord } from "../testing/createCrashRecord.js";
 import { createLimiter } from "../testing/createLimiter.js";
+import { createTargetNotices } from "../testing/createTargetNotices.js";
 import { makeRoutedRequest } from "../testing/scheduler/makeRoutedRequest.js";
 import { makeTargetDescriptor } from "../testing/scheduler/makeTargetDescriptor.js";
 
@@ -38,6 +39,7 @@
         promptLocations: PromptLocations.create(),
         crashRecord: createCrashRecord(),
         limits: createLimiter(),
+        notices: createTargetNotices(),
         getTokensPerSecond: () => 0,
         getColdShare: () => undefined,
     });
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -5,6 +5,7 @@
 import type { TargetCandidate } from "../../../src/core/routing/targetCandidate.js";
 import { createCrashRecord } from "../createCrashRecord.js";
 import { createLimiter } from "../createLimiter.js";
+import { createTargetNotices } from "../createTargetNotices.js";
 
 const WINDOW_MS = 4000;
 
@@ -15,6 +16,7 @@
     promptLocations = PromptLocations.create(),
     crashRecord = createCrashRecord(),
     limits: LimitGate = createLimiter(),
+    notices = createTargetNotices(),
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -41,6 +43,7 @@
         promptLocations,
         crashRecord,
         limits,
+        notices,
         getTokensPerSecond: () => tokensPerSecond,
         getColdShare,
     });
