Compare the identifier of a refusal before it is believed

Cause: ForwardAttempt believed a refusal before it compared its Request-Id, so that an earlier refusal that a faulty target repeats on a kept connection counted as one of the current request, and not as a run. Change: a refusal that names another request is a mismatched answer: the request may have run, and the connection is closed. A refusal without an identifier is believed as before.

--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -141,16 +141,19 @@
         const head = wire.readResponseHead(incoming);
         this.#head = head;
         this.#status = incoming.statusCode ?? 0;
+        // On a kept connection a faulty target may repeat its answer to an earlier request, which it names.
+        if (
+            head.requestId !== caller.request.requestId && !(isRefusal(head) && head.requestId === undefined)
+        ) {
+            this.#fail("answer-mismatched");
+            return;
+        }
         this.#observeStatements(head);
         if (isRefusal(head)) {
             this.#exchange?.drain();
             this.#options.onFail("refused", head.isMisdirected ? "misdirected" : "target-full");
             return;
         }
-        if (head.requestId !== caller.request.requestId) {
-            this.#fail("answer-mismatched");
-            return;
-        }
         if (caller.request.route.kind !== "stream") {
             this.#progress.recordProgress(getRunningTime());
         }
@@ -165,11 +168,10 @@
         }
     }
 
-    /** Records what the target says of itself, unless the response is from another target or to another request. */
+    /** Records what the target says of itself, unless another target has answered. */
     #observeStatements(head: ResponseHead): void {
-        const { grant, caller, limits, notices, getNow } = this.#options;
-        const isOwn = head.requestId === caller.request.requestId || head.isNotExecuted;
-        if (head.isMisdirected || !isOwn) {
+        const { grant, limits, notices, getNow } = this.#options;
+        if (head.isMisdirected) {
             return;
         }
         notices.observe(grant.target.descriptor, head.notice, getNow());
--- /dev/null
+++ b/test/testing/router/rawTarget.ts
@@ -0,0 +1,74 @@
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import type { CooperativeFleet } from "../../../src/testing/platform/cooperativeFleet.js";
+
+/** A request as it arrives on a connection of a raw target. */
+interface RawRequest {
+    readonly requestId: string;
+    /** Identifier of the request before on the same connection; `undefined` for the first one. */
+    readonly previousId: string | undefined;
+    readonly lastEventId: string | undefined;
+    readonly socket: Socket;
+}
+
+const HEAD_END = "\r\n\r\n";
+
+/** Target that answers with the bytes that a function writes, to play faults that an HTTP server cannot. */
+export class RawTarget {
+    readonly #server: Server;
+    readonly #requestIds: string[] = [];
+
+    private constructor(serve: (request: RawRequest) => void) {
+        this.#server = createServer(socket => {
+            socket.on("error", () => undefined);
+            let previousId: string | undefined;
+            socket.on("data", data => {
+                const text = data.toString();
+                const requestId = /request-id: (\S+)/i.exec(text)?.[1];
+                // A body may arrive apart from its head.
+                if (requestId === undefined || !text.includes(HEAD_END)) {
+                    return;
+                }
+                this.#requestIds.push(requestId);
+                const lastEventId = /last-event-id: (\S+)/i.exec(text)?.[1];
+                serve({ requestId, previousId, lastEventId, socket });
+                previousId = requestId;
+            });
+        });
+    }
+
+    /** Starts a target and registers it. */
+    static async create(
+        fleet: CooperativeFleet,
+        id: string,
+        service: "engine" | "plain",
+        serve: (request: RawRequest) => void,
+    ): Promise<RawTarget> {
+        const target = new RawTarget(serve);
+        target.#server.listen(0, "127.0.0.1");
+        await once(target.#server, "listening");
+        const { port } = target.#server.address() as AddressInfo;
+        fleet.store.write(`servers/${id}`, {
+            service,
+            address: `127.0.0.1:${port}`,
+            zone: "a",
+            slots: 16,
+            state: "ready",
+            coldRemainingMs: 0,
+            version: "v1",
+            sequence: 1,
+            born: Date.now(),
+        });
+        return target;
+    }
+
+    /** Identifiers of the requests that have arrived. */
+    get requestIds(): readonly string[] {
+        return this.#requestIds;
+    }
+
+    /** Stops to listen. */
+    close(): void {
+        this.#server.close();
+    }
+}
