Play crashing requests, leaving and pausing targets and wrong continuations in the soak

Change: targets of the test fleet crash on a request and are replaced; the soak sends such a request to random instances for nine seconds, lets targets leave (and crash then) or ask for a pause, and draws repeated refusals and resumed streams that begin anew or end at once among the faults of single requests. Checked: at most three runs of the request later than four seconds after its third crash, and one more for each instance that has started or resumed since.

--- a/src/soak/createFaultSource.ts
+++ b/src/soak/createFaultSource.ts
@@ -4,7 +4,18 @@
 type FaultSource = Parameters<CooperativeFleet["targets"][number]["target"]["setFault"]>[0];
 type TargetFault = ReturnType<FaultSource>;
 
-const TARGET_FAULTS: readonly TargetFault[] = ["cut", "lost", "crossed", "doubled", "full", "error", "mute"];
+const TARGET_FAULTS: readonly TargetFault[] = [
+    "cut",
+    "lost",
+    "crossed",
+    "doubled",
+    "full",
+    "error",
+    "mute",
+    "stale",
+    "restarted",
+    "empty",
+];
 
 /**
  * Creates the function that picks the fault of each request at one target. It draws from a generator of its own, so
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -21,6 +21,8 @@
     readonly served: number;
     readonly servedAfter: number;
     readonly faults: readonly string[];
+    /** Targets that crashed on requests. */
+    readonly crashes: number;
     readonly violations: readonly string[];
 }
 
@@ -76,6 +78,7 @@
             served: observer.served,
             servedAfter,
             faults: faultNames,
+            crashes: fleet.crashes.filter(({ body }) => body !== "").length,
             violations: [
                 ...observer.violations,
                 ...(servedAfter < RECOVERY_REQUESTS / 4
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -1,5 +1,7 @@
 import type { LinkFault } from "../standIns/faultProxy/linkFault.js";
+import { buildCallerHeaders } from "../testing/platform/buildCallerHeaders.js";
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
+import { sendCaller } from "../testing/sendCaller.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
 import { createFaultSource } from "./createFaultSource.js";
 import type { SoakFault } from "./soakFault.js";
@@ -12,6 +14,8 @@
 /** Longer than the time after which a limit must be kept, with a window over which it is checked. */
 const LIMITED_MS = 8500;
 const MAX_LIMIT_PER_SECOND = 6;
+/** Longer than the time after which a crashing request must be refused. */
+const CRASHING_MS = 9000;
 
 function pickItem<T>(items: readonly T[], random: () => number): T {
     const item = items[Math.floor(random() * items.length)];
@@ -65,10 +69,10 @@
     {
         name: "paused",
         inject: async (fleet, random, wait) => {
-            const { process } = pickItem(fleet.instances, random);
-            process.kill("SIGSTOP");
+            const instance = pickItem(fleet.instances, random);
+            instance.process.kill("SIGSTOP");
             await wait(SHORT_MS + random() * LONG_MS);
-            process.kill("SIGCONT");
+            fleet.resumeInstance(instance);
         },
     },
     {
@@ -109,6 +113,45 @@
             fleet.setLimit(target, undefined);
         },
     },
+    {
+        name: "crashing-request",
+        inject: async (fleet, random, wait) => {
+            const body = `crashing ${Math.floor(random() * MAX_SEED)}`;
+            const route = pickItem(["safe", "unsafe"] as const, random);
+            const until = performance.now() + CRASHING_MS;
+            for (let i = 0; performance.now() < until; i += 1) {
+                const headers = buildCallerHeaders({
+                    requestId: `${body}-${i}`.replace(" ", "-"),
+                    patienceMs: SHORT_MS,
+                });
+                const { callers } = fleet.getUrls(pickItem(fleet.instances, random));
+                void sendCaller(`${callers}/${route}/x`, { method: "POST", headers, body });
+                await wait(SHORT_MS);
+                if (random() < FAULT_SHARE) {
+                    await wait(SHORT_MS);
+                }
+            }
+        },
+    },
+    {
+        name: "pausing-target",
+        inject: async (fleet, random, wait) => {
+            const { target } = pickItem(fleet.targets, random);
+            target.setHeader("Retry-After", (random() * 2).toFixed(2));
+            await wait(SHORT_MS + random() * LONG_MS);
+            target.setHeader("Retry-After");
+        },
+    },
+    {
+        name: "leaving-target",
+        inject: async (fleet, random, wait) => {
+            const { target } = pickItem(fleet.targets, random);
+            target.setHeader("Server-Leaving", "1");
+            await wait(LONG_MS);
+            // Its successor starts soon after, so that some target of each service always stays.
+            target.kill();
+        },
+    },
     {
         name: "store-restored",
         inject: async (fleet, random, wait) => {
--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -16,6 +16,8 @@
 /** Number of events in each stream of `CooperativeFleet`. */
 const EVENTS_PER_STREAM = 12;
 const LIMIT_SETTLE_MS = 4000;
+const CONTACT_MS = 4000;
+const MAX_LATE_RUNS = 3;
 const LIMIT_WINDOW_MS = 4000;
 /** Statuses that tell the caller that the request was not run. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
@@ -87,6 +89,21 @@
         }
         this.#checkKeys(fleet, new Set(runs.keys()));
         this.#checkLimits(fleet);
+        this.#checkCrashes(fleet);
+    }
+
+    /** Four seconds after its third crash, a request may reach targets three times, and once for each later start. */
+    #checkCrashes({ crashes, targets, instanceStarts }: CooperativeFleet): void {
+        const arrivals = targets.flatMap(({ target }) => target.arrivals);
+        for (const body of new Set(crashes.map(crash => crash.body).filter(Boolean))) {
+            const third = crashes.filter(crash => crash.body === body)[2];
+            const boundFrom = (third?.at ?? Number.POSITIVE_INFINITY) + CONTACT_MS;
+            const late = arrivals.filter(arrival => arrival.body === body && arrival.at > boundFrom).length;
+            const allowed = MAX_LATE_RUNS + instanceStarts.filter(at => at > boundFrom - CONTACT_MS).length;
+            if (late > allowed) {
+                this.#violations.push(`${body}: reached targets ${late} times more, ${allowed} allowed`);
+            }
+        }
     }
 
     /** From four seconds after it was named, the platform tolerates one and a half times a limit and five requests. */
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -11,7 +11,8 @@
     readonly eventMs: number;
     /** Whether a request that the target runs makes it crash after the pause before an event. */
     readonly isCrashedBy?: (arrival: TargetArrival) => boolean;
-    readonly onCrash?: () => void;
+    /** Called with the body of the request that made the target crash. */
+    readonly onCrash?: (body: string) => void;
 }
 
 interface TargetArrival {
@@ -33,8 +34,23 @@
  * - `full`: the request is refused and not run.
  * - `error`: the request runs and fails.
  * - `mute`: the request runs and gets no response at all.
+ * - `stale`: the request runs, and the refusal of an earlier request is written instead of the response.
+ * - `restarted`: a resumed stream begins with its first event.
+ * - `empty`: a resumed stream is complete without any event.
  */
-type TargetFault = "none" | "cut" | "lost" | "crossed" | "doubled" | "unframed" | "full" | "error" | "mute";
+type TargetFault =
+    | "none"
+    | "cut"
+    | "lost"
+    | "crossed"
+    | "doubled"
+    | "unframed"
+    | "full"
+    | "error"
+    | "mute"
+    | "stale"
+    | "restarted"
+    | "empty";
 
 /** Stand-in of a target of the cooperative: responds with its identity and injects faults on demand. */
 export class CooperativeTarget {
@@ -69,6 +85,11 @@
         return this.#options.id;
     }
 
+    /** False once the target has been closed or has crashed. */
+    get isRunning(): boolean {
+        return this.#server.listening;
+    }
+
     get service(): string {
         return this.#options.service;
     }
@@ -121,13 +142,13 @@
     }
 
     /** Ends the target as a crash does: its connections are reset, and its port refuses new ones. */
-    kill(): void {
+    kill(body = ""): void {
         if (!this.#server.listening) {
             return;
         }
         this.#server.close();
         this.#sockets.forEach(socket => socket.resetAndDestroy());
-        this.#options.onCrash?.();
+        this.#options.onCrash?.(body);
     }
 
     async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -159,12 +180,17 @@
         const arrival = { requestId, path, headers, body, lastEventId, at: performance.now() };
         this.#arrivals.push(arrival);
         if (this.#options.isCrashedBy?.(arrival)) {
-            setTimeout(() => this.kill(), this.#options.eventMs);
+            setTimeout(() => this.kill(body), this.#options.eventMs);
             return;
         }
         if (fault === "mute") {
             return;
         }
+        if (fault === "stale") {
+            response.writeHead(503, { "Request-Id": "earlier", "Not-Executed": "1", "Content-Length": "0" })
+                .end();
+            return;
+        }
         if (fault === "lost") {
             request.socket.resetAndDestroy();
             return;
@@ -223,7 +249,9 @@
             "Response-Signature": `${requestId}.${id}`,
             "Content-Type": "text/event-stream",
         });
-        for (let event = lastEventId + 1; event <= events; event += 1) {
+        const firstEvent = fault === "restarted" ? 1 : lastEventId + 1;
+        const lastEvent = fault === "empty" && lastEventId > 0 ? 0 : events;
+        for (let event = firstEvent; event <= lastEvent; event += 1) {
             await new Promise(resolve => setTimeout(resolve, eventMs));
             if (response.destroyed) {
                 return;
--- /dev/null
+++ b/src/testing/platform/buildRouterSettings.ts
@@ -0,0 +1,45 @@
+interface RouterSettingsValues {
+    /** Loopback address of the instance, and of the first instance of its fleet. */
+    readonly host: string;
+    readonly firstHost: string;
+    /** Ports for callers, readiness checks, directory lookups and peers. */
+    readonly ports: readonly number[];
+    /** host:port. */
+    readonly storeAddress: string;
+    readonly stopTimeoutSeconds: number;
+    /** Time in milliseconds for which keys are accepted without a new confirmation. */
+    readonly revocationMs: number;
+}
+
+/** Builds the settings of a router process of a test fleet. */
+export function buildRouterSettings(values: RouterSettingsValues): object {
+    const { host, firstHost, storeAddress, stopTimeoutSeconds, revocationMs } = values;
+    const [callers, ready, directory, peers] = values.ports;
+    return {
+        instance: `instance-${host}`,
+        dataCentre: "a",
+        region: "r",
+        dataCentres: { a: "r" },
+        callerAddress: `${host}:${callers}`,
+        readinessAddress: `${host}:${ready}`,
+        directoryAddress: `${host}:${directory}`,
+        host,
+        peerPort: peers,
+        seedAddresses: [`${firstHost}:1`],
+        storeAddress,
+        processorShare: 1,
+        processorSpeed: 1,
+        memoryMb: 256,
+        stopTimeoutSeconds,
+        strictRevocation: true,
+        revocationMs,
+        catchUpMs: 4000,
+        targetChangeMs: 4000,
+        configurationChangeMs: 4000,
+        retryRatio: 4,
+        retryWindowSeconds: 10,
+        coldFactor: 1,
+        coldSlack: 5,
+        maxAddressTermSeconds: 5,
+    };
+}
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -5,6 +5,8 @@
 import { CooperativeStore } from "../../standIns/platform/cooperative/cooperativeStore.js";
 import { CooperativeTarget } from "../../standIns/platform/cooperative/cooperativeTarget.js";
 import { ChildProcess } from "../childProcess.js";
+import { buildFleetConfiguration } from "./buildFleetConfiguration.js";
+import { buildRouterSettings } from "./buildRouterSettings.js";
 import { findPorts } from "./findPorts.js";
 
 interface CooperativeFleetOptions {
@@ -36,6 +38,12 @@
     registration: { readonly state: "ready" | "draining" | "removed"; readonly sequence: number; };
 }
 
+/** Crash of a target on a request with a body, at a monotonic time in milliseconds. */
+interface TargetCrash {
+    readonly body: string;
+    readonly at: number;
+}
+
 /** Period in which a target named a request limit, in monotonic milliseconds. */
 interface LimitedPeriod {
     readonly target: CooperativeTarget;
@@ -48,6 +56,9 @@
 /** Last byte of the first instance's loopback address; other tests use the addresses below it. */
 const FIRST_HOST_BYTE = 11;
 const ENGINE_EVENTS = 12;
+/** Targets crash on requests whose body begins with this text. */
+const CRASHING_BODY = "crashing";
+const TARGET_RESTART_MS = 1500;
 const EVENT_MS = 10;
 const ENGINE_SLOTS = 16;
 
@@ -64,6 +75,10 @@
     #isKeyValid = true;
     #revocations: readonly Revocation[] = [];
     readonly limitedPeriods: LimitedPeriod[] = [];
+    readonly crashes: TargetCrash[] = [];
+    /** Monotonic times in milliseconds at which instances have started or resumed, and know nothing new. */
+    readonly instanceStarts: number[] = [];
+    #isClosed = false;
 
     private constructor(
         options: CooperativeFleetOptions,
@@ -131,6 +146,8 @@
             slots: service === "engine" ? ENGINE_SLOTS : 6,
             events: ENGINE_EVENTS,
             eventMs: EVENT_MS,
+            isCrashedBy: ({ body }) => body.startsWith(CRASHING_BODY),
+            onCrash: body => this.#replaceTarget(target, body),
         });
         const link = await FaultLink.create(target.address);
         const { address } = link.describe() as { readonly address: string; };
@@ -141,12 +158,28 @@
         return entry;
     }
 
-    /** Registers a target again with a state, or removes its registration. */
+    /** Records the crash of a target; its successor gets another identifier and address. */
+    #replaceTarget(target: CooperativeTarget, body: string): void {
+        const entry = this.targets.find(other => other.target === target);
+        if (!entry) {
+            return;
+        }
+        this.crashes.push({ body, at: performance.now() });
+        entry.link.close();
+        setTimeout(() => {
+            if (!this.#isClosed) {
+                this.setRegistration(entry, "removed");
+                void this.addTarget(target.service as "engine" | "plain");
+            }
+        }, TARGET_RESTART_MS);
+    }
+
+    /** Registers a target again with a state, or removes its registration; one that has crashed stays removed. */
     setRegistration(entry: FleetTarget, state: FleetTarget["registration"]["state"]): void {
         const { target, address } = entry;
         const sequence = entry.registration.sequence + 1;
         entry.registration = { state, sequence };
-        if (state === "removed") {
+        if (state === "removed" || !target.isRunning) {
             this.store.remove(`servers/${target.id}`);
             return;
         }
@@ -191,38 +224,27 @@
         }
         this.#isKeyValid = isKeyValid;
         this.#version += 1;
-        const stream = {
-            host: "h",
-            kind: "streaming",
-            timeoutMs: 5000,
-            targetLatencyMs: 500,
-            service: "engine",
-        };
-        const plain = { host: "h", timeoutMs: 1000, targetLatencyMs: 200, service: "plain", public: true };
-        this.store.write("op/config", {
-            version: this.#version,
-            routes: [
-                { ...stream, name: "stream", pathPrefix: "/stream/", maxAttempts: 3, resumable: true },
-                { ...stream, name: "once", pathPrefix: "/once/", maxAttempts: 1, resumable: false },
-                { ...plain, name: "safe", pathPrefix: "/safe/", kind: "safe", maxAttempts: 2 },
-                { ...plain, name: "unsafe", pathPrefix: "/unsafe/", kind: "unsafe", maxAttempts: 2 },
-            ],
-            services: [
-                { name: "engine", engine: { slots: ENGINE_SLOTS, kvTokens: 100_000 } },
-                { name: "plain" },
-            ],
-            limits: { idleTimeoutMs: 15_000, maxBodyBytes: 65_536 },
-            tenants: [{ name: "account", apiKeys: isKeyValid ? [this.key] : [] }],
-        });
+        this.store.write(
+            "op/config",
+            buildFleetConfiguration(this.#version, ENGINE_SLOTS, isKeyValid ? [this.key] : []),
+        );
     }
 
     /** Restarts an instance whose process has ended. */
     async startInstance(instance: FleetInstance): Promise<void> {
         instance.process = await ChildProcess.create(MAIN, [instance.settingsPath]);
+        this.instanceStarts.push(performance.now());
+    }
+
+    /** Resumes a suspended instance. */
+    resumeInstance({ process }: FleetInstance): void {
+        process.kill("SIGCONT");
+        this.instanceStarts.push(performance.now());
     }
 
     /** Ends all processes and stand-ins. */
     async close(): Promise<void> {
+        this.#isClosed = true;
         for (const { process } of this.instances) {
             process.kill("SIGCONT");
             await process.stop("SIGKILL");
@@ -236,34 +258,13 @@
     }
 
     #buildSettings(host: string): object {
-        const [callers, ready, directory, peers] = this.#ports;
         const { address } = this.storeLink.describe() as { readonly address: string; };
-        return {
-            instance: `instance-${host}`,
-            dataCentre: "a",
-            region: "r",
-            dataCentres: { a: "r" },
-            callerAddress: `${host}:${callers}`,
-            readinessAddress: `${host}:${ready}`,
-            directoryAddress: `${host}:${directory}`,
+        return buildRouterSettings({
+            ...this.#options,
             host,
-            peerPort: peers,
-            seedAddresses: [`127.0.0.${FIRST_HOST_BYTE}:1`],
+            firstHost: `127.0.0.${FIRST_HOST_BYTE}`,
+            ports: this.#ports,
             storeAddress: address,
-            processorShare: 1,
-            processorSpeed: 1,
-            memoryMb: 256,
-            stopTimeoutSeconds: this.#options.stopTimeoutSeconds,
-            strictRevocation: true,
-            revocationMs: this.#options.revocationMs,
-            catchUpMs: 4000,
-            targetChangeMs: 4000,
-            configurationChangeMs: 4000,
-            retryRatio: 4,
-            retryWindowSeconds: 10,
-            coldFactor: 1,
-            coldSlack: 5,
-            maxAddressTermSeconds: 5,
-        };
+        });
     }
 }
