--- a/test/core/routing/serviceScheduler.test.ts
+++ b/test/core/routing/serviceScheduler.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { makeCrashSubject } from "../../testing/crashes/makeCrashSubject.js";
 import { createCrashRecord } from "../../testing/createCrashRecord.js";
 import { createScheduler } from "../../testing/scheduler/createScheduler.js";
 import { enqueueRequest } from "../../testing/scheduler/enqueueRequest.js";
@@ -108,6 +109,25 @@
     t.is(enqueueRequest(scheduler, request, 10).grant?.target, other);
 });
 
+// Copies of a refused request that arrive together would each be sent as its trial.
+test("sends one trial of a refused request at a time", t => {
+    const crashRecord = createCrashRecord();
+    const { scheduler } = createScheduler(0, undefined, undefined, crashRecord);
+    scheduler.setTargets([makeTargetDescriptor("t")], new Set(), 0);
+    const subject = {
+        ...makeCrashSubject("bad"),
+        receivedAt: 11_000,
+        objectiveDeadline: 11_400,
+        deadline: 21_000,
+    };
+    ["t1", "t2", "t3"].forEach(targetId =>
+        crashRecord.recordCrash([subject.fingerprint.key], { targetId, sentAt: 900, endedAt: 1000 }, 1000)
+    );
+    t.is(enqueueRequest(scheduler, makeRoutedRequest(subject), 10_999).refusal, "crashing-request");
+    t.not(enqueueRequest(scheduler, makeRoutedRequest(subject), 11_000).grant, undefined);
+    t.is(enqueueRequest(scheduler, makeRoutedRequest(subject), 11_000).refusal, "crashing-request");
+});
+
 test("refuses requests with a prompt part on which targets crash at once, also those that wait", t => {
     const crashRecord = createCrashRecord();
     const { scheduler, usage } = createScheduler(0, undefined, undefined, crashRecord);
--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -29,11 +29,15 @@
     readonly copies: number;
 }
 
+interface CrashingTargetsOptions extends Pick<CrashScenario, "service" | "restartMs"> {
+    readonly instances?: number;
+}
+
 /** Makes targets of one service crash on requests with a body, and waits until the instances know them. */
 async function createCrashingTargets(
     t: ExecutionContext,
     fleet: CooperativeFleet,
-    { service, restartMs }: Pick<CrashScenario, "service" | "restartMs">,
+    { service, restartMs, instances = INSTANCES }: CrashingTargetsOptions,
 ): Promise<CrashingTargets> {
     // No target of the fleet may answer a request that is meant to crash its targets.
     fleet.targets.forEach(target => fleet.setRegistration(target, "removed"));
@@ -46,7 +50,7 @@
     });
     t.teardown(() => targets.close());
     const path = service === "plain" ? "/safe/x" : "/stream/x";
-    for (let i = 0; i < INSTANCES; i += 1) {
+    for (let i = 0; i < instances; i += 1) {
         await waitUntil(
             "the targets are known",
             async () => fleet.store.isFollowed && (await sendToFleet(fleet, path, {}, i)).status === 200,
@@ -94,6 +98,21 @@
 test.serial("crashing request: stops an unsafe request within the contact time after it has crashed three targets", t =>
     runScenario(t, { service: "plain", path: "/unsafe/bad", restartMs: 3000, intervalMs: 400, copies: 1 }));
 
+// The crash of a target was known only when another request reached it; with little traffic that took seconds.
+test.serial("crashing request: recognises three crashes without any other request", async t => {
+    const fleet = await createRouterFleet(t, { instances: 1, engines: 0, plainTargets: 1 });
+    const targets = await createCrashingTargets(t, fleet, {
+        service: "plain",
+        restartMs: 20_000,
+        instances: 1,
+    });
+    for (let i = 0; i < 5; i += 1) {
+        await sendToFleet(fleet, "/unsafe/bad", {}, 0, "crashing");
+        await new Promise(resolve => setTimeout(resolve, 200));
+    }
+    t.is(targets.crashes.length, CRASHES);
+});
+
 // Copies that crash their targets at the same time were counted as one crash.
 test.serial("crashing request: counts each target that copies of a request crash at the same time", t =>
     runScenario(t, { service: "plain", path: "/safe/bad", restartMs: 1500, intervalMs: 2000, copies: 3 }));
--- a/test/platform/faultyAnswers.test.ts
+++ b/test/platform/faultyAnswers.test.ts
@@ -112,7 +112,11 @@
     "an empty body": ({ socket, requestId }) =>
         writeHead(socket, requestId, `Response-Signature: s\r\n${EVENT_STREAM}Content-Length: 0\r\n`),
     "JSON": ({ socket, requestId }) => {
-        writeHead(socket, requestId, "Content-Type: application/json\r\nContent-Length: 20\r\n");
+        writeHead(
+            socket,
+            requestId,
+            "Response-Signature: s\r\nContent-Type: application/json\r\nContent-Length: 20\r\n",
+        );
         socket.write('{"error": "unknown"}'.slice(0, 18) + "\n\n");
     },
     "unsigned events": ({ socket, requestId }) => {
@@ -156,6 +160,23 @@
     });
 }
 
+test.serial("resumed stream: does not repeat a stream whose events have no identifiers", async t => {
+    const serve = ({ socket, requestId }: RawRequest): void => {
+        writeHead(
+            socket,
+            requestId,
+            `Response-Signature: s\r\n${EVENT_STREAM}Transfer-Encoding: chunked\r\n`,
+        );
+        socket.write(formatChunk("data: first\n\n"));
+        setTimeout(() => socket.resetAndDestroy(), LATE_MS);
+    };
+    const { fleet, targets } = await createRawFleet(t, "engine", [serve, serve]);
+    const { body, isWhole } = await sendToFleet(fleet, "/stream/x", { "Request-Id": "r" });
+    t.is(body, "data: first\n\n");
+    t.false(isWhole);
+    t.is(targets.flatMap(({ requestIds }) => requestIds).length, 1);
+});
+
 test.serial("resumed stream: goes on with the next event of a signed stream", async t => {
     const serve = serveBroken(({ socket, requestId }) => {
         const events = [3, 4].map(id => formatEvent(id, requestId)).join("");
