Take any complete success for a proof that a request is harmless, and name the check of identifiers

A service that answers 201 proved nothing. Rejections and failures still prove nothing, since the target may not have run the request. A protection that lived when switched off (crashes from before a complete response) has a test since.

--- a/src/core/routing/crashRecord.ts
+++ b/src/core/routing/crashRecord.ts
@@ -97,7 +97,7 @@
         return this.#listSuspected(subject).some(key => this.#count(key) >= CRASHES_TO_BLOCK - 1);
     }
 
-    /** Records that a request is sent: if it is a trial of a refused one, no other one is made until its outcome is known. */
+    /** Records that a request is sent. If it is a trial of a refused one, no other is made until its outcome is known. */
     recordSent(subject: CrashSubject, now: number): void {
         if (this.#blocked.size === 0) {
             return;
@@ -107,7 +107,7 @@
             .forEach(key => this.#blocked.set(key, now + TRIAL_OUTCOME_MS));
     }
 
-    /** Lists the keys of a request with a complete response; computing that of the whole request is left out if it is costly and proves nothing of use. */
+    /** Lists the keys that a complete response proves harmless. A long body is hashed only if its request is suspected. */
     listProvenKeys({ prompt, fingerprint }: CrashSubject): readonly string[] {
         const isUseful = fingerprint && (fingerprint.isShort || this.#scopes.has(fingerprint.scope));
         return isUseful ? [...listSharedParts(prompt), fingerprint.key] : listSharedParts(prompt);
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -141,10 +141,7 @@
         const head = wire.readResponseHead(incoming);
         this.#head = head;
         this.#status = incoming.statusCode ?? 0;
-        // On a kept connection a faulty target may repeat its answer to an earlier request, which it names.
-        if (
-            head.requestId !== caller.request.requestId && !(isRefusal(head) && head.requestId === undefined)
-        ) {
+        if (!isAnswerTo(head, caller.request.requestId)) {
             this.#fail("answer-mismatched");
             return;
         }
@@ -246,3 +243,11 @@
 function isRefusal(head: ResponseHead): boolean {
     return head.isMisdirected || head.isNotExecuted;
 }
+
+/**
+ * A refusal may lack an identifier, but not carry another one: on a kept connection, a faulty target may repeat its answer
+ * to an earlier request.
+ */
+function isAnswerTo(head: ResponseHead, requestId: string): boolean {
+    return head.requestId === requestId || (head.requestId === undefined && isRefusal(head));
+}
--- a/src/router/recordAttemptSuccess.ts
+++ b/src/router/recordAttemptSuccess.ts
@@ -11,6 +11,7 @@
 }
 
 const OK = 200;
+const FIRST_REDIRECTION = 300;
 
 /** Records what a complete response says about crashes of its target: its end is certain only if the response is framed. */
 export function recordAttemptSuccess(
@@ -20,7 +21,7 @@
     head: ResponseHead,
     now: number,
 ): void {
-    if (attempt.status !== OK) {
+    if (attempt.status < OK || attempt.status >= FIRST_REDIRECTION) {
         return;
     }
     const { target, grantedAt } = attempt.grant;
--- a/test/core/routing/crashingRequests.test.ts
+++ b/test/core/routing/crashingRequests.test.ts
@@ -79,6 +79,17 @@
     t.is(asking.record.findRefusal(SOUND, 1230), undefined);
 });
 
+test("does not count crashes from before a complete response that are reported after it", t => {
+    const { record, detector } = createInstance();
+    detector.recordComplete(record.listProvenKeys(SOUND), 4000, 5000);
+    const reported = [3000, 2000, 1000].map(ageMs =>
+        [SOUND.fingerprint.key, "crash", ageMs + 100, ageMs, `t${ageMs}`] as const
+    );
+    record.adopt(reported, true, 5500);
+    t.is(record.findRefusal(SOUND, 5500), undefined);
+    t.false(record.isSuspect(SOUND));
+});
+
 test("refuses a request that crashes its targets one after another although it was served before", t => {
     const { record, detector, crash } = createInstance();
     detector.recordComplete(record.listProvenKeys(BAD), 0, 100);
