--- a/test/core/routing/targetNotices.test.ts
+++ b/test/core/routing/targetNotices.test.ts
@@ -17,6 +17,7 @@
     scheduler.setTargets([TARGET], new Set(), 0);
     notices.observe(TARGET, LEAVING, 100);
     notices.observe(TARGET, NOTHING, 150);
+    notices.observe(TARGET, { ...NOTHING, pauseMs: 10 }, 150);
     scheduler.setTargets([], new Set(), 200);
     scheduler.setTargets([{ ...TARGET, sequence: 9 }], new Set(), 300);
     t.is(enqueueRequest(scheduler, makeRoutedRequest(), 300).refusal, "no-target", "known to fail");
