State the end of a pause to requests that all their targets have refused

A request that was refused by each of its targets, all of which want a pause, was told to return after 250 ms.

--- a/src/core/routing/requestProspects.ts
+++ b/src/core/routing/requestProspects.ts
@@ -30,7 +30,8 @@
         const outlook = this.#eligibility.findOutlook(waiting, now);
         // While the list of targets is empty, the first ones may be about to register.
         if (outlook.kind === "none" && this.#countTargets() > 0) {
-            return { reason: "no-target", retryAfterMs: limitRetryAfter(0, request.requestId) };
+            const retryAfterMs = this.findPauseReturn(request, now) ?? limitRetryAfter(0, request.requestId);
+            return { reason: "no-target", retryAfterMs };
         }
         if (outlook.kind === "paused" && outlook.until >= (isResume ? request.deadline : waitDeadline)) {
             const retryAfterMs = computePauseReturn(outlook.until - now, request.requestId);
--- a/test/platform/targetNotices.test.ts
+++ b/test/platform/targetNotices.test.ts
@@ -90,7 +90,8 @@
         target.setHeader("Retry-After", "3");
         target.setFault(() => "full");
     }
-    await sendFor(fleet, "/unsafe/x", 200);
+    const first = await sendToFleet(fleet, "/unsafe/x");
+    t.true(Number(first.headers["retry-after"]) >= 2, "also of a request that all targets have refused");
     const sentAt = performance.now();
     const results = await Promise.all(Array.from({ length: 20 }, () => sendToFleet(fleet, "/unsafe/x")));
     t.true(performance.now() - sentAt < 1000, "refused at once");
