--- a/test/platform/faultyAnswers.test.ts
+++ b/test/platform/faultyAnswers.test.ts
@@ -119,6 +119,15 @@
         );
         socket.write('{"error": "unknown"}'.slice(0, 18) + "\n\n");
     },
+    "events of another type": ({ socket, requestId }) => {
+        const events = formatEvent(3, requestId);
+        writeHead(
+            socket,
+            requestId,
+            `Response-Signature: s\r\nContent-Type: text/plain\r\nContent-Length: ${events.length}\r\n`,
+        );
+        socket.write(events);
+    },
     "unsigned events": ({ socket, requestId }) => {
         const events = formatEvent(3, requestId);
         writeHead(socket, requestId, `${EVENT_STREAM}Content-Length: ${events.length}\r\n`);
