--- a/test/testing/router/rawTarget.ts
+++ b/test/testing/router/rawTarget.ts
@@ -37,12 +37,13 @@
         });
     }
 
-    /** Starts a target and registers it. */
+    /** Starts a target and registers it, with the version of its software. */
     static async create(
         fleet: CooperativeFleet,
         id: string,
         service: "engine" | "plain",
         serve: (request: RawRequest) => void,
+        version = "v1",
     ): Promise<RawTarget> {
         const target = new RawTarget(serve);
         target.#server.listen(0, "127.0.0.1");
@@ -55,7 +56,7 @@
             slots: 16,
             state: "ready",
             coldRemainingMs: 0,
-            version: "v1",
+            version,
             sequence: 1,
             born: Date.now(),
         });
