Decode the version of a target and add the interface of stream origins

Targets of several versions may serve side by side, and a stream may go on only at the version that began it. The registration's version is part of the target now, and the router passes targets, configurations, confirmations and datagrams to StreamOrigins, which knows no stream so far.

The methods of StreamOrigins do nothing yet; behaviour is unchanged.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -74,6 +74,7 @@
     "map",
     "mark",
     "match",
+    "may",
     "measure",
     "merge",
     "normalize",
--- a/src/core/routing/targetDescriptor.ts
+++ b/src/core/routing/targetDescriptor.ts
@@ -14,4 +14,6 @@
     readonly startedAtMs: number;
     /** Number of the report of the target's process that this registration comes from; 0 if unknown. */
     readonly sequence: number;
+    /** Version of the target's software; `undefined` if its registration names none. */
+    readonly version: string | undefined;
 }
--- a/src/platform/decodeTarget.ts
+++ b/src/platform/decodeTarget.ts
@@ -15,7 +15,7 @@
     if (typeof fields !== "object" || fields === null) {
         return undefined;
     }
-    const { service, address, zone, slots, state, coldRemainingMs, born, sequence } = fields;
+    const { service, address, zone, slots, state, coldRemainingMs, born, sequence, version } = fields;
     const isValid = typeof service === "string" && typeof address === "string"
         && /^\d+\.\d+\.\d+\.\d+:\d+$/.test(address) && typeof zone === "string"
         && typeof slots === "number" && Number.isInteger(slots) && slots > 0
@@ -33,5 +33,6 @@
         coldUntil: now + (typeof coldRemainingMs === "number" ? Math.max(0, coldRemainingMs) : 0),
         startedAtMs: typeof born === "number" ? born : 0,
         sequence: typeof sequence === "number" && sequence > 0 ? sequence : 0,
+        version: typeof version === "string" ? version : undefined,
     };
 }
--- /dev/null
+++ b/src/router/createDeploymentView.ts
@@ -0,0 +1,35 @@
+import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import { DeploymentView } from "./deploymentView.js";
+import type { LogSink } from "./logSink.js";
+import type { RouterSettings } from "./routerSettings.js";
+import type { RoutingState } from "./routingState.js";
+import type { ServicePool } from "./servicePool.js";
+
+interface ViewOptions {
+    readonly settings: RouterSettings;
+    readonly log: LogSink;
+    readonly servicePool: ServicePool;
+    readonly state: Pick<RoutingState, "limits" | "crashDetector" | "streamOrigins">;
+    readonly onConfiguration: (configuration: RouterConfiguration) => void;
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+}
+
+/** Creates the view of an instance, which passes its changes on to the state that depends on them. */
+export function createDeploymentView(options: ViewOptions): DeploymentView {
+    const { state: { limits, crashDetector, streamOrigins }, getNow, onConfiguration } = options;
+    return DeploymentView.create({
+        ...options,
+        getTimeOfDay: Date.now,
+        onTargets: targets => {
+            limits.setTargets(targets, getNow());
+            crashDetector.setTargets(targets, getNow());
+            streamOrigins.observeTargets(targets, getNow());
+        },
+        onConfiguration: configuration => {
+            onConfiguration(configuration);
+            streamOrigins.observeConfiguration(configuration, getNow());
+        },
+        onConfirmed: at => streamOrigins.recordConfirmation(at),
+    });
+}
--- a/src/router/createRoutingState.ts
+++ b/src/router/createRoutingState.ts
@@ -1,4 +1,5 @@
 import { AccountUsage } from "../core/routing/accountUsage.js";
+import type { MemberRecord } from "../core/routing/memberRecord.js";
 import { PromptLocations } from "../core/routing/promptLocations.js";
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
 import { createCrashDetector } from "./createCrashDetector.js";
@@ -8,11 +9,16 @@
 import type { LogSink } from "./logSink.js";
 import type { RouterSettings } from "./routerSettings.js";
 import type { RoutingState } from "./routingState.js";
+import { StreamOrigins } from "./streamOrigins.js";
 
 interface RoutingStateCallbacks {
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
     readonly countInstances: () => number;
+    /** Lists the live instances, with this one. */
+    readonly listMembers: () => readonly MemberRecord[];
+    /** Sends a message to the instance at a host. */
+    readonly send: (message: unknown, host: string) => void;
     /** Called when a response has ended with its connection to the target. */
     readonly onBroken: (target: TargetDescriptor) => void;
 }
@@ -35,5 +41,6 @@
         crashDetector: createCrashDetector(crashRecord, log, callbacks.onBroken),
         limits: createRequestLimiter(settings, log, startedAt),
         notices: createTargetNotices(log, callbacks.getNow),
+        streamOrigins: StreamOrigins.create({ settings, log, ...callbacks }),
     };
 }
--- a/src/router/deploymentView.ts
+++ b/src/router/deploymentView.ts
@@ -12,6 +12,8 @@
     /** Called with each new list of targets. */
     readonly onTargets: (targets: readonly TargetDescriptor[]) => void;
     readonly onConfiguration: (configuration: RouterConfiguration) => void;
+    /** Called with the monotonic time in milliseconds at which the view was confirmed as the newest. */
+    readonly onConfirmed: (at: number) => void;
     readonly settings: Pick<RouterSettings, "keyFreshnessMs" | "catchUpMs">;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
@@ -105,5 +107,6 @@
      */
     recordConfirmation(at: number, timeOfDay: number): void {
         this.#freshness.recordConfirmation(at, timeOfDay);
+        this.#options.onConfirmed(at);
     }
 }
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -27,6 +27,7 @@
 import { ReportReceiver } from "./reportReceiver.js";
 import { ReportSender } from "./reportSender.js";
 import type { RouterSettings } from "./routerSettings.js";
+import type { StreamOrigins } from "./streamOrigins.js";
 
 interface FleetViewOptions {
     readonly settings: RouterSettings;
@@ -36,6 +37,7 @@
     readonly promptLocations: PromptLocations;
     readonly crashRecord: CrashRecord;
     readonly limits: RequestLimiter;
+    readonly streamOrigins: StreamOrigins;
     readonly getNow: () => number;
     readonly getState: () => MemberRecord["state"];
     readonly listLoads: () => PeerReport["loads"];
@@ -112,9 +114,19 @@
         return this.#listPeers().length;
     }
 
+    /** Lists the live instances, with this one. */
+    listMembers(): readonly MemberRecord[] {
+        return [this.#describeSelf(), ...this.#listPeers()];
+    }
+
+    /** Sends a message to the instance at a host, without a guarantee of delivery. */
+    send(message: unknown, host: string): void {
+        this.#exchange?.send(message, [host]);
+    }
+
     /** Lists the addresses that a caller in a locality should use. */
     listCallerAddresses(caller: Locality, callerKey: string): readonly string[] {
-        return listCallerAddresses([this.#describeSelf(), ...this.#listPeers()], caller, callerKey);
+        return listCallerAddresses(this.listMembers(), caller, callerKey);
     }
 
     /** Finds the peers in this data centre from which the platform's changes are read. */
@@ -205,7 +217,10 @@
     }
 
     #receive(message: unknown, senderHost: string): void {
-        const { log, settings, getNow } = this.#options;
+        const { log, settings, streamOrigins, getNow } = this.#options;
+        if (streamOrigins.receive(message, senderHost)) {
+            return;
+        }
         const permitMessage = parsePermitMessage(message, Date.now());
         if (permitMessage) {
             this.#permits.receive(permitMessage, record => this.#adopt(record, getNow()), getNow());
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -6,8 +6,9 @@
 import { RunningClock } from "../core/routing/runningClock.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { ChangeFeedServer } from "./changeFeedServer.js";
+import { createDeploymentView } from "./createDeploymentView.js";
 import { createRoutingState } from "./createRoutingState.js";
-import { DeploymentView } from "./deploymentView.js";
+import type { DeploymentView } from "./deploymentView.js";
 import { FleetView } from "./fleetView.js";
 import { Ingress } from "./ingress.js";
 import { LoadObserver } from "./loadObserver.js";
@@ -63,6 +64,8 @@
         this.#state = createRoutingState(settings, options.log, this.#getNow(), {
             getNow: this.#getNow,
             countInstances: () => 1 + (this.#fleet?.countPeers() ?? 0),
+            listMembers: () => this.#fleet?.listMembers() ?? [],
+            send: (message, host) => this.#fleet?.send(message, host),
             onBroken: target => this.#targetProber.check(target),
         });
         this.#loadObserver = LoadObserver.create(options.log);
@@ -77,17 +80,12 @@
             getTokensPerSecond: () => this.#view.configuration?.limits.tokensPerSecond ?? 0,
             getColdShare: (target, limit) => this.#fleet?.getColdShare(target, limit),
         });
-        this.#view = DeploymentView.create({
+        this.#view = createDeploymentView({
+            ...options,
             servicePool: this.#servicePool,
-            log: options.log,
-            onTargets: targets => {
-                this.#state.limits.setTargets(targets, this.#getNow());
-                this.#state.crashDetector.setTargets(targets, this.#getNow());
-            },
+            state: this.#state,
             onConfiguration: ({ limits }) => this.#ingress?.applyLimits(limits),
-            settings,
             getNow: this.#getNow,
-            getTimeOfDay: Date.now,
         });
     }
 
@@ -258,6 +256,7 @@
             errorBoundary.run("request", () => forwarder.checkTimeouts(now), () => forwarder.abort());
         }
         errorBoundary.run("scheduler", () => this.#servicePool.advance(now));
+        errorBoundary.run("stream-origins", () => this.#state.streamOrigins.flush(now));
         this.#changeFeed?.flush();
     }
 }
--- a/test/core/routing/targetDirectory.test.ts
+++ b/test/core/routing/targetDirectory.test.ts
@@ -12,6 +12,7 @@
     coldUntil: 0,
     startedAtMs: 0,
     sequence: 0,
+    version: "v1",
 };
 
 test("removes a target at once while the store is reachable", t => {
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -13,6 +13,7 @@
     coldRemainingMs: 500,
     born: 17,
     sequence: 1,
+    version: "v1",
 };
 
 test("decodes a target registration and turns its remaining cold time into a deadline", t => {
@@ -26,7 +27,12 @@
         coldUntil: 600,
         startedAtMs: 17,
         sequence: 1,
+        version: "v1",
     });
+    for (const version of [7, {}, null, undefined]) {
+        const value = Buffer.from(JSON.stringify({ ...ENTRY, version }));
+        t.is(decodeTarget("t1", value, 100)?.version, undefined);
+    }
 });
 
 test("decodes a target that leaves as draining, so that it gets no more requests", t => {
--- a/test/router/deploymentView.test.ts
+++ b/test/router/deploymentView.test.ts
@@ -20,6 +20,7 @@
         log: { write: () => undefined } as unknown as LogSink,
         onTargets: () => undefined,
         onConfiguration: ({ version }) => adopted.push(version),
+        onConfirmed: () => undefined,
         settings: { keyFreshnessMs: 5000, catchUpMs: 4000 },
         getNow: () => 0,
         getTimeOfDay: () => 0,
--- a/test/testing/scheduler/makeTargetDescriptor.ts
+++ b/test/testing/scheduler/makeTargetDescriptor.ts
@@ -12,6 +12,7 @@
         coldUntil: 0,
         startedAtMs: 0,
         sequence: 0,
+        version: "v1",
         ...fields,
     };
 }
