Grant a stream that goes on only targets of the version that began it

The picker knew no versions, so that a broken stream went on at any target. Change: a request that goes on with a stream has an origin; targets of other versions, and of none, are not eligible. If no target of its version is left it is refused at once (version-gone). It waits past its objective, which it has missed already, and goes before new streams. New resumable streams do not begin at a version that other instances may not know yet. The headers of a take-up are decoded; the forwarder does not use them yet.

--- a/src/core/routing/findWaitDeadline.ts
+++ b/src/core/routing/findWaitDeadline.ts
@@ -4,6 +4,8 @@
 const OVER_SHARE_WAIT_RATIO = 0.12;
 /** Time in milliseconds that an idle target takes to begin its response. */
 const MIN_START_MS = 40;
+/** A stream that is taken up is late already; its caller waits for the next event for at least this long. */
+const RESUME_WAIT_MS = 1600;
 
 /**
  * Returns the time after which a request cannot meet its objective or, over its share, is refused to be sent again
@@ -15,5 +17,8 @@
     if (isOverShare) {
         return request.receivedAt + request.route.objectiveMs * OVER_SHARE_WAIT_RATIO;
     }
+    if (request.origin) {
+        return request.receivedAt + RESUME_WAIT_MS;
+    }
     return request.objectiveDeadline - Math.min(request.route.objectiveMs / 2, MIN_START_MS + readingMs);
 }
--- a/src/core/routing/requestAttributes.ts
+++ b/src/core/routing/requestAttributes.ts
@@ -12,4 +12,8 @@
     readonly promptTokens: number;
     readonly outputTokens: number;
     readonly prompt: readonly PromptPart[];
+    /** Last event that the caller has got of a stream that it takes up; `undefined` for a new stream. */
+    readonly lastEventId: string | undefined;
+    /** Identifier of the caller's attempt that brought the first event of a stream that it takes up. */
+    readonly streamId: string | undefined;
 }
--- a/src/core/routing/requestProspects.ts
+++ b/src/core/routing/requestProspects.ts
@@ -5,6 +5,9 @@
 import type { TargetEligibility } from "./targetEligibility.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
+/** A target that has crashed comes back with the version that it had, within seconds. */
+const VERSION_RETURN_MS = 1000;
+
 /** Finds the requests that no target can serve in time, whatever capacity becomes free, so that they need not wait. */
 export class RequestProspects {
     readonly #eligibility: TargetEligibility;
@@ -30,6 +33,9 @@
         const outlook = this.#eligibility.findOutlook(waiting, now);
         // While the list of targets is empty, the first ones may be about to register.
         if (outlook.kind === "none" && this.#countTargets() > 0) {
+            if (request.origin) {
+                return { reason: "version-gone", retryAfterMs: VERSION_RETURN_MS };
+            }
             const retryAfterMs = this.findPauseReturn(request, now) ?? limitRetryAfter(0, request.requestId);
             return { reason: "no-target", retryAfterMs };
         }
--- a/src/core/routing/routedRequest.ts
+++ b/src/core/routing/routedRequest.ts
@@ -1,3 +1,4 @@
+import type { StreamOrigin } from "../streams/streamOrigin.js";
 import type { PromptPart } from "./promptPart.js";
 import type { RequestFingerprint } from "./requestFingerprint.js";
 import type { RouteRule } from "./routeRule.js";
@@ -16,6 +17,8 @@
     readonly prompt: readonly PromptPart[];
     /** Recognises the request when it comes again; absent until its body has been read. */
     readonly fingerprint?: RequestFingerprint;
+    /** Where a stream began that this request goes on with; `undefined` while it may begin at any version. */
+    readonly origin?: StreamOrigin;
     /** Monotonic times in milliseconds. */
     readonly receivedAt: number;
     /** Time by which the response, or its first event, meets the latency objective. */
--- a/src/core/routing/schedulerRefusal.ts
+++ b/src/core/routing/schedulerRefusal.ts
@@ -1,6 +1,12 @@
 /** Refusal of a request, and what decided it. */
 export interface SchedulerRefusal {
-    readonly reason: "no-target" | "overloaded" | "crashing-prompt" | "crashing-request" | "targets-paused";
+    readonly reason:
+        | "no-target"
+        | "version-gone"
+        | "overloaded"
+        | "crashing-prompt"
+        | "crashing-request"
+        | "targets-paused";
     /** Time in milliseconds after which the request can expect to be served. */
     readonly retryAfterMs: number;
     /** Tokens recently granted to the client account, as a multiple of its fair share; `undefined` if it was not read. */
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -39,6 +39,8 @@
     readonly getTokensPerSecond: () => number;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
+    /** Whether a new stream that may be taken up later may begin at a target. */
+    readonly mayBegin: (target: TargetDescriptor) => boolean;
 }
 
 /** Waiting requests of one service above which new ones are refused, to bound memory. */
--- a/src/core/routing/sortWaiting.ts
+++ b/src/core/routing/sortWaiting.ts
@@ -1,7 +1,10 @@
 import type { AccountUsage } from "./accountUsage.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
-/** Requests attempted before come first, then those of accounts with the lowest recent usage, then the oldest. */
+/**
+ * Requests attempted before come first, then streams that callers take up, whose callers have waited already, then the
+ * requests of accounts with the lowest recent usage, then the oldest.
+ */
 export function sortWaiting(
     waiting: readonly WaitingRequest[],
     usage: AccountUsage,
@@ -15,6 +18,7 @@
     }
     return [...waiting].sort((a, b) =>
         Number(b.isResume) - Number(a.isResume)
+        || Number(b.request.origin !== undefined) - Number(a.request.origin !== undefined)
         || (granted.get(a.request.account) ?? 0) - (granted.get(b.request.account) ?? 0)
         || a.request.receivedAt - b.request.receivedAt
     );
--- a/src/core/routing/targetEligibility.ts
+++ b/src/core/routing/targetEligibility.ts
@@ -15,6 +15,8 @@
     readonly notices: TargetNotices;
     /** Evacuated data centres, which get no requests. */
     readonly getEvacuated: () => ReadonlySet<string>;
+    /** Whether a new stream that may be taken up later may begin at a target. */
+    readonly mayBegin: (target: TargetDescriptor) => boolean;
 }
 
 /** Decides which targets of a service a request may use, whatever their load. */
@@ -58,16 +60,23 @@
         );
     }
 
-    /** Returns whether a target may get a request at all: it stays, and its data centre and region are allowed. */
+    /**
+     * Returns whether a target may get a request at all: it stays, has the version of a stream that goes on, and its data
+     * centre and region are allowed.
+     */
     isUsable(descriptor: TargetDescriptor, request: RoutedRequest): boolean {
+        const isNewStream = request.route.isResumable && request.origin === undefined;
         return this.#isPermitted(descriptor, request)
-            && !this.#options.getEvacuated().has(descriptor.dataCentre);
+            && !this.#options.getEvacuated().has(descriptor.dataCentre)
+            && (!isNewStream || this.#options.mayBegin(descriptor));
     }
 
-    /** The same for a target whose data centre is not evacuated; an evacuation may end at any moment. */
+    /** The same without what may end at any moment: an evacuation, or the time in which a version gets no new streams. */
     #isPermitted(descriptor: TargetDescriptor, request: RoutedRequest): boolean {
         const region = this.#options.settings.regionsByDataCentre.get(descriptor.dataCentre) ?? "";
-        return !descriptor.isDraining && !this.#options.notices.isLeaving(descriptor)
+        const { origin } = request;
+        return (origin === undefined || origin.version === descriptor.version)
+            && !descriptor.isDraining && !this.#options.notices.isLeaving(descriptor)
             && (request.regions.length === 0 || request.regions.includes(region));
     }
 
--- a/src/platform/platformWireFormat.ts
+++ b/src/platform/platformWireFormat.ts
@@ -57,6 +57,8 @@
             promptTokens: toNonNegativeNumber(promptTokens) ?? 0,
             outputTokens: toNonNegativeNumber(outputTokens) ?? 0,
             prompt: readPrompt(headers["prompt-prefix"]),
+            lastEventId: readLastEventId(headers["last-event-id"]),
+            streamId: readText(headers["resumes"]),
             forwardedHeaders: listForwardedHeaders(incoming, DROPPED_FROM_REQUEST),
         };
     },
@@ -124,6 +126,12 @@
     return Array.isArray(value) ? value[0] : value;
 }
 
+/** Events are numbered from 1, so that a caller that names event 0 has got none. */
+function readLastEventId(value: string | string[] | undefined): string | undefined {
+    const text = readText(value);
+    return text === "" || text === "0" ? undefined : text;
+}
+
 function toNonNegativeNumber(value: number | undefined): number | undefined {
     return value !== undefined && Number.isFinite(value) && value >= 0 ? value : undefined;
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -79,6 +79,7 @@
             ...this.#state,
             getTokensPerSecond: () => this.#view.configuration?.limits.tokensPerSecond ?? 0,
             getColdShare: (target, limit) => this.#fleet?.getColdShare(target, limit),
+            mayBegin: target => this.#state.streamOrigins.mayBegin(target, this.#getNow()),
         });
         this.#view = createDeploymentView({
             ...options,
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -23,6 +23,8 @@
         target: TargetDescriptor,
         limitPerSecond: number,
     ) => { readonly perSecond: number; readonly burst: number; } | undefined;
+    /** Whether a new stream that may be taken up later may begin at a target. */
+    readonly mayBegin: (target: TargetDescriptor) => boolean;
 }
 
 interface PooledService {
@@ -54,7 +56,7 @@
     /** Adds the new services of a configuration and updates the known ones. */
     applyConfiguration(configuration: RouterConfiguration): void {
         const { settings, usage, promptLocations, crashRecord, limits, notices } = this.#options;
-        const { getTokensPerSecond, getColdShare } = this.#options;
+        const { getTokensPerSecond, getColdShare, mayBegin } = this.#options;
         for (const service of configuration.services.values()) {
             const known = this.#services.get(service.name);
             if (known) {
@@ -78,6 +80,7 @@
                     },
                     getTokensPerSecond,
                     getColdShare,
+                    mayBegin,
                 }),
                 retryBudget: SlidingRetryBudget.create({
                     ratio: settings.retryRatio,
--- a/test/core/routing/resolveRequest.test.ts
+++ b/test/core/routing/resolveRequest.test.ts
@@ -40,6 +40,8 @@
     promptTokens: 0,
     outputTokens: 0,
     prompt: [],
+    lastEventId: undefined,
+    streamId: undefined,
 };
 const CONTEXT = {
     configuration: CONFIGURATION,
--- a/test/router/servicePool.test.ts
+++ b/test/router/servicePool.test.ts
@@ -42,6 +42,7 @@
         notices: createTargetNotices(),
         getTokensPerSecond: () => 0,
         getColdShare: () => undefined,
+        mayBegin: () => true,
     });
     const services = [makeService("s"), makeService("other")];
     pool.applyConfiguration({
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -3,6 +3,7 @@
 import { PromptLocations } from "../../../src/core/routing/promptLocations.js";
 import { ServiceScheduler } from "../../../src/core/routing/serviceScheduler.js";
 import type { TargetCandidate } from "../../../src/core/routing/targetCandidate.js";
+import type { TargetDescriptor } from "../../../src/core/routing/targetDescriptor.js";
 import { createCrashRecord } from "../createCrashRecord.js";
 import { createLimiter } from "../createLimiter.js";
 import { createTargetNotices } from "../createTargetNotices.js";
@@ -17,6 +18,7 @@
     crashRecord = createCrashRecord(),
     limits: LimitGate = createLimiter(),
     notices = createTargetNotices(),
+    mayBegin: (target: TargetDescriptor) => boolean = () => true,
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -46,6 +48,7 @@
         notices,
         getTokensPerSecond: () => tokensPerSecond,
         getColdShare,
+        mayBegin,
     });
     return { scheduler, usage };
 }
