Log what the caller of an ended request got, and what a further attempt lacked

request-ended named a status also when the connection was closed without one, and did not tell how much of the answer was out, how long the target had been silent or what was left to try, so that the hypotheses on requests without an answer could not be told apart.

It now has ending (answered, refused, closed, cut, left), eventsSent, silentMs and lacking, and the status only if it was sent; attempt-failed has lacking; a request that an unexpected error ends has a line, too. No change of behaviour; planNextAttempt names what is missing.

--- a/src/core/routing/planNextAttempt.ts
+++ b/src/core/routing/planNextAttempt.ts
@@ -14,8 +14,21 @@
     readonly deadline: number;
 }
 
-/** Decides whether to retry after a failed attempt: never if a request that must not be repeated may run twice. */
-export function planNextAttempt(context: RetryContext): "retry" | "fail" {
-    const isSafe = context.runs === 0 || (context.isRepeatable && context.runs < context.maxRuns);
-    return isSafe && context.now < context.deadline && context.attempts < MAX_ATTEMPTS ? "retry" : "fail";
+/**
+ * Decides whether to retry after a failed attempt: never if a request that must not be repeated may run twice.
+ *
+ * @returns `retry`, or what a retry lacks.
+ */
+export function planNextAttempt(
+    context: RetryContext,
+): "retry" | "not-repeatable" | "no-attempt" | "no-time" {
+    if (context.now >= context.deadline) {
+        return "no-time";
+    }
+    if (context.runs > 0 && !context.isRepeatable) {
+        return "not-repeatable";
+    }
+    const hasAttempt = context.attempts < MAX_ATTEMPTS
+        && (context.runs === 0 || context.runs < context.maxRuns);
+    return hasAttempt ? "retry" : "no-attempt";
 }
--- a/src/router/describeRequestEnd.ts
+++ b/src/router/describeRequestEnd.ts
@@ -1,12 +1,13 @@
 import type { RoutedRequest } from "../core/routing/routedRequest.js";
-import type { TargetGrant } from "../core/routing/targetGrant.js";
+import type { ForwardAttempt } from "./forwardAttempt.js";
 
 /** Builds the log fields for the end of a request: its attributes, the selected target, the time in the queue and at the target. */
 export function describeRequestEnd(
     request: RoutedRequest,
-    grant: TargetGrant | undefined,
-    firstEventAt: number | undefined,
+    attempt: ForwardAttempt | undefined,
 ): object {
+    const grant = attempt?.grant;
+    const firstEventAt = attempt?.firstEventAt;
     return {
         request: request.requestId,
         route: request.route.name,
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -80,9 +80,9 @@
 
     /** Returns the reason why the target counts as unresponsive, or `undefined` if it does not. */
     findInactivity(): string | undefined {
-        const { grant, caller, getRunningTime } = this.#options;
+        const { grant, caller } = this.#options;
         return findInactivity({
-            inactiveMs: this.#progress.getInactiveMs(getRunningTime()),
+            inactiveMs: this.silentMs,
             hasEvents: this.hasEvents,
             objectiveMs: caller.request.route.objectiveMs,
             expectedFirstMs: grant.expectedMs * grant.target.slowness,
@@ -90,6 +90,11 @@
         });
     }
 
+    /** Time in milliseconds since the response last made progress. */
+    get silentMs(): number {
+        return this.#progress.getInactiveMs(this.#options.getRunningTime());
+    }
+
     /** Longest time in milliseconds for which the response made no progress. */
     get longestPauseMs(): number {
         return this.#progress.longestPauseMs;
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -66,7 +66,12 @@
             noDelay: true,
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-            options.log.write("caller-connection-failed", { reason: error.code ?? error.message });
+            // Undocumented, and only for the log: the response that is being sent on the connection.
+            const { _httpMessage: outstanding } = socket as { readonly _httpMessage?: unknown; };
+            options.log.write("caller-connection-failed", {
+                reason: error.code ?? error.message,
+                isAnswerOutstanding: Boolean(outstanding),
+            });
             if (socket.writable && error.code !== "ECONNRESET") {
                 socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
                 return;
@@ -116,7 +121,20 @@
         response.on("close", () => {
             this.#openRequests -= 1;
         });
-        errorBoundary.run("request", () => this.#accept(incoming, response), () => response.destroy());
+        errorBoundary.run(
+            "request",
+            () => this.#accept(incoming, response),
+            () => this.#endAfterError(response, undefined),
+        );
+    }
+
+    #endAfterError(response: ServerResponse, requestId: string | undefined): void {
+        response.destroy();
+        this.#options.log.write("request-ended", {
+            request: requestId,
+            outcome: "internal-error",
+            ending: "closed",
+        });
     }
 
     #accept(incoming: IncomingMessage, response: ServerResponse): void {
@@ -202,7 +220,11 @@
                 const { socket } = exchange.incoming;
                 if (!exchange.response.destroyed && !socket.destroyed && !socket.readableEnded) {
                     const { errorBoundary, serve } = this.#options;
-                    errorBoundary.run("request", () => serve(exchange), () => exchange.response.destroy());
+                    errorBoundary.run(
+                        "request",
+                        () => serve(exchange),
+                        () => this.#endAfterError(exchange.response, exchange.request.requestId),
+                    );
                     return;
                 }
                 this.#options.log.write("request-ended", {
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -4,11 +4,13 @@
 import { CallerResponse } from "./callerResponse.js";
 import { describeAttemptFailure } from "./describeAttemptFailure.js";
 import { describeRequestEnd } from "./describeRequestEnd.js";
+import { describeResponseEnd } from "./describeResponseEnd.js";
 import { ForwardAttempt } from "./forwardAttempt.js";
 import { recordAttemptFailure } from "./recordAttemptFailure.js";
 import { recordAttemptSuccess } from "./recordAttemptSuccess.js";
 import type { RequestForwarderOptions } from "./requestForwarderOptions.js";
 import type { ResponseHead } from "./responseHead.js";
+import { takeRetry } from "./takeRetry.js";
 
 type FailureKind = "not-written" | "refused" | "broken";
 
@@ -31,6 +33,9 @@
     /** Attempts that a target may have executed, and all attempts. */
     #executions = 0;
     #attempts = 0;
+    #lastAttempt: ForwardAttempt | undefined;
+    /** What the last failed attempt lacked for a retry. */
+    #lacking: string | undefined;
     #isEnded = false;
 
     private constructor(options: RequestForwarderOptions) {
@@ -110,7 +115,7 @@
             onComplete: head => this.#onComplete(attempt, head),
             onFail: (kind, reason) => this.#failAttempt(attempt, kind, reason),
         });
-        this.#attempt = attempt;
+        this.#attempt = this.#lastAttempt = attempt;
         attempt.send();
     }
 
@@ -121,11 +126,11 @@
         if (this.#response.isStarted) {
             this.#finishAttempt(attempt, true);
             this.#response.endStream();
-            this.#end("served", attempt, status);
+            this.#end("served", attempt);
             return;
         }
         const isError = status >= FIRST_SERVER_ERROR;
-        if (isError && status !== GATEWAY_TIMEOUT && this.#isRetryAllowed()) {
+        if (isError && status !== GATEWAY_TIMEOUT && this.#planNextAttempt() === "retry") {
             this.#failAttempt(attempt, "broken", "target-error", () => this.#sendBuffered(attempt, head));
             return;
         }
@@ -135,10 +140,10 @@
 
     #sendBuffered(attempt: ForwardAttempt, head: ResponseHead): void {
         this.#response.sendBuffered(attempt.status, head);
-        this.#end("served", attempt, attempt.status);
+        this.#end("served", attempt);
     }
 
-    #isRetryAllowed(): boolean {
+    #planNextAttempt(): ReturnType<typeof planNextAttempt> {
         const { exchange, getNow } = this.#options;
         return planNextAttempt({
             isRepeatable: this.#isRepeatable && this.#response.isResumable,
@@ -147,7 +152,7 @@
             maxRuns: exchange.request.route.maxAttempts,
             now: getNow(),
             deadline: exchange.request.deadline,
-        }) === "retry";
+        });
     }
 
     #finishAttempt(attempt: ForwardAttempt, isSuccess: boolean): void {
@@ -180,12 +185,11 @@
         }
         this.#finishAttempt(attempt, kind === "refused");
         const isSuspect = mayHaveCrashed && crashRecord.isSuspect(request);
-        const willRetry = !isSuspect && this.#isRetryAllowed() && retryBudget.tryTake(now);
-        const failure = { kind, reason, attempts: this.#attempts, willRetry };
-        log.write("attempt-failed", {
-            ...describeAttemptFailure(request, attempt, kind, now),
-            ...failure,
-        });
+        const plan = this.#planNextAttempt();
+        this.#lacking = isSuspect ? "crash-suspect" : takeRetry(plan, retryBudget, now);
+        const willRetry = this.#lacking === undefined;
+        const failure = { kind, reason, attempts: this.#attempts, willRetry, lacking: this.#lacking };
+        log.write("attempt-failed", { ...describeAttemptFailure(request, attempt, kind, now), ...failure });
         if (!willRetry) {
             onFinal();
             return;
@@ -196,19 +200,16 @@
 
     #fail(reason: string): void {
         const { exchange: { request }, scheduler, getNow } = this.#options;
-        const retryAfterMs = Math.max(
-            RETRY_AFTER_MS,
-            scheduler.prospects.findPauseReturn(request, getNow()) ?? 0,
-        );
-        this.#refuse(this.#getFailureStatus(), reason, retryAfterMs);
+        const pauseMs = scheduler.prospects.findPauseReturn(request, getNow()) ?? 0;
+        this.#refuse(this.#getFailureStatus(), reason, Math.max(RETRY_AFTER_MS, pauseMs));
     }
 
-    #getFailureStatus(): number {
-        return this.#executions > 0 ? BAD_GATEWAY : SERVICE_UNAVAILABLE;
+    #getFailureStatus(afterExecution = BAD_GATEWAY): number {
+        return this.#executions > 0 ? afterExecution : SERVICE_UNAVAILABLE;
     }
 
     #expire(): void {
-        const status = this.#executions > 0 ? GATEWAY_TIMEOUT : SERVICE_UNAVAILABLE;
+        const status = this.#getFailureStatus(GATEWAY_TIMEOUT);
         this.#withdraw();
         this.#refuse(status, "deadline-expired", RETRY_AFTER_MS);
     }
@@ -219,13 +220,11 @@
             this.#response.abort();
         }
         else {
-            this.#response.sendLocalResponse(
-                status,
-                status === SERVICE_UNAVAILABLE ? retryAfterMs : undefined,
-            );
+            const statedMs = status === SERVICE_UNAVAILABLE ? retryAfterMs : undefined;
+            this.#response.sendLocalResponse(status, statedMs);
         }
         const decidedBy = { retryAfterMs: Math.round(retryAfterMs), shareRatio: shareRatio?.toFixed(2) };
-        this.#end(reason, undefined, status, decidedBy);
+        this.#end(reason, undefined, decidedBy);
     }
 
     #onCallerClosed(): void {
@@ -251,7 +250,7 @@
     }
 
     /** @param decidedBy What decided a refusal, for the log. */
-    #end(outcome: string, attempt?: ForwardAttempt, status?: number, decidedBy: object = {}): void {
+    #end(outcome: string, attempt?: ForwardAttempt, decidedBy: object = {}): void {
         if (this.#isEnded) {
             return;
         }
@@ -259,9 +258,10 @@
         const { exchange: { request }, log, getNow, onEnd } = this.#options;
         const ms = Math.round(getNow() - request.receivedAt);
         log.write("request-ended", {
-            ...describeRequestEnd(request, attempt?.grant, attempt?.firstEventAt),
+            ...describeRequestEnd(request, attempt),
+            ...describeResponseEnd(this.#response, this.#lastAttempt),
             outcome,
-            status,
+            lacking: outcome === "served" ? undefined : this.#lacking,
             attempts: this.#attempts,
             ms,
             ...decidedBy,
--- a/test/core/routing/planNextAttempt.test.ts
+++ b/test/core/routing/planNextAttempt.test.ts
@@ -4,7 +4,7 @@
 const CONTEXT = { isRepeatable: false, runs: 0, attempts: 1, maxRuns: 2, now: 0, deadline: 1000 };
 
 test("does not retry a non-repeatable request that a target may have executed", t => {
-    t.is(planNextAttempt({ ...CONTEXT, runs: 1 }), "fail");
+    t.is(planNextAttempt({ ...CONTEXT, runs: 1 }), "not-repeatable");
 });
 
 test("retries a non-repeatable request that no target executed", t => {
@@ -13,10 +13,10 @@
 
 test("retries a repeatable request up to the limit of its route", t => {
     t.is(planNextAttempt({ ...CONTEXT, isRepeatable: true, runs: 1 }), "retry");
-    t.is(planNextAttempt({ ...CONTEXT, isRepeatable: true, runs: 2 }), "fail");
+    t.is(planNextAttempt({ ...CONTEXT, isRepeatable: true, runs: 2 }), "no-attempt");
 });
 
 test("does not retry past the deadline or the limit of attempts", t => {
-    t.is(planNextAttempt({ ...CONTEXT, now: 1000 }), "fail");
-    t.is(planNextAttempt({ ...CONTEXT, attempts: 5 }), "fail");
+    t.is(planNextAttempt({ ...CONTEXT, now: 1000 }), "no-time");
+    t.is(planNextAttempt({ ...CONTEXT, attempts: 5 }), "no-attempt");
 });
