Answer requests that an unexpected error or a malformed next request ends, instead of closing

Callers of a request in which an unexpected error occurred before a target had got it saw their connection close, and a malformed next request on a kept connection got 400 in the place of the answer that was due before it. Each path had its own way to end a request, and closing was the one that needed no decision.

planRequestEnd decides for all paths what the caller gets: a started response is closed; 408, 421, 429 and 503 are sent only if no target may have run the request; all else gets a status. The ingress uses it for refusals, body limits and errors, also for those in reading a body, which no boundary caught. CallerConnections knows the responses that are due on a connection: these are sent first, and what could not be read gets its 400, or 408 after a time-out, in its place; a caller that has closed its side gets nothing.

Still missing: the same for requests that are being served, and at the end of a stop.

--- /dev/null
+++ b/src/router/callerConnections.ts
@@ -0,0 +1,84 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
+
+interface CallerConnectionsOptions {
+    /** Refuses a request that is still being read and turned out to be faulty. */
+    readonly onUnreadable: (response: ServerResponse, cause: "unreadable" | "read-too-late") => void;
+    readonly onFailure: (reason: string, dueResponses: number) => void;
+}
+
+interface DueResponse {
+    readonly incoming: IncomingMessage;
+    readonly response: ServerResponse;
+}
+
+const BAD_REQUEST_LINE = "400 Bad Request";
+const REQUEST_TIMEOUT_LINE = "408 Request Timeout";
+
+/** Callers' connections with the responses that are due on them, in order. */
+export class CallerConnections {
+    readonly #options: CallerConnectionsOptions;
+    readonly #due = new WeakMap<Duplex, readonly DueResponse[]>();
+    /** Connections that end after the responses that are due. */
+    readonly #ending = new WeakSet<Duplex>();
+
+    private constructor(options: CallerConnectionsOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a record of no connections. */
+    static create(options: CallerConnectionsOptions): CallerConnections {
+        return new CallerConnections(options);
+    }
+
+    /** Adds a request whose response is due from now on. */
+    add(incoming: IncomingMessage, response: ServerResponse): void {
+        const { socket } = incoming;
+        this.#due.set(socket, [...this.#list(socket), { incoming, response }]);
+        response.on("close", () => {
+            this.#due.set(socket, this.#list(socket).filter(due => due.response !== response));
+        });
+    }
+
+    /**
+     * Ends a connection that failed, or on which no request can be read any more. Responses that are due are sent first; what
+     * could not be read gets its status after them.
+     */
+    end(error: NodeJS.ErrnoException, socket: Duplex): void {
+        if (this.#ending.has(socket)) {
+            // What follows on the connection fails again.
+            return;
+        }
+        this.#ending.add(socket);
+        const due = this.#list(socket);
+        this.#options.onFailure(error.code ?? error.message, due.length);
+        // The caller has closed its side, so that it expects no response.
+        if (error.code === "ECONNRESET" || error.code === "HPE_INVALID_EOF_STATE" || !socket.writable) {
+            socket.destroy();
+            return;
+        }
+        const isTimeout = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
+        const last = due.at(-1);
+        if (!last) {
+            writeStatus(socket, isTimeout);
+        }
+        else if (last.incoming.complete) {
+            last.response.on("finish", () => writeStatus(socket, isTimeout));
+        }
+        else {
+            this.#options.onUnreadable(last.response, isTimeout ? "read-too-late" : "unreadable");
+        }
+    }
+
+    #list(socket: Duplex): readonly DueResponse[] {
+        return this.#due.get(socket) ?? [];
+    }
+}
+
+/** Answers what belongs to no request, and ends the connection. */
+function writeStatus(socket: Duplex, isTimeout: boolean): void {
+    if (socket.writable) {
+        const line = isTimeout ? REQUEST_TIMEOUT_LINE : BAD_REQUEST_LINE;
+        socket.end(`HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    }
+}
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,9 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { planRequestEnd } from "../core/routing/planRequestEnd.js";
 import { RequestFingerprint } from "../core/routing/requestFingerprint.js";
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { hashBytes } from "../shared/hashBytes.js";
+import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
+import { endResponse } from "./endResponse.js";
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
 import type { RequestHead } from "./requestHead.js";
@@ -45,14 +48,15 @@
  * another instance.
  */
 const LISTEN_BACKLOG = 64;
-const PAYLOAD_TOO_LARGE = 413;
-const SERVICE_UNAVAILABLE = 503;
-const OVERLOAD_RETRY_AFTER_MS = 500;
+const RETRY_AFTER_MS = 500;
 
 /** Accepts callers' connections and reads their requests. */
 export class Ingress {
     readonly #options: IngressOptions;
     readonly #server: Server;
+    readonly #connections: CallerConnections;
+    /** Requests that are not being served yet, with their identifiers. */
+    readonly #unserved = new Map<ServerResponse, string | undefined>();
     #bufferedBytes = 0;
     #openRequests = 0;
 
@@ -65,19 +69,12 @@
             requestTimeout: 0,
             noDelay: true,
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
-        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-            // Undocumented, and only for the log: the response that is being sent on the connection.
-            const { _httpMessage: outstanding } = socket as { readonly _httpMessage?: unknown; };
-            options.log.write("caller-connection-failed", {
-                reason: error.code ?? error.message,
-                isAnswerOutstanding: Boolean(outstanding),
-            });
-            if (socket.writable && error.code !== "ECONNRESET") {
-                socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-                return;
-            }
-            socket.destroy();
+        this.#connections = CallerConnections.create({
+            onUnreadable: (response, cause) => this.#refuse(response, cause, cause, undefined),
+            onFailure: (reason, dueResponses) =>
+                options.log.write("caller-connection-failed", { reason, dueResponses }),
         });
+        this.#server.on("clientError", (error, socket) => this.#connections.end(error, socket));
     }
 
     /**
@@ -114,45 +111,56 @@
         this.#server.closeIdleConnections();
     }
 
-    /** An unexpected error ends the request that caused it; nothing is claimed about whether it was executed. */
-    #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
+    /** Refuses a request that was read and cannot be served, as not executed. */
+    refuse({ response }: CallerExchange, reason: string): void {
+        this.#refuse(response, "no-target", reason, RETRY_AFTER_MS);
+    }
+
+    /** Refuses the requests that are not being served yet, because the instance stops. */
+    refuseUnserved(): void {
+        for (const response of this.#unserved.keys()) {
+            this.#refuse(response, "stopping", "stopping", RETRY_AFTER_MS);
+        }
+    }
+
+    /** Runs a handler of a request that is not being served; an unexpected error in it ends the request. */
+    #runGuarded(response: ServerResponse, handler: () => void): void {
+        const refuse = (): void => this.#refuse(response, "internal-error", "internal-error", RETRY_AFTER_MS);
         const { errorBoundary } = this.#options;
-        this.#openRequests += 1;
-        response.on("close", () => {
-            this.#openRequests -= 1;
-        });
         errorBoundary.run(
             "request",
-            () => this.#accept(incoming, response),
-            () => this.#endAfterError(response, undefined),
+            handler,
+            () => errorBoundary.run("request", refuse, () => response.destroy()),
         );
     }
 
-    #endAfterError(response: ServerResponse, requestId: string | undefined): void {
-        response.destroy();
-        this.#options.log.write("request-ended", {
-            request: requestId,
-            outcome: "internal-error",
-            ending: "closed",
+    #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
+        this.#openRequests += 1;
+        this.#connections.add(incoming, response);
+        response.on("close", () => {
+            this.#openRequests -= 1;
+            this.#unserved.delete(response);
         });
+        this.#runGuarded(response, () => this.#accept(incoming, response));
     }
 
     #accept(incoming: IncomingMessage, response: ServerResponse): void {
-        const { wire, getNow, resolve, log, isStopping, onRefused } = this.#options;
+        const { wire, getNow, resolve, isStopping, onRefused } = this.#options;
         const receivedAt = getNow();
         const head = wire.readRequestHead(incoming);
+        this.#unserved.set(response, head.requestId);
         if (isStopping()) {
             response.shouldKeepAlive = false;
         }
         const resolved = resolve(head, incoming.url ?? "/", receivedAt);
         if (resolved.kind === "refused") {
             incoming.resume();
-            log.write("request-refused", { request: head.requestId, ...resolved });
             onRefused(resolved.reason);
-            this.#refuse(response, head, resolved.status, resolved.retryAfterMs);
+            const { status, reason, retryAfterMs, account } = resolved;
+            this.#refuse(response, status, reason, retryAfterMs, account);
             return;
         }
-        this.#readBody(incoming, response, head, body => {
+        this.#readBody(incoming, response, body => {
             const fingerprint = RequestFingerprint.create({
                 method: incoming.method ?? "",
                 host: head.host,
@@ -170,37 +178,31 @@
     #readBody(
         incoming: IncomingMessage,
         response: ServerResponse,
-        head: RequestHead,
         onBody: (body: Buffer | undefined) => void,
     ): void {
         const chunks: Buffer[] = [];
         let length = 0;
-        let isRefused = false;
         const hasBody = incoming.headers["content-length"] !== undefined
             || incoming.headers["transfer-encoding"] !== undefined;
-        incoming.on("data", (chunk: Buffer) => {
-            if (isRefused) {
-                return;
-            }
+        const readChunk = (chunk: Buffer): void => {
             length += chunk.length;
             this.#bufferedBytes += chunk.length;
             chunks.push(chunk);
             const isTooLarge = length > (this.#options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
             if (isTooLarge || this.#bufferedBytes > this.#options.maxBufferedBytes) {
-                isRefused = true;
                 chunks.length = 0;
-                const status = isTooLarge ? PAYLOAD_TOO_LARGE : SERVICE_UNAVAILABLE;
-                this.#options.log.write("request-refused", {
-                    request: head.requestId,
-                    status,
-                    reason: isTooLarge ? "body-too-large" : "memory-limit",
-                });
-                this.#refuse(response, head, status, OVERLOAD_RETRY_AFTER_MS);
+                const cause = isTooLarge ? "body-too-large" : "memory-limit";
+                this.#refuse(response, cause, cause, RETRY_AFTER_MS);
+            }
+        };
+        incoming.on("data", (chunk: Buffer) => {
+            if (!response.writableEnded) {
+                this.#runGuarded(response, () => readChunk(chunk));
             }
         });
         incoming.on("end", () => {
-            if (!isRefused) {
-                onBody(hasBody ? Buffer.concat(chunks) : undefined);
+            if (!response.writableEnded) {
+                this.#runGuarded(response, () => onBody(hasBody ? Buffer.concat(chunks) : undefined));
             }
         });
         incoming.on("error", () => response.destroy());
@@ -215,36 +217,45 @@
      * connections are noticed only in the turns after the one that read the request.
      */
     #serveIfConnected(exchange: CallerExchange): void {
-        setImmediate(() =>
-            setImmediate(() => {
-                const { socket } = exchange.incoming;
-                if (!exchange.response.destroyed && !socket.destroyed && !socket.readableEnded) {
-                    const { errorBoundary, serve } = this.#options;
-                    errorBoundary.run(
-                        "request",
-                        () => serve(exchange),
-                        () => this.#endAfterError(exchange.response, exchange.request.requestId),
-                    );
-                    return;
-                }
+        const { incoming: { socket }, request, response } = exchange;
+        const serve = (): void => {
+            if (response.writableEnded) {
+                return;
+            }
+            if (response.destroyed || socket.destroyed || socket.readableEnded) {
                 this.#options.log.write("request-ended", {
-                    request: exchange.request.requestId,
+                    request: request.requestId,
                     outcome: "caller-left-unserved",
+                    ending: "left",
                 });
-            })
-        );
+                return;
+            }
+            this.#options.serve(exchange);
+            this.#unserved.delete(response);
+        };
+        setImmediate(() => setImmediate(() => this.#runGuarded(response, serve)));
     }
 
+    /** Ends a request that no target has got. */
     #refuse(
         response: ServerResponse,
-        head: RequestHead,
-        status: number,
+        cause: Parameters<typeof planRequestEnd>[0]["cause"],
+        reason: string,
         retryAfterMs: number | undefined,
+        account?: string,
     ): void {
-        response.writeHead(status, {
-            ...this.#options.wire.buildLocalResponseHeaders(head.requestId, retryAfterMs),
-            "Content-Length": "0",
+        const requestId = this.#unserved.get(response);
+        const isStarted = response.headersSent;
+        const end = planRequestEnd({ cause, isStarted, mayHaveRun: false, retryAfterMs });
+        const status = end.kind === "respond" ? end.status : undefined;
+        this.#options.log.write("request-refused", {
+            request: requestId,
+            status,
+            reason,
+            retryAfterMs,
+            account,
         });
-        response.end();
+        endResponse(response, this.#options.wire, requestId, end);
+        this.#unserved.delete(response);
     }
 }
--- a/test/router/ingressEnds.test.ts
+++ b/test/router/ingressEnds.test.ts
@@ -15,7 +15,7 @@
 }
 
 // The connection was closed without an answer, although no target had got the request.
-test.failing("unexpected error: refuses the request that caused it, as not executed", async t => {
+test("unexpected error: refuses the request that caused it, as not executed", async t => {
     const { port } = await createIngress(t, () => {
         throw new Error("unexpected");
     });
@@ -25,7 +25,7 @@
 });
 
 // Status 400 was written in place of the answer that was due, and the connection ended.
-test.failing("malformed next request: answers the request before it on the connection first", async t => {
+test("malformed next request: answers the request before it on the connection first", async t => {
     const { port } = await createIngress(t, ({ response }) => {
         setTimeout(() => response.end("answer"), ANSWER_MS);
     });
