Refuse late requests of a planned stop that may not end before it

What callers saw: requests that came in the last seconds of a stop were passed on and cut at its end without an answer, among them ones that may not be repeated. Cause: what a late request may still take was guessed from its tokens (800 ms and 10 ms a token), not from what it may take. Change: a request is accepted if its deadline (the route's timeout or the caller's) is before the end of the stop. In the first 2.8 s, while most callers know no other instance yet, it is also accepted if it is expected to end in time by what the requests of its route have taken lately (mean and four deviations, in multiples of a nominal duration, as requests differ in tokens); of a route of which no request has ended, nothing is expected. Others are answered 503 with a Retry-After of 50 ms. The end by which requests must have ended moves from 80 % of the stop timeout to 0.5 s before it.

--- a/src/core/routing/resolveRequest.ts
+++ b/src/core/routing/resolveRequest.ts
@@ -1,9 +1,11 @@
 import { findRoute } from "./findRoute.js";
+import { findStopRefusal } from "./findStopRefusal.js";
 import type { RequestAttributes } from "./requestAttributes.js";
 import { resolveAccount } from "./resolveAccount.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RouterConfiguration } from "./routerConfiguration.js";
 import type { RouteRule } from "./routeRule.js";
+import type { StopPlan } from "./stopPlan.js";
 
 interface ResolveContext {
     /** `undefined` until a configuration and the targets are known. */
@@ -12,8 +14,10 @@
     readonly isFresh: boolean;
     /** True if the process has more work than its processor share allows. */
     readonly isOverloaded: boolean;
-    /** Monotonic time in milliseconds by which requests must have ended; infinite unless the process is shutting down. */
-    readonly finishBy: number;
+    /** `undefined` unless the process is shutting down. */
+    readonly stopPlan: StopPlan | undefined;
+    /** Estimates in milliseconds what a request rarely takes longer than. */
+    readonly estimateMs: (request: RoutedRequest) => number;
     /** Monotonic time in milliseconds. */
     readonly receivedAt: number;
     /** Uniformly distributed in [0, 1). */
@@ -37,11 +41,7 @@
 const UNAUTHORIZED = 401;
 const NOT_CONFIGURED_RETRY_MS = 500;
 const STALE_RETRY_MS = 1000;
-const STOPPING_RETRY_MS = 50;
 const OVERLOAD_RETRY_MS = 400;
-/** Upper bounds of the time to first event and of the time per token after it, in milliseconds, for a busy engine. */
-const FIRST_EVENT_MS = 800;
-const TOKEN_MS = 10;
 
 /** Finds the route and the client account of a request, or the reason why this instance cannot serve it now. */
 export function resolveRequest(
@@ -53,9 +53,6 @@
     if (!configuration) {
         return refuse(SERVICE_UNAVAILABLE, "not-configured", NOT_CONFIGURED_RETRY_MS);
     }
-    if (receivedAt + FIRST_EVENT_MS + attributes.outputTokens * TOKEN_MS > context.finishBy) {
-        return refuse(SERVICE_UNAVAILABLE, "stopping", STOPPING_RETRY_MS);
-    }
     const route = findRoute(configuration, attributes.host, path);
     if (!route) {
         return refuse(NOT_FOUND, "no-route");
@@ -71,22 +68,21 @@
         return refuse(SERVICE_UNAVAILABLE, "instance-overloaded", OVERLOAD_RETRY_MS);
     }
     const timeoutMs = Math.min(attributes.patienceMs ?? route.timeoutMs, route.timeoutMs);
-    return {
-        kind: "accepted",
-        request: {
-            requestId: attributes.requestId ?? "",
-            route,
-            service: pickService(route, context.random),
-            account: account?.name ?? "",
-            regions: selectRegions(route.regions, account?.regions ?? []),
-            promptTokens: attributes.promptTokens,
-            outputTokens: attributes.outputTokens,
-            prompt: attributes.prompt,
-            receivedAt,
-            objectiveDeadline: receivedAt + Math.min(timeoutMs, route.objectiveMs),
-            deadline: receivedAt + timeoutMs,
-        },
+    const request: RoutedRequest = {
+        requestId: attributes.requestId ?? "",
+        route,
+        service: pickService(route, context.random),
+        account: account?.name ?? "",
+        regions: selectRegions(route.regions, account?.regions ?? []),
+        promptTokens: attributes.promptTokens,
+        outputTokens: attributes.outputTokens,
+        prompt: attributes.prompt,
+        receivedAt,
+        objectiveDeadline: receivedAt + Math.min(timeoutMs, route.objectiveMs),
+        deadline: receivedAt + timeoutMs,
     };
+    const stopRefusal = findStopRefusal(request, context.estimateMs(request), context.stopPlan, receivedAt);
+    return stopRefusal ? { kind: "refused", ...stopRefusal } : { kind: "accepted", request };
 }
 
 function refuse(status: number, reason: string, retryAfterMs?: number): ResolvedRequest {
--- a/src/router/requestResolver.ts
+++ b/src/router/requestResolver.ts
@@ -1,4 +1,7 @@
 import { resolveRequest } from "../core/routing/resolveRequest.js";
+import type { RoutedRequest } from "../core/routing/routedRequest.js";
+import { RouteDurations } from "../core/routing/routeDurations.js";
+import type { StopPlan } from "../core/routing/stopPlan.js";
 import type { DeploymentView } from "./deploymentView.js";
 import type { LoadObserver } from "./loadObserver.js";
 import type { RequestHead } from "./requestHead.js";
@@ -8,17 +11,20 @@
     readonly view: DeploymentView;
     readonly servicePool: ServicePool;
     readonly loadObserver: LoadObserver;
-    /** Monotonic time in milliseconds by which requests must have ended; infinite unless the process is stopping. */
-    readonly getFinishBy: () => number;
+    /** Returns `undefined` unless the process is stopping. */
+    readonly getStopPlan: () => StopPlan | undefined;
 }
 
 /** Above this event loop delay streams are refused, because none would meet its latency objective. */
 const MAX_LOOP_DELAY_MS = 200;
 const SERVICE_UNAVAILABLE = 503;
+/** Ends of requests that show what the requests of a route take, or that they take at least as long. */
+const COMPLETED_OUTCOMES: ReadonlySet<string> = new Set(["served", "deadline-expired"]);
 
 /** Decides by the headers of a request whether this instance serves it. */
 export class RequestResolver {
     readonly #options: RequestResolverOptions;
+    readonly #durations = RouteDurations.create();
 
     private constructor(options: RequestResolverOptions) {
         this.#options = options;
@@ -35,12 +41,13 @@
      * @param receivedAt Monotonic time in milliseconds.
      */
     resolve(head: RequestHead, path: string, receivedAt: number): ReturnType<typeof resolveRequest> {
-        const { view, servicePool, loadObserver, getFinishBy } = this.#options;
+        const { view, servicePool, loadObserver, getStopPlan } = this.#options;
         const resolved = resolveRequest(head, path, {
             configuration: view.configuration,
             isFresh: view.isFresh(),
             isOverloaded: loadObserver.loopDelayMs > MAX_LOOP_DELAY_MS,
-            finishBy: getFinishBy(),
+            stopPlan: getStopPlan(),
+            estimateMs: request => this.#durations.estimate(request),
             receivedAt,
             random: Math.random(),
         });
@@ -56,4 +63,11 @@
         const { account } = request;
         return { kind: "refused", status: SERVICE_UNAVAILABLE, reason: "over-share", retryAfterMs, account };
     }
+
+    /** Records the end of a request, `ms` milliseconds after it was received. */
+    recordEnd(request: RoutedRequest, outcome: string, ms: number): void {
+        if (COMPLETED_OUTCOMES.has(outcome)) {
+            this.#durations.record(request, ms);
+        }
+    }
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -3,7 +3,9 @@
 import type { ChangeSource } from "../core/routing/changeSource.js";
 import type { Locality } from "../core/routing/locality.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
+import { planStop } from "../core/routing/planStop.js";
 import { RunningClock } from "../core/routing/runningClock.js";
+import type { StopPlan } from "../core/routing/stopPlan.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { ChangeFeedServer } from "./changeFeedServer.js";
 import { createRoutingState } from "./createRoutingState.js";
@@ -26,11 +28,6 @@
 const CHECK_INTERVAL_MS = 40;
 /** Share of the instance's memory that buffered request bodies may take. */
 const BODY_MEMORY_SHARE = 0.15;
-/** Callers cache a directory response for up to three times its term, so new connections arrive for about that long. */
-const LINGER_SHARE = 0.75;
-/** While stopping, requests that would not end within this share of the stop timeout are refused. */
-const FINISH_SHARE = 0.8;
-const STOP_MARGIN_MS = 300;
 
 /** One router process: accepts callers, schedules and forwards their requests. */
 export class Router {
@@ -53,9 +50,9 @@
     #changeFeed: ChangeFeedServer | undefined;
     #timer: NodeJS.Timeout | undefined;
     #nextCheckAt = 0;
-    #isStopping = false;
-    /** Monotonic time in milliseconds by which requests must have ended before the process stops. */
-    #finishBy = Number.POSITIVE_INFINITY;
+    readonly #resolver: RequestResolver;
+    /** `undefined` unless the process is stopping. */
+    #stopPlan: StopPlan | undefined;
 
     private constructor(options: RouterOptions) {
         this.#options = options;
@@ -89,6 +86,12 @@
             getNow: this.#getNow,
             getTimeOfDay: Date.now,
         });
+        this.#resolver = RequestResolver.create({
+            view: this.#view,
+            servicePool: this.#servicePool,
+            loadObserver: this.#loadObserver,
+            getStopPlan: () => this.#stopPlan,
+        });
     }
 
     /** Starts to listen; requests are refused until a configuration and the targets are known. */
@@ -128,18 +131,15 @@
 
     /** Stops gracefully: notifies peers, lets callers move to other instances and finishes active requests. */
     async stop(): Promise<void> {
-        if (this.#isStopping) {
+        if (this.#stopPlan) {
             return;
         }
-        this.#isStopping = true;
         const { log, settings } = this.#options;
-        const startedAt = this.#getNow();
-        this.#finishBy = startedAt + settings.stopTimeoutMs * FINISH_SHARE;
+        this.#stopPlan = planStop(this.#getNow(), settings.stopTimeoutMs);
         log.write("stopping", { active: this.#activeRequests.size });
         this.#fleet?.notifyPeers();
         await waitForRequests({
-            lingerUntil: startedAt + settings.stopTimeoutMs * LINGER_SHARE,
-            stopBy: startedAt + settings.stopTimeoutMs - STOP_MARGIN_MS,
+            ...this.#stopPlan,
             // A request that is still being read has been accepted, too.
             countActive: () => Math.max(this.#activeRequests.size, this.#ingress?.openRequests ?? 0),
             getNow: this.#getNow,
@@ -175,12 +175,6 @@
             log,
             getNow: this.#getNow,
         });
-        const resolver = RequestResolver.create({
-            view: this.#view,
-            servicePool: this.#servicePool,
-            loadObserver: this.#loadObserver,
-            getFinishBy: () => this.#finishBy,
-        });
         this.#ingress = await Ingress.create({
             ...settings.callerAddress,
             wire,
@@ -188,9 +182,9 @@
             errorBoundary,
             maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
             getNow: this.#getNow,
-            resolve: (head, path, receivedAt) => resolver.resolve(head, path, receivedAt),
+            resolve: (head, path, receivedAt) => this.#resolver.resolve(head, path, receivedAt),
             getLimits: () => this.#view.configuration?.limits,
-            isStopping: () => this.#isStopping,
+            isStopping: () => this.#stopPlan !== undefined,
             serve: exchange => this.#serve(exchange),
             onRefused: reason => metrics.countRefusal(reason),
         });
@@ -209,7 +203,7 @@
     }
 
     #getState(): MemberRecord["state"] {
-        if (this.#isStopping || !this.#view.configuration) {
+        if (this.#stopPlan || !this.#view.configuration) {
             return "closed";
         }
         if (!this.#view.isFresh()) {
@@ -238,6 +232,7 @@
             isBatching: () => this.#loadObserver.isBatching,
             onEnd: (outcome, ms) => {
                 this.#activeRequests.delete(forwarder);
+                this.#resolver.recordEnd(exchange.request, outcome, ms);
                 metrics.countEnd(exchange.request.route.kind, outcome, ms);
             },
         });
