Go on with a planned stop when a second SIGTERM comes

What callers saw: a second SIGTERM in the grace time ended the process at once, with every request that it was serving. Cause: Router.stop returned at once while a stop was in progress, and the signal handler took that for the end of it. Change: all calls wait for the end of the one stop. Test: plannedStop.test, "a second SIGTERM and a SIGHUP ..."; before, its request that takes 2 s failed (status 0).

--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -53,6 +53,7 @@
     readonly #resolver: RequestResolver;
     /** `undefined` unless the process is stopping. */
     #stopPlan: StopPlan | undefined;
+    #stopped: Promise<void> | undefined;
 
     private constructor(options: RouterOptions) {
         this.#options = options;
@@ -129,11 +130,13 @@
         return (after, isUrgent) => source.read(after, isUrgent);
     }
 
-    /** Stops gracefully: notifies peers, lets callers move to other instances and finishes active requests. */
-    async stop(): Promise<void> {
-        if (this.#stopPlan) {
-            return;
-        }
+    /** Stops gracefully; all calls wait for the end of the one stop. */
+    stop(): Promise<void> {
+        return this.#stopped ??= this.#finishRequests();
+    }
+
+    /** Notifies peers, lets callers move to other instances, finishes active requests and closes everything. */
+    async #finishRequests(): Promise<void> {
         const { log, settings } = this.#options;
         this.#stopPlan = planStop(this.#getNow(), settings.stopTimeoutMs);
         log.write("stopping", { active: this.#activeRequests.size });
--- a/test/platform/plannedStop.test.ts
+++ b/test/platform/plannedStop.test.ts
@@ -92,3 +92,25 @@
     t.deepEqual(await Promise.all(early), early.map(() => 200));
     t.is(await stopped, 0);
 });
+
+// A second signal ended the process at once, with all requests that it was serving.
+test.serial("planned stop: a second SIGTERM and a SIGHUP do not end the requests that are being served", async t => {
+    const { fleet } = await createSlowFleet(t, {
+        stopTimeoutSeconds: STOP_SECONDS,
+        timeoutMs: 4000,
+        plainMs: 2000,
+        streamMs: 2000,
+    });
+    const [instance] = fleet.instances;
+    const caller = await KeptCaller.create(fleet, "/safe/x");
+    t.teardown(() => caller.close());
+    const stopped = instance?.process.stop("SIGTERM");
+    const served = caller.send("/unsafe/x", "unsafe-1");
+    await new Promise(resolve => setTimeout(resolve, INTERVAL_MS));
+    instance?.process.kill("SIGTERM");
+    instance?.process.kill("SIGHUP");
+    const { status, isWhole } = await served;
+    t.is(status, 200);
+    t.true(isWhole);
+    t.is(await stopped, 0);
+});
