Refuse a request whose body ends too late in a planned stop

What callers saw: a request that was accepted by its head was passed on whenever its body had been read, however near the end of the stop was, and was then cut. Change: the decision of the stop is taken again when the body has been read; until then nothing has been passed on, so the answer is 503.

--- /dev/null
+++ b/src/router/describeOwnState.ts
@@ -0,0 +1,18 @@
+import type { MemberRecord } from "../core/routing/memberRecord.js";
+import type { DeploymentView } from "./deploymentView.js";
+import type { LoadObserver } from "./loadObserver.js";
+
+/** Describes the state of this instance as its peers and callers learn it. */
+export function describeOwnState(
+    isStopping: boolean,
+    view: Pick<DeploymentView, "configuration" | "isFresh">,
+    loadObserver: Pick<LoadObserver, "isBusy">,
+): MemberRecord["state"] {
+    if (isStopping || !view.configuration) {
+        return "closed";
+    }
+    if (!view.isFresh()) {
+        return "limited";
+    }
+    return loadObserver.isBusy ? "busy" : "open";
+}
--- a/src/router/requestResolver.ts
+++ b/src/router/requestResolver.ts
@@ -1,3 +1,4 @@
+import { findStopRefusal } from "../core/routing/findStopRefusal.js";
 import { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RoutedRequest } from "../core/routing/routedRequest.js";
 import { RouteDurations } from "../core/routing/routeDurations.js";
@@ -64,6 +65,11 @@
         return { kind: "refused", status: SERVICE_UNAVAILABLE, reason: "over-share", retryAfterMs, account };
     }
 
+    /** Returns why a request whose body has been read is not forwarded any more, or `undefined` if it is. */
+    findStopRefusal(request: RoutedRequest, now: number): ReturnType<typeof findStopRefusal> {
+        return findStopRefusal(request, this.#durations.estimate(request), this.#options.getStopPlan(), now);
+    }
+
     /** Records the end of a request, `ms` milliseconds after it was received. */
     recordEnd(request: RoutedRequest, outcome: string, ms: number): void {
         if (COMPLETED_OUTCOMES.has(outcome)) {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -10,10 +10,12 @@
 import { ChangeFeedServer } from "./changeFeedServer.js";
 import { createRoutingState } from "./createRoutingState.js";
 import { DeploymentView } from "./deploymentView.js";
+import { describeOwnState } from "./describeOwnState.js";
 import { FleetView } from "./fleetView.js";
 import { Ingress } from "./ingress.js";
 import { LoadObserver } from "./loadObserver.js";
 import { PeerChangeSource } from "./peerChangeSource.js";
+import { refuseExchange } from "./refuseExchange.js";
 import { RelayedChangeSource } from "./relayedChangeSource.js";
 import { RequestForwarder } from "./requestForwarder.js";
 import { RequestResolver } from "./requestResolver.js";
@@ -206,17 +208,16 @@
     }
 
     #getState(): MemberRecord["state"] {
-        if (this.#stopPlan || !this.#view.configuration) {
-            return "closed";
-        }
-        if (!this.#view.isFresh()) {
-            return "limited";
-        }
-        return this.#loadObserver.isBusy ? "busy" : "open";
+        return describeOwnState(this.#stopPlan !== undefined, this.#view, this.#loadObserver);
     }
 
     #serve(exchange: CallerExchange): void {
         const { metrics, wire, log } = this.#options;
+        const refusal = this.#resolver.findStopRefusal(exchange.request, this.#getNow());
+        if (refusal) {
+            refuseExchange(exchange, refusal, this.#options);
+            return;
+        }
         const service = this.#servicePool.find(exchange.request.service);
         if (!service) {
             // The routes of a configuration are expected to refer only to services that it contains.
--- a/test/platform/plannedStop.test.ts
+++ b/test/platform/plannedStop.test.ts
@@ -1,4 +1,6 @@
 import test, { registerCompletionHandler } from "ava";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { createSlowFleet } from "../testing/router/createSlowFleet.js";
 import { KeptCaller } from "../testing/router/keptCaller.js";
 
@@ -114,3 +116,30 @@
     t.true(isWhole);
     t.is(await stopped, 0);
 });
+
+// A request whose body came late was passed on, however near the end was.
+test.serial("planned stop: a request whose body ends late is refused if it may not end in time", async t => {
+    const { fleet, targets } = await createSlowFleet(t, {
+        stopTimeoutSeconds: STOP_SECONDS,
+        timeoutMs: LONG_TIMEOUT_MS,
+        plainMs: SHORT_STREAM_MS,
+        streamMs: SHORT_STREAM_MS,
+    });
+    const [instance] = fleet.instances;
+    const stopped = instance?.process.stop("SIGTERM");
+    const startedAt = performance.now();
+    const { hostname, port } = new URL(instance ? fleet.getUrls(instance).callers : "");
+    const socket = connect(Number(port), hostname);
+    let received = "";
+    socket.on("data", data => received += data.toString());
+    const closed = once(socket, "close");
+    socket.write("POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: once-late\r\nDeadline-Ms: 14000\r\n");
+    socket.write("Content-Length: 10\r\n\r\n12345");
+    const lateMs = STOP_SECONDS * 1000 - SHORT_STREAM_MS;
+    await new Promise(resolve => setTimeout(resolve, startedAt + lateMs - performance.now()));
+    socket.write("67890");
+    await closed;
+    t.regex(received, /^HTTP\/1\.1 503 /);
+    t.false(targets.some(target => target.requestIds.includes("once-late")));
+    t.is(await stopped, 0);
+});
