--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -3,6 +3,7 @@
 import { decodeConfiguration } from "../../src/platform/decodeConfiguration.js";
 import { decodeTarget } from "../../src/platform/decodeTarget.js";
 import { parseSettings } from "../../src/platform/parseSettings.js";
+import { listOddEntries } from "../testing/platform/oddEntries.js";
 
 const ENTRY = {
     service: "s",
@@ -43,6 +44,37 @@
     }
 });
 
+// A target with an impossible address, or at another target's address under an odd name, got requests that then failed.
+test("ignores entries of other writers whose fields no target may write", t => {
+    const prefix = "servers/";
+    for (const [name, entries] of listOddEntries(ENTRY)) {
+        for (const { key, value } of entries.filter(entry => entry.key.startsWith(prefix))) {
+            const text = typeof value === "string" ? value : JSON.stringify(value);
+            const target = decodeTarget(key.slice(prefix.length), Buffer.from(text), 0);
+            t.true(
+                target === undefined || target.isDraining || target.service !== ENTRY.service,
+                `${name} ${key}`,
+            );
+        }
+    }
+});
+
+test("decodes registrations that are unusual but sound", t => {
+    const decode = (fields: object): ReturnType<typeof decodeTarget> =>
+        decodeTarget("i-7f3a91c2", Buffer.from(JSON.stringify({ ...ENTRY, ...fields })), 100);
+    for (const version of [undefined, null, 7, { a: 1 }, "v2"]) {
+        t.truthy(decode({ version }), String(version));
+    }
+    t.like(decode({ born: Number.MAX_SAFE_INTEGER }), { startedAtMs: Number.MAX_SAFE_INTEGER });
+    t.like(decode({ coldRemainingMs: -0.5 }), { coldUntil: 100 });
+    t.like(decode({ coldRemainingMs: undefined, born: undefined, sequence: undefined }), {
+        coldUntil: 100,
+        startedAtMs: 0,
+        sequence: 0,
+    });
+    t.like(decode({ address: "255.255.255.255:65535" }), { address: "255.255.255.255:65535" });
+});
+
 test("sorts routes by longest path prefix and maps keys to their client account", t => {
     const configuration = decodeConfiguration(Buffer.from(JSON.stringify({
         version: 7,
