--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -111,9 +111,14 @@
         this.#server.closeIdleConnections();
     }
 
-    /** Refuses a request that was read and cannot be served, as not executed. */
-    refuse({ response }: CallerExchange, reason: string): void {
-        this.#refuse(response, "no-target", reason, RETRY_AFTER_MS);
+    /**
+     * Refuses a request that was read and cannot be served, as not executed.
+     *
+     * @param retryAfterMs Time in milliseconds after which it may come back; `undefined` if that would not help.
+     */
+    refuse({ response }: CallerExchange, reason: string, retryAfterMs: number | undefined): void {
+        this.#options.onRefused(reason);
+        this.#refuse(response, "no-target", reason, retryAfterMs);
     }
 
     /** Refuses the requests that are not being served yet, because the instance stops. */
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -3,12 +3,15 @@
 import type { ChangeSource } from "../core/routing/changeSource.js";
 import type { Locality } from "../core/routing/locality.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
+import { planStop } from "../core/routing/planStop.js";
 import { RunningClock } from "../core/routing/runningClock.js";
+import type { StopPlan } from "../core/routing/stopPlan.js";
 import { ActiveRequests } from "./activeRequests.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { ChangeFeedServer } from "./changeFeedServer.js";
 import { createRoutingState } from "./createRoutingState.js";
 import { DeploymentView } from "./deploymentView.js";
+import { describeOwnState } from "./describeOwnState.js";
 import { endOpenRequests } from "./endOpenRequests.js";
 import { FleetView } from "./fleetView.js";
 import { Ingress } from "./ingress.js";
@@ -26,13 +29,10 @@
 
 /** Interval of the deadline checks; callers tolerate half a second beyond a deadline. */
 const CHECK_INTERVAL_MS = 40;
+/** The next configuration may bring a service that a route names without one. */
+const NO_SERVICE_RETRY_MS = 500;
 /** Share of the instance's memory that buffered request bodies may take. */
 const BODY_MEMORY_SHARE = 0.15;
-/** Callers cache a directory response for up to three times its term, so new connections arrive for about that long. */
-const LINGER_SHARE = 0.75;
-/** While stopping, requests that would not end within this share of the stop timeout are refused. */
-const FINISH_SHARE = 0.8;
-const STOP_MARGIN_MS = 300;
 
 /** One router process: accepts callers, schedules and forwards their requests. */
 export class Router {
@@ -55,9 +55,10 @@
     #changeFeed: ChangeFeedServer | undefined;
     #timer: NodeJS.Timeout | undefined;
     #nextCheckAt = 0;
-    #isStopping = false;
-    /** Monotonic time in milliseconds by which requests must have ended before the process stops. */
-    #finishBy = Number.POSITIVE_INFINITY;
+    readonly #resolver: RequestResolver;
+    /** `undefined` unless the process is stopping. */
+    #stopPlan: StopPlan | undefined;
+    #stopped: Promise<void> | undefined;
 
     private constructor(options: RouterOptions) {
         this.#options = options;
@@ -91,6 +92,12 @@
             getNow: this.#getNow,
             getTimeOfDay: Date.now,
         });
+        this.#resolver = RequestResolver.create({
+            view: this.#view,
+            servicePool: this.#servicePool,
+            loadObserver: this.#loadObserver,
+            getStopPlan: () => this.#stopPlan,
+        });
     }
 
     /** Starts to listen; requests are refused until a configuration and the targets are known. */
@@ -128,20 +135,19 @@
         return (after, isUrgent) => source.read(after, isUrgent);
     }
 
-    /** Stops gracefully: notifies peers, lets callers move to other instances and finishes active requests. */
-    async stop(): Promise<void> {
-        if (this.#isStopping) {
-            return;
-        }
-        this.#isStopping = true;
+    /** Stops gracefully; all calls wait for the end of the one stop. */
+    stop(): Promise<void> {
+        return this.#stopped ??= this.#finishRequests();
+    }
+
+    /** Notifies peers, lets callers move to other instances, finishes active requests and closes everything. */
+    async #finishRequests(): Promise<void> {
         const { log, settings } = this.#options;
-        const startedAt = this.#getNow();
-        this.#finishBy = startedAt + settings.stopTimeoutMs * FINISH_SHARE;
+        this.#stopPlan = planStop(this.#getNow(), settings.stopTimeoutMs);
         log.write("stopping", { active: this.#activeRequests.size });
         this.#fleet?.notifyPeers();
         await waitForRequests({
-            lingerUntil: startedAt + settings.stopTimeoutMs * LINGER_SHARE,
-            stopBy: startedAt + settings.stopTimeoutMs - STOP_MARGIN_MS,
+            ...this.#stopPlan,
             // A request that is still being read has been accepted, too.
             countActive: () => Math.max(this.#activeRequests.size, this.#ingress?.openRequests ?? 0),
             getNow: this.#getNow,
@@ -178,12 +184,6 @@
             log,
             getNow: this.#getNow,
         });
-        const resolver = RequestResolver.create({
-            view: this.#view,
-            servicePool: this.#servicePool,
-            loadObserver: this.#loadObserver,
-            getFinishBy: () => this.#finishBy,
-        });
         this.#ingress = await Ingress.create({
             ...settings.callerAddress,
             wire,
@@ -191,9 +191,9 @@
             errorBoundary,
             maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
             getNow: this.#getNow,
-            resolve: (head, path, receivedAt) => resolver.resolve(head, path, receivedAt),
+            resolve: (head, path, receivedAt) => this.#resolver.resolve(head, path, receivedAt),
             getLimits: () => this.#view.configuration?.limits,
-            isStopping: () => this.#isStopping,
+            isStopping: () => this.#stopPlan !== undefined,
             serve: exchange => this.#serve(exchange),
             onRefused: reason => metrics.countRefusal(reason),
         });
@@ -212,20 +212,19 @@
     }
 
     #getState(): MemberRecord["state"] {
-        if (this.#isStopping || !this.#view.configuration) {
-            return "closed";
-        }
-        if (!this.#view.isFresh()) {
-            return "limited";
-        }
-        return this.#loadObserver.isBusy ? "busy" : "open";
+        return describeOwnState(this.#stopPlan !== undefined, this.#view, this.#loadObserver);
     }
 
     #serve(exchange: CallerExchange): void {
         const { metrics } = this.#options;
+        const refusal = this.#resolver.findStopRefusal(exchange.request, this.#getNow());
+        if (refusal) {
+            this.#ingress?.refuse(exchange, refusal.reason, refusal.retryAfterMs);
+            return;
+        }
         const service = this.#servicePool.find(exchange.request.service);
         if (!service) {
-            this.#ingress?.refuse(exchange, "no-service");
+            this.#ingress?.refuse(exchange, "no-service", NO_SERVICE_RETRY_MS);
             return;
         }
         service.retryBudget.addRequest(this.#getNow());
@@ -240,6 +239,7 @@
             isBatching: () => this.#loadObserver.isBatching,
             onEnd: (outcome, ms) => {
                 this.#activeRequests.delete(forwarder);
+                this.#resolver.recordEnd(exchange.request, outcome, ms);
                 metrics.countEnd(exchange.request.route.kind, outcome, ms);
             },
         });
