--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,47 +1,25 @@
-import type { LimitGate } from "../limits/limitGate.js";
 import { AccountShares } from "./accountShares.js";
-import type { AccountUsage } from "./accountUsage.js";
 import { countRequestTokens } from "./countRequestTokens.js";
-import type { CrashRecord } from "./crashRecord.js";
 import { EngineModel } from "./engineModel.js";
 import { findWaitDeadline } from "./findWaitDeadline.js";
 import { limitRetryAfter } from "./limitRetryAfter.js";
 import { markPresumedCold } from "./markPresumedCold.js";
 import { notifyWaiting } from "./notifyWaiting.js";
-import type { PromptLocations } from "./promptLocations.js";
 import { replaceTargetStates } from "./replaceTargetStates.js";
 import { RequestProspects } from "./requestProspects.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
 import type { SchedulerDecision } from "./schedulerDecision.js";
-import type { SchedulerSettings } from "./schedulerSettings.js";
+import type { ServiceSchedulerOptions } from "./serviceSchedulerOptions.js";
 import { sortWaiting } from "./sortWaiting.js";
-import type { TargetCandidate } from "./targetCandidate.js";
 import type { TargetDescriptor } from "./targetDescriptor.js";
 import { TargetEligibility } from "./targetEligibility.js";
 import type { TargetGrant } from "./targetGrant.js";
 import { TargetGranter } from "./targetGranter.js";
-import type { TargetNotices } from "./targetNotices.js";
 import type { TargetState } from "./targetState.js";
 import { WaitEstimator } from "./waitEstimator.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
-interface ServiceSchedulerOptions {
-    readonly service: RoutedService;
-    readonly settings: SchedulerSettings;
-    readonly usage: AccountUsage;
-    readonly promptLocations: PromptLocations;
-    readonly crashRecord: CrashRecord;
-    readonly limits: LimitGate;
-    readonly notices: TargetNotices;
-    /** Tokens a second that all engines process together; 0 if unknown. */
-    readonly getTokensPerSecond: () => number;
-    /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
-    readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
-    /** Whether a new stream that may be taken up later may begin at a target. */
-    readonly mayBegin: (target: TargetDescriptor) => boolean;
-}
-
 /** Waiting requests of one service above which new ones are refused, to bound memory. */
 const MAX_WAITING = 2000;
 
--- /dev/null
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -0,0 +1,26 @@
+import type { LimitGate } from "../limits/limitGate.js";
+import type { AccountUsage } from "./accountUsage.js";
+import type { CrashRecord } from "./crashRecord.js";
+import type { PromptLocations } from "./promptLocations.js";
+import type { RoutedService } from "./routedService.js";
+import type { SchedulerSettings } from "./schedulerSettings.js";
+import type { TargetCandidate } from "./targetCandidate.js";
+import type { TargetDescriptor } from "./targetDescriptor.js";
+import type { TargetNotices } from "./targetNotices.js";
+
+/** What the scheduler of a service depends on. */
+export interface ServiceSchedulerOptions {
+    readonly service: RoutedService;
+    readonly settings: SchedulerSettings;
+    readonly usage: AccountUsage;
+    readonly promptLocations: PromptLocations;
+    readonly crashRecord: CrashRecord;
+    readonly limits: LimitGate;
+    readonly notices: TargetNotices;
+    /** Tokens a second that all engines process together; 0 if unknown. */
+    readonly getTokensPerSecond: () => number;
+    /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
+    readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
+    /** Whether a new stream that may be taken up later may begin at a target. */
+    readonly mayBegin: (target: TargetDescriptor) => boolean;
+}
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -4,6 +4,7 @@
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { hashBytes } from "../shared/hashBytes.js";
+import { BodyReader } from "./bodyReader.js";
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { endResponse } from "./endResponse.js";
@@ -55,9 +56,9 @@
     readonly #options: IngressOptions;
     readonly #server: Server;
     readonly #connections: CallerConnections;
+    readonly #bodies: BodyReader;
     /** Requests that are not being served yet, with their identifiers. */
     readonly #unserved = new Map<ServerResponse, string | undefined>();
-    #bufferedBytes = 0;
     #openRequests = 0;
 
     private constructor(options: IngressOptions) {
@@ -69,6 +70,12 @@
             requestTimeout: 0,
             noDelay: true,
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
+        this.#bodies = BodyReader.create({
+            maxBufferedBytes: options.maxBufferedBytes,
+            getMaxBodyBytes: () => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+            onTooLarge: (response, cause) => this.#refuse(response, cause, cause, RETRY_AFTER_MS),
+            runGuarded: (response, handler) => this.#runGuarded(response, handler),
+        });
         this.#connections = CallerConnections.create({
             onUnreadable: (response, cause) => this.#refuse(response, cause, cause, undefined),
             onFailure: (reason, dueResponses) =>
@@ -117,6 +124,7 @@
      * @param retryAfterMs Time in milliseconds after which it may come back; `undefined` if that would not help.
      */
     refuse({ response }: CallerExchange, reason: string, retryAfterMs: number | undefined): void {
+        this.#options.onRefused(reason);
         this.#refuse(response, "no-target", reason, retryAfterMs);
     }
 
@@ -190,7 +198,7 @@
             this.#refuse(response, status, reason, retryAfterMs, account);
             return;
         }
-        this.#readBody(incoming, response, body => {
+        this.#bodies.read(incoming, response, body => {
             const fingerprint = RequestFingerprint.create({
                 method: incoming.method ?? "",
                 host: head.host,
@@ -205,42 +213,6 @@
         });
     }
 
-    #readBody(
-        incoming: IncomingMessage,
-        response: ServerResponse,
-        onBody: (body: Buffer | undefined) => void,
-    ): void {
-        const chunks: Buffer[] = [];
-        let length = 0;
-        const hasBody = incoming.headers["content-length"] !== undefined
-            || incoming.headers["transfer-encoding"] !== undefined;
-        const readChunk = (chunk: Buffer): void => {
-            length += chunk.length;
-            this.#bufferedBytes += chunk.length;
-            chunks.push(chunk);
-            const isTooLarge = length > (this.#options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
-            if (isTooLarge || this.#bufferedBytes > this.#options.maxBufferedBytes) {
-                chunks.length = 0;
-                const cause = isTooLarge ? "body-too-large" : "memory-limit";
-                this.#refuse(response, cause, cause, RETRY_AFTER_MS);
-            }
-        };
-        incoming.on("data", (chunk: Buffer) => {
-            if (!response.writableEnded) {
-                this.#runGuarded(response, () => readChunk(chunk));
-            }
-        });
-        incoming.on("end", () => {
-            if (!response.writableEnded) {
-                this.#runGuarded(response, () => onBody(hasBody ? Buffer.concat(chunks) : undefined));
-            }
-        });
-        incoming.on("error", () => response.destroy());
-        response.on("close", () => {
-            this.#bufferedBytes -= length;
-        });
-    }
-
     /**
      * Serves a request after two turns of the event loop, unless its caller has disconnected. A process that was
      * suspended or has a long event loop delay reads requests whose callers have disconnected meanwhile; their closed
--- /dev/null
+++ b/src/router/registerGauges.ts
@@ -0,0 +1,28 @@
+import type { LoadObserver } from "./loadObserver.js";
+import type { LogSink } from "./logSink.js";
+import type { RouterMetrics } from "./routerMetrics.js";
+import type { RoutingState } from "./routingState.js";
+
+interface GaugeSources {
+    readonly log: Pick<LogSink, "droppedTotal">;
+    readonly state: Pick<RoutingState, "limits" | "crashRecord">;
+    readonly loadObserver: Pick<LoadObserver, "loopDelayMs">;
+    readonly countActive: () => number;
+    readonly getConfigurationAgeMs: () => number;
+    readonly countPeers: () => number;
+}
+
+/** Registers the gauges of a router. */
+export function registerGauges(metrics: RouterMetrics, sources: GaugeSources): void {
+    const { log, state: { limits, crashRecord }, loadObserver } = sources;
+    metrics.registerGauges({
+        requests_active: sources.countActive,
+        lag_ms: () => loadObserver.loopDelayMs,
+        configuration_age_ms: sources.getConfigurationAgeMs,
+        peers_live: sources.countPeers,
+        targets_limited: () => limits.limitedCount,
+        prompt_parts_blocked: () => crashRecord.countBlocked("part"),
+        requests_blocked: () => crashRecord.countBlocked("request"),
+        log_lines_dropped: () => log.droppedTotal,
+    });
+}
