Find the version at which a stream began, at any instance

A caller that takes a stream up may reach another instance than the one at which it began, and that one may have ended. Nothing remembered at which version the first event was brought, so that text of two versions was joined.

Instances now know it in one of two ways. While one version of a service was listed for longer than any stream lasts, all streams began there and nothing is sent. What is not known stays unknown.

--- /dev/null
+++ b/src/core/streams/originCertainty.ts
@@ -0,0 +1,191 @@
+import type { RouterConfiguration } from "../routing/routerConfiguration.js";
+import type { TargetDescriptor } from "../routing/targetDescriptor.js";
+import { ResumableRoutes } from "./resumableRoutes.js";
+import type { StreamOrigin } from "./streamOrigin.js";
+import type { ToldHistory } from "./toldHistory.js";
+import { VersionHistory } from "./versionHistory.js";
+
+/** What the certainty of a service's origins depends on. */
+interface CertaintyInputs {
+    readonly isCertain: boolean;
+    readonly versions: readonly (string | undefined)[];
+    readonly confirmedAgeMs: number;
+    readonly coveredMs: number;
+}
+
+/**
+ * Decides whether every stream of a service that may still be taken up began at the same version, so that no instance has
+ * to remember where. Times are monotonic milliseconds.
+ *
+ * @remarks An instance is certain of a version V only if V alone was listed within the window, and its list was confirmed
+ * within `maxDelayMs`. Suppose that a stream began at another version U at an instance that may be cut off. That instance
+ * had listed U for `maxDelayMs` before, so that U was registered before the certain instance's last confirmation and has
+ * been listed there, too. It was last listed there no earlier than the targets of U left, which end their streams less
+ * than a window later. So U is within the window, and the instance is not certain. What does not wait is told to all
+ * instances (`alone`), or was listed first when the instance started.
+ */
+export class OriginCertainty {
+    readonly #maxDelayMs: number;
+    readonly #versions: VersionHistory;
+    #routes = ResumableRoutes.create();
+    /** Longer window of an earlier configuration, whose streams may still be served. */
+    #formerWindow = { ms: 0, until: Number.NEGATIVE_INFINITY };
+    #confirmedAt: number | undefined;
+    /** Since when this instance itself has followed the list and the routes without a gap. */
+    #followedSince = Number.POSITIVE_INFINITY;
+    /** The same, with what a peer has told of the time before. */
+    #coveredSince = Number.POSITIVE_INFINITY;
+
+    private constructor(maxDelayMs: number) {
+        this.#maxDelayMs = maxDelayMs;
+        this.#versions = VersionHistory.create({ newVersionDelayMs: maxDelayMs });
+    }
+
+    /**
+     * Creates a state that has seen no list.
+     *
+     * @param maxDelayMs Time in milliseconds within which a change of the list must be in force.
+     */
+    static create(maxDelayMs: number): OriginCertainty {
+        return new OriginCertainty(maxDelayMs);
+    }
+
+    /** Digest of the routes whose streams may be taken up. */
+    get routesDigest(): string {
+        return this.#routes.digest;
+    }
+
+    /** Services at which streams begin that may be taken up. */
+    get services(): readonly string[] {
+        return this.#routes.services;
+    }
+
+    /** Time of the newest confirmation of the list; `undefined` if there was none. */
+    get confirmedAt(): number | undefined {
+        return this.#confirmedAt;
+    }
+
+    /** Records the complete list of targets. */
+    observeTargets(targets: readonly TargetDescriptor[], now: number): void {
+        const windowMs = this.getWindowMs(now);
+        const knownUntil = this.#confirmedAt ?? Number.NEGATIVE_INFINITY;
+        const isFirst = now - knownUntil > windowMs - 2 * this.#maxDelayMs;
+        this.#versions.observe(targets, { now, windowMs, isFirst });
+    }
+
+    /** Records the configuration in force. */
+    observeConfiguration(configuration: RouterConfiguration, now: number): void {
+        const routes = ResumableRoutes.create(configuration);
+        if (routes.windowMs < this.#routes.windowMs) {
+            const ms = this.getWindowMs(now);
+            this.#formerWindow = { ms, until: now + ms };
+        }
+        if (routes.digest !== this.#routes.digest && this.#confirmedAt !== undefined) {
+            this.#followedSince = now;
+            this.#coveredSince = now;
+        }
+        this.#routes = routes;
+    }
+
+    /** Records that the list was the newest at a time before now. A gap between two confirmations may hide a version. */
+    recordConfirmation(at: number, now: number): void {
+        if (this.#confirmedAt === undefined || at - this.#confirmedAt > this.#maxDelayMs) {
+            this.#followedSince = now;
+            this.#coveredSince = now;
+        }
+        this.#confirmedAt = Math.max(at, this.#confirmedAt ?? at);
+    }
+
+    /** Time in milliseconds after which a stream, and a target that has left the list, have ended. */
+    getWindowMs(now: number): number {
+        const { ms, until } = this.#formerWindow;
+        return Math.max(this.#routes.windowMs, until > now ? ms : 0);
+    }
+
+    /** Returns whether new streams may begin at a version of a service. */
+    findStanding(service: string, version: string | undefined, now: number): "established" | "alone" | "new" {
+        return this.#versions.findStanding(service, version, now);
+    }
+
+    /** Returns the version at which all streams of a service began; `undefined` if that is not certain. */
+    findSoleVersion(service: string, now: number): { readonly version: string | undefined; } | undefined {
+        if (!this.#hasCoverage(now)) {
+            return undefined;
+        }
+        const [version, other] = this.#versions.listRecent(service, now - this.getWindowMs(now));
+        return version?.isListed && !other ? { version: version.version } : undefined;
+    }
+
+    /** Returns whether the origins of all streams that began at a service are certain at any instance in touch. */
+    isCertain(service: string, now: number): boolean {
+        return !this.#routes.isSplit(service) && this.findSoleVersion(service, now) !== undefined;
+    }
+
+    /** Finds the service and version with a digest among those that were listed lately. */
+    findOrigin(digest: string): StreamOrigin | undefined {
+        return this.#versions.findOrigin(digest);
+    }
+
+    /** Describes what the certainty of a service depends on. */
+    describe(service: string, now: number): CertaintyInputs {
+        return {
+            isCertain: this.isCertain(service, now),
+            versions: this.#versions.listRecent(service, now - this.getWindowMs(now))
+                .map(({ version }) => version),
+            confirmedAgeMs: Math.round(now - (this.#confirmedAt ?? 0)),
+            coveredMs: Math.max(0, Math.round(now - this.#coveredSince)),
+        };
+    }
+
+    /** Adds a version that a peer has seen. */
+    addVersion(service: string, version: string | undefined, now: number): void {
+        this.#versions.add(service, version, now);
+    }
+
+    /** Returns whether the list is followed, but not for long enough, so that peers should be asked. */
+    isHistoryNeeded(now: number): boolean {
+        return this.#isFresh(now) && !this.#hasCoverage(now);
+    }
+
+    /** Builds what a peer that has just started is told; `undefined` if this instance does not know enough itself. */
+    buildHistory(now: number): ToldHistory | undefined {
+        if (!this.#hasCoverage(now) || this.#confirmedAt === undefined) {
+            return undefined;
+        }
+        const since = now - this.getWindowMs(now);
+        return {
+            confirmedAgeMs: Math.ceil(now - this.#confirmedAt),
+            coveredMs: Math.floor(now - this.#coveredSince),
+            routes: this.routesDigest,
+            versions: this.services.flatMap(service =>
+                this.#versions.listRecent(service, since).map(({ version, isListed, lastListedAt }) =>
+                    [service, version ?? null, isListed ? 0 : Math.floor(now - lastListedAt)] as const
+                )
+            ),
+        };
+    }
+
+    /**
+     * Adds what a peer has told.
+     *
+     * @param askedAt When this instance asked, which is before the peer's answer.
+     */
+    joinHistory(history: ToldHistory, askedAt: number, now: number): void {
+        const { confirmedAgeMs, coveredMs, routes, versions } = history;
+        for (const [service, version, ageMs] of versions) {
+            this.#versions.add(service, version ?? undefined, now - ageMs);
+        }
+        // Without an overlap, a version may have come and gone between what the peer and this instance have seen.
+        if (routes === this.routesDigest && askedAt - confirmedAgeMs >= this.#followedSince) {
+            this.#coveredSince = Math.min(this.#coveredSince, now - coveredMs);
+        }
+    }
+
+    #isFresh(now: number): boolean {
+        return this.#confirmedAt !== undefined && now - this.#confirmedAt <= this.#maxDelayMs;
+    }
+
+    #hasCoverage(now: number): boolean {
+        return this.#isFresh(now) && this.#coveredSince <= now - this.getWindowMs(now);
+    }
+}
--- /dev/null
+++ b/src/router/originPeers.ts
@@ -0,0 +1,149 @@
+import type { MemberRecord } from "../core/routing/memberRecord.js";
+import { MemberRanking } from "../core/streams/memberRanking.js";
+import type { OriginRecord } from "../core/streams/originRecord.js";
+import type { ToldHistory } from "../core/streams/toldHistory.js";
+import type { LogSink } from "./logSink.js";
+import type { OriginMessage } from "./originMessage.js";
+import { OriginOutbox } from "./originOutbox.js";
+import { OriginQuestions } from "./originQuestions.js";
+
+interface OriginPeersOptions {
+    readonly instance: string;
+    readonly log: Pick<LogSink, "write">;
+    /** Lists the live instances, with this one. */
+    readonly listMembers: () => readonly MemberRecord[];
+    readonly send: (message: OriginMessage, host: string) => void;
+}
+
+/** Members change seldom, and the ranking is needed for each stream. */
+const RANKING_LIFETIME_MS = 100;
+const HISTORY_INTERVAL_MS = 1000;
+const HISTORY_PEERS = 2;
+const MAX_HISTORY_LENGTH = 1100;
+/** An instance that has heard of a new version from two others need not tell it. */
+const NEW_VERSION_NOTICES = 2;
+const NOTICE_LIFETIME_MS = 30_000;
+
+/** Exchanges records of streams with the instances that hold them. Times are monotonic milliseconds. */
+export class OriginPeers {
+    readonly #options: OriginPeersOptions;
+    readonly #outbox: OriginOutbox;
+    readonly #questions = OriginQuestions.create();
+    readonly #ranking: MemberRanking;
+    #rankingUntil = Number.NEGATIVE_INFINITY;
+    /** Notices about new versions, sent or received. */
+    readonly #notices = new Map<string, { readonly count: number; readonly until: number; }>();
+    #nextHistoryAt = Number.NEGATIVE_INFINITY;
+
+    private constructor(options: OriginPeersOptions) {
+        this.#options = options;
+        this.#outbox = OriginOutbox.create(options.send);
+        this.#ranking = MemberRanking.create(options.instance);
+    }
+
+    /** Creates a state in which nothing is sent. */
+    static create(options: OriginPeersOptions): OriginPeers {
+        return new OriginPeers(options);
+    }
+
+    /** Sends a record to its holders: at once, since this instance may end at any time, or with others at the next flush. */
+    sendRecord(key: string, { origin }: OriginRecord, when: "now" | "flush", now: number): void {
+        const record = `${key}${origin ?? ""}`;
+        for (const { ip } of this.#getRanking(now).pickHolders(key)) {
+            if (when === "flush") {
+                this.#outbox.add(ip, record);
+            }
+            else {
+                this.#options.send(["records", record], ip);
+            }
+        }
+    }
+
+    /**
+     * Asks the instances that may hold the record of a stream.
+     *
+     * @param service Service of the stream according to the routes with the digest `routes`; `undefined` if not unique.
+     * @param onAnswer Gets the digest of the origin; `undefined` if it is not known for certain.
+     */
+    request(
+        question: { readonly key: string; readonly service: string | undefined; readonly routes: string; },
+        now: number,
+        onAnswer: (origin: string | undefined) => void,
+    ): void {
+        const { key, service, routes } = question;
+        const hosts = this.#getRanking(now).listAsked(key).map(({ ip }) => ip);
+        const number = this.#questions.add(key, hosts, now, onAnswer);
+        if (number !== undefined) {
+            hosts.forEach(host =>
+                this.#options.send(["question", number, key, service ?? null, routes], host)
+            );
+        }
+    }
+
+    /** Applies the answer of a peer. */
+    applyAnswer(number: number, key: string, host: string, origin: string | null): void {
+        this.#questions.apply(number, key, host, origin);
+    }
+
+    /** Asks peers for the versions that were listed before this instance started, if it is time to. */
+    requestHistory(now: number): void {
+        if (now < this.#nextHistoryAt) {
+            return;
+        }
+        this.#nextHistoryAt = now + HISTORY_INTERVAL_MS;
+        const peers = this.#getRanking(now).listAsked(`history ${Math.floor(now)}`).slice(0, HISTORY_PEERS);
+        peers.forEach(({ ip }) => this.#options.send(["history-request", now], ip));
+    }
+
+    /** Tells a peer that has asked for it which versions were listed. */
+    replyHistory(askedAt: number, history: ToldHistory, host: string): void {
+        // A longer datagram would be divided on its way; without an answer the peer waits until its own history is long.
+        if (JSON.stringify(history).length <= MAX_HISTORY_LENGTH) {
+            this.#options.send(["history", askedAt, history], host);
+        }
+    }
+
+    /** Tells all instances of a version whose streams begin without a delay, unless peers have told them. */
+    notifyNewVersion(service: string, version: string | undefined, now: number): void {
+        if (this.#countNotices(service, version, now) < NEW_VERSION_NOTICES) {
+            const { instance, log, listMembers } = this.#options;
+            log.write("version-used-at-once", { service, version });
+            listMembers().filter(({ name }) => name !== instance)
+                .forEach(({ ip }) => this.#options.send(["new-version", service, version ?? null], ip));
+            this.#notices.set(JSON.stringify([service, version]), {
+                count: NEW_VERSION_NOTICES,
+                until: now + NOTICE_LIFETIME_MS,
+            });
+        }
+    }
+
+    /** Records that a peer has told all instances of a version. */
+    recordNotice(service: string, version: string | undefined, now: number): void {
+        const count = this.#countNotices(service, version, now) + 1;
+        this.#notices.set(JSON.stringify([service, version]), { count, until: now + NOTICE_LIFETIME_MS });
+    }
+
+    /** Sends what is due and ends the questions whose time is over. */
+    flush(now: number): void {
+        this.#outbox.flush();
+        this.#questions.expire(now);
+        this.#notices.forEach(({ until }, key) => {
+            if (until <= now) {
+                this.#notices.delete(key);
+            }
+        });
+    }
+
+    #countNotices(service: string, version: string | undefined, now: number): number {
+        const notice = this.#notices.get(JSON.stringify([service, version]));
+        return notice && notice.until > now ? notice.count : 0;
+    }
+
+    #getRanking(now: number): MemberRanking {
+        if (now >= this.#rankingUntil) {
+            this.#ranking.setMembers(this.#options.listMembers());
+            this.#rankingUntil = now + RANKING_LIFETIME_MS;
+        }
+        return this.#ranking;
+    }
+}
--- a/src/router/streamOrigins.ts
+++ b/src/router/streamOrigins.ts
@@ -1,26 +1,54 @@
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
+import { findSoleService } from "../core/streams/findSoleService.js";
+import { hashOrigin } from "../core/streams/hashOrigin.js";
+import { hashStreamKey } from "../core/streams/hashStreamKey.js";
+import { OriginCertainty } from "../core/streams/originCertainty.js";
 import type { StreamOrigin } from "../core/streams/streamOrigin.js";
+import { StreamRecords } from "../core/streams/streamRecords.js";
 import type { LogSink } from "./logSink.js";
+import type { OriginMessage } from "./originMessage.js";
+import { OriginPeers } from "./originPeers.js";
+import { parseOriginMessage } from "./parseOriginMessage.js";
 import type { RouterSettings } from "./routerSettings.js";
 
 interface StreamOriginsOptions {
-    readonly settings: Pick<RouterSettings, "instance" | "locality" | "maxChangeDelayMs">;
+    readonly settings: Pick<RouterSettings, "instance" | "maxChangeDelayMs">;
     readonly log: Pick<LogSink, "write">;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
     /** Lists the live instances, with this one. */
     readonly listMembers: () => readonly MemberRecord[];
-    readonly send: (message: unknown, host: string) => void;
+    readonly send: (message: OriginMessage, host: string) => void;
 }
 
-/** Finds the version at which a stream began that a caller takes up, at this instance or at another one. */
+interface TakenUpStream {
+    readonly account: string;
+    /** Identifier of the caller's attempt that brought the stream's first event; `undefined` if the caller names none. */
+    readonly streamId: string | undefined;
+    readonly host: string;
+    readonly path: string;
+}
+
+type OriginSource = "sole-version" | "own" | "held" | "asked" | "unknown";
+
+/** Length of the keys that `hashStreamKey` returns. */
+const KEY_CHARACTERS = 11;
+
+/** Finds the version at which a stream began that a caller takes up, whichever instance it began at. */
 export class StreamOrigins {
     readonly #options: StreamOriginsOptions;
+    readonly #certainty: OriginCertainty;
+    readonly #records = StreamRecords.create();
+    readonly #peers: OriginPeers;
+    readonly #wasCertain = new Map<string, boolean>();
+    #configuration: RouterConfiguration | undefined;
 
     private constructor(options: StreamOriginsOptions) {
         this.#options = options;
+        this.#certainty = OriginCertainty.create(options.settings.maxChangeDelayMs);
+        this.#peers = OriginPeers.create({ ...options, instance: options.settings.instance });
     }
 
     /** Creates a state that knows no stream. */
@@ -30,26 +58,33 @@
 
     /** Records the complete list of targets. */
     observeTargets(targets: readonly TargetDescriptor[], now: number): void {
-        void targets;
-        void now;
+        const doubtful = this.#records.begun.observeTargets(targets, this.#certainty.confirmedAt, now);
+        this.#certainty.observeTargets(targets, now);
+        for (const [key, record] of doubtful) {
+            this.#options.log.write("stream-origin-doubtful", { key });
+            this.#peers.sendRecord(key, record, "flush", now);
+            this.#records.begun.markShared(key, now);
+        }
     }
 
     /** Records the configuration in force. */
     observeConfiguration(configuration: RouterConfiguration, now: number): void {
-        void configuration;
-        void now;
+        this.#configuration = configuration;
+        this.#certainty.observeConfiguration(configuration, now);
     }
 
     /** Records when the list of targets was confirmed as the newest, in monotonic milliseconds. */
     recordConfirmation(at: number): void {
-        void at;
+        this.#certainty.recordConfirmation(at, this.#options.getNow());
     }
 
     /** Returns whether a new stream of a resumable route may begin at a target. */
-    mayBegin(target: TargetDescriptor, now: number): boolean {
-        void target;
-        void now;
-        return true;
+    mayBegin({ service, version }: TargetDescriptor, now: number): boolean {
+        const standing = this.#certainty.findStanding(service, version, now);
+        if (standing === "alone") {
+            this.#peers.notifyNewVersion(service, version, now);
+        }
+        return standing !== "new";
     }
 
     /**
@@ -61,39 +96,167 @@
         begun: { readonly account: string; readonly streamId: string; readonly target: TargetDescriptor; },
         now: number,
     ): void {
-        void begun;
-        void now;
+        const { account, streamId, target } = begun;
+        const key = hashStreamKey(account, streamId);
+        const record = this.#records.begun.add(key, target, now, now + this.#certainty.getWindowMs(now));
+        if (!this.#certainty.isCertain(target.service, now)) {
+            this.#peers.sendRecord(key, record, "now", now);
+            this.#records.begun.markShared(key, now);
+        }
     }
 
     /**
-     * Finds where a stream that a caller takes up began; calls back at once if that is known here.
+     * Finds where a stream that a caller takes up began. Calls back at once if that is known here, and within 0.4 s
+     * otherwise.
      *
-     * @param query The caller's account, the attempt that brought the stream's first event, and the request's address.
      * @param onFound Gets `undefined` if the origin is not known for certain.
      */
-    find(
-        query: {
-            readonly account: string;
-            readonly streamId: string | undefined;
-            readonly host: string;
-            readonly path: string;
-        },
-        onFound: (origin: StreamOrigin | undefined) => void,
-    ): void {
-        void query;
-        onFound(undefined);
+    find(stream: TakenUpStream, onFound: (origin: StreamOrigin | undefined) => void): void {
+        const { getNow } = this.#options;
+        const askedAt = getNow();
+        const end = (origin: StreamOrigin | undefined, source: OriginSource): void => {
+            const ms = Math.round(getNow() - askedAt);
+            this.#options.log.write("stream-origin-resolved", {
+                streamId: stream.streamId,
+                ...origin,
+                source,
+                ms,
+            });
+            onFound(origin);
+        };
+        const service = findSoleService(this.#configuration, stream.host, stream.path);
+        const sole = service === undefined ? undefined : this.#findSoleOrigin(service, askedAt);
+        const key = stream.streamId === undefined
+            ? undefined
+            : hashStreamKey(stream.account, stream.streamId);
+        const record = key === undefined ? undefined : this.#records.find(key, askedAt);
+        if (record) {
+            const isRefuted = sole !== undefined && hashOrigin(sole) !== record.origin;
+            const origin = isRefuted ? undefined : this.#findOrigin(record.origin);
+            end(origin, origin ? record.source : "unknown");
+        }
+        else if (sole || key === undefined) {
+            end(sole, sole ? "sole-version" : "unknown");
+        }
+        else {
+            const routes = this.#certainty.routesDigest;
+            this.#peers.request({ key, service, routes }, askedAt, answer => {
+                if (answer !== undefined) {
+                    const now = getNow();
+                    this.#records.keep(key, answer, now + this.#certainty.getWindowMs(now));
+                }
+                const origin = this.#findOrigin(answer);
+                end(origin, origin ? "asked" : "unknown");
+            });
+        }
     }
 
     /** Handles a datagram of a peer. Returns false if it does not belong to this exchange. */
     receive(message: unknown, senderHost: string): boolean {
-        void this.#options;
-        void message;
-        void senderHost;
-        return false;
+        if (!Array.isArray(message)) {
+            return false;
+        }
+        const parsed = parseOriginMessage(message);
+        if (parsed) {
+            this.#apply(parsed, senderHost, this.#options.getNow());
+        }
+        else {
+            this.#options.log.write("peer-report-invalid", { from: senderHost });
+        }
+        return true;
     }
 
-    /** Sends what is due and answers queries whose time is over. */
+    /** Sends what is due and answers questions whose time is over. */
     flush(now: number): void {
-        void now;
+        const { services } = this.#certainty;
+        for (const service of new Set([...services, ...this.#wasCertain.keys()])) {
+            this.#updateCertainty(service, now);
+        }
+        if (this.#certainty.isHistoryNeeded(now)) {
+            this.#peers.requestHistory(now);
+        }
+        this.#peers.flush(now);
+        this.#records.expire(now);
+    }
+
+    #updateCertainty(service: string, now: number): void {
+        const inputs = this.#certainty.describe(service, now);
+        if (inputs.isCertain === this.#wasCertain.get(service)) {
+            return;
+        }
+        this.#wasCertain.set(service, inputs.isCertain);
+        this.#options.log.write("stream-origins-changed", { service, ...inputs });
+        if (!inputs.isCertain) {
+            for (const [key, record] of this.#records.begun.takeUnshared(service, now)) {
+                this.#peers.sendRecord(key, record, "flush", now);
+            }
+        }
+        else if (!this.#certainty.services.includes(service)) {
+            this.#wasCertain.delete(service);
+        }
+    }
+
+    #apply(message: OriginMessage, host: string, now: number): void {
+        switch (message[0]) {
+            case "records": {
+                const [, ...records] = message;
+                for (const record of records) {
+                    const [key, origin] = splitRecord(record);
+                    this.#records.keep(key, origin, now + this.#certainty.getWindowMs(now));
+                }
+                return;
+            }
+            case "question":
+                this.#reply(message, host, now);
+                return;
+            case "answer": {
+                const [, number, key, origin] = message;
+                this.#peers.applyAnswer(number, key, host, origin);
+                return;
+            }
+            case "history-request": {
+                const history = this.#certainty.buildHistory(now);
+                if (history) {
+                    this.#peers.replyHistory(message[1], history, host);
+                }
+                return;
+            }
+            case "history":
+                this.#certainty.joinHistory(message[2], Math.min(message[1], now), now);
+                return;
+            case "new-version": {
+                const [, service, version] = message;
+                this.#certainty.addVersion(service, version ?? undefined, now);
+                this.#peers.recordNotice(service, version ?? undefined, now);
+            }
+        }
     }
+
+    #reply(
+        question: Extract<OriginMessage, readonly ["question", ...unknown[]]>,
+        host: string,
+        now: number,
+    ): void {
+        const [, number, key, service, routes] = question;
+        const record = this.#records.find(key, now);
+        // With the same routes, the service is that of the stream if they have not changed lately, which this instance knows.
+        const hasSameRoutes = service !== null && routes === this.#certainty.routesDigest;
+        const sole = hasSameRoutes ? this.#findSoleOrigin(service, now) : undefined;
+        const origin = record ? record.origin ?? "" : sole ? hashOrigin(sole) : null;
+        this.#options.send(["answer", number, key, origin], host);
+    }
+
+    #findSoleOrigin(service: string, now: number): StreamOrigin | undefined {
+        const version = this.#certainty.findSoleVersion(service, now)?.version;
+        return version === undefined ? undefined : { service, version };
+    }
+
+    #findOrigin(digest: string | undefined): StreamOrigin | undefined {
+        return digest === undefined ? undefined : this.#certainty.findOrigin(digest);
+    }
+}
+
+function splitRecord(record: string): readonly [string, string | undefined] {
+    const [key, origin] = [record.slice(0, KEY_CHARACTERS), record.slice(KEY_CHARACTERS)];
+    return [key, origin === "" ? undefined : origin];
 }
