Test what an instance remembers and asks about the origins of streams

A version that came back after a long time was used at once if a peer had told of it in between: what peers tell now only ends the certainty. The new test failed before ("a version that a peer tells of, or that is back after a long time", value is not false: true).

--- a/src/core/streams/versionHistory.ts
+++ b/src/core/streams/versionHistory.ts
@@ -9,6 +9,8 @@
     readonly digest: string | undefined;
     /** Monotonic time in milliseconds at which this instance or a peer last saw the version listed. */
     readonly lastListedAt: number;
+    /** The same of this instance alone; `undefined` if only a peer has seen the version. */
+    readonly lastReadAt: number | undefined;
     readonly isListed: boolean;
     readonly isReady: boolean;
     /** Monotonic time in milliseconds from which streams may begin; `undefined` if only a peer has seen the version. */
@@ -83,6 +85,7 @@
         }
         known.set(version, {
             digest: version === undefined ? undefined : hashOrigin({ service, version }),
+            lastReadAt: undefined,
             isListed: false,
             isReady: false,
             usableAt: undefined,
@@ -151,16 +154,29 @@
         for (const [version, { isReady }] of listed) {
             const state = known.get(version);
             const isKnown = !isFirst && state !== undefined
-                && (state.isListed || state.lastListedAt >= resumableSince);
+                && (state.isListed || (state.lastReadAt ?? Number.NEGATIVE_INFINITY) >= resumableSince);
             const usableAt = (isKnown ? state.usableAt : undefined)
                 ?? (earliest?.version === version ? now : now + newVersionDelayMs);
             const digest = state?.digest
                 ?? (version === undefined ? undefined : hashOrigin({ service, version }));
-            known.set(version, { digest, isListed: true, isReady, lastListedAt: now, usableAt });
+            known.set(version, {
+                digest,
+                isListed: true,
+                isReady,
+                lastListedAt: now,
+                lastReadAt: now,
+                usableAt,
+            });
         }
         for (const [version, state] of known) {
             if (state.isListed && !listed.has(version)) {
-                known.set(version, { ...state, isListed: false, isReady: false, lastListedAt: now });
+                known.set(version, {
+                    ...state,
+                    isListed: false,
+                    isReady: false,
+                    lastListedAt: now,
+                    lastReadAt: now,
+                });
             }
         }
     }
--- /dev/null
+++ b/test/router/streamOrigins.test.ts
@@ -0,0 +1,246 @@
+import test from "ava";
+import { makeTargetDescriptor } from "../testing/scheduler/makeTargetDescriptor.js";
+import { OriginsHarness } from "../testing/streams/originsHarness.js";
+
+const V1 = makeTargetDescriptor("t1", { version: "v1", startedAtMs: 1 });
+const V2 = makeTargetDescriptor("t2", { version: "v2", startedAtMs: 2 });
+const KEY = "abcdefghijk";
+/** Longest time-out (10 s) and the time for which targets that have left go on serving. */
+const WINDOW_MS = 20_000;
+
+const ORIGIN = { service: "s", version: "v1" };
+
+test("knows the origin of any stream without messages while one version is listed, its view is fresh and complete", t => {
+    const instance = OriginsHarness.create();
+    instance.observe([V1], WINDOW_MS - 1000);
+    t.is(instance.find("x").origin, "none");
+    instance.observe([V1], 1500);
+    t.deepEqual(instance.find("x").origin, ORIGIN);
+    t.deepEqual(instance.find(undefined).origin, ORIGIN);
+    instance.take("records");
+    instance.recordBegun("x", V1);
+    t.is(instance.sent.length, 0);
+    instance.now += 2501;
+    t.is(instance.find("y").origin, "none");
+    t.is(instance.find(undefined).origin, undefined);
+    // A version may have come and gone in between.
+    instance.observe([V1], 1000);
+    t.is(instance.find("y").origin, "none");
+});
+
+test("is not certain while a version that has left may still have streams, or while the routes have just changed", t => {
+    const instance = OriginsHarness.create();
+    instance.observe([V1], WINDOW_MS + 1000);
+    instance.observe([V2], 1000);
+    instance.observe([V1], WINDOW_MS - 1500);
+    t.is(instance.find("x").origin, "none");
+    instance.observe([V1], 3000);
+    t.deepEqual(instance.find("x").origin, ORIGIN);
+    instance.setRoute({ timeoutMs: 1000 });
+    t.deepEqual(instance.find("x").origin, ORIGIN);
+    instance.setRoute({ pathPrefix: "/x/" });
+    instance.observe([V1], WINDOW_MS - 1500);
+    t.is(instance.find("x", "/x/").origin, "none");
+    instance.observe([V1], 3000);
+    t.deepEqual(instance.find("x", "/x/").origin, ORIGIN);
+    const backends = [{ service: "s", weight: 1 }, { service: "other", weight: 1 }];
+    instance.setRoute({ backends });
+    instance.observe([V1], WINDOW_MS + 1000);
+    t.is(instance.find("x").origin, "none");
+    instance.take("records");
+    instance.recordBegun("z", V1);
+    t.is(instance.take("records").length, 2);
+});
+
+test("sends short records to instances in two data centres at once, and those from before the doubt a little later", t => {
+    const instance = OriginsHarness.create();
+    instance.observe([V1], WINDOW_MS + 1000);
+    Array.from({ length: 1000 }, (_, i) => instance.recordBegun(`early ${i}`, V1));
+    instance.sent.splice(0);
+    instance.origins.observeTargets([V1, V2], instance.now);
+    instance.recordBegun("late", V1);
+    const holders = instance.take("records");
+    t.is(holders.length, 2);
+    // 45 streams a second at two instances each, and 4 KB/s.
+    t.true(holders.every(([, message]) => JSON.stringify(message).length <= 4000 / 90));
+    const dataCentres = holders.map(([host]) => instance.members.find(({ ip }) => ip === host)?.dataCentre);
+    t.is(new Set(dataCentres).size, 2);
+    const datagrams = [0, 40].map(ms => {
+        instance.origins.flush(instance.now + ms);
+        return instance.take("records").map(([, message]) => message);
+    });
+    t.is(datagrams.flat().reduce((sum, [, ...records]) => sum + records.length, 0), 2000);
+    t.true(datagrams.every(({ length }) => length <= 40));
+    t.true(datagrams.flat().every(message => JSON.stringify(message).length <= 1250));
+    instance.origins.flush(instance.now + 80);
+    t.is(instance.sent.length, 0);
+});
+
+// A target that crashed and came back with another version brought first events before the list showed it.
+test("a target that started again with another version makes its latest streams doubtful, here and at the holders", t => {
+    const instance = OriginsHarness.create();
+    instance.observe([V1, V2], 5000);
+    instance.recordBegun("before", V1);
+    instance.now += 500;
+    instance.origins.recordConfirmation(instance.now);
+    instance.now += 10;
+    instance.recordBegun("doubtful", V1);
+    instance.sent.splice(0);
+    instance.origins.observeTargets([{ ...V1, version: "v3", startedAtMs: 9 }, V2], instance.now);
+    instance.recordBegun("on its way", V1);
+    instance.origins.flush(instance.now);
+    t.deepEqual(instance.find("before").origin, ORIGIN);
+    t.is(instance.find("doubtful").origin, undefined);
+    t.is(instance.find("on its way").origin, undefined);
+    const records = instance.take("records").flatMap(([, [, ...parts]]) => parts as string[]);
+    t.deepEqual(records.map(record => record.length), [11, 11, 11, 11]);
+});
+
+test("streams wait at a new version unless no other has targets left, which all instances are told once", t => {
+    const instance = OriginsHarness.create();
+    instance.observe([V2, V1], 5000);
+    t.true(instance.origins.mayBegin(V1, instance.now));
+    t.true(instance.origins.mayBegin(V2, instance.now));
+    const v3 = makeTargetDescriptor("t3", { version: "v3", startedAtMs: 1 });
+    instance.observe([V1, V2, v3], 2000);
+    t.false(instance.origins.mayBegin(v3, instance.now));
+    t.is(instance.take("new-version").length, 0);
+    instance.origins.observeTargets([{ ...V1, isDraining: true }, v3], instance.now);
+    t.true(instance.origins.mayBegin(v3, instance.now));
+    t.true(instance.origins.mayBegin(v3, instance.now));
+    t.is(instance.take("new-version").length, instance.members.length - 1);
+    instance.observe([V1, v3], 600);
+    t.true(instance.origins.mayBegin(v3, instance.now));
+});
+
+// An instance that starts cannot tell which versions others have seen; the oldest process shows which came first.
+test("of the versions that an instance finds at its start, only that of the oldest target may be used at once", t => {
+    const instance = OriginsHarness.create();
+    instance.origins.observeTargets([V2, V1], 0);
+    t.deepEqual([V1, V2].map(target => instance.origins.mayBegin(target, 0)), [true, false]);
+    t.deepEqual([V1, V2].map(target => instance.origins.mayBegin(target, 2500)), [true, true]);
+});
+
+test("a version that a peer tells of, or that is back after a long time, ends the certainty and waits again", t => {
+    const instance = OriginsHarness.create();
+    instance.observe([V1, V2], 5000);
+    instance.observe([V1], WINDOW_MS + 1000);
+    t.deepEqual(instance.find("x").origin, ORIGIN);
+    t.true(instance.origins.receive(["new-version", "s", "v2"], "ip of p1"));
+    t.is(instance.find("x").origin, "none");
+    instance.origins.observeTargets([V1, V2], instance.now);
+    t.false(instance.origins.mayBegin(V2, instance.now));
+});
+
+test("believes a peer's history only if it overlaps with what the instance has read itself, of the same routes", t => {
+    const settled = OriginsHarness.create();
+    settled.observe([V1], WINDOW_MS + 1000);
+    const instance = OriginsHarness.create();
+    instance.observe([V1], 1000);
+    const exchange = (change: object): void => {
+        const [request] = instance.take("history-request");
+        settled.origins.receive(request?.[1], "ip of self");
+        const [answer] = settled.take("history");
+        const [kind, askedAt, told] = answer?.[1] as readonly [string, number, object];
+        instance.origins.receive([kind, askedAt, { ...told, ...change }], "ip of p1");
+    };
+    exchange({ confirmedAgeMs: 600 });
+    t.is(instance.find("x").origin, "none");
+    instance.observe([V1], 1000);
+    exchange({ routes: "other" });
+    t.is(instance.find("x").origin, "none");
+    instance.observe([V1], 1000);
+    exchange({});
+    t.deepEqual(instance.find("x").origin, ORIGIN);
+});
+
+test("asks two instances of each data centre, takes the first answer, and gives up when all deny or none answers", t => {
+    const instance = OriginsHarness.create();
+    instance.observe([V1, V2], 5000);
+    const ask = (): {
+        found: ReturnType<OriginsHarness["find"]>;
+        questions: ReturnType<OriginsHarness["take"]>;
+    } => {
+        instance.sent.splice(0);
+        const found = instance.find(`x ${instance.now}`);
+        instance.now += 1;
+        return { found, questions: instance.take("question") };
+    };
+    const digest = (): string => {
+        instance.recordBegun("known", V1);
+        return String(instance.take("records")[0]?.[1][1]).slice(11);
+    };
+    const known = digest();
+    const { found, questions } = ask();
+    t.is(questions.length, 6);
+    const [, number, key] = questions[0]?.[1] as readonly ["question", number, string, null, string];
+    instance.origins.receive(["answer", number, key, known], "ip of a stranger");
+    instance.origins.receive(["answer", number, KEY, known], String(questions[0]?.[0]));
+    t.is(found.origin, "none");
+    instance.origins.receive(["answer", number, key, null], String(questions[0]?.[0]));
+    instance.origins.receive(["answer", number, key, known], String(questions[1]?.[0]));
+    t.deepEqual(found.origin, ORIGIN);
+
+    const denied = ask();
+    for (const [host, [, deniedNumber, deniedKey]] of denied.questions) {
+        t.is(denied.found.origin, "none");
+        instance.origins.receive(["answer", deniedNumber, deniedKey, null], host);
+    }
+    t.is(denied.found.origin, undefined);
+
+    const lost = ask();
+    instance.origins.flush(instance.now + 298);
+    t.is(lost.found.origin, "none");
+    instance.origins.flush(instance.now + 299);
+    t.is(lost.found.origin, undefined);
+});
+
+test("answers from records, and from its certainty for the same routes; records that differ make the origin unknown", t => {
+    const instance = OriginsHarness.create();
+    instance.observe([V1], WINDOW_MS + 1000);
+    const ask = (key: string, routes: string): unknown => {
+        instance.origins.receive(["question", 7, key, "s", routes], "ip of p1");
+        return instance.take("answer")[0]?.[1][3];
+    };
+    const asker = OriginsHarness.create();
+    asker.find("x");
+    const routes = String(asker.take("question")[0]?.[1][4]);
+    t.is(ask(KEY, "other"), null);
+    const known = ask(KEY, routes);
+    t.is(typeof known, "string");
+    instance.origins.receive(["records", `${KEY}${String(known)}`], "ip of p1");
+    t.is(ask(KEY, "other"), known);
+    instance.origins.receive(["records", `${KEY}AAAAAA`], "ip of p2");
+    t.is(ask(KEY, routes), "");
+});
+
+test("hostile peer: a damaged datagram is dropped with a line in the log, and one of another exchange is left alone", t => {
+    const instance = OriginsHarness.create();
+    const damaged = [
+        [],
+        [7],
+        ["constructor"],
+        ["records", 7],
+        ["records", "short"],
+        ["records", `${KEY}AAAAAA!`],
+        ["question", -1, KEY, null, ""],
+        ["question", 1, KEY, "x".repeat(501), ""],
+        ["answer", 1, KEY, "AAAAA"],
+        ["answer", 1, KEY],
+        ["history-request", "1"],
+        ["history", 1, null],
+        ["history", 1, { confirmedAgeMs: 0, coveredMs: 1e15, routes: "", versions: [] }],
+        ["history", 1, { confirmedAgeMs: 0, coveredMs: 1, routes: "", versions: [["s", 1, 1]] }],
+        ["new-version", "s", {}],
+    ];
+    damaged.forEach(message => t.true(instance.origins.receive(message, "10.0.0.9")));
+    t.is(instance.events.filter(event => event === "peer-report-invalid").length, damaged.length);
+    [null, 7, "records", { scope: "instance" }].forEach(message =>
+        t.false(instance.origins.receive(message, "10.0.0.9"))
+    );
+    for (let i = 0; i < 3000; i += 1) {
+        instance.origins.receive(["new-version", "s", `v${i}`], "10.0.0.9");
+    }
+    instance.observe([V1], 500);
+    t.true(instance.origins.mayBegin(V1, instance.now));
+});
