--- a/test/core/streams/streamFleet.test.ts
+++ b/test/core/streams/streamFleet.test.ts
@@ -69,4 +69,28 @@
             }
         });
     }
+
+    addTest(`${instances} instances with 45 streams a second each send less than 4 KB/s for origins`, t => {
+        const { fleet, setVersions } = createStreamDay(instances, 1);
+        const serve = (seconds: number): { readonly messages: number; readonly bytesPerSecond: number; } => {
+            Object.assign(fleet.sent, { messages: 0, bytes: 0 });
+            for (const until = fleet.now + seconds * 1000; fleet.now < until; fleet.run(fleet.now + 200)) {
+                for (let i = 0; i < instances * 9; i += 1) {
+                    const stream = fleet.startStream(i % instances);
+                    if (stream && i % 50 === 0) {
+                        fleet.schedule(300, () => fleet.takeUp((i + 1) % instances, stream));
+                    }
+                }
+            }
+            const { messages, bytes } = fleet.sent;
+            return { messages: messages / instances / seconds, bytesPerSecond: bytes / instances / seconds };
+        };
+        t.is(serve(6).messages, 0);
+        setVersions(["v1", "v2"]);
+        t.log("a new version, 2 s", serve(2));
+        const steady = serve(3);
+        t.log("two versions", steady);
+        t.true(steady.bytesPerSecond < 4000);
+        t.deepEqual(fleet.wrong, []);
+    });
 }
