Test hedged requests, moved streams, and connections that fail while responses are due

A failing second attempt does not end a safe request, the run of a silent target ends when the stream goes on elsewhere, all attempts of a request end when its caller leaves, and what cannot be read on a connection, or comes too late, is answered after the responses that are due. An error in reading a body is caught.

--- a/test/platform/silentTargets.test.ts
+++ b/test/platform/silentTargets.test.ts
@@ -1,4 +1,5 @@
 import test, { type ExecutionContext, registerCompletionHandler } from "ava";
+import { connect } from "node:net";
 import { waitUntil } from "../../src/testing/waitUntil.js";
 import { createRawFleet } from "../testing/router/createRawFleet.js";
 import { formatChunk } from "../testing/router/formatChunk.js";
@@ -16,6 +17,9 @@
 
 const REQUESTS = 12;
 const EVENTS = 6;
+/** By the platform's rules, the run before may go on for this long, and so may attempts whose caller has left. */
+const TWICE_MS = 400;
+const GONE_MS = 500;
 const STREAM_HEADERS =
     "Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
 
@@ -132,6 +136,72 @@
     t.is(targets.flatMap(({ requestIds }) => requestIds).length, 2);
 });
 
+// The failure of one attempt would end a request of which another attempt is about to be answered.
+test.serial("answers a safe request whose second target fails while the first is silent", async t => {
+    const answers = [
+        serveAnswer(900),
+        ({ socket, requestId }: RawRequest): void =>
+            writeHead(socket, requestId, "Content-Length: 0\r\n", "500 Internal Server Error"),
+        ({ socket }: RawRequest): void => void socket.resetAndDestroy(),
+    ];
+    for (const failure of [1, 2]) {
+        const arrivals: RawRequest[] = [];
+        const serve = (request: RawRequest): void => {
+            arrivals.push(request);
+            answers[arrivals.length === 1 ? 0 : failure]?.(request);
+        };
+        const { fleet } = await createRawFleet(t, "plain", [serve, serve]);
+        t.is((await sendToFleet(fleet, "/safe/x")).status, 200);
+        t.is(arrivals.length, 2);
+        await fleet.close();
+    }
+});
+
+// Two runs of a stream would be in progress at once.
+test.serial("ends the run of a silent target in the moment in which the stream goes on at another one", async t => {
+    const arrivals: number[] = [];
+    let closedAt = Number.POSITIVE_INFINITY;
+    const serve = (request: RawRequest): void => {
+        arrivals.push(performance.now());
+        if (arrivals.length > 1) {
+            serveStream(SharedSilence.create(0), EVENTS)(request);
+            return;
+        }
+        request.socket.on("close", () => closedAt = performance.now());
+        writeHead(request.socket, request.requestId, STREAM_HEADERS);
+        request.socket.write(formatChunk(formatEvent(1, request.requestId)));
+    };
+    const { fleet } = await createRawFleet(t, "engine", [serve, serve]);
+    const { body, isWhole } = await sendToFleet(fleet, "/stream/x", { "Request-Id": "moved" });
+    t.true(isWhole);
+    t.is(body, formatStream("moved"));
+    t.is(arrivals.length, 2);
+    await waitUntil("the first run has ended", () => Number.isFinite(closedAt));
+    t.true(closedAt - (arrivals[1] ?? 0) < TWICE_MS, `${closedAt - (arrivals[1] ?? 0)} ms after the second`);
+});
+
+// Only one of two attempts in progress would be stopped.
+test.serial("stops all attempts of a request whose caller leaves", async t => {
+    const open = new Set<RawRequest["socket"]>();
+    let arrivals = 0;
+    const serve = ({ socket }: RawRequest): void => {
+        arrivals += 1;
+        open.add(socket);
+        socket.on("close", () => open.delete(socket));
+    };
+    const { fleet } = await createRawFleet(t, "plain", [serve, serve]);
+    const [instance] = fleet.instances;
+    const { hostname, port } = new URL(instance ? fleet.getUrls(instance).callers : "");
+    const caller = connect(Number(port), hostname);
+    caller.write("GET /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: left\r\nDeadline-Ms: 4000\r\n\r\n");
+    await waitUntil("both targets have the request", () => arrivals === 2);
+    t.is(open.size, 2);
+    const leftAt = performance.now();
+    caller.end();
+    await waitUntil("both connections are closed", () => open.size === 0);
+    t.true(performance.now() - leftAt < GONE_MS);
+});
+
 // An unexpected error in serving a request closed its caller's connection.
 test.serial("refuses a request on a route whose service the configuration lacks", async t => {
     const { fleet } = await createRawFleet(t, "plain", [serveAnswer(0)]);
--- a/test/router/ingressEnds.test.ts
+++ b/test/router/ingressEnds.test.ts
@@ -34,3 +34,15 @@
     setTimeout(() => socket.write(GARBAGE), ANSWER_MS / 4);
     t.regex(await readAll(socket), /^HTTP\/1\.1 200 .*answer.*HTTP\/1\.1 400 /s);
 });
+
+// Nothing caught an error in reading a body, so that its request was neither answered nor refused.
+test("unexpected error in reading a body: refuses the request, as not executed", async t => {
+    const { port } = await createIngress(t, () => t.fail("served"), {
+        getLimits: () => {
+            throw new Error("unexpected");
+        },
+    });
+    const socket = connect(port, "127.0.0.1");
+    socket.write(REQUEST.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+    t.regex(await readAll(socket), /^HTTP\/1\.1 503 .*Retry-After: /s);
+});
