Allow a target half as long again as its responses usually take before it counts as silent

The estimate of responses that hardly vary came down to their average, so that a jitter of a few milliseconds sent them to a second target.

--- a/src/core/routing/longTimeEstimate.ts
+++ b/src/core/routing/longTimeEstimate.ts
@@ -4,12 +4,17 @@
 
 /** Estimates a time that samples rarely exceed, from moving averages of the samples and of their deviation. */
 export class LongTimeEstimate {
+    readonly #minRatio: number;
     #averageMs = 0;
     #deviationMs = 0;
 
-    /** Creates an estimate of 0. */
-    static create(): LongTimeEstimate {
-        return new LongTimeEstimate();
+    private constructor(minRatio: number) {
+        this.#minRatio = minRatio;
+    }
+
+    /** Creates an estimate of 0. With samples that hardly vary, it stays at least `minRatio` times their average. */
+    static create(minRatio: number): LongTimeEstimate {
+        return new LongTimeEstimate(minRatio);
     }
 
     /** Adds a sample in milliseconds. */
@@ -20,6 +25,9 @@
 
     /** Returns the estimate in milliseconds; 0 without samples. */
     get(): number {
-        return this.#averageMs + DEVIATIONS * this.#deviationMs;
+        return Math.max(
+            this.#averageMs * this.#minRatio,
+            this.#averageMs + DEVIATIONS * this.#deviationMs,
+        );
     }
 }
--- a/src/core/routing/targetState.ts
+++ b/src/core/routing/targetState.ts
@@ -16,6 +16,8 @@
 /** Weight of the newest sample in the moving average of the slowness. */
 const SLOWNESS_WEIGHT = 0.1;
 const MAX_SLOWNESS = 10;
+/** Responses that usually take the same time get this multiple of it before their target counts as silent. */
+const MIN_RESPONSE_RATIO = 1.5;
 /** Share of an engine's memory that one instance assumes to be filled by its own prompts. */
 const CACHE_SHARE = 0.5;
 const DEFAULT_CACHE_TOKENS = 100_000;
@@ -36,8 +38,8 @@
     readonly #failures = DecayingSum.create(HEALTH_WINDOW_MS);
     readonly #results = DecayingSum.create(HEALTH_WINDOW_MS);
     #consecutiveFailures = 0;
-    readonly #pauses = LongTimeEstimate.create();
-    readonly #responseTimes = LongTimeEstimate.create();
+    readonly #pauses = LongTimeEstimate.create(1);
+    readonly #responseTimes = LongTimeEstimate.create(MIN_RESPONSE_RATIO);
 
     private constructor(descriptor: TargetDescriptor, memoryTokens: number, now: number) {
         this.descriptor = descriptor;
--- a/test/core/routing/findInactivity.test.ts
+++ b/test/core/routing/findInactivity.test.ts
@@ -69,7 +69,11 @@
     }
     t.is(find(900), undefined);
     t.is(find(1700), "silent");
-    for (let i = 0; i < 40; i += 1) {
+    for (let i = 0; i < 100; i += 1) {
+        target.recordResponseTime(900);
+    }
+    t.is(find(1200), undefined, "times that do not vary");
+    for (let i = 0; i < 100; i += 1) {
         target.recordResponseTime(20);
     }
     t.is(find(600), "silent");
--- a/test/platform/silentTargets.test.ts
+++ b/test/platform/silentTargets.test.ts
@@ -127,13 +127,49 @@
     t.is(targets[0]?.requestIds.length, 4 * REQUESTS);
 });
 
+// Targets that always take longer than 1.5 objectives got each request twice.
+test.serial("sends no second attempt once it is known how long all targets take", async t => {
+    const { fleet, targets } = await createRawFleet(t, "plain", [serveAnswer(700), serveAnswer(700)]);
+    const countArrivals = (): number => targets.flatMap(({ requestIds }) => requestIds).length;
+    for (let round = 0; round < 3; round += 1) {
+        await Promise.all(Array.from({ length: REQUESTS }, () => sendToFleet(fleet, "/safe/x")));
+    }
+    const before = countArrivals();
+    await Promise.all(Array.from({ length: REQUESTS }, () => sendToFleet(fleet, "/safe/x")));
+    t.is(countArrivals() - before, REQUESTS);
+});
+
 // A second attempt of a safe request was its only one, also when the first target was about to answer.
 test.serial("answers a safe request whose first target answers while the second is silent", async t => {
     const delays = [700, 5000];
-    const serve = (request: RawRequest): void => serveAnswer(delays.shift() ?? 0)(request);
+    const open = new Set<RawRequest["socket"]>();
+    const serve = (request: RawRequest): void => {
+        open.add(request.socket);
+        request.socket.on("close", () => open.delete(request.socket));
+        serveAnswer(delays.shift() ?? 0)(request);
+    };
     const { fleet, targets } = await createRawFleet(t, "plain", [serve, serve]);
     t.is((await sendToFleet(fleet, "/safe/x")).status, 200);
     t.is(targets.flatMap(({ requestIds }) => requestIds).length, 2);
+    await waitUntil("the second attempt is stopped", () => open.size <= 1, GONE_MS);
+});
+
+test.serial("passes on the error of one target if the other one breaks off", async t => {
+    let arrivals = 0;
+    const { fleet } = await createRawFleet(
+        t,
+        "plain",
+        [0, 1].map(() => ({ socket, requestId }: RawRequest): void => {
+            arrivals += 1;
+            if (arrivals === 1) {
+                setTimeout(() => socket.resetAndDestroy(), 900);
+                return;
+            }
+            writeHead(socket, requestId, "Content-Length: 0\r\n", "500 Internal Server Error");
+        }),
+    );
+    t.is((await sendToFleet(fleet, "/safe/x")).status, 500);
+    t.is(arrivals, 2);
 });
 
 // The failure of one attempt would end a request of which another attempt is about to be answered.
