Count each refusal of the ingress, and log callers that leave while their request is read

Refusals for a body limit, an unexpected error, the stop or an unreadable body were not counted, and a caller that left before its request had been read left no line. requests_refused_total has their reasons now, and request-ended with the outcome caller-left-unserved covers both cases. The test failed before: no reason, no line.

--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -139,13 +139,18 @@
         this.#connections.add(incoming, response);
         response.on("close", () => {
             this.#openRequests -= 1;
-            this.#unserved.delete(response);
+            if (this.#unserved.has(response)) {
+                const request = this.#unserved.get(response);
+                const outcome = "caller-left-unserved";
+                this.#options.log.write("request-ended", { request, outcome, ending: "left" });
+                this.#unserved.delete(response);
+            }
         });
         this.#runGuarded(response, () => this.#accept(incoming, response));
     }
 
     #accept(incoming: IncomingMessage, response: ServerResponse): void {
-        const { wire, getNow, resolve, isStopping, onRefused } = this.#options;
+        const { wire, getNow, resolve, isStopping } = this.#options;
         const receivedAt = getNow();
         const head = wire.readRequestHead(incoming);
         this.#unserved.set(response, head.requestId);
@@ -155,7 +160,6 @@
         const resolved = resolve(head, incoming.url ?? "/", receivedAt);
         if (resolved.kind === "refused") {
             incoming.resume();
-            onRefused(resolved.reason);
             const { status, reason, retryAfterMs, account } = resolved;
             this.#refuse(response, status, reason, retryAfterMs, account);
             return;
@@ -217,21 +221,12 @@
      * connections are noticed only in the turns after the one that read the request.
      */
     #serveIfConnected(exchange: CallerExchange): void {
-        const { incoming: { socket }, request, response } = exchange;
+        const { incoming: { socket }, response } = exchange;
         const serve = (): void => {
-            if (response.writableEnded) {
-                return;
-            }
-            if (response.destroyed || socket.destroyed || socket.readableEnded) {
-                this.#options.log.write("request-ended", {
-                    request: request.requestId,
-                    outcome: "caller-left-unserved",
-                    ending: "left",
-                });
-                return;
+            if (this.#unserved.has(response) && !socket.destroyed && !socket.readableEnded) {
+                this.#options.serve(exchange);
+                this.#unserved.delete(response);
             }
-            this.#options.serve(exchange);
-            this.#unserved.delete(response);
         };
         setImmediate(() => setImmediate(() => this.#runGuarded(response, serve)));
     }
@@ -255,7 +250,8 @@
             retryAfterMs,
             account,
         });
-        endResponse(response, this.#options.wire, requestId, end);
+        this.#options.onRefused(reason);
         this.#unserved.delete(response);
+        endResponse(response, this.#options.wire, requestId, end);
     }
 }
--- a/test/router/ingressEnds.test.ts
+++ b/test/router/ingressEnds.test.ts
@@ -1,6 +1,8 @@
 import test from "ava";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
+import type { LogSink } from "../../src/router/logSink.js";
+import { waitUntil } from "../../src/testing/waitUntil.js";
 import { createIngress } from "../testing/router/createIngress.js";
 
 const REQUEST = "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 1\r\n\r\nx";
@@ -46,3 +48,33 @@
     socket.write(REQUEST.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
     t.regex(await readAll(socket), /^HTTP\/1\.1 503 .*Retry-After: /s);
 });
+
+// Only refusals by the headers were counted, and nothing told of a caller that left while its request was read.
+test("counts each refusal, and logs a caller that leaves before its request has been read", async t => {
+    const reasons: string[] = [];
+    const events: string[] = [];
+    const { port, ingress } = await createIngress(t, () => t.fail("served"), {
+        getLimits: () => ({
+            maxHeaderBytes: 16_384,
+            maxBodyBytes: 0,
+            headerTimeoutMs: 3000,
+            idleTimeoutMs: 15_000,
+            tokensPerSecond: 0,
+        }),
+        onRefused: reason => reasons.push(reason),
+        log: {
+            write: (event: string, fields: { readonly outcome?: string; }) =>
+                events.push(`${event} ${fields.outcome ?? ""}`),
+        } as unknown as LogSink,
+    });
+    const refused = connect(port, "127.0.0.1");
+    refused.write(REQUEST.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+    t.regex(await readAll(refused), /^HTTP\/1\.1 413 /);
+    t.deepEqual(reasons, ["body-too-large"]);
+    const left = connect(port, "127.0.0.1");
+    left.write(REQUEST.slice(0, -1));
+    await waitUntil("the head has been read", () => ingress.openRequests === 1);
+    left.resetAndDestroy();
+    await waitUntil("the caller is gone", () => ingress.openRequests === 0);
+    t.true(events.includes("request-ended caller-left-unserved"), events.join());
+});
