--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -123,7 +123,7 @@
         if (isSuccess && attempt.hasEvents) {
             target.recordPause(attempt.longestPauseMs);
         }
-        else if (isSuccess) {
+        else if (isSuccess && attempt.longestSilenceMs !== undefined) {
             target.recordResponseTime(attempt.longestSilenceMs);
         }
         this.#release(attempt);
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -106,9 +106,11 @@
         return this.#exchange?.isWritten ?? false;
     }
 
-    /** Longest time in milliseconds for which the target has been silent before its head or after it. */
-    get longestSilenceMs(): number {
-        return Math.max(this.#headMs ?? 0, this.#progress.longestPauseMs);
+    /** Longest silence of the target in milliseconds, before its head or after it; `undefined` for streams. */
+    get longestSilenceMs(): number | undefined {
+        return this.#headMs === undefined
+            ? undefined
+            : Math.max(this.#headMs, this.#progress.longestPauseMs, this.silentMs);
     }
 
     /** Returns the reason why the target counts as unresponsive, or `undefined` if it does not. */
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -194,7 +194,7 @@
             return;
         }
         this.#withdraw();
-        if (this.#errorResponse) {
+        if (this.#errorResponse && !this.#response.isStarted) {
             this.#sendBuffered(this.#errorResponse.attempt, this.#errorResponse.head);
             return;
         }
--- a/src/router/silenceHandler.ts
+++ b/src/router/silenceHandler.ts
@@ -57,8 +57,9 @@
         this.#nextPickAt = now + PICK_INTERVAL_MS;
         const found = this.#findTarget(now);
         if (typeof found === "string") {
-            if (this.#lacking !== found) {
-                this.#lacking = found;
+            const isLogged = this.#lacking !== undefined;
+            this.#lacking = found;
+            if (!isLogged) {
                 this.#logSilence(reason, "wait");
             }
             return;
--- a/test/platform/faultyAnswers.test.ts
+++ b/test/platform/faultyAnswers.test.ts
@@ -201,3 +201,27 @@
         await fleet.close();
     }
 });
+
+// The error response that was kept of the first target cannot follow events of the second one.
+test.serial("cuts a stream that breaks off after another target had answered it with an error", async t => {
+    let arrivals = 0;
+    const serve = (request: RawRequest): void => {
+        arrivals += 1;
+        if (arrivals === 1) {
+            writeHead(
+                request.socket,
+                request.requestId,
+                "Content-Length: 0\r\n",
+                "500 Internal Server Error",
+            );
+            return;
+        }
+        serveBroken(() => undefined)(request);
+    };
+    const { fleet } = await createRawFleet(t, "engine", [serve, serve]);
+    const { status, body, isWhole } = await sendToFleet(fleet, "/stream/x", { "Request-Id": "r" });
+    t.is(status, 200);
+    t.is(body, formatEvent(1, "r") + formatEvent(2, "r"));
+    t.false(isWhole);
+    t.is(arrivals, 2);
+});
