--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -124,7 +124,6 @@
      * @param retryAfterMs Time in milliseconds after which it may come back; `undefined` if that would not help.
      */
     refuse({ response }: CallerExchange, reason: string, retryAfterMs: number | undefined): void {
-        this.#options.onRefused(reason);
         this.#refuse(response, "no-target", reason, retryAfterMs);
     }
 
@@ -133,20 +132,9 @@
         this.#unserved.delete(response);
     }
 
-    /** Returns whether a request still waits for its response; logs the end of one whose caller has left. */
-    isOpen({ incoming: { socket }, request, response }: CallerExchange): boolean {
-        if (response.writableEnded) {
-            return false;
-        }
-        const hasLeft = response.destroyed || socket.destroyed || socket.readableEnded;
-        if (hasLeft) {
-            this.#options.log.write("request-ended", {
-                request: request.requestId,
-                outcome: "caller-left-unserved",
-                ending: "left",
-            });
-        }
-        return !hasLeft;
+    /** Returns whether a request has neither been served nor refused, and its caller still waits. */
+    isOpen({ incoming: { socket }, response }: CallerExchange): boolean {
+        return this.#unserved.has(response) && !socket.destroyed && !socket.readableEnded;
     }
 
     /** Runs a handler of a request that is not being served; an unexpected error in it ends the request. */
@@ -177,13 +165,18 @@
         this.#connections.add(incoming, response);
         response.on("close", () => {
             this.#openRequests -= 1;
-            this.#unserved.delete(response);
+            if (this.#unserved.has(response)) {
+                const request = this.#unserved.get(response);
+                const outcome = "caller-left-unserved";
+                this.#options.log.write("request-ended", { request, outcome, ending: "left" });
+                this.#unserved.delete(response);
+            }
         });
         this.#runGuarded(response, () => this.#accept(incoming, response));
     }
 
     #accept(incoming: IncomingMessage, response: ServerResponse): void {
-        const { wire, getNow, resolve, isStopping, onRefused } = this.#options;
+        const { wire, getNow, resolve, isStopping } = this.#options;
         const receivedAt = getNow();
         const head = wire.readRequestHead(incoming);
         this.#unserved.set(response, head.requestId);
@@ -193,7 +186,6 @@
         const resolved = resolve(head, incoming.url ?? "/", receivedAt);
         if (resolved.kind === "refused") {
             incoming.resume();
-            onRefused(resolved.reason);
             const { status, reason, retryAfterMs, account } = resolved;
             this.#refuse(response, status, reason, retryAfterMs, account);
             return;
@@ -246,7 +238,8 @@
             retryAfterMs,
             account,
         });
-        endResponse(response, this.#options.wire, requestId, end);
+        this.#options.onRefused(reason);
         this.#unserved.delete(response);
+        endResponse(response, this.#options.wire, requestId, end);
     }
 }
