Take a page of the store that cannot be read for a failure, and confine odd items to themselves

What could happen: a page whose list was no list counted as an empty store, so that every target was dropped; a page with a revision of 1e308 was adopted, and nothing after it; a page of the same items again was asked for without end; an item with an odd revision made peers refuse the whole batch; an evacuation whose value was no text counted as taken back. Change: a whole read needs a list, a safe integer as its revision and a key that goes on; a watch without a change may still have no list. An item without a text as its key or a safe integer as its revision is left out, also where it ends a page; any other value than a text is one that cannot be read. Test: storeSource.test, "a page that cannot be read ..." and "an odd item of a page ..." both failed before (first with {"items":null,"hasMore":false,"at":7}, which was read as an empty store; the odd items were taken over).

--- a/src/platform/decodeItems.ts
+++ b/src/platform/decodeItems.ts
@@ -1,19 +1,18 @@
 import type { Change } from "../core/routing/change.js";
 
+const UNREADABLE_VALUE = "";
+
 /** Decodes the items or events of a page of the platform's store; malformed ones are left out. */
-export function decodeItems(list: unknown): readonly Change[] {
-    if (!Array.isArray(list)) {
-        return [];
-    }
+export function decodeItems(list: readonly unknown[]): readonly Change[] {
     return list.flatMap((entry: unknown) => {
         const { key, revision, value, tombstone } = (entry ?? {}) as Readonly<Record<string, unknown>>;
-        if (typeof key !== "string") {
+        if (typeof key !== "string" || !Number.isSafeInteger(revision)) {
             return [];
         }
         return [{
             key,
-            revision: typeof revision === "number" ? revision : 0,
-            value: tombstone !== true && typeof value === "string" ? value : undefined,
+            revision: Number(revision),
+            value: tombstone === true ? undefined : typeof value === "string" ? value : UNREADABLE_VALUE,
         }];
     });
 }
--- a/src/platform/storeFollower.ts
+++ b/src/platform/storeFollower.ts
@@ -11,6 +11,7 @@
 import type { LogSink } from "../router/logSink.js";
 import { decodeConfiguration } from "./decodeConfiguration.js";
 import { decodeTarget } from "./decodeTarget.js";
+import { storeKeys } from "./storeKeys.js";
 
 interface StoreFollowerOptions {
     readonly source: ChangeSource;
@@ -27,9 +28,6 @@
     readonly onConfirmed: (at: number, timeOfDay: number) => void;
 }
 
-const CONFIGURATION_KEY = "op/config";
-const EVACUATION_PREFIX = "op/evacuate/";
-const TARGET_PREFIX = "servers/";
 /** Failed calls are billed too. */
 const MIN_BACKOFF_MS = 100;
 /** With the timeout of an urgent call, bounds the time until the end of an outage is noticed. */
@@ -142,7 +140,7 @@
 
     #applyConfiguration(batch: ChangeBatch): void {
         for (const change of batch.changes) {
-            if (change.key !== CONFIGURATION_KEY || change.value === undefined) {
+            if (change.key !== storeKeys.configuration || change.value === undefined) {
                 continue;
             }
             try {
@@ -161,9 +159,9 @@
     }
 
     #applyEvacuations(batch: ChangeBatch, isOldCopy: boolean): void {
-        const changes = batch.changes.filter(change => change.key.startsWith(EVACUATION_PREFIX))
+        const changes = batch.changes.filter(change => change.key.startsWith(storeKeys.evacuationPrefix))
             .map(({ key, revision, value }) => ({
-                dataCentre: key.slice(EVACUATION_PREFIX.length),
+                dataCentre: key.slice(storeKeys.evacuationPrefix.length),
                 revision,
                 isSet: value !== undefined,
             }));
@@ -180,7 +178,7 @@
 
     #applyTargets(batch: ChangeBatch, isOldCopy: boolean): void {
         const { targetDirectory, log, getNow, onTargets } = this.#options;
-        const changes = batch.changes.filter(change => change.key.startsWith(TARGET_PREFIX));
+        const changes = batch.changes.filter(change => change.key.startsWith(storeKeys.targetPrefix));
         if (batch.isWhole) {
             const listed = changes.flatMap(change => this.#decodeTarget(change) ?? []);
             const { missing, outdated } = targetDirectory.replaceAll(listed, getNow(), isOldCopy);
@@ -202,7 +200,7 @@
 
     #applyTarget(change: Change): void {
         const { targetDirectory, log, getNow } = this.#options;
-        const id = change.key.slice(TARGET_PREFIX.length);
+        const id = change.key.slice(storeKeys.targetPrefix.length);
         const target = this.#decodeTarget(change);
         let state: string;
         if (target) {
@@ -219,7 +217,7 @@
         if (change.value === undefined) {
             return undefined;
         }
-        const id = change.key.slice(TARGET_PREFIX.length);
+        const id = change.key.slice(storeKeys.targetPrefix.length);
         const target = decodeTarget(id, Buffer.from(change.value, "base64"), this.#options.getNow());
         if (!target) {
             this.#options.log.write("target-invalid", { target: id, revision: change.revision });
--- a/src/platform/storeSource.ts
+++ b/src/platform/storeSource.ts
@@ -18,6 +18,8 @@
 
 interface Page extends ChangePosition {
     readonly changes: readonly Change[];
+    /** Key of the last entry, after which the next page begins; `undefined` if the page has no entry with a key. */
+    readonly lastKey: string | undefined;
     readonly hasMore: boolean;
 }
 
@@ -29,6 +31,8 @@
 const TIMEOUT_MS = 1200;
 /** Timeout of an urgent call. A lost attempt to connect is repeated only after a second, so a new call is faster. */
 const URGENT_TIMEOUT_MS = 800;
+const RANGE_PATH = "/kv-range";
+const WATCH_PATH = "/kv-watch";
 const GONE = 410;
 const ERA_PATTERN = /^\d{1,15}$/;
 
@@ -66,7 +70,7 @@
             waitMs: String(isUrgent ? 0 : WATCH_MS),
         });
         const timeoutMs = isUrgent ? URGENT_TIMEOUT_MS : WATCH_MS + TIMEOUT_MS;
-        const page = await this.#readPage("/kv-watch", query, timeoutMs);
+        const page = await this.#readPage(WATCH_PATH, query, timeoutMs);
         if (comparePositions(page, after) < 0 && page.era !== NO_ERA) {
             throw SourceError.create("position-outdated");
         }
@@ -91,14 +95,17 @@
     async #readAll(timeoutMs: number): Promise<Pick<ChangeBatch, "changes" | "era" | "revision">> {
         const changes: Change[] = [];
         let first: Page | undefined;
-        let page: Page;
+        let page: Page | undefined;
         do {
-            const query = new URLSearchParams({ pathPrefix: ALL_KEYS });
-            const last = changes.at(-1);
-            if (last) {
-                query.set("after", last.key);
+            const after: string | undefined = page?.lastKey;
+            const query = new URLSearchParams({
+                pathPrefix: ALL_KEYS,
+                ...(after === undefined ? {} : { after }),
+            });
+            page = await this.#readPage(RANGE_PATH, query, timeoutMs);
+            if (page.hasMore && (page.lastKey === undefined || page.lastKey === after)) {
+                throw SourceError.create("invalid-body: no progress");
             }
-            page = await this.#readPage("/kv-range", query, timeoutMs);
             // Pages do not form a snapshot, so changes are followed from the revision of the first page.
             first ??= page;
             if (page.era !== first.era) {
@@ -106,17 +113,25 @@
             }
             changes.push(...page.changes);
         }
-        while (page.hasMore && page.changes.length > 0);
+        while (page.hasMore);
         return { changes, era: first.era, revision: first.revision };
     }
 
     async #readPage(path: string, query: URLSearchParams, timeoutMs: number): Promise<Page> {
         const { body, era } = await this.#fetch(`${path}?${query.toString()}`, timeoutMs);
         const { at, items, events, hasMore } = (body ?? {}) as Readonly<Record<string, unknown>>;
-        if (typeof at !== "number") {
+        // Only a watch without a change may have no list: a page without items would drop all that is known.
+        const list = path === RANGE_PATH ? items : events ?? [];
+        if (!Number.isSafeInteger(at) || Number(at) < 0 || !Array.isArray(list)) {
             throw SourceError.create("invalid-body");
         }
-        return { changes: decodeItems(items ?? events), era, revision: at, hasMore: hasMore === true };
+        return {
+            changes: decodeItems(list),
+            lastKey: findLastKey(list),
+            era,
+            revision: Number(at),
+            hasMore: hasMore === true,
+        };
     }
 
     async #fetch(
@@ -157,3 +172,8 @@
         return Number(header);
     }
 }
+
+function findLastKey(list: readonly unknown[]): string | undefined {
+    const keys = list.map(entry => (entry as { readonly key?: unknown; } | null)?.key);
+    return keys.findLast(key => typeof key === "string");
+}
--- a/test/platform/storeSource.test.ts
+++ b/test/platform/storeSource.test.ts
@@ -102,3 +102,84 @@
         "history-lost",
     );
 });
+
+/** Starts a store that answers each call with the next body, and the last one again. */
+async function createScriptedSource(t: ExecutionContext, bodies: readonly string[]): Promise<StoreSource> {
+    const replies = [...bodies];
+    const server = createServer((_, response) => {
+        const body = replies.length > 1 ? replies.shift() : replies[0];
+        response.writeHead(200).end(body);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    const source = StoreSource.create({
+        address: { host: "127.0.0.1", port },
+        getNow: () => 0,
+        getTimeOfDay: () => 0,
+    });
+    t.teardown(() => {
+        source.close();
+        server.close();
+        server.closeAllConnections();
+    });
+    return source;
+}
+
+const NESTED = "[".repeat(100_000) + "]".repeat(100_000);
+
+// A page whose list could not be read counted as an empty list, so that all targets were dropped; one with an impossible
+// revision was adopted, so that nothing after it was.
+test("a page that cannot be read fails and changes nothing", async t => {
+    const ranges = [
+        "",
+        "null",
+        "7",
+        "{",
+        NESTED,
+        `{"items":${NESTED},"at":{}}`,
+        ...["null", '"x"', "{}", "7"].map(items => `{"items":${items},"hasMore":false,"at":7}`),
+        '{"hasMore":false,"at":7}',
+        ...["1e308", "1e999", "-1", "1.5", '"7"', "null", "9007199254740993"]
+            .map(at => `{"items":[],"hasMore":false,"at":${at}}`),
+        '{"items":[],"hasMore":true,"at":7}',
+        '{"items":[{"revision":1,"value":""}],"hasMore":true,"at":7}',
+        // The same page again, although the call asks for what follows it.
+        '{"items":[{"key":"servers/a","revision":1,"value":""}],"hasMore":true,"at":7}',
+    ];
+    for (const body of ranges) {
+        const code = await getFailure((await createScriptedSource(t, [body])).read(undefined));
+        t.regex(String(code), /^invalid-body/, body.slice(0, 100));
+    }
+    const events = ['"x"', "{}", "7"].map(list => `{"events":${list},"at":7}`);
+    for (const body of [...events, '{"events":[],"at":1e308}']) {
+        const source = await createScriptedSource(t, [body]);
+        t.regex(
+            String(await getFailure(source.read({ era: NO_ERA, revision: 7 }, true))),
+            /^invalid-body/,
+            body,
+        );
+    }
+});
+
+// An item without a text as its key ended the reading of the pages after it, and an evacuation with a value that is no
+// text counted as taken back.
+test("an odd item of a page is confined to itself", async t => {
+    const sound = { key: "servers/c", revision: 3, value: "e30=" };
+    const odd = [null, 7, [], {}, { ...sound, key: 7 }, { ...sound, key: "servers/x", revision: 1e308 }];
+    const source = await createScriptedSource(t, [
+        JSON.stringify({
+            items: [...odd, { key: "op/evacuate/b", revision: 1, value: 7 }],
+            hasMore: true,
+            at: 7,
+        }),
+        JSON.stringify({ items: [...odd, { ...sound, key: "servers/a" }], hasMore: true, at: 7 }),
+        JSON.stringify({ items: [sound, ...odd], hasMore: false, at: 8 }),
+    ]);
+    const { changes, revision } = await source.read(undefined);
+    t.deepEqual(changes, [
+        { key: "op/evacuate/b", revision: 1, value: "" },
+        { ...sound, key: "servers/a" },
+        sound,
+    ]);
+    t.is(revision, 7);
+});
