Adopt no configuration that is none

What could happen: a configuration of another writer with a version of 1e308 was adopted, and every later one ignored; an idle timeout of 1e999 made each response end with an error that nobody caught (ERR_OUT_OF_RANGE in the socket's timer), and more than 50 of them in ten seconds end the process; routes that are no list took all routes away. Change: a configuration needs a safe integer as its version, lists of objects, the names by which requests are matched, and numbers from 0 to the largest safe integer; otherwise it is rejected as a whole with configuration-invalid, and the one in force stays. Fields that are missing or null have their defaults as before. Test: oddEntries.test, "odd entries in place of the configuration ...": before, the next sound configuration was not adopted within 20 s (version 1e308 in force); decode.test, "rejects a configuration that is none ...". With the check of numbers switched off, the processes logged internal-error for the timer.

--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -17,15 +17,16 @@
  * @throws SyntaxError when it is not JSON; TypeError when it is not of the expected form.
  */
 export function decodeConfiguration(value: Buffer): RouterConfiguration {
-    const fields = JSON.parse(value.toString("utf8")) as Fields;
-    const limits = (fields["limits"] ?? {}) as Fields;
-    if (!Number.isInteger(fields["version"])) {
+    const fields = readFields(JSON.parse(value.toString("utf8")), "configuration");
+    const limits = readFields(fields["limits"] ?? {}, "limits");
+    const version = fields["version"];
+    if (!Number.isSafeInteger(version) || Number(version) < 0) {
         throw new TypeError("The configuration has no version.");
     }
     const routes = readList(fields["routes"]).map(decodeRoute);
     const services = readList(fields["services"]).map(service => decodeService(service, routes));
     return {
-        version: Number(fields["version"]),
+        version: Number(version),
         routesByHost: buildRouteIndex(routes),
         services: new Map(services.map(service => [service.name, service])),
         hasAccounts: Array.isArray(fields["tenants"]) && fields["tenants"].length > 0,
@@ -40,12 +41,39 @@
     };
 }
 
+function readFields(value: unknown, name: string): Fields {
+    if (typeof value !== "object" || value === null || Array.isArray(value)) {
+        throw new TypeError(`The ${name} of the configuration has no fields.`);
+    }
+    return value as Fields;
+}
+
+/** A list that is missing is empty. */
 function readList(value: unknown): readonly Fields[] {
-    return Array.isArray(value) ? value as readonly Fields[] : [];
+    const list: unknown = value ?? [];
+    if (!Array.isArray(list)) {
+        throw new TypeError("A list of the configuration is no list.");
+    }
+    return list.map(entry => readFields(entry, "list entry"));
 }
 
+function readText(fields: Fields, name: string): string {
+    const value = fields[name];
+    if (typeof value !== "string") {
+        throw new TypeError(`The configuration has an entry without a ${name}.`);
+    }
+    return value;
+}
+
+/** A time of 1e999 or below zero would fail wherever a timer is set with it. */
 function readNumber(value: unknown, fallback: number): number {
-    return typeof value === "number" ? value : fallback;
+    if (typeof value !== "number") {
+        return fallback;
+    }
+    if (value < 0 || value > Number.MAX_SAFE_INTEGER) {
+        throw new TypeError(`The configuration has the number ${value}.`);
+    }
+    return value;
 }
 
 function readStrings(value: unknown): readonly string[] {
@@ -58,17 +86,17 @@
     const timeoutMs = readNumber(fields["timeoutMs"], 10_000);
     return {
         name: String(fields["name"]),
-        host: String(fields["host"]).toLowerCase(),
-        pathPrefix: String(fields["pathPrefix"]),
+        host: readText(fields, "host").toLowerCase(),
+        pathPrefix: readText(fields, "pathPrefix"),
         kind,
         timeoutMs,
         objectiveMs: readNumber(fields["targetLatencyMs"], timeoutMs),
         backends: backends.length > 0
             ? backends.map(backend => ({
-                service: String(backend["service"]),
+                service: readText(backend, "service"),
                 weight: readNumber(backend["weight"], 1),
             }))
-            : [{ service: String(fields["service"]), weight: 1 }],
+            : [{ service: readText(fields, "service"), weight: 1 }],
         maxAttempts: Math.max(1, readNumber(fields["maxAttempts"], 1)),
         isPublic: fields["public"] === true,
         isResumable: kind === "stream" && fields["resumable"] === true,
@@ -89,7 +117,7 @@
 
 function decodeService(fields: Fields, routes: readonly RouteRule[]): RoutedService {
     const engine = fields["engine"] as Fields | undefined;
-    const name = String(fields["name"]);
+    const name = readText(fields, "name");
     const objectives = routes
         .filter(route => route.backends.some(backend => backend.service === name))
         .map(route => route.objectiveMs);
@@ -112,7 +140,7 @@
 
 function buildAccountIndex(accounts: readonly Fields[]): ReadonlyMap<string, RoutedAccount> {
     return new Map(accounts.flatMap(fields => {
-        const account = { name: String(fields["name"]), regions: readStrings(fields["allowedRegions"]) };
+        const account = { name: readText(fields, "name"), regions: readStrings(fields["allowedRegions"]) };
         return readStrings(fields["apiKeys"]).map(key => [key, account] as const);
     }));
 }
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -3,6 +3,8 @@
 import { decodeConfiguration } from "../../src/platform/decodeConfiguration.js";
 import { decodeTarget } from "../../src/platform/decodeTarget.js";
 import { parseSettings } from "../../src/platform/parseSettings.js";
+import { buildFleetConfiguration } from "../../src/testing/platform/buildFleetConfiguration.js";
+import { listOddConfigurations } from "../testing/platform/oddConfigurations.js";
 import { listOddEntries } from "../testing/platform/oddEntries.js";
 
 const ENTRY = {
@@ -112,6 +114,24 @@
     t.throws(() => decodeConfiguration(Buffer.from("{}")), { instanceOf: TypeError });
 });
 
+// A timeout of 1e999 made each response end with an error that nobody caught, and with 51 of them in ten seconds the
+// process; a version of 1e308 kept every later configuration from being adopted.
+test("rejects a configuration that is none, or has numbers that no timer or comparison can use", t => {
+    for (const text of listOddConfigurations(["k"])) {
+        t.throws(() => decodeConfiguration(Buffer.from(text)), undefined, text.slice(-100));
+    }
+});
+
+test("decodes a configuration without accounts, limits or services", t => {
+    const { routes } = buildFleetConfiguration(1, 1, []) as { readonly routes: readonly object[]; };
+    for (const missing of [undefined, null]) {
+        const fields = { version: 1, routes, services: missing, limits: missing, tenants: missing };
+        const configuration = decodeConfiguration(Buffer.from(JSON.stringify(fields)));
+        t.false(configuration.hasAccounts);
+        t.is(configuration.limits.idleTimeoutMs, 15_000);
+    }
+});
+
 test("rejects invalid settings and names each invalid field", t => {
     const error: unknown = t.throws(() => parseSettings(JSON.stringify({ instance: "" })));
     const faults = error instanceof SettingsError ? error.faults : [];
--- a/test/platform/oddEntries.test.ts
+++ b/test/platform/oddEntries.test.ts
@@ -1,6 +1,8 @@
 import test, { registerCompletionHandler } from "ava";
+import { buildFleetConfiguration } from "../../src/testing/platform/buildFleetConfiguration.js";
 import type { CooperativeFleet } from "../../src/testing/platform/cooperativeFleet.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
+import { listOddConfigurations } from "../testing/platform/oddConfigurations.js";
 import { listOddEntries } from "../testing/platform/oddEntries.js";
 import { createRouterFleet } from "../testing/router/createRouterFleet.js";
 import { sendToFleet } from "../testing/router/sendToFleet.js";
@@ -55,3 +57,37 @@
     }
     t.deepEqual(Object.entries(failures).filter(([, counts]) => Object.keys(counts).length > 0), []);
 });
+
+/** Above the version of each odd configuration. */
+const SOUND_VERSION = 1000;
+const WRITES_AT_ONCE = 8;
+const ENGINE_SLOTS = 16;
+
+// A timeout of 1e999 or below zero ended each connection of a caller with an error, and a version of 1e308 kept every
+// later configuration from being adopted.
+test.serial("odd entries in place of the configuration: the one in force stays, and the next sound one is adopted", async t => {
+    const fleet = await createRouterFleet(t, { instances: 2 });
+    const failures: Record<string, object> = {};
+    const texts = listOddConfigurations([fleet.key]);
+    for (let i = 0; i < texts.length; i += WRITES_AT_ONCE) {
+        const written = texts.slice(i, i + WRITES_AT_ONCE);
+        written.forEach(text => fleet.store.write("op/config", text));
+        await waitForFollowers(fleet);
+        const results = await Promise.all(
+            [0, 1].flatMap(instance => PATHS.map(path => sendToFleet(fleet, path, {}, instance))),
+        );
+        const statuses = results.map(({ status }) => status);
+        if (statuses.some(status => status !== 200)) {
+            failures[written.map(text => text.slice(-100)).join(" ")] = statuses;
+        }
+        t.true(fleet.instances.every(({ process }) => process.running));
+    }
+    t.deepEqual(failures, {});
+    fleet.store.write("op/config", buildFleetConfiguration(SOUND_VERSION, ENGINE_SLOTS, []));
+    for (const instance of [0, 1]) {
+        await waitUntil(
+            "the key is gone",
+            async () => (await sendToFleet(fleet, "/once/x", {}, instance)).status === 401,
+        );
+    }
+});
