Play software versions, silent targets and streams that callers take up in the soak

Callers of the soak never took a broken stream up, all targets had one version, none fell silent and went on, and a request whose connection was closed without an answer was not looked at.

The stand-ins: a target names its version in its registration and, if a test sets one, in each event; it can hold back heads and events for a time, work more slowly, and start again under its identifier with another version. A fleet records what was done to its parts.

The soak's new faults: releases to another version or back, a target that starts again, one silent target or all of a service, all instances killed at once, a planned stop beside slow targets, odd entries in the store. Callers take streams up with Last-Event-Id and Resumes, also after breaks of their own connections. New checks: events of a stream follow each other and have one version over all attempts; a request that a sound instance read is not closed without an answer, and not cut by a planned stop; half as many streams go on as begin; no process ends by itself.

Two faults that ended one instance could both start it again. The second process could not bind its sockets and ended with code 0, and the soak then watched that one instead of the one that ran. Each instance is started once now.

--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -1,12 +1,12 @@
 import { Agent } from "node:http";
 import { createRandom } from "../standIns/client/createRandom.js";
-import { buildCallerHeaders } from "../testing/platform/buildCallerHeaders.js";
 import { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
-import { sendCaller } from "../testing/sendCaller.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
 import { createFaultSource } from "./createFaultSource.js";
+import { sendSoakRequest } from "./sendSoakRequest.js";
 import { soakFaults } from "./soakFaults.js";
 import { SoakObserver } from "./soakObserver.js";
+import type { SoakViolation } from "./soakViolation.js";
 
 interface SoakOptions {
     readonly seed: number;
@@ -23,31 +23,39 @@
     readonly faults: readonly string[];
     /** Targets that crashed on requests. */
     readonly crashes: number;
-    readonly violations: readonly string[];
+    /** Streams that callers took up at calm instances while two targets of their version served. */
+    readonly resumptions: number;
+    readonly violations: readonly SoakViolation[];
 }
 
 const ROUTES = ["stream", "once", "safe", "unsafe"] as const;
 /** Largest number of injected faults at the same time. */
 const MAX_CONCURRENT_FAULTS = 3;
 const MAX_FAULT_PAUSE_MS = 300;
-const CALLER_TIMEOUT_MS = 3000;
-/** Number of distinct shared prompt prefixes; they repeat, so that prefix-cache affinity matters. */
-const SHARED_PREFIXES = 5;
+/** Fraction of the streams after whose first events the caller's own connection breaks, so that it takes them up. */
+const BROKEN_SHARE = 0.1;
+const MAX_BREAK_AFTER = 8;
 const CALLER_PAUSE_MS = 20;
 /** The documentation gives deployments 12 s to serve again after the last fault; the small fleet gets the same. */
 const RECOVERY_MS = 12_000;
 const RECOVERY_REQUESTS = 20;
+/** Time without impairments after which an instance counts as calm, and streams that callers then take up. */
+const CONTACT_MS = 4000;
+const CALM_STREAMS = 48;
+/** Time in which the calm streams begin, before a target crashes. */
+const BEGIN_MS = 50;
 
 /** Runs a fleet of real processes under seeded random faults and checks the guarantees to callers and targets. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const fleet = await CooperativeFleet.create({
         instances: options.instances,
-        engines: 4,
+        engines: 6,
         plainTargets: 3,
         revocationMs: 5000,
         stopTimeoutSeconds: 4,
+        versions: ["v1", "v2"],
     });
-    const observer = SoakObserver.create();
+    const observer = SoakObserver.create(fleet);
     fleet.targets.forEach(({ target }, i) =>
         target.setFault(createFaultSource(options.seed + i, BASELINE_FAULT_SHARE))
     );
@@ -67,11 +75,13 @@
         });
         const callers = Array.from(
             { length: options.callers },
-            (_, i) => runCaller(fleet, observer, i, deadline),
+            (_, i) => runCaller(fleet, observer, i, deadline, createRandom(options.seed + i)),
         );
         await Promise.all([...injectors, ...callers]);
+        const ended = fleet.instances.filter(({ process }) => !process.running);
         const servedAfter = await countServed(fleet, observer);
-        observer.checkTargets(fleet);
+        await resumeCalmStreams(fleet, observer);
+        observer.checkTargets();
         return {
             seed: options.seed,
             sent: observer.sent,
@@ -79,11 +89,13 @@
             servedAfter,
             faults: faultNames,
             crashes: fleet.crashes.filter(({ body }) => body !== "").length,
+            resumptions: observer.resumptions,
             violations: [
                 ...observer.violations,
                 ...(servedAfter < RECOVERY_REQUESTS / 4
-                    ? [`only ${servedAfter} requests served after the faults`]
+                    ? [createOther(`only ${servedAfter} requests served after the faults`)]
                     : []),
+                ...ended.map(({ host }) => createOther(`${host}: the process ended by itself`)),
             ],
         };
     }
@@ -92,49 +104,34 @@
     }
 }
 
+function createOther(text: string): SoakViolation {
+    return { rule: "other", text };
+}
+
 /** Sends requests one after another over keep-alive connections until the deadline. */
 async function runCaller(
     fleet: CooperativeFleet,
     observer: SoakObserver,
     caller: number,
     deadline: number,
+    random: () => number,
 ): Promise<void> {
     const agent = new Agent({ keepAlive: true });
     for (let i = 0; performance.now() < deadline; i += 1) {
-        await sendOne(fleet, observer, `c${caller}-${i}`, i + caller, agent);
+        const isBroken = random() < BROKEN_SHARE;
+        const breakAfter = 1 + Math.floor(random() * MAX_BREAK_AFTER);
+        await sendSoakRequest(fleet, observer, {
+            requestId: `c${caller}-${i}`,
+            route: ROUTES[(i + caller) % ROUTES.length] ?? "safe",
+            turn: Math.floor((i + caller) / ROUTES.length),
+            agent,
+            ...(isBroken ? { breakAfter } : {}),
+        });
         await new Promise(resolve => setTimeout(resolve, CALLER_PAUSE_MS));
     }
     agent.destroy();
 }
 
-async function sendOne(
-    fleet: CooperativeFleet,
-    observer: SoakObserver,
-    requestId: string,
-    turn: number,
-    agent: Agent,
-): Promise<boolean> {
-    const route = ROUTES[turn % ROUTES.length] ?? "safe";
-    const instance = fleet.instances[Math.floor(turn / ROUTES.length) % fleet.instances.length];
-    if (!instance) {
-        return false;
-    }
-    const isStream = route === "stream" || route === "once";
-    const sentAt = performance.now();
-    const result = await sendCaller(`${fleet.getUrls(instance).callers}/${route}/x`, {
-        method: "POST",
-        agent,
-        body: "question",
-        headers: buildCallerHeaders({
-            requestId,
-            patienceMs: CALLER_TIMEOUT_MS,
-            ...(isStream ? { engine: { key: fleet.key, sharedPart: `s${turn % SHARED_PREFIXES}` } } : {}),
-        }),
-    });
-    observer.record({ requestId, route, sentAt, endedAt: performance.now() }, result);
-    return result.status === 200 && result.isWhole;
-}
-
 /** Sends batches until one is served whole or the recovery time has passed; returns the last batch's served count. */
 async function countServed(fleet: CooperativeFleet, observer: SoakObserver): Promise<number> {
     const agent = new Agent({ keepAlive: true });
@@ -142,13 +139,40 @@
     let served = 0;
     for (let round = 0; served < RECOVERY_REQUESTS && performance.now() < deadline; round += 1) {
         const results = await Promise.all(
-            Array.from(
-                { length: RECOVERY_REQUESTS },
-                (_, i) => sendOne(fleet, observer, `r${round}-${i}`, i, agent),
-            ),
+            Array.from({ length: RECOVERY_REQUESTS }, (_, i) =>
+                sendSoakRequest(fleet, observer, {
+                    requestId: `r${round}-${i}`,
+                    route: ROUTES[i % ROUTES.length] ?? "safe",
+                    turn: Math.floor(i / ROUTES.length),
+                    agent,
+                })),
         );
         served = results.filter(Boolean).length;
     }
     agent.destroy();
     return served;
 }
+
+/**
+ * Once the instances count as calm, breaks the connections of some callers, who take their streams up at other
+ * instances, and lets the target crash that runs most streams.
+ */
+async function resumeCalmStreams(fleet: CooperativeFleet, observer: SoakObserver): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, CONTACT_MS));
+    const agent = new Agent({ keepAlive: true });
+    const streams = Array.from({ length: CALM_STREAMS }, (_, i) =>
+        sendSoakRequest(fleet, observer, {
+            requestId: `t${i}`,
+            route: "stream",
+            turn: i,
+            agent,
+            ...(i % 2 === 0 ? { breakAfter: 1 + i / 2 % MAX_BREAK_AFTER } : {}),
+        }));
+    await new Promise(resolve => setTimeout(resolve, BEGIN_MS));
+    const engines = fleet.runningTargets.map(({ target }) => target).filter(({ service }) =>
+        service === "engine"
+    );
+    engines.sort((a, b) => b.runningCount - a.runningCount)[0]?.kill();
+    await Promise.all(streams);
+    agent.destroy();
+}
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -4,7 +4,11 @@
 import { sendCaller } from "../testing/sendCaller.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
 import { createFaultSource } from "./createFaultSource.js";
+import { oddEntries } from "./oddEntries.js";
+import { pickItem } from "./pickItem.js";
+import { slowTargetFaults } from "./slowTargetFaults.js";
 import type { SoakFault } from "./soakFault.js";
+import { targetVersionFaults } from "./targetVersionFaults.js";
 
 /** Fraction of the requests that get a fault at a faulty target. */
 const FAULT_SHARE = 0.3;
@@ -17,31 +21,26 @@
 /** Longer than the time after which a crashing request must be refused. */
 const CRASHING_MS = 9000;
 
-function pickItem<T>(items: readonly T[], random: () => number): T {
-    const item = items[Math.floor(random() * items.length)];
-    if (item === undefined) {
-        throw new Error("Cannot pick from an empty list.");
-    }
-    return item;
-}
-
 function createLinkFault(name: string, fault: LinkFault): SoakFault {
     return {
         name,
         inject: async (fleet, random, wait) => {
-            const link = random() < 0.3 ? fleet.storeLink : pickItem(fleet.targets, random).link;
+            const entry = random() < 0.3 ? undefined : pickItem(fleet.runningTargets, random);
+            const link = entry?.link ?? fleet.storeLink;
+            const end = fleet.impairments.start(entry ? `link ${entry.target.service}` : "store");
             link.setFault(fault);
             await wait(SHORT_MS + random() * LONG_MS);
             link.setFault({});
             // Connections on which bytes were held or lost meanwhile must not be reused.
             link.reset();
+            end();
         },
     };
 }
 
 function createProcessFault(
     name: string,
-    end: (process: CooperativeFleet["instances"][number]["process"]) => Promise<unknown>,
+    end: (fleet: CooperativeFleet, instance: CooperativeFleet["instances"][number]) => Promise<void>,
 ): SoakFault {
     return {
         name,
@@ -50,9 +49,9 @@
             if (!instance.process.running) {
                 return;
             }
-            await end(instance.process);
+            await end(fleet, instance);
             await wait(random() * SHORT_MS);
-            await fleet.startInstance(instance);
+            await fleet.ensureInstance(instance);
         },
     };
 }
@@ -64,27 +63,61 @@
     createLinkFault("silent-link", { mode: "halfOpen" }),
     createLinkFault("one-way-link", { backward: "drop" }),
     createLinkFault("resetting-link", { resetAfterBytes: 2000 }),
-    createProcessFault("killed", process => process.stop("SIGKILL")),
-    createProcessFault("stopped", process => process.stop("SIGTERM")),
+    createProcessFault("killed", (fleet, instance) => fleet.killInstances([instance])),
+    createProcessFault("stopped", (fleet, instance) => fleet.stopInstance(instance)),
+    {
+        name: "all-killed",
+        inject: async (fleet, random, wait) => {
+            const instances = fleet.instances.filter(({ process }) => process.running);
+            await fleet.killInstances(instances);
+            await wait(random() * SHORT_MS);
+            await Promise.all(instances.map(instance => fleet.ensureInstance(instance)));
+        },
+    },
+    ...targetVersionFaults,
+    ...slowTargetFaults,
+    {
+        name: "odd-entries",
+        inject: async (fleet, random, wait) => {
+            const replaced = random() < FAULT_SHARE ? pickItem(fleet.runningTargets, random) : undefined;
+            const keys = ["servers/odd-1", "servers/odd-2", `servers/${replaced?.target.id ?? "odd-3"}`];
+            keys.forEach(key => fleet.store.write(key, pickItem(oddEntries, random)));
+            const end = replaced ? fleet.impairments.start(replaced.target.id) : undefined;
+            await wait(SHORT_MS + random() * LONG_MS);
+            keys.forEach(key => fleet.store.remove(key));
+            if (replaced) {
+                fleet.setRegistration(replaced, replaced.registration.state);
+            }
+            end?.();
+        },
+    },
     {
         name: "paused",
         inject: async (fleet, random, wait) => {
             const instance = pickItem(fleet.instances, random);
-            instance.process.kill("SIGSTOP");
+            const resume = fleet.pauseInstance(instance);
             await wait(SHORT_MS + random() * LONG_MS);
-            fleet.resumeInstance(instance);
+            resume();
         },
     },
     {
         name: "store-away",
         inject: async (fleet, random, wait) => {
+            const end = fleet.impairments.start("store");
             fleet.store.setMode(pickItem(["silent", "busy", "reset"] as const, random));
             // Some outages last longer than keys are accepted without a new confirmation.
             await wait(SHORT_MS + random() * (fleet.revocationMs + LONG_MS));
             fleet.store.setMode("ok");
+            end();
+        },
+    },
+    {
+        name: "history-lost",
+        inject: async fleet => {
+            fleet.impairments.mark("store");
+            fleet.store.dropHistory();
         },
     },
-    { name: "history-lost", inject: async fleet => fleet.store.dropHistory() },
     { name: "configuration-changed", inject: async fleet => fleet.publish() },
     {
         name: "key-revoked",
@@ -97,7 +130,7 @@
     {
         name: "faulty-target",
         inject: async (fleet, random, wait) => {
-            const { target } = pickItem(fleet.targets, random);
+            const { target } = pickItem(fleet.runningTargets, random);
             const seed = Math.floor(random() * MAX_SEED);
             target.setFault(createFaultSource(seed, FAULT_SHARE));
             await wait(SHORT_MS + random() * LONG_MS);
@@ -107,7 +140,7 @@
     {
         name: "limited-target",
         inject: async (fleet, random, wait) => {
-            const target = pickItem(fleet.targets, random);
+            const target = pickItem(fleet.runningTargets, random);
             fleet.setLimit(target, 1 + Math.floor(random() * MAX_LIMIT_PER_SECOND));
             await wait(LIMITED_MS + random() * LONG_MS);
             fleet.setLimit(target, undefined);
@@ -138,7 +171,7 @@
     {
         name: "pausing-target",
         inject: async (fleet, random, wait) => {
-            const { target } = pickItem(fleet.targets, random);
+            const { target } = pickItem(fleet.runningTargets, random);
             target.setHeader("Retry-After", (random() * 2).toFixed(2));
             await wait(SHORT_MS + random() * LONG_MS);
             target.setHeader("Retry-After");
@@ -147,7 +180,7 @@
     {
         name: "leaving-target",
         inject: async (fleet, random, wait) => {
-            const { target } = pickItem(fleet.targets, random);
+            const { target } = pickItem(fleet.runningTargets, random);
             target.setHeader("Server-Leaving", "1");
             await wait(LONG_MS);
             // Its successor starts soon after, so that some target of each service always stays.
@@ -159,16 +192,18 @@
         inject: async (fleet, random, wait) => {
             const copy = fleet.store.exportCopy();
             await wait(SHORT_MS + random() * LONG_MS);
+            const end = fleet.impairments.start("store");
             fleet.store.setMode("reset");
             await wait(random() * SHORT_MS);
             fleet.recoverStore(copy);
             fleet.store.setMode("ok");
+            end();
         },
     },
     {
         name: "draining-target",
         inject: async (fleet, random, wait) => {
-            const target = pickItem(fleet.targets, random);
+            const target = pickItem(fleet.runningTargets, random);
             fleet.setRegistration(target, "draining");
             await wait(LONG_MS);
             fleet.setRegistration(target, "ready");
--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -1,20 +1,14 @@
 import { countMostWithin } from "../testing/countMostWithin.js";
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import type { sendCaller } from "../testing/sendCaller.js";
+import { findLostRequests } from "./findLostRequests.js";
+import type { ObservedRequest } from "./observedRequest.js";
+import { ResumptionCheck } from "./resumptionCheck.js";
+import type { SoakViolation } from "./soakViolation.js";
+import { StreamOrderCheck } from "./streamOrderCheck.js";
 
 type CallerResult = Awaited<ReturnType<typeof sendCaller>>;
 
-interface ObservedRequest {
-    readonly requestId: string;
-    readonly route: "stream" | "once" | "safe" | "unsafe";
-    /** Monotonic times in milliseconds. */
-    readonly sentAt: number;
-    readonly endedAt: number;
-}
-
-const EVENT_PATTERN = /^id: (\d+)\ndata: (\S+) (\d+)$/;
-/** Number of events in each stream of `CooperativeFleet`. */
-const EVENTS_PER_STREAM = 12;
 const LIMIT_SETTLE_MS = 4000;
 const CONTACT_MS = 4000;
 const MAX_LATE_RUNS = 3;
@@ -22,24 +16,44 @@
 /** Statuses that tell the caller that the request was not run. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
+const UNAUTHORIZED = 401;
+
 /** Checks the guarantees to callers and targets against what both observed. */
 export class SoakObserver {
-    readonly #violations: string[] = [];
+    readonly #fleet: CooperativeFleet;
+    readonly #violations: SoakViolation[] = [];
     readonly #refused = new Set<string>();
     readonly #nonRepeatable = new Set<string>();
     /** Requests that carried an API key, by request identifier. */
     readonly #withKey = new Map<string, ObservedRequest>();
     readonly #denied: (ObservedRequest & { readonly status: number; })[] = [];
+    readonly #incomplete: (ObservedRequest & { readonly status: number; })[] = [];
+    readonly #streamOrderCheck = StreamOrderCheck.create();
+    readonly #resumptionCheck: ResumptionCheck;
     #served = 0;
     #sent = 0;
 
+    private constructor(fleet: CooperativeFleet) {
+        this.#fleet = fleet;
+        this.#resumptionCheck = ResumptionCheck.create(fleet);
+    }
+
     /** Creates an observer that has seen nothing. */
-    static create(): SoakObserver {
-        return new SoakObserver();
+    static create(fleet: CooperativeFleet): SoakObserver {
+        return new SoakObserver(fleet);
     }
 
-    get violations(): readonly string[] {
-        return this.#violations;
+    get violations(): readonly SoakViolation[] {
+        return [
+            ...this.#violations,
+            ...this.#streamOrderCheck.violations,
+            ...this.#resumptionCheck.list(),
+        ];
+    }
+
+    /** Streams that were taken up at calm instances while two targets of their version served. */
+    get resumptions(): number {
+        return this.#resumptionCheck.resumptions;
     }
 
     get served(): number {
@@ -65,15 +79,19 @@
         }
         if (result.status === 200 && result.isWhole) {
             this.#served += 1;
-            this.#checkResponse(requestId, route, result);
         }
+        else if (!request.isBrokenByCaller) {
+            this.#incomplete.push({ ...request, status: result.status });
+        }
+        this.#checkResponse(request, result);
         if (result.status === 401 || result.status === 404) {
             this.#denied.push({ ...request, status: result.status });
         }
     }
 
     /** Compares the requests that targets ran with the responses that callers got. */
-    checkTargets(fleet: CooperativeFleet): void {
+    checkTargets(): void {
+        const fleet = this.#fleet;
         const runs = new Map<string, number>();
         for (const { requestId } of fleet.targets.flatMap(({ target }) => target.arrivals)) {
             runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
@@ -81,15 +99,16 @@
         for (const requestId of this.#nonRepeatable) {
             const count = runs.get(requestId) ?? 0;
             if (count > 1) {
-                this.#violations.push(`${requestId}: ran ${count} times though it must run once`);
+                this.#add(`${requestId}: ran ${count} times though it must run once`);
             }
             if (count > 0 && this.#refused.has(requestId)) {
-                this.#violations.push(`${requestId}: ran though its refusal says that it did not`);
+                this.#add(`${requestId}: ran though its refusal says that it did not`);
             }
         }
         this.#checkKeys(fleet, new Set(runs.keys()));
         this.#checkLimits(fleet);
         this.#checkCrashes(fleet);
+        this.#violations.push(...findLostRequests(fleet, this.#incomplete));
     }
 
     /** Four seconds after its third crash, a request may reach targets three times, and once for each later start. */
@@ -101,7 +120,7 @@
             const late = arrivals.filter(arrival => arrival.body === body && arrival.at > boundFrom).length;
             const allowed = MAX_LATE_RUNS + instanceStarts.filter(at => at > boundFrom - CONTACT_MS).length;
             if (late > allowed) {
-                this.#violations.push(`${body}: reached targets ${late} times more, ${allowed} allowed`);
+                this.#add(`${body}: reached targets ${late} times more, ${allowed} allowed`);
             }
         }
     }
@@ -114,7 +133,7 @@
             const allowed = 1.5 * perSecond * LIMIT_WINDOW_MS / 1000 + 5;
             const most = countMostWithin(times, LIMIT_WINDOW_MS);
             if (most > allowed) {
-                this.#violations.push(`${target.id}: got ${most} requests in 4 s, ${allowed} allowed`);
+                this.#add(`${target.id}: got ${most} requests in 4 s, ${allowed} allowed`);
             }
         }
     }
@@ -126,34 +145,38 @@
                 sentAt > from + revocationMs && endedAt < until
             );
             if (isRevoked && ran.has(requestId)) {
-                this.#violations.push(`${requestId}: ran with a revoked key`);
+                this.#add(`${requestId}: ran with a revoked key`);
             }
         }
         for (const { requestId, sentAt, endedAt, status } of this.#denied) {
             const isAllowed = status === 401 && this.#withKey.has(requestId)
                 && revocations.some(({ from, until }) => endedAt > from && sentAt < until + revocationMs);
             if (!isAllowed) {
-                this.#violations.push(`${requestId}: denied with ${status} though it is allowed`);
+                this.#add(`${requestId}: denied with ${status} though it is allowed`);
             }
         }
     }
 
-    #checkResponse(requestId: string, route: ObservedRequest["route"], result: CallerResult): void {
+    #checkResponse(request: ObservedRequest, result: CallerResult): void {
+        const { requestId, route, resumed } = request;
+        const isWhole = result.status === 200 && result.isWhole;
         if (route === "safe" || route === "unsafe") {
-            if (result.body !== `answer to ${requestId}`) {
-                this.#violations.push(`${requestId}: got "${result.body}"`);
+            if (isWhole && result.body !== `answer to ${requestId}`) {
+                this.#add(`${requestId}: got "${result.body}"`);
             }
             return;
         }
-        const events = result.body.split("\n\n").slice(0, -1);
-        events.forEach((event, i) => {
-            const [, id, owner] = EVENT_PATTERN.exec(event) ?? [];
-            if (Number(id) !== i + 1 || owner !== requestId) {
-                this.#violations.push(`${requestId}: event ${i + 1} is "${event.replaceAll("\n", " ")}"`);
-            }
-        });
-        if (events.length !== EVENTS_PER_STREAM) {
-            this.#violations.push(`${requestId}: complete after ${events.length} events`);
+        const isSpoilt = this.#fleet.targets.some(({ target }) => target.brokenRequests.has(requestId));
+        const events = result.status === 200
+            ? this.#streamOrderCheck.record(request, result.body, result.isWhole, isSpoilt)
+            : 0;
+        if (route === "stream" && result.status !== UNAUTHORIZED) {
+            const version = resumed && this.#streamOrderCheck.getVersion(resumed.streamId);
+            this.#resumptionCheck.record(request, version, isWhole || events > 0);
         }
     }
+
+    #add(text: string): void {
+        this.#violations.push({ rule: "other", text });
+    }
 }
--- /dev/null
+++ b/src/soak/streamOrderCheck.ts
@@ -0,0 +1,67 @@
+import type { ObservedRequest } from "./observedRequest.js";
+import { parseEvents } from "./parseEvents.js";
+import type { SoakViolation } from "./soakViolation.js";
+
+/** Number of events in each stream of `CooperativeFleet`. */
+const EVENTS_PER_STREAM = 12;
+
+/** Checks that the events of a stream follow each other, and that one software version made them all. */
+export class StreamOrderCheck {
+    readonly #violations: SoakViolation[] = [];
+    /** Version that made the first event of a stream, by its first attempt. */
+    readonly #versions = new Map<string, string>();
+
+    /** Creates a check that has seen nothing. */
+    static create(): StreamOrderCheck {
+        return new StreamOrderCheck();
+    }
+
+    get violations(): readonly SoakViolation[] {
+        return this.#violations;
+    }
+
+    /** Returns the version that began a stream, by its first attempt. */
+    getVersion(streamId: string): string | undefined {
+        return this.#versions.get(streamId);
+    }
+
+    /**
+     * Checks the events of one attempt. Returns their number.
+     *
+     * @param isSpoilt Whether a target spoilt the response. A caller that takes a stream up cannot tell, and neither can
+     * an instance, whether a response without events says truly that the stream is complete.
+     */
+    record(
+        { requestId, resumed }: ObservedRequest,
+        body: string,
+        isWhole: boolean,
+        isSpoilt: boolean,
+    ): number {
+        const streamId = resumed?.streamId ?? requestId;
+        const lastEventId = resumed?.lastEventId ?? 0;
+        const events = parseEvents(body);
+        const versions = new Set<string>();
+        events.forEach((event, i) => {
+            if (event.id !== lastEventId + i + 1 || event.requestId !== requestId) {
+                const text = event.text.replaceAll("\n", " ");
+                this.#add(`${requestId}: event ${lastEventId + i + 1} is "${text}"`);
+            }
+            const version = event.version ?? "";
+            const expected = this.#versions.get(streamId) ?? version;
+            this.#versions.set(streamId, expected);
+            if (version !== expected && !versions.has(version)) {
+                versions.add(version);
+                this.#add(`${requestId}: event ${event.id} is by ${version}, ${expected} began ${streamId}`);
+            }
+        });
+        const isEmptyRest = resumed !== undefined && isSpoilt && events.length === 0;
+        if (isWhole && !isEmptyRest && lastEventId + events.length !== EVENTS_PER_STREAM) {
+            this.#add(`${requestId}: complete after ${events.length} events from ${lastEventId + 1} on`);
+        }
+        return events.length;
+    }
+
+    #add(text: string): void {
+        this.#violations.push({ rule: "stream-order", text });
+    }
+}
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -1,5 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { CooperativeExchange } from "./cooperativeExchange.js";
+import { Silence } from "./silence.js";
+import type { TargetArrival } from "./targetArrival.js";
+import type { TargetFault } from "./targetFault.js";
+import type { TargetPace } from "./targetPace.js";
 
 interface CooperativeTargetOptions {
     readonly id: string;
@@ -9,48 +14,25 @@
     /** Number of events of each stream, and the pause before each event in milliseconds. */
     readonly events: number;
     readonly eventMs: number;
+    /** Software version, which the data of each event then names as a third word. @default "v1", in no event */
+    readonly version?: string;
     /** Whether a request that the target runs makes it crash after the pause before an event. */
     readonly isCrashedBy?: (arrival: TargetArrival) => boolean;
     /** Called with the body of the request that made the target crash. */
     readonly onCrash?: (body: string) => void;
 }
 
-interface TargetArrival {
-    readonly requestId: string;
-    readonly path: string;
-    readonly headers: IncomingMessage["headers"];
-    readonly body: string;
-    readonly lastEventId: number;
-    /** Monotonic time in milliseconds. */
-    readonly at: number;
-}
-
-/**
- * - `cut`: the connection is closed in the middle of the response.
- * - `lost`: the request runs and the connection is reset instead of a response.
- * - `crossed`: the response carries the identifier of another request.
- * - `doubled`: a second response follows the first; streams are not affected.
- * - `unframed`: like `cut`, but a response that is no stream states no length.
- * - `full`: the request is refused and not run.
- * - `error`: the request runs and fails.
- * - `mute`: the request runs and gets no response at all.
- * - `stale`: the request runs, and the refusal of an earlier request is written instead of the response.
- * - `restarted`: a resumed stream begins with its first event.
- * - `empty`: a resumed stream is complete without any event.
- */
-type TargetFault =
-    | "none"
-    | "cut"
-    | "lost"
-    | "crossed"
-    | "doubled"
-    | "unframed"
-    | "full"
-    | "error"
-    | "mute"
-    | "stale"
-    | "restarted"
-    | "empty";
+const DEFAULT_VERSION = "v1";
+/** Faults with which the target itself breaks a response off, or writes one that cannot be passed on. */
+const BREAKING_FAULTS: readonly TargetFault[] = [
+    "cut",
+    "unframed",
+    "lost",
+    "stale",
+    "crossed",
+    "restarted",
+    "empty",
+];
 
 /** Stand-in of a target of the cooperative: responds with its identity and injects faults on demand. */
 export class CooperativeTarget {
@@ -62,9 +44,16 @@
     readonly #sockets = new Set<Socket>();
     #startedAtMs = 0;
     readonly #headers = new Map<string, readonly string[]>();
+    readonly #silence = Silence.create();
+    #pace: TargetPace;
+    #version: string;
+    readonly #running = new Set<string>();
+    readonly #brokenRequests = new Set<string>();
 
     private constructor(options: CooperativeTargetOptions) {
         this.#options = options;
+        this.#pace = { headMs: 0, eventMs: options.eventMs };
+        this.#version = options.version ?? DEFAULT_VERSION;
         this.#server = createServer((request, response) => void this.#serve(request, response));
         this.#server.keepAliveTimeout = 60_000;
         this.#server.on("connection", socket => {
@@ -94,6 +83,11 @@
         return this.#options.service;
     }
 
+    /** Software version, which the registration names. */
+    get version(): string {
+        return this.#version;
+    }
+
     /** host:port. */
     get address(): string {
         return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
@@ -109,6 +103,26 @@
         return this.#attempts;
     }
 
+    /** Number of requests whose responses are not complete. */
+    get runningCount(): number {
+        return this.#running.size;
+    }
+
+    /** Identifiers of the requests whose response the target has broken off or spoilt. */
+    get brokenRequests(): ReadonlySet<string> {
+        return this.#brokenRequests;
+    }
+
+    /** Writes nothing, or no events of streams, until a monotonic time in milliseconds; then goes on with everything. */
+    pauseResponses(until: number, parts: "all" | "events" = "all"): void {
+        this.#silence.pause(until, parts);
+    }
+
+    /** Sets the times that responses take from now on; without a value, those of the options. */
+    setPace(pace: TargetPace = { headMs: 0, eventMs: this.#options.eventMs }): void {
+        this.#pace = pace;
+    }
+
     /** Sets the function that picks the fault of each request. */
     setFault(pickFault: () => TargetFault): void {
         this.#pickFault = pickFault;
@@ -129,7 +143,7 @@
             slots,
             state,
             coldRemainingMs: 0,
-            version: "v1",
+            version: this.version,
             sequence,
             born: this.#startedAtMs,
         };
@@ -137,6 +151,7 @@
 
     /** Closes the target and its connections. */
     close(): void {
+        this.#running.forEach(requestId => this.#brokenRequests.add(requestId));
         this.#server.close();
         this.#server.closeAllConnections();
     }
@@ -147,19 +162,43 @@
             return;
         }
         this.#server.close();
-        this.#sockets.forEach(socket => socket.resetAndDestroy());
+        this.#abortRequests();
         this.#options.onCrash?.(body);
     }
 
+    /** Ends as a crash does and starts again at once under the same identifier and address, with a software version. */
+    startAgain(version: string): void {
+        this.#abortRequests();
+        this.#version = version;
+        this.#startedAtMs = Date.now();
+    }
+
+    #abortRequests(): void {
+        this.#running.forEach(requestId => this.#brokenRequests.add(requestId));
+        this.#sockets.forEach(socket => socket.resetAndDestroy());
+    }
+
     async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const chunks: Buffer[] = [];
         for await (const chunk of request) {
             chunks.push(chunk as Buffer);
         }
+        const { id: targetId, events } = this.#options;
         const { headers } = request;
         const requestId = String(headers["request-id"]);
-        if (headers["expect-instance"] !== this.#options.id) {
-            response.writeHead(421, { "Instance-Id": this.#options.id, "Content-Length": "0" }).end();
+        const isMisdirected = headers["expect-instance"] !== targetId;
+        const fault = isMisdirected ? "none" : this.#pickFault();
+        const exchange = CooperativeExchange.create({
+            request,
+            response,
+            requestId,
+            targetId,
+            fault,
+            silence: this.#silence,
+            pace: this.#pace,
+        });
+        if (isMisdirected) {
+            await exchange.sendStatus(421, { "Instance-Id": targetId });
             return;
         }
         this.#headers.forEach((values, name) => {
@@ -168,101 +207,42 @@
             }
         });
         this.#attempts.push(performance.now());
-        const fault = this.#pickFault();
         if (fault === "full") {
-            response.writeHead(503, { "Request-Id": requestId, "Not-Executed": "1", "Content-Length": "0" })
-                .end();
+            await exchange.sendStatus(503, { "Request-Id": requestId, "Not-Executed": "1" });
             return;
         }
         const lastEventId = Number(headers["last-event-id"] ?? 0);
         const body = Buffer.concat(chunks).toString();
         const path = request.url ?? "/";
-        const arrival = { requestId, path, headers, body, lastEventId, at: performance.now() };
+        const version = this.version;
+        const arrival = { requestId, path, headers, body, lastEventId, version, at: performance.now() };
         this.#arrivals.push(arrival);
+        this.#running.add(requestId);
+        response.on("close", () => this.#running.delete(requestId));
         if (this.#options.isCrashedBy?.(arrival)) {
             setTimeout(() => this.kill(body), this.#options.eventMs);
             return;
         }
+        if (BREAKING_FAULTS.includes(fault)) {
+            this.#brokenRequests.add(requestId);
+        }
         if (fault === "mute") {
             return;
         }
         if (fault === "stale") {
-            response.writeHead(503, { "Request-Id": "earlier", "Not-Executed": "1", "Content-Length": "0" })
-                .end();
+            await exchange.sendStatus(503, { "Request-Id": "earlier", "Not-Executed": "1" });
             return;
         }
         if (fault === "lost") {
-            request.socket.resetAndDestroy();
-            return;
-        }
-        if (headers["token-usage"] === undefined) {
-            this.#sendPlain(request, response, requestId, fault);
-            return;
-        }
-        await this.#sendStream(request, response, requestId, lastEventId, fault);
-    }
-
-    #sendPlain(
-        request: IncomingMessage,
-        response: ServerResponse,
-        requestId: string,
-        fault: TargetFault,
-    ): void {
-        const responseId = fault === "crossed" ? "another" : requestId;
-        const body = `answer to ${responseId}`;
-        const headers = {
-            "Request-Id": responseId,
-            "Response-Signature": `${requestId}.${this.#options.id}`,
-        };
-        if (fault === "cut" || fault === "unframed") {
-            const length = fault === "cut" ? `Content-Length: ${body.length}\r\n` : "";
-            const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
-            request.socket.write(`HTTP/1.1 200 OK\r\n${lines}${length}\r\n${body.slice(0, 6)}`);
-            request.socket.end();
-            return;
-        }
-        response.writeHead(fault === "error" ? 500 : 200, {
-            ...headers,
-            "Content-Length": String(body.length),
-        });
-        response.end(body);
-        if (fault === "doubled") {
-            request.socket.write("HTTP/1.1 200 OK\r\nRequest-Id: stray\r\nContent-Length: 1\r\n\r\nx");
-        }
-    }
-
-    async #sendStream(
-        request: IncomingMessage,
-        response: ServerResponse,
-        requestId: string,
-        lastEventId: number,
-        fault: TargetFault,
-    ): Promise<void> {
-        const { events, eventMs, id } = this.#options;
-        if (fault === "error") {
-            response.writeHead(500, { "Request-Id": requestId, "Content-Length": "0" }).end();
+            await exchange.reset();
             return;
         }
-        const responseId = fault === "crossed" ? "another" : requestId;
-        response.writeHead(200, {
-            "Request-Id": responseId,
-            "Response-Signature": `${requestId}.${id}`,
-            "Content-Type": "text/event-stream",
-        });
-        const firstEvent = fault === "restarted" ? 1 : lastEventId + 1;
-        const lastEvent = fault === "empty" && lastEventId > 0 ? 0 : events;
-        for (let event = firstEvent; event <= lastEvent; event += 1) {
-            await new Promise(resolve => setTimeout(resolve, eventMs));
-            if (response.destroyed) {
-                return;
-            }
-            if (event > events / 2 && (fault === "cut" || fault === "unframed")) {
-                response.write(`id: ${event}\ndata: ${requestId}`);
-                request.socket.end();
-                return;
-            }
-            response.write(`id: ${event}\ndata: ${responseId} ${event}\n\n`);
-        }
-        response.end();
+        await (headers["token-usage"] === undefined
+            ? exchange.sendPlain()
+            : exchange.sendStream({
+                lastEventId,
+                events,
+                version: this.#options.version === undefined ? undefined : version,
+            }));
     }
 }
--- /dev/null
+++ b/src/standIns/platform/cooperative/targetArrival.ts
@@ -0,0 +1,14 @@
+import type { IncomingMessage } from "node:http";
+
+/** Request that a stand-in of the cooperative's targets has run. */
+export interface TargetArrival {
+    readonly requestId: string;
+    readonly path: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+    readonly lastEventId: number;
+    /** Software version of the target at the start of the request. */
+    readonly version: string;
+    /** Monotonic time in milliseconds. */
+    readonly at: number;
+}
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -3,11 +3,13 @@
 import { join } from "node:path";
 import { FaultLink } from "../../standIns/faultProxy/faultLink.js";
 import { CooperativeStore } from "../../standIns/platform/cooperative/cooperativeStore.js";
-import { CooperativeTarget } from "../../standIns/platform/cooperative/cooperativeTarget.js";
 import { ChildProcess } from "../childProcess.js";
 import { buildFleetConfiguration } from "./buildFleetConfiguration.js";
 import { buildRouterSettings } from "./buildRouterSettings.js";
 import { findPorts } from "./findPorts.js";
+import type { FleetTarget } from "./fleetTarget.js";
+import { FleetTargetGroup } from "./fleetTargetGroup.js";
+import { Impairments } from "./impairments.js";
 
 interface CooperativeFleetOptions {
     readonly instances: number;
@@ -16,12 +18,17 @@
     /** Time in milliseconds for which keys are accepted without a new confirmation. */
     readonly revocationMs: number;
     readonly stopTimeoutSeconds: number;
+    /** Software versions of the first targets, in turn; without them, all have one version, which no event names. */
+    readonly versions?: readonly string[];
 }
 
 interface FleetInstance {
     readonly host: string;
     readonly settingsPath: string;
     process: ChildProcess;
+    isStarting: boolean;
+    /** Functions that end the recorded impairments of the instance, once it runs again. */
+    readonly endImpairments: (() => void)[];
 }
 
 /** Period in which the callers' key was revoked, in monotonic milliseconds; `until` is infinite while it lasts. */
@@ -30,43 +37,18 @@
     readonly until: number;
 }
 
-interface FleetTarget {
-    readonly target: CooperativeTarget;
-    readonly link: FaultLink;
-    readonly address: string;
-    /** Newest report of the target to the store. */
-    registration: { readonly state: "ready" | "draining" | "removed"; readonly sequence: number; };
-}
-
-/** Crash of a target on a request with a body, at a monotonic time in milliseconds. */
-interface TargetCrash {
-    readonly body: string;
-    readonly at: number;
-}
-
-/** Period in which a target named a request limit, in monotonic milliseconds. */
-interface LimitedPeriod {
-    readonly target: CooperativeTarget;
-    readonly perSecond: number;
-    readonly from: number;
-    readonly until: number;
-}
-
 const MAIN = new URL("../../platform/main.js", import.meta.url);
 /** Last byte of the first instance's loopback address; other tests use the addresses below it. */
 const FIRST_HOST_BYTE = 11;
-const ENGINE_EVENTS = 12;
-/** Targets crash on requests whose body begins with this text. */
-const CRASHING_BODY = "crashing";
-const TARGET_RESTART_MS = 1500;
-const EVENT_MS = 10;
 const ENGINE_SLOTS = 16;
 
 /** Router processes on loopback addresses, with stand-ins of the store and of targets behind fault links. */
 export class CooperativeFleet {
     readonly store: CooperativeStore;
     readonly instances: FleetInstance[] = [];
-    readonly targets: FleetTarget[] = [];
+    /** What was done to instances, targets, the store and links. */
+    readonly impairments = Impairments.create();
+    readonly #group: FleetTargetGroup;
     readonly key = "key-of-the-account";
     readonly #options: CooperativeFleetOptions;
     readonly #ports: readonly number[];
@@ -74,11 +56,8 @@
     #version = 1;
     #isKeyValid = true;
     #revocations: readonly Revocation[] = [];
-    readonly limitedPeriods: LimitedPeriod[] = [];
-    readonly crashes: TargetCrash[] = [];
     /** Monotonic times in milliseconds at which instances have started or resumed, and know nothing new. */
     readonly instanceStarts: number[] = [];
-    #isClosed = false;
 
     private constructor(
         options: CooperativeFleetOptions,
@@ -88,6 +67,11 @@
     ) {
         this.#options = options;
         this.store = store;
+        this.#group = FleetTargetGroup.create({
+            store,
+            impairments: this.impairments,
+            engineSlots: ENGINE_SLOTS,
+        });
         this.storeLink = storeLink;
         this.#ports = ports;
     }
@@ -98,7 +82,8 @@
         const link = await FaultLink.create(store.address);
         const fleet = new CooperativeFleet(options, store, link, await findPorts(4));
         for (let i = 0; i < options.engines + options.plainTargets; i += 1) {
-            await fleet.addTarget(i < options.engines ? "engine" : "plain");
+            const service = i < options.engines ? "engine" : "plain";
+            await fleet.addTarget(service, options.versions?.[i % options.versions.length]);
         }
         fleet.publish();
         const directory = await mkdtemp(join(tmpdir(), "baobabspread-"));
@@ -106,11 +91,9 @@
             const host = `127.0.0.${FIRST_HOST_BYTE + i}`;
             const settingsPath = join(directory, `${host}.json`);
             await writeFile(settingsPath, JSON.stringify(fleet.#buildSettings(host)));
-            fleet.instances.push({
-                host,
-                settingsPath,
-                process: await ChildProcess.create(MAIN, [settingsPath]),
-            });
+            const process = await ChildProcess.create(MAIN, [settingsPath]);
+            fleet.instances.push({ host, settingsPath, process, isStarting: false, endImpairments: [] });
+            fleet.impairments.mark(host);
         }
         return fleet;
     }
@@ -125,6 +108,11 @@
         return this.#options.revocationMs;
     }
 
+    /** Time in milliseconds that a stopping instance has before it ends. */
+    get stopTimeoutMs(): number {
+        return this.#options.stopTimeoutSeconds * 1000;
+    }
+
     /** Returns the URLs of an instance for callers, directory lookups and readiness checks. */
     getUrls(
         instance: FleetInstance,
@@ -137,53 +125,43 @@
         };
     }
 
-    /** Starts and registers a target. */
-    async addTarget(service: "engine" | "plain"): Promise<FleetTarget> {
-        const target = await CooperativeTarget.create({
-            id: `i-${this.targets.length}`,
-            service,
-            dataCentre: "a",
-            slots: service === "engine" ? ENGINE_SLOTS : 6,
-            events: ENGINE_EVENTS,
-            eventMs: EVENT_MS,
-            isCrashedBy: ({ body }) => body.startsWith(CRASHING_BODY),
-            onCrash: body => this.#replaceTarget(target, body),
-        });
-        const link = await FaultLink.create(target.address);
-        const { address } = link.describe() as { readonly address: string; };
-        const registration = { state: "ready", sequence: 0 } as const;
-        const entry: FleetTarget = { target, link, address, registration };
-        this.targets.push(entry);
-        this.setRegistration(entry, "ready");
-        return entry;
+    /** All targets that were ever started. */
+    get targets(): readonly FleetTarget[] {
+        return this.#group.targets;
     }
 
-    /** Records the crash of a target; its successor gets another identifier and address. */
-    #replaceTarget(target: CooperativeTarget, body: string): void {
-        const entry = this.targets.find(other => other.target === target);
-        if (!entry) {
-            return;
-        }
-        this.crashes.push({ body, at: performance.now() });
-        entry.link.close();
-        setTimeout(() => {
-            if (!this.#isClosed) {
-                this.setRegistration(entry, "removed");
-                void this.addTarget(target.service as "engine" | "plain");
-            }
-        }, TARGET_RESTART_MS);
+    /** Targets that run, whatever their state. */
+    get runningTargets(): readonly FleetTarget[] {
+        return this.targets.filter(({ target }) => target.isRunning);
+    }
+
+    /** Periods in which targets named request limits, and crashes of targets. */
+    get limitedPeriods(): FleetTargetGroup["limitedPeriods"] {
+        return this.#group.limitedPeriods;
+    }
+
+    get crashes(): FleetTargetGroup["crashes"] {
+        return this.#group.crashes;
+    }
+
+    /** Starts and registers a target, with a software version that its events name. */
+    addTarget(service: "engine" | "plain", version?: string): Promise<FleetTarget> {
+        return this.#group.add(service, version);
+    }
+
+    /** Crashes a target, which starts again at once under its identifier with another version. */
+    startTargetAgain(entry: FleetTarget, version: string): void {
+        this.#group.startAgain(entry, version);
+    }
+
+    /** Ends a target for good, without a successor. */
+    endTarget(entry: FleetTarget): void {
+        this.#group.end(entry);
     }
 
     /** Registers a target again with a state, or removes its registration; one that has crashed stays removed. */
     setRegistration(entry: FleetTarget, state: FleetTarget["registration"]["state"]): void {
-        const { target, address } = entry;
-        const sequence = entry.registration.sequence + 1;
-        entry.registration = { state, sequence };
-        if (state === "removed" || !target.isRunning) {
-            this.store.remove(`servers/${target.id}`);
-            return;
-        }
-        this.store.write(`servers/${target.id}`, target.describe(address, state, sequence));
+        this.#group.setRegistration(entry, state);
     }
 
     /** Makes the store go back to a copy; the operator and the targets then write again what is in force. */
@@ -194,17 +172,8 @@
     }
 
     /** Makes a target name a request limit, or none any more if `perSecond` is `undefined`. */
-    setLimit({ target }: FleetTarget, perSecond: number | undefined): void {
-        const now = performance.now();
-        const last = this.limitedPeriods.findLastIndex(period => period.target === target);
-        const period = this.limitedPeriods[last];
-        if (period && period.until > now) {
-            this.limitedPeriods[last] = { ...period, until: now };
-        }
-        if (perSecond !== undefined) {
-            this.limitedPeriods.push({ target, perSecond, from: now, until: Number.POSITIVE_INFINITY });
-        }
-        target.setHeader("Server-Limit", ...perSecond === undefined ? [] : [String(perSecond)]);
+    setLimit(entry: FleetTarget, perSecond: number | undefined): void {
+        this.#group.setLimit(entry, perSecond);
     }
 
     /** Publishes a new version of the configuration, with or without the key. */
@@ -230,29 +199,56 @@
         );
     }
 
-    /** Restarts an instance whose process has ended. */
+    /** Starts an instance again whose process has ended, or has been killed and is about to end. */
     async startInstance(instance: FleetInstance): Promise<void> {
-        instance.process = await ChildProcess.create(MAIN, [instance.settingsPath]);
+        instance.isStarting = true;
+        try {
+            instance.process = await ChildProcess.create(MAIN, [instance.settingsPath]);
+        }
+        finally {
+            instance.isStarting = false;
+        }
+        instance.endImpairments.splice(0).forEach(end => end());
         this.instanceStarts.push(performance.now());
     }
 
-    /** Resumes a suspended instance. */
-    resumeInstance({ process }: FleetInstance): void {
-        process.kill("SIGCONT");
-        this.instanceStarts.push(performance.now());
+    /** Starts an instance again unless it runs, or another caller is starting it: ends of one instance may overlap. */
+    async ensureInstance(instance: FleetInstance): Promise<void> {
+        if (!instance.process.running && !instance.isStarting) {
+            await this.startInstance(instance);
+        }
+    }
+
+    /** Kills instances at once and waits until their processes have ended; they stay impaired until they start. */
+    async killInstances(instances: readonly FleetInstance[]): Promise<void> {
+        instances.forEach(({ host, endImpairments }) => endImpairments.push(this.impairments.start(host)));
+        await Promise.all(instances.map(({ process }) => process.stop("SIGKILL")));
+    }
+
+    /** Stops an instance as planned, and waits until its process has ended. */
+    async stopInstance({ host, process, endImpairments }: FleetInstance): Promise<void> {
+        endImpairments.push(this.impairments.start(`stop ${host}`));
+        await process.stop("SIGTERM");
+    }
+
+    /** Suspends an instance. Returns the function that resumes it. */
+    pauseInstance({ host, process }: FleetInstance): () => void {
+        const end = this.impairments.start(host);
+        process.kill("SIGSTOP");
+        return () => {
+            process.kill("SIGCONT");
+            end();
+            this.instanceStarts.push(performance.now());
+        };
     }
 
     /** Ends all processes and stand-ins. */
     async close(): Promise<void> {
-        this.#isClosed = true;
         for (const { process } of this.instances) {
             process.kill("SIGCONT");
             await process.stop("SIGKILL");
         }
-        for (const { target, link } of this.targets) {
-            link.close();
-            target.close();
-        }
+        this.#group.close();
         this.storeLink.close();
         this.store.close();
     }
--- a/src/testing/sendCaller.ts
+++ b/src/testing/sendCaller.ts
@@ -5,6 +5,8 @@
     readonly headers: Readonly<Record<string, string>>;
     readonly body?: string;
     readonly agent?: Agent;
+    /** Whether the caller's connection breaks after the part of the body that has arrived. @default never */
+    readonly isBrokenAfter?: (body: string) => boolean;
 }
 
 interface CallerResult {
@@ -34,7 +36,13 @@
                     body: Buffer.concat(chunks).toString(),
                     isWhole,
                 });
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("data", (chunk: Buffer) => {
+                chunks.push(chunk);
+                if (options.isBrokenAfter?.(Buffer.concat(chunks).toString())) {
+                    finish(false);
+                    request.destroy();
+                }
+            });
             response.on("end", () => finish(response.complete));
             response.on("error", () => finish(false));
         });
