--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -80,7 +80,7 @@
         if (result.status === 200 && result.isWhole) {
             this.#served += 1;
         }
-        else if (!request.isBrokenByCaller) {
+        else if (!result.isWhole && !request.isBrokenByCaller) {
             this.#incomplete.push({ ...request, status: result.status });
         }
         this.#checkResponse(request, result);
