Play silent last targets, changed timeouts and moved routes in the soak

A configuration change now also changes the timeouts of plain routes and of idle connections, and moves the safe route to another service and back, in series.

--- a/src/soak/findLostRequests.ts
+++ b/src/soak/findLostRequests.ts
@@ -28,10 +28,10 @@
         targets.flatMap(({ target }) => target.arrivals.map(arrival => arrival.requestId)),
     );
     return requests.flatMap(({ requestId, route, host, sentAt, endedAt, deadline, status }) => {
-        const service = route === "stream" || route === "once" ? "engine" : "plain";
+        const services = route === "stream" || route === "once" ? ["engine"] : ["plain", "spare"];
         const isExcused = endedAt >= deadline
             || impairments.find(host, sentAt, endedAt) !== undefined
-            || impairments.find(`link ${service}`, sentAt, endedAt) !== undefined
+            || services.some(service => impairments.find(`link ${service}`, sentAt, endedAt))
             || targets.some(({ target }) => target.brokenRequests.has(requestId));
         if (isExcused) {
             return [];
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -3,6 +3,8 @@
 import { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
 import { createFaultSource } from "./createFaultSource.js";
+import { runCalmResumptions } from "./runCalmResumptions.js";
+import { runCalmSilence } from "./runCalmSilence.js";
 import { sendSoakRequest } from "./sendSoakRequest.js";
 import { soakFaults } from "./soakFaults.js";
 import { SoakObserver } from "./soakObserver.js";
@@ -39,11 +41,7 @@
 /** The documentation gives deployments 12 s to serve again after the last fault; the small fleet gets the same. */
 const RECOVERY_MS = 12_000;
 const RECOVERY_REQUESTS = 20;
-/** Time without impairments after which an instance counts as calm, and streams that callers then take up. */
-const CONTACT_MS = 4000;
-const CALM_STREAMS = 48;
-/** Time in which the calm streams begin, before a target crashes. */
-const BEGIN_MS = 50;
+const SPARE_TARGETS = 2;
 
 /** Runs a fleet of real processes under seeded random faults and checks the guarantees to callers and targets. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -55,6 +53,9 @@
         stopTimeoutSeconds: 4,
         versions: ["v1", "v2"],
     });
+    for (let i = 0; i < SPARE_TARGETS; i += 1) {
+        await fleet.addTarget("spare", "v1");
+    }
     const observer = SoakObserver.create(fleet);
     fleet.targets.forEach(({ target }, i) =>
         target.setFault(createFaultSource(options.seed + i, BASELINE_FAULT_SHARE))
@@ -80,7 +81,8 @@
         await Promise.all([...injectors, ...callers]);
         const ended = fleet.instances.filter(({ process }) => !process.running);
         const servedAfter = await countServed(fleet, observer);
-        await resumeCalmStreams(fleet, observer);
+        await runCalmResumptions(fleet, observer);
+        await runCalmSilence(fleet, observer);
         observer.checkTargets();
         return {
             seed: options.seed,
@@ -152,27 +154,3 @@
     agent.destroy();
     return served;
 }
-
-/**
- * Once the instances count as calm, breaks the connections of some callers, who take their streams up at other
- * instances, and lets the target crash that runs most streams.
- */
-async function resumeCalmStreams(fleet: CooperativeFleet, observer: SoakObserver): Promise<void> {
-    await new Promise(resolve => setTimeout(resolve, CONTACT_MS));
-    const agent = new Agent({ keepAlive: true });
-    const streams = Array.from({ length: CALM_STREAMS }, (_, i) =>
-        sendSoakRequest(fleet, observer, {
-            requestId: `t${i}`,
-            route: "stream",
-            turn: i,
-            agent,
-            ...(i % 2 === 0 ? { breakAfter: 1 + i / 2 % MAX_BREAK_AFTER } : {}),
-        }));
-    await new Promise(resolve => setTimeout(resolve, BEGIN_MS));
-    const engines = fleet.runningTargets.map(({ target }) => target).filter(({ service }) =>
-        service === "engine"
-    );
-    engines.sort((a, b) => b.runningCount - a.runningCount)[0]?.kill();
-    await Promise.all(streams);
-    agent.destroy();
-}
--- a/src/soak/slowTargetFaults.ts
+++ b/src/soak/slowTargetFaults.ts
@@ -26,7 +26,7 @@
     {
         name: "silent-service",
         inject: async (fleet, random, wait) => {
-            const service = pickItem(["engine", "plain"] as const, random);
+            const service = pickItem(["engine", "plain", "spare"] as const, random);
             const parts = pickItem(["all", "events"] as const, random);
             const silenceMs = MIN_SILENCE_MS + random() * (MAX_SILENCE_MS - MIN_SILENCE_MS);
             const targets = fleet.runningTargets.map(({ target }) => target)
@@ -37,6 +37,25 @@
             ends.forEach(end => end());
         },
     },
+    {
+        name: "silent-rest",
+        inject: async (fleet, random, wait) => {
+            const service = pickItem(["engine", "plain"] as const, random);
+            const ready = fleet.runningTargets.filter(entry =>
+                entry.service === service && entry.registration.state === "ready"
+            );
+            const rest = ready.splice(0, 1 + Math.floor(random() * 2));
+            ready.forEach(entry => fleet.setRegistration(entry, "draining"));
+            await wait(LEAD_MS);
+            const silenceMs = MIN_SILENCE_MS + random() * (MAX_SILENCE_MS - MIN_SILENCE_MS);
+            const parts = pickItem(["all", "events"] as const, random);
+            const ends = rest.map(({ target }) => fleet.impairments.start(target.id));
+            rest.forEach(({ target }) => target.pauseResponses(performance.now() + silenceMs, parts));
+            await wait(silenceMs);
+            ends.forEach(end => end());
+            ready.forEach(entry => fleet.setRegistration(entry, "ready"));
+        },
+    },
     {
         name: "stopped-beside-slow-targets",
         inject: async (fleet, random, wait) => {
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -15,6 +15,8 @@
 const MAX_SEED = 2 ** 31;
 const SHORT_MS = 400;
 const LONG_MS = 2500;
+/** Configurations that follow each other. */
+const MAX_CHANGES = 4;
 /** Longer than the time after which a limit must be kept, with a window over which it is checked. */
 const LIMITED_MS = 8500;
 const MAX_LIMIT_PER_SECOND = 6;
@@ -118,7 +120,19 @@
             fleet.store.dropHistory();
         },
     },
-    { name: "configuration-changed", inject: async fleet => fleet.publish() },
+    {
+        name: "configuration-changed",
+        inject: async (fleet, random, wait) => {
+            for (let i = 0; i < 1 + random() * MAX_CHANGES; i += 1) {
+                fleet.publishChange({
+                    plainTimeoutMs: pickItem([1000, 1500], random),
+                    idleTimeoutMs: pickItem([10_000, 15_000], random),
+                    safeService: pickItem(["plain", "spare"] as const, random),
+                });
+                await wait(random() * SHORT_MS);
+            }
+        },
+    },
     {
         name: "key-revoked",
         inject: async (fleet, random, wait) => {
--- a/src/soak/targetVersionFaults.ts
+++ b/src/soak/targetVersionFaults.ts
@@ -12,7 +12,7 @@
     {
         name: "released",
         inject: async (fleet, random, wait) => {
-            const service = pickItem(["engine", "plain"] as const, random);
+            const service = pickItem(["engine", "plain", "spare"] as const, random);
             const version = pickItem(VERSIONS, random);
             const share = random();
             const replaced = fleet.runningTargets.filter(({ target, registration }) =>
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -54,6 +54,7 @@
     readonly #ports: readonly number[];
     readonly storeLink: FaultLink;
     #version = 1;
+    #change: Parameters<CooperativeFleet["publishChange"]>[0] = {};
     #isKeyValid = true;
     #revocations: readonly Revocation[] = [];
     /** Monotonic times in milliseconds at which instances have started or resumed, and know nothing new. */
@@ -145,7 +146,7 @@
     }
 
     /** Starts and registers a target, with a software version that its events name. */
-    addTarget(service: "engine" | "plain", version?: string): Promise<FleetTarget> {
+    addTarget(service: FleetTarget["service"], version?: string): Promise<FleetTarget> {
         return this.#group.add(service, version);
     }
 
@@ -176,6 +177,14 @@
         this.#group.setLimit(entry, perSecond);
     }
 
+    /** Publishes a new version of the configuration with other timeouts, or another service for the safe route. */
+    publishChange(
+        change: Omit<Parameters<typeof buildFleetConfiguration>[0], "version" | "engineSlots" | "apiKeys">,
+    ): void {
+        this.#change = change;
+        this.publish();
+    }
+
     /** Publishes a new version of the configuration, with or without the key. */
     publish(isKeyValid = this.#isKeyValid): void {
         const last = this.#revocations.at(-1);
@@ -195,7 +204,12 @@
         this.#version += 1;
         this.store.write(
             "op/config",
-            buildFleetConfiguration(this.#version, ENGINE_SLOTS, isKeyValid ? [this.key] : []),
+            buildFleetConfiguration({
+                ...this.#change,
+                version: this.#version,
+                engineSlots: ENGINE_SLOTS,
+                apiKeys: isKeyValid ? [this.key] : [],
+            }),
         );
     }
 
--- a/src/testing/platform/fleetTarget.ts
+++ b/src/testing/platform/fleetTarget.ts
@@ -4,6 +4,7 @@
 /** Stand-in of a target in a test fleet, which instances reach through a fault link. */
 export interface FleetTarget {
     readonly target: CooperativeTarget;
+    readonly service: "engine" | "plain" | "spare";
     readonly link: FaultLink;
     /** host:port of the link. */
     readonly address: string;
--- a/src/testing/platform/fleetTargetGroup.ts
+++ b/src/testing/platform/fleetTargetGroup.ts
@@ -63,7 +63,7 @@
     }
 
     /** Starts and registers a target. */
-    async add(service: "engine" | "plain", version: string | undefined): Promise<FleetTarget> {
+    async add(service: FleetTarget["service"], version: string | undefined): Promise<FleetTarget> {
         const target = await CooperativeTarget.create({
             id: `i-${this.#targets.length}`,
             service,
@@ -78,7 +78,7 @@
         const link = await FaultLink.create(target.address);
         const { address } = link.describe() as { readonly address: string; };
         const registration = { state: "removed", sequence: 0 } as const;
-        const entry: FleetTarget = { target, link, address, registration };
+        const entry: FleetTarget = { target, service, link, address, registration };
         this.#targets.push(entry);
         this.setRegistration(entry, "ready");
         return entry;
@@ -154,7 +154,7 @@
         setTimeout(() => {
             if (!this.#isClosed) {
                 this.setRegistration(entry, "removed");
-                void this.add(target.service as "engine" | "plain", version);
+                void this.add(entry.service, version);
             }
         }, TARGET_RESTART_MS);
     }
