Give a silent run up only once the run in its place has begun

Callers of streams got 502 or a cut stream although their target was only silent for 1.7 s: the silent run was ended when the next one was sent, before it was known that the next target serves it. If that one refused the run or closed its connection, nothing was left (found by the review of LOST). Change: the silent run is set aside for 250 ms (the platform allows two runs for 400 ms).

--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -18,6 +18,16 @@
     readonly onFail: (attempt: ForwardAttempt, kind: FailureKind, reason: string) => void;
 }
 
+interface SuspendedAttempt {
+    readonly attempt: ForwardAttempt;
+    readonly run: ReturnType<CallerResponse["pauseRun"]>;
+    /** Monotonic time in milliseconds. */
+    readonly until: number;
+}
+
+/** The platform allows two runs of a stream for 400 ms; the rest is for late timers and the way to the target. */
+const SUSPENDED_MS = 250;
+
 /** Attempts of one request: those in progress with their grants, and what those before have left behind. */
 export class AttemptRunner {
     readonly #options: AttemptRunnerOptions;
@@ -28,6 +38,8 @@
     #executions = 0;
     #attempts = 0;
     #last: ForwardAttempt | undefined;
+    /** Run of a silent target, which goes on if the one that was sent in its place does not begin. */
+    #suspended: SuspendedAttempt | undefined;
     #request: RoutedRequest;
 
     private constructor(options: AttemptRunnerOptions) {
@@ -50,6 +62,11 @@
         return this.#request;
     }
 
+    /** True if another attempt goes on if this one fails. */
+    get hasOthers(): boolean {
+        return this.#running.size > 1 || this.#suspended !== undefined;
+    }
+
     /** Identifiers of the targets that have failed the request and are not tried again. */
     get failedTargets(): ReadonlySet<string> {
         return this.#failedTargets;
@@ -89,7 +106,9 @@
             grant,
             caller: exchange,
             agent: targetAgents.getAgent(exchange.request.route, isRepeatable),
+            onProgress: () => this.#resume(attempt),
             onFirstEvent: () => {
+                this.#dropSuspended();
                 scheduler.start(grant, getNow());
                 this.#recordOrigin(descriptor);
             },
@@ -102,6 +121,9 @@
                 if (this.#running.has(attempt)) {
                     onFail(attempt, kind, reason);
                 }
+                else if (this.#suspended?.attempt === attempt) {
+                    this.#dropSuspended();
+                }
             },
         });
         this.#running.set(attempt, undefined);
@@ -129,6 +151,26 @@
         return latest;
     }
 
+    /** Sets the silent run of a stream aside while another one is sent. */
+    pause(now: number): void {
+        const [attempt] = this.running;
+        if (attempt) {
+            this.#running.delete(attempt);
+            this.#suspended = {
+                attempt,
+                run: this.#options.response.pauseRun(),
+                until: now + SUSPENDED_MS,
+            };
+        }
+    }
+
+    /** Gives a run that was set aside up for the one in its place, once the time for two runs is over. */
+    checkSuspended(now: number): void {
+        if (this.#suspended && this.#suspended.until <= now) {
+            this.#dropSuspended();
+        }
+    }
+
     /** Ends an attempt whose response is complete. */
     finish(attempt: ForwardAttempt, isSuccess: boolean): void {
         const { target } = attempt.grant;
@@ -153,19 +195,49 @@
             target.recordResult(kind === "refused", this.#options.getNow());
         }
         this.#release(attempt);
+        if (this.#suspended && this.#running.size === 0) {
+            this.#recoverSuspended(this.#suspended);
+        }
     }
 
     /** Stops the attempts in progress without a word on their targets. Returns them. */
     abort(): readonly ForwardAttempt[] {
-        const { running } = this;
-        for (const attempt of running) {
-            if (!attempt.isWritten) {
-                this.#executions -= 1;
-            }
+        const running = [...this.running, ...this.#suspended ? [this.#suspended.attempt] : []];
+        this.#suspended = undefined;
+        running.forEach(attempt => this.#cancel(attempt));
+        return running;
+    }
+
+    #cancel(attempt: ForwardAttempt): void {
+        if (!attempt.isWritten) {
+            this.#executions -= 1;
+        }
+        attempt.abort();
+        this.#release(attempt);
+    }
+
+    /** Goes on with a run that was set aside and makes progress, in place of the one that has not begun. */
+    #resume(attempt: ForwardAttempt): void {
+        if (this.#suspended?.attempt === attempt) {
+            this.running.forEach(other => this.#cancel(other));
+            this.#recoverSuspended(this.#suspended);
+        }
+    }
+
+    #recoverSuspended({ attempt, run }: SuspendedAttempt): void {
+        this.#suspended = undefined;
+        this.#options.response.resumeRun(run);
+        this.#running.set(attempt, "silent");
+    }
+
+    #dropSuspended(): void {
+        const attempt = this.#suspended?.attempt;
+        this.#suspended = undefined;
+        if (attempt) {
             attempt.abort();
-            this.#release(attempt);
+            this.#running.set(attempt, "silent");
+            this.fail(attempt, attempt.isWritten ? "broken" : "not-written");
         }
-        return running;
     }
 
     #recordOrigin(target: TargetDescriptor): void {
--- a/src/router/callerResponse.ts
+++ b/src/router/callerResponse.ts
@@ -22,6 +22,14 @@
  */
 type ResponseEnding = "open" | "answered" | "refused" | "closed" | "cut";
 
+/** State of a run of a stream that is neither current nor given up. */
+interface SuspendedRun {
+    readonly heldHead: ResponseHead | undefined;
+    readonly resumeCheck: ResumeCheck | undefined;
+    /** Bytes of an event that was not complete. */
+    readonly partialEvent: Buffer;
+}
+
 const EVENT_END = "\n\n";
 
 /** The response to one caller, assembled from one or more attempts. */
@@ -133,6 +141,27 @@
         return "written";
     }
 
+    /** Sets the current run aside while another one is tried. */
+    pauseRun(): SuspendedRun {
+        const run = {
+            heldHead: this.#heldHead,
+            resumeCheck: this.#resumeCheck,
+            partialEvent: this.#eventSplitter.takePartial(),
+        };
+        this.#heldHead = undefined;
+        this.#resumeCheck = undefined;
+        this.#hasLostEvent ||= run.partialEvent.length > 0;
+        return run;
+    }
+
+    /** Goes on with a run that was set aside; nothing of the one that was tried has been sent. */
+    resumeRun({ heldHead, resumeCheck, partialEvent }: SuspendedRun): void {
+        this.#heldHead = heldHead;
+        this.#resumeCheck = resumeCheck;
+        this.#eventSplitter.reset();
+        this.#eventSplitter.push(partialEvent);
+    }
+
     /** Discards the incomplete output of a failed attempt. */
     resetAttempt(): void {
         this.#hasLostEvent ||= this.#eventSplitter.hasPartialEvent;
--- a/src/router/eventStreamSplitter.ts
+++ b/src/router/eventStreamSplitter.ts
@@ -44,6 +44,11 @@
         this.#partial.clear();
     }
 
+    /** Takes the bytes of an incomplete event out; `push` puts them back. */
+    takePartial(): Buffer {
+        return this.#partial.takeWith(Buffer.alloc(0));
+    }
+
     /** Identifier of the last complete event, or `undefined` if there was none. */
     getLastEventId(): string | undefined {
         if (this.#lastCompleted) {
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -31,6 +31,8 @@
     readonly isBatching: () => boolean;
     /** Runs a handler; an unexpected error in it ends the request. */
     readonly runGuarded: (handler: () => void) => void;
+    /** Called before anything of the response is used. */
+    readonly onProgress: () => void;
     readonly onFirstEvent: () => void;
     /** Called when the complete response has arrived. */
     readonly onComplete: (head: ResponseHead) => void;
@@ -180,6 +182,7 @@
 
     #onHead(incoming: IncomingMessage): void {
         const { wire, caller, response, getRunningTime } = this.#options;
+        this.#options.onProgress();
         const head = wire.readResponseHead(incoming);
         this.#head = head;
         this.#status = incoming.statusCode ?? 0;
@@ -207,7 +210,8 @@
     }
 
     #onData(chunk: Buffer): void {
-        const { response, getNow, getRunningTime, isBatching, onFirstEvent } = this.#options;
+        const { response, getNow, getRunningTime, isBatching, onProgress, onFirstEvent } = this.#options;
+        onProgress();
         if (!this.#isStreamed) {
             this.#progress.recordBytes(chunk.length, getRunningTime());
             if (!this.#body.append(chunk)) {
@@ -249,7 +253,8 @@
     }
 
     #onEnd(): void {
-        const { response, onComplete, onFail } = this.#options;
+        const { response, onProgress, onComplete, onFail } = this.#options;
+        onProgress();
         const head = this.#head;
         if (!head) {
             onFail("broken", "no-head");
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -79,6 +79,7 @@
     checkTimeouts(now: number): void {
         this.#runGuarded(() => {
             this.#attempts.running.forEach(attempt => attempt.resumeIfDue(now));
+            this.#attempts.checkSuspended(now);
             if (now >= this.#options.exchange.request.deadline) {
                 this.#refuse("deadline", "deadline-expired", RETRY_AFTER_MS);
                 return;
@@ -123,7 +124,7 @@
             return;
         }
         const isError = status >= FIRST_SERVER_ERROR;
-        const hasOthers = this.#attempts.running.length > 1;
+        const { hasOthers } = this.#attempts;
         if (isError && (hasOthers || (status !== GATEWAY_TIMEOUT && this.#planNextAttempt() === "retry"))) {
             this.#errorResponse = { attempt, head };
             this.#failAttempt(attempt, "broken", "target-error");
