Write the head of a silent target's response before its events in the test

The stand-in waited for the end of the silence in two timers, one for the head and one for the events; their remaining times, cut to whole milliseconds, could differ, so that a run began with an event and was no response. What is checked is unchanged.

--- a/test/platform/silentTargets.test.ts
+++ b/test/platform/silentTargets.test.ts
@@ -28,7 +28,6 @@
     return request => {
         const { socket, requestId, lastEventId } = request;
         const first = Number(lastEventId ?? 0) + 1;
-        silence.runAfter(request, () => writeHead(socket, requestId, STREAM_HEADERS));
         const writeFrom = (id: number): void => {
             if (id > EVENTS) {
                 socket.write("0\r\n\r\n");
@@ -42,7 +41,10 @@
                 writeFrom(id + 1);
             });
         };
-        silence.runAfter(request, () => writeFrom(first));
+        silence.runAfter(request, () => {
+            writeHead(socket, requestId, STREAM_HEADERS);
+            writeFrom(first);
+        });
     };
 }
 
