--- a/test/platform/faultyAnswers.test.ts
+++ b/test/platform/faultyAnswers.test.ts
@@ -186,6 +186,25 @@
     t.true(isWhole);
 });
 
+// An event that a run had broken off counted as missing also after a later run had sent it.
+test.serial("resumed stream: completes a stream whose broken event has arrived in a later run", async t => {
+    const serve = serveBroken(request => {
+        const { socket, requestId, lastEventId } = request;
+        const headers = `Response-Signature: s\r\n${EVENT_STREAM}`;
+        if (lastEventId === "3") {
+            writeHead(socket, requestId, `${headers}Content-Length: 0\r\n`);
+            return;
+        }
+        writeHead(socket, requestId, `${headers}Transfer-Encoding: chunked\r\n`);
+        socket.write(formatChunk(formatEvent(3, requestId)));
+        setTimeout(() => socket.resetAndDestroy(), LATE_MS);
+    });
+    const { fleet } = await createRawFleet(t, "engine", [serve, serve, serve]);
+    const { body, isWhole } = await sendToFleet(fleet, "/stream/x", { "Request-Id": "r" });
+    t.is(body, [1, 2, 3].map(id => formatEvent(id, "r")).join(""));
+    t.true(isWhole);
+});
+
 // All targets had failed the stream, and it waited for another one until its deadline.
 test.serial("refuses a request at once when all its targets have closed in the middle of their heads", async t => {
     const heads = ["HTTP/1.1 20", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nRequest-"];
--- a/test/platform/silentTargets.test.ts
+++ b/test/platform/silentTargets.test.ts
@@ -156,6 +156,25 @@
     await waitUntil("the second attempt is stopped", () => open.size <= 1, GONE_MS);
 });
 
+// The attempt at a silent target goes on, so that no failure was recorded and further requests followed it there.
+test.serial("sends requests to other targets once one is silent", async t => {
+    let silentIndex: number | undefined;
+    const { fleet, targets } = await createRawFleet(
+        t,
+        "plain",
+        [0, 1].map(index => (request: RawRequest): void => {
+            silentIndex ??= index;
+            if (index !== silentIndex) {
+                serveAnswer(0)(request);
+            }
+        }),
+    );
+    for (let i = 0; i < REQUESTS; i += 1) {
+        t.is((await sendToFleet(fleet, "/safe/x")).status, 200);
+    }
+    t.is(targets[silentIndex ?? 0]?.requestIds.length, 1);
+});
+
 test.serial("passes on the error of one target if the other one breaks off", async t => {
     let arrivals = 0;
     const { fleet } = await createRawFleet(
