Keep the certainty about origins in data centres that are far from the store

A list that is read by long polls of 1.2 s is up to 2.4 s old, and twice the way to the store. At 150 ms from it, instances took their list for too old several times a minute and sent their records in calm ("send nothing while one version has been there": 556 datagrams of 7 instances in 14 s, expected 0). The list is believed for half a second longer, and new versions wait as much longer, on which the proof depends.

--- a/src/core/streams/originCertainty.ts
+++ b/src/core/streams/originCertainty.ts
@@ -18,11 +18,11 @@
  * to remember where. Times are monotonic milliseconds.
  *
  * @remarks An instance is certain of a version V only if V alone was listed within the window, and its list was confirmed
- * within `maxDelayMs`. Suppose that a stream began at another version U at an instance that may be cut off. That instance
- * had listed U for `maxDelayMs` before, so that U was registered before the certain instance's last confirmation and has
- * been listed there, too. It was last listed there no earlier than the targets of U left, which end their streams less
- * than a window later. So U is within the window, and the instance is not certain. What does not wait is told to all
- * instances (`alone`), or was listed first when the instance started.
+ * within `maxDelayMs`. Suppose that a stream began before that at another version U, at an instance that may be cut off.
+ * That instance had read U at least `maxDelayMs` earlier, so that U was registered before the certain instance's last
+ * confirmation and was listed there, too, unless U had left before the window. But then the targets of U have ended, and
+ * the time-outs of their streams have passed. So U is within the window, and the instance is not certain. What does not
+ * wait is told to all instances (`alone`), or was listed alone or first when an instance started.
  */
 export class OriginCertainty {
     readonly #maxDelayMs: number;
@@ -44,7 +44,7 @@
     /**
      * Creates a state that has seen no list.
      *
-     * @param maxDelayMs Time in milliseconds within which a change of the list must be in force.
+     * @param maxDelayMs Longest age in milliseconds of a list that is believed, and the time for which new versions wait.
      */
     static create(maxDelayMs: number): OriginCertainty {
         return new OriginCertainty(maxDelayMs);
--- a/src/router/streamOrigins.ts
+++ b/src/router/streamOrigins.ts
@@ -33,6 +33,11 @@
 
 type OriginSource = "sole-version" | "own" | "held" | "asked" | "unknown";
 
+/**
+ * A list that is read by long polls without a change is up to 2.4 s old, and twice the way to the store. The shortest
+ * bound for a change is 2.5 s, beyond which distant instances would doubt it again and again.
+ */
+const READ_MARGIN_MS = 500;
 /** Length of the keys that `hashStreamKey` returns. */
 const KEY_CHARACTERS = 11;
 
@@ -47,7 +52,7 @@
 
     private constructor(options: StreamOriginsOptions) {
         this.#options = options;
-        this.#certainty = OriginCertainty.create(options.settings.maxChangeDelayMs);
+        this.#certainty = OriginCertainty.create(options.settings.maxChangeDelayMs + READ_MARGIN_MS);
         this.#peers = OriginPeers.create({ ...options, instance: options.settings.instance });
     }
 
