--- a/src/router/streamOrigins.ts
+++ b/src/router/streamOrigins.ts
@@ -8,6 +8,7 @@
 import type { StreamOrigin } from "../core/streams/streamOrigin.js";
 import { StreamRecords } from "../core/streams/streamRecords.js";
 import type { LogSink } from "./logSink.js";
+import { NewVersionNotices } from "./newVersionNotices.js";
 import type { OriginMessage } from "./originMessage.js";
 import { OriginPeers } from "./originPeers.js";
 import { parseOriginMessage } from "./parseOriginMessage.js";
@@ -33,10 +34,7 @@
 
 type OriginSource = "sole-version" | "own" | "held" | "asked" | "unknown";
 
-/**
- * A list that is read by long polls without a change is up to 2.4 s old, and twice the way to the store. The shortest
- * bound for a change is 2.5 s, beyond which distant instances would doubt it again and again.
- */
+/** A list read by long polls is up to 2.4 s old, and twice the way to the store; the shortest bound for a change is 2.5 s. */
 const READ_MARGIN_MS = 500;
 /** Length of the keys that `hashStreamKey` returns. */
 const KEY_CHARACTERS = 11;
@@ -47,6 +45,7 @@
     readonly #certainty: OriginCertainty;
     readonly #records = StreamRecords.create();
     readonly #peers: OriginPeers;
+    readonly #notices: NewVersionNotices;
     readonly #wasCertain = new Map<string, boolean>();
     #configuration: RouterConfiguration | undefined;
 
@@ -54,6 +53,10 @@
         this.#options = options;
         this.#certainty = OriginCertainty.create(options.settings.maxChangeDelayMs + READ_MARGIN_MS);
         this.#peers = OriginPeers.create({ ...options, instance: options.settings.instance });
+        this.#notices = NewVersionNotices.create({
+            log: options.log,
+            sendAll: message => this.#peers.sendAll(message),
+        });
     }
 
     /** Creates a state that knows no stream. */
@@ -86,10 +89,8 @@
     /** Returns whether a new stream of a resumable route may begin at a target. */
     mayBegin({ service, version }: TargetDescriptor, now: number): boolean {
         const standing = this.#certainty.findStanding(service, version, now);
-        if (standing === "alone") {
-            this.#peers.notifyNewVersion(service, version, now);
-        }
-        return standing !== "new";
+        return standing === "established"
+            || (standing === "alone" && this.#notices.notify(service, version, now));
     }
 
     /**
@@ -181,6 +182,7 @@
             this.#peers.requestHistory(now);
         }
         this.#peers.flush(now);
+        this.#notices.flush(now);
         this.#records.expire(now);
     }
 
@@ -232,7 +234,7 @@
             case "new-version": {
                 const [, service, version] = message;
                 this.#certainty.addVersion(service, version ?? undefined, now);
-                this.#peers.recordNotice(service, version ?? undefined, now);
+                this.#notices.record(service, version ?? undefined, now);
             }
         }
     }
--- a/test/router/streamOriginsVersions.test.ts
+++ b/test/router/streamOriginsVersions.test.ts
@@ -17,11 +17,21 @@
     t.false(instance.origins.mayBegin(v3, instance.now));
     t.is(instance.take("new-version").length, 0);
     instance.origins.observeTargets([{ ...V1, isDraining: true }, v3], instance.now);
-    t.true(instance.origins.mayBegin(v3, instance.now));
-    t.true(instance.origins.mayBegin(v3, instance.now));
-    t.is(instance.take("new-version").length, instance.members.length - 1);
-    instance.observe([V1, v3], 600);
-    t.true(instance.origins.mayBegin(v3, instance.now));
+    t.false(instance.origins.mayBegin(v3, instance.now));
+    t.false(instance.origins.mayBegin(v3, instance.now + 99));
+    t.true(instance.origins.mayBegin(v3, instance.now + 100));
+    instance.origins.flush(instance.now);
+    instance.origins.flush(instance.now);
+    t.is(instance.take("new-version").length, 2 * (instance.members.length - 1));
+    // Others need not repeat what two peers have told.
+    const informed = OriginsHarness.create();
+    informed.observe([V1], 5000);
+    ["ip of p1", "ip of p2"].forEach(host => informed.origins.receive(["new-version", "s", "v3"], host));
+    informed.now += 100;
+    informed.origins.observeTargets([v3], informed.now);
+    t.true(informed.origins.mayBegin(v3, informed.now));
+    informed.origins.flush(informed.now);
+    t.is(informed.take("new-version").length, 0);
 });
 
 // An instance that starts cannot tell which versions others have seen; the oldest process shows which came first.
