Bound the log lines about odd entries of the store

What operators saw: each odd entry wrote up to two lines at each change; 2,000 of them made the log drop lines (log-dropped in the first runs of oddEntries.test), and 3,000 evacuations made one line longer than the buffer. Change: at most 20 target-invalid lines for one batch of changes, and targets-invalid with their count beyond; no target-changed for the removal of an entry that was no target; evacuation-changed names 20 data centres and their count.

--- a/src/platform/storeFollower.ts
+++ b/src/platform/storeFollower.ts
@@ -28,6 +28,8 @@
     readonly onConfirmed: (at: number, timeOfDay: number) => void;
 }
 
+/** Lines about invalid registrations in one batch of changes. */
+const MAX_INVALID_LINES = 20;
 /** Failed calls are billed too. */
 const MIN_BACKOFF_MS = 100;
 /** With the timeout of an urgent call, bounds the time until the end of an outage is noticed. */
@@ -35,6 +37,15 @@
 /** Calls are billed, so changes in quick succession are read together; the shortest bound for a change is 2.5 s. */
 const MIN_INTERVAL_MS = 600;
 
+/** Registration of a target as the store has it. */
+interface Registration {
+    readonly id: string;
+    readonly revision: number;
+    /** `undefined` if the registration is invalid or was removed. */
+    readonly target: TargetDescriptor | undefined;
+    readonly isRemoved: boolean;
+}
+
 /** Follows the platform's store and notifies the router of changes. */
 export class StoreFollower {
     readonly #options: StoreFollowerOptions;
@@ -178,9 +189,11 @@
 
     #applyTargets(batch: ChangeBatch, isOldCopy: boolean): void {
         const { targetDirectory, log, getNow, onTargets } = this.#options;
-        const changes = batch.changes.filter(change => change.key.startsWith(storeKeys.targetPrefix));
+        const registrations = batch.changes.filter(change => change.key.startsWith(storeKeys.targetPrefix))
+            .map(change => this.#decodeTarget(change));
+        this.#logInvalid(registrations.filter(({ target, isRemoved }) => !target && !isRemoved));
         if (batch.isWhole) {
-            const listed = changes.flatMap(change => this.#decodeTarget(change) ?? []);
+            const listed = registrations.flatMap(({ target }) => target ?? []);
             const { missing, outdated } = targetDirectory.replaceAll(listed, getNow(), isOldCopy);
             for (const target of missing) {
                 const state = targetDirectory.has(target) ? "missing" : "removed";
@@ -191,37 +204,45 @@
             }
         }
         else {
-            changes.forEach(change => this.#applyTarget(change));
+            registrations.forEach(registration => this.#applyTarget(registration));
         }
-        if (batch.isWhole || changes.length > 0) {
+        if (batch.isWhole || registrations.length > 0) {
             onTargets();
         }
     }
 
-    #applyTarget(change: Change): void {
+    #applyTarget({ id, revision, target }: Registration): void {
         const { targetDirectory, log, getNow } = this.#options;
-        const id = change.key.slice(storeKeys.targetPrefix.length);
-        const target = this.#decodeTarget(change);
         let state: string;
         if (target) {
             targetDirectory.set(target);
             state = target.isDraining ? "draining" : "ready";
         }
-        else {
+        else if (targetDirectory.has(id)) {
             state = targetDirectory.remove(id, getNow()) ? "removed" : "missing";
         }
-        log.write("target-changed", { target: id, state, revision: change.revision });
+        else {
+            return;
+        }
+        log.write("target-changed", { target: id, state, revision });
     }
 
-    #decodeTarget(change: Change): TargetDescriptor | undefined {
-        if (change.value === undefined) {
-            return undefined;
+    /** Other writers may leave thousands of odd entries, whose lines would displace those of requests. */
+    #logInvalid(registrations: readonly Registration[]): void {
+        const { log } = this.#options;
+        for (const { id, revision } of registrations.slice(0, MAX_INVALID_LINES)) {
+            log.write("target-invalid", { target: id, revision });
         }
-        const id = change.key.slice(storeKeys.targetPrefix.length);
-        const target = decodeTarget(id, Buffer.from(change.value, "base64"), this.#options.getNow());
-        if (!target) {
-            this.#options.log.write("target-invalid", { target: id, revision: change.revision });
+        if (registrations.length > MAX_INVALID_LINES) {
+            log.write("targets-invalid", { count: registrations.length });
         }
-        return target;
+    }
+
+    #decodeTarget({ key, revision, value }: Change): Registration {
+        const id = key.slice(storeKeys.targetPrefix.length);
+        const target = value === undefined
+            ? undefined
+            : decodeTarget(id, Buffer.from(value, "base64"), this.#options.getNow());
+        return { id, revision, target, isRemoved: value === undefined };
     }
 }
--- a/src/router/deploymentView.ts
+++ b/src/router/deploymentView.ts
@@ -20,6 +20,9 @@
     readonly getTimeOfDay: () => number;
 }
 
+/** Data centres that a log line names; other writers may leave any number of names. */
+const MAX_LISTED = 20;
+
 /** Configuration, targets and evacuations that are in force at this instance, and how old they are. */
 export class DeploymentView {
     readonly #options: DeploymentViewOptions;
@@ -75,7 +78,10 @@
     /** Replaces the set of evacuated data centres, whose targets must get no requests. */
     setEvacuated(dataCentres: ReadonlySet<string>): void {
         this.#evacuated = dataCentres;
-        this.#options.log.write("evacuation-changed", { dataCentres: [...dataCentres] });
+        this.#options.log.write("evacuation-changed", {
+            dataCentres: [...dataCentres].slice(0, MAX_LISTED),
+            count: dataCentres.size,
+        });
         this.updateTargets();
     }
 
--- a/test/router/deploymentView.test.ts
+++ b/test/router/deploymentView.test.ts
@@ -30,3 +30,23 @@
     t.deepEqual(adopted, [5, 9, 12]);
     t.is(view.configuration?.version, 12);
 });
+
+// Thousands of odd names made a line that was longer than the buffer of the log.
+test("names a few evacuated data centres in the log and says how many there are", t => {
+    const lines: unknown[] = [];
+    const view = DeploymentView.create({
+        servicePool: { setTargets: () => undefined } as unknown as ServicePool,
+        log: {
+            write: (event: string, fields: object) => lines.push({ event, ...fields }),
+        } as unknown as LogSink,
+        onTargets: () => undefined,
+        onConfiguration: () => undefined,
+        onConfirmed: () => undefined,
+        settings: { keyFreshnessMs: 5000, catchUpMs: 4000 },
+        getNow: () => 0,
+        getTimeOfDay: () => 0,
+    });
+    const names = Array.from({ length: 3000 }, (_, i) => `odd-${i}`);
+    view.setEvacuated(new Set(names));
+    t.deepEqual(lines, [{ event: "evacuation-changed", dataCentres: names.slice(0, 20), count: 3000 }]);
+});
