Test that an odd entry may replace the one of a target in use and be replaced back

Played: six swaps of three kinds under load at two instances, one of which reads through the other: no request failed, the target got none meanwhile and was used again afterwards.

--- a/test/platform/oddEntries.test.ts
+++ b/test/platform/oddEntries.test.ts
@@ -94,3 +94,33 @@
         );
     }
 });
+
+const SWAPS = 6;
+
+test.serial("an odd entry in place of a target in use: its requests in flight end, others go elsewhere, and it is used again", async t => {
+    const fleet = await createRouterFleet(t, { instances: 2 });
+    const entry = fleet.targets.find(({ target }) => target.service === "plain") ?? t.fail() as never;
+    const registration = { ...entry.target.describe(entry.address, "ready", 1) };
+    const key = `servers/${entry.target.id}`;
+    const odd = ["x", { ...registration, slots: 1e300 }, { ...registration, address: "127.0.0.1:99999" }];
+    let isDone = false;
+    const failures: Readonly<Record<string, number>>[] = [];
+    const load = (async () => {
+        while (!isDone) {
+            failures.push(await sendLoad(fleet));
+        }
+    })();
+    for (let i = 0; i < SWAPS; i += 1) {
+        fleet.store.write(key, odd[i % odd.length]);
+        await waitForFollowers(fleet);
+        const before = entry.target.arrivals.length;
+        await sendLoad(fleet);
+        t.is(entry.target.arrivals.length, before, `swap ${i}`);
+        fleet.setRegistration(entry, "ready");
+        await waitUntil("the target is used again", () => entry.target.arrivals.length > before);
+    }
+    isDone = true;
+    await load;
+    t.deepEqual(failures.filter(counts => Object.keys(counts).length > 0), []);
+    t.true(fleet.instances.every(({ process }) => process.running));
+});
