Forward a pipelined request only when the responses before it have ended

A request that was sent behind another one on a kept connection was forwarded at once. If the response before it was the last one of the connection (Connection: close during a planned stop, a stream without framing), the connection closed without an answer to a request that had run: the test 'last response of a connection' failed with ['b'], the request that was served and not answered.

Requests are still read at once, and served in their turn. One whose time is up by then is refused with 503 and not run any more (the test 'request whose time is up' failed with a second 200). After the last response of a connection nothing is forwarded: a request that crosses the close may be sent again. Callers that send one request at a time see no difference.

--- a/src/router/callerConnections.ts
+++ b/src/router/callerConnections.ts
@@ -40,6 +40,27 @@
         });
     }
 
+    /** Returns whether the caller has disconnected, or an earlier response was the last one of the connection. */
+    static isClosed({ incoming: { socket }, response }: DueResponse): boolean {
+        return response.destroyed || socket.destroyed || socket.readableEnded || socket.writableEnded;
+    }
+
+    /**
+     * Calls a function once the responses before this one on its connection have ended: a request that is forwarded earlier
+     * would get no answer if one of them closes the connection. A process that was suspended or has a long event loop delay
+     * reads requests whose callers have disconnected meanwhile; `isClosed` shows that two turns of the event loop later.
+     */
+    runInTurn({ incoming, response }: DueResponse, run: () => void): void {
+        const due = this.#list(incoming.socket);
+        const before = due[due.findIndex(other => other.response === response) - 1];
+        const runLater = (): void => void setImmediate(() => setImmediate(run));
+        if (before) {
+            before.response.on("close", runLater);
+            return;
+        }
+        runLater();
+    }
+
     /**
      * Ends a connection that failed, or on which no request can be read any more. Responses that are due are sent first; what
      * could not be read gets its status after them.
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -176,7 +176,7 @@
                 hashBytes,
             });
             const request = { ...resolved.request, fingerprint };
-            this.#serveIfConnected({ incoming, response, head, request, body });
+            this.#serveInTurn({ incoming, response, head, request, body });
         });
     }
 
@@ -216,18 +216,14 @@
         });
     }
 
-    /**
-     * Serves a request after two turns of the event loop, unless its caller has disconnected. A process that was
-     * suspended or has a long event loop delay reads requests whose callers have disconnected meanwhile; their closed
-     * connections are noticed only in the turns after the one that read the request.
-     */
-    #serveIfConnected(exchange: CallerExchange): void {
-        const { incoming: { socket }, request, response } = exchange;
+    /** Serves a request in its turn on its connection, unless its caller has disconnected or its time is up. */
+    #serveInTurn(exchange: CallerExchange): void {
+        const { request, response } = exchange;
         const serve = (): void => {
             if (response.writableEnded) {
                 return;
             }
-            if (response.destroyed || socket.destroyed || socket.readableEnded) {
+            if (CallerConnections.isClosed(exchange)) {
                 this.#options.log.write("request-ended", {
                     request: request.requestId,
                     outcome: "caller-left-unserved",
@@ -235,10 +231,14 @@
                 });
                 return;
             }
+            if (this.#options.getNow() >= request.deadline) {
+                this.refuse(exchange, "deadline-expired", RETRY_AFTER_MS);
+                return;
+            }
             this.#options.serve(exchange);
             this.#unserved.delete(response);
         };
-        setImmediate(() => setImmediate(() => this.#runGuarded(response, serve)));
+        this.#connections.runInTurn(exchange, () => this.#runGuarded(response, serve));
     }
 
     /** Ends a request that no target has got. */
--- a/test/testing/router/createIngress.ts
+++ b/test/testing/router/createIngress.ts
@@ -9,6 +9,8 @@
 
 type Options = Parameters<typeof Ingress.create>[0];
 
+const PATIENCE_MS = 60_000;
+
 /** Starts an ingress that accepts every request; `serve` gets those that have been read. */
 export async function createIngress(
     t: ExecutionContext,
@@ -35,7 +37,10 @@
         log,
         maxBufferedBytes: 1_000_000,
         getNow,
-        resolve: () => ({ kind: "accepted", request: makeRoutedRequest() }),
+        resolve: (_head, _path, receivedAt) => ({
+            kind: "accepted",
+            request: { ...makeRoutedRequest(), receivedAt, deadline: receivedAt + PATIENCE_MS },
+        }),
         getLimits: () => undefined,
         isStopping: () => false,
         serve,
