End the pipelined requests of a caller that has left

Node.js emits close only for the response whose turn it is. A request that had been read behind another one was never ended when its caller left: it counted as open until the process ended, so that a planned stop used up its whole time, and its body counted towards the memory limit for ever, after which every request with a body is refused. Seen on the code before: 'Timed out after 20000 ms: the requests have ended', openRequests stays above 0.

CallerConnections now ends the responses without a socket when their connection closes.

--- a/src/router/callerConnections.ts
+++ b/src/router/callerConnections.ts
@@ -34,6 +34,9 @@
     /** Adds a request whose response is due from now on. */
     add(incoming: IncomingMessage, response: ServerResponse): void {
         const { socket } = incoming;
+        if (!this.#due.has(socket)) {
+            socket.once("close", () => this.#closeQueued(socket));
+        }
         this.#due.set(socket, [...this.#list(socket), { incoming, response }]);
         response.on("close", () => {
             this.#due.set(socket, this.#list(socket).filter(due => due.response !== response));
@@ -91,6 +94,16 @@
         }
     }
 
+    /** Ends the responses whose turn has not come: Node.js emits `close` only for the one that is being sent. */
+    #closeQueued(socket: Duplex): void {
+        for (const { response } of this.#list(socket)) {
+            if (!response.socket && !response.destroyed && !response.writableFinished) {
+                response.destroy();
+                response.emit("close");
+            }
+        }
+    }
+
     #list(socket: Duplex): readonly DueResponse[] {
         return this.#due.get(socket) ?? [];
     }
--- a/test/router/pipelinedRequests.test.ts
+++ b/test/router/pipelinedRequests.test.ts
@@ -9,6 +9,23 @@
     return `POST /${id} HTTP/1.1\r\nHost: h\r\nRequest-Id: ${id}\r\nContent-Length: 1\r\n\r\nx`;
 }
 
+// Node.js emits `close` only for the response whose turn it is: those behind it counted as open for ever, with their bodies.
+test("caller that leaves: ends the pipelined requests behind the first one, too", async t => {
+    const served: string[] = [];
+    const { ingress, port } = await createIngress(t, ({ head }) => served.push(head.requestId ?? ""), {
+        maxBufferedBytes: 3,
+    });
+    for (let i = 0; i < 3; i += 1) {
+        const socket = connect(port, "127.0.0.1");
+        socket.write(format("a") + format("b") + format("c"));
+        await waitUntil("the requests have been read", () => ingress.openRequests === 3);
+        await waitUntil("the first one is served", () => served.length === i + 1);
+        socket.destroy();
+        await waitUntil("the requests have ended", () => ingress.openRequests === 0);
+    }
+    t.deepEqual(served, ["a", "a", "a"]);
+});
+
 // The connection ended with the first response, although the second request had been forwarded.
 test("last response of a connection: answers the requests behind it that were forwarded", async t => {
     const served: string[] = [];
