Fail an attempt whose target switches protocols

Node.js closes the connection of such a response without a response or an error event, so that the attempt never ended: the request held its target's capacity and got 504 at its deadline, in place of a retry or 502 at once. Before: the new test saw the exchange 'open' after 1 s. The exchange now also ends with the request's close event if no response has begun.

--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -128,6 +128,7 @@
         request.on("information", () => this.#onInterimResponse());
         request.on("response", response => this.#onResponse(response));
         request.on("error", (error: NodeJS.ErrnoException) => this.#fail(error.code ?? error.message));
+        request.on("close", () => this.#onClose());
         request.end(outgoing.body);
     }
 
@@ -182,6 +183,13 @@
         this.#options.onHead(response);
     }
 
+    /** A target that switches protocols makes Node.js close the connection without a response or an error. */
+    #onClose(): void {
+        if (!this.#response) {
+            this.#fail("protocol-switched");
+        }
+    }
+
     #fail(reason: string): void {
         if (this.#isEnded) {
             return;
