--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -1,44 +1,14 @@
-import type { Agent, IncomingMessage } from "node:http";
-import type { RequestLimiter } from "../core/limits/requestLimiter.js";
+import type { IncomingMessage } from "node:http";
 import { findInactivity } from "../core/routing/findInactivity.js";
 import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
-import type { TargetNotices } from "../core/routing/targetNotices.js";
 import { BufferedBody } from "./bufferedBody.js";
-import type { CallerExchange } from "./callerExchange.js";
-import type { CallerResponse } from "./callerResponse.js";
+import type { ForwardAttemptOptions } from "./forwardAttemptOptions.js";
 import { isAnswerTo } from "./isAnswerTo.js";
 import { isRefusal } from "./isRefusal.js";
 import { recordStatements } from "./recordStatements.js";
 import type { ResponseHead } from "./responseHead.js";
 import { TargetExchange } from "./targetExchange.js";
-import type { WireFormat } from "./wireFormat.js";
-
-interface ForwardAttemptOptions {
-    readonly grant: TargetGrant;
-    readonly caller: CallerExchange;
-    readonly response: CallerResponse;
-    readonly wire: WireFormat;
-    readonly limits: RequestLimiter;
-    readonly notices: TargetNotices;
-    /** `false` opens a dedicated connection for this request. */
-    readonly agent: Agent | false;
-    /** Monotonic time in milliseconds. */
-    readonly getNow: () => number;
-    /** The same without the time in which the process was suspended. */
-    readonly getRunningTime: () => number;
-    /** True while the event loop is delayed or busy, so that events are batched before they are forwarded. */
-    readonly isBatching: () => boolean;
-    /** Runs a handler; an unexpected error in it ends the request. */
-    readonly runGuarded: (handler: () => void) => void;
-    /** Called before anything of the response is used. */
-    readonly onProgress: () => void;
-    readonly onFirstEvent: () => void;
-    /** Called when the complete response has arrived. */
-    readonly onComplete: (head: ResponseHead) => void;
-    /** `not-written`: no byte was sent; `refused`: not executed by the target; `broken`: possibly executed. */
-    readonly onFail: (kind: "not-written" | "refused" | "broken", reason: string) => void;
-}
 
 const OK = 200;
 /** Bytes of one event; a stream that sends more without completing an event sends none. */
--- /dev/null
+++ b/src/router/forwardAttemptOptions.ts
@@ -0,0 +1,35 @@
+import type { Agent } from "node:http";
+import type { RequestLimiter } from "../core/limits/requestLimiter.js";
+import type { TargetGrant } from "../core/routing/targetGrant.js";
+import type { TargetNotices } from "../core/routing/targetNotices.js";
+import type { CallerExchange } from "./callerExchange.js";
+import type { CallerResponse } from "./callerResponse.js";
+import type { ResponseHead } from "./responseHead.js";
+import type { WireFormat } from "./wireFormat.js";
+
+/** What one attempt to serve a request depends on. */
+export interface ForwardAttemptOptions {
+    readonly grant: TargetGrant;
+    readonly caller: CallerExchange;
+    readonly response: CallerResponse;
+    readonly wire: WireFormat;
+    readonly limits: RequestLimiter;
+    readonly notices: TargetNotices;
+    /** `false` opens a dedicated connection for this request. */
+    readonly agent: Agent | false;
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+    /** The same without the time in which the process was suspended. */
+    readonly getRunningTime: () => number;
+    /** True while the event loop is delayed or busy, so that events are batched before they are forwarded. */
+    readonly isBatching: () => boolean;
+    /** Runs a handler; an unexpected error in it ends the request. */
+    readonly runGuarded: (handler: () => void) => void;
+    /** Called before anything of the response is used. */
+    readonly onProgress: () => void;
+    readonly onFirstEvent: () => void;
+    /** Called when the complete response has arrived. */
+    readonly onComplete: (head: ResponseHead) => void;
+    /** `not-written`: no byte was sent; `refused`: not executed by the target; `broken`: possibly executed. */
+    readonly onFail: (kind: "not-written" | "refused" | "broken", reason: string) => void;
+}
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -133,8 +133,8 @@
     }
 
     /** Returns whether a request has neither been served nor refused, and its caller still waits. */
-    isOpen({ incoming: { socket }, response }: CallerExchange): boolean {
-        return this.#unserved.has(response) && !socket.destroyed && !socket.readableEnded;
+    isOpen(exchange: CallerExchange): boolean {
+        return this.#unserved.has(exchange.response) && !CallerConnections.isClosed(exchange);
     }
 
     /** Runs a handler of a request that is not being served; an unexpected error in it ends the request. */
@@ -201,22 +201,23 @@
                 hashBytes,
             });
             const request = { ...resolved.request, fingerprint };
-            this.#serveIfConnected({ incoming, response, head, request, body });
+            this.#serveInTurn({ incoming, response, head, request, body });
         });
     }
 
-    /**
-     * Serves a request after two turns of the event loop, unless its caller has disconnected. A process that was
-     * suspended or has a long event loop delay reads requests whose callers have disconnected meanwhile; their closed
-     * connections are noticed only in the turns after the one that read the request.
-     */
-    #serveIfConnected(exchange: CallerExchange): void {
+    /** Serves a request in its turn on its connection, unless its caller has disconnected or its time is up. */
+    #serveInTurn(exchange: CallerExchange): void {
         const serve = (): void => {
-            if (this.isOpen(exchange)) {
-                this.#options.serve(exchange);
+            if (!this.isOpen(exchange)) {
+                return;
+            }
+            if (this.#options.getNow() >= exchange.request.deadline) {
+                this.refuse(exchange, "deadline-expired", RETRY_AFTER_MS);
+                return;
             }
+            this.#options.serve(exchange);
         };
-        setImmediate(() => setImmediate(() => this.runGuarded(exchange, serve)));
+        this.#connections.runInTurn(exchange, () => this.runGuarded(exchange, serve));
     }
 
     /** Ends a request that no target has got. */
--- a/test/platform/routerRestart.test.ts
+++ b/test/platform/routerRestart.test.ts
@@ -37,14 +37,14 @@
     const stopped = instance.process.stop("SIGTERM");
     const load: Promise<unknown>[] = [];
     let answers = 0;
-    for (let i = 0; i < 20; i += 1) {
+    for (let i = 0; i < 24; i += 1) {
         load.push(sendToFleet(fleet, "/safe/x").then(result => answers += result.isWhole ? 1 : 0));
         await new Promise(resolve => setTimeout(resolve, 100));
     }
     slow.write(`${buildHead("slow-1", 10)}12345`);
     pipelined.write(`${buildHead("pipelined-1", 1)}x${buildHead("pipelined-2", 1)}x`);
-    // The stop timeout is 4 s, and the instance lingers for 3 s of it.
-    await new Promise(resolve => setTimeout(resolve, 1200));
+    // The stop timeout is 4 s, and the instance lingers for 3 s of it. The timeout of the route is 1 s.
+    await new Promise(resolve => setTimeout(resolve, 700));
     slow.write("67890");
     t.regex(await slow.readAll(), /^HTTP\/1\.1 200 .*answer to slow-1$/s);
     t.regex(await pipelined.readAll(), /^HTTP\/1\.1 200 .*answer to pipelined-1/s);
