--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -204,11 +204,11 @@
     abort(): readonly ForwardAttempt[] {
         const running = [...this.running, ...this.#suspended ? [this.#suspended.attempt] : []];
         this.#suspended = undefined;
-        running.forEach(attempt => this.#cancel(attempt));
+        running.forEach(attempt => this.#withdraw(attempt));
         return running;
     }
 
-    #cancel(attempt: ForwardAttempt): void {
+    #withdraw(attempt: ForwardAttempt): void {
         if (!attempt.isWritten) {
             this.#executions -= 1;
         }
@@ -219,7 +219,7 @@
     /** Goes on with a run that was set aside and makes progress, in place of the one that has not begun. */
     #resume(attempt: ForwardAttempt): void {
         if (this.#suspended?.attempt === attempt) {
-            this.running.forEach(other => this.#cancel(other));
+            this.running.forEach(other => this.#withdraw(other));
             this.#recoverSuspended(this.#suspended);
         }
     }
--- a/test/platform/silentTargets.test.ts
+++ b/test/platform/silentTargets.test.ts
@@ -86,10 +86,12 @@
     test.serial(`completes streams of silent targets while the others are ${change}`, async t => {
         const silence = SharedSilence.create(1700);
         const serves = Array.from({ length: 2 }, () => serveStream(silence, 3));
-        const { fleet } = await createRawFleet(t, "engine", serves);
+        const { fleet, targets } = await createRawFleet(t, "engine", serves);
         const isChecked = checkStreams(t, fleet);
-        // The streams have got their first events, and the follower reads changes within 0.6 s.
-        await new Promise(resolve => setTimeout(resolve, 300));
+        await waitUntil(
+            "all streams are at a target",
+            () => targets.flatMap(({ requestIds }) => requestIds).length >= REQUESTS,
+        );
         if (change === "evacuated") {
             fleet.store.write("op/evacuate/a", {});
         }
