--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -9,6 +9,7 @@
 import { findPorts } from "./findPorts.js";
 import type { FleetTarget } from "./fleetTarget.js";
 import { FleetTargetGroup } from "./fleetTargetGroup.js";
+import { getLoopbackHost } from "./getLoopbackHost.js";
 import { Impairments } from "./impairments.js";
 
 interface CooperativeFleetOptions {
@@ -38,13 +39,6 @@
 }
 
 const MAIN = new URL("../../platform/main.js", import.meta.url);
-/** Last byte of the first instance's loopback address; other tests use the addresses below it. */
-const FIRST_HOST_BYTE = 11;
-/**
- * Loopback network of this process: a port that was found free may be taken by a fleet of another process before it is
- * used, unless that has other addresses.
- */
-const NETWORK = `127.${1 + (process.pid >> 8) % 127}.${process.pid % 256}`;
 const ENGINE_SLOTS = 16;
 
 /** Router processes on loopback addresses, with stand-ins of the store and of targets behind fault links. */
@@ -94,7 +88,7 @@
         fleet.publish();
         const directory = await mkdtemp(join(tmpdir(), "baobabspread-"));
         for (let i = 0; i < options.instances; i += 1) {
-            const host = `${NETWORK}.${FIRST_HOST_BYTE + i}`;
+            const host = getLoopbackHost(i);
             const settingsPath = join(directory, `${host}.json`);
             await writeFile(settingsPath, JSON.stringify(fleet.#buildSettings(host)));
             const process = await ChildProcess.create(MAIN, [settingsPath]);
@@ -277,7 +271,7 @@
         return buildRouterSettings({
             ...this.#options,
             host,
-            firstHost: `${NETWORK}.${FIRST_HOST_BYTE}`,
+            firstHost: getLoopbackHost(0),
             ports: this.#ports,
             storeAddress: address,
         });
