Serve a request whose body ends after its deadline as before

The refusal of requests whose time is up before their turn also met requests whose body ends late, which routerRestart.test expects to be answered (503 in place of 200 for slow-1, seen twice). It now holds only for requests that have waited for their turn.

--- a/src/router/callerConnections.ts
+++ b/src/router/callerConnections.ts
@@ -53,10 +53,10 @@
      * would get no answer if one of them closes the connection. A process that was suspended or has a long event loop delay
      * reads requests whose callers have disconnected meanwhile; `isClosed` shows that two turns of the event loop later.
      */
-    runInTurn({ incoming, response }: DueResponse, run: () => void): void {
+    runInTurn({ incoming, response }: DueResponse, run: (hasWaited: boolean) => void): void {
         const due = this.#list(incoming.socket);
         const before = due[due.findIndex(other => other.response === response) - 1];
-        const runLater = (): void => void setImmediate(() => setImmediate(run));
+        const runLater = (): void => void setImmediate(() => setImmediate(run, before !== undefined));
         if (before) {
             before.response.on("close", runLater);
             return;
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -205,19 +205,22 @@
         });
     }
 
-    /** Serves a request in its turn on its connection, unless its caller has disconnected or its time is up. */
+    /** Serves a request in its turn on its connection, unless its caller has disconnected or its time is up by then. */
     #serveInTurn(exchange: CallerExchange): void {
-        const serve = (): void => {
+        const serve = (hasWaited: boolean): void => {
             if (!this.isOpen(exchange)) {
                 return;
             }
-            if (this.#options.getNow() >= exchange.request.deadline) {
+            if (hasWaited && this.#options.getNow() >= exchange.request.deadline) {
                 this.refuse(exchange, "deadline-expired", RETRY_AFTER_MS);
                 return;
             }
             this.#options.serve(exchange);
         };
-        this.#connections.runInTurn(exchange, () => this.runGuarded(exchange, serve));
+        this.#connections.runInTurn(
+            exchange,
+            hasWaited => this.runGuarded(exchange, () => serve(hasWaited)),
+        );
     }
 
     /** Ends a request that no target has got. */
