Let a version that replaces all others wait until all instances know of it

When a version replaced another one at once, its streams began while instances that had not read the list held the version before for the only one, or were cut off.

--- a/src/router/originMessage.ts
+++ b/src/router/originMessage.ts
@@ -11,5 +11,9 @@
     /** Asks which versions were listed; monotonic milliseconds of the asker, which the answer repeats. */
     | readonly ["history-request", number]
     | readonly ["history", number, ToldHistory]
-    /** Service and version (`null` if its registrations name none) at which streams begin without a delay. */
-    | readonly ["new-version", string, string | null];
+    /** Service and version (`null` if its registrations name none) at which streams are to begin without a delay. */
+    | readonly ["new-version", string, string | null]
+    /** Confirms `new-version`. */
+    | readonly ["version-confirmed", string, string | null]
+    /** All instances have confirmed it. */
+    | readonly ["version-known", string, string | null];
--- a/src/router/originPeers.ts
+++ b/src/router/originPeers.ts
@@ -2,14 +2,12 @@
 import { MemberRanking } from "../core/streams/memberRanking.js";
 import type { OriginRecord } from "../core/streams/originRecord.js";
 import type { ToldHistory } from "../core/streams/toldHistory.js";
-import type { LogSink } from "./logSink.js";
 import type { OriginMessage } from "./originMessage.js";
 import { OriginOutbox } from "./originOutbox.js";
 import { OriginQuestions } from "./originQuestions.js";
 
 interface OriginPeersOptions {
     readonly instance: string;
-    readonly log: Pick<LogSink, "write">;
     /** Lists the live instances, with this one. */
     readonly listMembers: () => readonly MemberRecord[];
     readonly send: (message: OriginMessage, host: string) => void;
@@ -20,9 +18,6 @@
 const HISTORY_INTERVAL_MS = 1000;
 const HISTORY_PEERS = 2;
 const MAX_HISTORY_LENGTH = 1100;
-/** An instance that has heard of a new version from two others need not tell it. */
-const NEW_VERSION_NOTICES = 2;
-const NOTICE_LIFETIME_MS = 30_000;
 
 /** Exchanges records of streams with the instances that hold them. Times are monotonic milliseconds. */
 export class OriginPeers {
@@ -31,8 +26,6 @@
     readonly #questions = OriginQuestions.create();
     readonly #ranking: MemberRanking;
     #rankingUntil = Number.NEGATIVE_INFINITY;
-    /** Notices about new versions, sent or received. */
-    readonly #notices = new Map<string, { readonly count: number; readonly until: number; }>();
     #nextHistoryAt = Number.NEGATIVE_INFINITY;
 
     private constructor(options: OriginPeersOptions) {
@@ -95,48 +88,18 @@
         peers.forEach(({ ip }) => this.#options.send(["history-request", now], ip));
     }
 
-    /** Tells a peer that has asked for it which versions were listed. */
-    replyHistory(askedAt: number, history: ToldHistory, host: string): void {
+    /** Tells a peer that has asked for it which versions were listed, unless this instance does not know enough. */
+    replyHistory(askedAt: number, history: ToldHistory | undefined, host: string): void {
         // A longer datagram would be divided on its way; without an answer the peer waits until its own history is long.
-        if (JSON.stringify(history).length <= MAX_HISTORY_LENGTH) {
+        if (history && JSON.stringify(history).length <= MAX_HISTORY_LENGTH) {
             this.#options.send(["history", askedAt, history], host);
         }
     }
 
-    /** Tells all instances of a version whose streams begin without a delay, unless peers have told them. */
-    notifyNewVersion(service: string, version: string | undefined, now: number): void {
-        if (this.#countNotices(service, version, now) < NEW_VERSION_NOTICES) {
-            const { instance, log, listMembers } = this.#options;
-            log.write("version-used-at-once", { service, version });
-            listMembers().filter(({ name }) => name !== instance)
-                .forEach(({ ip }) => this.#options.send(["new-version", service, version ?? null], ip));
-            this.#notices.set(JSON.stringify([service, version]), {
-                count: NEW_VERSION_NOTICES,
-                until: now + NOTICE_LIFETIME_MS,
-            });
-        }
-    }
-
-    /** Records that a peer has told all instances of a version. */
-    recordNotice(service: string, version: string | undefined, now: number): void {
-        const count = this.#countNotices(service, version, now) + 1;
-        this.#notices.set(JSON.stringify([service, version]), { count, until: now + NOTICE_LIFETIME_MS });
-    }
-
     /** Sends what is due and ends the questions whose time is over. */
     flush(now: number): void {
         this.#outbox.flush();
         this.#questions.expire(now);
-        this.#notices.forEach(({ until }, key) => {
-            if (until <= now) {
-                this.#notices.delete(key);
-            }
-        });
-    }
-
-    #countNotices(service: string, version: string | undefined, now: number): number {
-        const notice = this.#notices.get(JSON.stringify([service, version]));
-        return notice && notice.until > now ? notice.count : 0;
     }
 
     #getRanking(now: number): MemberRanking {
--- a/src/router/parseOriginMessage.ts
+++ b/src/router/parseOriginMessage.ts
@@ -14,6 +14,8 @@
     "history-request": [isAmount],
     "history": [isAmount, isHistory],
     "new-version": [isName, isOptionalName],
+    "version-confirmed": [isName, isOptionalName],
+    "version-known": [isName, isOptionalName],
 };
 
 /** Validates a datagram about the origins of streams. Returns `undefined` if it is none. */
--- a/src/router/streamOrigins.ts
+++ b/src/router/streamOrigins.ts
@@ -8,6 +8,7 @@
 import type { StreamOrigin } from "../core/streams/streamOrigin.js";
 import { StreamRecords } from "../core/streams/streamRecords.js";
 import type { LogSink } from "./logSink.js";
+import { NewVersionNotices } from "./newVersionNotices.js";
 import type { OriginMessage } from "./originMessage.js";
 import { OriginPeers } from "./originPeers.js";
 import { parseOriginMessage } from "./parseOriginMessage.js";
@@ -33,10 +34,7 @@
 
 type OriginSource = "sole-version" | "own" | "held" | "asked" | "unknown";
 
-/**
- * A list that is read by long polls without a change is up to 2.4 s old, and twice the way to the store. The shortest
- * bound for a change is 2.5 s, beyond which distant instances would doubt it again and again.
- */
+/** A list read by long polls is up to 2.4 s old, and twice the way to the store; the shortest bound for a change is 2.5 s. */
 const READ_MARGIN_MS = 500;
 /** Length of the keys that `hashStreamKey` returns. */
 const KEY_CHARACTERS = 11;
@@ -47,13 +45,21 @@
     readonly #certainty: OriginCertainty;
     readonly #records = StreamRecords.create();
     readonly #peers: OriginPeers;
+    readonly #notices: NewVersionNotices;
     readonly #wasCertain = new Map<string, boolean>();
     #configuration: RouterConfiguration | undefined;
 
     private constructor(options: StreamOriginsOptions) {
         this.#options = options;
-        this.#certainty = OriginCertainty.create(options.settings.maxChangeDelayMs + READ_MARGIN_MS);
+        const maxDelayMs = options.settings.maxChangeDelayMs + READ_MARGIN_MS;
+        this.#certainty = OriginCertainty.create(maxDelayMs);
         this.#peers = OriginPeers.create({ ...options, instance: options.settings.instance });
+        this.#notices = NewVersionNotices.create({
+            ...options,
+            instance: options.settings.instance,
+            maxDelayMs,
+            startedAt: options.getNow(),
+        });
     }
 
     /** Creates a state that knows no stream. */
@@ -86,10 +92,8 @@
     /** Returns whether a new stream of a resumable route may begin at a target. */
     mayBegin({ service, version }: TargetDescriptor, now: number): boolean {
         const standing = this.#certainty.findStanding(service, version, now);
-        if (standing === "alone") {
-            this.#peers.notifyNewVersion(service, version, now);
-        }
-        return standing !== "new";
+        return standing === "established"
+            || (standing === "alone" && this.#notices.notify(service, version ?? null, now));
     }
 
     /**
@@ -181,6 +185,7 @@
             this.#peers.requestHistory(now);
         }
         this.#peers.flush(now);
+        this.#notices.flush(now);
         this.#records.expire(now);
     }
 
@@ -206,8 +211,8 @@
             case "records": {
                 const [, ...records] = message;
                 for (const record of records) {
-                    const [key, origin] = splitRecord(record);
-                    this.#records.keep(key, origin, now + this.#certainty.getWindowMs(now));
+                    const [key, origin] = [record.slice(0, KEY_CHARACTERS), record.slice(KEY_CHARACTERS)];
+                    this.#records.keep(key, origin || undefined, now + this.#certainty.getWindowMs(now));
                 }
                 return;
             }
@@ -219,21 +224,21 @@
                 this.#peers.applyAnswer(number, key, host, origin);
                 return;
             }
-            case "history-request": {
-                const history = this.#certainty.buildHistory(now);
-                if (history) {
-                    this.#peers.replyHistory(message[1], history, host);
-                }
+            case "history-request":
+                this.#peers.replyHistory(message[1], this.#certainty.buildHistory(now), host);
                 return;
-            }
             case "history":
                 this.#certainty.joinHistory(message[2], Math.min(message[1], now), now);
                 return;
-            case "new-version": {
-                const [, service, version] = message;
-                this.#certainty.addVersion(service, version ?? undefined, now);
-                this.#peers.recordNotice(service, version ?? undefined, now);
-            }
+            case "new-version":
+                this.#certainty.addVersion(message[1], message[2] ?? undefined, now);
+                this.#notices.accept(message[1], message[2], host, now);
+                return;
+            case "version-confirmed":
+                this.#notices.recordConfirmed(message[1], message[2], host);
+                return;
+            case "version-known":
+                this.#notices.recordKnown(message[1], message[2], now);
         }
     }
 
@@ -260,8 +265,3 @@
         return digest === undefined ? undefined : this.#certainty.findOrigin(digest);
     }
 }
-
-function splitRecord(record: string): readonly [string, string | undefined] {
-    const [key, origin] = [record.slice(0, KEY_CHARACTERS), record.slice(KEY_CHARACTERS)];
-    return [key, origin === "" ? undefined : origin];
-}
