--- a/src/router/originPeers.ts
+++ b/src/router/originPeers.ts
@@ -88,20 +88,14 @@
         peers.forEach(({ ip }) => this.#options.send(["history-request", now], ip));
     }
 
-    /** Tells a peer that has asked for it which versions were listed. */
-    replyHistory(askedAt: number, history: ToldHistory, host: string): void {
+    /** Tells a peer that has asked for it which versions were listed, unless this instance does not know enough. */
+    replyHistory(askedAt: number, history: ToldHistory | undefined, host: string): void {
         // A longer datagram would be divided on its way; without an answer the peer waits until its own history is long.
-        if (JSON.stringify(history).length <= MAX_HISTORY_LENGTH) {
+        if (history && JSON.stringify(history).length <= MAX_HISTORY_LENGTH) {
             this.#options.send(["history", askedAt, history], host);
         }
     }
 
-    /** Sends a message to all other instances. */
-    sendAll(message: OriginMessage): void {
-        const { instance, listMembers, send } = this.#options;
-        listMembers().filter(({ name }) => name !== instance).forEach(({ ip }) => send(message, ip));
-    }
-
     /** Sends what is due and ends the questions whose time is over. */
     flush(now: number): void {
         this.#outbox.flush();
--- a/src/router/streamOrigins.ts
+++ b/src/router/streamOrigins.ts
@@ -51,11 +51,14 @@
 
     private constructor(options: StreamOriginsOptions) {
         this.#options = options;
-        this.#certainty = OriginCertainty.create(options.settings.maxChangeDelayMs + READ_MARGIN_MS);
+        const maxDelayMs = options.settings.maxChangeDelayMs + READ_MARGIN_MS;
+        this.#certainty = OriginCertainty.create(maxDelayMs);
         this.#peers = OriginPeers.create({ ...options, instance: options.settings.instance });
         this.#notices = NewVersionNotices.create({
-            log: options.log,
-            sendAll: message => this.#peers.sendAll(message),
+            ...options,
+            instance: options.settings.instance,
+            maxDelayMs,
+            startedAt: options.getNow(),
         });
     }
 
@@ -90,7 +93,7 @@
     mayBegin({ service, version }: TargetDescriptor, now: number): boolean {
         const standing = this.#certainty.findStanding(service, version, now);
         return standing === "established"
-            || (standing === "alone" && this.#notices.notify(service, version, now));
+            || (standing === "alone" && this.#notices.notify(service, version ?? null, now));
     }
 
     /**
@@ -208,8 +211,8 @@
             case "records": {
                 const [, ...records] = message;
                 for (const record of records) {
-                    const [key, origin] = splitRecord(record);
-                    this.#records.keep(key, origin, now + this.#certainty.getWindowMs(now));
+                    const [key, origin] = [record.slice(0, KEY_CHARACTERS), record.slice(KEY_CHARACTERS)];
+                    this.#records.keep(key, origin || undefined, now + this.#certainty.getWindowMs(now));
                 }
                 return;
             }
@@ -221,21 +224,21 @@
                 this.#peers.applyAnswer(number, key, host, origin);
                 return;
             }
-            case "history-request": {
-                const history = this.#certainty.buildHistory(now);
-                if (history) {
-                    this.#peers.replyHistory(message[1], history, host);
-                }
+            case "history-request":
+                this.#peers.replyHistory(message[1], this.#certainty.buildHistory(now), host);
                 return;
-            }
             case "history":
                 this.#certainty.joinHistory(message[2], Math.min(message[1], now), now);
                 return;
-            case "new-version": {
-                const [, service, version] = message;
-                this.#certainty.addVersion(service, version ?? undefined, now);
-                this.#notices.record(service, version ?? undefined, now);
-            }
+            case "new-version":
+                this.#certainty.addVersion(message[1], message[2] ?? undefined, now);
+                this.#notices.accept(message[1], message[2], host, now);
+                return;
+            case "version-confirmed":
+                this.#notices.recordConfirmed(message[1], message[2], host);
+                return;
+            case "version-known":
+                this.#notices.recordKnown(message[1], message[2], now);
         }
     }
 
@@ -262,8 +265,3 @@
         return digest === undefined ? undefined : this.#certainty.findOrigin(digest);
     }
 }
-
-function splitRecord(record: string): readonly [string, string | undefined] {
-    const [key, origin] = [record.slice(0, KEY_CHARACTERS), record.slice(KEY_CHARACTERS)];
-    return [key, origin === "" ? undefined : origin];
-}
