--- a/test/router/streamOriginsVersions.test.ts
+++ b/test/router/streamOriginsVersions.test.ts
@@ -38,6 +38,19 @@
     t.is(instance.take("version-known").length, hosts.length);
 });
 
+// An instance that was cut off a moment ago is not live any more, but may be certain of an origin for 3 s.
+test("an instance that was live 2 s ago has to confirm a new version, too", t => {
+    for (const [forMs, count] of [[2000, 8], [6000, 7]] as const) {
+        const instance = OriginsHarness.create();
+        instance.observe([V1], 5000);
+        instance.members = instance.members.slice(0, -1);
+        instance.observe([V1], forMs);
+        instance.origins.observeTargets([V3], instance.now);
+        t.false(instance.origins.mayBegin(V3, instance.now));
+        t.is(instance.take("new-version").length, count);
+    }
+});
+
 test("an instance confirms what a peer tells of a new version, and does not tell it itself", t => {
     const instance = OriginsHarness.create();
     instance.observe([V1], 5000);
--- a/test/testing/streams/originsHarness.ts
+++ b/test/testing/streams/originsHarness.ts
@@ -31,7 +31,8 @@
 
 /** Origins of streams at one of nine instances in three data centres, which reads the list every half second. */
 export class OriginsHarness {
-    readonly members = MEMBERS;
+    /** Live instances, with this one. */
+    members: readonly MemberRecord[] = MEMBERS;
     readonly sent: (readonly [string, OriginMessage])[] = [];
     readonly events: string[] = [];
     now = 0;
@@ -39,7 +40,7 @@
         settings: { instance: "self", maxChangeDelayMs: 2500 },
         log: { write: event => void this.events.push(event) },
         getNow: () => this.now,
-        listMembers: () => MEMBERS,
+        listMembers: () => this.members,
         send: (message, host) => void this.sent.push([host, message]),
     });
 
