--- a/src/router/describeAttemptFailure.ts
+++ b/src/router/describeAttemptFailure.ts
@@ -12,6 +12,7 @@
     return {
         request: request.requestId,
         target: attempt.grant.target.descriptor.id,
+        version: attempt.grant.target.descriptor.version,
         status: attempt.status,
         afterMs: Math.round(now - attempt.grant.grantedAt),
         key: kind === "broken" ? request.fingerprint?.key : undefined,
