End a broken stream whose target has meanwhile registered as another version

Cause: a target that starts again under its identifier is believed to have its former version until the list says otherwise; what was known to be doubtful then was used for take-ups, but not for a retry within the response. Streams were counted as doubtful from the last confirmation of the list on, although a target registers some time after its start. The headers of the soak's callers are built by buildCallerHeaders.

--- a/src/core/streams/begunStreams.ts
+++ b/src/core/streams/begunStreams.ts
@@ -12,6 +12,9 @@
     readonly isShared: boolean;
 }
 
+/** A target that has started registers at its next report; reports come about every 1.2 s. */
+const REGISTRATION_MS = 2500;
+
 type KeyedRecord = readonly [string, OriginRecord];
 type Registration = Pick<TargetDescriptor, "startedAtMs" | "version">;
 
@@ -69,7 +72,7 @@
      * Records the complete list of targets.
      *
      * @param confirmedAt When the former list was last confirmed. A target that started again with another version may
-     * have brought the first events of streams since then.
+     * have brought the first events of streams since it started, which was a little earlier.
      *
      * @returns The records whose origin has become unknown.
      */
@@ -91,7 +94,7 @@
         }
         const doubtful = this.#records.list(now).filter(([, { targetId, startedAtMs, begunAt }]) =>
             restarted.has(targetId) && startedAtMs !== this.#listed.get(targetId)?.startedAtMs
-            && begunAt > (confirmedAt ?? Number.NEGATIVE_INFINITY)
+            && begunAt > (confirmedAt ?? Number.NEGATIVE_INFINITY) - REGISTRATION_MS
         );
         return doubtful.map(([key, record]) => {
             const unknown = { ...record, origin: undefined, isShared: false };
--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -41,6 +41,8 @@
     /** Run of a silent target, which goes on if the one that was sent in its place does not begin. */
     #suspended: SuspendedAttempt | undefined;
     #request: RoutedRequest;
+    /** True once an event of a stream that may be resumed has been passed on. */
+    #hasBegun = false;
 
     private constructor(options: AttemptRunnerOptions) {
         this.#options = options;
@@ -57,9 +59,13 @@
         return [...this.#running.keys()];
     }
 
-    /** The request; once a stream has begun, with the version that it has to go on at. */
+    /** The request; once a stream has begun, with the version that it has to go on at, if that is certain. */
     get request(): RoutedRequest {
-        return this.#request;
+        const { requestId, account, streamId = requestId, origin } = this.#request;
+        const isDoubtful = this.#hasBegun && !this.#options.streamOrigins.isKnown({ account, streamId });
+        return origin && isDoubtful
+            ? { ...this.#request, origin: { service: origin.service, version: undefined } }
+            : this.#request;
     }
 
     /** True if another attempt goes on if this one fails. */
@@ -246,6 +252,7 @@
         const { service, version } = target;
         this.#request = { ...this.#request, origin: { service, version } };
         if (route.isResumable) {
+            this.#hasBegun = true;
             streamOrigins.recordBegun({ account, streamId, target }, getNow());
         }
     }
--- a/src/router/streamOrigins.ts
+++ b/src/router/streamOrigins.ts
@@ -13,6 +13,7 @@
 import { OriginPeers } from "./originPeers.js";
 import { parseOriginMessage } from "./parseOriginMessage.js";
 import type { RouterSettings } from "./routerSettings.js";
+import type { TakenUpStream } from "./takenUpStream.js";
 
 interface StreamOriginsOptions {
     readonly settings: Pick<RouterSettings, "instance" | "maxChangeDelayMs">;
@@ -24,14 +25,6 @@
     readonly send: (message: OriginMessage, host: string) => void;
 }
 
-interface TakenUpStream {
-    readonly account: string;
-    /** Identifier of the caller's attempt that brought the stream's first event; `undefined` if the caller names none. */
-    readonly streamId: string | undefined;
-    readonly host: string;
-    readonly path: string;
-}
-
 type OriginSource = "sole-version" | "own" | "held" | "asked" | "unknown";
 
 /** A list read by long polls is up to 2.4 s old, and twice the way to the store; the shortest bound for a change is 2.5 s. */
@@ -114,6 +107,12 @@
         }
     }
 
+    /** Returns whether the origin of a stream that began here is still certain: its target may have started again meanwhile. */
+    isKnown({ account, streamId }: Pick<TakenUpStream, "account"> & { readonly streamId: string; }): boolean {
+        const record = this.#records.begun.find(hashStreamKey(account, streamId), this.#options.getNow());
+        return record?.origin !== undefined;
+    }
+
     /**
      * Finds where a stream that a caller takes up began. Calls back at once if that is known here, and within 0.4 s
      * otherwise.
--- a/src/soak/sendSoakRequest.ts
+++ b/src/soak/sendSoakRequest.ts
@@ -49,7 +49,10 @@
         const headers = buildCallerHeaders({
             requestId: attemptId,
             patienceMs: Math.ceil(deadline - sentAt),
-            ...(isStream ? { engine: { key: fleet.key, sharedPart: `s${turn % SHARED_PREFIXES}` } } : {}),
+            ...(isStream
+                ? { engine: { key: fleet.key, sharedPart: `s${turn % SHARED_PREFIXES}`, ownPart: requestId } }
+                : {}),
+            resumed: resumed && { lastEventId: resumed.lastEventId, streamId: resumed.resumes },
         });
         let isBrokenByCaller = false;
         const ownAgent = new Agent();
@@ -57,13 +60,7 @@
             method: "POST",
             agent: attempt === 0 ? agent : ownAgent,
             body: "question",
-            headers: {
-                ...headers,
-                ...(isStream ? { "Prompt-Prefix": `s${turn % SHARED_PREFIXES}:50,${requestId}:50` } : {}),
-                ...(resumed
-                    ? { "Last-Event-Id": String(resumed.lastEventId), "Resumes": resumed.resumes }
-                    : {}),
-            },
+            headers,
             isBrokenAfter: body => {
                 isBrokenByCaller ||= attempt === 0 && breakAfter !== undefined
                     && parseEvents(body).length >= breakAfter;
--- a/test/platform/streamVersions.test.ts
+++ b/test/platform/streamVersions.test.ts
@@ -1,4 +1,5 @@
 import test, { type ExecutionContext, registerCompletionHandler } from "ava";
+import { waitUntil } from "../../src/testing/waitUntil.js";
 import { createRouterFleet } from "../testing/router/createRouterFleet.js";
 import { VersionedEngines } from "../testing/router/versionedEngines.js";
 
@@ -162,6 +163,22 @@
     await resumeAll(t, engines, broken, () => 0);
 });
 
+// A target that starts again is believed to have its former version until the list says otherwise.
+test.serial("stream versions: ends a broken stream whose target has meanwhile registered as another version", async t => {
+    const fleet = await createRouterFleet(t);
+    const engines = await VersionedEngines.create(fleet, { a1: "A" });
+    const restarted = await engines.add("a0", "B", "A");
+    await engines.waitUntilServed();
+    engines.getBreak = ({ lastEventId }) => lastEventId === undefined ? BROKEN_AFTER : undefined;
+    engines.eventMs = 250;
+    const isStarted = Promise.all(Array.from({ length: STREAMS / 2 }, () => engines.start(0)));
+    await waitUntil("streams are at the restarted target", () => restarted.requestIds.length > 2);
+    restarted.register(fleet, "a0", "engine", "B");
+    for (const part of await isStarted) {
+        checkParts(t, [part]);
+    }
+});
+
 test.serial("stream versions: a caller cannot take a stream up by an identifier that is not its own", async t => {
     const fleet = await createRouterFleet(t);
     const engines = await VersionedEngines.create(fleet, TWO_VERSIONS);
