--- a/review/lib/startRouter.mjs
+++ b/review/lib/startRouter.mjs
@@ -79,7 +79,7 @@
 /** Finds free ports for the addresses of a router; all routers use the same ones at hosts of their own. */
 export async function findPorts(count) {
     const servers = Array.from({ length: count }, () => createServer());
-    await Promise.all(servers.map(server => new Promise(resolve => server.listen(0, resolve))));
+    await Promise.all(servers.map(server => new Promise(resolve => server.listen(0, "127.0.0.1", resolve))));
     const ports = servers.map(server => server.address().port);
     await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
     return ports;
