Review case 4: streams go on at a target that has become another version (ORDER)

The case: three targets have the next software version, the last one the old version. It crashes and starts again under its identifier with the next one, and registers about a heartbeat later. Callers take its streams up, and the router goes on with them there, since the list still shows the old version: the responses are joined from two versions.

--- a/review/lib/openStream.mjs
+++ b/review/lib/openStream.mjs
@@ -1,6 +1,7 @@
 import { connect } from "node:net";
 
 const HEAD_END = "\r\n\r\n";
+const VERSION_PATTERN = / of version (\S+)/g;
 const ID_PATTERN = /(?:^|\n)id: ?(\d+)/g;
 
 /**
@@ -60,7 +61,7 @@
 function parseStream(text) {
     const headEnd = text.indexOf(HEAD_END);
     if (headEnd < 0) {
-        return { status: 0, retryAfter: undefined, events: [] };
+        return { status: 0, retryAfter: undefined, events: [], versions: [] };
     }
     const head = text.slice(0, headEnd);
     const body = text.slice(headEnd + HEAD_END.length).replace(/\r\n[0-9a-f]+\r\n/gi, "")
@@ -70,5 +71,7 @@
         status: Number(head.split(" ")[1]),
         retryAfter: /\r\nretry-after: ?([\d.]+)/i.exec(head)?.[1],
         events: [...whole.matchAll(ID_PATTERN)].map(([, id]) => Number(id)),
+        /** Software versions of the servers that have made the events. */
+        versions: [...new Set([...whole.matchAll(VERSION_PATTERN)].map(([, version]) => version))],
     };
 }
--- a/review/lib/startEngine.mjs
+++ b/review/lib/startEngine.mjs
@@ -8,7 +8,8 @@
     { id, service, zone, version, slots, events, eventMs, idStep = 1, isFramed = true, record },
 ) {
     const sockets = new Set();
-    const born = Date.now();
+    let runningVersion = version;
+    let born = Date.now();
     const server = createServer((request, response) => {
         request.resume();
         const { headers } = request;
@@ -22,9 +23,10 @@
             return;
         }
         let event = Number(headers["last-event-id"] ?? 0);
+        const ownVersion = runningVersion;
         record("server-runs", {
             server: id,
-            version,
+            version: ownVersion,
             request: requestId,
             lastEventId: event,
         });
@@ -41,7 +43,7 @@
         response.flushHeaders();
         const timer = setInterval(() => {
             event += idStep;
-            response.write(`id: ${event}\ndata: piece ${event} of version ${version}\n\n`);
+            response.write(`id: ${event}\ndata: piece ${event} of version ${ownVersion}\n\n`);
             if (event >= events * idStep) {
                 clearInterval(timer);
                 response.end();
@@ -64,7 +66,7 @@
             service,
             address: `127.0.0.1:${port}`,
             zone,
-            version,
+            version: runningVersion,
             slots,
             state: "ready",
             coldRemainingMs: 0,
@@ -76,6 +78,17 @@
             server.close();
             sockets.forEach(socket => socket.resetAndDestroy());
         },
+        /** Crashes, and starts again after `downMs` under the same identifier and address, with a software version. */
+        restart: async (nextVersion, downMs) => {
+            const closed = new Promise(resolve => server.close(resolve));
+            sockets.forEach(socket => socket.resetAndDestroy());
+            await closed;
+            await new Promise(resolve => setTimeout(resolve, downMs));
+            runningVersion = nextVersion;
+            born = Date.now();
+            await new Promise(resolve => server.listen(port, "127.0.0.1", resolve));
+            record("server-starts-again", { server: id, version: nextVersion });
+        },
         close: () => {
             server.close();
             server.closeAllConnections();
