--- a/review/lib/startShedder.mjs
+++ b/review/lib/startShedder.mjs
@@ -3,11 +3,14 @@
 const REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
 /**
- * Starts a stand-in of a model server that turns requests away while all its slots are taken, as the pages show it: status 503
- * with `Not-Executed`, on a connection that stays open. With `maxExtraShare` above 0 the server is faulty: it answers some of
- * these requests twice, and the extra answer arrives late, where the next answer on the connection is expected.
+ * Starts a stand-in of a model server that turns requests away while all its slots are taken, and those that are larger than
+ * its memory, as the pages show it: status 503 with `Not-Executed`, on a connection that stays open. While `isFaulty` returns
+ * true, it answers some of these requests twice, up to a share of its answers; the extra answer arrives late, where the next
+ * answer on the connection is expected.
  */
-export async function startShedder({ id, service, zone, slots, events, eventMs, maxExtraShare, record }) {
+export async function startShedder(
+    { id, service, zone, slots, memoryTokens, events, eventMs, isFaulty, maxExtraShare, record },
+) {
     let running = 0;
     let answers = 0;
     let extras = 0;
@@ -21,13 +24,14 @@
             response.writeHead(421, { "Instance-Id": id, "Content-Length": 0 }).end();
             return;
         }
-        answers += 1;
-        if (pending.delete(socket)) {
+        answers += isFaulty() ? 1 : 0;
+        if (pending.delete(socket) && isFaulty()) {
             record("server-sends-extra-answer", { server: id, before: requestId });
             socket.write(REFUSAL);
         }
-        if (running >= slots) {
-            const hasExtra = extras + 1 <= answers * maxExtraShare;
+        const tokens = String(headers["token-usage"]).split(",").reduce((sum, part) => sum + Number(part), 0);
+        if (running >= slots || tokens > memoryTokens) {
+            const hasExtra = isFaulty() && extras + 1 <= answers * maxExtraShare;
             extras += hasExtra ? 1 : 0;
             record("server-sheds", { server: id, request: requestId, hasExtra });
             response.writeHead(503, { "Not-Executed": "1", "Content-Length": 0 }).end();
@@ -75,7 +79,7 @@
             sequence: 1,
             born,
         }),
-        /** Share of the answers that came twice. */
+        /** Share of the answers in the faulty period that came twice, or were to. */
         getExtraShare: () => extras / Math.max(1, answers),
         close: () => {
             server.close();
