--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -42,20 +42,18 @@
     engines.forEach(engine => store.write(`servers/${engine.id}`, engine.describeEntry()));
     store.write("op/config", buildConfiguration(3, ["/a/"]));
     const ports = await findPorts(5);
-    const routers = await Promise.all(
-        Object.keys(ZONES).map((zone, i) =>
-            startRouter({
-                name: `router-${zone}`,
-                host: `127.0.0.${i + 2}`,
-                firstHost: "127.0.0.2",
-                zone,
-                zones: ZONES,
-                ports,
-                storeAddress: store.address,
-                directory,
-            })
-        ),
-    );
+    const start = (zone, i) =>
+        startRouter({
+            name: `router-${zone}`,
+            host: `127.0.0.${i + 2}`,
+            firstHost: "127.0.0.2",
+            zone,
+            zones: ZONES,
+            ports,
+            storeAddress: store.address,
+            directory,
+        });
+    const routers = await Promise.all(Object.keys(ZONES).map(start));
     const [dark, ...others] = routers;
     await wait(STEADY_MS);
 
@@ -110,6 +108,7 @@
     await wait(1000);
     store.write("op/config", buildConfiguration(5, ["/a/", "/b/"]));
     record("operator-adds-a-route");
+    let restarted;
     if (hasTrouble) {
         await wait(POWER_OFF_MS);
         // A machine without power doesn't answer, and channels to it hang.
@@ -118,6 +117,7 @@
         setTimeout(() => {
             dark.kill("SIGKILL");
             record("machine-has-power", { host: dark.host });
+            restarted = dark.exited.then(() => start("zone-a", 0));
         }, DARK_MS);
     }
     await wait(DARK_MS);
@@ -129,8 +129,9 @@
         return events.length > 0;
     }));
     const results = (await Promise.all(clients)).filter(({ isTakenUp }) => isTakenUp);
-    routers.forEach(router => router.kill("SIGKILL"));
-    await Promise.all(routers.map(({ exited }) => exited));
+    const running = [...routers, ...restarted ? [await restarted] : []];
+    running.forEach(router => router.kill("SIGKILL"));
+    await Promise.all(running.map(({ exited }) => exited));
     engines.forEach(engine => engine.close());
     store.close();
     const goOn = results.filter(({ goesOn }) => goesOn).length;
