--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -161,6 +161,7 @@
             return;
         }
         this.#response = response;
+        this.#watchReset(response);
         response.on("data", (chunk: Buffer) => {
             if (!this.#isEnded) {
                 this.#options.onData(chunk);
@@ -183,6 +184,24 @@
         this.#options.onHead(response);
     }
 
+    /**
+     * Fails the exchange if the end of the connection ends the response and was a reset. libuv reports the end of a connection,
+     * and no error, if it reads the last bytes and the reset at once; a connection that was reset has no peer any more.
+     */
+    #watchReset(response: IncomingMessage): void {
+        const { headers, socket } = response;
+        if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
+            return;
+        }
+        const checkReset = (): void => {
+            if (socket.remoteAddress === undefined) {
+                this.#fail("ECONNRESET");
+            }
+        };
+        socket.prependOnceListener("end", checkReset);
+        response.on("end", () => socket.off("end", checkReset));
+    }
+
     /** A target that switches protocols makes Node.js close the connection without a response or an error. */
     #onClose(): void {
         if (!this.#response) {
--- a/src/standIns/faultProxy/byteChannel.ts
+++ b/src/standIns/faultProxy/byteChannel.ts
@@ -14,6 +14,7 @@
     readonly getMode: () => "pass" | "hold" | "drop";
     readonly countForwarded: (bytes: number) => void;
     readonly countDropped: (bytes: number) => void;
+    readonly onReset: () => void;
 }
 
 /** Forwards one direction of a connection in order. After bytes were lost the connection must not be reused. */
@@ -26,7 +27,11 @@
     private constructor(options: ByteChannelOptions) {
         this.#options = options;
         options.from.on("data", (bytes: Buffer) => this.#push(bytes));
-        options.from.on("end", () => this.#push(undefined));
+        // libuv reports the end of a connection, and no error, if it reads the last bytes and a reset at once.
+        options.from.on(
+            "end",
+            () => options.from.remoteAddress === undefined ? options.onReset() : this.#push(undefined),
+        );
         options.to.on("drain", () => options.from.resume());
     }
 
--- a/src/standIns/faultProxy/linkConnection.ts
+++ b/src/standIns/faultProxy/linkConnection.ts
@@ -45,6 +45,7 @@
                 getMode: () => this.#getMode("forward"),
                 countForwarded: options.countForward,
                 countDropped: options.countDropped,
+                onReset: () => this.reset(),
             }),
             ByteChannel.create({
                 from: this.#upstream,
@@ -56,6 +57,7 @@
                     this.#countBackward(bytes);
                 },
                 countDropped: options.countDropped,
+                onReset: () => this.reset(),
             }),
         ];
         for (const socket of [this.#client, this.#upstream]) {
