--- a/src/adapters/caller/callerResponse.ts
+++ b/src/adapters/caller/callerResponse.ts
@@ -2,6 +2,7 @@
 import type { RequestError } from "../../core/errors/requestError.js";
 import type { HttpHeaders } from "../../core/request/httpHeaders.js";
 import type { ResponseWriter } from "../../core/request/responseWriter.js";
+import { abortResponse } from "../../shared/abortResponse.js";
 import { buildProblem } from "./buildProblem.js";
 import { statusByRefusalReason } from "./statusByRefusalReason.js";
 
@@ -54,7 +55,7 @@
             return;
         }
         if (this.#response.headersSent || this.#response.destroyed) {
-            this.#response.destroy();
+            abortResponse(this.#response);
             return;
         }
         if (error.retryAfterSeconds !== undefined) {
--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -5,6 +5,7 @@
 import { listEntries } from "../../core/membership/listEntries.js";
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
+import { abortResponse } from "../../shared/abortResponse.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerResponse } from "./callerResponse.js";
 import type { CallerServerOptions } from "./callerServerOptions.js";
@@ -215,7 +216,7 @@
     if (response.writableFinished || response.destroyed) {
         return;
     }
-    const timer = setTimeout(() => response.destroy(), RESPONSE_READ_TIMEOUT_MS);
+    const timer = setTimeout(() => abortResponse(response), RESPONSE_READ_TIMEOUT_MS);
     await new Promise<void>(resolve => {
         response.once("finish", resolve);
         response.once("close", resolve);
--- a/src/router/callerResponse.ts
+++ b/src/router/callerResponse.ts
@@ -15,6 +15,7 @@
 }
 
 const OK = 200;
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
 /**
  * How the response ended: `answered` with that of a target, `refused` with a status of the router, `closed` before a byte
@@ -171,13 +172,11 @@
     }
 
     /**
-     * True if the end of the target's response may be forwarded as the end of the stream. The end of a connection does
-     * not prove that a stream is complete, so it is not forwarded as the end of a framed response.
+     * True if the end of the target's response may be forwarded as the end of the stream. A connection that ends in order
+     * ends a response without a length or chunks, unless that is inside an event.
      */
-    isStreamComplete(head: ResponseHead): boolean {
-        const isCallerFramed = (this.#startedHead ?? head).isFramed;
-        return !this.#eventSplitter.hasPartialEvent && this.#resumeCheck?.allowEnd() !== false
-            && (head.isFramed || !isCallerFramed);
+    get isStreamComplete(): boolean {
+        return !this.#eventSplitter.hasPartialEvent && this.#resumeCheck?.allowEnd() !== false;
     }
 
     /** Ends a stream as complete. */
@@ -187,17 +186,13 @@
         this.#options.response.end();
     }
 
-    /** Sends the buffered response of an attempt. */
+    /** Sends the buffered response of an attempt, with the length of its body also if the target stated none. */
     sendBuffered(status: number, head: ResponseHead, body: Buffer): void {
         const { response } = this.#options;
-        const headers = listHeadersWithoutLength(head);
-        if (head.isFramed) {
-            headers.push("Content-Length", String(body.length));
-        }
-        else {
-            // A Content-Length would claim that the body is complete, which only the target's framing can show.
-            response.useChunkedEncodingByDefault = false;
-        }
+        const hasBody = response.req.method !== "HEAD" && !STATUSES_WITHOUT_BODY.has(status);
+        const headers = hasBody
+            ? [...listHeadersWithoutLength(head), "Content-Length", String(body.length)]
+            : [...head.forwardedHeaders];
         response.writeHead(status, headers);
         response.end(body);
         this.#sentStatus = status;
@@ -216,16 +211,16 @@
         this.#ending = this.isStarted ? "cut" : "closed";
     }
 
-    /** Sends the head of a stream, once. */
+    /**
+     * Sends the head of a stream, once. Callers get chunks, whatever the framing of the target: the end of a connection would
+     * complete a stream without framing also if this process is killed.
+     */
     #startStream(): void {
         const head = this.#heldHead;
         if (this.#startedHead || !head) {
             return;
         }
         const { response } = this.#options;
-        if (!head.isFramed) {
-            response.useChunkedEncodingByDefault = false;
-        }
         response.writeHead(OK, listHeadersWithoutLength(head));
         this.#startedHead = head;
         this.#sentStatus = OK;
--- a/src/router/endOpenRequests.ts
+++ b/src/router/endOpenRequests.ts
@@ -20,4 +20,5 @@
         countActive: () => ingress?.openRequests ?? 0,
         getNow,
     });
+    ingress?.abortOpenRequests();
 }
--- a/src/router/endResponse.ts
+++ b/src/router/endResponse.ts
@@ -1,8 +1,10 @@
 import type { ServerResponse } from "node:http";
 import type { planRequestEnd } from "../core/routing/planRequestEnd.js";
+import { abortResponse } from "../shared/abortResponse.js";
 import type { WireFormat } from "./wireFormat.js";
 
-/** Gives a caller the end that was planned for its request: an empty response of the router, or a closed connection. */
+/** Gives a caller the end that was planned for its request: an empty response of the router, or a connection that shows
+ * that the response is not whole. */
 export function endResponse(
     response: ServerResponse,
     wire: WireFormat,
@@ -10,7 +12,7 @@
     end: ReturnType<typeof planRequestEnd>,
 ): void {
     if (end.kind === "close") {
-        response.destroy();
+        abortResponse(response);
         return;
     }
     if (end.isLast) {
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -230,7 +230,7 @@
             onFail("broken", "no-head");
             return;
         }
-        if (this.#isStreamed && !response.isStreamComplete(head)) {
+        if (this.#isStreamed && !response.isStreamComplete) {
             onFail("broken", "truncated");
             return;
         }
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -3,6 +3,7 @@
 import { RequestFingerprint } from "../core/routing/requestFingerprint.js";
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import { abortResponse } from "../shared/abortResponse.js";
 import { hashBytes } from "../shared/hashBytes.js";
 import { BodyReader } from "./bodyReader.js";
 import { CallerConnections } from "./callerConnections.js";
@@ -59,7 +60,7 @@
     readonly #bodies: BodyReader;
     /** Requests that are not being served yet, with their identifiers. */
     readonly #unserved = new Map<ServerResponse, string | undefined>();
-    #openRequests = 0;
+    readonly #open = new Set<ServerResponse>();
 
     private constructor(options: IngressOptions) {
         this.#options = options;
@@ -109,7 +110,7 @@
 
     /** Requests that are being read or served. */
     get openRequests(): number {
-        return this.#openRequests;
+        return this.#open.size;
     }
 
     /** Stops accepting connections and closes the idle ones. */
@@ -149,6 +150,11 @@
         }
     }
 
+    /** Closes the connections of the requests that are still open, because the process ends. */
+    abortOpenRequests(): void {
+        this.#open.forEach(abortResponse);
+    }
+
     /** Runs a handler of a request that is not being served; an unexpected error in it ends the request. */
     #runGuarded(response: ServerResponse, handler: () => void): void {
         const refuse = (): void => this.#refuse(response, "internal-error", "internal-error", RETRY_AFTER_MS);
@@ -156,15 +162,15 @@
         errorBoundary.run(
             "request",
             handler,
-            () => errorBoundary.run("request", refuse, () => response.destroy()),
+            () => errorBoundary.run("request", refuse, () => abortResponse(response)),
         );
     }
 
     #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
-        this.#openRequests += 1;
+        this.#open.add(response);
         this.#connections.add(incoming, response);
         response.on("close", () => {
-            this.#openRequests -= 1;
+            this.#open.delete(response);
             if (this.#unserved.has(response)) {
                 const request = this.#unserved.get(response);
                 const outcome = "caller-left-unserved";
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -1,6 +1,7 @@
 import { planNextAttempt } from "../core/routing/planNextAttempt.js";
 import { planRequestEnd } from "../core/routing/planRequestEnd.js";
 import type { WaitingRequest } from "../core/routing/waitingRequest.js";
+import { abortResponse } from "../shared/abortResponse.js";
 import { AttemptRunner } from "./attemptRunner.js";
 import { CallerResponse } from "./callerResponse.js";
 import { describeAttemptFailure } from "./describeAttemptFailure.js";
@@ -232,7 +233,7 @@
         errorBoundary.run(
             "request",
             handler,
-            () => errorBoundary.run("request", endRequest, () => response.destroy()),
+            () => errorBoundary.run("request", endRequest, () => abortResponse(response)),
         );
     }
 
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -42,6 +42,8 @@
 const RECOVERY_MS = 12_000;
 const RECOVERY_REQUESTS = 20;
 const SPARE_TARGETS = 2;
+/** Every third response of a target ends with its connection. */
+const UNFRAMED_EVERY = 3;
 
 /** Runs a fleet of real processes under seeded random faults and checks the guarantees to callers and targets. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -52,6 +54,7 @@
         revocationMs: 5000,
         stopTimeoutSeconds: 4,
         versions: ["v1", "v2"],
+        unframedEvery: UNFRAMED_EVERY,
     });
     for (let i = 0; i < SPARE_TARGETS; i += 1) {
         await fleet.addTarget("spare", "v1");
--- a/src/standIns/platform/cooperative/cooperativeExchange.ts
+++ b/src/standIns/platform/cooperative/cooperativeExchange.ts
@@ -9,6 +9,8 @@
     readonly requestId: string;
     readonly targetId: string;
     readonly fault: TargetFault;
+    /** False if the response has neither a length nor chunks, so that it ends with its connection. */
+    readonly isFramed: boolean;
     readonly silence: Silence;
     readonly pace: TargetPace;
 }
@@ -49,7 +51,7 @@
 
     /** Sends the response of a plain service. */
     async sendPlain(): Promise<void> {
-        const { request, response, requestId, targetId, fault } = this.#options;
+        const { request, response, requestId, targetId, fault, isFramed } = this.#options;
         await this.#waitForHead();
         const responseId = fault === "crossed" ? "another" : requestId;
         const body = `answer to ${responseId}`;
@@ -58,15 +60,22 @@
             "Response-Signature": `${requestId}.${targetId}`,
         };
         if (fault === "cut" || fault === "unframed") {
-            const length = fault === "cut" ? `Content-Length: ${body.length}\r\n` : "";
+            const length = fault === "cut" && isFramed ? `Content-Length: ${body.length}\r\n` : "";
             const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
             request.socket.write(`HTTP/1.1 200 OK\r\n${lines}${length}\r\n${body.slice(0, 6)}`);
-            request.socket.end();
+            if (fault === "cut" && !isFramed) {
+                // An end in order would complete the response.
+                request.socket.resetAndDestroy();
+            }
+            else {
+                request.socket.end();
+            }
             return;
         }
+        this.#applyFraming();
         response.writeHead(fault === "error" ? 500 : 200, {
             ...headers,
-            "Content-Length": String(body.length),
+            ...(isFramed ? { "Content-Length": String(body.length) } : {}),
         });
         response.end(body);
         if (fault === "doubled") {
@@ -83,6 +92,7 @@
             return;
         }
         const responseId = fault === "crossed" ? "another" : requestId;
+        this.#applyFraming();
         response.writeHead(200, {
             "Request-Id": responseId,
             "Response-Signature": `${requestId}.${targetId}`,
@@ -109,6 +119,14 @@
         response.end();
     }
 
+    #applyFraming(): void {
+        const { response, isFramed } = this.#options;
+        if (!isFramed) {
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+        }
+    }
+
     async #waitForHead(): Promise<void> {
         const { silence, pace } = this.#options;
         if (pace.headMs > 0) {
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -16,6 +16,8 @@
     readonly eventMs: number;
     /** Software version, which the data of each event then names as a third word. @default "v1", in no event */
     readonly version?: string;
+    /** Number of responses of which the last has neither a length nor chunks, again and again. @default all have one */
+    readonly unframedEvery?: number;
     /** Whether a request that the target runs makes it crash after the pause before an event. */
     readonly isCrashedBy?: (arrival: TargetArrival) => boolean;
     /** Called with the body of the request that made the target crash. */
@@ -183,7 +185,7 @@
         for await (const chunk of request) {
             chunks.push(chunk as Buffer);
         }
-        const { id: targetId, events } = this.#options;
+        const { id: targetId, events, unframedEvery = Number.POSITIVE_INFINITY } = this.#options;
         const { headers } = request;
         const requestId = String(headers["request-id"]);
         const isMisdirected = headers["expect-instance"] !== targetId;
@@ -194,6 +196,7 @@
             requestId,
             targetId,
             fault,
+            isFramed: (this.#attempts.length + 1) % unframedEvery !== 0,
             silence: this.#silence,
             pace: this.#pace,
         });
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -6,23 +6,13 @@
 import { ChildProcess } from "../childProcess.js";
 import { buildFleetConfiguration } from "./buildFleetConfiguration.js";
 import { buildRouterSettings } from "./buildRouterSettings.js";
+import type { CooperativeFleetOptions } from "./cooperativeFleetOptions.js";
 import { findPorts } from "./findPorts.js";
 import type { FleetTarget } from "./fleetTarget.js";
 import { FleetTargetGroup } from "./fleetTargetGroup.js";
 import { getLoopbackHost } from "./getLoopbackHost.js";
 import { Impairments } from "./impairments.js";
 
-interface CooperativeFleetOptions {
-    readonly instances: number;
-    readonly engines: number;
-    readonly plainTargets: number;
-    /** Time in milliseconds for which keys are accepted without a new confirmation. */
-    readonly revocationMs: number;
-    readonly stopTimeoutSeconds: number;
-    /** Software versions of the first targets, in turn; without them, all have one version, which no event names. */
-    readonly versions?: readonly string[];
-}
-
 interface FleetInstance {
     readonly host: string;
     readonly settingsPath: string;
@@ -71,6 +61,7 @@
             store,
             impairments: this.impairments,
             engineSlots: ENGINE_SLOTS,
+            unframedEvery: options.unframedEvery,
         });
         this.storeLink = storeLink;
         this.#ports = ports;
--- a/src/testing/platform/fleetTargetGroup.ts
+++ b/src/testing/platform/fleetTargetGroup.ts
@@ -9,6 +9,8 @@
     readonly impairments: Impairments;
     /** Number of requests that an engine runs at once. */
     readonly engineSlots: number;
+    /** Number of responses of which the last has neither a length nor chunks; `undefined` if all have. */
+    readonly unframedEvery: number | undefined;
 }
 
 /** Crash of a target on a request with a body, at a monotonic time in milliseconds. */
@@ -64,14 +66,16 @@
 
     /** Starts and registers a target. */
     async add(service: FleetTarget["service"], version: string | undefined): Promise<FleetTarget> {
+        const { engineSlots, unframedEvery } = this.#options;
         const target = await CooperativeTarget.create({
             id: `i-${this.#targets.length}`,
             service,
             dataCentre: "a",
-            slots: service === "engine" ? this.#options.engineSlots : PLAIN_SLOTS,
+            slots: service === "engine" ? engineSlots : PLAIN_SLOTS,
             events: ENGINE_EVENTS,
             eventMs: EVENT_MS,
             ...(version === undefined ? {} : { version }),
+            ...(unframedEvery === undefined ? {} : { unframedEvery }),
             isCrashedBy: ({ body }) => body.startsWith(CRASHING_BODY),
             onCrash: body => this.#replace(target, body, version),
         });
