--- a/src/core/routing/findRoute.ts
+++ b/src/core/routing/findRoute.ts
@@ -3,9 +3,9 @@
 
 /** Returns the route with the longest matching path prefix, or `undefined`. */
 export function findRoute(
-    configuration: RouterConfiguration,
+    { routesByHost }: Pick<RouterConfiguration, "routesByHost">,
     host: string,
     path: string,
 ): RouteRule | undefined {
-    return configuration.routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
+    return routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
 }
--- a/src/core/routing/resolveRequest.ts
+++ b/src/core/routing/resolveRequest.ts
@@ -1,10 +1,10 @@
 import { findRoute } from "./findRoute.js";
 import { findStopRefusal } from "./findStopRefusal.js";
+import { pickService } from "./pickService.js";
 import type { RequestAttributes } from "./requestAttributes.js";
 import { resolveAccount } from "./resolveAccount.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RouterConfiguration } from "./routerConfiguration.js";
-import type { RouteRule } from "./routeRule.js";
 import type { StopPlan } from "./stopPlan.js";
 
 interface ResolveContext {
@@ -98,16 +98,6 @@
         : { streamId: streamId ?? requestId, resumesAfter: lastEventId };
 }
 
-/** Picks the service of a request according to the weights of the route. */
-function pickService(route: RouteRule, random: number): string {
-    let position = random * route.backends.reduce((sum, backend) => sum + backend.weight, 0);
-    const picked = route.backends.find(backend => {
-        position -= backend.weight;
-        return position < 0;
-    });
-    return (picked ?? route.backends.at(-1))?.service ?? "";
-}
-
 /** Intersects the regions that the route and the account allow; an empty list allows all regions. */
 function selectRegions(a: readonly string[], b: readonly string[]): readonly string[] {
     if (a.length === 0 || b.length === 0) {
--- a/src/core/streams/begunStreams.ts
+++ b/src/core/streams/begunStreams.ts
@@ -2,9 +2,11 @@
 import { hashOrigin } from "./hashOrigin.js";
 import type { OriginRecord } from "./originRecord.js";
 import { OriginRecords } from "./originRecords.js";
+import type { StreamPlace } from "./streamPlace.js";
 
 interface BegunStream extends OriginRecord {
     readonly service: string;
+    readonly place: StreamPlace;
     readonly targetId: string;
     readonly startedAtMs: number;
     readonly begunAt: number;
@@ -30,7 +32,13 @@
     }
 
     /** Records that a target has brought the first event of a stream, and returns the record. */
-    add(key: string, target: TargetDescriptor, now: number, expiresAt: number): OriginRecord {
+    add(
+        key: string,
+        place: StreamPlace,
+        target: TargetDescriptor,
+        now: number,
+        expiresAt: number,
+    ): OriginRecord {
         const { id, service, version, startedAtMs } = target;
         const listed = this.#listed.get(id);
         const isReplaced = listed !== undefined && hasNewVersion(target, listed);
@@ -38,6 +46,7 @@
             origin: version === undefined || isReplaced ? undefined : hashOrigin({ service, version }),
             expiresAt,
             service,
+            place,
             targetId: id,
             startedAtMs,
             begunAt: now,
@@ -59,11 +68,12 @@
         }
     }
 
-    /** Takes the records of a service that no other instance holds. */
-    takeUnshared(service: string, now: number): readonly KeyedRecord[] {
-        const unshared = this.#records.list(now).filter(([, record]) =>
-            !record.isShared && record.service === service
-        );
+    /** Takes the records that no other instance holds and of which a function of their service and place is true. */
+    takeUnshared(
+        isTaken: (stream: Pick<BegunStream, "service" | "place">) => boolean,
+        now: number,
+    ): readonly KeyedRecord[] {
+        const unshared = this.#records.list(now).filter(([, record]) => !record.isShared && isTaken(record));
         unshared.forEach(([key]) => this.markShared(key, now));
         return unshared;
     }
--- a/src/core/streams/toldHistory.ts
+++ b/src/core/streams/toldHistory.ts
@@ -4,8 +4,9 @@
     readonly confirmedAgeMs: number;
     /** Time in milliseconds for which the teller has followed the list without a gap. */
     readonly coveredMs: number;
-    /** Digest of the resumable routes, which have not changed for `coveredMs`. */
+    /** Digest of the routes of streams, and the time in milliseconds for which they have not changed. */
     readonly routes: string;
+    readonly routesMs: number;
     /** Service, version (`null` if the registration names none) and milliseconds since it was last listed. */
     readonly versions: readonly (readonly [string, string | null, number])[];
 }
--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -247,13 +247,15 @@
     }
 
     #recordOrigin(target: TargetDescriptor): void {
-        const { streamOrigins, getNow } = this.#options;
+        const { exchange: { head, incoming }, streamOrigins, getNow } = this.#options;
         const { requestId, account, route, streamId = requestId } = this.#request;
         const { service, version } = target;
         this.#request = { ...this.#request, origin: { service, version } };
         if (route.isResumable) {
             this.#hasBegun = true;
-            streamOrigins.recordBegun({ account, streamId, target }, getNow());
+            const { host } = head;
+            const path = incoming.url ?? "/";
+            streamOrigins.recordBegun({ account, streamId, host, path, target }, getNow());
         }
     }
 
--- a/src/router/originMessage.ts
+++ b/src/router/originMessage.ts
@@ -4,8 +4,8 @@
 export type OriginMessage =
     /** Keys of streams, each followed by the digest of its origin, or by nothing if that is not known for certain. */
     | readonly ["records", ...string[]]
-    /** Number, key of the stream, its service by the asker's routes (`null` if not unique), and their digest. */
-    | readonly ["question", number, string, string | null, string]
+    /** Number and key of the stream, and its place: host, path and position, which is `null` if it is not known. */
+    | readonly ["question", number, string, string, string, number | null]
     /** Number and key of a question, and the digest of the origin; empty if not certain, `null` without a record. */
     | readonly ["answer", number, string, string | null]
     /** Asks which versions were listed; monotonic milliseconds of the asker, which the answer repeats. */
--- a/src/router/originPeers.ts
+++ b/src/router/originPeers.ts
@@ -1,6 +1,7 @@
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import { MemberRanking } from "../core/streams/memberRanking.js";
 import type { OriginRecord } from "../core/streams/originRecord.js";
+import type { StreamPlace } from "../core/streams/streamPlace.js";
 import type { ToldHistory } from "../core/streams/toldHistory.js";
 import type { OriginMessage } from "./originMessage.js";
 import { OriginOutbox } from "./originOutbox.js";
@@ -18,6 +19,7 @@
 const HISTORY_INTERVAL_MS = 1000;
 const HISTORY_PEERS = 2;
 const MAX_HISTORY_LENGTH = 1100;
+const MAX_PATH_LENGTH = 500;
 
 /** Exchanges records of streams with the instances that hold them. Times are monotonic milliseconds. */
 export class OriginPeers {
@@ -55,20 +57,21 @@
     /**
      * Asks the instances that may hold the record of a stream.
      *
-     * @param service Service of the stream according to the routes with the digest `routes`; `undefined` if not unique.
      * @param onAnswer Gets the digest of the origin; `undefined` if it is not known for certain.
      */
     request(
-        question: { readonly key: string; readonly service: string | undefined; readonly routes: string; },
+        key: string,
+        { host: routeHost, path, position }: StreamPlace,
         now: number,
         onAnswer: (origin: string | undefined) => void,
     ): void {
-        const { key, service, routes } = question;
         const hosts = this.#getRanking(now).listAsked(key).map(({ ip }) => ip);
         const number = this.#questions.add(key, hosts, now, onAnswer);
         if (number !== undefined) {
+            // A path that is too long for a datagram matches no route at the peer, which then looks at its records only.
+            const sentPath = path.slice(0, MAX_PATH_LENGTH) === path ? path : "";
             hosts.forEach(host =>
-                this.#options.send(["question", number, key, service ?? null, routes], host)
+                this.#options.send(["question", number, key, routeHost, sentPath, position ?? null], host)
             );
         }
     }
--- a/src/router/parseOriginMessage.ts
+++ b/src/router/parseOriginMessage.ts
@@ -9,7 +9,7 @@
 
 const PARTS_BY_KIND: Readonly<Record<OriginMessage[0], readonly ((value: unknown) => boolean)[]>> = {
     "records": [],
-    "question": [isAmount, isKey, isOptionalName, isName],
+    "question": [isAmount, isKey, isName, isName, isOptionalAmount],
     "answer": [isAmount, isKey, isDigest],
     "history-request": [isAmount],
     "history": [isAmount, isHistory],
@@ -46,12 +46,16 @@
     return typeof value === "string" && value.length <= MAX_NAME_LENGTH;
 }
 
+function isOptionalAmount(value: unknown): boolean {
+    return value === null || isAmount(value);
+}
+
 function isOptionalName(value: unknown): boolean {
     return value === null || isName(value);
 }
 
 function isHistory(value: unknown): boolean {
-    const { confirmedAgeMs, coveredMs, routes, versions } = (value ?? {}) as Partial<ToldHistory>;
-    return isAmount(confirmedAgeMs) && isAmount(coveredMs) && isName(routes)
+    const { confirmedAgeMs, coveredMs, routes, routesMs, versions } = (value ?? {}) as Partial<ToldHistory>;
+    return isAmount(confirmedAgeMs) && isAmount(coveredMs) && isName(routes) && isAmount(routesMs)
         && isListOf(versions, entry => isTuple(entry, [isName, isOptionalName, isAmount]));
 }
--- a/src/router/requestResolver.ts
+++ b/src/router/requestResolver.ts
@@ -1,9 +1,9 @@
-import murmurhash from "murmurhash";
 import { findStopRefusal } from "../core/routing/findStopRefusal.js";
 import { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RoutedRequest } from "../core/routing/routedRequest.js";
 import { RouteDurations } from "../core/routing/routeDurations.js";
 import type { StopPlan } from "../core/routing/stopPlan.js";
+import { computePosition } from "../shared/computePosition.js";
 import type { DeploymentView } from "./deploymentView.js";
 import type { LoadObserver } from "./loadObserver.js";
 import type { RequestHead } from "./requestHead.js";
@@ -20,7 +20,6 @@
 /** Above this event loop delay streams are refused, because none would meet its latency objective. */
 const MAX_LOOP_DELAY_MS = 200;
 const SERVICE_UNAVAILABLE = 503;
-const HASH_RANGE = 2 ** 32;
 /** Ends of requests that show what the requests of a route take, or that they take at least as long. */
 const COMPLETED_OUTCOMES: ReadonlySet<string> = new Set(["served", "deadline-expired"]);
 
@@ -52,7 +51,7 @@
             stopPlan: getStopPlan(),
             estimateMs: request => this.#durations.estimate(request),
             receivedAt,
-            random: computePosition(head.streamId ?? head.requestId),
+            random: pickPosition(head),
         });
         if (resolved.kind === "refused") {
             return resolved;
@@ -81,6 +80,7 @@
 }
 
 /** A stream that is taken up goes to the service that began it, as long as the route divides its requests in the same way. */
-function computePosition(id: string | undefined): number {
-    return id === undefined ? Math.random() : murmurhash.v3(id) / HASH_RANGE;
+function pickPosition({ requestId, streamId, lastEventId }: RequestHead): number {
+    const id = lastEventId === undefined ? requestId : streamId ?? requestId;
+    return id === undefined ? Math.random() : computePosition(id);
 }
--- a/src/router/streamOrigins.ts
+++ b/src/router/streamOrigins.ts
@@ -1,12 +1,12 @@
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
-import { findSoleService } from "../core/streams/findSoleService.js";
 import { hashOrigin } from "../core/streams/hashOrigin.js";
 import { hashStreamKey } from "../core/streams/hashStreamKey.js";
 import { OriginCertainty } from "../core/streams/originCertainty.js";
 import type { StreamOrigin } from "../core/streams/streamOrigin.js";
 import { StreamRecords } from "../core/streams/streamRecords.js";
+import { getStreamPlace } from "./getStreamPlace.js";
 import type { LogSink } from "./logSink.js";
 import { NewVersionNotices } from "./newVersionNotices.js";
 import type { OriginMessage } from "./originMessage.js";
@@ -40,7 +40,6 @@
     readonly #peers: OriginPeers;
     readonly #notices: NewVersionNotices;
     readonly #wasCertain = new Map<string, boolean>();
-    #configuration: RouterConfiguration | undefined;
 
     private constructor(options: StreamOriginsOptions) {
         this.#options = options;
@@ -73,8 +72,15 @@
 
     /** Records the configuration in force. */
     observeConfiguration(configuration: RouterConfiguration, now: number): void {
-        this.#configuration = configuration;
-        this.#certainty.observeConfiguration(configuration, now);
+        if (!this.#certainty.observeConfiguration(configuration, now)) {
+            return;
+        }
+        const doubtful = this.#records.begun.takeUnshared(
+            ({ place, service }) => !this.#certainty.isCertain(place, service, now),
+            now,
+        );
+        this.#options.log.write("stream-routes-changed", { doubtful: doubtful.length });
+        this.#sendRecords(doubtful, now);
     }
 
     /** Records when the list of targets was confirmed as the newest, in monotonic milliseconds. */
@@ -92,16 +98,18 @@
     /**
      * Records that the first event of a stream of a resumable route is about to be passed on.
      *
-     * @param begun The stream's account, the identifier of the caller's attempt, and the target that brought the event.
+     * @param begun The stream and the target that brought the event.
      */
     recordBegun(
-        begun: { readonly account: string; readonly streamId: string; readonly target: TargetDescriptor; },
+        begun: TakenUpStream & { readonly streamId: string; readonly target: TargetDescriptor; },
         now: number,
     ): void {
         const { account, streamId, target } = begun;
         const key = hashStreamKey(account, streamId);
-        const record = this.#records.begun.add(key, target, now, now + this.#certainty.getWindowMs(now));
-        if (!this.#certainty.isCertain(target.service, now)) {
+        const place = getStreamPlace(begun);
+        const expiresAt = now + this.#certainty.getWindowMs(now);
+        const record = this.#records.begun.add(key, place, target, now, expiresAt);
+        if (!this.#certainty.isCertain(place, target.service, now)) {
             this.#peers.sendRecord(key, record, "now", now);
             this.#records.begun.markShared(key, now);
         }
@@ -132,8 +140,8 @@
             });
             onFound(origin);
         };
-        const service = findSoleService(this.#configuration, stream.host, stream.path);
-        const sole = service === undefined ? undefined : this.#findSoleOrigin(service, askedAt);
+        const place = getStreamPlace(stream);
+        const sole = this.#certainty.findSoleOrigin(place, askedAt);
         const key = stream.streamId === undefined
             ? undefined
             : hashStreamKey(stream.account, stream.streamId);
@@ -147,8 +155,7 @@
             end(sole, sole ? "sole-version" : "unknown");
         }
         else {
-            const routes = this.#certainty.routesDigest;
-            this.#peers.request({ key, service, routes }, askedAt, answer => {
+            this.#peers.request(key, place, askedAt, answer => {
                 if (answer !== undefined) {
                     const now = getNow();
                     this.#records.keep(key, answer, now + this.#certainty.getWindowMs(now));
@@ -196,15 +203,19 @@
         this.#wasCertain.set(service, inputs.isCertain);
         this.#options.log.write("stream-origins-changed", { service, ...inputs });
         if (!inputs.isCertain) {
-            for (const [key, record] of this.#records.begun.takeUnshared(service, now)) {
-                this.#peers.sendRecord(key, record, "flush", now);
-            }
+            const isOfService = (stream: { readonly service: string; }): boolean =>
+                stream.service === service;
+            this.#sendRecords(this.#records.begun.takeUnshared(isOfService, now), now);
         }
         else if (!this.#certainty.services.includes(service)) {
             this.#wasCertain.delete(service);
         }
     }
 
+    #sendRecords(records: ReturnType<StreamRecords["begun"]["takeUnshared"]>, now: number): void {
+        records.forEach(([key, record]) => this.#peers.sendRecord(key, record, "flush", now));
+    }
+
     #apply(message: OriginMessage, host: string, now: number): void {
         switch (message[0]) {
             case "records": {
@@ -243,21 +254,14 @@
 
     #reply(
         question: Extract<OriginMessage, readonly ["question", ...unknown[]]>,
-        host: string,
+        senderHost: string,
         now: number,
     ): void {
-        const [, number, key, service, routes] = question;
+        const [, number, key, host, path, position] = question;
         const record = this.#records.find(key, now);
-        // With the same routes, the service is that of the stream if they have not changed lately, which this instance knows.
-        const hasSameRoutes = service !== null && routes === this.#certainty.routesDigest;
-        const sole = hasSameRoutes ? this.#findSoleOrigin(service, now) : undefined;
+        const sole = this.#certainty.findSoleOrigin({ host, path, position: position ?? undefined }, now);
         const origin = record ? record.origin ?? "" : sole ? hashOrigin(sole) : null;
-        this.#options.send(["answer", number, key, origin], host);
-    }
-
-    #findSoleOrigin(service: string, now: number): StreamOrigin | undefined {
-        const version = this.#certainty.findSoleVersion(service, now)?.version;
-        return version === undefined ? undefined : { service, version };
+        this.#options.send(["answer", number, key, origin], senderHost);
     }
 
     #findOrigin(digest: string | undefined): StreamOrigin | undefined {
--- a/test/router/streamOrigins.test.ts
+++ b/test/router/streamOrigins.test.ts
@@ -32,7 +32,7 @@
     t.is(instance.find("y").origin, "none");
 });
 
-test("is not certain while a version that has left may still have streams, or while the routes have just changed", t => {
+test("is not certain while a version that has left may still have streams, or while its streams may be of another service", t => {
     const instance = OriginsHarness.create();
     instance.observe([V1], WINDOW_MS + 1000);
     instance.observe([V2], 1000);
@@ -46,18 +46,15 @@
     t.deepEqual(instance.find("x").origin, ORIGIN);
     instance.setRoute({ timeoutMs: 1000 });
     t.deepEqual(instance.find("x").origin, ORIGIN);
+    instance.setRoute({ backends: [{ service: "other", weight: 1 }] });
     instance.setRoute({ pathPrefix: "/x/" });
+    instance.take("records");
+    instance.recordBegun("z", V1, "/x/");
+    t.is(instance.take("records").length, 2);
     instance.observe([V1], WINDOW_MS - 1500);
     t.is(instance.find("x", "/x/").origin, "none");
     instance.observe([V1], 3000);
     t.deepEqual(instance.find("x", "/x/").origin, ORIGIN);
-    const backends = [{ service: "s", weight: 1 }, { service: "other", weight: 1 }];
-    instance.setRoute({ backends });
-    instance.observe([V1], WINDOW_MS + 1000);
-    t.is(instance.find("x").origin, "none");
-    instance.take("records");
-    instance.recordBegun("z", V1);
-    t.is(instance.take("records").length, 2);
 });
 
 test("sends short records to instances in two data centres at once, and those from before the doubt a little later", t => {
@@ -157,7 +154,14 @@
     const known = digest();
     const { found, questions } = ask();
     t.is(questions.length, 6);
-    const [, number, key] = questions[0]?.[1] as readonly ["question", number, string, null, string];
+    const [, number, key] = questions[0]?.[1] as readonly [
+        "question",
+        number,
+        string,
+        string,
+        string,
+        number,
+    ];
     instance.origins.receive(["answer", number, key, known], "ip of a stranger");
     instance.origins.receive(["answer", number, KEY, known], String(questions[0]?.[0]));
     t.is(found.origin, "none");
@@ -182,20 +186,20 @@
 test("answers from records, and from its certainty for the same routes; records that differ make the origin unknown", t => {
     const instance = OriginsHarness.create();
     instance.observe([V1], WINDOW_MS + 1000);
-    const ask = (key: string, routes: string): unknown => {
-        instance.origins.receive(["question", 7, key, "s", routes], "ip of p1");
+    const ask = (key: string, host: string, path: string): unknown => {
+        instance.origins.receive(["question", 7, key, host, path, 0.5], "ip of p1");
         return instance.take("answer")[0]?.[1][3];
     };
     const asker = OriginsHarness.create();
-    asker.find("x");
-    const routes = String(asker.take("question")[0]?.[1][4]);
-    t.is(ask(KEY, "other"), null);
-    const known = ask(KEY, routes);
+    asker.find("x", "/p");
+    t.deepEqual(asker.take("question")[0]?.[1].slice(3, 5), ["h", "/p"]);
+    t.is(ask(KEY, "another host", "/"), null);
+    const known = ask(KEY, "h", "/");
     t.is(typeof known, "string");
     instance.origins.receive(["records", `${KEY}${String(known)}`], "ip of p1");
-    t.is(ask(KEY, "other"), known);
+    t.is(ask(KEY, "another host", "/"), known);
     instance.origins.receive(["records", `${KEY}AAAAAA`], "ip of p2");
-    t.is(ask(KEY, routes), "");
+    t.is(ask(KEY, "h", "/"), "");
 });
 
 test("hostile peer: a damaged datagram is dropped with a line in the log, and one of another exchange is left alone", t => {
@@ -207,14 +211,17 @@
         ["records", 7],
         ["records", "short"],
         ["records", `${KEY}AAAAAA!`],
-        ["question", -1, KEY, null, ""],
-        ["question", 1, KEY, "x".repeat(501), ""],
+        ["question", -1, KEY, "h", "/", null],
+        ["question", 1, KEY, "x".repeat(501), "/", null],
+        ["question", 1, KEY, "h", "/", -1],
+        ["question", 1, KEY, null, "d"],
         ["answer", 1, KEY, "AAAAA"],
         ["answer", 1, KEY],
         ["history-request", "1"],
         ["history", 1, null],
-        ["history", 1, { confirmedAgeMs: 0, coveredMs: 1e15, routes: "", versions: [] }],
-        ["history", 1, { confirmedAgeMs: 0, coveredMs: 1, routes: "", versions: [["s", 1, 1]] }],
+        ["history", 1, { confirmedAgeMs: 0, coveredMs: 1e15, routes: "", routesMs: 1, versions: [] }],
+        ["history", 1, { confirmedAgeMs: 0, coveredMs: 1, routes: "", versions: [] }],
+        ["history", 1, { confirmedAgeMs: 0, coveredMs: 1, routes: "", routesMs: 1, versions: [["s", 1, 1]] }],
         ["new-version", "s", {}],
     ];
     damaged.forEach(message => t.true(instance.origins.receive(message, "10.0.0.9")));
--- a/test/testing/streams/createStreamDay.ts
+++ b/test/testing/streams/createStreamDay.ts
@@ -7,7 +7,7 @@
     readonly fleet: StreamFleet;
     /** Runs until a time while streams begin at all instances, break off and are taken up at others, twice in a row. */
     readonly runTraffic: (until: number, perTick?: number) => void;
-    /** Replaces the targets by three of each version; the first version has started first. */
+    /** Replaces the targets by three of each version and one of another service; the first version has started first. */
     readonly setVersions: (versions: readonly string[], startedAtMs?: number) => void;
     /** Ends instances, which come back after a time in milliseconds. */
     readonly endInstances: (isEnded: (index: number) => boolean, forMs: number) => void;
@@ -61,7 +61,9 @@
 }
 
 function listTargets(versions: readonly string[], startedAtMs = 1): readonly TargetDescriptor[] {
-    return versions.flatMap((version, v) =>
+    const other = makeTargetDescriptor("other", { service: "other", version: "w1", startedAtMs: 1 });
+    const listed = versions.flatMap((version, v) =>
         [0, 1, 2].map(i => makeTargetDescriptor(`${version} ${i}`, { version, startedAtMs: startedAtMs + v }))
     );
+    return [...listed, other];
 }
--- a/test/testing/streams/originsHarness.ts
+++ b/test/testing/streams/originsHarness.ts
@@ -24,9 +24,9 @@
 const MEMBERS = ["self", "p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"]
     .map((name, i) => makeMember(name, `dc${i % 3}`));
 
-function makeConfiguration(fields: Partial<RouteRule> = {}): RouterConfiguration {
-    const route = { ...makeRoutedRequest().route, ...fields };
-    return { routesByHost: new Map([[route.host, [route]]]) } as unknown as RouterConfiguration;
+function makeConfiguration(routes: readonly Partial<RouteRule>[]): RouterConfiguration {
+    const rules = routes.map(fields => ({ ...makeRoutedRequest().route, ...fields }));
+    return { routesByHost: new Map([["h", rules]]) } as unknown as RouterConfiguration;
 }
 
 /** Origins of streams at one of nine instances in three data centres, which reads the list every half second. */
@@ -53,9 +53,14 @@
         return new OriginsHarness();
     }
 
-    /** Replaces the only route. */
+    /** Replaces all routes by one. */
     setRoute(fields: Partial<RouteRule>): void {
-        this.origins.observeConfiguration(makeConfiguration(fields), this.now);
+        this.setRoutes([fields]);
+    }
+
+    /** Replaces all routes; those with the longest prefix come first. */
+    setRoutes(routes: readonly Partial<RouteRule>[]): void {
+        this.origins.observeConfiguration(makeConfiguration(routes), this.now);
     }
 
     /** Follows the list for a time in milliseconds. */
@@ -75,8 +80,8 @@
     }
 
     /** Records that a stream has begun at a target. */
-    recordBegun(streamId: string, target: TargetDescriptor): void {
-        this.origins.recordBegun({ account: "a", streamId, target }, this.now);
+    recordBegun(streamId: string, target: TargetDescriptor, path = "/"): void {
+        this.origins.recordBegun({ account: "a", streamId, host: "h", path, target }, this.now);
     }
 
     /** Finds the origin of a stream; `none` before the answer. */
--- a/test/testing/streams/streamFleet.ts
+++ b/test/testing/streams/streamFleet.ts
@@ -1,9 +1,16 @@
+import { findRoute } from "../../../src/core/routing/findRoute.js";
 import type { MemberRecord } from "../../../src/core/routing/memberRecord.js";
-import type { RouterConfiguration } from "../../../src/core/routing/routerConfiguration.js";
+import { pickService } from "../../../src/core/routing/pickService.js";
+import type { RouteRule } from "../../../src/core/routing/routeRule.js";
 import type { TargetDescriptor } from "../../../src/core/routing/targetDescriptor.js";
 import type { StreamOrigin } from "../../../src/core/streams/streamOrigin.js";
 import { StreamOrigins } from "../../../src/router/streamOrigins.js";
+import { computePosition } from "../../../src/shared/computePosition.js";
 import { makeRoutedRequest } from "../scheduler/makeRoutedRequest.js";
+import { makeStreamConfiguration } from "./makeStreamConfiguration.js";
+import { makeStreamMember } from "./makeStreamMember.js";
+import type { SimulatedInstance } from "./simulatedInstance.js";
+import type { SimulatedStream } from "./simulatedStream.js";
 
 interface StreamFleetOptions {
     readonly instances: number;
@@ -13,24 +20,6 @@
     readonly isConnected?: (dataCentre: string, now: number) => boolean;
 }
 
-interface SimulatedInstance {
-    readonly member: MemberRecord;
-    /** `undefined` while the process is down. */
-    origins: StreamOrigins | undefined;
-    targets: readonly TargetDescriptor[];
-    readSentAt: number;
-    /** Start of the process, or its end if it is down. */
-    changedAt: number;
-}
-
-interface SimulatedStream {
-    readonly streamId: string;
-    readonly version: string | undefined;
-    readonly begunBy: number;
-    readonly begunAt: number;
-}
-
-const DATA_CENTRES = 3;
 const LOSS_SHARE = 0.02;
 const FLUSH_MS = 40;
 const WATCH_MS = 1200;
@@ -53,10 +42,7 @@
     readonly #instances: readonly SimulatedInstance[];
     readonly #byHost: ReadonlyMap<string, SimulatedInstance>;
     readonly #events = new Map<number, (() => void)[]>();
-    readonly #configuration = {
-        version: 1,
-        routesByHost: new Map([[ROUTE.host, [ROUTE]]]),
-    } as unknown as RouterConfiguration;
+    #configuration = makeStreamConfiguration([ROUTE]);
     #targets: readonly TargetDescriptor[] = [];
     #listChangedAt = 0;
     /** When targets left the list. */
@@ -69,13 +55,17 @@
     readonly inTouch = { found: 0, unknown: 0 };
     /** Take-ups at all instances that were told another version than that at which the stream began. */
     readonly wrong: string[] = [];
+    /** Those that were told another service, with the time since the last change of the routes in milliseconds. */
+    readonly misrouted: number[] = [];
+    #routesChangedAt = 0;
 
     private constructor(options: StreamFleetOptions) {
         this.#options = options;
         this.#instances = Array.from({ length: options.instances }, (_, i) => ({
-            member: makeMember(i),
+            member: makeStreamMember(i),
             origins: undefined,
             targets: [],
+            configuration: undefined,
             readSentAt: 0,
             changedAt: 0,
         }));
@@ -103,6 +93,13 @@
         this.#listChangedAt = this.now;
     }
 
+    /** Replaces the routes of the store; those with the longest prefix come first. */
+    setRoutes(routes: readonly Partial<RouteRule>[]): void {
+        this.#configuration = makeStreamConfiguration(routes.map(fields => ({ ...ROUTE, ...fields })));
+        this.#listChangedAt = this.now;
+        this.#routesChangedAt = this.now;
+    }
+
     /** Calls back after a time in milliseconds. */
     schedule(delayMs: number, run: () => void): void {
         const at = this.now + Math.max(1, Math.round(delayMs));
@@ -119,12 +116,10 @@
             listMembers: () => this.#listMembers(instance),
             send: (message, host) => this.#send(instance, message, host),
         });
-        Object.assign(instance, { origins, targets: [], readSentAt: this.now, changedAt: this.now });
+        const state = { origins, targets: [], configuration: undefined };
+        Object.assign(instance, { ...state, readSentAt: this.now, changedAt: this.now });
         this.schedule(READ_MS, () => {
-            this.#runIf(instance, origins, () => {
-                origins.observeConfiguration(this.#configuration, this.now);
-                this.#read(instance, origins, true);
-            });
+            this.#runIf(instance, origins, () => this.#read(instance, origins, true));
         });
         this.#schedulePoll(instance, origins, Math.floor(this.#options.getRandom() * FLUSH_MS));
     }
@@ -135,34 +130,43 @@
     }
 
     /** Begins a stream at an instance; `undefined` if it has no target for one. */
-    startStream(index: number): SimulatedStream | undefined {
-        const { origins, targets } = this.#get(index);
-        const open = targets.filter(target => !target.isDraining && origins?.mayBegin(target, this.now));
+    startStream(index: number, path = "/x"): SimulatedStream | undefined {
+        const { origins, targets, configuration } = this.#get(index);
+        const streamId = `stream ${this.#streams + 1}`;
+        const route = configuration && findRoute(configuration, ROUTE.host, path);
+        const service = route && pickService(route, computePosition(streamId));
+        const open = targets.filter(target =>
+            target.service === service && !target.isDraining && origins?.mayBegin(target, this.now)
+        );
         const target = open[Math.floor(this.#options.getRandom() * open.length)];
         if (!origins || !target || this.now - (this.#leftAt.get(target.id) ?? this.now) > LINGER_MS) {
             return undefined;
         }
         this.#streams += 1;
-        const streamId = `stream ${this.#streams}`;
-        origins.recordBegun({ account: "a", streamId, target }, this.now);
+        const { host } = ROUTE;
+        origins.recordBegun({ account: "a", streamId, host, path, target }, this.now);
         // What answers is the process that runs, whatever this instance has read of it.
         const running = this.#targets.find(({ id }) => id === target.id) ?? target;
-        return { streamId, version: running.version, begunBy: index, begunAt: this.now };
+        const { version } = running;
+        return { streamId, path, service: target.service, version, begunBy: index, begunAt: this.now };
     }
 
     /** Takes a stream up at an instance. */
-    takeUp(index: number, { streamId, version }: SimulatedStream): void {
+    takeUp(index: number, { streamId, path, service, version }: SimulatedStream): void {
         const instance = this.#get(index);
         const startedAt = this.now;
         const onFound = (origin: StreamOrigin | undefined): void => {
             if (this.#isInTouch(instance, startedAt)) {
                 this.inTouch[origin ? "found" : "unknown"] += 1;
             }
-            if (origin && origin.version !== version) {
+            if (origin && origin.service !== service) {
+                this.misrouted.push(this.now - this.#routesChangedAt);
+            }
+            else if (origin && origin.version !== version) {
                 this.wrong.push(`${this.now} ${streamId} of ${version ?? ""}: ${origin.version}`);
             }
         };
-        instance.origins?.find({ account: "a", streamId, host: ROUTE.host, path: "/x" }, onFound);
+        instance.origins?.find({ account: "a", streamId, host: ROUTE.host, path }, onFound);
     }
 
     /** Runs until a time. */
@@ -192,7 +196,8 @@
     /** Reads the list as a follower of the store does: at once when it changes, but not more often than every 0.6 s. */
     #read(instance: SimulatedInstance, origins: StreamOrigins, isFirst: boolean): void {
         const { readSentAt, member } = instance;
-        const isChanged = isFirst || instance.targets !== this.#targets;
+        const hasNewRoutes = instance.configuration !== this.#configuration;
+        const isChanged = isFirst || hasNewRoutes || instance.targets !== this.#targets;
         const roundTripMs = ROUND_TRIP_MS[Number(member.dataCentre.slice(2))] ?? 0;
         const dueAt = isChanged
             ? Math.max(readSentAt + READ_INTERVAL_MS, this.#listChangedAt + roundTripMs)
@@ -201,6 +206,10 @@
         if (!isDue || !this.#isConnected(member.dataCentre)) {
             return;
         }
+        if (hasNewRoutes) {
+            instance.configuration = this.#configuration;
+            origins.observeConfiguration(this.#configuration, this.now);
+        }
         if (isChanged) {
             instance.targets = this.#targets;
             origins.observeTargets(this.#targets, this.now);
@@ -256,17 +265,3 @@
         return instance;
     }
 }
-
-function makeMember(index: number): MemberRecord {
-    return {
-        name: `i${index}`,
-        dataCentre: `dc${index % DATA_CENTRES}`,
-        region: `dc${index % DATA_CENTRES}`,
-        ip: `10.0.${Math.floor(index / 250)}.${index % 250}`,
-        callerAddress: "127.0.0.1:1",
-        incarnation: 0,
-        sequence: 0,
-        state: "open",
-        weight: 1,
-    };
-}
