Limit what is read before a head and after a request (bytes without end)

Cause: the parser skips empty lines before a message, and the server drops the rest of a body whose response has been sent; neither counts towards any limit.

Change: an exchange fails (head-too-long) after 144 KiB before a head, also with peers and the store; a caller's connection is closed once 16 MiB, or twice the largest body, have been read since its last request.

--- a/src/router/fetchJson.ts
+++ b/src/router/fetchJson.ts
@@ -1,5 +1,6 @@
 import { type Agent, type IncomingHttpHeaders, request as sendRequest } from "node:http";
 import { SourceError } from "../core/routing/sourceError.js";
+import { limitBytesBeforeHead } from "./limitBytesBeforeHead.js";
 
 interface FetchOptions {
     readonly host: string;
@@ -35,6 +36,14 @@
             fail("timeout");
         }, timeoutMs);
         request.on("error", (error: NodeJS.ErrnoException) => fail(error.code ?? "connection-failed"));
+        request.on("socket", socket => {
+            const endLimit = limitBytesBeforeHead(socket, () => {
+                request.destroy();
+                fail("head-too-long");
+            });
+            request.once("response", endLimit);
+            request.once("close", endLimit);
+        });
         request.on("response", response => {
             const chunks: Buffer[] = [];
             let length = 0;
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -6,6 +6,7 @@
 import { abortResponse } from "../shared/abortResponse.js";
 import { hashBytes } from "../shared/hashBytes.js";
 import { BodyReader } from "./bodyReader.js";
+import { CallerByteLimit } from "./callerByteLimit.js";
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { endResponse } from "./endResponse.js";
@@ -51,6 +52,7 @@
  */
 const LISTEN_BACKLOG = 64;
 const RETRY_AFTER_MS = 500;
+const BYTE_CHECK_INTERVAL_MS = 250;
 
 /** Accepts callers' connections and reads their requests. */
 export class Ingress {
@@ -58,6 +60,8 @@
     readonly #server: Server;
     readonly #connections: CallerConnections;
     readonly #bodies: BodyReader;
+    readonly #byteLimit: CallerByteLimit;
+    readonly #byteTimer: NodeJS.Timeout;
     /** Requests that are not being served yet, with their identifiers. */
     readonly #unserved = new Map<ServerResponse, string | undefined>();
     readonly #open = new Set<ServerResponse>();
@@ -82,6 +86,12 @@
             onFailure: (reason, dueResponses) =>
                 options.log.write("caller-connection-failed", { reason, dueResponses }),
         });
+        this.#byteLimit = CallerByteLimit.create({
+            getMaxBodyBytes: () => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+            onExceeded: () => options.log.write("caller-connection-failed", { reason: "bytes-without-end" }),
+        });
+        this.#byteTimer = setInterval(() => this.#byteLimit.check(), BYTE_CHECK_INTERVAL_MS);
+        this.#server.on("connection", socket => this.#byteLimit.add(socket));
         this.#server.on("clientError", (error, socket) => this.#connections.end(error, socket));
     }
 
@@ -115,6 +125,7 @@
 
     /** Stops accepting connections and closes the idle ones. */
     close(): void {
+        clearInterval(this.#byteTimer);
         this.#server.close();
         this.#server.closeIdleConnections();
     }
@@ -168,6 +179,7 @@
 
     #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
         this.#open.add(response);
+        this.#byteLimit.recordRequest(incoming.socket);
         this.#connections.add(incoming, response);
         response.on("close", () => {
             this.#open.delete(response);
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -1,5 +1,6 @@
 import { type Agent, type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
+import { limitBytesBeforeHead } from "./limitBytesBeforeHead.js";
 import type { OutgoingRequest } from "./outgoingRequest.js";
 import { PausableSocket } from "./pausableSocket.js";
 
@@ -133,6 +134,12 @@
     }
 
     #onSocket(socket: Socket): void {
+        const endLimit = limitBytesBeforeHead(socket, () => {
+            this.#fail("head-too-long");
+            this.#request?.destroy();
+        });
+        this.#request?.once("response", endLimit);
+        this.#request?.once("close", endLimit);
         if (!socket.connecting) {
             this.#isWritten = true;
             return;
--- a/test/router/hostileTarget.test.ts
+++ b/test/router/hostileTarget.test.ts
@@ -87,7 +87,7 @@
     });
 }
 
-test("bytes without end: closes the connection of a target whose head, interim responses, chunk extension or trailer never end", async t => {
+test("bytes without end: closes the connection of a target whose head, empty lines before it, interim responses, chunk extension or trailer never end", async t => {
     t.timeout(20_000, "a response without end is still being read");
     const openings = {
         head: [`${HEAD}1\r\nX: `, CHUNK],
@@ -95,6 +95,8 @@
         extension: [`${HEAD}1\r\nTransfer-Encoding: chunked\r\n\r\n1;a=`, CHUNK],
         trailer: [`${HEAD}1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX: `, CHUNK],
         garbage: ["", CHUNK],
+        // The parser skips them, so that they are no error and never become a head.
+        emptyLines: ["", Buffer.from("\r\n".repeat(CHUNK.length / 2))],
     } as const;
     for (const [name, [opening, chunk]] of Object.entries(openings)) {
         let taken: Promise<number> | undefined;
