Wait for the version that peers have before a starting instance accepts keys (CONFIG)

Cause: a process that starts has no earlier position to compare with and took the first contents for current; what its peers knew was not asked.

Change: reports name the version in force for 2 s after a peer has appeared.

--- a/src/router/deploymentView.ts
+++ b/src/router/deploymentView.ts
@@ -1,5 +1,6 @@
 import { ConfigurationFreshness } from "../core/routing/configurationFreshness.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import { StartingVersion } from "../core/routing/startingVersion.js";
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
 import { TargetDirectory } from "../core/routing/targetDirectory.js";
 import type { LogSink } from "./logSink.js";
@@ -28,6 +29,7 @@
     readonly #options: DeploymentViewOptions;
     readonly #targets: TargetDirectory;
     readonly #freshness: ConfigurationFreshness;
+    readonly #startingVersion: StartingVersion;
     #configuration: RouterConfiguration | undefined;
     #evacuated: ReadonlySet<string> = new Set();
     #hasTargets = false;
@@ -36,6 +38,7 @@
         this.#options = options;
         this.#targets = TargetDirectory.create(options.settings.catchUpMs);
         this.#freshness = ConfigurationFreshness.create(options.settings.keyFreshnessMs);
+        this.#startingVersion = StartingVersion.create({ startedAt: options.getNow() });
     }
 
     /** Creates a view without a configuration. */
@@ -58,9 +61,28 @@
         return this.#freshness.getAge(this.#options.getNow(), this.#options.getTimeOfDay());
     }
 
+    /** False in the first moments of a process, in which it does not know whether its peers have a newer configuration. */
+    get hasHeardPeers(): boolean {
+        return this.#startingVersion.hasHeard(this.#options.getNow());
+    }
+
+    /** Version in force, for peers that start; `undefined` while this instance cannot tell whether it is the newest. */
+    get currentVersion(): number | undefined {
+        const version = this.#configuration?.version;
+        const isReached = version !== undefined
+            && this.#startingVersion.isReached(version, this.#options.getNow());
+        return isReached ? version : undefined;
+    }
+
+    /** Records the version that a peer has in force. */
+    recordPeerVersion(version: number): void {
+        this.#startingVersion.recordPeer(version, this.#options.getNow());
+    }
+
     /** True while keys may be accepted: none can have been revoked for longer than the platform allows. */
     isFresh(): boolean {
-        return this.#freshness.isFresh(this.#options.getNow(), this.#options.getTimeOfDay());
+        return this.currentVersion !== undefined
+            && this.#freshness.isFresh(this.#options.getNow(), this.#options.getTimeOfDay());
     }
 
     /** Applies a configuration if its version is higher than that of the one in force. */
--- a/src/router/describeOwnState.ts
+++ b/src/router/describeOwnState.ts
@@ -5,10 +5,10 @@
 /** Describes the state of this instance as its peers and callers learn it. */
 export function describeOwnState(
     isStopping: boolean,
-    view: Pick<DeploymentView, "configuration" | "isFresh">,
+    view: Pick<DeploymentView, "configuration" | "hasHeardPeers" | "isFresh">,
     loadObserver: Pick<LoadObserver, "isBusy">,
 ): MemberRecord["state"] {
-    if (isStopping || !view.configuration) {
+    if (isStopping || !view.configuration || !view.hasHeardPeers) {
         return "closed";
     }
     if (!view.isFresh()) {
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -1,8 +1,5 @@
-import type { RequestLimiter } from "../core/limits/requestLimiter.js";
-import type { AccountUsage } from "../core/routing/accountUsage.js";
 import type { ChangeReaders } from "../core/routing/changeReaders.js";
 import { computeColdShare } from "../core/routing/computeColdShare.js";
-import type { CrashRecord } from "../core/routing/crashRecord.js";
 import { findChangeReaders } from "../core/routing/findChangeReaders.js";
 import { listCallerAddresses } from "../core/routing/listCallerAddresses.js";
 import { listNearestMembers } from "../core/routing/listNearestMembers.js";
@@ -10,48 +7,26 @@
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { Membership } from "../core/routing/membership.js";
 import { pickReportRole } from "../core/routing/pickReportRole.js";
-import type { PromptLocations } from "../core/routing/promptLocations.js";
 import type { ReportRole } from "../core/routing/reportRole.js";
 import { SentReports } from "../core/routing/sentReports.js";
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
 import { pickRandom } from "../shared/pickRandom.js";
 import { buildMemberRecord } from "./buildMemberRecord.js";
 import { createMembership } from "./createMembership.js";
-import type { ErrorBoundary } from "./errorBoundary.js";
-import type { LogSink } from "./logSink.js";
+import type { FleetViewOptions } from "./fleetViewOptions.js";
 import { parsePeerReport } from "./parsePeerReport.js";
 import { parsePermitMessage } from "./parsePermitMessage.js";
 import { PeerExchange } from "./peerExchange.js";
-import type { PeerReport } from "./peerReport.js";
 import { PermitExchange } from "./permitExchange.js";
 import { ReportReceiver } from "./reportReceiver.js";
 import { ReportSender } from "./reportSender.js";
-import type { RouterSettings } from "./routerSettings.js";
-import type { StreamOrigins } from "./streamOrigins.js";
-
-interface FleetViewOptions {
-    readonly settings: RouterSettings;
-    readonly log: LogSink;
-    readonly errorBoundary: ErrorBoundary;
-    readonly usage: AccountUsage;
-    readonly promptLocations: PromptLocations;
-    readonly crashRecord: CrashRecord;
-    readonly limits: RequestLimiter;
-    readonly streamOrigins: StreamOrigins;
-    readonly getNow: () => number;
-    readonly getState: () => MemberRecord["state"];
-    readonly listLoads: () => PeerReport["loads"];
-    /** Loads that this instance and the named peers have put on targets. */
-    readonly listDataCentreLoads: (peers: readonly string[]) => PeerReport["loads"];
-    readonly onLoads: (sender: string, loads: PeerReport["loads"], validUntil: number) => void;
-    /** Called when this instance has got permits for targets with a request limit. */
-    readonly onPermits: () => void;
-}
 
 /** Interval of the reports and summaries within a data centre, whose instances share their targets. */
 const REPORT_INTERVAL_MS = 150;
 /** The second delegate sends the summaries if there was none of the first for this long. */
 const DELEGATE_TIMEOUT_MS = 400;
+/** After a peer has appeared, reports name the version in force, for peers that have just started. */
+const VERSION_TOLD_MS = 2000;
 /** A starting instance uses no cold targets for this long: it does not know yet how many instances share their limit. */
 const MEMBER_DISCOVERY_MS = 2000;
 
@@ -66,6 +41,7 @@
     readonly #startedAt: number;
     #exchange: PeerExchange | undefined;
     #sequence = 0;
+    #versionToldUntil = Number.NEGATIVE_INFINITY;
     #role: ReportRole = { kind: "mesh", rank: 0, delegates: [] };
     #timer: NodeJS.Timeout | undefined;
 
@@ -79,6 +55,8 @@
             sentReports,
             listPeers: () => this.#listPeers(),
             buildRecord: () => this.#buildNextRecord(),
+            getToldVersion: () =>
+                options.getNow() < this.#versionToldUntil ? options.getConfigurationVersion() : undefined,
             send: (report, hosts) => this.#exchange?.send(report, hosts),
         });
         this.#startedAt = options.getNow();
@@ -231,6 +209,9 @@
             log.write("peer-report-invalid", { from: senderHost });
             return;
         }
+        if (report.configurationVersion !== undefined && report.sender.name !== settings.instance) {
+            this.#options.onPeerVersion(report.configurationVersion);
+        }
         const now = getNow();
         const isNewer = this.#adopt(report.sender, now);
         report.others.forEach(record => this.#adopt(record, now));
@@ -261,6 +242,7 @@
             this.#options.log.write("peer-changed", { peer: record.name, state: record.state, result });
         }
         if (result === "new") {
+            this.#versionToldUntil = now + VERSION_TOLD_MS;
             // Introduces this instance and some members it knows to the new one, without waiting for the next report.
             this.#sender.sendReport([record], now);
         }
--- /dev/null
+++ b/src/router/fleetViewOptions.ts
@@ -0,0 +1,33 @@
+import type { RequestLimiter } from "../core/limits/requestLimiter.js";
+import type { AccountUsage } from "../core/routing/accountUsage.js";
+import type { CrashRecord } from "../core/routing/crashRecord.js";
+import type { MemberRecord } from "../core/routing/memberRecord.js";
+import type { PromptLocations } from "../core/routing/promptLocations.js";
+import type { ErrorBoundary } from "./errorBoundary.js";
+import type { LogSink } from "./logSink.js";
+import type { PeerReport } from "./peerReport.js";
+import type { RouterSettings } from "./routerSettings.js";
+import type { StreamOrigins } from "./streamOrigins.js";
+
+/** What the view of the fleet needs of the instance. */
+export interface FleetViewOptions {
+    readonly settings: RouterSettings;
+    readonly log: LogSink;
+    readonly errorBoundary: ErrorBoundary;
+    readonly usage: AccountUsage;
+    readonly promptLocations: PromptLocations;
+    readonly crashRecord: CrashRecord;
+    readonly limits: RequestLimiter;
+    readonly streamOrigins: StreamOrigins;
+    readonly getNow: () => number;
+    readonly getState: () => MemberRecord["state"];
+    /** Returns the version of the configuration in force; `undefined` while it may not be the newest. */
+    readonly getConfigurationVersion: () => number | undefined;
+    readonly onPeerVersion: (version: number) => void;
+    readonly listLoads: () => PeerReport["loads"];
+    /** Loads that this instance and the named peers have put on targets. */
+    readonly listDataCentreLoads: (peers: readonly string[]) => PeerReport["loads"];
+    readonly onLoads: (sender: string, loads: PeerReport["loads"], validUntil: number) => void;
+    /** Called when this instance has got permits for targets with a request limit. */
+    readonly onPermits: () => void;
+}
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -25,10 +25,15 @@
         && isListOf(report.others, isValidMember)
         && (report.included === undefined
             || isListOf(report.included, status => isStatus(status, latestIncarnation)))
+        && (report.configurationVersion === undefined || isVersion(report.configurationVersion))
         && (report.limits === undefined || isLimitReport(report.limits));
     return isValid ? report as PeerReport : undefined;
 }
 
+function isVersion(value: unknown): boolean {
+    return Number.isSafeInteger(value) && Number(value) >= 0;
+}
+
 function isLimitReport(value: unknown): boolean {
     const { news, demands, coordinator, memberCount } = (value ?? {}) as Partial<LimitReport>;
     return isListOf(
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -23,6 +23,8 @@
     readonly others: readonly MemberRecord[];
     /** Instances whose reports a local summary includes, with the sequence number of the report. */
     readonly included?: readonly MemberStatus[];
+    /** Version of the configuration in force; left out while the sender cannot tell whether it is the newest. */
+    readonly configurationVersion?: number | undefined;
     /** Request limits of targets; left out while no target has one. */
     readonly limits?: LimitReport | undefined;
 }
--- a/src/router/reportSender.ts
+++ b/src/router/reportSender.ts
@@ -27,6 +27,8 @@
     readonly listPeers: () => readonly MemberRecord[];
     /** Builds the next record of this instance; each report needs a new one. */
     readonly buildRecord: () => MemberRecord;
+    /** Returns the version of the configuration that peers are to be told; `undefined` if none. */
+    readonly getToldVersion: () => number | undefined;
     readonly send: (report: PeerReport, hosts: readonly string[]) => void;
 }
 
@@ -126,7 +128,8 @@
     }
 
     #buildReport(now: number, news: ReportNews): PeerReport {
-        const { usage, sentReports, limits, listLoads, listPeers, buildRecord } = this.#options;
+        const { usage, sentReports, limits, listLoads, listPeers, buildRecord, getToldVersion } =
+            this.#options;
         const sender = buildRecord();
         const report: PeerReport = {
             scope: "instance",
@@ -135,6 +138,7 @@
             usage: usage.listLocal(now),
             ...news,
             others: pickRandom(listPeers(), RELAYED_MEMBERS),
+            configurationVersion: getToldVersion(),
             limits: limits.buildReport(now),
         };
         sentReports.add({ sequence: sender.sequence, loads: report.loads, usage: report.usage });
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -183,6 +183,8 @@
             ...this.#state,
             getNow: this.#getNow,
             getState: () => this.#getState(),
+            getConfigurationVersion: () => this.#view.currentVersion,
+            onPeerVersion: version => this.#view.recordPeerVersion(version),
             listLoads: () => this.#servicePool.listLoads(),
             listDataCentreLoads: peers => this.#servicePool.listDataCentreLoads(this.#getNow(), peers),
             onLoads: (peer, loads, validUntil) => this.#servicePool.setPeerLoads(peer, loads, validUntil),
