Test of a graceful stop: wait until the targets run the streams

Traced with 14 busy processes: 50 ms after they were sent, 2 or 3 of the 5 streams had reached a target in 5 of 9 runs, and one stream that came after SIGTERM was refused with 503, as the stop is meant to do with what it cannot know to end in time; in the 4 runs in which 4 had arrived all got 200.

The test stops the instance once all five have arrived, so that it checks active streams, as its name says; its assertions stay.

--- a/test/platform/routerProcess.test.ts
+++ b/test/platform/routerProcess.test.ts
@@ -132,7 +132,14 @@
         (await sendCaller(lookup, { method: "GET", headers: {} })).body;
     await waitUntil("both instances are listed", async () => (await listAddresses()).includes(leaving.host));
     const streams = Array.from({ length: 5 }, () => sendToFleet(fleet, "/stream/x"));
-    await new Promise(resolve => setTimeout(resolve, 50));
+    await waitUntil(
+        "the targets run all streams",
+        () =>
+            Promise.resolve(
+                fleet.targets.flatMap(({ target }) => target.arrivals)
+                    .filter(({ headers }) => headers["token-usage"]).length >= streams.length,
+            ),
+    );
     const stopped = leaving.process.stop("SIGTERM");
     await waitUntil(
         "the stopping instance is no longer listed",
