--- a/test/router/reportReceiver.test.ts
+++ b/test/router/reportReceiver.test.ts
@@ -121,6 +121,14 @@
     }
 });
 
+test("a version of the configuration that no configuration can have makes a report invalid", t => {
+    const versions = [[0, true], [7, true], [-1, false], [1e300, false], [0.5, false]] as const;
+    for (const [configurationVersion, isValid] of versions) {
+        const report = { ...makeReport("peer"), configurationVersion };
+        t.is(parsePeerReport(report, NOW_UNIX_MS) !== undefined, isValid, String(configurationVersion));
+    }
+});
+
 test("loss of both delegates: reports of single peers count again when the summaries have stopped", t => {
     const { receiver, usage, sumLoad } = createReceiver();
     receiver.apply(makeReport("delegate", { scope: "local-summary", included: [] }), MEMBER, 0);
