Stand-in: no second response after one without a length

Bytes on that connection before its end are a part of the response by its own framing, so that no router can tell them apart; the fault is left out there. The check of the observer is unchanged.

--- a/src/standIns/platform/cooperative/cooperativeExchange.ts
+++ b/src/standIns/platform/cooperative/cooperativeExchange.ts
@@ -78,7 +78,8 @@
             ...(isFramed ? { "Content-Length": String(body.length) } : {}),
         });
         response.end(body);
-        if (fault === "doubled") {
+        // What follows a response without a length on its connection is a part of it.
+        if (fault === "doubled" && isFramed) {
             request.socket.write("HTTP/1.1 200 OK\r\nRequest-Id: stray\r\nContent-Length: 1\r\n\r\nx");
         }
     }
--- a/src/standIns/platform/cooperative/targetFault.ts
+++ b/src/standIns/platform/cooperative/targetFault.ts
@@ -4,7 +4,7 @@
  * - `cut`: the connection is closed in the middle of the response.
  * - `lost`: the request runs and the connection is reset instead of a response.
  * - `crossed`: the response carries the identifier of another request.
- * - `doubled`: a second response follows the first; streams are not affected.
+ * - `doubled`: a second response follows the first; streams, and responses without a length, are not affected.
  * - `unframed`: like `cut`, but a response that is no stream states no length.
  * - `full`: the request is refused and not run.
  * - `error`: the request runs and fails.
