Keep signals that arrive while the router starts

A SIGTERM between the first accepted request and its handler ended the process without an answer.

startupSignals is the first module that main.ts loads; it keeps signals until their handlers are attached. What is left: the time in which Node.js itself starts.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,3 +1,6 @@
+// Loaded first, so that a signal during the start does not end the process.
+import { startupSignals } from "./startupSignals.js";
+
 import { readFileSync } from "node:fs";
 import { performance } from "node:perf_hooks";
 import { ErrorBoundary } from "../router/errorBoundary.js";
@@ -64,7 +67,7 @@
         onEvacuated: dataCentres => router.view.setEvacuated(dataCentres),
         onConfirmed: (at, timeOfDay) => router.view.recordConfirmation(at, timeOfDay),
     });
-    process.on("SIGTERM", () => {
+    startupSignals.attach("SIGTERM", () => {
         void router.stop().then(async () => {
             follower.stop();
             lookup.close();
@@ -73,7 +76,7 @@
             process.exit(0);
         });
     });
-    process.on("SIGHUP", () => {
+    startupSignals.attach("SIGHUP", () => {
         // All settings describe the machine and stay the same while the process runs, so nothing is reloaded.
         log.write("reload-requested", {});
     });
