Instances that start together tell each other so, and do not wait for a word of one that runs

What callers saw: after all instances had started at once, each refused keyed requests until 0.8 s after its start, because it waited for the version of a peer that runs, and none did.

Cause: an instance that waits was silent about it, so that its peers could not tell it from one that was not heard.

A report now names for how long its sender has been listening since its start (startedMsAgo), until the sender has heard of a version from an instance that did not just start. An instance accepts what it has read once all seeds and live members have said so, and it and each of them have listened for 0.3 s. A seed or member that was not heard leaves the wait as it was. An instance that hears of a running one tells the seeds at once, and seeds tell all.

Instances that run must be heard within 0.3 s for that, seeds or not: an instance sends its first report to the seeds when it starts and not 0.15 s later, and reports to a seed that was lost go out every 0.15 s for 5 s (every second before).

The log line start-wait-ended names why the wait has ended.

--- a/src/router/createDeploymentView.ts
+++ b/src/router/createDeploymentView.ts
@@ -11,6 +11,7 @@
     readonly servicePool: ServicePool;
     readonly state: Pick<RoutingState, "limits" | "crashDetector" | "streamOrigins">;
     readonly onConfiguration: (configuration: RouterConfiguration) => void;
+    readonly listPeerHosts: () => readonly string[];
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
 }
--- a/src/router/deploymentView.ts
+++ b/src/router/deploymentView.ts
@@ -1,6 +1,7 @@
 import { ConfigurationFreshness } from "../core/routing/configurationFreshness.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { StartingVersion } from "../core/routing/startingVersion.js";
+import type { StartNotice } from "../core/routing/startNotice.js";
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
 import { TargetDirectory } from "../core/routing/targetDirectory.js";
 import type { LogSink } from "./logSink.js";
@@ -15,6 +16,8 @@
     readonly onConfiguration: (configuration: RouterConfiguration) => void;
     /** Called with the monotonic time in milliseconds at which the view was confirmed as the newest. */
     readonly onConfirmed: (at: number) => void;
+    /** IP addresses of the instances whose word a starting instance waits for. */
+    readonly listPeerHosts: () => readonly string[];
     readonly settings: Pick<RouterSettings, "keyFreshnessMs" | "catchUpMs">;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
@@ -33,12 +36,16 @@
     #configuration: RouterConfiguration | undefined;
     #evacuated: ReadonlySet<string> = new Set();
     #hasTargets = false;
+    #isStartLogged = false;
 
     private constructor(options: DeploymentViewOptions) {
         this.#options = options;
         this.#targets = TargetDirectory.create(options.settings.catchUpMs);
         this.#freshness = ConfigurationFreshness.create(options.settings.keyFreshnessMs);
-        this.#startingVersion = StartingVersion.create({ startedAt: options.getNow() });
+        this.#startingVersion = StartingVersion.create({
+            startedAt: options.getNow(),
+            listPeers: options.listPeerHosts,
+        });
     }
 
     /** Creates a view without a configuration. */
@@ -69,14 +76,27 @@
     /** Version in force, for peers that start; `undefined` while this instance cannot tell whether it is the newest. */
     get currentVersion(): number | undefined {
         const version = this.#configuration?.version;
-        const isReached = version !== undefined
-            && this.#startingVersion.isReached(version, this.#options.getNow());
-        return isReached ? version : undefined;
+        if (version === undefined || !this.#startingVersion.isReached(version, this.#options.getNow())) {
+            return undefined;
+        }
+        if (!this.#isStartLogged) {
+            this.#isStartLogged = true;
+            this.#options.log.write("start-wait-ended", { reason: this.#startingVersion.endReason, version });
+        }
+        return version;
+    }
+
+    /** What peers that start learn of this instance. */
+    get startNotice(): StartNotice {
+        const startedMsAgo = this.#startingVersion.getStartedMsAgo(this.#options.getNow());
+        return { version: this.currentVersion, startedMsAgo };
     }
 
-    /** Records the version that a peer has in force. */
-    recordPeerVersion(version: number): void {
-        this.#startingVersion.recordPeer(version, this.#options.getNow());
+    /** Records what a peer has told. Returns true once the first one was found that has not just started itself. */
+    recordStartNotice(ip: string, notice: StartNotice): boolean {
+        const hadOlderPeer = this.#startingVersion.hasOlderPeer;
+        this.#startingVersion.recordPeer(ip, notice, this.#options.getNow());
+        return this.#startingVersion.hasOlderPeer && !hadOlderPeer;
     }
 
     /** True while keys may be accepted: none can have been revoked for longer than the platform allows. */
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -25,8 +25,6 @@
 const REPORT_INTERVAL_MS = 150;
 /** The second delegate sends the summaries if there was none of the first for this long. */
 const DELEGATE_TIMEOUT_MS = 400;
-/** After a peer has appeared, reports name the version in force, for peers that have just started. */
-const VERSION_TOLD_MS = 2000;
 /** A starting instance uses no cold targets for this long: it does not know yet how many instances share their limit. */
 const MEMBER_DISCOVERY_MS = 2000;
 
@@ -41,7 +39,6 @@
     readonly #startedAt: number;
     #exchange: PeerExchange | undefined;
     #sequence = 0;
-    #versionToldUntil = Number.NEGATIVE_INFINITY;
     #role: ReportRole = { kind: "mesh", rank: 0, delegates: [] };
     #timer: NodeJS.Timeout | undefined;
 
@@ -55,8 +52,6 @@
             sentReports,
             listPeers: () => this.#listPeers(),
             buildRecord: () => this.#buildNextRecord(),
-            getToldVersion: () =>
-                options.getNow() < this.#versionToldUntil ? options.getConfigurationVersion() : undefined,
             send: (report, hosts) => this.#exchange?.send(report, hosts),
         });
         this.#startedAt = options.getNow();
@@ -80,6 +75,7 @@
             onMessage: (message, sender) =>
                 options.errorBoundary.run("peer-report", () => view.#receive(message, sender)),
         });
+        options.errorBoundary.run("peer-report", () => view.#sender.reportToSeeds(options.getNow()));
         view.#timer = setInterval(
             () => options.errorBoundary.run("peer-report", () => view.#sendReports()),
             REPORT_INTERVAL_MS,
@@ -97,6 +93,13 @@
         return [this.#describeSelf(), ...this.#listPeers()];
     }
 
+    /** Lists the IP addresses of the live peers and of the seeds, which may be live. */
+    listPeerHosts(): readonly string[] {
+        const { seedHosts, peerAddress } = this.#options.settings;
+        const hosts = [...seedHosts, ...this.#listPeers().map(peer => peer.ip)];
+        return [...new Set(hosts)].filter(host => host !== peerAddress.host);
+    }
+
     /** Sends a message to the instance at a host, without a guarantee of delivery. */
     send(message: unknown, host: string): void {
         this.#exchange?.send(message, [host]);
@@ -195,7 +198,7 @@
     }
 
     #receive(message: unknown, senderHost: string): void {
-        const { log, settings, streamOrigins, getNow } = this.#options;
+        const { log, settings, streamOrigins, startNotices, getNow } = this.#options;
         if (streamOrigins.receive(message, senderHost)) {
             return;
         }
@@ -209,14 +212,17 @@
             log.write("peer-report-invalid", { from: senderHost });
             return;
         }
-        if (report.configurationVersion !== undefined && report.sender.name !== settings.instance) {
-            this.#options.onPeerVersion(report.configurationVersion);
-        }
         const now = getNow();
         const isNewer = this.#adopt(report.sender, now);
         report.others.forEach(record => this.#adopt(record, now));
         report.included?.forEach(status => this.#membership.renew(status, now));
-        if (!isNewer || report.sender.name === settings.instance) {
+        if (report.sender.name === settings.instance) {
+            return;
+        }
+        if (startNotices.receive(report, isNewer)) {
+            this.#sender.reportOlderPeer(now);
+        }
+        if (!isNewer) {
             return;
         }
         this.#receiver.apply(report, this.#role, now);
@@ -242,7 +248,7 @@
             this.#options.log.write("peer-changed", { peer: record.name, state: record.state, result });
         }
         if (result === "new") {
-            this.#versionToldUntil = now + VERSION_TOLD_MS;
+            this.#options.startNotices.recordNewPeer(now);
             // Introduces this instance and some members it knows to the new one, without waiting for the next report.
             this.#sender.sendReport([record], now);
         }
--- a/src/router/fleetViewOptions.ts
+++ b/src/router/fleetViewOptions.ts
@@ -7,6 +7,7 @@
 import type { LogSink } from "./logSink.js";
 import type { PeerReport } from "./peerReport.js";
 import type { RouterSettings } from "./routerSettings.js";
+import type { StartNotices } from "./startNotices.js";
 import type { StreamOrigins } from "./streamOrigins.js";
 
 /** What the view of the fleet needs of the instance. */
@@ -21,9 +22,7 @@
     readonly streamOrigins: StreamOrigins;
     readonly getNow: () => number;
     readonly getState: () => MemberRecord["state"];
-    /** Returns the version of the configuration in force; `undefined` while it may not be the newest. */
-    readonly getConfigurationVersion: () => number | undefined;
-    readonly onPeerVersion: (version: number) => void;
+    readonly startNotices: StartNotices;
     readonly listLoads: () => PeerReport["loads"];
     /** Loads that this instance and the named peers have put on targets. */
     readonly listDataCentreLoads: (peers: readonly string[]) => PeerReport["loads"];
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -26,6 +26,7 @@
         && (report.included === undefined
             || isListOf(report.included, status => isStatus(status, latestIncarnation)))
         && (report.configurationVersion === undefined || isVersion(report.configurationVersion))
+        && (report.startedMsAgo === undefined || isAmount(report.startedMsAgo))
         && (report.limits === undefined || isLimitReport(report.limits));
     return isValid ? report as PeerReport : undefined;
 }
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -25,6 +25,8 @@
     readonly included?: readonly MemberStatus[];
     /** Version of the configuration in force; left out while the sender cannot tell whether it is the newest. */
     readonly configurationVersion?: number | undefined;
+    /** Milliseconds since the sender started; left out once it may know a newer version than an instance that starts. */
+    readonly startedMsAgo?: number | undefined;
     /** Request limits of targets; left out while no target has one. */
     readonly limits?: LimitReport | undefined;
 }
--- a/src/router/reportSender.ts
+++ b/src/router/reportSender.ts
@@ -12,6 +12,7 @@
 import { pickRandom } from "../shared/pickRandom.js";
 import type { PeerReport } from "./peerReport.js";
 import type { RouterSettings } from "./routerSettings.js";
+import type { StartNotices } from "./startNotices.js";
 
 interface ReportSenderOptions {
     readonly settings: RouterSettings;
@@ -27,8 +28,7 @@
     readonly listPeers: () => readonly MemberRecord[];
     /** Builds the next record of this instance; each report needs a new one. */
     readonly buildRecord: () => MemberRecord;
-    /** Returns the version of the configuration that peers are to be told; `undefined` if none. */
-    readonly getToldVersion: () => number | undefined;
+    readonly startNotices: StartNotices;
     readonly send: (report: PeerReport, hosts: readonly string[]) => void;
 }
 
@@ -38,12 +38,16 @@
 /** Other members included in each report (gossip), so that a starting instance learns of all members. */
 const RELAYED_MEMBERS = 3;
 const SEED_INTERVAL_MS = 1000;
+/** A seed that restarts is mostly back within this time, and has to hear soon of the instances that run. */
+const SEED_RESTART_MS = 5000;
 
 /** Builds and sends the reports of an instance, and the summaries of a delegate. Times are monotonic milliseconds. */
 export class ReportSender {
     readonly #options: ReportSenderOptions;
     readonly #summarySchedule = SummarySchedule.create();
     #nextSeedAt = 0;
+    /** When each seed was first found missing, by host. */
+    #missingSeeds: ReadonlyMap<string, number> = new Map();
 
     private constructor(options: ReportSenderOptions) {
         this.#options = options;
@@ -113,23 +117,33 @@
         }, receivers.map(member => member.ip));
     }
 
-    /** Periodically sends a report to seeds that are not known as live, in case they have come back. */
+    /** Sends a report to seeds that are not known as live, in case they have come back: each time at first, then seldom. */
     reportToSeeds(now: number): void {
         const { settings, listPeers, send } = this.#options;
-        if (now < this.#nextSeedAt) {
-            return;
-        }
-        this.#nextSeedAt = now + SEED_INTERVAL_MS;
         const known = [settings.peerAddress.host, ...listPeers().map(peer => peer.ip)];
-        const hosts = settings.seedHosts.filter(host => !known.includes(host));
+        const missing = settings.seedHosts.filter(host => !known.includes(host));
+        this.#missingSeeds = new Map(missing.map(host => [host, this.#missingSeeds.get(host) ?? now]));
+        const isDue = now >= this.#nextSeedAt;
+        if (isDue) {
+            this.#nextSeedAt = now + SEED_INTERVAL_MS;
+        }
+        const hosts = [...this.#missingSeeds]
+            .flatMap(([host, since]) => isDue || now - since < SEED_RESTART_MS ? [host] : []);
         if (hosts.length > 0) {
             send(this.#buildReport(now, NO_NEWS), hosts);
         }
     }
 
+    /** Tells instances that start with this one that one was found that has not; the seeds pass it on to all. */
+    reportOlderPeer(now: number): void {
+        const { settings, listPeers, send } = this.#options;
+        const isSeed = settings.seedHosts.includes(settings.peerAddress.host);
+        const hosts = isSeed ? listPeers().map(peer => peer.ip) : settings.seedHosts;
+        send(this.#buildReport(now, NO_NEWS), hosts);
+    }
+
     #buildReport(now: number, news: ReportNews): PeerReport {
-        const { usage, sentReports, limits, listLoads, listPeers, buildRecord, getToldVersion } =
-            this.#options;
+        const { usage, sentReports, limits, listLoads, listPeers, buildRecord, startNotices } = this.#options;
         const sender = buildRecord();
         const report: PeerReport = {
             scope: "instance",
@@ -138,7 +152,7 @@
             usage: usage.listLocal(now),
             ...news,
             others: pickRandom(listPeers(), RELAYED_MEMBERS),
-            configurationVersion: getToldVersion(),
+            ...startNotices.build(now),
             limits: limits.buildReport(now),
         };
         sentReports.add({ sequence: sender.sequence, loads: report.loads, usage: report.usage });
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -24,6 +24,7 @@
 import type { RouterOptions } from "./routerOptions.js";
 import type { RoutingState } from "./routingState.js";
 import { ServicePool } from "./servicePool.js";
+import { StartNotices } from "./startNotices.js";
 import { TargetAgents } from "./targetAgents.js";
 import { TargetProber } from "./targetProber.js";
 import { waitForRequests } from "./waitForRequests.js";
@@ -88,6 +89,7 @@
             servicePool: this.#servicePool,
             state: this.#state,
             onConfiguration: ({ limits }) => this.#ingress?.applyLimits(limits),
+            listPeerHosts: () => this.#fleet?.listPeerHosts() ?? [],
             getNow: this.#getNow,
         });
         this.#resolver = RequestResolver.create({
@@ -183,8 +185,10 @@
             ...this.#state,
             getNow: this.#getNow,
             getState: () => this.#getState(),
-            getConfigurationVersion: () => this.#view.currentVersion,
-            onPeerVersion: version => this.#view.recordPeerVersion(version),
+            startNotices: StartNotices.create({
+                getNotice: () => this.#view.startNotice,
+                onNotice: (ip, notice) => this.#view.recordStartNotice(ip, notice),
+            }),
             listLoads: () => this.#servicePool.listLoads(),
             listDataCentreLoads: peers => this.#servicePool.listDataCentreLoads(this.#getNow(), peers),
             onLoads: (peer, loads, validUntil) => this.#servicePool.setPeerLoads(peer, loads, validUntil),
--- a/src/testing/childProcess.ts
+++ b/src/testing/childProcess.ts
@@ -13,6 +13,8 @@
 interface ChildProcessOptions {
     /** File that gets the standard error of the process. @default discarded */
     readonly logPath?: string;
+    /** Called with each line of the standard output. */
+    readonly onLine?: (line: string) => void;
 }
 
 const END_WITH_PARENT = new URL("endWithParent.js", import.meta.url).href;
@@ -45,6 +47,7 @@
         });
         trackChild(child);
         const lines = createInterface({ input: child.stdout as NodeJS.ReadableStream });
+        lines.on("line", text => options.onLine?.(text));
         const exited = once(child, "exit").then(([code]) => {
             throw new Error(`${path} exited with code ${String(code)} before it listened.`);
         });
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -82,7 +82,7 @@
             const host = getLoopbackHost(i);
             const settingsPath = join(directory, `${host}.json`);
             await writeFile(settingsPath, JSON.stringify(fleet.#buildSettings(host)));
-            const process = await ChildProcess.create(MAIN, [settingsPath]);
+            const process = await fleet.#startProcess(host, settingsPath);
             fleet.instances.push({ host, settingsPath, process, isStarting: false, endImpairments: [] });
             fleet.impairments.mark(host);
         }
@@ -207,7 +207,7 @@
     async startInstance(instance: FleetInstance): Promise<void> {
         instance.isStarting = true;
         try {
-            instance.process = await ChildProcess.create(MAIN, [instance.settingsPath]);
+            instance.process = await this.#startProcess(instance.host, instance.settingsPath);
         }
         finally {
             instance.isStarting = false;
@@ -257,6 +257,11 @@
         this.store.close();
     }
 
+    #startProcess(host: string, settingsPath: string): Promise<ChildProcess> {
+        const onLine = (line: string): void => this.#options.onLogLine?.(host, line);
+        return ChildProcess.create(MAIN, [settingsPath], { onLine });
+    }
+
     #buildSettings(host: string): object {
         const { address } = this.storeLink.describe() as { readonly address: string; };
         return buildRouterSettings({
--- a/src/testing/platform/cooperativeFleetOptions.ts
+++ b/src/testing/platform/cooperativeFleetOptions.ts
@@ -10,4 +10,6 @@
     readonly versions?: readonly string[];
     /** Number of responses of each target of which the last has neither a length nor chunks. @default all have one */
     readonly unframedEvery?: number;
+    /** Called with each log line of an instance. */
+    readonly onLogLine?: (host: string, line: string) => void;
 }
--- a/test/platform/startedBehindRestore.test.ts
+++ b/test/platform/startedBehindRestore.test.ts
@@ -40,6 +40,67 @@
     await waitUntil("the instance has caught up", async () => await getStatus(1) === 401);
 });
 
+// Instances that started together each waited for a word of one that runs, although there was none.
+test("instances that start together do not wait for a word of one that runs", async t => {
+    const reasons = new Map<string, unknown>();
+    const fleet = await createRouterFleet(t, {
+        instances: 3,
+        onLogLine: (host, line) => {
+            const { event, reason } = JSON.parse(line) as {
+                readonly event: string;
+                readonly reason: unknown;
+            };
+            if (event === "start-wait-ended") {
+                reasons.set(host, reason);
+            }
+        },
+    });
+    await fleet.killInstances(fleet.instances);
+    reasons.clear();
+    await Promise.all(fleet.instances.map(instance => fleet.startInstance(instance)));
+    for (const i of fleet.instances.keys()) {
+        await waitUntil(
+            "the key is accepted",
+            async () => (await sendToFleet(fleet, "/stream/x", {}, i)).status === 200,
+        );
+    }
+    await waitUntil("the instances have logged it", () => reasons.size === 3);
+    t.deepEqual([...reasons.values()], Array(3).fill("peers-started"));
+});
+
+// The only seed and another instance start together, so that neither can hear from a seed of the one that runs.
+test("restored store: instances that start together wait for the version of one that runs and is no seed", async t => {
+    const fleet = await createRouterFleet(t, { instances: 3 });
+    const [seed, running, other] = fleet.instances;
+    if (!seed || !running || !other) {
+        t.fail("too few instances");
+        return;
+    }
+    const listStatuses = (): Promise<readonly number[]> =>
+        Promise.all([0, 2].map(async i => (await sendToFleet(fleet, "/stream/x", {}, i)).status));
+    const copy = fleet.store.exportCopy();
+    fleet.publish(false);
+    await waitUntil(
+        "the key is refused",
+        async () => (await sendToFleet(fleet, "/stream/x", {}, 1)).status === 401,
+    );
+    await fleet.killInstances([seed, other]);
+    fleet.store.setMode("reset");
+    fleet.store.recover(copy);
+    fleet.store.setMode("ok");
+    await Promise.all([seed, other].map(instance => fleet.startInstance(instance)));
+    const statuses = new Set<number>();
+    for (const until = performance.now() + LATE_MS; performance.now() < until;) {
+        (await listStatuses()).forEach(status => statuses.add(status));
+    }
+    t.deepEqual([...statuses], [503]);
+    fleet.publish(false);
+    await waitUntil(
+        "the instances have caught up",
+        async () => (await listStatuses()).every(status => status === 401),
+    );
+});
+
 test("an instance that starts beside others soon accepts keys", async t => {
     const fleet = await createRouterFleet(t, { instances: 2 });
     const started = fleet.instances[1];
--- a/test/testing/router/createRouterFleet.ts
+++ b/test/testing/router/createRouterFleet.ts
@@ -1,5 +1,6 @@
 import type { ExecutionContext } from "ava";
 import { CooperativeFleet } from "../../../src/testing/platform/cooperativeFleet.js";
+import type { CooperativeFleetOptions } from "../../../src/testing/platform/cooperativeFleetOptions.js";
 import { sendCaller } from "../../../src/testing/sendCaller.js";
 import { waitUntil } from "../../../src/testing/waitUntil.js";
 import { sendToFleet } from "./sendToFleet.js";
@@ -9,7 +10,7 @@
 /** Starts router processes with stand-ins, and waits until each is ready and may retry a request. */
 export async function createRouterFleet(
     t: ExecutionContext,
-    options: Partial<typeof OPTIONS> = {},
+    options: Partial<CooperativeFleetOptions> = {},
 ): Promise<CooperativeFleet> {
     const fleet = await CooperativeFleet.create({ ...OPTIONS, ...options });
     t.teardown(() => fleet.close());
