Attribute a refusal without an identifier only where nothing else can cause it

Cause: refusals of the platform's targets have no identifier, and were taken for the answer to whatever request was waiting on their connection. Streams that must run once used kept connections, on which a late extra refusal can arrive.

Change: a request that must not run again after an attempt (must run once, or the last run of maxAttempts) has a connection of its own. Elsewhere, such a refusal is doubtful: the request counts as run, its connection is closed, which ends the run, and it goes on within maxAttempts, or ends with 502. No connection is used again after a refusal without an identifier. A refusal lifts no request limit, whatever its status. Plain requests that must run once share the pool of dedicated connections, which are pausable sockets, in place of an agent each.

Ruled out: an unknown outcome (502) for these refusals on kept connections; full targets send them, and callers do not repeat such requests after 502.

--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -2,12 +2,11 @@
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import type { CallerResponse } from "./callerResponse.js";
+import type { FailureKind } from "./failureKind.js";
 import { ForwardAttempt } from "./forwardAttempt.js";
 import type { RequestForwarderOptions } from "./requestForwarderOptions.js";
 import type { ResponseHead } from "./responseHead.js";
 
-type FailureKind = "not-written" | "refused" | "broken";
-
 interface AttemptRunnerOptions extends RequestForwarderOptions {
     readonly response: CallerResponse;
     readonly isRepeatable: boolean;
@@ -111,7 +110,9 @@
             ...this.#options,
             grant,
             caller: exchange,
-            agent: targetAgents.getAgent(exchange.request.route, isRepeatable),
+            agent: targetAgents.getAgent(
+                isRepeatable && this.#executions < exchange.request.route.maxAttempts,
+            ),
             onProgress: () => this.#resume(attempt),
             onFirstEvent: () => {
                 this.#dropSuspended();
@@ -194,11 +195,12 @@
     fail(attempt: ForwardAttempt, kind: FailureKind): void {
         const { target } = attempt.grant;
         this.#failedTargets.add(target.descriptor.id);
-        if (kind !== "broken") {
+        if (kind === "not-written" || kind === "refused") {
             this.#executions -= 1;
         }
-        if (kind === "refused" || this.#running.get(attempt) === undefined) {
-            target.recordResult(kind === "refused", this.#options.getNow());
+        const hasRefused = kind === "refused" || kind === "doubtful";
+        if (hasRefused || this.#running.get(attempt) === undefined) {
+            target.recordResult(hasRefused, this.#options.getNow());
         }
         this.#release(attempt);
         if (this.#suspended && this.#running.size === 0) {
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -3,9 +3,8 @@
 import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import { BufferedBody } from "./bufferedBody.js";
+import { findAnswerKind } from "./findAnswerKind.js";
 import type { ForwardAttemptOptions } from "./forwardAttemptOptions.js";
-import { isAnswerTo } from "./isAnswerTo.js";
-import { isRefusal } from "./isRefusal.js";
 import { recordStatements } from "./recordStatements.js";
 import type { ResponseHead } from "./responseHead.js";
 import { TargetExchange } from "./targetExchange.js";
@@ -156,14 +155,15 @@
         const head = wire.readResponseHead(incoming);
         this.#head = head;
         this.#status = incoming.statusCode ?? 0;
-        if (!isAnswerTo(head, caller.request.requestId)) {
+        const isFirst = this.#exchange?.isFirstOnConnection ?? false;
+        const kind = findAnswerKind(head, caller.request.requestId, isFirst);
+        if (kind === "mismatched") {
             this.#fail("answer-mismatched");
             return;
         }
         recordStatements(this.#options, head, this.#status);
-        if (isRefusal(head)) {
-            this.#exchange?.drain();
-            this.#options.onFail("refused", head.isMisdirected ? "misdirected" : "target-full");
+        if (kind !== "answer") {
+            this.#onRefusal(head, kind === "refusal");
             return;
         }
         if (caller.request.route.kind !== "stream") {
@@ -179,6 +179,23 @@
         }
     }
 
+    /** A connection is not used again after a refusal without an identifier: a late copy of it could not be told from an answer. */
+    #onRefusal({ requestId, isMisdirected }: ResponseHead, isCertain: boolean): void {
+        const { onFail } = this.#options;
+        if (requestId === undefined) {
+            this.abort();
+        }
+        else {
+            this.#exchange?.drain();
+        }
+        if (isCertain) {
+            onFail("refused", isMisdirected ? "misdirected" : "target-full");
+        }
+        else {
+            onFail("doubtful", "refusal-unidentified");
+        }
+    }
+
     #onData(chunk: Buffer): void {
         const { response, getNow, getRunningTime, isBatching, onProgress, onFirstEvent } = this.#options;
         onProgress();
--- a/src/router/forwardAttemptOptions.ts
+++ b/src/router/forwardAttemptOptions.ts
@@ -4,6 +4,7 @@
 import type { TargetNotices } from "../core/routing/targetNotices.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { CallerResponse } from "./callerResponse.js";
+import type { FailureKind } from "./failureKind.js";
 import type { ResponseHead } from "./responseHead.js";
 import type { WireFormat } from "./wireFormat.js";
 
@@ -15,8 +16,7 @@
     readonly wire: WireFormat;
     readonly limits: RequestLimiter;
     readonly notices: TargetNotices;
-    /** `false` opens a dedicated connection for this request. */
-    readonly agent: Agent | false;
+    readonly agent: Agent;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
     /** The same without the time in which the process was suspended. */
@@ -30,6 +30,5 @@
     readonly onFirstEvent: () => void;
     /** Called when the complete response has arrived. */
     readonly onComplete: (head: ResponseHead) => void;
-    /** `not-written`: no byte was sent; `refused`: not executed by the target; `broken`: possibly executed. */
-    readonly onFail: (kind: "not-written" | "refused" | "broken", reason: string) => void;
+    readonly onFail: (kind: FailureKind, reason: string) => void;
 }
--- a/src/router/recordAttemptFailure.ts
+++ b/src/router/recordAttemptFailure.ts
@@ -1,6 +1,7 @@
 import type { CrashDetector } from "../core/routing/crashDetector.js";
 import { listCrashKeys } from "../core/routing/listCrashKeys.js";
 import type { RoutedRequest } from "../core/routing/routedRequest.js";
+import type { FailureKind } from "./failureKind.js";
 import type { ForwardAttempt } from "./forwardAttempt.js";
 
 /** Failures with which the connection to the target has ended while it was serving the request. */
@@ -23,7 +24,7 @@
     crashDetector: CrashDetector,
     request: RoutedRequest,
     attempt: ForwardAttempt,
-    kind: "not-written" | "refused" | "broken",
+    kind: FailureKind,
     reason: string,
     now: number,
 ): boolean {
--- a/src/router/recordStatements.ts
+++ b/src/router/recordStatements.ts
@@ -1,6 +1,7 @@
 import type { RequestLimiter } from "../core/limits/requestLimiter.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import type { TargetNotices } from "../core/routing/targetNotices.js";
+import { isRefusal } from "./isRefusal.js";
 import type { ResponseHead } from "./responseHead.js";
 
 interface StatementRecords {
@@ -12,7 +13,10 @@
 
 const OK = 200;
 
-/** Records what a target says of itself in the head of a response, unless another target has answered. */
+/**
+ * Records what a target says of itself in the head of a response, unless another target has answered. What restricts requests
+ * is taken from refusals that may not be meant for the request, too: it ends by itself.
+ */
 export function recordStatements(
     { grant, limits, notices, getNow }: StatementRecords,
     head: ResponseHead,
@@ -23,7 +27,7 @@
     }
     notices.observe(grant.target.descriptor, head.notice, getNow());
     // Only a success shows that the limit is lifted: responses to failures may come from before it was named.
-    if (head.requestLimit.kind !== "none" || status === OK) {
+    if (head.requestLimit.kind !== "none" || (status === OK && !isRefusal(head))) {
         limits.observe(grant.target.descriptor.id, head.requestLimit, grant.grantedAt, getNow());
     }
 }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -7,6 +7,7 @@
 import { describeAttemptFailure } from "./describeAttemptFailure.js";
 import { describeRequestEnd } from "./describeRequestEnd.js";
 import { describeResponseEnd } from "./describeResponseEnd.js";
+import type { FailureKind } from "./failureKind.js";
 import type { ForwardAttempt } from "./forwardAttempt.js";
 import { recordAttemptFailure } from "./recordAttemptFailure.js";
 import { recordAttemptSuccess } from "./recordAttemptSuccess.js";
@@ -154,7 +155,7 @@
     }
 
     /** Ends a failed attempt. The request goes on with the others in progress, or with a retry where that is allowed. */
-    #failAttempt(attempt: ForwardAttempt, kind: "not-written" | "refused" | "broken", reason: string): void {
+    #failAttempt(attempt: ForwardAttempt, kind: FailureKind, reason: string): void {
         const { exchange: { request }, retryBudget, crashRecord, crashDetector, scheduler, getNow } =
             this.#options;
         const now = getNow();
--- a/src/router/targetAgent.ts
+++ b/src/router/targetAgent.ts
@@ -1,4 +1,4 @@
-import { Agent, type ClientRequest } from "node:http";
+import { Agent, type AgentOptions, type ClientRequest } from "node:http";
 import type { Socket, TcpNetConnectOpts } from "node:net";
 import { PausableSocket } from "./pausableSocket.js";
 
@@ -9,19 +9,23 @@
 export class TargetAgent extends Agent {
     readonly #idleDataListeners = new WeakMap<Socket, () => void>();
 
-    private constructor(idleTimeoutMs: number) {
-        super({
+    private constructor(options: AgentOptions) {
+        super({ ...options, noDelay: true });
+    }
+
+    /** Creates a pool that closes connections after `idleTimeoutMs` without use. */
+    static create(idleTimeoutMs: number): TargetAgent {
+        return new TargetAgent({
             keepAlive: true,
             maxFreeSockets: MAX_IDLE_CONNECTIONS,
             scheduling: "lifo",
             timeout: idleTimeoutMs,
-            noDelay: true,
         });
     }
 
-    /** Creates a pool that closes connections after `idleTimeoutMs` without use. */
-    static create(idleTimeoutMs: number): TargetAgent {
-        return new TargetAgent(idleTimeoutMs);
+    /** Creates a pool that opens a connection for each request and closes it after the response. */
+    static createDedicated(): TargetAgent {
+        return new TargetAgent({ keepAlive: false });
     }
 
     override createConnection(options: TcpNetConnectOpts): Socket {
--- a/src/router/targetAgents.ts
+++ b/src/router/targetAgents.ts
@@ -1,33 +1,32 @@
 import type { Agent } from "node:http";
-import type { RouteRule } from "../core/routing/routeRule.js";
 import { TargetAgent } from "./targetAgent.js";
 
-/** A repeatable request is retried if the target has closed the connection meanwhile, so idle ones are kept longer. */
-const REPEATABLE_IDLE_MS = 4000;
-/** A non-repeatable request reuses only a connection that was in use this recently. */
-const NON_REPEATABLE_IDLE_MS = 700;
+/** A request on a kept connection is retried if the target has closed it meanwhile, so idle ones are kept for long. */
+const IDLE_MS = 4000;
 
-/** Connection pools for targets, separate for repeatable and non-repeatable requests. */
+/** Connections to targets. */
 export class TargetAgents {
-    readonly #repeatable = TargetAgent.create(REPEATABLE_IDLE_MS);
-    readonly #nonRepeatable = TargetAgent.create(NON_REPEATABLE_IDLE_MS);
+    readonly #kept = TargetAgent.create(IDLE_MS);
+    readonly #dedicated = TargetAgent.createDedicated();
 
     /** Creates empty pools. */
     static create(): TargetAgents {
         return new TargetAgents();
     }
 
-    /** Returns the pool for a request, or `false` if it needs a dedicated connection. */
-    getAgent(route: RouteRule, isRepeatable: boolean): Agent | false {
-        if (isRepeatable) {
-            return this.#repeatable;
-        }
-        return route.kind === "stream" ? this.#nonRepeatable : false;
+    /**
+     * Returns the pool for an attempt.
+     *
+     * @param mayRunAgain False if the request must not be executed again after this attempt. Its connection then carries no
+     * other request, so that a refusal without an identifier, which is the usual form, is certain to be meant for it.
+     */
+    getAgent(mayRunAgain: boolean): Agent {
+        return mayRunAgain ? this.#kept : this.#dedicated;
     }
 
     /** Closes all connections. */
     close(): void {
-        this.#repeatable.destroy();
-        this.#nonRepeatable.destroy();
+        this.#kept.destroy();
+        this.#dedicated.destroy();
     }
 }
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -8,8 +8,7 @@
     /** host:port. */
     readonly address: string;
     readonly outgoing: OutgoingRequest;
-    /** `false` opens a dedicated connection for this request. */
-    readonly agent: Agent | false;
+    readonly agent: Agent;
     readonly onHead: (response: IncomingMessage) => void;
     readonly onData: (chunk: Buffer) => void;
     readonly onEnd: () => void;
@@ -51,6 +50,11 @@
         return this.#isWritten;
     }
 
+    /** True if the connection has carried no other request. */
+    get isFirstOnConnection(): boolean {
+        return this.#request?.reusedSocket === false;
+    }
+
     /** Stops the request; no further callback follows. */
     abort(): void {
         this.#isEnded = true;
@@ -100,7 +104,6 @@
         this.#getPausableSocket()?.resumeReading();
     }
 
-    /** Dedicated connections are plain sockets; responses on them are not streamed. */
     #getPausableSocket(): PausableSocket | undefined {
         const socket = this.#request?.socket;
         return socket instanceof PausableSocket ? socket : undefined;
--- a/src/soak/createFaultSource.ts
+++ b/src/soak/createFaultSource.ts
@@ -10,6 +10,8 @@
     "crossed",
     "doubled",
     "full",
+    "unidentified",
+    "extra",
     "error",
     "mute",
     "stale",
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -25,6 +25,7 @@
 }
 
 const DEFAULT_VERSION = "v1";
+const REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 /** Faults with which the target itself breaks a response off, or writes one that cannot be passed on. */
 const BREAKING_FAULTS: readonly TargetFault[] = [
     "cut",
@@ -51,6 +52,8 @@
     #version: string;
     readonly #running = new Set<string>();
     readonly #brokenRequests = new Set<string>();
+    /** Connections on which an extra refusal is due. */
+    readonly #lateRefusals = new WeakSet<Socket>();
 
     private constructor(options: CooperativeTargetOptions) {
         this.#options = options;
@@ -210,8 +213,15 @@
             }
         });
         this.#attempts.push(performance.now());
-        if (fault === "full") {
-            await exchange.sendStatus(503, { "Request-Id": requestId, "Not-Executed": "1" });
+        if (this.#lateRefusals.delete(request.socket)) {
+            request.socket.write(REFUSAL);
+        }
+        if (fault === "unidentified" || fault === "extra") {
+            this.#lateRefusals.add(request.socket);
+        }
+        if (fault === "full" || fault === "unidentified") {
+            const identifier = fault === "full" ? { "Request-Id": requestId } : {};
+            await exchange.sendStatus(503, { ...identifier, "Not-Executed": "1" });
             return;
         }
         const lastEventId = Number(headers["last-event-id"] ?? 0);
--- a/src/standIns/platform/cooperative/targetFault.ts
+++ b/src/standIns/platform/cooperative/targetFault.ts
@@ -7,6 +7,9 @@
  * - `doubled`: a second response follows the first; streams, and responses without a length, are not affected.
  * - `unframed`: like `cut`, but a response that is no stream states no length.
  * - `full`: the request is refused and not run.
+ * - `unidentified`: like `full`, but the refusal names no request, and a copy of it arrives late, where the next response
+ *   on the connection is expected.
+ * - `extra`: the same copy arrives after a response.
  * - `error`: the request runs and fails.
  * - `mute`: the request runs and gets no response at all.
  * - `stale`: the request runs, and the refusal of an earlier request is written instead of the response.
@@ -21,6 +24,8 @@
     | "doubled"
     | "unframed"
     | "full"
+    | "unidentified"
+    | "extra"
     | "error"
     | "mute"
     | "stale"
--- a/test/router/targetReset.test.ts
+++ b/test/router/targetReset.test.ts
@@ -25,7 +25,7 @@
 };
 
 /** Reads one response without a length, with a pause after its first bytes if `isPaused`. */
-async function readResponse(port: number, agent: TargetAgent | false, isPaused: boolean): Promise<string> {
+async function readResponse(port: number, agent: TargetAgent, isPaused: boolean): Promise<string> {
     return new Promise(resolve => {
         const exchange: TargetExchange = TargetExchange.create({
             address: `127.0.0.1:${port}`,
@@ -60,16 +60,20 @@
         });
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
-        const kept = TargetAgent.create(5000);
+        const [kept, dedicated] = [TargetAgent.create(5000), TargetAgent.createDedicated()];
         t.teardown(() => {
             kept.destroy();
             server.close();
         });
         const { port } = server.address() as AddressInfo;
-        for (const agent of [kept, false] as const) {
+        for (const agent of [kept, dedicated]) {
             for (const isPaused of [false, true]) {
                 const outcome = await readResponse(port, agent, isPaused);
-                t.is(outcome, isReset ? "ECONNRESET" : "complete", `${String(isPaused)} ${String(!agent)}`);
+                t.is(
+                    outcome,
+                    isReset ? "ECONNRESET" : "complete",
+                    `${String(isPaused)} ${String(agent === dedicated)}`,
+                );
             }
         }
     });
