Give up a connection to a target only for a further one

Callers saw 503, and streams that were to go on elsewhere were cut, if a sound target accepted no connection for a second: its event loop was blocked and its accept queue was full.

Cause: TargetExchange ended an attempt whose connection was not there after 400 ms, whatever else was left. The silent run of a stream was ended after 250 ms although the target in its place had not accepted the connection yet.

A connection in progress is now a live attempt. After 400 ms it counts as silent, and SilenceHandler looks for a further target: an attempt, the retry budget and a target with capacity. The first connection that is there is used, the others are closed before anything is written, so that requests that run at most once move, too. Attempts count as executions once they are written. A run that was set aside waits until the next one is written, and 250 ms longer. A refused connection fails at once, as before.

--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -21,7 +21,7 @@
 interface SuspendedAttempt {
     readonly attempt: ForwardAttempt;
     readonly run: ReturnType<CallerResponse["pauseRun"]>;
-    /** Monotonic time in milliseconds. */
+    /** Monotonic time in milliseconds; infinite until a byte of the request can have reached the target in its place. */
     readonly until: number;
 }
 
@@ -106,12 +106,12 @@
         const { exchange, targetAgents, scheduler, isRepeatable, getNow, onComplete, onFail } = this.#options;
         const { descriptor } = grant.target;
         this.#attempts += 1;
-        this.#executions += 1;
         const attempt: ForwardAttempt = ForwardAttempt.create({
             ...this.#options,
             grant,
             caller: exchange,
             agent: targetAgents.getAgent(exchange.request.route, isRepeatable),
+            onWritten: () => this.#onWritten(),
             onProgress: () => this.#resume(attempt),
             onFirstEvent: () => {
                 this.#dropSuspended();
@@ -158,14 +158,14 @@
     }
 
     /** Sets the silent run of a stream aside while another one is sent. */
-    pause(now: number): void {
-        const [attempt] = this.running;
+    pause(): void {
+        const attempt = this.running.find(({ isWritten }) => isWritten);
         if (attempt) {
             this.#running.delete(attempt);
             this.#suspended = {
                 attempt,
                 run: this.#options.response.pauseRun(),
-                until: now + SUSPENDED_MS,
+                until: Number.POSITIVE_INFINITY,
             };
         }
     }
@@ -194,7 +194,7 @@
     fail(attempt: ForwardAttempt, kind: FailureKind): void {
         const { target } = attempt.grant;
         this.#failedTargets.add(target.descriptor.id);
-        if (kind !== "broken") {
+        if (kind === "refused") {
             this.#executions -= 1;
         }
         if (kind === "refused" || this.#running.get(attempt) === undefined) {
@@ -214,10 +214,16 @@
         return running;
     }
 
-    #withdraw(attempt: ForwardAttempt): void {
-        if (!attempt.isWritten) {
-            this.#executions -= 1;
+    /** Of several connections that are being made, the first one that is there is used. */
+    #onWritten(): void {
+        this.#executions += 1;
+        this.running.filter(other => !other.isWritten).forEach(other => this.#withdraw(other));
+        if (this.#suspended) {
+            this.#suspended = { ...this.#suspended, until: this.#options.getNow() + SUSPENDED_MS };
         }
+    }
+
+    #withdraw(attempt: ForwardAttempt): void {
         attempt.abort();
         this.#release(attempt);
     }
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -24,12 +24,14 @@
     #status = 0;
     #firstEventAt: number | undefined;
     readonly #body = BufferedBody.create();
-    readonly #startedAt: number;
+    #startedAt: number;
+    /** True while the target has not taken a connection in time. */
+    #isConnectLate = false;
     /** Time in milliseconds from the start to the head; `undefined` before it. */
     #headMs: number | undefined;
     /** True once the response is passed on as a stream. */
     #isStreamed = false;
-    readonly #progress: ProgressTracker;
+    #progress: ProgressTracker;
     /** Monotonic time in milliseconds at which reading resumes; `undefined` while it is not paused. */
     #resumeAt: number | undefined;
 
@@ -88,6 +90,9 @@
     /** Returns the reason why the target counts as unresponsive, or `undefined` if it does not. */
     findInactivity(): string | undefined {
         const { grant, caller } = this.#options;
+        if (this.#isConnectLate) {
+            return TargetExchange.CONNECT_TIMEOUT;
+        }
         return findInactivity({
             inactiveMs: this.silentMs,
             hasEvents: this.hasEvents,
@@ -108,9 +113,9 @@
         return this.#progress.longestPauseMs;
     }
 
-    /** Sends the request. */
+    /** Sends the request, on a new connection each time the target has not taken one in time. */
     send(): void {
-        const { grant, caller, response, wire, agent, getNow, runGuarded, onFail } = this.#options;
+        const { grant, caller, response, wire, agent, getNow, runGuarded } = this.#options;
         const { descriptor } = grant.target;
         this.#exchange = TargetExchange.create({
             address: descriptor.address,
@@ -129,11 +134,11 @@
                     lastEventId: response.getLastEventId(),
                 }),
             },
+            onWritten: () => runGuarded(() => this.#onWritten()),
             onHead: head => runGuarded(() => this.#onHead(head)),
             onData: chunk => runGuarded(() => this.#onData(chunk)),
             onEnd: () => runGuarded(() => this.#onEnd()),
-            onFail: (reason, isWritten) =>
-                runGuarded(() => onFail(isWritten ? "broken" : "not-written", reason)),
+            onFail: (reason, isWritten) => runGuarded(() => this.#onExchangeFailed(reason, isWritten)),
         });
     }
 
@@ -150,6 +155,25 @@
         this.#exchange?.abort();
     }
 
+    #onExchangeFailed(reason: string, isWritten: boolean): void {
+        if (reason === TargetExchange.CONNECT_TIMEOUT) {
+            this.#isConnectLate = true;
+            this.send();
+            return;
+        }
+        this.#options.onFail(isWritten ? "broken" : "not-written", reason);
+    }
+
+    #onWritten(): void {
+        const { getRunningTime, onWritten } = this.#options;
+        if (this.#isConnectLate) {
+            this.#isConnectLate = false;
+            this.#startedAt = getRunningTime();
+            this.#progress = ProgressTracker.create(this.#startedAt);
+        }
+        onWritten();
+    }
+
     #onHead(incoming: IncomingMessage): void {
         const { wire, caller, response, getRunningTime } = this.#options;
         this.#options.onProgress();
--- a/src/router/forwardAttemptOptions.ts
+++ b/src/router/forwardAttemptOptions.ts
@@ -25,6 +25,8 @@
     readonly isBatching: () => boolean;
     /** Runs a handler; an unexpected error in it ends the request. */
     readonly runGuarded: (handler: () => void) => void;
+    /** Called before a byte of the request is written to the target. */
+    readonly onWritten: () => void;
     /** Called before anything of the response is used. */
     readonly onProgress: () => void;
     readonly onFirstEvent: () => void;
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -85,7 +85,7 @@
                 this.#refuse("deadline", "deadline-expired", RETRY_AFTER_MS);
                 return;
             }
-            if (this.#isRepeatable) {
+            if (this.#isRepeatable || this.#attempts.executions === 0) {
                 this.#silence.check(now);
             }
         });
--- a/src/router/silenceHandler.ts
+++ b/src/router/silenceHandler.ts
@@ -16,8 +16,9 @@
 
 /**
  * Finds a further target for a request whose targets are all silent, if there is everything that it needs: until then its
- * attempts go on, since a silent target may be sound. A stream moves to the new target as soon as that begins, because two
- * runs of a stream must not be in progress; any other request gets the response that is complete first.
+ * attempts go on, since a silent target may be sound, also one that accepts no connection. A stream moves to the new target
+ * as soon as that begins, because two runs of a stream must not be in progress; any other request gets the response that is
+ * complete first. A request that no target has got is sent on the first connection that is there.
  */
 export class SilenceHandler {
     readonly #options: SilenceHandlerOptions;
@@ -29,7 +30,7 @@
         this.#options = options;
     }
 
-    /** Creates the handler of one request that may be executed more than once. */
+    /** Creates the handler of one request, which may be executed more than once or has not been executed. */
     static create(options: SilenceHandlerOptions): SilenceHandler {
         return new SilenceHandler(options);
     }
@@ -66,9 +67,9 @@
         }
         retryBudget.tryTake(now);
         this.#lacking = undefined;
-        this.#logSilence(reason, isStream ? "move" : "join");
+        this.#logSilence(reason, isStream && attempts.executions > 0 ? "move" : "join");
         if (isStream) {
-            attempts.pause(now);
+            attempts.pause();
         }
         attempts.send(found);
     }
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -10,14 +10,22 @@
     readonly outgoing: OutgoingRequest;
     /** `false` opens a dedicated connection for this request. */
     readonly agent: Agent | false;
+    /** Called once the connection is there, before a byte of the request is written. */
+    readonly onWritten?: () => void;
     readonly onHead: (response: IncomingMessage) => void;
     readonly onData: (chunk: Buffer) => void;
     readonly onEnd: () => void;
-    /** `isWritten` is false if no byte of the request can have reached the target. */
+    /**
+     * `isWritten` is false if no byte of the request can have reached the target. The reason is `CONNECT_TIMEOUT` if the target
+     * has not taken the connection in time; it may be sound and take the next one.
+     */
     readonly onFail: (reason: string, isWritten: boolean) => void;
 }
 
-/** The longest round trip to a target takes a tenth of this. */
+/**
+ * The longest round trip to a target takes a tenth of this. The operating system repeats a lost connection request only after
+ * 1, 3 and 7 s, so that a new connection reaches a target sooner that accepts none for a while.
+ */
 const CONNECT_TIMEOUT_MS = 400;
 /** Interim responses (1xx) that a target may send before its response; none is expected, as no request asks for one. */
 const MAX_INTERIM_RESPONSES = 8;
@@ -27,6 +35,7 @@
 
 /** One request to one target and its response. */
 export class TargetExchange {
+    static readonly CONNECT_TIMEOUT = "connect-timeout";
     readonly #options: TargetExchangeOptions;
     #request: ClientRequest | undefined;
     #response: IncomingMessage | undefined;
@@ -141,17 +150,22 @@
         this.#request?.once("response", endLimit);
         this.#request?.once("close", endLimit);
         if (!socket.connecting) {
-            this.#isWritten = true;
+            this.#onConnected();
             return;
         }
         this.#connectTimer = setTimeout(() => {
-            this.#fail("connect-timeout");
+            this.#fail(TargetExchange.CONNECT_TIMEOUT);
             this.#request?.destroy();
         }, CONNECT_TIMEOUT_MS);
-        socket.once("connect", () => {
+        socket.once("connect", () => this.#onConnected());
+    }
+
+    #onConnected(): void {
+        clearTimeout(this.#connectTimer);
+        if (!this.#isEnded) {
             this.#isWritten = true;
-            clearTimeout(this.#connectTimer);
-        });
+            this.#options.onWritten?.();
+        }
     }
 
     #onInterimResponse(): void {
--- a/test/platform/silentTargets.test.ts
+++ b/test/platform/silentTargets.test.ts
@@ -125,6 +125,26 @@
     t.true(closedAt - (arrivals[1] ?? 0) < TWICE_MS, `${closedAt - (arrivals[1] ?? 0)} ms after the second`);
 });
 
+// Two runs of a stream would be in progress for as long as the second target is silent, too.
+test.serial("ends the run of a silent target soon after the request has reached a target that is silent, too", async t => {
+    const arrivals: number[] = [];
+    let closedAt = Number.POSITIVE_INFINITY;
+    const serve = (request: RawRequest): void => {
+        arrivals.push(performance.now());
+        if (arrivals.length > 1) {
+            setTimeout(() => serveStream(SharedSilence.create(0), EVENTS)(request), 2 * TWICE_MS);
+            return;
+        }
+        request.socket.on("close", () => closedAt = performance.now());
+        writeHead(request.socket, request.requestId, STREAM_HEADERS);
+        request.socket.write(formatChunk(formatEvent(1, request.requestId)));
+    };
+    const { fleet } = await createRawFleet(t, "engine", [serve, serve]);
+    const { isWhole } = await sendToFleet(fleet, "/stream/x", { "Request-Id": "moved" });
+    t.true(isWhole);
+    t.true(closedAt - (arrivals[1] ?? 0) < TWICE_MS, `${closedAt - (arrivals[1] ?? 0)} ms after the second`);
+});
+
 // An unexpected error in serving a request closed its caller's connection.
 test.serial("refuses a request on a route whose service the configuration lacks", async t => {
     const { fleet } = await createRawFleet(t, "plain", [serveAnswer(0)]);
