--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -20,7 +20,7 @@
 interface SuspendedAttempt {
     readonly attempt: ForwardAttempt;
     readonly run: ReturnType<CallerResponse["pauseRun"]>;
-    /** Monotonic time in milliseconds. */
+    /** Monotonic time in milliseconds; infinite until a byte of the request can have reached the target in its place. */
     readonly until: number;
 }
 
@@ -105,14 +105,15 @@
         const { exchange, targetAgents, scheduler, isRepeatable, getNow, onComplete, onFail } = this.#options;
         const { descriptor } = grant.target;
         this.#attempts += 1;
-        this.#executions += 1;
         const attempt: ForwardAttempt = ForwardAttempt.create({
             ...this.#options,
             grant,
             caller: exchange,
+            // At most one of several pending connections is used, so that this attempt is at most the next execution.
             agent: targetAgents.getAgent(
-                isRepeatable && this.#executions < exchange.request.route.maxAttempts,
+                isRepeatable && this.#executions + 1 < exchange.request.route.maxAttempts,
             ),
+            onWritten: () => this.#onWritten(),
             onProgress: () => this.#resume(attempt),
             onFirstEvent: () => {
                 this.#dropSuspended();
@@ -159,14 +160,14 @@
     }
 
     /** Sets the silent run of a stream aside while another one is sent. */
-    pause(now: number): void {
-        const [attempt] = this.running;
+    pause(): void {
+        const attempt = this.running.find(({ isWritten }) => isWritten);
         if (attempt) {
             this.#running.delete(attempt);
             this.#suspended = {
                 attempt,
                 run: this.#options.response.pauseRun(),
-                until: now + SUSPENDED_MS,
+                until: Number.POSITIVE_INFINITY,
             };
         }
     }
@@ -195,7 +196,7 @@
     fail(attempt: ForwardAttempt, kind: FailureKind): void {
         const { target } = attempt.grant;
         this.#failedTargets.add(target.descriptor.id);
-        if (kind === "not-written" || kind === "refused") {
+        if (kind === "refused") {
             this.#executions -= 1;
         }
         const hasRefused = kind === "refused" || kind === "doubtful";
@@ -216,10 +217,16 @@
         return running;
     }
 
-    #withdraw(attempt: ForwardAttempt): void {
-        if (!attempt.isWritten) {
-            this.#executions -= 1;
+    /** Of several connections that are being made, the first one that is there is used. */
+    #onWritten(): void {
+        this.#executions += 1;
+        this.running.filter(other => !other.isWritten).forEach(other => this.#withdraw(other));
+        if (this.#suspended) {
+            this.#suspended = { ...this.#suspended, until: this.#options.getNow() + SUSPENDED_MS };
         }
+    }
+
+    #withdraw(attempt: ForwardAttempt): void {
         attempt.abort();
         this.#release(attempt);
     }
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -3,6 +3,7 @@
 import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import { BufferedBody } from "./bufferedBody.js";
+import { buildOutgoingRequest } from "./buildOutgoingRequest.js";
 import { findAnswerKind } from "./findAnswerKind.js";
 import type { ForwardAttemptOptions } from "./forwardAttemptOptions.js";
 import { recordStatements } from "./recordStatements.js";
@@ -23,12 +24,14 @@
     #status = 0;
     #firstEventAt: number | undefined;
     readonly #body = BufferedBody.create();
-    readonly #startedAt: number;
+    #startedAt: number;
+    /** True while the target has not taken a connection in time. */
+    #isConnectLate = false;
     /** Time in milliseconds from the start to the head; `undefined` before it. */
     #headMs: number | undefined;
     /** True once the response is passed on as a stream. */
     #isStreamed = false;
-    readonly #progress: ProgressTracker;
+    #progress: ProgressTracker;
     /** Monotonic time in milliseconds at which reading resumes; `undefined` while it is not paused. */
     #resumeAt: number | undefined;
 
@@ -87,6 +90,9 @@
     /** Returns the reason why the target counts as unresponsive, or `undefined` if it does not. */
     findInactivity(): string | undefined {
         const { grant, caller } = this.#options;
+        if (this.#isConnectLate) {
+            return TargetExchange.CONNECT_TIMEOUT;
+        }
         return findInactivity({
             inactiveMs: this.silentMs,
             hasEvents: this.hasEvents,
@@ -107,32 +113,18 @@
         return this.#progress.longestPauseMs;
     }
 
-    /** Sends the request. */
+    /** Sends the request, on a new connection each time the target has not taken one in time. */
     send(): void {
-        const { grant, caller, response, wire, agent, getNow, runGuarded, onFail } = this.#options;
-        const { descriptor } = grant.target;
+        const { grant, agent, runGuarded } = this.#options;
         this.#exchange = TargetExchange.create({
-            address: descriptor.address,
+            address: grant.target.descriptor.address,
             agent,
-            outgoing: {
-                method: caller.incoming.method ?? "GET",
-                path: caller.incoming.url ?? "/",
-                body: caller.body,
-                headers: wire.buildTargetHeaders({
-                    requestHead: caller.head,
-                    account: caller.request.account,
-                    targetId: descriptor.id,
-                    promptSource: grant.promptSource,
-                    remainingMs: Math.max(1, Math.floor(caller.request.deadline - getNow())),
-                    bodyLength: caller.body?.length,
-                    lastEventId: response.getLastEventId(),
-                }),
-            },
+            outgoing: buildOutgoingRequest(this.#options),
+            onWritten: () => runGuarded(() => this.#onWritten()),
             onHead: head => runGuarded(() => this.#onHead(head)),
             onData: chunk => runGuarded(() => this.#onData(chunk)),
             onEnd: () => runGuarded(() => this.#onEnd()),
-            onFail: (reason, isWritten) =>
-                runGuarded(() => onFail(isWritten ? "broken" : "not-written", reason)),
+            onFail: (reason, isWritten) => runGuarded(() => this.#onExchangeFailed(reason, isWritten)),
         });
     }
 
@@ -149,6 +141,25 @@
         this.#exchange?.abort();
     }
 
+    #onExchangeFailed(reason: string, isWritten: boolean): void {
+        if (reason === TargetExchange.CONNECT_TIMEOUT) {
+            this.#isConnectLate = true;
+            this.send();
+            return;
+        }
+        this.#options.onFail(isWritten ? "broken" : "not-written", reason);
+    }
+
+    #onWritten(): void {
+        const { getRunningTime, onWritten } = this.#options;
+        if (this.#isConnectLate) {
+            this.#isConnectLate = false;
+            this.#startedAt = getRunningTime();
+            this.#progress = ProgressTracker.create(this.#startedAt);
+        }
+        onWritten();
+    }
+
     #onHead(incoming: IncomingMessage): void {
         const { wire, caller, response, getRunningTime } = this.#options;
         this.#options.onProgress();
