Keep the grants of a scheduler pass when one decision fails

An unexpected error in the decision on one waiting request lost the grants that the same pass had made: their requests went on waiting or were granted a target again, and the slots before stayed in use for good.

Cause: ServiceScheduler.advance decided on all waiting requests in one expression, and nothing had been recorded when one of the decisions threw. Each decision is now taken on its own; the request whose decision fails is told so, and the request forwarder ends it as after any unexpected error, with a log line. Found by reading, not seen in operation.

--- a/src/core/routing/notifyWaiting.ts
+++ b/src/core/routing/notifyWaiting.ts
@@ -9,4 +9,7 @@
     else if (decision.kind === "refused") {
         waiting.onRefuse(decision);
     }
+    else if (decision.kind === "failed") {
+        waiting.onError(decision.error);
+    }
 }
--- a/src/core/routing/schedulerDecision.ts
+++ b/src/core/routing/schedulerDecision.ts
@@ -5,4 +5,5 @@
 export type SchedulerDecision =
     | { readonly kind: "granted"; readonly grant: TargetGrant; }
     | { readonly kind: "waiting"; }
+    | { readonly kind: "failed"; readonly error: unknown; }
     | ({ readonly kind: "refused"; } & SchedulerRefusal);
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -191,12 +191,27 @@
         }
         const blocked = new Set<string>();
         const decided = sortWaiting(this.#waiting, this.#options.usage, now).map((waiting, i) =>
-            [waiting, this.#resolve(waiting, blocked, () => i, now)] as const
+            [waiting, this.#tryResolve(waiting, blocked, () => i, now)] as const
         );
         this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
         decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision));
     }
 
+    /** Decides on one request; an unexpected error must not keep the others of the same pass from their grants. */
+    #tryResolve(
+        waiting: WaitingRequest,
+        blocked: Set<string>,
+        countAhead: () => number,
+        now: number,
+    ): SchedulerDecision {
+        try {
+            return this.#resolve(waiting, blocked, countAhead, now);
+        }
+        catch (error) {
+            return { kind: "failed", error };
+        }
+    }
+
     /**
      * Decides on one request.
      *
--- a/src/core/routing/waitingRequest.ts
+++ b/src/core/routing/waitingRequest.ts
@@ -11,4 +11,6 @@
     readonly isResume: boolean;
     readonly onGrant: (grant: TargetGrant) => void;
     readonly onRefuse: (refusal: SchedulerRefusal) => void;
+    /** Called with an unexpected error in deciding on the request, which does not wait any more. */
+    readonly onError: (error: unknown) => void;
 }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -110,6 +110,12 @@
                 this.#waiting = undefined;
                 this.#runGuarded(() => this.#refuse("no-target", reason, retryAfterMs, shareRatio));
             },
+            onError: error => {
+                this.#waiting = undefined;
+                this.#runGuarded(() => {
+                    throw error;
+                });
+            },
         };
         scheduler.enqueue(this.#waiting, getNow());
     }
--- a/test/core/limits/limitedRequests.test.ts
+++ b/test/core/limits/limitedRequests.test.ts
@@ -67,6 +67,7 @@
         isResume: false,
         onGrant: () => t.fail("granted"),
         onRefuse: refusal => retryAfterMs = refusal.retryAfterMs,
+        onError: () => t.fail("error"),
     }, 0);
     // A permit comes each second.
     t.true(retryAfterMs >= 1000 && retryAfterMs <= 1200, String(retryAfterMs));
--- a/test/core/routing/loadPatterns.test.ts
+++ b/test/core/routing/loadPatterns.test.ts
@@ -65,6 +65,7 @@
         isResume: false,
         onGrant: () => t.fail("granted"),
         onRefuse: refusal => retryAfterMs = refusal.retryAfterMs,
+        onError: () => t.fail("error"),
     }, 0);
     // 6000 tokens are 2.1 times the share of 2800; with a time constant of 4 s, the sum decays to it in 3 s.
     t.true(retryAfterMs > 2500 && retryAfterMs <= 3000, String(retryAfterMs));
--- a/test/core/routing/serviceScheduler.test.ts
+++ b/test/core/routing/serviceScheduler.test.ts
@@ -72,6 +72,7 @@
         isResume: false,
         onGrant: () => t.fail("granted"),
         onRefuse: () => t.fail("refused"),
+        onError: () => t.fail("error"),
     };
     scheduler.enqueue(waiting, 0);
     scheduler.withdraw(waiting);
--- a/test/router/requestForwarder.test.ts
+++ b/test/router/requestForwarder.test.ts
@@ -112,6 +112,13 @@
     t.deepEqual(result, { status: 503, isWhole: true, inFlight: 0, outcomes: ["internal-error"] });
 });
 
+test("unexpected error in the decision on a request that waits: refuses it as not executed", async t => {
+    const result = await forward(t, scheduler => {
+        scheduler.enqueue = ({ onError }) => onError(new Error("unexpected"));
+    });
+    t.deepEqual(result, { status: 503, isWhole: true, inFlight: 0, outcomes: ["internal-error"] });
+});
+
 test("unexpected error while a target serves the request: answers it without a promise, and releases the target", async t => {
     const result = await forward(t, (_, notices) => {
         notices.observe = failUnexpectedly;
--- a/test/router/servicePool.test.ts
+++ b/test/router/servicePool.test.ts
@@ -57,6 +57,7 @@
             throw new Error("unexpected");
         },
         onRefuse: () => t.fail("refused"),
+        onError: () => t.fail("error"),
     }, 0);
     t.throws(() => pool.setTargets([makeTargetDescriptor("new")], new Set(), 10), { message: "unexpected" });
     t.deepEqual([...pool.find("other")?.scheduler.targets.keys() ?? []], []);
--- a/test/testing/scheduler/enqueueRequest.ts
+++ b/test/testing/scheduler/enqueueRequest.ts
@@ -5,6 +5,7 @@
 interface Outcome {
     grant: TargetGrant | undefined;
     refusal: string | undefined;
+    error: unknown;
 }
 
 /** Enqueues a request and returns an object that records its grant or refusal. */
@@ -14,13 +15,14 @@
     now: number,
     options: { readonly excludedTargets?: ReadonlySet<string>; readonly isResume?: boolean; } = {},
 ): Outcome {
-    const outcome: Outcome = { grant: undefined, refusal: undefined };
+    const outcome: Outcome = { grant: undefined, refusal: undefined, error: undefined };
     scheduler.enqueue({
         request,
         excludedTargets: options.excludedTargets ?? new Set(),
         isResume: options.isResume ?? false,
         onGrant: grant => outcome.grant = grant,
         onRefuse: ({ reason }) => outcome.refusal = reason,
+        onError: error => outcome.error = error,
     }, now);
     return outcome;
 }
