Ask a target for its start before a stream goes on there (ORDER)

Cause: the version was taken from the list, also while the process at the other end of the connection was not the one that had registered.

Now the connection on which a stream is to go on asks GET /report first; the process that answers is the one that gets the request, since a restart breaks the connection. Another `born` than the registered one ends the attempt as refused; nothing goes on at that target, and no stream of a resumable route begins there, until its registration shows the start. A target that names no start is judged by the connections of this instance that broke since its registration may have been made. New streams at a target whose connections have broken ask as well.

The stand-ins and the soak's targets answer /report with `born`; a target of the soak that starts again registers up to 1.2 s later. RawTarget sends without delay, as HTTP servers do: on a kept connection its events were held back until the ones before were acknowledged (40 ms), and a reset 15 ms later lost them.

--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -23,4 +23,6 @@
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
     /** Whether a new stream that may be taken up later may begin at a target. */
     readonly mayBegin: (target: TargetDescriptor) => boolean;
+    /** Whether a stream may go on at a target that is listed with its version. */
+    readonly mayGoOn: (target: TargetDescriptor) => boolean;
 }
--- a/src/core/routing/targetEligibility.ts
+++ b/src/core/routing/targetEligibility.ts
@@ -17,6 +17,8 @@
     readonly getEvacuated: () => ReadonlySet<string>;
     /** Whether a new stream that may be taken up later may begin at a target. */
     readonly mayBegin: (target: TargetDescriptor) => boolean;
+    /** Whether a stream may go on at a target that is listed with its version. */
+    readonly mayGoOn: (target: TargetDescriptor) => boolean;
 }
 
 /** Decides which targets of a service a request may use, whatever their load. */
@@ -74,7 +76,8 @@
     /** The same without what may end at any moment: an evacuation, or the time in which a version gets no new streams. */
     #isPermitted(descriptor: TargetDescriptor, request: RoutedRequest): boolean {
         const region = this.#options.settings.regionsByDataCentre.get(descriptor.dataCentre) ?? "";
-        return hasVersion(descriptor, request) && !descriptor.isDraining
+        const mayGoOn = request.origin === undefined || this.#options.mayGoOn(descriptor);
+        return hasVersion(descriptor, request) && mayGoOn && !descriptor.isDraining
             && !this.#options.notices.isLeaving(descriptor)
             && (request.regions.length === 0 || request.regions.includes(region));
     }
--- a/src/platform/platformWireFormat.ts
+++ b/src/platform/platformWireFormat.ts
@@ -3,6 +3,7 @@
 import type { TargetNotice } from "../core/routing/targetNotice.js";
 import type { WireFormat } from "../router/wireFormat.js";
 import { parseRequestLimit } from "./parseRequestLimit.js";
+import { parseStart } from "./parseStart.js";
 import { parseTargetNotice } from "./parseTargetNotice.js";
 
 /** Hop-by-hop headers, and those that only the system sets; callers' values never reach a target. */
@@ -103,6 +104,13 @@
             forwardedHeaders: listForwardedHeaders(response, DROPPED_FROM_RESPONSE),
         };
     },
+    buildStartQuestion: ({ id, address }) => ({
+        method: "GET",
+        path: "/report",
+        headers: ["Host", address, "Expect-Instance", id],
+        body: undefined,
+    }),
+    readStart: parseStart,
     buildLocalResponseHeaders: (requestId, retryAfterMs) => ({
         ...(requestId === undefined ? {} : { "Request-Id": requestId }),
         ...(retryAfterMs === undefined ? {} : { "Retry-After": (retryAfterMs / MS_PER_SECOND).toFixed(2) }),
--- a/src/router/createDeploymentView.ts
+++ b/src/router/createDeploymentView.ts
@@ -9,7 +9,7 @@
     readonly settings: RouterSettings;
     readonly log: LogSink;
     readonly servicePool: ServicePool;
-    readonly state: Pick<RoutingState, "limits" | "crashDetector" | "streamOrigins">;
+    readonly state: Pick<RoutingState, "limits" | "crashDetector" | "targetStarts" | "streamOrigins">;
     readonly onConfiguration: (configuration: RouterConfiguration) => void;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
@@ -17,19 +17,24 @@
 
 /** Creates the view of an instance, which passes its changes on to the state that depends on them. */
 export function createDeploymentView(options: ViewOptions): DeploymentView {
-    const { state: { limits, crashDetector, streamOrigins }, getNow, onConfiguration } = options;
+    const { state: { limits, crashDetector, targetStarts, streamOrigins }, getNow, onConfiguration } =
+        options;
     return DeploymentView.create({
         ...options,
         getTimeOfDay: Date.now,
         onTargets: targets => {
             limits.setTargets(targets, getNow());
             crashDetector.setTargets(targets, getNow());
+            targetStarts.observeTargets(targets);
             streamOrigins.observeTargets(targets, getNow());
         },
         onConfiguration: configuration => {
             onConfiguration(configuration);
             streamOrigins.observeConfiguration(configuration, getNow());
         },
-        onConfirmed: at => streamOrigins.recordConfirmation(at),
+        onConfirmed: at => {
+            targetStarts.recordConfirmation(at);
+            streamOrigins.recordConfirmation(at);
+        },
     });
 }
--- a/src/router/createRoutingState.ts
+++ b/src/router/createRoutingState.ts
@@ -6,6 +6,7 @@
 import { createCrashRecord } from "./createCrashRecord.js";
 import { createRequestLimiter } from "./createRequestLimiter.js";
 import { createTargetNotices } from "./createTargetNotices.js";
+import { createTargetStarts } from "./createTargetStarts.js";
 import type { LogSink } from "./logSink.js";
 import type { RouterSettings } from "./routerSettings.js";
 import type { RoutingState } from "./routingState.js";
@@ -41,6 +42,7 @@
         crashDetector: createCrashDetector(crashRecord, log, callbacks.onBroken),
         limits: createRequestLimiter(settings, log, startedAt),
         notices: createTargetNotices(log, callbacks.getNow),
+        targetStarts: createTargetStarts(log),
         streamOrigins: StreamOrigins.create({ settings, log, ...callbacks }),
     };
 }
--- /dev/null
+++ b/src/router/createTargetExchange.ts
@@ -0,0 +1,53 @@
+import { CheckedExchange } from "./checkedExchange.js";
+import type { ForwardAttemptOptions } from "./forwardAttemptOptions.js";
+import { TargetExchange } from "./targetExchange.js";
+import type { TargetExchangeOptions } from "./targetExchangeOptions.js";
+
+type ExchangeCallbacks = Pick<TargetExchangeOptions, "onHead" | "onData" | "onEnd" | "onFail">;
+
+/**
+ * Sends the request of an attempt. If a stream goes on, or begins at a target whose connections have broken, the process of
+ * the target is first asked for its start: another start may have another version.
+ */
+export function createTargetExchange(
+    options: ForwardAttemptOptions,
+    callbacks: ExchangeCallbacks,
+): TargetExchange | CheckedExchange {
+    const { grant, caller, response, wire, agent, targetStarts, getNow, runGuarded, onFail } = options;
+    const { descriptor } = grant.target;
+    const { request } = caller;
+    const exchangeOptions = {
+        ...callbacks,
+        address: descriptor.address,
+        outgoing: {
+            method: caller.incoming.method ?? "GET",
+            path: caller.incoming.url ?? "/",
+            body: caller.body,
+            headers: wire.buildTargetHeaders({
+                requestHead: caller.head,
+                account: request.account,
+                targetId: descriptor.id,
+                promptSource: grant.promptSource,
+                remainingMs: Math.max(1, Math.floor(request.deadline - getNow())),
+                bodyLength: caller.body?.length,
+                lastEventId: response.getLastEventId(),
+            }),
+        },
+    };
+    const isGoingOn = response.getLastEventId() !== undefined || request.resumesAfter !== undefined;
+    if (!isGoingOn && !(request.route.isResumable && targetStarts.hasBroken(descriptor))) {
+        return TargetExchange.create({ ...exchangeOptions, agent });
+    }
+    return CheckedExchange.create({
+        ...exchangeOptions,
+        question: wire.buildStartQuestion(descriptor),
+        readStart: body => wire.readStart(body),
+        isAccepted: startMs => {
+            const answer = targetStarts.recordAnswer(descriptor, startMs);
+            return answer === "registered"
+                || (answer === "unknown" && (!isGoingOn || targetStarts.mayGoOn(descriptor)));
+        },
+        runGuarded,
+        onRefused: reason => runGuarded(() => onFail("refused", reason)),
+    });
+}
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -3,12 +3,12 @@
 import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import { BufferedBody } from "./bufferedBody.js";
+import { createTargetExchange } from "./createTargetExchange.js";
 import type { ForwardAttemptOptions } from "./forwardAttemptOptions.js";
 import { isAnswerTo } from "./isAnswerTo.js";
 import { isRefusal } from "./isRefusal.js";
 import { recordStatements } from "./recordStatements.js";
 import type { ResponseHead } from "./responseHead.js";
-import { TargetExchange } from "./targetExchange.js";
 
 const OK = 200;
 /** Bytes of one event; a stream that sends more without completing an event sends none. */
@@ -19,7 +19,7 @@
 /** One attempt to serve a request at one target. */
 export class ForwardAttempt {
     readonly #options: ForwardAttemptOptions;
-    #exchange: TargetExchange | undefined;
+    #exchange: ReturnType<typeof createTargetExchange> | undefined;
     #head: ResponseHead | undefined;
     #status = 0;
     #firstEventAt: number | undefined;
@@ -110,25 +110,8 @@
 
     /** Sends the request. */
     send(): void {
-        const { grant, caller, response, wire, agent, getNow, runGuarded, onFail } = this.#options;
-        const { descriptor } = grant.target;
-        this.#exchange = TargetExchange.create({
-            address: descriptor.address,
-            agent,
-            outgoing: {
-                method: caller.incoming.method ?? "GET",
-                path: caller.incoming.url ?? "/",
-                body: caller.body,
-                headers: wire.buildTargetHeaders({
-                    requestHead: caller.head,
-                    account: caller.request.account,
-                    targetId: descriptor.id,
-                    promptSource: grant.promptSource,
-                    remainingMs: Math.max(1, Math.floor(caller.request.deadline - getNow())),
-                    bodyLength: caller.body?.length,
-                    lastEventId: response.getLastEventId(),
-                }),
-            },
+        const { runGuarded, onFail } = this.#options;
+        this.#exchange = createTargetExchange(this.#options, {
             onHead: head => runGuarded(() => this.#onHead(head)),
             onData: chunk => runGuarded(() => this.#onData(chunk)),
             onEnd: () => runGuarded(() => this.#onEnd()),
--- a/src/router/forwardAttemptOptions.ts
+++ b/src/router/forwardAttemptOptions.ts
@@ -2,6 +2,7 @@
 import type { RequestLimiter } from "../core/limits/requestLimiter.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import type { TargetNotices } from "../core/routing/targetNotices.js";
+import type { TargetStarts } from "../core/routing/targetStarts.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { CallerResponse } from "./callerResponse.js";
 import type { ResponseHead } from "./responseHead.js";
@@ -15,6 +16,7 @@
     readonly wire: WireFormat;
     readonly limits: RequestLimiter;
     readonly notices: TargetNotices;
+    readonly targetStarts: TargetStarts;
     /** `false` opens a dedicated connection for this request. */
     readonly agent: Agent | false;
     /** Monotonic time in milliseconds. */
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -155,10 +155,9 @@
 
     /** Ends a failed attempt. The request goes on with the others in progress, or with a retry where that is allowed. */
     #failAttempt(attempt: ForwardAttempt, kind: "not-written" | "refused" | "broken", reason: string): void {
-        const { exchange: { request }, retryBudget, crashRecord, crashDetector, scheduler, getNow } =
-            this.#options;
+        const { exchange: { request }, retryBudget, crashRecord, scheduler, getNow } = this.#options;
         const now = getNow();
-        const mayHaveCrashed = recordAttemptFailure(crashDetector, request, attempt, kind, reason, now);
+        const mayHaveCrashed = recordAttemptFailure(this.#options, request, attempt, kind, reason, now);
         this.#attempts.fail(attempt, kind);
         if (this.#attempts.running.length > 0) {
             this.#silence.reset();
--- a/src/router/requestForwarderOptions.ts
+++ b/src/router/requestForwarderOptions.ts
@@ -4,6 +4,7 @@
 import type { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import type { SlidingRetryBudget } from "../core/routing/slidingRetryBudget.js";
 import type { TargetNotices } from "../core/routing/targetNotices.js";
+import type { TargetStarts } from "../core/routing/targetStarts.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
@@ -19,6 +20,7 @@
     readonly crashDetector: CrashDetector;
     readonly limits: RequestLimiter;
     readonly notices: TargetNotices;
+    readonly targetStarts: TargetStarts;
     readonly streamOrigins: StreamOrigins;
     readonly retryBudget: SlidingRetryBudget;
     readonly targetAgents: TargetAgents;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -81,7 +81,10 @@
             ...this.#state,
             getTokensPerSecond: () => this.#view.configuration?.limits.tokensPerSecond ?? 0,
             getColdShare: (target, limit) => this.#fleet?.getColdShare(target, limit),
-            mayBegin: target => this.#state.streamOrigins.mayBegin(target, this.#getNow()),
+            mayBegin: target =>
+                !this.#state.targetStarts.isRestarted(target)
+                && this.#state.streamOrigins.mayBegin(target, this.#getNow()),
+            mayGoOn: target => this.#state.targetStarts.mayGoOn(target),
         });
         this.#view = createDeploymentView({
             ...options,
--- a/src/router/routingState.ts
+++ b/src/router/routingState.ts
@@ -4,6 +4,7 @@
 import type { CrashRecord } from "../core/routing/crashRecord.js";
 import type { PromptLocations } from "../core/routing/promptLocations.js";
 import type { TargetNotices } from "../core/routing/targetNotices.js";
+import type { TargetStarts } from "../core/routing/targetStarts.js";
 import type { StreamOrigins } from "./streamOrigins.js";
 
 /** What an instance knows beyond single targets and requests, from its own traffic and from the reports of peers. */
@@ -14,5 +15,6 @@
     readonly crashDetector: CrashDetector;
     readonly limits: RequestLimiter;
     readonly notices: TargetNotices;
+    readonly targetStarts: TargetStarts;
     readonly streamOrigins: StreamOrigins;
 }
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -25,6 +25,8 @@
     ) => { readonly perSecond: number; readonly burst: number; } | undefined;
     /** Whether a new stream that may be taken up later may begin at a target. */
     readonly mayBegin: (target: TargetDescriptor) => boolean;
+    /** Whether a stream may go on at a target that is listed with its version. */
+    readonly mayGoOn: (target: TargetDescriptor) => boolean;
 }
 
 interface PooledService {
@@ -56,7 +58,7 @@
     /** Adds the new services of a configuration and updates the known ones. */
     applyConfiguration(configuration: RouterConfiguration): void {
         const { settings, usage, promptLocations, crashRecord, limits, notices } = this.#options;
-        const { getTokensPerSecond, getColdShare, mayBegin } = this.#options;
+        const { getTokensPerSecond, getColdShare, mayBegin, mayGoOn } = this.#options;
         for (const service of configuration.services.values()) {
             const known = this.#services.get(service.name);
             if (known) {
@@ -81,6 +83,7 @@
                     getTokensPerSecond,
                     getColdShare,
                     mayBegin,
+                    mayGoOn,
                 }),
                 retryBudget: SlidingRetryBudget.create({
                     ratio: settings.retryRatio,
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -1,21 +1,8 @@
-import { type Agent, type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
+import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
 import { limitBytesBeforeHead } from "./limitBytesBeforeHead.js";
-import type { OutgoingRequest } from "./outgoingRequest.js";
 import { PausableSocket } from "./pausableSocket.js";
-
-interface TargetExchangeOptions {
-    /** host:port. */
-    readonly address: string;
-    readonly outgoing: OutgoingRequest;
-    /** `false` opens a dedicated connection for this request. */
-    readonly agent: Agent | false;
-    readonly onHead: (response: IncomingMessage) => void;
-    readonly onData: (chunk: Buffer) => void;
-    readonly onEnd: () => void;
-    /** `isWritten` is false if no byte of the request can have reached the target. */
-    readonly onFail: (reason: string, isWritten: boolean) => void;
-}
+import type { TargetExchangeOptions } from "./targetExchangeOptions.js";
 
 /** The longest round trip to a target takes a tenth of this. */
 const CONNECT_TIMEOUT_MS = 400;
--- a/src/soak/targetVersionFaults.ts
+++ b/src/soak/targetVersionFaults.ts
@@ -4,6 +4,8 @@
 /** Few versions, so that a release may go back to one that served before. */
 const VERSIONS = ["v1", "v2", "v3"] as const;
 const MAX_PAUSE_MS = 400;
+/** A target that starts again registers at its next report, which it writes about every 1.2 s. */
+const REGISTRATION_MS = 1200;
 /** Targets go on for this long after they have reported that they leave. */
 const DRAIN_MS = 3000;
 
@@ -31,6 +33,10 @@
     {
         name: "restarted-target",
         inject: async (fleet, random) =>
-            fleet.startTargetAgain(pickItem(fleet.runningTargets, random), pickItem(VERSIONS, random)),
+            fleet.startTargetAgain(
+                pickItem(fleet.runningTargets, random),
+                pickItem(VERSIONS, random),
+                random() * REGISTRATION_MS,
+            ),
     },
 ];
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -1,6 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { sendJson } from "../../shared/sendJson.js";
 import { CooperativeExchange } from "./cooperativeExchange.js";
+import { isBreakingFault } from "./isBreakingFault.js";
 import { Silence } from "./silence.js";
 import type { TargetArrival } from "./targetArrival.js";
 import type { TargetFault } from "./targetFault.js";
@@ -25,17 +27,7 @@
 }
 
 const DEFAULT_VERSION = "v1";
-/** Faults with which the target itself breaks a response off, or writes one that cannot be passed on. */
-const BREAKING_FAULTS: readonly TargetFault[] = [
-    "cut",
-    "unframed",
-    "lost",
-    "stale",
-    "crossed",
-    "restarted",
-    "empty",
-];
-
+const REPORT_PATH = "/report";
 /** Stand-in of a target of the cooperative: responds with its identity and injects faults on demand. */
 export class CooperativeTarget {
     readonly #options: CooperativeTargetOptions;
@@ -187,6 +179,11 @@
         }
         const { id: targetId, events, unframedEvery = Number.POSITIVE_INFINITY } = this.#options;
         const { headers } = request;
+        if (request.method === "GET" && request.url === REPORT_PATH) {
+            await this.#silence.wait("head");
+            sendJson(response, { stage: "mixed", sequence: 1, born: this.#startedAtMs });
+            return;
+        }
         const requestId = String(headers["request-id"]);
         const isMisdirected = headers["expect-instance"] !== targetId;
         const fault = isMisdirected ? "none" : this.#pickFault();
@@ -226,7 +223,7 @@
             setTimeout(() => this.kill(body), this.#options.eventMs);
             return;
         }
-        if (BREAKING_FAULTS.includes(fault)) {
+        if (isBreakingFault(fault)) {
             this.#brokenRequests.add(requestId);
         }
         if (fault === "mute") {
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -141,8 +141,8 @@
     }
 
     /** Crashes a target, which starts again at once under its identifier with another version. */
-    startTargetAgain(entry: FleetTarget, version: string): void {
-        this.#group.startAgain(entry, version);
+    startTargetAgain(entry: FleetTarget, version: string, registrationMs: number): void {
+        this.#group.startAgain(entry, version, registrationMs);
     }
 
     /** Ends a target for good, without a successor. */
--- a/src/testing/platform/fleetTargetGroup.ts
+++ b/src/testing/platform/fleetTargetGroup.ts
@@ -88,8 +88,12 @@
         return entry;
     }
 
-    /** Crashes a target, which starts again at once under its identifier and address with another version. */
-    startAgain(entry: FleetTarget, version: string): void {
+    /**
+     * Crashes a target, which starts again at once under its identifier and address with another version.
+     *
+     * @param registrationMs Time in milliseconds until the list shows the new start.
+     */
+    startAgain(entry: FleetTarget, version: string, registrationMs: number): void {
         if (!entry.target.isRunning) {
             return;
         }
@@ -97,7 +101,12 @@
         entry.target.startAgain(version);
         entry.link.reset();
         entry.registration = { state: entry.registration.state, sequence: 0 };
-        this.setRegistration(entry, entry.registration.state);
+        setTimeout(() => {
+            // The target may have left meanwhile.
+            if (!this.#isClosed && entry.registration.state !== "removed") {
+                this.setRegistration(entry, entry.registration.state);
+            }
+        }, registrationMs);
     }
 
     /** Ends a target for good, without a successor. */
--- a/test/core/routing/streamVersions.test.ts
+++ b/test/core/routing/streamVersions.test.ts
@@ -21,7 +21,10 @@
     });
 }
 
-function createVersionedScheduler(mayBegin?: Parameters<typeof createScheduler>[6]): Scheduler {
+function createVersionedScheduler(
+    mayBegin?: Parameters<typeof createScheduler>[6],
+    mayGoOn?: Parameters<typeof createScheduler>[7],
+): Scheduler {
     const { scheduler } = createScheduler(
         0,
         undefined,
@@ -30,6 +33,7 @@
         undefined,
         undefined,
         mayBegin,
+        mayGoOn,
     );
     scheduler.setTargets(TARGETS, new Set(), 0);
     return scheduler;
@@ -86,3 +90,14 @@
     );
     t.true(others.some(id => id !== "a0"));
 });
+
+// A target whose process has started again may run another version than the list shows.
+test("refuses a stream at once whose only target may have started again", t => {
+    const scheduler = createVersionedScheduler(undefined, ({ id }) => id !== "a0" && id !== "b0");
+    t.is(
+        enqueueRequest(scheduler, makeRoutedRequest({ origin: ORIGIN }), 0).refusal,
+        "version-gone",
+    );
+    t.deepEqual(new Set(listGranted(scheduler, 3, "B")), new Set(["b1"]));
+    t.is(enqueueRequest(scheduler, makeRoutedRequest(), 0).refusal, undefined);
+});
--- a/test/router/forwardAttempt.test.ts
+++ b/test/router/forwardAttempt.test.ts
@@ -9,6 +9,7 @@
 import { TargetAgent } from "../../src/router/targetAgent.js";
 import { createLimiter } from "../testing/createLimiter.js";
 import { createTargetNotices } from "../testing/createTargetNotices.js";
+import { createTargetStarts } from "../testing/createTargetStarts.js";
 import { createScheduler } from "../testing/scheduler/createScheduler.js";
 import { enqueueRequest } from "../testing/scheduler/enqueueRequest.js";
 import { makeRoutedRequest } from "../testing/scheduler/makeRoutedRequest.js";
@@ -62,6 +63,7 @@
             agent,
             limits: createLimiter(),
             notices: createTargetNotices(),
+            targetStarts: createTargetStarts(),
             getNow: () => 0,
             getRunningTime: () => 0,
             isBatching: () => false,
--- a/test/router/requestForwarder.test.ts
+++ b/test/router/requestForwarder.test.ts
@@ -12,6 +12,7 @@
 import { createCrashRecord } from "../testing/createCrashRecord.js";
 import { createLimiter } from "../testing/createLimiter.js";
 import { createTargetNotices } from "../testing/createTargetNotices.js";
+import { createTargetStarts } from "../testing/createTargetStarts.js";
 import { createScheduler } from "../testing/scheduler/createScheduler.js";
 import { makeRoutedRequest } from "../testing/scheduler/makeRoutedRequest.js";
 import { makeTargetDescriptor } from "../testing/scheduler/makeTargetDescriptor.js";
@@ -76,6 +77,7 @@
             } as unknown as Options["crashDetector"],
             limits: createLimiter(),
             notices,
+            targetStarts: createTargetStarts(),
             streamOrigins: { recordBegun: () => undefined } as unknown as Options["streamOrigins"],
             retryBudget: SlidingRetryBudget.create({ ratio: 1, windowMs: 1000 }),
             targetAgents,
--- a/test/router/servicePool.test.ts
+++ b/test/router/servicePool.test.ts
@@ -43,6 +43,7 @@
         getTokensPerSecond: () => 0,
         getColdShare: () => undefined,
         mayBegin: () => true,
+        mayGoOn: () => true,
     });
     const services = [makeService("s"), makeService("other")];
     pool.applyConfiguration({
--- a/test/testing/router/rawTarget.ts
+++ b/test/testing/router/rawTarget.ts
@@ -12,18 +12,30 @@
 }
 
 const HEAD_END = "\r\n\r\n";
+const REPORT_REQUEST = "GET /report ";
 
 /** Target that answers with the bytes that a function writes, to play faults that an HTTP server cannot. */
 export class RawTarget {
     readonly #server: Server;
     readonly #requestIds: string[] = [];
+    readonly #sockets = new Set<Socket>();
+    #startedAtMs = Date.now();
+    /** False for a target whose reports do not name its start. */
+    namesStart = true;
 
     private constructor(serve: (request: RawRequest) => void) {
-        this.#server = createServer(socket => {
+        // As HTTP servers do: a kept connection would otherwise hold an event back until the one before is acknowledged.
+        this.#server = createServer({ noDelay: true }, socket => {
             socket.on("error", () => undefined);
+            this.#sockets.add(socket);
+            socket.on("close", () => this.#sockets.delete(socket));
             let previousId: string | undefined;
             socket.on("data", data => {
                 const text = data.toString();
+                if (text.startsWith(REPORT_REQUEST)) {
+                    this.#writeReport(socket);
+                    return;
+                }
                 const requestId = /request-id: (\S+)/i.exec(text)?.[1];
                 // A body may arrive apart from its head.
                 if (requestId === undefined || !text.includes(HEAD_END)) {
@@ -55,6 +67,7 @@
     /** Registers the target, as started now; a target that starts again under its identifier may have another version. */
     register(fleet: CooperativeFleet, id: string, service: "engine" | "plain", version: string): void {
         const { port } = this.#server.address() as AddressInfo;
+        this.#startedAtMs = Date.now();
         fleet.store.write(`servers/${id}`, {
             service,
             address: `127.0.0.1:${port}`,
@@ -64,10 +77,21 @@
             coldRemainingMs: 0,
             version,
             sequence: 1,
-            born: Date.now(),
+            born: this.#startedAtMs,
         });
     }
 
+    /** Ends as a crash does and starts again at once at its address, without registering. */
+    startAgain(): void {
+        this.#startedAtMs = Math.max(Date.now(), this.#startedAtMs + 1);
+        this.#sockets.forEach(socket => socket.resetAndDestroy());
+    }
+
+    #writeReport(socket: Socket): void {
+        const body = this.namesStart ? JSON.stringify({ stage: "mixed", born: this.#startedAtMs }) : "";
+        socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+    }
+
     /** Identifiers of the requests that have arrived. */
     get requestIds(): readonly string[] {
         return this.#requestIds;
--- a/test/testing/router/versionedEngines.ts
+++ b/test/testing/router/versionedEngines.ts
@@ -22,6 +22,9 @@
 /** Engines of several software versions, whose events name the version; a run can be broken off after some events. */
 export class VersionedEngines {
     readonly #fleet: CooperativeFleet;
+    readonly #targets = new Map<string, RawTarget>();
+    /** Version that each engine runs, by its identifier. */
+    readonly #versions = new Map<string, string>();
     /** Decides after how many events of a run its connection is reset; `undefined` if it is not. */
     getBreak: (request: RawRequest) => number | undefined = () => undefined;
 
@@ -49,13 +52,26 @@
 
     /** Starts and registers an engine, by default with the version that it has. */
     async add(id: string, version: string, registeredVersion = version): Promise<RawTarget> {
-        return RawTarget.create(
+        this.#versions.set(id, version);
+        const target = await RawTarget.create(
             this.#fleet,
             id,
             "engine",
-            request => void this.#serve(request, version),
+            request => void this.#serve(request, this.#versions.get(id) ?? version),
             registeredVersion,
         );
+        this.#targets.set(id, target);
+        return target;
+    }
+
+    /** Crashes an engine, which starts again under its identifier with a version, and has not registered yet. */
+    startAgain(id: string, version: string, namesStart = true): void {
+        const target = this.#targets.get(id);
+        this.#versions.set(id, version);
+        if (target) {
+            target.namesStart = namesStart;
+            target.startAgain();
+        }
     }
 
     /** Removes the registration of an engine, which goes on serving what it has begun. */
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -19,6 +19,7 @@
     limits: LimitGate = createLimiter(),
     notices = createTargetNotices(),
     mayBegin: (target: TargetDescriptor) => boolean = () => true,
+    mayGoOn: (target: TargetDescriptor) => boolean = () => true,
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -49,6 +50,7 @@
         getTokensPerSecond: () => tokensPerSecond,
         getColdShare,
         mayBegin,
+        mayGoOn,
     });
     return { scheduler, usage };
 }
