--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -196,7 +196,7 @@
     fail(attempt: ForwardAttempt, kind: FailureKind): void {
         const { target } = attempt.grant;
         this.#failedTargets.add(target.descriptor.id);
-        if (kind === "refused") {
+        if (kind === "refused" && attempt.isWritten) {
             this.#executions -= 1;
         }
         const hasRefused = kind === "refused" || kind === "doubtful";
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -3,7 +3,7 @@
 import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
 import { BufferedBody } from "./bufferedBody.js";
-import { buildOutgoingRequest } from "./buildOutgoingRequest.js";
+import { createTargetExchange } from "./createTargetExchange.js";
 import { findAnswerKind } from "./findAnswerKind.js";
 import type { ForwardAttemptOptions } from "./forwardAttemptOptions.js";
 import { recordStatements } from "./recordStatements.js";
@@ -19,7 +19,7 @@
 /** One attempt to serve a request at one target. */
 export class ForwardAttempt {
     readonly #options: ForwardAttemptOptions;
-    #exchange: TargetExchange | undefined;
+    #exchange: ReturnType<typeof createTargetExchange> | undefined;
     #head: ResponseHead | undefined;
     #status = 0;
     #firstEventAt: number | undefined;
@@ -115,11 +115,8 @@
 
     /** Sends the request, on a new connection each time the target has not taken one in time. */
     send(): void {
-        const { grant, agent, runGuarded } = this.#options;
-        this.#exchange = TargetExchange.create({
-            address: grant.target.descriptor.address,
-            agent,
-            outgoing: buildOutgoingRequest(this.#options),
+        const { runGuarded } = this.#options;
+        this.#exchange = createTargetExchange(this.#options, {
             onWritten: () => runGuarded(() => this.#onWritten()),
             onHead: head => runGuarded(() => this.#onHead(head)),
             onData: chunk => runGuarded(() => this.#onData(chunk)),
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -1,25 +1,8 @@
-import { type Agent, type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
+import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
 import { limitBytesBeforeHead } from "./limitBytesBeforeHead.js";
-import type { OutgoingRequest } from "./outgoingRequest.js";
 import { PausableSocket } from "./pausableSocket.js";
-
-interface TargetExchangeOptions {
-    /** host:port. */
-    readonly address: string;
-    readonly outgoing: OutgoingRequest;
-    readonly agent: Agent;
-    /** Called once the connection is there, before a byte of the request is written. */
-    readonly onWritten?: () => void;
-    readonly onHead: (response: IncomingMessage) => void;
-    readonly onData: (chunk: Buffer) => void;
-    readonly onEnd: () => void;
-    /**
-     * `isWritten` is false if no byte of the request can have reached the target. The reason is `CONNECT_TIMEOUT` if the target
-     * has not taken the connection in time; it may be sound and take the next one.
-     */
-    readonly onFail: (reason: string, isWritten: boolean) => void;
-}
+import type { TargetExchangeOptions } from "./targetExchangeOptions.js";
 
 /**
  * The longest round trip to a target takes a tenth of this. The operating system repeats a lost connection request only after
