--- a/test/platform/restartedTargets.test.ts
+++ b/test/platform/restartedTargets.test.ts
@@ -83,3 +83,19 @@
     const parts = await startAll(engines, 1);
     t.deepEqual(parts.flatMap(({ events }) => events), []);
 });
+
+test.serial("restarted targets: begins no stream at a target whose restart was found when a stream was taken up", async t => {
+    const fleet = await createRouterFleet(t, { instances: INSTANCES });
+    const engines = await VersionedEngines.create(fleet, { a0: "A", b0: "B" });
+    engines.getBreak = () => EVENTS / 3;
+    const broken = (await Promise.all(Array.from({ length: STREAMS }, () => engines.start(0))))
+        .filter(({ events }) => events[0]?.[1] === "A");
+    engines.getBreak = () => undefined;
+    engines.remove("b0");
+    engines.startAgain("a0", "B2");
+    await new Promise(resolve => setTimeout(resolve, LIST_MS));
+    await Promise.all(broken.map(first => engines.resume(1, first, first)));
+    const part = await engines.start(1);
+    t.true(broken.length > 0);
+    t.deepEqual(part.events, []);
+});
