Soak: streams whose identifiers step by more than 1, and unevenly

Stand-in targets number the events of a stream as the last part of its path says (counted, stepped by 6, uneven); the soak's callers take these in turn. The order check compares the number of each event in its data and, as before, its identifier with it.

--- a/src/soak/observedRequest.ts
+++ b/src/soak/observedRequest.ts
@@ -2,6 +2,7 @@
 export interface ObservedRequest {
     readonly requestId: string;
     readonly route: "stream" | "once" | "safe" | "unsafe";
+    readonly path: string;
     /** Host of the instance that got the request. */
     readonly host: string;
     readonly sentAt: number;
@@ -10,6 +11,6 @@
     readonly deadline: number;
     /** True if the caller's own connection broke before the end of the response. */
     readonly isBrokenByCaller: boolean;
-    /** First attempt of the stream that the request takes up, and the last event that its caller has. */
-    readonly resumed?: { readonly streamId: string; readonly lastEventId: number; };
+    /** First attempt of the stream that the request takes up, and the number of the last event that its caller has. */
+    readonly resumed?: { readonly streamId: string; readonly lastEvent: number; };
 }
--- a/src/soak/sendSoakRequest.ts
+++ b/src/soak/sendSoakRequest.ts
@@ -1,4 +1,5 @@
 import { Agent } from "node:http";
+import { computeEventId } from "../standIns/platform/cooperative/computeEventId.js";
 import { buildCallerHeaders } from "../testing/platform/buildCallerHeaders.js";
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import { sendCaller } from "../testing/sendCaller.js";
@@ -21,6 +22,8 @@
 const MAX_ATTEMPTS = 4;
 /** Number of distinct shared prompt prefixes; they repeat, so that prefix-cache affinity matters. */
 const SHARED_PREFIXES = 5;
+/** How the identifiers of a stream's events increase, in turn. */
+const NUMBERINGS = ["counted", "stepped", "uneven"] as const;
 const DEFAULT_RETRY_MS = 50;
 /** Callers do not repeat a request after these statuses. */
 const FINAL_STATUSES: readonly number[] = [400, 401, 404, 413, 431];
@@ -37,6 +40,7 @@
     { requestId, route, turn, agent, breakAfter }: SoakRequest,
 ): Promise<boolean> {
     const isStream = route === "stream" || route === "once";
+    const path = `/${route}/${NUMBERINGS[turn % NUMBERINGS.length]}`;
     const deadline = performance.now() + CALLER_TIMEOUT_MS;
     let resumed: (NonNullable<ObservedRequest["resumed"]> & { readonly resumes: string; }) | undefined;
     for (let attempt = 0; attempt < MAX_ATTEMPTS && performance.now() < deadline; attempt += 1) {
@@ -52,11 +56,14 @@
             ...(isStream
                 ? { engine: { key: fleet.key, sharedPart: `s${turn % SHARED_PREFIXES}`, ownPart: requestId } }
                 : {}),
-            resumed: resumed && { lastEventId: resumed.lastEventId, streamId: resumed.resumes },
+            resumed: resumed && {
+                lastEventId: computeEventId(path, resumed.lastEvent),
+                streamId: resumed.resumes,
+            },
         });
         let isBrokenByCaller = false;
         const ownAgent = new Agent();
-        const result = await sendCaller(`${fleet.getUrls(instance).callers}/${route}/x`, {
+        const result = await sendCaller(`${fleet.getUrls(instance).callers}${path}`, {
             method: "POST",
             agent: attempt === 0 ? agent : ownAgent,
             body: "question",
@@ -71,6 +78,7 @@
         observer.record({
             requestId: attemptId,
             route,
+            path,
             host: instance.host,
             sentAt,
             endedAt: performance.now(),
@@ -89,7 +97,7 @@
             resumed = {
                 streamId: resumed?.streamId ?? attemptId,
                 resumes: resumed?.resumes ?? attemptId,
-                lastEventId: lastEvent.id,
+                lastEvent: lastEvent.number,
             };
         }
         const retryAfterMs = Number(result.headers["retry-after"] ?? 0) * 1000 || DEFAULT_RETRY_MS;
--- a/src/soak/streamOrderCheck.ts
+++ b/src/soak/streamOrderCheck.ts
@@ -1,3 +1,4 @@
+import { computeEventId } from "../standIns/platform/cooperative/computeEventId.js";
 import type { ObservedRequest } from "./observedRequest.js";
 import { parseEvents } from "./parseEvents.js";
 import type { SoakViolation } from "./soakViolation.js";
@@ -32,31 +33,35 @@
      * an instance, whether a response without events says truly that the stream is complete.
      */
     record(
-        { requestId, resumed }: ObservedRequest,
+        { requestId, path, resumed }: ObservedRequest,
         body: string,
         isWhole: boolean,
         isSpoilt: boolean,
     ): number {
         const streamId = resumed?.streamId ?? requestId;
-        const lastEventId = resumed?.lastEventId ?? 0;
+        const lastEvent = resumed?.lastEvent ?? 0;
         const events = parseEvents(body);
         const versions = new Set<string>();
         events.forEach((event, i) => {
-            if (event.id !== lastEventId + i + 1 || event.requestId !== requestId) {
+            const number = lastEvent + i + 1;
+            const isNext = event.number === number && event.id === computeEventId(path, number);
+            if (!isNext || event.requestId !== requestId) {
                 const text = event.text.replaceAll("\n", " ");
-                this.#add(`${requestId}: event ${lastEventId + i + 1} is "${text}"`);
+                this.#add(`${requestId}: event ${number} is "${text}"`);
             }
             const version = event.version ?? "";
             const expected = this.#versions.get(streamId) ?? version;
             this.#versions.set(streamId, expected);
             if (version !== expected && !versions.has(version)) {
                 versions.add(version);
-                this.#add(`${requestId}: event ${event.id} is by ${version}, ${expected} began ${streamId}`);
+                this.#add(
+                    `${requestId}: event ${event.number} is by ${version}, ${expected} began ${streamId}`,
+                );
             }
         });
         const isEmptyRest = resumed !== undefined && isSpoilt && events.length === 0;
-        if (isWhole && !isEmptyRest && lastEventId + events.length !== EVENTS_PER_STREAM) {
-            this.#add(`${requestId}: complete after ${events.length} events from ${lastEventId + 1} on`);
+        if (isWhole && !isEmptyRest && lastEvent + events.length !== EVENTS_PER_STREAM) {
+            this.#add(`${requestId}: complete after ${events.length} events from ${lastEvent + 1} on`);
         }
         return events.length;
     }
--- a/src/standIns/platform/cooperative/cooperativeExchange.ts
+++ b/src/standIns/platform/cooperative/cooperativeExchange.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { computeEventId } from "./computeEventId.js";
 import type { Silence } from "./silence.js";
 import type { TargetFault } from "./targetFault.js";
 import type { TargetPace } from "./targetPace.js";
@@ -16,7 +17,7 @@
 }
 
 interface StreamOptions {
-    /** Identifier of the last event that the caller has; 0 for a new stream. */
+    /** Number of the last event that the caller has; 0 for a new stream. */
     readonly lastEventId: number;
     /** Number of events of the whole stream. */
     readonly events: number;
@@ -109,13 +110,14 @@
             if (response.destroyed) {
                 return;
             }
+            const id = computeEventId(request.url ?? "/", event);
             if (event > events / 2 && (fault === "cut" || fault === "unframed")) {
-                response.write(`id: ${event}\ndata: ${requestId}`);
+                response.write(`id: ${id}\ndata: ${requestId}`);
                 request.socket.end();
                 return;
             }
             const suffix = version === undefined ? "" : ` ${version}`;
-            response.write(`id: ${event}\ndata: ${responseId} ${event}${suffix}\n\n`);
+            response.write(`id: ${id}\ndata: ${responseId} ${event}${suffix}\n\n`);
         }
         response.end();
     }
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { computeEventId } from "./computeEventId.js";
 import { CooperativeExchange } from "./cooperativeExchange.js";
 import { Silence } from "./silence.js";
 import type { TargetArrival } from "./targetArrival.js";
@@ -224,9 +225,9 @@
             await exchange.sendStatus(503, { ...identifier, "Not-Executed": "1" });
             return;
         }
-        const lastEventId = Number(headers["last-event-id"] ?? 0);
         const body = Buffer.concat(chunks).toString();
         const path = request.url ?? "/";
+        const lastEventId = findEvent(path, Number(headers["last-event-id"] ?? 0), events);
         const version = this.version;
         const arrival = { requestId, path, headers, body, lastEventId, version, at: performance.now() };
         this.#arrivals.push(arrival);
@@ -259,3 +260,9 @@
             }));
     }
 }
+
+/** Returns which event of a stream has an identifier; 0 if there is none. */
+function findEvent(path: string, id: number, events: number): number {
+    return Array.from({ length: events }, (_, i) => i + 1).find(event => computeEventId(path, event) === id)
+        ?? 0;
+}
--- a/src/standIns/platform/cooperative/targetArrival.ts
+++ b/src/standIns/platform/cooperative/targetArrival.ts
@@ -6,6 +6,7 @@
     readonly path: string;
     readonly headers: IncomingMessage["headers"];
     readonly body: string;
+    /** Number of the last event that the caller has; 0 for a new stream. */
     readonly lastEventId: number;
     /** Software version of the target at the start of the request. */
     readonly version: string;
