Answer open requests before the process ends because of errors

More than 50 uncaught errors within 10 s ended the process and closed the connections of all open requests without an answer.

Cause: onFatal in main.ts ended the process as soon as the log was written. Open requests now end as at the end of a planned stop: 503 if no target can have run them, 502 otherwise, a stream that has begun is cut. New requests are refused meanwhile. Found by reading, not seen in operation.

Evidence: endAfterErrors.test (a router process in which 60 errors are thrown) got no answer to either request with the call switched off, and gets 502 for both.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -4,6 +4,7 @@
 import { LogSink } from "../router/logSink.js";
 import { Router } from "../router/router.js";
 import { RouterMetrics } from "../router/routerMetrics.js";
+import { createErrorEnd } from "./createErrorEnd.js";
 import { LookupServer } from "./lookupServer.js";
 import { parseSettings } from "./parseSettings.js";
 import { platformWireFormat } from "./platformWireFormat.js";
@@ -23,13 +24,15 @@
     const getTimeOfDay = (): number => Date.now();
     const store = StoreSource.create({ address: settings.storeAddress, getNow, getTimeOfDay });
     const metrics = RouterMetrics.create();
+    let endRequests = (): Promise<void> => Promise.resolve();
     const errorBoundary = ErrorBoundary.create({
         log,
         onError: () => metrics.countInternalError(),
-        onFatal: () => {
-            log.write("stopped", { reason: "too-many-errors" });
-            void log.close().then(() => process.exit(INTERNAL_ERROR_EXIT_CODE));
-        },
+        onFatal: createErrorEnd({
+            log,
+            endRequests: () => endRequests(),
+            exit: () => process.exit(INTERNAL_ERROR_EXIT_CODE),
+        }),
         getNow,
     });
     process.on("uncaughtException", error => errorBoundary.recordUncaught("process", error));
@@ -41,6 +44,7 @@
         metrics,
         errorBoundary,
     });
+    endRequests = () => router.endRequests();
     const lookup = await LookupServer.create({
         directoryAddress: settings.directoryAddress,
         readinessAddress: settings.readinessAddress,
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -150,6 +150,12 @@
         return this.#stopped ??= this.#finishRequests();
     }
 
+    /** Ends all requests at once, as at the end of a stop, because the process cannot be relied on any more. */
+    async endRequests(): Promise<void> {
+        this.#stopPlan = planStop(this.#getNow(), 0);
+        await endOpenRequests(this.#activeRequests, this.#ingress, this.#getNow);
+    }
+
     /** Notifies peers, lets callers move to other instances, finishes active requests and closes everything. */
     async #finishRequests(): Promise<void> {
         const { log, settings } = this.#options;
