Refuse a request whose body is not complete at its deadline

A request whose body stalled stayed open until its caller left, and what had been read counted towards the memory limit. It was never answered.

Cause: only heads and idle connections had time limits. Callers wait until Deadline-Ms or the time-out of the route, so the deadline of the request ends the reading, too: 408, which promises that it has not run, last on its connection and after the answers that are due before it.

Evidence: "body that stalls: ..." (ingressEnds.test) stayed open with the check switched off, and passes.

--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -77,8 +77,10 @@
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
         this.#bodies = BodyReader.create({
             maxBufferedBytes: options.maxBufferedBytes,
+            getNow: options.getNow,
             getMaxBodyBytes: () => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
             onTooLarge: (response, cause) => this.#refuse(response, cause, cause, RETRY_AFTER_MS),
+            onLate: response => this.#refuse(response, "read-too-late", "read-too-late", undefined),
             runGuarded: (response, handler) => this.#runGuarded(response, handler),
         });
         this.#connections = CallerConnections.create({
@@ -208,7 +210,7 @@
             this.#refuse(response, status, reason, retryAfterMs, account);
             return;
         }
-        this.#bodies.read(incoming, response, body => {
+        this.#bodies.read(incoming, response, resolved.request.deadline, body => {
             const fingerprint = RequestFingerprint.create({
                 method: incoming.method ?? "",
                 host: head.host,
--- a/test/router/ingressEnds.test.ts
+++ b/test/router/ingressEnds.test.ts
@@ -4,10 +4,12 @@
 import type { LogSink } from "../../src/router/logSink.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
 import { createIngress } from "../testing/router/createIngress.js";
+import { makeRoutedRequest } from "../testing/scheduler/makeRoutedRequest.js";
 
 const REQUEST = "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 1\r\n\r\nx";
 const GARBAGE = "\0\0 no request\r\n\r\n";
 const ANSWER_MS = 200;
+const PATIENCE_MS = 3000;
 
 async function readAll(socket: Socket): Promise<string> {
     let received = "";
@@ -49,6 +51,30 @@
     t.regex(await readAll(socket), /^HTTP\/1\.1 503 .*Retry-After: /s);
 });
 
+// The request stayed open until its caller left, and counted towards the memory limit with what had been read.
+test("body that stalls: refuses the request at its deadline, as not executed, after the answers that are due", async t => {
+    const { port, ingress } = await createIngress(t, ({ response }) => {
+        setTimeout(() => response.end("answer"), 2 * ANSWER_MS);
+    }, {
+        resolve: ({ requestId }, _path, receivedAt) => ({
+            kind: "accepted",
+            request: {
+                ...makeRoutedRequest(),
+                receivedAt,
+                deadline: receivedAt + (requestId === "late" ? ANSWER_MS : PATIENCE_MS),
+            },
+        }),
+    });
+    const socket = connect(port, "127.0.0.1");
+    socket.write(REQUEST + REQUEST.replace("Id: r", "Id: late").slice(0, -1));
+    const received = await Promise.race([
+        readAll(socket),
+        new Promise<string>(resolve => setTimeout(() => resolve("open"), PATIENCE_MS)),
+    ]);
+    t.regex(received, /^HTTP\/1\.1 200 .*answer.*HTTP\/1\.1 408 .*Connection: close/s);
+    t.is(ingress.openRequests, 0);
+});
+
 // Only refusals by the headers were counted, and nothing told of a caller that left while its request was read.
 test("counts each refusal, and logs a caller that leaves before its request has been read", async t => {
     const reasons: string[] = [];
