Exclude the target of a run that was set aside from further targets

Callers' streams got up to three runs, two of them at one target, and lost the run that could have gone on.

Cause: a run that was set aside stays until the next one is written. If the next target accepted no connection, a further target was looked for after 400 ms, and the target of the run that was set aside was not excluded: it got the stream again, which ended its first run and used up an execution and the retry budget.

AttemptRunner.listUsedTargets now includes the run that was set aside.

--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -77,12 +77,10 @@
         return this.#failedTargets;
     }
 
-    /** Identifiers of these and of the targets that are serving the request. */
+    /** Identifiers of these and of the targets that are serving the request, also in a run that was set aside. */
     listUsedTargets(): ReadonlySet<string> {
-        return new Set([
-            ...this.#failedTargets,
-            ...this.running.map(({ grant }) => grant.target.descriptor.id),
-        ]);
+        const serving = this.#listOpen().map(({ grant }) => grant.target.descriptor.id);
+        return new Set([...this.#failedTargets, ...serving]);
     }
 
     /** Number of attempts that a target may have executed. */
@@ -211,10 +209,15 @@
 
     /** Stops the attempts in progress without a word on their targets. Returns them. */
     abort(): readonly ForwardAttempt[] {
-        const running = [...this.running, ...this.#suspended ? [this.#suspended.attempt] : []];
+        const open = this.#listOpen();
         this.#suspended = undefined;
-        running.forEach(attempt => this.#withdraw(attempt));
-        return running;
+        open.forEach(attempt => this.#withdraw(attempt));
+        return open;
+    }
+
+    /** Lists the attempts in progress and the one that was set aside. */
+    #listOpen(): readonly ForwardAttempt[] {
+        return [...this.running, ...this.#suspended ? [this.#suspended.attempt] : []];
     }
 
     /** Of several connections that are being made, the first one that is there is used. */
--- a/test/platform/unacceptingTargets.test.ts
+++ b/test/platform/unacceptingTargets.test.ts
@@ -95,7 +95,7 @@
     t.deepEqual(outcomes, outcomes.map(() => "200 complete"));
 });
 
-// The silent run was ended before the target in its place had taken the connection.
+// The silent run was ended before the target in its place had taken the connection, or its target got the stream once more.
 test.serial("goes on with a silent run of a stream while the next target accepts no connection", async t => {
     const { fleet } = await createUnacceptingFleet(t, "engine", 1);
     const silence = SharedSilence.create(SILENT_RUN_MS);
@@ -114,8 +114,9 @@
     t.teardown(() => silent.close());
     await waitUntil("the target is known", () => fleet.store.isFollowed);
     await new Promise(resolve => setTimeout(resolve, 300));
-    const { outcomes } = await sendAll(fleet, "/stream/x");
+    const { ids, outcomes } = await sendAll(fleet, "/stream/x");
     t.deepEqual(outcomes, outcomes.map(() => "200 complete"));
+    t.deepEqual([...silent.requestIds].sort(), ids);
 });
 
 // Nothing was written, so that the caller may send the request again.
