Soak: name the runs behind a violation, and why a process did not start

The subject of a violation is a field of its own now, and its text ends with the runs of the request. A router process that ends before it listens is reported with the last line that it wrote to standard error (start-failed and its reason); it was discarded before.

--- a/src/soak/findLostRequests.ts
+++ b/src/soak/findLostRequests.ts
@@ -43,14 +43,13 @@
             const isLate = sentAt > stop.from + EARLY_MS;
             const isLost = isPassedOn && (isLate || endedAt < stop.from + stopTimeoutMs * STOP_SHARE);
             const sentMs = (sentAt - stop.from).toFixed(0);
-            const text =
-                `${requestId}: cut after ${elapsedMs} ms by a planned stop, sent ${sentMs} ms after its signal`;
-            return isLost ? [{ rule: "lost-request" as const, text }] : [];
+            const text = `cut after ${elapsedMs} ms by a planned stop, sent ${sentMs} ms after its signal`;
+            return isLost ? [{ rule: "lost-request" as const, subject: requestId, text }] : [];
         }
         if (status !== 0 || !isPassedOn && endedAt < sentAt + CROSSING_MS) {
             return [];
         }
-        const text = `${requestId}: closed without an answer after ${elapsedMs} ms`;
-        return [{ rule: "lost-request" as const, text }];
+        const text = `closed without an answer after ${elapsedMs} ms`;
+        return [{ rule: "lost-request" as const, subject: requestId, text }];
     });
 }
--- a/src/soak/resumptionCheck.ts
+++ b/src/soak/resumptionCheck.ts
@@ -56,10 +56,9 @@
         if (resumed.total < MIN_RESUMPTIONS || begun.total === 0) {
             return [];
         }
-        const text =
-            `${resumed.served} of ${resumed.total} streams went on, ${begun.served} of ${begun.total} began`;
+        const text = `${resumed.served} of ${resumed.total} went on, ${begun.served} of ${begun.total} began`;
         return resumed.served / resumed.total < begun.served / begun.total / 2
-            ? [{ rule: "lost-request", text }]
+            ? [{ rule: "lost-request", subject: "streams", text }]
             : [];
     }
 
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -3,6 +3,7 @@
 import { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
 import { createFaultSource } from "./createFaultSource.js";
+import { describeRuns } from "./describeRuns.js";
 import { runCalmResumptions } from "./runCalmResumptions.js";
 import { runCalmSilence } from "./runCalmSilence.js";
 import { sendSoakRequest } from "./sendSoakRequest.js";
@@ -17,6 +18,12 @@
     readonly callers: number;
 }
 
+interface DescribedViolation {
+    readonly rule: SoakViolation["rule"];
+    /** What was seen of which request, and the runs of the request at targets. */
+    readonly text: string;
+}
+
 interface SoakResult {
     readonly seed: number;
     readonly sent: number;
@@ -27,7 +34,7 @@
     readonly crashes: number;
     /** Streams that callers took up at calm instances while two targets of their version served. */
     readonly resumptions: number;
-    readonly violations: readonly SoakViolation[];
+    readonly violations: readonly DescribedViolation[];
 }
 
 const ROUTES = ["stream", "once", "safe", "unsafe"] as const;
@@ -98,10 +105,10 @@
             violations: [
                 ...observer.violations,
                 ...(servedAfter < RECOVERY_REQUESTS / 4
-                    ? [createOther(`only ${servedAfter} requests served after the faults`)]
+                    ? [createOther("requests", `only ${servedAfter} served after the faults`)]
                     : []),
-                ...ended.map(({ host }) => createOther(`${host}: the process ended by itself`)),
-            ],
+                ...ended.map(({ host }) => createOther(host, "the process ended by itself")),
+            ].map(violation => describeViolation(fleet, violation)),
         };
     }
     finally {
@@ -109,8 +116,16 @@
     }
 }
 
-function createOther(text: string): SoakViolation {
-    return { rule: "other", text };
+function createOther(subject: string, text: string): SoakViolation {
+    return { rule: "other", subject, text };
+}
+
+function describeViolation(
+    fleet: CooperativeFleet,
+    { rule, subject, text }: SoakViolation,
+): DescribedViolation {
+    const runs = describeRuns(fleet, subject);
+    return { rule, text: `${subject}: ${text}${runs ? ` [${runs}]` : ""}` };
 }
 
 /** Sends requests one after another over keep-alive connections until the deadline. */
--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -99,10 +99,10 @@
         for (const requestId of this.#nonRepeatable) {
             const count = runs.get(requestId) ?? 0;
             if (count > 1) {
-                this.#add(`${requestId}: ran ${count} times though it must run once`);
+                this.#add(requestId, `ran ${count} times though it must run once`);
             }
             if (count > 0 && this.#refused.has(requestId)) {
-                this.#add(`${requestId}: ran though its refusal says that it did not`);
+                this.#add(requestId, `ran though its refusal says that it did not`);
             }
         }
         this.#checkKeys(fleet, new Set(runs.keys()));
@@ -120,7 +120,7 @@
             const late = arrivals.filter(arrival => arrival.body === body && arrival.at > boundFrom).length;
             const allowed = MAX_LATE_RUNS + instanceStarts.filter(at => at > boundFrom - CONTACT_MS).length;
             if (late > allowed) {
-                this.#add(`${body}: reached targets ${late} times more, ${allowed} allowed`);
+                this.#add(body, `reached targets ${late} times more, ${allowed} allowed`);
             }
         }
     }
@@ -133,7 +133,7 @@
             const allowed = 1.5 * perSecond * LIMIT_WINDOW_MS / 1000 + 5;
             const most = countMostWithin(times, LIMIT_WINDOW_MS);
             if (most > allowed) {
-                this.#add(`${target.id}: got ${most} requests in 4 s, ${allowed} allowed`);
+                this.#add(target.id, `got ${most} requests in 4 s, ${allowed} allowed`);
             }
         }
     }
@@ -145,14 +145,14 @@
                 sentAt > from + revocationMs && endedAt < until
             );
             if (isRevoked && ran.has(requestId)) {
-                this.#add(`${requestId}: ran with a revoked key`);
+                this.#add(requestId, `ran with a revoked key`);
             }
         }
         for (const { requestId, sentAt, endedAt, status } of this.#denied) {
             const isAllowed = status === 401 && this.#withKey.has(requestId)
                 && revocations.some(({ from, until }) => endedAt > from && sentAt < until + revocationMs);
             if (!isAllowed) {
-                this.#add(`${requestId}: denied with ${status} though it is allowed`);
+                this.#add(requestId, `denied with ${status} though it is allowed`);
             }
         }
     }
@@ -162,7 +162,7 @@
         const isWhole = result.status === 200 && result.isWhole;
         if (route === "safe" || route === "unsafe") {
             if (isWhole && result.body !== `answer to ${requestId}`) {
-                this.#add(`${requestId}: got "${result.body}"`);
+                this.#add(requestId, `got "${result.body}"`);
             }
             return;
         }
@@ -176,7 +176,7 @@
         }
     }
 
-    #add(text: string): void {
-        this.#violations.push({ rule: "other", text });
+    #add(subject: string, text: string): void {
+        this.#violations.push({ rule: "other", subject, text });
     }
 }
--- a/src/soak/streamOrderCheck.ts
+++ b/src/soak/streamOrderCheck.ts
@@ -44,24 +44,24 @@
         events.forEach((event, i) => {
             if (event.id !== lastEventId + i + 1 || event.requestId !== requestId) {
                 const text = event.text.replaceAll("\n", " ");
-                this.#add(`${requestId}: event ${lastEventId + i + 1} is "${text}"`);
+                this.#add(requestId, `event ${lastEventId + i + 1} is "${text}"`);
             }
             const version = event.version ?? "";
             const expected = this.#versions.get(streamId) ?? version;
             this.#versions.set(streamId, expected);
             if (version !== expected && !versions.has(version)) {
                 versions.add(version);
-                this.#add(`${requestId}: event ${event.id} is by ${version}, ${expected} began ${streamId}`);
+                this.#add(requestId, `event ${event.id} is by ${version}, ${expected} began ${streamId}`);
             }
         });
         const isEmptyRest = resumed !== undefined && isSpoilt && events.length === 0;
         if (isWhole && !isEmptyRest && lastEventId + events.length !== EVENTS_PER_STREAM) {
-            this.#add(`${requestId}: complete after ${events.length} events from ${lastEventId + 1} on`);
+            this.#add(requestId, `complete after ${events.length} events from ${lastEventId + 1} on`);
         }
         return events.length;
     }
 
-    #add(text: string): void {
-        this.#violations.push({ rule: "stream-order", text });
+    #add(requestId: string, text: string): void {
+        this.#violations.push({ rule: "stream-order", subject: requestId, text });
     }
 }
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -218,7 +218,16 @@
         const body = Buffer.concat(chunks).toString();
         const path = request.url ?? "/";
         const version = this.version;
-        const arrival = { requestId, path, headers, body, lastEventId, version, at: performance.now() };
+        const arrival = {
+            requestId,
+            path,
+            headers,
+            body,
+            lastEventId,
+            version,
+            fault,
+            at: performance.now(),
+        };
         this.#arrivals.push(arrival);
         this.#running.add(requestId);
         response.on("close", () => this.#running.delete(requestId));
--- a/src/standIns/platform/cooperative/targetArrival.ts
+++ b/src/standIns/platform/cooperative/targetArrival.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { TargetFault } from "./targetFault.js";
 
 /** Request that a stand-in of the cooperative's targets has run. */
 export interface TargetArrival {
@@ -9,6 +10,7 @@
     readonly lastEventId: number;
     /** Software version of the target at the start of the request. */
     readonly version: string;
+    readonly fault: TargetFault;
     /** Monotonic time in milliseconds. */
     readonly at: number;
 }
--- a/src/testing/childProcess.ts
+++ b/src/testing/childProcess.ts
@@ -1,6 +1,6 @@
 import { type ChildProcess as NodeChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { openSync } from "node:fs";
+import { openSync, readFileSync } from "node:fs";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 
@@ -32,7 +32,7 @@
      * Starts a compiled module and waits until it listens.
      *
      * @param module URL of the compiled module.
-     * @throws Error when the process exits before it listens.
+     * @throws Error when the process exits before it listens; it names the last line of the log, if there is one.
      */
     static async create(
         module: URL,
@@ -46,7 +46,10 @@
         trackChild(child);
         const lines = createInterface({ input: child.stdout as NodeJS.ReadableStream });
         const exited = once(child, "exit").then(([code]) => {
-            throw new Error(`${path} exited with code ${String(code)} before it listened.`);
+            const reason = options.logPath ? readLastLine(options.logPath) : "";
+            throw new Error(
+                `${path} exited with code ${String(code)} before it listened. ${reason}`.trimEnd(),
+            );
         });
         const line = await Promise.race([once(lines, "line").then(([text]) => String(text)), exited]);
         exited.catch(() => undefined);
@@ -85,6 +88,10 @@
     }
 }
 
+function readLastLine(path: string): string {
+    return readFileSync(path, "utf8").trimEnd().split("\n").at(-1) ?? "";
+}
+
 function trackChild(child: NodeChildProcess): void {
     if (runningChildren.size === 0 && process.listenerCount("SIGINT", killAndExit) === 0) {
         process.on("exit", killChildren);
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -8,20 +8,12 @@
 import { buildRouterSettings } from "./buildRouterSettings.js";
 import type { CooperativeFleetOptions } from "./cooperativeFleetOptions.js";
 import { findPorts } from "./findPorts.js";
+import type { FleetInstance } from "./fleetInstance.js";
 import type { FleetTarget } from "./fleetTarget.js";
 import { FleetTargetGroup } from "./fleetTargetGroup.js";
 import { getLoopbackHost } from "./getLoopbackHost.js";
 import { Impairments } from "./impairments.js";
 
-interface FleetInstance {
-    readonly host: string;
-    readonly settingsPath: string;
-    process: ChildProcess;
-    isStarting: boolean;
-    /** Functions that end the recorded impairments of the instance, once it runs again. */
-    readonly endImpairments: (() => void)[];
-}
-
 /** Period in which the callers' key was revoked, in monotonic milliseconds; `until` is infinite while it lasts. */
 interface Revocation {
     readonly from: number;
@@ -82,8 +74,14 @@
             const host = getLoopbackHost(i);
             const settingsPath = join(directory, `${host}.json`);
             await writeFile(settingsPath, JSON.stringify(fleet.#buildSettings(host)));
-            const process = await ChildProcess.create(MAIN, [settingsPath]);
-            fleet.instances.push({ host, settingsPath, process, isStarting: false, endImpairments: [] });
+            const process = await startProcess(settingsPath);
+            fleet.instances.push({
+                host,
+                settingsPath,
+                process,
+                isStarting: false,
+                endImpairments: [],
+            });
             fleet.impairments.mark(host);
         }
         return fleet;
@@ -207,7 +205,7 @@
     async startInstance(instance: FleetInstance): Promise<void> {
         instance.isStarting = true;
         try {
-            instance.process = await ChildProcess.create(MAIN, [instance.settingsPath]);
+            instance.process = await startProcess(instance.settingsPath);
         }
         finally {
             instance.isStarting = false;
@@ -268,3 +266,8 @@
         });
     }
 }
+
+/** The error of a process that does not start names the last line that it wrote to standard error. */
+function startProcess(settingsPath: string): Promise<ChildProcess> {
+    return ChildProcess.create(MAIN, [settingsPath], { logPath: `${settingsPath}.log` });
+}
--- a/src/testing/platform/fleetTargetGroup.ts
+++ b/src/testing/platform/fleetTargetGroup.ts
@@ -15,6 +15,7 @@
 
 /** Crash of a target on a request with a body, at a monotonic time in milliseconds. */
 interface TargetCrash {
+    readonly targetId: string;
     readonly body: string;
     readonly at: number;
 }
@@ -152,7 +153,7 @@
         if (!entry) {
             return;
         }
-        this.#crashes.push({ body, at: performance.now() });
+        this.#crashes.push({ targetId: target.id, body, at: performance.now() });
         this.#options.impairments.mark(target.id);
         entry.link.close();
         setTimeout(() => {
