Soak: targets silent within a response beside changes, signals and stops in series

The soak's silent targets held back whole heads and events only, and nothing tied them to a change.

- A link can hold what follows a number of bytes from the target on each connection, so that a target falls silent before, in or after the head, in the body or before the last chunk, for 1.15 s; the configuration changes 5 or 200 ms later; one target or all.
Streams of the stand-in also wait before their end.
- SIGHUP and changes come in series; planned stops overlap, with a second signal and a change while they run.
- A begun answer that ends early without a fault that explains it counts as lost; only those without any byte did before.
- Every result has the number of requests without an answer or a refusal, also of those that a fault explains.
- Streams may have any increasing event identifiers; checks go by the position of an event.

Streams can be compared by phases of a run, for a restart of all instances at once that follows.

The test of the held bytes and the one of the reason for a missing start are new.

--- a/src/soak/findLostRequests.ts
+++ b/src/soak/findLostRequests.ts
@@ -15,9 +15,9 @@
 const STOP_SHARE = 5 / 6;
 
 /**
- * Finds requests that an instance had read and whose connections it closed without an answer, although the instance and
- * the links were sound, no target broke the response off and the caller still waited. A planned stop must not cut the
- * responses of requests that were passed on, either.
+ * Finds requests that an instance had read and whose connections it closed without a whole answer, although the instance
+ * and the links were sound, no target broke the response off and the caller still waited. A planned stop must not cut
+ * the responses of requests that were passed on, either.
  */
 export function findLostRequests(
     fleet: CooperativeFleet,
@@ -46,10 +46,12 @@
             const text = `cut after ${elapsedMs} ms by a planned stop, sent ${sentMs} ms after its signal`;
             return isLost ? [{ rule: "lost-request" as const, subject: requestId, text }] : [];
         }
-        if (status !== 0 || !isPassedOn && endedAt < sentAt + CROSSING_MS) {
+        if (!isPassedOn && endedAt < sentAt + CROSSING_MS) {
             return [];
         }
-        const text = `closed without an answer after ${elapsedMs} ms`;
+        const text = status === 0
+            ? `closed without an answer after ${elapsedMs} ms`
+            : `answer cut after ${elapsedMs} ms`;
         return [{ rule: "lost-request" as const, subject: requestId, text }];
     });
 }
--- a/src/soak/observedRequest.ts
+++ b/src/soak/observedRequest.ts
@@ -11,5 +11,8 @@
     /** True if the caller's own connection broke before the end of the response. */
     readonly isBrokenByCaller: boolean;
     /** First attempt of the stream that the request takes up, and the last event that its caller has. */
-    readonly resumed?: { readonly streamId: string; readonly lastEventId: number; };
+    readonly resumed?: {
+        readonly streamId: string; /** Number of the event, from 1 on. */
+        readonly lastEvent: number;
+    };
 }
--- a/src/soak/resumptionCheck.ts
+++ b/src/soak/resumptionCheck.ts
@@ -15,16 +15,18 @@
 /** Compares how many streams go on after callers have taken them up with how many new streams begin. */
 export class ResumptionCheck {
     readonly #fleet: CooperativeFleet;
+    readonly #rule: SoakViolation["rule"];
     #begun = NONE;
     #resumed = NONE;
 
-    private constructor(fleet: CooperativeFleet) {
+    private constructor(fleet: CooperativeFleet, rule: SoakViolation["rule"]) {
         this.#fleet = fleet;
+        this.#rule = rule;
     }
 
-    /** Creates a check that has counted nothing. */
-    static create(fleet: CooperativeFleet): ResumptionCheck {
-        return new ResumptionCheck(fleet);
+    /** Creates a check that has counted nothing and reports violations of a rule. */
+    static create(fleet: CooperativeFleet, rule: SoakViolation["rule"]): ResumptionCheck {
+        return new ResumptionCheck(fleet, rule);
     }
 
     /** Streams that were taken up at calm instances while two targets of their version served. */
@@ -58,7 +60,7 @@
         }
         const text = `${resumed.served} of ${resumed.total} went on, ${begun.served} of ${begun.total} began`;
         return resumed.served / resumed.total < begun.served / begun.total / 2
-            ? [{ rule: "lost-request", subject: "streams", text }]
+            ? [{ rule: this.#rule, subject: "streams", text }]
             : [];
     }
 
--- a/src/soak/runCalmSilence.ts
+++ b/src/soak/runCalmSilence.ts
@@ -27,5 +27,6 @@
                 sendSoakRequest(fleet, observer, { requestId: `u${i}`, route: "stream", turn: i, agent }),
         ),
     );
+    others.forEach(entry => fleet.setRegistration(entry, "ready"));
     agent.destroy();
 }
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -29,6 +29,8 @@
     readonly sent: number;
     readonly served: number;
     readonly servedAfter: number;
+    /** Requests without an answer or a refusal, also those that an injected fault explains. */
+    readonly unanswered: number;
     readonly faults: readonly string[];
     /** Targets that crashed on requests. */
     readonly crashes: number;
@@ -99,6 +101,7 @@
             sent: observer.sent,
             served: observer.served,
             servedAfter,
+            unanswered: observer.unanswered,
             faults: faultNames,
             crashes: fleet.crashes.filter(({ body }) => body !== "").length,
             resumptions: observer.resumptions,
--- a/src/soak/sendSoakRequest.ts
+++ b/src/soak/sendSoakRequest.ts
@@ -15,9 +15,13 @@
     readonly agent: Agent;
     /** Number of events after which the caller's connection breaks during the first attempt. @default never */
     readonly breakAfter?: number;
+    /** Time in milliseconds that the caller waits in all. @default 3000 */
+    readonly timeoutMs?: number;
+    /** Shortest time in milliseconds between attempts. @default what the response says, or 50 */
+    readonly retryDelayMs?: number;
 }
 
-const CALLER_TIMEOUT_MS = 3000;
+const DEFAULT_TIMEOUT_MS = 3000;
 const MAX_ATTEMPTS = 4;
 /** Number of distinct shared prompt prefixes; they repeat, so that prefix-cache affinity matters. */
 const SHARED_PREFIXES = 5;
@@ -34,10 +38,11 @@
 export async function sendSoakRequest(
     fleet: CooperativeFleet,
     observer: SoakObserver,
-    { requestId, route, turn, agent, breakAfter }: SoakRequest,
+    { requestId, route, turn, agent, breakAfter, timeoutMs = DEFAULT_TIMEOUT_MS, retryDelayMs = 0 }:
+        SoakRequest,
 ): Promise<boolean> {
     const isStream = route === "stream" || route === "once";
-    const deadline = performance.now() + CALLER_TIMEOUT_MS;
+    const deadline = performance.now() + timeoutMs;
     let resumed: (NonNullable<ObservedRequest["resumed"]> & { readonly resumes: string; }) | undefined;
     for (let attempt = 0; attempt < MAX_ATTEMPTS && performance.now() < deadline; attempt += 1) {
         const attemptId = attempt === 0 ? requestId : `${requestId}-a${attempt}`;
@@ -52,7 +57,8 @@
             ...(isStream
                 ? { engine: { key: fleet.key, sharedPart: `s${turn % SHARED_PREFIXES}`, ownPart: requestId } }
                 : {}),
-            resumed: resumed && { lastEventId: resumed.lastEventId, streamId: resumed.resumes },
+            resumed: resumed
+                && { lastEventId: fleet.getEventId(resumed.lastEvent), streamId: resumed.resumes },
         });
         let isBrokenByCaller = false;
         const ownAgent = new Agent();
@@ -89,12 +95,16 @@
             resumed = {
                 streamId: resumed?.streamId ?? attemptId,
                 resumes: resumed?.resumes ?? attemptId,
-                lastEventId: lastEvent.id,
+                lastEvent: lastEvent.number,
             };
         }
         const retryAfterMs = Number(result.headers["retry-after"] ?? 0) * 1000 || DEFAULT_RETRY_MS;
         const restMs = deadline - performance.now();
-        await new Promise(resolve => setTimeout(resolve, Math.min(retryAfterMs, restMs * RETRY_AFTER_SHARE)));
+        const delayMs = Math.max(
+            Math.min(retryDelayMs, restMs),
+            Math.min(retryAfterMs, restMs * RETRY_AFTER_SHARE),
+        );
+        await new Promise(resolve => setTimeout(resolve, delayMs));
     }
     return false;
 }
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -3,6 +3,7 @@
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import { sendCaller } from "../testing/sendCaller.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
+import { changeFaults } from "./changeFaults.js";
 import { createFaultSource } from "./createFaultSource.js";
 import { oddEntries } from "./oddEntries.js";
 import { pickItem } from "./pickItem.js";
@@ -78,6 +79,7 @@
     },
     ...targetVersionFaults,
     ...slowTargetFaults,
+    ...changeFaults,
     {
         name: "odd-entries",
         inject: async (fleet, random, wait) => {
--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -28,14 +28,16 @@
     readonly #withKey = new Map<string, ObservedRequest>();
     readonly #denied: (ObservedRequest & { readonly status: number; })[] = [];
     readonly #incomplete: (ObservedRequest & { readonly status: number; })[] = [];
-    readonly #streamOrderCheck = StreamOrderCheck.create();
-    readonly #resumptionCheck: ResumptionCheck;
+    readonly #streamOrderCheck: StreamOrderCheck;
+    /** One check for each phase of the run. */
+    readonly #resumptionChecks: ResumptionCheck[];
     #served = 0;
     #sent = 0;
 
     private constructor(fleet: CooperativeFleet) {
         this.#fleet = fleet;
-        this.#resumptionCheck = ResumptionCheck.create(fleet);
+        this.#streamOrderCheck = StreamOrderCheck.create(event => fleet.getEventId(event));
+        this.#resumptionChecks = [ResumptionCheck.create(fleet, "lost-request")];
     }
 
     /** Creates an observer that has seen nothing. */
@@ -47,13 +49,19 @@
         return [
             ...this.#violations,
             ...this.#streamOrderCheck.violations,
-            ...this.#resumptionCheck.list(),
+            ...this.#resumptionChecks.flatMap(check => check.list()),
         ];
     }
 
     /** Streams that were taken up at calm instances while two targets of their version served. */
     get resumptions(): number {
-        return this.#resumptionCheck.resumptions;
+        return this.#resumptionChecks.reduce((sum, { resumptions }) => sum + resumptions, 0);
+    }
+
+    /** Requests that ended without an answer or a refusal while their callers waited, whatever the reason. */
+    get unanswered(): number {
+        return this.#incomplete.filter(({ status, endedAt, deadline }) => status === 0 && endedAt < deadline)
+            .length;
     }
 
     get served(): number {
@@ -64,6 +72,11 @@
         return this.#sent;
     }
 
+    /** Compares streams from now on only with each other: how many begin, and how many go on. */
+    startPhase(rule: SoakViolation["rule"]): void {
+        this.#resumptionChecks.push(ResumptionCheck.create(this.#fleet, rule));
+    }
+
     /** Records a request and the result that its caller got. */
     record(request: ObservedRequest, result: CallerResult): void {
         const { requestId, route } = request;
@@ -172,7 +185,7 @@
             : 0;
         if (route === "stream" && result.status !== UNAUTHORIZED) {
             const version = resumed && this.#streamOrderCheck.getVersion(resumed.streamId);
-            this.#resumptionCheck.record(request, version, isWhole || events > 0);
+            this.#resumptionChecks.at(-1)?.record(request, version, isWhole || events > 0);
         }
     }
 
--- a/src/soak/streamOrderCheck.ts
+++ b/src/soak/streamOrderCheck.ts
@@ -7,13 +7,22 @@
 
 /** Checks that the events of a stream follow each other, and that one software version made them all. */
 export class StreamOrderCheck {
+    readonly #getEventId: (event: number) => number;
     readonly #violations: SoakViolation[] = [];
     /** Version that made the first event of a stream, by its first attempt. */
     readonly #versions = new Map<string, string>();
 
-    /** Creates a check that has seen nothing. */
-    static create(): StreamOrderCheck {
-        return new StreamOrderCheck();
+    private constructor(getEventId: (event: number) => number) {
+        this.#getEventId = getEventId;
+    }
+
+    /**
+     * Creates a check that has seen nothing.
+     *
+     * @param getEventId Returns the identifier of the event with a number from 1 on.
+     */
+    static create(getEventId: (event: number) => number): StreamOrderCheck {
+        return new StreamOrderCheck(getEventId);
     }
 
     get violations(): readonly SoakViolation[] {
@@ -38,25 +47,29 @@
         isSpoilt: boolean,
     ): number {
         const streamId = resumed?.streamId ?? requestId;
-        const lastEventId = resumed?.lastEventId ?? 0;
+        const lastEvent = resumed?.lastEvent ?? 0;
         const events = parseEvents(body);
         const versions = new Set<string>();
         events.forEach((event, i) => {
-            if (event.id !== lastEventId + i + 1 || event.requestId !== requestId) {
+            const number = lastEvent + i + 1;
+            if (
+                event.number !== number || event.id !== this.#getEventId(number)
+                || event.requestId !== requestId
+            ) {
                 const text = event.text.replaceAll("\n", " ");
-                this.#add(requestId, `event ${lastEventId + i + 1} is "${text}"`);
+                this.#add(requestId, `event ${number} is "${text}"`);
             }
             const version = event.version ?? "";
             const expected = this.#versions.get(streamId) ?? version;
             this.#versions.set(streamId, expected);
             if (version !== expected && !versions.has(version)) {
                 versions.add(version);
-                this.#add(requestId, `event ${event.id} is by ${version}, ${expected} began ${streamId}`);
+                this.#add(requestId, `event ${number} is by ${version}, ${expected} began ${streamId}`);
             }
         });
         const isEmptyRest = resumed !== undefined && isSpoilt && events.length === 0;
-        if (isWhole && !isEmptyRest && lastEventId + events.length !== EVENTS_PER_STREAM) {
-            this.#add(requestId, `complete after ${events.length} events from ${lastEventId + 1} on`);
+        if (isWhole && !isEmptyRest && lastEvent + events.length !== EVENTS_PER_STREAM) {
+            this.#add(requestId, `complete after ${events.length} events from ${lastEvent + 1} on`);
         }
         return events.length;
     }
--- a/src/standIns/faultProxy/byteChannel.ts
+++ b/src/standIns/faultProxy/byteChannel.ts
@@ -12,6 +12,8 @@
     readonly to: Socket;
     readonly getDelayMs: () => number;
     readonly getMode: () => "pass" | "hold" | "drop";
+    /** Returns how many bytes may be forwarded before the channel holds the rest. */
+    readonly getRestBytes: () => number;
     readonly countForwarded: (bytes: number) => void;
     readonly countDropped: (bytes: number) => void;
     readonly onReset: () => void;
@@ -55,7 +57,17 @@
                 this.#timer = setTimeout(() => this.flush(), waitMs);
                 return;
             }
-            this.#send(this.#queue.shift()?.bytes);
+            const { bytes, dueAt } = this.#queue[0];
+            const restBytes = this.#options.getRestBytes();
+            if ((bytes?.length ?? 1) > restBytes) {
+                this.#queue[0] = { bytes: bytes?.subarray(restBytes), dueAt };
+                if (restBytes > 0) {
+                    this.#send(bytes?.subarray(0, restBytes));
+                }
+                return;
+            }
+            this.#queue.shift();
+            this.#send(bytes);
         }
     }
 
--- a/src/standIns/faultProxy/linkConnection.ts
+++ b/src/standIns/faultProxy/linkConnection.ts
@@ -23,6 +23,8 @@
     readonly #getFault: () => LinkFault;
     #held = false;
     #backwardBytes = 0;
+    /** Bytes from the target since the current fault of the link began. */
+    #backwardBytesOfFault = 0;
 
     private constructor(options: LinkConnectionOptions) {
         const [host, port] = options.target.split(":");
@@ -43,6 +45,7 @@
                 to: this.#upstream,
                 getDelayMs,
                 getMode: () => this.#getMode("forward"),
+                getRestBytes: () => Number.POSITIVE_INFINITY,
                 countForwarded: options.countForward,
                 countDropped: options.countDropped,
                 onReset: () => this.reset(),
@@ -52,6 +55,8 @@
                 to: this.#client,
                 getDelayMs,
                 getMode: () => this.#getMode("backward"),
+                getRestBytes: () =>
+                    Math.max(0, (this.#getFault().holdAfterBytes ?? Infinity) - this.#backwardBytesOfFault),
                 countForwarded: bytes => {
                     options.countBackward(bytes);
                     this.#countBackward(bytes);
@@ -84,6 +89,7 @@
     /** Applies the current fault of the link. A connection that lost bytes is reset once its link heals. */
     applyFault(): void {
         const fault = this.#getFault();
+        this.#backwardBytesOfFault = 0;
         const healed = this.#getMode("forward") === "pass" && this.#getMode("backward") === "pass";
         if (fault.mode === "cut" || (healed && this.#channels.some(channel => channel.hasLostBytes))) {
             this.reset();
@@ -110,6 +116,7 @@
 
     #countBackward(bytes: number): void {
         this.#backwardBytes += bytes;
+        this.#backwardBytesOfFault += bytes;
         if (this.#backwardBytes >= (this.#getFault().resetAfterBytes ?? Infinity)) {
             setImmediate(() => this.reset());
         }
--- a/src/standIns/faultProxy/linkFault.ts
+++ b/src/standIns/faultProxy/linkFault.ts
@@ -11,6 +11,8 @@
     readonly forward?: "pass" | "hold" | "drop";
     /** Bytes from the target. @default "pass" */
     readonly backward?: "pass" | "hold" | "drop";
+    /** Each connection passes this many more bytes from the target and holds the rest until released. @default all */
+    readonly holdAfterBytes?: number;
     /** Each connection is reset after this many bytes from the target. @default never */
     readonly resetAfterBytes?: number;
 }
--- a/src/standIns/platform/cooperative/cooperativeExchange.ts
+++ b/src/standIns/platform/cooperative/cooperativeExchange.ts
@@ -20,6 +20,8 @@
     readonly lastEventId: number;
     /** Number of events of the whole stream. */
     readonly events: number;
+    /** Returns the identifier of the event with a number from 1 on; identifiers increase. */
+    readonly getEventId: (event: number) => number;
     /** Software version that the data of each event names; `undefined` if they name none. */
     readonly version: string | undefined;
 }
@@ -85,7 +87,7 @@
     }
 
     /** Sends the events of a stream that the caller does not have yet. */
-    async sendStream({ lastEventId, events, version }: StreamOptions): Promise<void> {
+    async sendStream({ lastEventId, events, getEventId, version }: StreamOptions): Promise<void> {
         const { request, response, requestId, targetId, fault, silence, pace } = this.#options;
         await this.#waitForHead();
         if (fault === "error") {
@@ -101,7 +103,9 @@
         });
         // The head must not wait for the first event, which a silence may hold back.
         response.flushHeaders();
-        const firstEvent = fault === "restarted" ? 1 : lastEventId + 1;
+        const numbers = Array.from({ length: events }, (_, i) => i + 1);
+        const sentEvents = numbers.filter(event => getEventId(event) <= lastEventId).length;
+        const firstEvent = fault === "restarted" ? 1 : sentEvents + 1;
         const lastEvent = fault === "empty" && lastEventId > 0 ? 0 : events;
         for (let event = firstEvent; event <= lastEvent; event += 1) {
             await new Promise(resolve => setTimeout(resolve, pace.eventMs));
@@ -110,13 +114,14 @@
                 return;
             }
             if (event > events / 2 && (fault === "cut" || fault === "unframed")) {
-                response.write(`id: ${event}\ndata: ${requestId}`);
+                response.write(`id: ${getEventId(event)}\ndata: ${requestId}`);
                 request.socket.end();
                 return;
             }
             const suffix = version === undefined ? "" : ` ${version}`;
-            response.write(`id: ${event}\ndata: ${responseId} ${event}${suffix}\n\n`);
+            response.write(`id: ${getEventId(event)}\ndata: ${responseId} ${event}${suffix}\n\n`);
         }
+        await silence.wait("event");
         response.end();
     }
 
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -14,6 +14,8 @@
     /** Number of events of each stream, and the pause before each event in milliseconds. */
     readonly events: number;
     readonly eventMs: number;
+    /** Returns the identifier of the event with a number from 1 on. @default the number itself */
+    readonly getEventId?: (event: number) => number;
     /** Software version, which the data of each event then names as a third word. @default "v1", in no event */
     readonly version?: string;
     /** Number of responses of which the last has neither a length nor chunks, again and again. @default all have one */
@@ -254,6 +256,7 @@
             : exchange.sendStream({
                 lastEventId,
                 events,
+                getEventId: this.#options.getEventId ?? (event => event),
                 version: this.#options.version === undefined ? undefined : version,
             }));
     }
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -54,6 +54,7 @@
             impairments: this.impairments,
             engineSlots: ENGINE_SLOTS,
             unframedEvery: options.unframedEvery,
+            getEventId: event => this.getEventId(event),
         });
         this.storeLink = storeLink;
         this.#ports = ports;
@@ -74,7 +75,7 @@
             const host = getLoopbackHost(i);
             const settingsPath = join(directory, `${host}.json`);
             await writeFile(settingsPath, JSON.stringify(fleet.#buildSettings(host)));
-            const process = await startProcess(settingsPath);
+            const process = await fleet.#startProcess(settingsPath);
             fleet.instances.push({
                 host,
                 settingsPath,
@@ -87,6 +88,11 @@
         return fleet;
     }
 
+    /** Returns the identifier of the event of a stream with a number from 1 on. */
+    getEventId(event: number): number {
+        return this.#options.getEventId?.(event) ?? event;
+    }
+
     /** Periods in which the key was revoked, the latest last. */
     get revocations(): readonly Revocation[] {
         return this.#revocations;
@@ -205,7 +211,7 @@
     async startInstance(instance: FleetInstance): Promise<void> {
         instance.isStarting = true;
         try {
-            instance.process = await startProcess(instance.settingsPath);
+            instance.process = await this.#startProcess(instance.settingsPath);
         }
         finally {
             instance.isStarting = false;
@@ -255,6 +261,11 @@
         this.store.close();
     }
 
+    /** The error of a process that does not start names the last line that it wrote to standard error. */
+    #startProcess(settingsPath: string): Promise<ChildProcess> {
+        return ChildProcess.create(MAIN, [settingsPath], { logPath: `${settingsPath}.log` });
+    }
+
     #buildSettings(host: string): object {
         const { address } = this.storeLink.describe() as { readonly address: string; };
         return buildRouterSettings({
@@ -266,8 +277,3 @@
         });
     }
 }
-
-/** The error of a process that does not start names the last line that it wrote to standard error. */
-function startProcess(settingsPath: string): Promise<ChildProcess> {
-    return ChildProcess.create(MAIN, [settingsPath], { logPath: `${settingsPath}.log` });
-}
--- a/src/testing/platform/cooperativeFleetOptions.ts
+++ b/src/testing/platform/cooperativeFleetOptions.ts
@@ -10,4 +10,6 @@
     readonly versions?: readonly string[];
     /** Number of responses of each target of which the last has neither a length nor chunks. @default all have one */
     readonly unframedEvery?: number;
+    /** Returns the identifier of the event of a stream with a number from 1 on. @default the number itself */
+    readonly getEventId?: (event: number) => number;
 }
--- a/src/testing/platform/fleetTargetGroup.ts
+++ b/src/testing/platform/fleetTargetGroup.ts
@@ -11,6 +11,8 @@
     readonly engineSlots: number;
     /** Number of responses of which the last has neither a length nor chunks; `undefined` if all have. */
     readonly unframedEvery: number | undefined;
+    /** Returns the identifier of the event of a stream with a number from 1 on. */
+    readonly getEventId: (event: number) => number;
 }
 
 /** Crash of a target on a request with a body, at a monotonic time in milliseconds. */
@@ -67,7 +69,7 @@
 
     /** Starts and registers a target. */
     async add(service: FleetTarget["service"], version: string | undefined): Promise<FleetTarget> {
-        const { engineSlots, unframedEvery } = this.#options;
+        const { engineSlots, unframedEvery, getEventId } = this.#options;
         const target = await CooperativeTarget.create({
             id: `i-${this.#targets.length}`,
             service,
@@ -75,6 +77,7 @@
             slots: service === "engine" ? engineSlots : PLAIN_SLOTS,
             events: ENGINE_EVENTS,
             eventMs: EVENT_MS,
+            getEventId,
             ...(version === undefined ? {} : { version }),
             ...(unframedEvery === undefined ? {} : { unframedEvery }),
             isCrashedBy: ({ body }) => body.startsWith(CRASHING_BODY),
--- a/test/standIns/faultProxy/faultProxy.test.ts
+++ b/test/standIns/faultProxy/faultProxy.test.ts
@@ -124,6 +124,30 @@
     t.true(performance.now() - start >= 199);
 });
 
+test("a link holds what follows the given bytes from the target, on each connection, until it is released", async t => {
+    const link = await startLink(t);
+    const clients = [await link.open(), await link.open()];
+    await send(clients[0] as Client, "earlier");
+    await link.setFault({ holdAfterBytes: 4 });
+    clients.forEach(({ socket }) => socket.write("question"));
+    await waitUntil("both requests have arrived", () => link.received() === "earlierquestionquestion");
+    await waitUntil(
+        "the bytes before the silence are forwarded",
+        () => clients.every(client => client.text().endsWith("QUES")),
+    );
+    await new Promise(resolve => setTimeout(resolve, 100));
+    t.deepEqual(clients.map(client => [client.text(), client.closed()]), [["EARLIERQUES", false], [
+        "QUES",
+        false,
+    ]]);
+    await link.setFault({});
+    await waitUntil(
+        "the rest is forwarded",
+        () => clients.every(client => client.text().endsWith("QUESTION")),
+    );
+    t.deepEqual(clients.map(client => client.text()), ["EARLIERQUESTION", "QUESTION"]);
+});
+
 test("a connection is reset after the given bytes from the target, and by a control call", async t => {
     const link = await startLink(t);
     await link.setFault({ resetAfterBytes: 4 });
--- a/test/testing/childProcess.test.ts
+++ b/test/testing/childProcess.test.ts
@@ -1,7 +1,11 @@
 import test from "ava";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
+import { mkdtemp } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { createInterface } from "node:readline";
+import { ChildProcess } from "../../src/testing/childProcess.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
 
 function isRunning(pid: number): boolean {
@@ -31,3 +35,11 @@
     await waitUntil("the child has ended", () => !isRunning(pid));
     t.pass();
 });
+
+test("the error of a router process that does not start names the reason", async t => {
+    const logPath = join(await mkdtemp(join(tmpdir(), "baobabspread-")), "router.log");
+    const main = new URL("../../src/platform/main.js", import.meta.url);
+    await t.throwsAsync(ChildProcess.create(main, ["/missing.json"], { logPath }), {
+        message: /exited with code 2 before it listened\. .*start-failed.*ENOENT/,
+    });
+});
