Soak: kill all instances at once while streams are open, and take the streams up afterwards

The soak killed all instances at random moments, but no check compared the streams of the time before with new ones. At its end it now kills all instances while 24 streams are open, whose targets stay as they are; callers take the streams up over 5 s after the start, and 24 new streams begin. Less than half as many that go on as begin is a violation of a rule of its own, so that the other checks stay as strict.

The fault that it needs fixed: instances that have just started refuse streams of the time before, since they know no origin of them, for the longest time-out and 10 s.

--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -4,6 +4,7 @@
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
 import { createFaultSource } from "./createFaultSource.js";
 import { describeRuns } from "./describeRuns.js";
+import { runCalmRestart } from "./runCalmRestart.js";
 import { runCalmResumptions } from "./runCalmResumptions.js";
 import { runCalmSilence } from "./runCalmSilence.js";
 import { sendSoakRequest } from "./sendSoakRequest.js";
@@ -95,6 +96,7 @@
         const servedAfter = await countServed(fleet, observer);
         await runCalmResumptions(fleet, observer);
         await runCalmSilence(fleet, observer);
+        await runCalmRestart(fleet, observer);
         observer.checkTargets();
         return {
             seed: options.seed,
