Soak: excuse an early end of a stream only where a target said so after exactly the last event

A stream that was complete too early was excused if any target had spoilt the response and the attempt was a take-up without events. It is excused now only if a target completed it without an event (fault empty) after exactly the last event that the caller has, in whichever attempt. That is stricter for take-ups, and covers a stream whose first run crashed between two events and whose second run, within the same response, was such an empty one.

A router cannot tell such a response from a stream of which only the end was lost.

--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -179,9 +179,13 @@
             }
             return;
         }
-        const isSpoilt = this.#fleet.targets.some(({ target }) => target.brokenRequests.has(requestId));
+        const emptyAfter = new Set(
+            this.#fleet.targets.flatMap(({ target }) => target.arrivals)
+                .filter(arrival => arrival.requestId === requestId && arrival.fault === "empty")
+                .map(({ lastEventId }) => lastEventId),
+        );
         const events = result.status === 200
-            ? this.#streamOrderCheck.record(request, result.body, result.isWhole, isSpoilt)
+            ? this.#streamOrderCheck.record(request, result.body, result.isWhole, emptyAfter)
             : 0;
         if (route === "stream" && result.status !== UNAUTHORIZED) {
             const version = resumed && this.#streamOrderCheck.getVersion(resumed.streamId);
--- a/src/soak/streamOrderCheck.ts
+++ b/src/soak/streamOrderCheck.ts
@@ -37,14 +37,14 @@
     /**
      * Checks the events of one attempt. Returns their number.
      *
-     * @param isSpoilt Whether a target spoilt the response. A caller that takes a stream up cannot tell, and neither can
-     * an instance, whether a response without events says truly that the stream is complete.
+     * @param emptyAfter Last events after which a target completed the stream of this attempt without an event. Neither
+     * a caller nor an instance can tell that from a stream of which only the end was lost.
      */
     record(
         { requestId, resumed }: ObservedRequest,
         body: string,
         isWhole: boolean,
-        isSpoilt: boolean,
+        emptyAfter: ReadonlySet<number>,
     ): number {
         const streamId = resumed?.streamId ?? requestId;
         const lastEvent = resumed?.lastEvent ?? 0;
@@ -67,8 +67,9 @@
                 this.#add(requestId, `event ${number} is by ${version}, ${expected} began ${streamId}`);
             }
         });
-        const isEmptyRest = resumed !== undefined && isSpoilt && events.length === 0;
-        if (isWhole && !isEmptyRest && lastEvent + events.length !== EVENTS_PER_STREAM) {
+        const last = lastEvent + events.length;
+        const isEmptyRest = last > 0 && emptyAfter.has(this.#getEventId(last));
+        if (isWhole && !isEmptyRest && last !== EVENTS_PER_STREAM) {
             this.#add(requestId, `complete after ${events.length} events from ${lastEvent + 1} on`);
         }
         return events.length;
