Soak: at least two targets of each version when all instances are killed

Streams are compared only while two targets of their version serve. One target is added for each version that only one engine has.

--- a/src/soak/runCalmRestart.ts
+++ b/src/soak/runCalmRestart.ts
@@ -17,11 +17,17 @@
 const CALLER_TIMEOUT_MS = 9000;
 
 /**
- * Kills all instances at once while streams are open and the targets stay as they are. Callers take the streams up once
- * the instances have run again for a while; new streams then begin, too.
+ * Kills all instances at once while streams are open, and at least two targets of each version stay as they are. Callers
+ * take the streams up once the instances have run again for a while; new streams then begin, too.
  */
 export async function runCalmRestart(fleet: CooperativeFleet, observer: SoakObserver): Promise<void> {
     observer.startPhase("lost-after-restart");
+    const versions = fleet.runningTargets.filter(({ service }) => service === "engine").map(({ target }) =>
+        target.version
+    );
+    for (const version of versions.filter(other => versions.indexOf(other) === versions.lastIndexOf(other))) {
+        await fleet.addTarget("engine", version);
+    }
     await new Promise(resolve => setTimeout(resolve, CHANGE_MS));
     const targets = fleet.runningTargets.map(({ target }) => target);
     targets.forEach(target => target.setPace({ headMs: 0, eventMs: EVENT_MS }));
