Soak: event identifiers that increase unevenly in every second run

The soak's streams had the identifiers 1, 2, 3, and so on. Streams of even seeds now have the identifiers 5, 10, 18, 23, 28, 36 and so on.

--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -2,6 +2,7 @@
 import { createRandom } from "../standIns/client/createRandom.js";
 import { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
+import { computeUnevenEventId } from "./computeUnevenEventId.js";
 import { createFaultSource } from "./createFaultSource.js";
 import { describeRuns } from "./describeRuns.js";
 import { runCalmRestart } from "./runCalmRestart.js";
@@ -65,6 +66,7 @@
         stopTimeoutSeconds: 4,
         versions: ["v1", "v2"],
         unframedEvery: UNFRAMED_EVERY,
+        ...(options.seed % 2 === 0 ? { getEventId: computeUnevenEventId } : {}),
     });
     for (let i = 0; i < SPARE_TARGETS; i += 1) {
         await fleet.addTarget("spare", "v1");
