--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -3,6 +3,8 @@
 import { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
 import { createFaultSource } from "./createFaultSource.js";
+import { describeRuns } from "./describeRuns.js";
+import { runCalmRestart } from "./runCalmRestart.js";
 import { runCalmResumptions } from "./runCalmResumptions.js";
 import { runCalmSilence } from "./runCalmSilence.js";
 import { sendSoakRequest } from "./sendSoakRequest.js";
@@ -17,17 +19,25 @@
     readonly callers: number;
 }
 
+interface DescribedViolation {
+    readonly rule: SoakViolation["rule"];
+    /** What was seen of which request, and the runs of the request at targets. */
+    readonly text: string;
+}
+
 interface SoakResult {
     readonly seed: number;
     readonly sent: number;
     readonly served: number;
     readonly servedAfter: number;
+    /** Requests without an answer or a refusal, also those that an injected fault explains. */
+    readonly unanswered: number;
     readonly faults: readonly string[];
     /** Targets that crashed on requests. */
     readonly crashes: number;
     /** Streams that callers took up at calm instances while two targets of their version served. */
     readonly resumptions: number;
-    readonly violations: readonly SoakViolation[];
+    readonly violations: readonly DescribedViolation[];
 }
 
 const ROUTES = ["stream", "once", "safe", "unsafe"] as const;
@@ -86,22 +96,24 @@
         const servedAfter = await countServed(fleet, observer);
         await runCalmResumptions(fleet, observer);
         await runCalmSilence(fleet, observer);
+        await runCalmRestart(fleet, observer);
         observer.checkTargets();
         return {
             seed: options.seed,
             sent: observer.sent,
             served: observer.served,
             servedAfter,
+            unanswered: observer.unanswered,
             faults: faultNames,
             crashes: fleet.crashes.filter(({ body }) => body !== "").length,
             resumptions: observer.resumptions,
             violations: [
                 ...observer.violations,
                 ...(servedAfter < RECOVERY_REQUESTS / 4
-                    ? [createOther(`only ${servedAfter} requests served after the faults`)]
+                    ? [createOther("requests", `only ${servedAfter} served after the faults`)]
                     : []),
-                ...ended.map(({ host }) => createOther(`${host}: the process ended by itself`)),
-            ],
+                ...ended.map(({ host }) => createOther(host, "the process ended by itself")),
+            ].map(violation => describeViolation(fleet, violation)),
         };
     }
     finally {
@@ -109,8 +121,16 @@
     }
 }
 
-function createOther(text: string): SoakViolation {
-    return { rule: "other", text };
+function createOther(subject: string, text: string): SoakViolation {
+    return { rule: "other", subject, text };
+}
+
+function describeViolation(
+    fleet: CooperativeFleet,
+    { rule, subject, text }: SoakViolation,
+): DescribedViolation {
+    const runs = describeRuns(fleet, subject);
+    return { rule, text: `${subject}: ${text}${runs ? ` [${runs}]` : ""}` };
 }
 
 /** Sends requests one after another over keep-alive connections until the deadline. */
--- a/src/soak/soakObserver.ts
+++ b/src/soak/soakObserver.ts
@@ -28,14 +28,16 @@
     readonly #withKey = new Map<string, ObservedRequest>();
     readonly #denied: (ObservedRequest & { readonly status: number; })[] = [];
     readonly #incomplete: (ObservedRequest & { readonly status: number; })[] = [];
-    readonly #streamOrderCheck = StreamOrderCheck.create();
-    readonly #resumptionCheck: ResumptionCheck;
+    readonly #streamOrderCheck: StreamOrderCheck;
+    /** One check for each phase of the run. */
+    readonly #resumptionChecks: ResumptionCheck[];
     #served = 0;
     #sent = 0;
 
     private constructor(fleet: CooperativeFleet) {
         this.#fleet = fleet;
-        this.#resumptionCheck = ResumptionCheck.create(fleet);
+        this.#streamOrderCheck = StreamOrderCheck.create();
+        this.#resumptionChecks = [ResumptionCheck.create(fleet, "lost-request")];
     }
 
     /** Creates an observer that has seen nothing. */
@@ -47,13 +49,19 @@
         return [
             ...this.#violations,
             ...this.#streamOrderCheck.violations,
-            ...this.#resumptionCheck.list(),
+            ...this.#resumptionChecks.flatMap(check => check.list()),
         ];
     }
 
     /** Streams that were taken up at calm instances while two targets of their version served. */
     get resumptions(): number {
-        return this.#resumptionCheck.resumptions;
+        return this.#resumptionChecks.reduce((sum, { resumptions }) => sum + resumptions, 0);
+    }
+
+    /** Requests that ended without an answer or a refusal while their callers waited, whatever the reason. */
+    get unanswered(): number {
+        return this.#incomplete.filter(({ status, endedAt, deadline }) => status === 0 && endedAt < deadline)
+            .length;
     }
 
     get served(): number {
@@ -64,6 +72,11 @@
         return this.#sent;
     }
 
+    /** Compares streams from now on only with each other: how many begin, and how many go on. */
+    startPhase(rule: SoakViolation["rule"]): void {
+        this.#resumptionChecks.push(ResumptionCheck.create(this.#fleet, rule));
+    }
+
     /** Records a request and the result that its caller got. */
     record(request: ObservedRequest, result: CallerResult): void {
         const { requestId, route } = request;
@@ -99,10 +112,10 @@
         for (const requestId of this.#nonRepeatable) {
             const count = runs.get(requestId) ?? 0;
             if (count > 1) {
-                this.#add(`${requestId}: ran ${count} times though it must run once`);
+                this.#add(requestId, `ran ${count} times though it must run once`);
             }
             if (count > 0 && this.#refused.has(requestId)) {
-                this.#add(`${requestId}: ran though its refusal says that it did not`);
+                this.#add(requestId, `ran though its refusal says that it did not`);
             }
         }
         this.#checkKeys(fleet, new Set(runs.keys()));
@@ -120,7 +133,7 @@
             const late = arrivals.filter(arrival => arrival.body === body && arrival.at > boundFrom).length;
             const allowed = MAX_LATE_RUNS + instanceStarts.filter(at => at > boundFrom - CONTACT_MS).length;
             if (late > allowed) {
-                this.#add(`${body}: reached targets ${late} times more, ${allowed} allowed`);
+                this.#add(body, `reached targets ${late} times more, ${allowed} allowed`);
             }
         }
     }
@@ -133,7 +146,7 @@
             const allowed = 1.5 * perSecond * LIMIT_WINDOW_MS / 1000 + 5;
             const most = countMostWithin(times, LIMIT_WINDOW_MS);
             if (most > allowed) {
-                this.#add(`${target.id}: got ${most} requests in 4 s, ${allowed} allowed`);
+                this.#add(target.id, `got ${most} requests in 4 s, ${allowed} allowed`);
             }
         }
     }
@@ -145,14 +158,14 @@
                 sentAt > from + revocationMs && endedAt < until
             );
             if (isRevoked && ran.has(requestId)) {
-                this.#add(`${requestId}: ran with a revoked key`);
+                this.#add(requestId, `ran with a revoked key`);
             }
         }
         for (const { requestId, sentAt, endedAt, status } of this.#denied) {
             const isAllowed = status === 401 && this.#withKey.has(requestId)
                 && revocations.some(({ from, until }) => endedAt > from && sentAt < until + revocationMs);
             if (!isAllowed) {
-                this.#add(`${requestId}: denied with ${status} though it is allowed`);
+                this.#add(requestId, `denied with ${status} though it is allowed`);
             }
         }
     }
@@ -162,21 +175,25 @@
         const isWhole = result.status === 200 && result.isWhole;
         if (route === "safe" || route === "unsafe") {
             if (isWhole && result.body !== `answer to ${requestId}`) {
-                this.#add(`${requestId}: got "${result.body}"`);
+                this.#add(requestId, `got "${result.body}"`);
             }
             return;
         }
-        const isSpoilt = this.#fleet.targets.some(({ target }) => target.brokenRequests.has(requestId));
+        const emptyAfter = new Set(
+            this.#fleet.targets.flatMap(({ target }) => target.arrivals)
+                .filter(arrival => arrival.requestId === requestId && arrival.fault === "empty")
+                .map(({ lastEventId }) => lastEventId),
+        );
         const events = result.status === 200
-            ? this.#streamOrderCheck.record(request, result.body, result.isWhole, isSpoilt)
+            ? this.#streamOrderCheck.record(request, result.body, result.isWhole, emptyAfter)
             : 0;
         if (route === "stream" && result.status !== UNAUTHORIZED) {
             const version = resumed && this.#streamOrderCheck.getVersion(resumed.streamId);
-            this.#resumptionCheck.record(request, version, isWhole || events > 0);
+            this.#resumptionChecks.at(-1)?.record(request, version, isWhole || events > 0);
         }
     }
 
-    #add(text: string): void {
-        this.#violations.push({ rule: "other", text });
+    #add(subject: string, text: string): void {
+        this.#violations.push({ rule: "other", subject, text });
     }
 }
--- a/src/soak/streamOrderCheck.ts
+++ b/src/soak/streamOrderCheck.ts
@@ -29,14 +29,14 @@
     /**
      * Checks the events of one attempt. Returns their number.
      *
-     * @param isSpoilt Whether a target spoilt the response. A caller that takes a stream up cannot tell, and neither can
-     * an instance, whether a response without events says truly that the stream is complete.
+     * @param emptyAfter Numbers of the last events after which a target completed the stream of this attempt without an event. Neither
+     * a caller nor an instance can tell that from a stream of which only the end was lost.
      */
     record(
         { requestId, path, resumed }: ObservedRequest,
         body: string,
         isWhole: boolean,
-        isSpoilt: boolean,
+        emptyAfter: ReadonlySet<number>,
     ): number {
         const streamId = resumed?.streamId ?? requestId;
         const lastEvent = resumed?.lastEvent ?? 0;
@@ -47,26 +47,25 @@
             const isNext = event.number === number && event.id === computeEventId(path, number);
             if (!isNext || event.requestId !== requestId) {
                 const text = event.text.replaceAll("\n", " ");
-                this.#add(`${requestId}: event ${number} is "${text}"`);
+                this.#add(requestId, `event ${number} is "${text}"`);
             }
             const version = event.version ?? "";
             const expected = this.#versions.get(streamId) ?? version;
             this.#versions.set(streamId, expected);
             if (version !== expected && !versions.has(version)) {
                 versions.add(version);
-                this.#add(
-                    `${requestId}: event ${event.number} is by ${version}, ${expected} began ${streamId}`,
-                );
+                this.#add(requestId, `event ${number} is by ${version}, ${expected} began ${streamId}`);
             }
         });
-        const isEmptyRest = resumed !== undefined && isSpoilt && events.length === 0;
-        if (isWhole && !isEmptyRest && lastEvent + events.length !== EVENTS_PER_STREAM) {
-            this.#add(`${requestId}: complete after ${events.length} events from ${lastEvent + 1} on`);
+        const last = lastEvent + events.length;
+        const isEmptyRest = last > 0 && emptyAfter.has(last);
+        if (isWhole && !isEmptyRest && last !== EVENTS_PER_STREAM) {
+            this.#add(requestId, `complete after ${events.length} events from ${lastEvent + 1} on`);
         }
         return events.length;
     }
 
-    #add(text: string): void {
-        this.#violations.push({ rule: "stream-order", text });
+    #add(requestId: string, text: string): void {
+        this.#violations.push({ rule: "stream-order", subject: requestId, text });
     }
 }
--- a/src/standIns/platform/cooperative/cooperativeExchange.ts
+++ b/src/standIns/platform/cooperative/cooperativeExchange.ts
@@ -119,6 +119,7 @@
             const suffix = version === undefined ? "" : ` ${version}`;
             response.write(`id: ${id}\ndata: ${responseId} ${event}${suffix}\n\n`);
         }
+        await silence.wait("event");
         response.end();
     }
 
--- a/src/standIns/platform/cooperative/cooperativeTarget.ts
+++ b/src/standIns/platform/cooperative/cooperativeTarget.ts
@@ -227,7 +227,16 @@
         const path = request.url ?? "/";
         const lastEventId = findEvent(path, Number(headers["last-event-id"] ?? 0), events);
         const version = this.version;
-        const arrival = { requestId, path, headers, body, lastEventId, version, at: performance.now() };
+        const arrival = {
+            requestId,
+            path,
+            headers,
+            body,
+            lastEventId,
+            version,
+            fault,
+            at: performance.now(),
+        };
         this.#arrivals.push(arrival);
         this.#running.add(requestId);
         response.on("close", () => this.#running.delete(requestId));
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -8,20 +8,12 @@
 import { buildRouterSettings } from "./buildRouterSettings.js";
 import type { CooperativeFleetOptions } from "./cooperativeFleetOptions.js";
 import { findPorts } from "./findPorts.js";
+import type { FleetInstance } from "./fleetInstance.js";
 import type { FleetTarget } from "./fleetTarget.js";
 import { FleetTargetGroup } from "./fleetTargetGroup.js";
 import { getLoopbackHost } from "./getLoopbackHost.js";
 import { Impairments } from "./impairments.js";
 
-interface FleetInstance {
-    readonly host: string;
-    readonly settingsPath: string;
-    process: ChildProcess;
-    isStarting: boolean;
-    /** Functions that end the recorded impairments of the instance, once it runs again. */
-    readonly endImpairments: (() => void)[];
-}
-
 /** Period in which the callers' key was revoked, in monotonic milliseconds; `until` is infinite while it lasts. */
 interface Revocation {
     readonly from: number;
@@ -257,9 +249,10 @@
         this.store.close();
     }
 
+    /** The error of a process that does not start names the last line that it wrote to standard error. */
     #startProcess(host: string, settingsPath: string): Promise<ChildProcess> {
         const onLine = (line: string): void => this.#options.onLogLine?.(host, line);
-        return ChildProcess.create(MAIN, [settingsPath], { onLine });
+        return ChildProcess.create(MAIN, [settingsPath], { logPath: `${settingsPath}.log`, onLine });
     }
 
     #buildSettings(host: string): object {
