Open no further connection to a target that has left

Cause: a connection that is not there after 400 ms is opened once more, up to the deadline of the request, at an address that may have been removed or be draining since.

The attempt now fails as not written if the target is not listed any more or is draining, so that the request goes on at another one, or is refused as not executed.

--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -111,6 +111,8 @@
             agent: targetAgents.getAgent(
                 isRepeatable && this.#executions + 1 < exchange.request.route.maxAttempts,
             ),
+            isListed: () =>
+                scheduler.targets.get(descriptor.id) === grant.target && !grant.target.descriptor.isDraining,
             onWritten: () => this.#onWritten(),
             onProgress: () => this.#resume(attempt),
             onFirstEvent: () => {
@@ -162,11 +164,8 @@
         const attempt = this.running.find(({ isWritten }) => isWritten);
         if (attempt) {
             this.#running.delete(attempt);
-            this.#suspended = {
-                attempt,
-                run: this.#options.response.pauseRun(),
-                until: Number.POSITIVE_INFINITY,
-            };
+            const run = this.#options.response.pauseRun();
+            this.#suspended = { attempt, run, until: Number.POSITIVE_INFINITY };
         }
     }
 
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -113,7 +113,7 @@
         return this.#progress.longestPauseMs;
     }
 
-    /** Sends the request, on a new connection each time the target has not taken one in time. */
+    /** Sends the request, on a new connection each time a target that stays has not taken one in time. */
     send(): void {
         const { grant, agent, runGuarded } = this.#options;
         this.#exchange = TargetExchange.create({
@@ -142,7 +142,7 @@
     }
 
     #onExchangeFailed(reason: string, isWritten: boolean): void {
-        if (reason === TargetExchange.CONNECT_TIMEOUT) {
+        if (reason === TargetExchange.CONNECT_TIMEOUT && this.#options.isListed()) {
             this.#isConnectLate = true;
             this.send();
             return;
--- a/src/router/forwardAttemptOptions.ts
+++ b/src/router/forwardAttemptOptions.ts
@@ -25,6 +25,8 @@
     readonly isBatching: () => boolean;
     /** Runs a handler; an unexpected error in it ends the request. */
     readonly runGuarded: (handler: () => void) => void;
+    /** Returns whether the target is still listed as one that stays. */
+    readonly isListed: () => boolean;
     /** Called before a byte of the request is written to the target. */
     readonly onWritten: () => void;
     /** Called before anything of the response is used. */
--- a/test/platform/unacceptingTargets.test.ts
+++ b/test/platform/unacceptingTargets.test.ts
@@ -168,3 +168,19 @@
     t.is(status, 503);
     t.true(performance.now() - sentAt < 300);
 });
+
+/** A target that has left may get requests for this time. */
+const DRAIN_MS = 2500;
+
+// The connection was tried again at the target after it had left, so that the request arrived long after that.
+test.serial("sends no request to a target that left while it accepted no connection", async t => {
+    const { fleet, targets } = await createUnacceptingFleet(t, "plain", 1);
+    const isSent = sendAll(fleet, "/unsafe/x");
+    await new Promise(resolve => setTimeout(resolve, 200));
+    fleet.store.remove("servers/silent-0");
+    await new Promise(resolve => setTimeout(resolve, DRAIN_MS + 700));
+    targets.forEach(target => target.accept());
+    const { outcomes } = await isSent;
+    t.deepEqual(outcomes, outcomes.map(() => "503 incomplete"));
+    t.deepEqual(listArrivals(targets), []);
+});
--- a/test/router/forwardAttempt.test.ts
+++ b/test/router/forwardAttempt.test.ts
@@ -66,6 +66,7 @@
             getRunningTime: () => 0,
             isBatching: () => false,
             runGuarded: handler => handler(),
+            isListed: () => true,
             onWritten: () => undefined,
             onProgress: () => undefined,
             onFirstEvent: () => undefined,
