End a run that was set aside before another one is set aside

A silent run of a stream kept its connection and its slot at the target without end, beside two further runs.

Cause: a run that was set aside stays until 250 ms after the next one is written. If the next target answered the question for its start late, its run counted as silent as soon as it was written, and a further target was found within the 250 ms: the second run was set aside in the place of the first, which nothing ended any more.

AttemptRunner.pause now ends the run that was set aside before.

Evidence: "closes the connection of a silent run if the target in its place is followed by another one" (movedStreams.test) failed on the code before (one connection left open) and passes. Raw targets can write their reports late.

--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -163,6 +163,7 @@
     pause(): void {
         const attempt = this.running.find(({ isWritten }) => isWritten);
         if (attempt) {
+            this.#dropSuspended();
             this.#running.delete(attempt);
             const run = this.#options.response.pauseRun();
             this.#suspended = { attempt, run, until: Number.POSITIVE_INFINITY };
--- a/test/platform/movedStreams.test.ts
+++ b/test/platform/movedStreams.test.ts
@@ -113,3 +113,33 @@
     t.is(overlaps.length, REQUESTS);
     t.true(overlaps.every(ms => ms < MAX_OVERLAP_MS), overlaps.join());
 });
+
+/** Longer than a target of a stream may be silent before a further one is tried. */
+const REPORT_DELAY_MS = 1100;
+
+// The run that was set aside first was forgotten if a further target was found soon: its connection and its slot stayed in use.
+test.serial("closes the connection of a silent run if the target in its place is followed by another one", async t => {
+    const open = new Set<RawRequest["socket"]>();
+    const serve = ({ socket, requestId, lastEventId }: RawRequest): void => {
+        writeHead(socket, requestId, STREAM_HEADERS);
+        if (lastEventId === undefined) {
+            open.add(socket);
+            socket.on("close", () => open.delete(socket));
+            socket.write(formatChunk(formatEvent(1, requestId)));
+            return;
+        }
+        setTimeout(() => {
+            for (let id = Number(lastEventId) + 1; id <= EVENTS; id += 1) {
+                socket.write(formatChunk(formatEvent(id, requestId)));
+            }
+            socket.write("0\r\n\r\n");
+        }, MAX_OVERLAP_MS);
+    };
+    const { fleet, targets } = await createRawFleet(t, "engine", [serve, serve, serve]);
+    targets.forEach(target => {
+        target.reportDelayMs = REPORT_DELAY_MS;
+    });
+    await sendToFleet(fleet, "/stream/x", { "Request-Id": "followed", "Deadline-Ms": "6000" });
+    await new Promise(resolve => setTimeout(resolve, MAX_OVERLAP_MS));
+    t.is(open.size, 0);
+});
--- a/test/testing/router/rawTarget.ts
+++ b/test/testing/router/rawTarget.ts
@@ -22,6 +22,8 @@
     #startedAtMs = Date.now();
     /** False for a target whose reports do not name its start. */
     namesStart = true;
+    /** Time in milliseconds after which a report is written. */
+    reportDelayMs = 0;
 
     private constructor(serve: (request: RawRequest) => void) {
         // As HTTP servers do: a kept connection would otherwise hold an event back until the one before is acknowledged.
@@ -89,7 +91,8 @@
 
     #writeReport(socket: Socket): void {
         const body = this.namesStart ? JSON.stringify({ stage: "mixed", born: this.#startedAtMs }) : "";
-        socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+        const response = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+        setTimeout(() => socket.write(response), this.reportDelayMs);
     }
 
     /** Identifiers of the requests that have arrived. */
