Test the end of a stop with a request that is still in time

stoppedRequests.test left the body of a request on a route with a time-out of 1 s open for a stop of 4 s, and failed since requests whose bodies are not complete are refused at their deadline (408). What it checks is a request that is being read when the stop ends. It now uses a route whose time-out is longer than the stop; the checks are the same.

--- a/test/platform/stoppedRequests.test.ts
+++ b/test/platform/stoppedRequests.test.ts
@@ -26,7 +26,10 @@
     const unread = connect(Number(port), hostname);
     let received = "";
     unread.on("data", data => received += data.toString());
-    unread.write("POST /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: unread\r\nContent-Length: 2\r\n\r\nx");
+    // The time-out of its route ends after the stop.
+    const head =
+        `POST /once/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer ${fleet.key}\r\nDeadline-Ms: 8000\r\n`;
+    unread.write(`${head}Request-Id: unread\r\nContent-Length: 2\r\n\r\nx`);
     await waitUntil("the target has the request", () => targets[0]?.requestIds.length === 1);
     const stopped = instance.process.stop("SIGTERM");
     await once(unread, "close");
