Signals: each one that can end the process stops it as planned or is ignored, with a log line

Callers saw: SIGINT, SIGQUIT, SIGUSR2, SIGALRM and others ended a router at once; each request in flight got a reset without a status, and the log said nothing. SIGUSR1 opened the debugger of Node.js on port 9229. The daemon handled SIGTERM only, once it listened, so that any signal during its start ended it.

Cause: the processes had listeners for SIGTERM and SIGHUP only. Node.js leaves the other signals to their default action, which ends the process.

Change: startupSignals, now shared by router and daemon, listens to every signal that can be caught and whose default action ends the process, but for those that report a fault of the program, SIGPROF and SIGSYS. SIGINT, SIGQUIT and SIGPWR begin the planned stop like SIGTERM; the others are ignored. Each one is logged as `signal-received` with its action; one that arrives during the start is handled and logged after it. The daemon loads its modules after the listeners are there.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -39,6 +39,11 @@
         };
     }
 
+    /** Logs a signal and what it leads to. */
+    logSignal(signal: string, action: string): void {
+        this.#parts.context.logger.info("signal-received", { signal, action });
+    }
+
     /** Stops gracefully; further calls wait for the same stop. */
     stop(): Promise<void> {
         this.#stopped ??= stopGracefully(this.#parts);
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,10 +1,13 @@
 #!/usr/bin/env node
-import { SettingsError } from "../core/errors/settingsError.js";
-import { Daemon } from "./daemon.js";
-import { readDaemonSettings } from "./readDaemonSettings.js";
+// The only static import: signals have handlers before the modules of the daemon are loaded.
+import { startupSignals } from "../shared/startupSignals.js";
 
 const INVALID_SETTINGS_EXIT_CODE = 2;
 
+const { SettingsError } = await import("../core/errors/settingsError.js");
+const { Daemon } = await import("./daemon.js");
+const { readDaemonSettings } = await import("./readDaemonSettings.js");
+
 try {
     await runDaemon(process.argv.slice(2));
 }
@@ -26,6 +29,6 @@
     process.stdout.write(
         `${JSON.stringify({ event: "listening", name: settings.instance, ...daemon.addresses })}\n`,
     );
-    // A second signal must not end the process before its requests have ended.
-    process.on("SIGTERM", () => void daemon.stop().then(() => process.exit(0)));
+    startupSignals.observe((signal, action) => daemon.logSignal(signal, action));
+    startupSignals.attach("SIGTERM", () => void daemon.stop().then(() => process.exit(0)));
 }
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,5 +1,5 @@
 // Loaded first, so that a signal during the start does not end the process.
-import { startupSignals } from "./startupSignals.js";
+import { startupSignals } from "../shared/startupSignals.js";
 
 import { readFileSync } from "node:fs";
 import { performance } from "node:perf_hooks";
@@ -22,6 +22,7 @@
     const path = process.argv[2] ?? process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
     const settings = parseSettings(readFileSync(path, "utf8"));
     const log = LogSink.create({ instance: settings.router.instance });
+    startupSignals.observe((signal, action) => log.write("signal-received", { signal, action }));
     log.write("started", { dataCentre: settings.router.locality.dataCentre });
     const getNow = (): number => performance.now();
     const getTimeOfDay = (): number => Date.now();
--- a/test/testing/router/createRawFleet.ts
+++ b/test/testing/router/createRawFleet.ts
@@ -1,4 +1,5 @@
 import type { ExecutionContext } from "ava";
+import type { CooperativeFleetOptions } from "../../../src/testing/platform/cooperativeFleetOptions.js";
 import { waitUntil } from "../../../src/testing/waitUntil.js";
 import { createRouterFleet } from "./createRouterFleet.js";
 import { RawTarget } from "./rawTarget.js";
@@ -10,10 +11,11 @@
     t: ExecutionContext,
     service: "engine" | "plain",
     serves: readonly ((request: RawRequest) => void)[],
+    options: Partial<CooperativeFleetOptions> = {},
 ): Promise<
     { readonly fleet: Awaited<ReturnType<typeof createRouterFleet>>; readonly targets: readonly RawTarget[]; }
 > {
-    const fleet = await createRouterFleet(t, { engines: 0, plainTargets: 1 });
+    const fleet = await createRouterFleet(t, { engines: 0, plainTargets: 1, ...options });
     const targets = await Promise.all(
         serves.map((serve, i) => RawTarget.create(fleet, `raw-${i}`, service, serve)),
     );
