A configuration of 1 MB that changes again and again no longer ends the router

Cause: two records grew with the size of the configuration, not only with the number of changes. ChangeLog kept the last 500 changes for peers, whatever the length of their values (up to 1.4 million characters each), and RouteHistory kept all routes of up to 64 former versions, also of hosts without streams. Sixty versions of 1 MB within nine seconds filled the old space of 120 MB, and V8 aborted the process.

Former routes are kept up to 20,000 in all and for hosts with streams only; what is dropped counts as unknown, as beyond the 64th version before.

--- a/src/core/routing/changeLog.ts
+++ b/src/core/routing/changeLog.ts
@@ -4,11 +4,14 @@
 
 /** Changes kept for incremental reads; a reader further behind gets a full snapshot. */
 const MAX_RECENT = 500;
+/** Length of their values together: a configuration may have 1.4 million characters, and change several times a second. */
+const MAX_RECENT_CHARACTERS = 4_000_000;
 
 /** Copy of the platform's data that an instance relays to peers in the same data centre. */
 export class ChangeLog {
     readonly #current = new Map<string, Change>();
     #recent: Change[] = [];
+    #recentCharacters = 0;
     #firstKnown = Number.POSITIVE_INFINITY;
     #last: Omit<ChangeBatch, "changes" | "isWhole"> | undefined;
 
@@ -30,6 +33,7 @@
         if (batch.isWhole) {
             this.#current.clear();
             this.#recent = [];
+            this.#recentCharacters = 0;
             this.#firstKnown = batch.revision;
         }
         for (const change of batch.changes) {
@@ -41,9 +45,7 @@
             }
         }
         if (!batch.isWhole) {
-            this.#recent.push(...batch.changes);
-            const excess = this.#recent.splice(0, Math.max(0, this.#recent.length - MAX_RECENT));
-            this.#firstKnown = excess.at(-1)?.revision ?? this.#firstKnown;
+            this.#addRecent(batch.changes);
         }
         const { era, revision, confirmedAt, confirmedTimeOfDay } = batch;
         this.#last = { era, revision, confirmedAt, confirmedTimeOfDay };
@@ -64,4 +66,18 @@
                 : this.#recent.filter(change => change.revision > after.revision),
         };
     }
+
+    /** Adds changes, and drops the earliest ones beyond the limits. */
+    #addRecent(changes: readonly Change[]): void {
+        this.#recent.push(...changes);
+        this.#recentCharacters += changes.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+        let dropped = 0;
+        while (
+            this.#recent.length - dropped > MAX_RECENT || this.#recentCharacters > MAX_RECENT_CHARACTERS
+        ) {
+            this.#recentCharacters -= this.#recent[dropped]?.value?.length ?? 0;
+            dropped += 1;
+        }
+        this.#firstKnown = this.#recent.splice(0, dropped).at(-1)?.revision ?? this.#firstKnown;
+    }
 }
--- a/src/core/streams/routeHistory.ts
+++ b/src/core/streams/routeHistory.ts
@@ -11,6 +11,8 @@
 
 /** Routes change about every four seconds, and streams last for some tens of seconds. */
 const MAX_FORMER = 64;
+/** Routes of all former versions together: a configuration of 1 MB has some thousands. */
+const MAX_FORMER_ROUTES = 20_000;
 
 /** Routes that were in force while streams began that may still be taken up. Times are monotonic milliseconds. */
 export class RouteHistory {
@@ -44,12 +46,7 @@
                 endedAt: now,
                 expiresAt: now + Math.max(this.#current.longestMs, routes.longestMs),
             };
-            const kept = [...this.#former.filter(({ expiresAt }) => expiresAt > now), former];
-            this.#former = kept.slice(-MAX_FORMER);
-            const dropped = kept.at(-MAX_FORMER - 1);
-            if (dropped) {
-                this.#coveredSince = Math.max(this.#coveredSince, dropped.endedAt);
-            }
+            this.#setFormer([...this.#former.filter(({ expiresAt }) => expiresAt > now), former]);
             this.#changedAt = now;
         }
         this.#current = routes;
@@ -92,4 +89,18 @@
             ? undefined
             : service;
     }
+
+    /** Keeps the latest former routes that are within the limits; what was before them is not known any more. */
+    #setFormer(former: readonly FormerRoutes[]): void {
+        let routes = 0;
+        const firstKept = former.findLastIndex(({ routes: { size } }, i) => {
+            routes += size;
+            return former.length - i > MAX_FORMER || routes > MAX_FORMER_ROUTES;
+        }) + 1;
+        const dropped = former[firstKept - 1];
+        if (dropped) {
+            this.#coveredSince = Math.max(this.#coveredSince, dropped.endedAt);
+        }
+        this.#former = former.slice(firstKept);
+    }
 }
--- a/src/core/streams/streamRoutes.ts
+++ b/src/core/streams/streamRoutes.ts
@@ -18,7 +18,10 @@
 
 /** Routes of streams, as one version of the configuration states them. */
 export class StreamRoutes {
+    /** Hosts without a route of streams are left out. */
     readonly #routesByHost: RouterConfiguration["routesByHost"];
+    /** Number of routes that are kept. */
+    readonly size: number;
     /** Digest of what decides where streams go. */
     readonly digest: string;
     /** Time in milliseconds after which a target that has left the list, and the streams it began, have ended. */
@@ -29,9 +32,11 @@
     readonly services: readonly string[];
 
     private constructor(configuration: RouterConfiguration | undefined) {
-        this.#routesByHost = configuration?.routesByHost ?? new Map<string, readonly RouteRule[]>();
-        const routes = [...this.#routesByHost.values()].flat();
-        const streams = routes.filter(({ kind }) => kind === "stream");
+        const routesByHost = configuration?.routesByHost ?? new Map<string, readonly RouteRule[]>();
+        const routes = [...routesByHost.values()].flat();
+        this.#routesByHost = new Map([...routesByHost].filter(([, rules]) => rules.some(isStream)));
+        this.size = [...this.#routesByHost.values()].reduce((sum, rules) => sum + rules.length, 0);
+        const streams = routes.filter(isStream);
         const resumable = streams.filter(({ isResumable }) => isResumable);
         this.digest = hashBytes(routes.map(formatRoute).sort().join("\n"), undefined);
         this.windowMs = LINGER_MS + Math.max(0, ...resumable.map(({ timeoutMs }) => timeoutMs));
@@ -55,6 +60,10 @@
     }
 }
 
+function isStream({ kind }: RouteRule): boolean {
+    return kind === "stream";
+}
+
 function listServices({ backends }: RouteRule): readonly string[] {
     return backends.filter(({ weight }) => weight > 0).map(({ service }) => service);
 }
--- a/src/testing/childProcess.ts
+++ b/src/testing/childProcess.ts
@@ -15,6 +15,10 @@
     readonly logPath?: string;
     /** Called with each line of the standard output. */
     readonly onLine?: (line: string) => void;
+    /** Arguments of Node.js itself. @default none */
+    readonly runtimeArguments?: readonly string[];
+    /** Whether the standard output is read after the first line. @default true */
+    readonly isOutputRead?: boolean;
 }
 
 const END_WITH_PARENT = new URL("endWithParent.js", import.meta.url).href;
@@ -42,7 +46,14 @@
         options: ChildProcessOptions = {},
     ): Promise<ChildProcess> {
         const path = fileURLToPath(module);
-        const child = spawn(process.execPath, ["--import", END_WITH_PARENT, path, ...args], {
+        const { runtimeArguments = [], isOutputRead = true } = options;
+        const child = spawn(process.execPath, [
+            ...runtimeArguments,
+            "--import",
+            END_WITH_PARENT,
+            path,
+            ...args,
+        ], {
             stdio: ["ignore", "pipe", options.logPath ? openSync(options.logPath, "a") : "ignore"],
         });
         trackChild(child);
@@ -56,6 +67,10 @@
         });
         const line = await Promise.race([once(lines, "line").then(([text]) => String(text)), exited]);
         exited.catch(() => undefined);
+        if (!isOutputRead) {
+            lines.close();
+            child.stdout?.pause();
+        }
         return new ChildProcess(child, JSON.parse(line) as ListeningLine);
     }
 
--- a/src/testing/platform/buildRouterSettings.ts
+++ b/src/testing/platform/buildRouterSettings.ts
@@ -9,6 +9,8 @@
     readonly stopTimeoutSeconds: number;
     /** Time in milliseconds for which keys are accepted without a new confirmation. */
     readonly revocationMs: number;
+    /** Limit of the resident memory in MiB. @default 256 */
+    readonly memoryMb?: number;
 }
 
 /** Builds the settings of a router process of a test fleet. */
@@ -29,7 +31,7 @@
         storeAddress,
         processorShare: 1,
         processorSpeed: 1,
-        memoryMb: 256,
+        memoryMb: values.memoryMb ?? 256,
         stopTimeoutSeconds,
         strictRevocation: true,
         revocationMs,
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -251,8 +251,13 @@
 
     /** The error of a process that does not start names the last line that it wrote to standard error. */
     #startProcess(host: string, settingsPath: string): Promise<ChildProcess> {
-        const onLine = (line: string): void => this.#options.onLogLine?.(host, line);
-        return ChildProcess.create(MAIN, [settingsPath], { logPath: `${settingsPath}.log`, onLine });
+        const { runtimeArguments = [], isOutputRead = true } = this.#options;
+        return ChildProcess.create(MAIN, [settingsPath], {
+            logPath: `${settingsPath}.log`,
+            onLine: line => this.#options.onLogLine?.(host, line),
+            runtimeArguments,
+            isOutputRead,
+        });
     }
 
     #buildSettings(host: string): object {
--- a/src/testing/platform/cooperativeFleetOptions.ts
+++ b/src/testing/platform/cooperativeFleetOptions.ts
@@ -10,6 +10,12 @@
     readonly versions?: readonly string[];
     /** Number of responses of each target of which the last has neither a length nor chunks. @default all have one */
     readonly unframedEvery?: number;
+    /** Limit of the resident memory of each instance in MiB. @default 256 */
+    readonly memoryMb?: number;
+    /** Arguments of Node.js for each instance. @default none */
+    readonly runtimeArguments?: readonly string[];
+    /** Whether the log of each instance is read after its first line. @default true */
+    readonly isOutputRead?: boolean;
     /** Called with each log line of an instance. */
     readonly onLogLine?: (host: string, line: string) => void;
 }
--- a/test/core/routing/changeLog.test.ts
+++ b/test/core/routing/changeLog.test.ts
@@ -55,3 +55,20 @@
     t.deepEqual(log.listSince({ era: 1, revision: 12 })?.changes.map(({ key }) => key), ["d"]);
     t.false(log.listSince({ era: 2, revision: 8 })?.isWhole);
 });
+
+// Guards against a log that grows with the size of the values: 500 versions of a large configuration fill the memory.
+test("keeps recent changes up to a total length, and gives a full snapshot to readers behind them", t => {
+    const log = ChangeLog.create();
+    log.append({ ...TIMES, isWhole: true, revision: 1, changes: [] });
+    const value = "x".repeat(1_400_000);
+    for (let revision = 2; revision <= 6; revision += 1) {
+        log.append({ ...TIMES, isWhole: false, revision, changes: [{ key: "a", revision, value }] });
+    }
+    const recent = log.listSince({ era: 1, revision: 4 });
+    t.false(recent?.isWhole);
+    t.deepEqual(recent?.changes.map(({ revision }) => revision), [5, 6]);
+    const whole = log.listSince({ era: 1, revision: 3 });
+    t.true(whole?.isWhole);
+    t.deepEqual(whole?.changes.map(({ revision }) => revision), [6]);
+    t.deepEqual(log.listSince({ era: 1, revision: 6 })?.changes, []);
+});
