Signals: SIGPROF is ignored, too, with a log line

Cause: its default action ends a process. Only the profiler of V8 uses it, and that sets its own handler. Change: it is among the signals that are logged and ignored, and in the tests of both processes.

--- a/src/shared/startupSignals.ts
+++ b/src/shared/startupSignals.ts
@@ -19,6 +19,7 @@
     "SIGXFSZ",
     "SIGIO",
     "SIGSTKFLT",
+    "SIGPROF",
 ];
 
 /** Signals of the process. Those that arrive before their handlers are attached are kept until then. */
--- a/test/daemon/signals.test.ts
+++ b/test/daemon/signals.test.ts
@@ -24,6 +24,7 @@
     "SIGXFSZ",
     "SIGIO",
     "SIGSTKFLT",
+    "SIGPROF",
 ] as const;
 const STOP_SIGNALS = ["SIGINT", "SIGQUIT", "SIGPWR", "SIGTERM"] as const;
 
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -19,6 +19,7 @@
     "SIGXFSZ",
     "SIGIO",
     "SIGSTKFLT",
+    "SIGPROF",
 ] as const;
 const STOP_SIGNALS = ["SIGINT", "SIGQUIT", "SIGPWR", "SIGTERM"] as const;
 /** Long enough for the signals, and shorter than the timeout of the route (1 s). */
