End of a stop: requests that the kernel has accepted for the process are answered before it closes

Cause: the listening socket was closed with connections in its accept queue, which the kernel resets; http.Server.close and closeIdleConnections also destroy connections whose request has arrived and has not been read. The last response on a connection was followed by its close, though the caller might still send: the kernel answers that with a reset, which may overtake the response. Connections of the directory, the readiness check and the change feed were dropped.

Change: ServerConnections keeps track of the connections of an HTTP server. During a stop and at any other last response, a connection is closed when its caller has closed it or 1 s later. Responses to requests that are open as the stop begins say Connection: close, too. The stop plans 400 in place of 300 ms for this before the process would be killed.

--- a/src/core/routing/planStop.ts
+++ b/src/core/routing/planStop.ts
@@ -4,8 +4,8 @@
 const LINGER_SHARE = 0.75;
 /** The platform excuses the end of a request only if it was sent within 3 s of the signal; the rest is for a late signal. */
 const ESTIMATE_MS = 2800;
-/** Reserved for the last writes and the log. */
-const STOP_MARGIN_MS = 300;
+/** Reserved for the last responses, the close of connections and the log. */
+const STOP_MARGIN_MS = 400;
 /** A request at its deadline is answered at the next check of the deadlines. */
 const FINISH_MARGIN_MS = 200;
 
--- a/src/platform/createErrorEnd.ts
+++ b/src/platform/createErrorEnd.ts
@@ -2,8 +2,8 @@
 
 interface ErrorEndOptions {
     readonly log: Pick<LogSink, "write" | "close">;
-    /** Ends the open requests with the answers that are still possible. */
-    readonly endRequests: () => Promise<void>;
+    /** Ends the open requests with the answers that are still possible, within a time in milliseconds. */
+    readonly endRequests: (timeoutMs: number) => Promise<void>;
     readonly exit: () => void;
 }
 
@@ -20,7 +20,7 @@
         isEnding = true;
         setTimeout(exit, END_TIMEOUT_MS);
         log.write("stopped", { reason: "too-many-errors" });
-        void endRequests()
+        void endRequests(END_TIMEOUT_MS)
             .catch((error: unknown) => log.write("internal-error", { source: "end", reason: String(error) }))
             .then(() => log.close())
             .then(exit);
--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from "node:http";
 import type { Locality } from "../core/routing/locality.js";
 import type { RouterSettings } from "../router/routerSettings.js";
+import { ServerConnections } from "../shared/serverConnections.js";
 
 interface LookupServerOptions {
     readonly directoryAddress: RouterSettings["callerAddress"];
@@ -21,10 +22,10 @@
 
 /** Serves the address directory for callers, the platform's readiness checks and the metrics page. */
 export class LookupServer {
-    readonly #servers: readonly Server[];
+    readonly #connections: readonly ServerConnections[];
 
-    private constructor(servers: readonly Server[]) {
-        this.#servers = servers;
+    private constructor(connections: readonly ServerConnections[]) {
+        this.#connections = connections;
     }
 
     /**
@@ -63,6 +64,7 @@
                 options.renderMetrics(),
             );
         });
+        const connections = [directory, readiness, metrics].map(server => ServerConnections.create(server));
         // A taken port of the metrics page does not keep the router from serving requests.
         metrics.on("error", error => options.onMetricsFailed(error.message));
         metrics.listen(METRICS_PORT, options.readinessAddress.host);
@@ -70,15 +72,16 @@
             startListening(directory, options.directoryAddress),
             startListening(readiness, options.readinessAddress),
         ]);
-        return new LookupServer([directory, readiness, metrics]);
+        return new LookupServer(connections);
     }
 
-    /** Closes the servers and their connections. */
-    close(): void {
-        this.#servers.forEach(server => {
-            server.close();
-            server.closeAllConnections();
-        });
+    /**
+     * Closes the servers and their connections, after the responses that are due.
+     *
+     * @param until Monotonic time in milliseconds at which the connections are closed in any case.
+     */
+    async close(until: number): Promise<void> {
+        await Promise.all(this.#connections.map(connections => connections.close(until)));
     }
 }
 
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -17,6 +17,8 @@
 const DEFAULT_SETTINGS_PATH = "/etc/baobabspread/settings.toml";
 const INVALID_SETTINGS_EXIT_CODE = 2;
 const INTERNAL_ERROR_EXIT_CODE = 1;
+/** Part of the time reserved for the end in which the directory and the readiness check end. */
+const LOOKUP_CLOSE_MS = 80;
 
 async function runRouter(): Promise<void> {
     const path = process.argv[2] ?? process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
@@ -28,13 +30,13 @@
     const getTimeOfDay = (): number => Date.now();
     const store = StoreSource.create({ address: settings.storeAddress, getNow, getTimeOfDay });
     const metrics = RouterMetrics.create();
-    let endRequests = (): Promise<void> => Promise.resolve();
+    let endRequests = (_timeoutMs: number): Promise<void> => Promise.resolve();
     const errorBoundary = ErrorBoundary.create({
         log,
         onError: () => metrics.countInternalError(),
         onFatal: createErrorEnd({
             log,
-            endRequests: () => endRequests(),
+            endRequests: timeoutMs => endRequests(timeoutMs),
             exit: () => process.exit(INTERNAL_ERROR_EXIT_CODE),
         }),
         getNow,
@@ -48,7 +50,7 @@
         metrics,
         errorBoundary,
     });
-    endRequests = () => router.endRequests();
+    endRequests = timeoutMs => router.endRequests(timeoutMs);
     const lookup = await LookupServer.create({
         directoryAddress: settings.directoryAddress,
         readinessAddress: settings.readinessAddress,
@@ -75,7 +77,7 @@
     startupSignals.attach("SIGTERM", () => {
         void router.stop().then(async () => {
             follower.stop();
-            lookup.close();
+            await lookup.close(getNow() + LOOKUP_CLOSE_MS);
             store.close();
             await log.close();
             process.exit(0);
--- a/src/router/callerConnections.ts
+++ b/src/router/callerConnections.ts
@@ -48,6 +48,11 @@
         return response.destroyed || socket.destroyed || socket.readableEnded || socket.writableEnded;
     }
 
+    /** Returns whether no other request has been read behind the one of a response. */
+    isLast(response: ServerResponse): boolean {
+        return this.#list(response.req.socket).at(-1)?.response === response;
+    }
+
     /**
      * Calls a function once the responses before this one on its connection have ended: a request that is forwarded earlier
      * would get no answer if one of them closes the connection. A process that was suspended or has a long event loop delay
--- a/src/router/changeFeedServer.ts
+++ b/src/router/changeFeedServer.ts
@@ -3,6 +3,7 @@
 import type { ChangePosition } from "../core/routing/changePosition.js";
 import { comparePositions } from "../core/routing/comparePositions.js";
 import { NO_ERA } from "../core/routing/noEra.js";
+import { ServerConnections } from "../shared/serverConnections.js";
 import type { LogSink } from "./logSink.js";
 
 interface ChangeFeedServerOptions {
@@ -31,7 +32,9 @@
 export class ChangeFeedServer {
     readonly #options: ChangeFeedServerOptions;
     readonly #server: Server;
+    readonly #connections: ServerConnections;
     #longPolls: readonly LongPoll[] = [];
+    #isClosing = false;
     readonly #timer: NodeJS.Timeout;
 
     private constructor(options: ChangeFeedServerOptions) {
@@ -42,6 +45,7 @@
             const era = Number(query.get("era") ?? NO_ERA);
             this.#serve(revision === null ? undefined : { era, revision: Number(revision) }, response);
         });
+        this.#connections = ServerConnections.create(this.#server);
         this.#server.on("error", error => options.log.write("feed-failed", { reason: error.message }));
         this.#timer = setInterval(() => this.flush(), FLUSH_INTERVAL_MS);
     }
@@ -67,17 +71,23 @@
         due.forEach(poll => this.#send(poll.after, poll.receivedAt, poll.response));
     }
 
-    /** Closes the server and its connections. */
-    close(): void {
+    /**
+     * Responds to all calls and closes the connections.
+     *
+     * @param until Monotonic time in milliseconds at which the connections are closed in any case.
+     */
+    async close(until: number): Promise<void> {
         clearInterval(this.#timer);
-        this.#server.close();
-        this.#server.closeAllConnections();
+        this.#isClosing = true;
+        this.#longPolls.forEach(poll => this.#send(poll.after, poll.receivedAt, poll.response));
+        this.#longPolls = [];
+        await this.#connections.close(until);
     }
 
     #serve(after: ChangePosition | undefined, response: ServerResponse): void {
         const receivedAt = this.#options.getNow();
         const { position } = this.#options.changeLog;
-        if (!after || !position || comparePositions(after, position) !== 0) {
+        if (this.#isClosing || !after || !position || comparePositions(after, position) !== 0) {
             this.#send(after, receivedAt, response);
             return;
         }
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,41 +1,17 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { EndPlan } from "../core/routing/endPlan.js";
 import { planRequestEnd } from "../core/routing/planRequestEnd.js";
 import { RequestFingerprint } from "../core/routing/requestFingerprint.js";
-import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { abortResponse } from "../shared/abortResponse.js";
 import { hashBytes } from "../shared/hashBytes.js";
+import { ServerConnections } from "../shared/serverConnections.js";
 import { BodyReader } from "./bodyReader.js";
 import { CallerByteLimit } from "./callerByteLimit.js";
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { endResponse } from "./endResponse.js";
-import type { ErrorBoundary } from "./errorBoundary.js";
-import type { LogSink } from "./logSink.js";
-import type { RequestHead } from "./requestHead.js";
-import type { WireFormat } from "./wireFormat.js";
-
-interface IngressOptions {
-    readonly host: string;
-    readonly port: number;
-    readonly wire: WireFormat;
-    readonly log: LogSink;
-    readonly errorBoundary: ErrorBoundary;
-    /** Limit for the total size of all buffered request bodies, in bytes. */
-    readonly maxBufferedBytes: number;
-    readonly getNow: () => number;
-    /** Finds the route and client account of a request, or the reason why it is refused. */
-    readonly resolve: (
-        head: RequestHead,
-        path: string,
-        receivedAt: number,
-    ) => ReturnType<typeof resolveRequest>;
-    /** Size limits and timeouts for callers; `undefined` until a configuration is known. */
-    readonly getLimits: () => RouterConfiguration["limits"] | undefined;
-    readonly isStopping: () => boolean;
-    readonly serve: (exchange: CallerExchange) => void;
-    readonly onRefused: (reason: string) => void;
-}
+import type { IngressOptions } from "./ingressOptions.js";
 
 const MAX_HEADER_BYTES = 32_768;
 /** Callers reuse idle connections for up to four fifths of the configured timeout; closing later avoids a race. */
@@ -58,6 +34,7 @@
 export class Ingress {
     readonly #options: IngressOptions;
     readonly #server: Server;
+    readonly #serverConnections: ServerConnections;
     readonly #connections: CallerConnections;
     readonly #bodies: BodyReader;
     readonly #byteLimit: CallerByteLimit;
@@ -75,6 +52,7 @@
             requestTimeout: 0,
             noDelay: true,
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
+        this.#serverConnections = ServerConnections.create(this.#server);
         this.#bodies = BodyReader.create({
             maxBufferedBytes: options.maxBufferedBytes,
             getNow: options.getNow,
@@ -125,11 +103,30 @@
         return this.#open.size;
     }
 
-    /** Stops accepting connections and closes the idle ones. */
+    /** Tells the callers of open requests that their connections close with the responses. */
+    endKeepAlive(): void {
+        for (const response of this.#open) {
+            if (!response.headersSent && this.#connections.isLast(response)) {
+                response.shouldKeepAlive = false;
+            }
+        }
+    }
+
+    /** Answers the requests on the connections that callers have opened, accepts no more, and closes all. */
+    async end({ answerBy, closeBy }: EndPlan): Promise<void> {
+        await this.#serverConnections.stopListening(answerBy);
+        await this.#serverConnections.waitForResponses(answerBy);
+        this.#refuseUnserved();
+        await this.#serverConnections.endConnections(closeBy);
+        this.#open.forEach(abortResponse);
+        this.close();
+    }
+
+    /** Closes everything at once. */
     close(): void {
         clearInterval(this.#byteTimer);
         this.#server.close();
-        this.#server.closeIdleConnections();
+        this.#serverConnections.dropConnections();
     }
 
     /**
@@ -156,18 +153,6 @@
         this.#runGuarded(response, handler);
     }
 
-    /** Refuses the requests that are not being served yet, because the instance stops. */
-    refuseUnserved(): void {
-        for (const response of this.#unserved.keys()) {
-            this.#refuse(response, "stopping", "stopping", RETRY_AFTER_MS);
-        }
-    }
-
-    /** Closes the connections of the requests that are still open, because the process ends. */
-    abortOpenRequests(): void {
-        this.#open.forEach(abortResponse);
-    }
-
     /** Runs a handler of a request that is not being served; an unexpected error in it ends the request. */
     #runGuarded(response: ServerResponse, handler: () => void): void {
         const refuse = (): void => this.#refuse(response, "internal-error", "internal-error", RETRY_AFTER_MS);
@@ -179,7 +164,20 @@
         );
     }
 
+    /** Refuses the requests that are not being served yet, because the instance stops. */
+    #refuseUnserved(): void {
+        for (const response of this.#unserved.keys()) {
+            this.#refuse(response, "stopping", "stopping", RETRY_AFTER_MS);
+        }
+    }
+
     #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
+        if (ServerConnections.isEnded(incoming.socket)) {
+            // It was sent behind the last response, or as its connection ended, and cannot be answered any more.
+            this.#options.log.write("caller-connection-failed", { reason: "request-after-end" });
+            incoming.resume();
+            return;
+        }
         this.#open.add(response);
         this.#byteLimit.recordRequest(incoming.socket);
         this.#connections.add(incoming, response);
--- /dev/null
+++ b/src/router/ingressOptions.ts
@@ -0,0 +1,29 @@
+import type { resolveRequest } from "../core/routing/resolveRequest.js";
+import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import type { CallerExchange } from "./callerExchange.js";
+import type { ErrorBoundary } from "./errorBoundary.js";
+import type { LogSink } from "./logSink.js";
+import type { RequestHead } from "./requestHead.js";
+import type { WireFormat } from "./wireFormat.js";
+
+export interface IngressOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly wire: WireFormat;
+    readonly log: LogSink;
+    readonly errorBoundary: ErrorBoundary;
+    /** Limit for the total size of all buffered request bodies, in bytes. */
+    readonly maxBufferedBytes: number;
+    readonly getNow: () => number;
+    /** Finds the route and client account of a request, or the reason why it is refused. */
+    readonly resolve: (
+        head: RequestHead,
+        path: string,
+        receivedAt: number,
+    ) => ReturnType<typeof resolveRequest>;
+    /** Size limits and timeouts for callers; `undefined` until a configuration is known. */
+    readonly getLimits: () => RouterConfiguration["limits"] | undefined;
+    readonly isStopping: () => boolean;
+    readonly serve: (exchange: CallerExchange) => void;
+    readonly onRefused: (reason: string) => void;
+}
--- a/src/router/logSink.ts
+++ b/src/router/logSink.ts
@@ -5,7 +5,7 @@
 /** Lines beyond this buffer size are dropped while the reader of the log does not keep up. */
 const MAX_BUFFERED_BYTES = 262_144;
 const WRITE_RETRY_MS = 50;
-/** A graceful stop ends 300 ms before the process would be killed; the last write of the log may take half of that. */
+/** The last write of the log ends before the process would be killed. */
 const CLOSE_TIMEOUT_MS = 150;
 const STDOUT = 1;
 
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -3,6 +3,7 @@
 import type { ChangeSource } from "../core/routing/changeSource.js";
 import type { Locality } from "../core/routing/locality.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
+import { planEnd } from "../core/routing/planEnd.js";
 import { planStop } from "../core/routing/planStop.js";
 import { RunningClock } from "../core/routing/runningClock.js";
 import type { StopPlan } from "../core/routing/stopPlan.js";
@@ -60,6 +61,7 @@
     /** `undefined` unless the process is stopping. */
     #stopPlan: StopPlan | undefined;
     #stopped: Promise<void> | undefined;
+    #ended: Promise<void> | undefined;
 
     private constructor(options: RouterOptions) {
         this.#options = options;
@@ -155,27 +157,36 @@
         return this.#stopped ??= this.#finishRequests();
     }
 
-    /** Ends all requests at once, as at the end of a stop, because the process cannot be relied on any more. */
-    async endRequests(): Promise<void> {
-        this.#stopPlan = planStop(this.#getNow(), 0);
-        await endOpenRequests(this.#activeRequests, this.#ingress, this.#getNow);
+    /** Ends all requests at once, as the process cannot be relied on any more; it ends after `timeoutMs` in any case. */
+    endRequests(timeoutMs: number): Promise<void> {
+        return this.#ended ??= this.#endOpenRequests(this.#getNow() + timeoutMs);
+    }
+
+    #endOpenRequests(endBy: number): Promise<void> {
+        const now = this.#getNow();
+        // Requests that arrive from now on are refused.
+        this.#stopPlan = planStop(now, 0);
+        return endOpenRequests(this.#activeRequests, this.#ingress, planEnd(now, endBy));
     }
 
     /** Notifies peers, lets callers move to other instances, finishes active requests and closes everything. */
     async #finishRequests(): Promise<void> {
         const { log, settings } = this.#options;
+        const endBy = this.#getNow() + settings.stopTimeoutMs;
         this.#stopPlan = planStop(this.#getNow(), settings.stopTimeoutMs);
         log.write("stopping", { active: this.#activeRequests.size });
         this.#fleet?.notifyPeers();
+        this.#ingress?.endKeepAlive();
         await waitForRequests({
             ...this.#stopPlan,
             // A request that is still being read has been accepted, too.
             countActive: () => Math.max(this.#activeRequests.size, this.#ingress?.openRequests ?? 0),
             getNow: this.#getNow,
         });
-        await endOpenRequests(this.#activeRequests, this.#ingress, this.#getNow);
-        this.#ingress?.close();
-        this.#changeFeed?.close();
+        await Promise.all([
+            this.#ended ??= this.#endOpenRequests(endBy),
+            this.#changeFeed?.close(planEnd(this.#getNow(), endBy).closeBy),
+        ]);
         this.#fleet?.close();
         clearInterval(this.#timer);
         this.#targetAgents.close();
--- /dev/null
+++ b/src/shared/serverConnections.ts
@@ -0,0 +1,166 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Server as TcpServer, type Socket } from "node:net";
+
+/** A caller has this long to close its side after the last response on a connection. */
+const LINGER_MS = 1000;
+const CHECK_INTERVAL_MS = 20;
+
+/**
+ * Connections of an HTTP server, closed so that callers get their responses. The operating system resets a connection that is
+ * closed with unread bytes, or that gets more bytes afterwards, and a reset may overtake the response.
+ */
+export class ServerConnections {
+    readonly #server: Server;
+    /** Open connections with the number of responses that are due on them. */
+    readonly #due = new Map<Socket, number>();
+    /** Accepted connections on which no request has been read yet. */
+    readonly #unused = new Set<Socket>();
+    /** Connections whose last response has been sent, with the monotonic times in milliseconds at which they are closed. */
+    readonly #lingering = new Map<Socket, number>();
+    #accepted = 0;
+    #isEnding = false;
+    /** Set while connections linger. */
+    #timer: NodeJS.Timeout | undefined;
+
+    private constructor(server: Server) {
+        this.#server = server;
+        server.on("connection", (socket: Socket) => this.#add(socket));
+        server.prependListener(
+            "request",
+            (incoming, response) => this.#recordRequest(incoming, response),
+        );
+    }
+
+    /** Keeps track of the connections of a server. */
+    static create(server: Server): ServerConnections {
+        return new ServerConnections(server);
+    }
+
+    /** Returns whether no response can be sent on a connection any more. */
+    static isEnded(socket: Socket): boolean {
+        return socket.writableEnded;
+    }
+
+    /**
+     * Stops listening, once all connections that the operating system has accepted are taken over: closing the listening
+     * socket resets the others.
+     *
+     * @param until Monotonic time in milliseconds at which it stops listening in any case.
+     */
+    async stopListening(until: number): Promise<void> {
+        let accepted: number;
+        do {
+            accepted = this.#accepted;
+            // The event loop accepts one connection a turn, so that a turn without one has found the queue empty. After an
+            // uncaught error the next turn may begin without a look at the sockets.
+            await new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+        }
+        while (this.#accepted !== accepted && performance.now() < until);
+        // `close` of an HTTP server also destroys connections whose request has not been read yet.
+        TcpServer.prototype.close.call(this.#server);
+    }
+
+    /**
+     * Waits until the requests on accepted connections have been read and answered.
+     *
+     * @param until Monotonic time in milliseconds at which the wait ends in any case.
+     */
+    async waitForResponses(until: number): Promise<void> {
+        await this.#waitWhile(() => this.#unused.size > 0 || this.#hasDueResponse(), until);
+    }
+
+    /**
+     * Ends the idle connections now and the others after their responses, and waits until callers have closed them.
+     *
+     * @param until Monotonic time in milliseconds at which the wait ends in any case.
+     */
+    async endConnections(until: number): Promise<void> {
+        this.#isEnding = true;
+        this.#due.forEach((count, socket) => {
+            if (count === 0) {
+                socket.end();
+            }
+        });
+        await this.#waitWhile(() => this.#due.size > 0, until);
+    }
+
+    /** Closes all connections at once. */
+    dropConnections(): void {
+        this.#due.forEach((_count, socket) => socket.destroy());
+    }
+
+    /**
+     * Stops listening and ends all connections, after the responses that are due.
+     *
+     * @param until Monotonic time in milliseconds at which the connections are closed in any case.
+     */
+    async close(until: number): Promise<void> {
+        await this.stopListening(until);
+        await this.endConnections(until);
+        this.dropConnections();
+    }
+
+    #add(socket: Socket): void {
+        this.#accepted += 1;
+        this.#due.set(socket, 0);
+        this.#unused.add(socket);
+        // The HTTP server calls this after the last response. Its own version closes the connection while bytes may arrive.
+        socket.destroySoon = () => void socket.end();
+        socket.once("finish", () => this.#waitForClose(socket));
+        socket.once("close", () => {
+            this.#due.delete(socket);
+            this.#unused.delete(socket);
+            this.#lingering.delete(socket);
+        });
+    }
+
+    #recordRequest({ socket }: IncomingMessage, response: ServerResponse): void {
+        this.#unused.delete(socket);
+        this.#addDue(socket, 1);
+        response.once("close", () => {
+            this.#addDue(socket, -1);
+            if (this.#isEnding && this.#due.get(socket) === 0) {
+                socket.end();
+            }
+        });
+    }
+
+    #addDue(socket: Socket, change: number): void {
+        const count = this.#due.get(socket);
+        if (count !== undefined) {
+            this.#due.set(socket, count + change);
+        }
+    }
+
+    #hasDueResponse(): boolean {
+        return [...this.#due.values()].some(count => count > 0);
+    }
+
+    /** Reads on until the caller closes its side, for a limited time. */
+    #waitForClose(socket: Socket): void {
+        if (socket.destroyed) {
+            return;
+        }
+        this.#lingering.set(socket, performance.now() + LINGER_MS);
+        this.#timer ??= setInterval(() => this.#expire(), CHECK_INTERVAL_MS);
+    }
+
+    #expire(): void {
+        const now = performance.now();
+        this.#lingering.forEach((until, socket) => {
+            if (until <= now) {
+                socket.destroy();
+            }
+        });
+        if (this.#lingering.size === 0) {
+            clearInterval(this.#timer);
+            this.#timer = undefined;
+        }
+    }
+
+    async #waitWhile(isPending: () => boolean, until: number): Promise<void> {
+        while (isPending() && performance.now() < until) {
+            await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL_MS / 4));
+        }
+    }
+}
--- a/test/router/changeFeed.test.ts
+++ b/test/router/changeFeed.test.ts
@@ -22,7 +22,7 @@
     const source = PeerChangeSource.create({ port, getNow, getTimeOfDay: () => Date.now() });
     t.teardown(() => {
         source.close();
-        feed.close();
+        void feed.close(getNow());
     });
     changeLog.append({
         changes: [{ key: "a", revision: 7, value: "" }],
