Daemon: the end of a stop answers what the kernel has accepted, as in the router

Callers saw: connections in the accept queues of the daemon's caller and operator ports were reset at the end of a planned stop, and kept connections were closed with unread requests.

Cause: the same as in the router: Server.close, closeIdleConnections and closeAllConnections.

Change: CallerServer and OperatorServer close through ServerConnections, side by side; ServerConnections.close also waits for requests on connections that were just accepted, for the directory, readiness check and change feed, too.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { abortResponse } from "../../shared/abortResponse.js";
+import { ServerConnections } from "../../shared/serverConnections.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerResponse } from "./callerResponse.js";
 import type { CallerServerOptions } from "./callerServerOptions.js";
@@ -26,6 +27,8 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 /** A caller that does not read the buffered end of its response must not block a planned stop. */
 const RESPONSE_READ_TIMEOUT_MS = 30_000;
+/** Time for requests on connections that were accepted a moment ago to arrive. */
+const LAST_ANSWERS_MS = 200;
 /** No request is in flight by then; open connections have sent part of a request at most. */
 const CLOSE_TIMEOUT_MS = 1000;
 
@@ -33,6 +36,7 @@
 export class CallerServer {
     readonly #options: CallerServerOptions;
     readonly #server: Server;
+    readonly #connections: ServerConnections;
     readonly #idleListeners: (() => void)[] = [];
     #requestsInFlight = 0;
     #isDraining = false;
@@ -45,6 +49,7 @@
             requestTimeout: REQUEST_TIMEOUT_MS,
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         }, (incoming, response) => void this.#serve(incoming, response));
+        this.#connections = ServerConnections.create(this.#server);
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
             const requestId = createUuid();
             this.#finish(
@@ -84,12 +89,10 @@
         }
     }
 
-    /** Stops listening, closes idle connections and resolves when the last connection has closed. */
+    /** Stops listening, refuses the requests that callers have sent, and resolves when the last connection has closed. */
     async close(): Promise<void> {
-        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
-        const timer = setTimeout(() => this.#server.closeAllConnections(), CLOSE_TIMEOUT_MS);
-        await closed;
-        clearTimeout(timer);
+        const now = performance.now();
+        await this.#connections.close({ answerBy: now + LAST_ANSWERS_MS, closeBy: now + CLOSE_TIMEOUT_MS });
     }
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/adapters/operator/operatorServer.ts
+++ b/src/adapters/operator/operatorServer.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from "node:net";
 import type { Decision } from "../../core/explain/decision.js";
 import type { StatusReport } from "../../core/explain/statusReport.js";
+import { ServerConnections } from "../../shared/serverConnections.js";
 
 interface OperatorServerOptions {
     /** host:port; port 0 takes a free port. */
@@ -22,15 +23,20 @@
 }
 
 const MAX_ACCOUNT_DECISIONS = 200;
+/** Time for requests on connections that were accepted a moment ago to arrive. */
+const LAST_ANSWERS_MS = 100;
+const CLOSE_TIMEOUT_MS = 500;
 
 /** Serves operators over HTTP; all routes are read-only. */
 export class OperatorServer {
     readonly #options: OperatorServerOptions;
     readonly #server: Server;
+    readonly #connections: ServerConnections;
 
     private constructor(options: OperatorServerOptions) {
         this.#options = options;
         this.#server = createServer((incoming, response) => void this.#serve(incoming, response));
+        this.#connections = ServerConnections.create(this.#server);
     }
 
     /**
@@ -54,10 +60,10 @@
         return `${address}:${port}`;
     }
 
-    /** Stops listening and drops open connections. */
-    close(): void {
-        this.#server.close();
-        this.#server.closeAllConnections();
+    /** Stops listening, and closes the connections after the responses that are due. */
+    async close(): Promise<void> {
+        const now = performance.now();
+        await this.#connections.close({ answerBy: now + LAST_ANSWERS_MS, closeBy: now + CLOSE_TIMEOUT_MS });
     }
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/daemon/stopGracefully.ts
+++ b/src/daemon/stopGracefully.ts
@@ -26,9 +26,8 @@
     await accounting.close();
     await claimHolder.sendHandover();
     configurationManager.close();
-    await callerServer.close();
+    await Promise.all([callerServer.close(), parts.operatorServer.close()]);
     await parts.targetClient.close();
-    parts.operatorServer.close();
     parts.peerServer.close();
     parts.peerClient.close();
     context.logger.info("stopped");
--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from "node:http";
+import type { EndPlan } from "../core/routing/endPlan.js";
 import type { Locality } from "../core/routing/locality.js";
 import type { RouterSettings } from "../router/routerSettings.js";
 import { ServerConnections } from "../shared/serverConnections.js";
@@ -75,13 +76,9 @@
         return new LookupServer(connections);
     }
 
-    /**
-     * Closes the servers and their connections, after the responses that are due.
-     *
-     * @param until Monotonic time in milliseconds at which the connections are closed in any case.
-     */
-    async close(until: number): Promise<void> {
-        await Promise.all(this.#connections.map(connections => connections.close(until)));
+    /** Closes the servers and their connections, after the responses that are due. */
+    async close(plan: EndPlan): Promise<void> {
+        await Promise.all(this.#connections.map(connections => connections.close(plan)));
     }
 }
 
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -77,7 +77,8 @@
     startupSignals.attach("SIGTERM", () => {
         void router.stop().then(async () => {
             follower.stop();
-            await lookup.close(getNow() + LOOKUP_CLOSE_MS);
+            const now = getNow();
+            await lookup.close({ answerBy: now + LOOKUP_CLOSE_MS / 2, closeBy: now + LOOKUP_CLOSE_MS });
             store.close();
             await log.close();
             process.exit(0);
--- a/src/router/changeFeedServer.ts
+++ b/src/router/changeFeedServer.ts
@@ -2,6 +2,7 @@
 import type { ChangeLog } from "../core/routing/changeLog.js";
 import type { ChangePosition } from "../core/routing/changePosition.js";
 import { comparePositions } from "../core/routing/comparePositions.js";
+import type { EndPlan } from "../core/routing/endPlan.js";
 import { NO_ERA } from "../core/routing/noEra.js";
 import { ServerConnections } from "../shared/serverConnections.js";
 import type { LogSink } from "./logSink.js";
@@ -71,17 +72,13 @@
         due.forEach(poll => this.#send(poll.after, poll.receivedAt, poll.response));
     }
 
-    /**
-     * Responds to all calls and closes the connections.
-     *
-     * @param until Monotonic time in milliseconds at which the connections are closed in any case.
-     */
-    async close(until: number): Promise<void> {
+    /** Responds to all calls and closes the connections. */
+    async close(plan: EndPlan): Promise<void> {
         clearInterval(this.#timer);
         this.#isClosing = true;
         this.#longPolls.forEach(poll => this.#send(poll.after, poll.receivedAt, poll.response));
         this.#longPolls = [];
-        await this.#connections.close(until);
+        await this.#connections.close(plan);
     }
 
     #serve(after: ChangePosition | undefined, response: ServerResponse): void {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -185,7 +185,7 @@
         });
         await Promise.all([
             this.#ended ??= this.#endOpenRequests(endBy),
-            this.#changeFeed?.close(planEnd(this.#getNow(), endBy).closeBy),
+            this.#changeFeed?.close(planEnd(this.#getNow(), endBy)),
         ]);
         this.#fleet?.close();
         clearInterval(this.#timer);
--- a/src/shared/serverConnections.ts
+++ b/src/shared/serverConnections.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
+import type { EndPlan } from "../core/routing/endPlan.js";
 
 /** A caller has this long to close its side after the last response on a connection. */
 const LINGER_MS = 1000;
@@ -89,14 +90,11 @@
         this.#due.forEach((_count, socket) => socket.destroy());
     }
 
-    /**
-     * Stops listening and ends all connections, after the responses that are due.
-     *
-     * @param until Monotonic time in milliseconds at which the connections are closed in any case.
-     */
-    async close(until: number): Promise<void> {
-        await this.stopListening(until);
-        await this.endConnections(until);
+    /** Stops listening, and closes all connections after the responses to the requests on them. */
+    async close({ answerBy, closeBy }: EndPlan): Promise<void> {
+        await this.stopListening(answerBy);
+        await this.waitForResponses(answerBy);
+        await this.endConnections(closeBy);
         this.dropConnections();
     }
 
--- a/test/adapters/operator/operatorServer.test.ts
+++ b/test/adapters/operator/operatorServer.test.ts
@@ -43,14 +43,14 @@
 
 test("reports a daemon that has no configuration or is leaving as not ready", async t => {
     const server = await startServer(true);
-    t.teardown(() => server.close());
+    t.teardown(() => void server.close());
     t.deepEqual(await fetchPage(server, "/readyz"), [503, { notReady: ["no-configuration", "leaving"] }]);
     t.is((await fetchPage(server, "/healthz"))[0], 200);
 });
 
 test("finds decisions by request and by account and decodes names in the URL", async t => {
     const server = await startServer(false);
-    t.teardown(() => server.close());
+    t.teardown(() => void server.close());
     const expected = [200, { instance: "daemon-0", decisions: [decision] }];
     t.deepEqual(await fetchPage(server, "/v1/explain/requests/r%201"), expected);
     t.deepEqual(await fetchPage(server, "/v1/explain/accounts/capel"), expected);
@@ -58,7 +58,7 @@
 
 test("responds to a malformed path or a failing page with a problem document", async t => {
     const server = await startServer(false);
-    t.teardown(() => server.close());
+    t.teardown(() => void server.close());
     t.is((await fetchPage(server, "/v1/explain/accounts/%E0%A4%A"))[0], 404);
     t.is((await fetchPage(server, "/metrics"))[0], 500);
 });
--- a/test/daemon/signals.test.ts
+++ b/test/daemon/signals.test.ts
@@ -1,19 +1,16 @@
 import test from "ava";
-import { type ChildProcess, type ChildProcessByStdio, execFileSync, spawn } from "node:child_process";
+import { execFileSync } from "node:child_process";
 import { once } from "node:events";
 import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import type { Readable } from "node:stream";
 import { text } from "node:stream/consumers";
-import { fileURLToPath } from "node:url";
 import { request } from "undici";
 import { sendCaller } from "../../src/testing/sendCaller.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
+import { daemonProcess } from "../testing/daemonProcess.js";
 import { hasSignalHandlers } from "../testing/hasSignalHandlers.js";
 
-const DAEMON = fileURLToPath(new URL("../../src/daemon/main.js", import.meta.url));
-const END_WITH_PARENT = new URL("../../src/testing/endWithParent.js", import.meta.url).href;
 const IGNORED_SIGNALS = [
     "SIGHUP",
     "SIGUSR1",
@@ -28,48 +25,7 @@
 ] as const;
 const STOP_SIGNALS = ["SIGINT", "SIGQUIT", "SIGPWR", "SIGTERM"] as const;
 
-const SETTINGS = JSON.stringify({
-    instance: "daemon-0",
-    dataCentre: "caerdydd-a",
-    callerAddress: "127.0.0.1:0",
-    peerAddress: "127.0.0.1:0",
-    operatorAddress: "127.0.0.1:0",
-    platformUrl: "http://127.0.0.1:1",
-    entriesTermMs: 1000,
-});
-
-interface TearableTest {
-    readonly teardown: (end: () => void) => void;
-}
-
-interface RunningDaemon {
-    readonly child: ChildProcess;
-    readonly exited: Promise<readonly unknown[]>;
-    readonly callerAddress: string;
-    readonly getErrors: () => string;
-}
-
-function spawnDaemon(t: TearableTest, settingsPath: string): ChildProcessByStdio<null, Readable, Readable> {
-    const args = ["--import", END_WITH_PARENT, DAEMON, "--settings", settingsPath];
-    const child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "pipe"] });
-    t.teardown(() => child.kill("SIGKILL"));
-    return child;
-}
-
-/** Starts a daemon without a configuration, which keeps requests waiting for one. */
-async function startDaemon(t: TearableTest): Promise<RunningDaemon> {
-    const path = join(await mkdtemp(join(tmpdir(), "baobabspread-")), "daemon.json");
-    await writeFile(path, SETTINGS);
-    const child = spawnDaemon(t, path);
-    let errors = "";
-    child.stderr.on("data", data => errors += String(data));
-    const exited = once(child, "exit");
-    const [line] = await once(child.stdout, "data");
-    const { callerAddress } = JSON.parse(String(line)) as { readonly callerAddress: string; };
-    return { child, exited, callerAddress, getErrors: () => errors };
-}
-
-function isLogged({ getErrors }: RunningDaemon, signal: string): boolean {
+function isLogged({ getErrors }: { readonly getErrors: () => string; }, signal: string): boolean {
     return getErrors().split("\n").some(line =>
         line.includes(`"signal-received"`) && line.includes(`"${signal}"`)
     );
@@ -78,7 +34,7 @@
 // Only SIGTERM began a planned stop; the default action of the others ended the daemon at once.
 for (const signal of STOP_SIGNALS) {
     test(`${signal}: begins a planned stop, which answers the requests that wait`, async t => {
-        const daemon = await startDaemon(t);
+        const daemon = await daemonProcess.run(t);
         const sent = sendCaller(`http://${daemon.callerAddress}/v1/chat/completions`, {
             method: "POST",
             headers: { authorization: "Bearer key" },
@@ -96,7 +52,7 @@
 
 // The default action of most of these signals ended the daemon at once; SIGUSR1 opened a debugger on a port.
 test("signals that ask for no end are logged and do not end the daemon", async t => {
-    const daemon = await startDaemon(t);
+    const daemon = await daemonProcess.run(t);
     for (const signal of IGNORED_SIGNALS) {
         daemon.child.kill(signal);
     }
@@ -115,7 +71,7 @@
 test("a daemon that is signalled while it starts reads its settings, starts and stops as planned", async t => {
     const settingsPath = join(await mkdtemp(join(tmpdir(), "baobabspread-")), "settings");
     execFileSync("mkfifo", [settingsPath]);
-    const child = spawnDaemon(t, settingsPath);
+    const child = daemonProcess.spawn(t, settingsPath);
     const exited = once(child, "exit");
     const errors = text(child.stderr);
     await waitUntil(
@@ -125,7 +81,7 @@
     for (const signal of [...IGNORED_SIGNALS, "SIGINT", "SIGTERM"] as const) {
         child.kill(signal);
     }
-    void writeFile(settingsPath, SETTINGS);
+    void writeFile(settingsPath, daemonProcess.settings);
     t.deepEqual(await exited, [0, null]);
     t.regex(await errors, /"signal-received".*"SIGUSR1"|"SIGUSR1".*"signal-received"/u);
 });
--- a/test/router/changeFeed.test.ts
+++ b/test/router/changeFeed.test.ts
@@ -22,7 +22,7 @@
     const source = PeerChangeSource.create({ port, getNow, getTimeOfDay: () => Date.now() });
     t.teardown(() => {
         source.close();
-        void feed.close(getNow());
+        void feed.close({ answerBy: getNow(), closeBy: getNow() });
     });
     changeLog.append({
         changes: [{ key: "a", revision: 7, value: "" }],
