Read the rest of a request that is refused on its last connection use

What callers saw: a request that is refused by its head, or while its body is read, and after whose response the connection closes, lost its status: Node.js closes the connection once the response is written, and closing a socket with unread bytes makes the kernel reset it. A caller that is still sending then gets EPIPE or ECONNRESET, and never reads the 503.

Change: the head of such a response, which has no body, is sent at once; the response and its connection end once the request has been read and dropped, at the latest 2 s later (a stored deadline, checked with the limit of bytes). A request that was refused while its body was read is neither buffered further nor served.

Evidence: test refusalReset on the code before: EPIPE without a status for 4 of 4 callers that send 12 MB before they read, and for the caller whose body exceeds the memory limit. Now each reads 503 and Retry-After.

--- a/src/router/endResponse.ts
+++ b/src/router/endResponse.ts
@@ -10,6 +10,7 @@
     wire: WireFormat,
     requestId: string | undefined,
     end: ReturnType<typeof planRequestEnd>,
+    finish: () => void = () => response.end(),
 ): void {
     if (end.kind === "close") {
         abortResponse(response);
@@ -22,5 +23,5 @@
         ...wire.buildLocalResponseHeaders(requestId, end.retryAfterMs),
         "Content-Length": "0",
     });
-    response.end();
+    finish();
 }
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -6,13 +6,14 @@
 import { abortResponse } from "../shared/abortResponse.js";
 import { hashBytes } from "../shared/hashBytes.js";
 import { BodyReader } from "./bodyReader.js";
-import { CallerByteLimit } from "./callerByteLimit.js";
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
+import { CallerLimits } from "./callerLimits.js";
 import { endResponse } from "./endResponse.js";
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
 import type { RequestHead } from "./requestHead.js";
+import { setCallerTimeouts } from "./setCallerTimeouts.js";
 import type { WireFormat } from "./wireFormat.js";
 
 interface IngressOptions {
@@ -38,12 +39,6 @@
 }
 
 const MAX_HEADER_BYTES = 32_768;
-/** Callers reuse idle connections for up to four fifths of the configured timeout; closing later avoids a race. */
-const IDLE_MARGIN_MS = 5000;
-const DEFAULT_IDLE_MS = 15_000;
-/** Callers send their headers within the configured timeout, but a delayed event loop reads them later. */
-const HEADERS_MARGIN_MS = 7000;
-const DEFAULT_HEADERS_MS = 3000;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /**
  * Connections that the operating system queues while the process is busy; it caps the value to its own limit. Connections
@@ -51,7 +46,6 @@
  */
 const LISTEN_BACKLOG = 4096;
 const RETRY_AFTER_MS = 500;
-const BYTE_CHECK_INTERVAL_MS = 250;
 
 /** Accepts callers' connections and reads their requests. */
 export class Ingress {
@@ -59,8 +53,7 @@
     readonly #server: Server;
     readonly #connections: CallerConnections;
     readonly #bodies: BodyReader;
-    readonly #byteLimit: CallerByteLimit;
-    readonly #byteTimer: NodeJS.Timeout;
+    readonly #limits: CallerLimits;
     /** Requests that are not being served yet, with their identifiers. */
     readonly #unserved = new Map<ServerResponse, string | undefined>();
     readonly #open = new Set<ServerResponse>();
@@ -69,15 +62,15 @@
         this.#options = options;
         this.#server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
-            keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_MARGIN_MS,
-            headersTimeout: DEFAULT_HEADERS_MS + HEADERS_MARGIN_MS,
             requestTimeout: 0,
             noDelay: true,
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
+        setCallerTimeouts(this.#server);
+        const getMaxBodyBytes = (): number => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
         this.#bodies = BodyReader.create({
             maxBufferedBytes: options.maxBufferedBytes,
             getNow: options.getNow,
-            getMaxBodyBytes: () => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+            getMaxBodyBytes,
             onTooLarge: (response, cause) => this.#refuse(response, cause, cause, RETRY_AFTER_MS),
             onLate: response => this.#refuse(response, "read-too-late", "read-too-late", undefined),
             runGuarded: (response, handler) => this.#runGuarded(response, handler),
@@ -87,12 +80,8 @@
             onFailure: (reason, dueResponses) =>
                 options.log.write("caller-connection-failed", { reason, dueResponses }),
         });
-        this.#byteLimit = CallerByteLimit.create({
-            getMaxBodyBytes: () => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
-            onExceeded: () => options.log.write("caller-connection-failed", { reason: "bytes-without-end" }),
-        });
-        this.#byteTimer = setInterval(() => this.#byteLimit.check(), BYTE_CHECK_INTERVAL_MS);
-        this.#server.on("connection", socket => this.#byteLimit.add(socket));
+        this.#limits = CallerLimits.create({ ...options, getMaxBodyBytes });
+        this.#server.on("connection", socket => this.#limits.add(socket));
         this.#server.on("clientError", (error, socket) => this.#connections.end(error, socket));
     }
 
@@ -115,8 +104,7 @@
 
     /** Applies the timeouts of a new configuration. */
     applyLimits(limits: RouterConfiguration["limits"]): void {
-        this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
-        this.#server.headersTimeout = limits.headerTimeoutMs + HEADERS_MARGIN_MS;
+        setCallerTimeouts(this.#server, limits);
     }
 
     /** Requests that are being read or served. */
@@ -126,7 +114,7 @@
 
     /** Stops accepting connections and closes the idle ones. */
     close(): void {
-        clearInterval(this.#byteTimer);
+        this.#limits.close();
         this.#server.close();
         this.#server.closeIdleConnections();
     }
@@ -180,7 +168,7 @@
 
     #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
         this.#open.add(response);
-        this.#byteLimit.recordRequest(incoming.socket);
+        this.#limits.recordRequest(incoming.socket);
         this.#connections.add(incoming, response);
         response.on("close", () => {
             this.#open.delete(response);
@@ -263,6 +251,6 @@
         });
         this.#options.onRefused(reason);
         this.#unserved.delete(response);
-        endResponse(response, this.#options.wire, requestId, end);
+        endResponse(response, this.#options.wire, requestId, end, () => this.#limits.finish(response));
     }
 }
