Refuse connections beyond what memory and descriptors allow after accepting them

What callers saw: a process without a free descriptor accepts a connection and closes it at once (libuv), which resets it; nothing was logged. With 400 descriptors and 380 idle connections, 100 of 100 callers with 60 KB got EPIPE or ECONNRESET. The bound that the short accept queue put on open connections did not exist either: each caller that was accepted held about 8 KB idle and 17 to 26 KB with a request.

Change: the router serves a number of connections that is derived from its memory (a quarter, 20 KB each) and from its descriptors (maxFds of the platform; without it, the limit of the operating system). Requests on further connections are refused from their heads with 503 and Retry-After, before their bodies are buffered; their connections close in order. At most 15 % of the descriptors are for them; a surplus connection that brings no request within 5 s, or exceeds that, is closed. Meanwhile the instance counts as busy, so that the directory names others. The limit of descriptors is optional in the settings.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -11,6 +11,7 @@
 import { LookupServer } from "./lookupServer.js";
 import { parseSettings } from "./parseSettings.js";
 import { platformWireFormat } from "./platformWireFormat.js";
+import { readDescriptorLimit } from "./readDescriptorLimit.js";
 import { StoreFollower } from "./storeFollower.js";
 import { StoreSource } from "./storeSource.js";
 
@@ -20,9 +21,10 @@
 
 async function runRouter(): Promise<void> {
     const path = process.argv[2] ?? process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
-    const settings = parseSettings(readFileSync(path, "utf8"));
+    const settings = parseSettings(readFileSync(path, "utf8"), readDescriptorLimit());
     const log = LogSink.create({ instance: settings.router.instance });
-    log.write("started", { dataCentre: settings.router.locality.dataCentre });
+    const { locality, maxDescriptors } = settings.router;
+    log.write("started", { dataCentre: locality.dataCentre, maxDescriptors });
     const getNow = (): number => performance.now();
     const getTimeOfDay = (): number => Date.now();
     const store = StoreSource.create({ address: settings.storeAddress, getNow, getTimeOfDay });
--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -4,6 +4,7 @@
 
 type Check = (value: unknown) => boolean;
 
+const UNLIMITED_DESCRIPTORS = Number.MAX_SAFE_INTEGER;
 const MS_PER_SECOND = 1000;
 const BYTES_PER_MB = 1_048_576;
 /** Part of the revocation bound that is reserved for the way to the target and for late timers. */
@@ -34,6 +35,7 @@
     processorShare: isNonNegativeNumber,
     processorSpeed: isNonNegativeNumber,
     memoryMb: isNonNegativeNumber,
+    maxDescriptors: value => value === undefined || isNonNegativeNumber(value),
     stopTimeoutSeconds: isNonNegativeNumber,
     strictRevocation: value => typeof value === "boolean",
     revocationMs: isNonNegativeNumber,
@@ -63,6 +65,7 @@
     /** Speed of the processor as a multiple of that of a common core. */
     readonly processorSpeed: number;
     readonly memoryMb: number;
+    readonly maxDescriptors?: number;
     readonly stopTimeoutSeconds: number;
     readonly strictRevocation: boolean;
     readonly revocationMs: number;
@@ -79,9 +82,10 @@
 /**
  * Parses the settings file that the platform renders from `deploy/settings.template.json`.
  *
+ * @param systemDescriptors Limit of open descriptors for settings that name none: the system's may count files only.
  * @throws SettingsError that names each missing or invalid field.
  */
-export function parseSettings(text: string): PlatformSettings {
+export function parseSettings(text: string, systemDescriptors?: number): PlatformSettings {
     let value: unknown;
     try {
         value = JSON.parse(text);
@@ -98,10 +102,10 @@
     if (faults.length > 0) {
         throw SettingsError.create(faults);
     }
-    return buildSettings(value as RawSettings);
+    return buildSettings(value as RawSettings, systemDescriptors);
 }
 
-function buildSettings(raw: RawSettings): PlatformSettings {
+function buildSettings(raw: RawSettings, systemDescriptors = UNLIMITED_DESCRIPTORS): PlatformSettings {
     const keyFreshnessMs = raw.strictRevocation ? raw.revocationMs - REVOCATION_MARGIN_MS : UNLIMITED_MS;
     return {
         router: {
@@ -113,6 +117,7 @@
             seedHosts: raw.seedAddresses.map(address => splitAddress(address).host),
             weight: raw.processorShare * raw.processorSpeed,
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
+            maxDescriptors: raw.maxDescriptors ?? systemDescriptors,
             stopTimeoutMs: raw.stopTimeoutSeconds * MS_PER_SECOND,
             keyFreshnessMs,
             catchUpMs: raw.catchUpMs,
--- a/src/router/callerLimits.ts
+++ b/src/router/callerLimits.ts
@@ -1,10 +1,13 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 import { CallerByteLimit } from "./callerByteLimit.js";
+import { ConnectionLimit } from "./connectionLimit.js";
 import type { LogSink } from "./logSink.js";
 import { RequestDrain } from "./requestDrain.js";
 
 interface CallerLimitsOptions {
+    readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
     readonly getMaxBodyBytes: () => number;
     readonly log: Pick<LogSink, "write">;
     /** Monotonic time in milliseconds. */
@@ -13,20 +16,27 @@
 
 const CHECK_INTERVAL_MS = 250;
 
-/** Limits of callers' connections: the bytes between two requests, and the time after a last response. */
+/** Limits of callers' connections: their number, the bytes between two requests, and the time after a last response. */
 export class CallerLimits {
     readonly #options: CallerLimitsOptions;
     readonly #byteLimit: CallerByteLimit;
+    readonly #connectionLimit: ConnectionLimit;
     readonly #drain = RequestDrain.create();
     readonly #timer: NodeJS.Timeout;
 
     private constructor(options: CallerLimitsOptions) {
         this.#options = options;
-        const { log, getMaxBodyBytes } = options;
+        const { log, getMaxBodyBytes, connectionLimits, getNow } = options;
         this.#byteLimit = CallerByteLimit.create({
             getMaxBodyBytes,
             onExceeded: () => log.write("caller-connection-failed", { reason: "bytes-without-end" }),
         });
+        this.#connectionLimit = ConnectionLimit.create({
+            ...connectionLimits,
+            getNow,
+            onChanged: (isReached, open) => log.write("connection-limit-changed", { isReached, open }),
+            onClosed: open => log.write("caller-connection-failed", { reason: "connection-limit", open }),
+        });
         this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
     }
 
@@ -35,14 +45,21 @@
         return new CallerLimits(options);
     }
 
+    /** Open connections, and whether there are as many as may be served. */
+    get connections(): Pick<ConnectionLimit, "openConnections" | "isReached"> {
+        return this.#connectionLimit;
+    }
+
     /** Adds a connection. */
     add(socket: Socket): void {
         this.#byteLimit.add(socket);
+        this.#connectionLimit.add(socket);
     }
 
-    /** Records that the head of a request has been read. */
-    recordRequest(socket: Socket): void {
+    /** Records that the head of a request has been read. Returns whether the request may be served. */
+    recordRequest(socket: Socket): boolean {
         this.#byteLimit.recordRequest(socket);
+        return !this.#connectionLimit.isSurplus(socket);
     }
 
     /** Ends a response without a body; if its connection closes after it, once the request has been read. */
@@ -60,7 +77,9 @@
     }
 
     #check(): void {
+        const now = this.#options.getNow();
         this.#byteLimit.check();
-        this.#drain.expire(this.#options.getNow());
+        this.#drain.expire(now);
+        this.#connectionLimit.expire(now);
     }
 }
--- a/src/router/describeOwnState.ts
+++ b/src/router/describeOwnState.ts
@@ -1,12 +1,11 @@
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { DeploymentView } from "./deploymentView.js";
-import type { LoadObserver } from "./loadObserver.js";
 
 /** Describes the state of this instance as its peers and callers learn it. */
 export function describeOwnState(
     isStopping: boolean,
     view: Pick<DeploymentView, "configuration" | "hasHeardPeers" | "isFresh">,
-    loadObserver: Pick<LoadObserver, "isBusy">,
+    isBusy: boolean,
 ): MemberRecord["state"] {
     if (isStopping || !view.configuration || !view.hasHeardPeers) {
         return "closed";
@@ -14,5 +13,5 @@
     if (!view.isFresh()) {
         return "limited";
     }
-    return loadObserver.isBusy ? "busy" : "open";
+    return isBusy ? "busy" : "open";
 }
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 import { planRequestEnd } from "../core/routing/planRequestEnd.js";
 import { RequestFingerprint } from "../core/routing/requestFingerprint.js";
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
@@ -24,6 +25,7 @@
     readonly errorBoundary: ErrorBoundary;
     /** Limit for the total size of all buffered request bodies, in bytes. */
     readonly maxBufferedBytes: number;
+    readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
     readonly getNow: () => number;
     /** Finds the route and client account of a request, or the reason why it is refused. */
     readonly resolve: (
@@ -107,6 +109,11 @@
         setCallerTimeouts(this.#server, limits);
     }
 
+    /** Open connections of callers, and whether there are as many as this instance may serve. */
+    get connections(): CallerLimits["connections"] {
+        return this.#limits.connections;
+    }
+
     /** Requests that are being read or served. */
     get openRequests(): number {
         return this.#open.size;
@@ -168,7 +175,6 @@
 
     #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
         this.#open.add(response);
-        this.#limits.recordRequest(incoming.socket);
         this.#connections.add(incoming, response);
         response.on("close", () => {
             this.#open.delete(response);
@@ -190,6 +196,11 @@
         if (isStopping()) {
             response.shouldKeepAlive = false;
         }
+        if (!this.#limits.recordRequest(incoming.socket)) {
+            response.shouldKeepAlive = false;
+            this.#refuse(response, "no-target", "connection-limit", RETRY_AFTER_MS);
+            return;
+        }
         const resolved = resolve(head, incoming.url ?? "/", receivedAt);
         if (resolved.kind === "refused") {
             incoming.resume();
--- a/src/router/registerGauges.ts
+++ b/src/router/registerGauges.ts
@@ -10,6 +10,7 @@
     readonly countActive: () => number;
     readonly getConfigurationAgeMs: () => number;
     readonly countPeers: () => number;
+    readonly countConnections: () => number;
 }
 
 /** Registers the gauges of a router. */
@@ -20,6 +21,7 @@
         lag_ms: () => loadObserver.loopDelayMs,
         configuration_age_ms: sources.getConfigurationAgeMs,
         peers_live: sources.countPeers,
+        connections_open: sources.countConnections,
         targets_limited: () => limits.limitedCount,
         prompt_parts_blocked: () => crashRecord.countBlocked("part"),
         requests_blocked: () => crashRecord.countBlocked("request"),
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,6 +1,7 @@
 import { performance } from "node:perf_hooks";
 import { ChangeLog } from "../core/routing/changeLog.js";
 import type { ChangeSource } from "../core/routing/changeSource.js";
+import { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 import type { Locality } from "../core/routing/locality.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import { planStop } from "../core/routing/planStop.js";
@@ -215,6 +216,7 @@
             log,
             errorBoundary,
             maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
+            connectionLimits: computeConnectionLimits(settings),
             getNow: this.#getNow,
             resolve: (head, path, receivedAt) => this.#resolver.resolve(head, path, receivedAt),
             getLimits: () => this.#view.configuration?.limits,
@@ -229,13 +231,18 @@
             countActive: () => this.#activeRequests.size,
             getConfigurationAgeMs: () => this.#view.ageMs,
             countPeers: () => this.#fleet?.countPeers() ?? 0,
+            countConnections: () => this.#ingress?.connections.openConnections ?? 0,
         });
         this.#nextCheckAt = this.#getNow() + CHECK_INTERVAL_MS;
         this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
     }
 
     #getState(): MemberRecord["state"] {
-        return describeOwnState(this.#stopPlan !== undefined, this.#view, this.#loadObserver);
+        return describeOwnState(
+            this.#stopPlan !== undefined,
+            this.#view,
+            this.#loadObserver.isBusy || this.#ingress?.connections.isReached === true,
+        );
     }
 
     #check(): void {
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -20,6 +20,8 @@
     /** Processor share relative to other instances. */
     readonly weight: number;
     readonly memoryBytes: number;
+    /** Descriptors that the process may have open. */
+    readonly maxDescriptors: number;
     /** Longest time from the stop signal to the end of the process, in milliseconds. */
     readonly stopTimeoutMs: number;
     /** Time in milliseconds for which keys are accepted after the configuration was last confirmed. */
--- a/src/testing/childProcess.ts
+++ b/src/testing/childProcess.ts
@@ -15,6 +15,8 @@
     readonly logPath?: string;
     /** Called with each line of the standard output. */
     readonly onLine?: (line: string) => void;
+    /** Limit of open descriptors that the operating system sets. @default that of this process */
+    readonly maxDescriptors?: number | undefined;
 }
 
 const END_WITH_PARENT = new URL("endWithParent.js", import.meta.url).href;
@@ -42,7 +44,11 @@
         options: ChildProcessOptions = {},
     ): Promise<ChildProcess> {
         const path = fileURLToPath(module);
-        const child = spawn(process.execPath, ["--import", END_WITH_PARENT, path, ...args], {
+        const command = [process.execPath, "--import", END_WITH_PARENT, path, ...args];
+        const [file = "", ...rest] = options.maxDescriptors === undefined
+            ? command
+            : ["sh", "-c", `ulimit -n ${options.maxDescriptors} && exec "$@"`, "sh", ...command];
+        const child = spawn(file, rest, {
             stdio: ["ignore", "pipe", options.logPath ? openSync(options.logPath, "a") : "ignore"],
         });
         trackChild(child);
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -252,7 +252,9 @@
     /** The error of a process that does not start names the last line that it wrote to standard error. */
     #startProcess(host: string, settingsPath: string): Promise<ChildProcess> {
         const onLine = (line: string): void => this.#options.onLogLine?.(host, line);
-        return ChildProcess.create(MAIN, [settingsPath], { logPath: `${settingsPath}.log`, onLine });
+        const { maxDescriptors } = this.#options;
+        const options = { logPath: `${settingsPath}.log`, onLine, maxDescriptors };
+        return ChildProcess.create(MAIN, [settingsPath], options);
     }
 
     #buildSettings(host: string): object {
--- a/src/testing/platform/cooperativeFleetOptions.ts
+++ b/src/testing/platform/cooperativeFleetOptions.ts
@@ -10,6 +10,8 @@
     readonly versions?: readonly string[];
     /** Number of responses of each target of which the last has neither a length nor chunks. @default all have one */
     readonly unframedEvery?: number;
+    /** Limit of the open descriptors of each instance. @default that of the operating system */
+    readonly maxDescriptors?: number;
     /** Called with each log line of an instance. */
     readonly onLogLine?: (host: string, line: string) => void;
 }
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -3,6 +3,7 @@
 import { decodeConfiguration } from "../../src/platform/decodeConfiguration.js";
 import { decodeTarget } from "../../src/platform/decodeTarget.js";
 import { parseSettings } from "../../src/platform/parseSettings.js";
+import { readDescriptorLimit } from "../../src/platform/readDescriptorLimit.js";
 import { buildFleetConfiguration } from "../../src/testing/platform/buildFleetConfiguration.js";
 import { listOddConfigurations } from "../testing/platform/oddConfigurations.js";
 import { listOddEntries } from "../testing/platform/oddEntries.js";
@@ -177,6 +178,16 @@
     maxAddressTermSeconds: 5,
 };
 
+test("bounds the connections by the descriptors of the settings, which older settings do not name", t => {
+    const parse = (fields: object): number =>
+        parseSettings(JSON.stringify({ ...SETTINGS, ...fields }), 200).router.maxDescriptors;
+    t.is(parse({ maxDescriptors: 4100 }), 4100);
+    t.is(parse({}), 200);
+    t.is(parseSettings(JSON.stringify(SETTINGS)).router.maxDescriptors, Number.MAX_SAFE_INTEGER);
+    t.throws(() => parse({ maxDescriptors: "4100" }), { name: "SettingsError" });
+    t.true((readDescriptorLimit() ?? 0) > 0 || process.platform !== "linux");
+});
+
 test("takes the shortest of the bounds for targets, configurations and keys as the delay of changes", t => {
     const parse = (fields: object): number =>
         parseSettings(JSON.stringify({ ...SETTINGS, ...fields })).router.maxChangeDelayMs;
--- a/test/router/ingress.test.ts
+++ b/test/router/ingress.test.ts
@@ -39,6 +39,7 @@
         wire: platformWireFormat,
         log,
         maxBufferedBytes: 1_000_000,
+        connectionLimits: { served: 1000, surplus: 100 },
         getNow,
         resolve: () => ({ kind: "refused", status: 404, reason: "no-route", retryAfterMs: undefined }),
         getLimits: () => limits,
--- a/test/testing/router/createIngress.ts
+++ b/test/testing/router/createIngress.ts
@@ -36,6 +36,7 @@
         wire: platformWireFormat,
         log,
         maxBufferedBytes: 1_000_000,
+        connectionLimits: { served: 1000, surplus: 100 },
         getNow,
         resolve: (_head, _path, receivedAt) => ({
             kind: "accepted",
