--- a/src/router/ingressOptions.ts
+++ b/src/router/ingressOptions.ts
@@ -1,3 +1,4 @@
+import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import type { CallerExchange } from "./callerExchange.js";
@@ -14,6 +15,7 @@
     readonly errorBoundary: ErrorBoundary;
     /** Limit for the total size of all buffered request bodies, in bytes. */
     readonly maxBufferedBytes: number;
+    readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
     readonly getNow: () => number;
     /** Finds the route and client account of a request, or the reason why it is refused. */
     readonly resolve: (
--- a/src/testing/childProcess.ts
+++ b/src/testing/childProcess.ts
@@ -19,6 +19,8 @@
     readonly runtimeArguments?: readonly string[];
     /** Whether the standard output is read after the first line. @default true */
     readonly isOutputRead?: boolean;
+    /** Limit of open descriptors that the operating system sets. @default that of this process */
+    readonly maxDescriptors?: number | undefined;
 }
 
 const END_WITH_PARENT = new URL("endWithParent.js", import.meta.url).href;
@@ -46,14 +48,12 @@
         options: ChildProcessOptions = {},
     ): Promise<ChildProcess> {
         const path = fileURLToPath(module);
-        const { runtimeArguments = [], isOutputRead = true } = options;
-        const child = spawn(process.execPath, [
-            ...runtimeArguments,
-            "--import",
-            END_WITH_PARENT,
-            path,
-            ...args,
-        ], {
+        const { runtimeArguments = [], isOutputRead = true, maxDescriptors } = options;
+        const command = [process.execPath, ...runtimeArguments, "--import", END_WITH_PARENT, path, ...args];
+        const [file = "", ...rest] = maxDescriptors === undefined
+            ? command
+            : ["sh", "-c", `ulimit -n ${maxDescriptors} && exec "$@"`, "sh", ...command];
+        const child = spawn(file, rest, {
             stdio: ["ignore", "pipe", options.logPath ? openSync(options.logPath, "a") : "ignore"],
         });
         trackChild(child);
--- a/src/testing/platform/cooperativeFleetOptions.ts
+++ b/src/testing/platform/cooperativeFleetOptions.ts
@@ -16,6 +16,8 @@
     readonly runtimeArguments?: readonly string[];
     /** Whether the log of each instance is read after its first line. @default true */
     readonly isOutputRead?: boolean;
+    /** Limit of the open descriptors of each instance. @default that of the operating system */
+    readonly maxDescriptors?: number;
     /** Called with each log line of an instance. */
     readonly onLogLine?: (host: string, line: string) => void;
 }
