End of a stop: a refusal that waits for the rest of its request is ended in order, too

The end aborted responses that wait until their requests have been read (RequestDrain): the caller got its 503 and then a reset. stoppedRequests.test.ts failed with ECONNRESET and passes again. A connection beyond the surplus is closed right after its refusal: the close of ServerConnections would have kept its descriptor for a second.

--- a/src/router/callerLimits.ts
+++ b/src/router/callerLimits.ts
@@ -71,6 +71,11 @@
         this.#drain.add(response, this.#options.getNow());
     }
 
+    /** Ends the responses that wait for the rest of their requests, because the process ends. */
+    endRefused(): void {
+        this.#drain.expire(Number.POSITIVE_INFINITY);
+    }
+
     /** Stops checking; connections close elsewhere. */
     close(): void {
         clearInterval(this.#timer);
--- a/src/router/connectionLimit.ts
+++ b/src/router/connectionLimit.ts
@@ -61,8 +61,7 @@
         if (this.#surplus.size >= surplus) {
             onClosed(this.openConnections);
             // Each further descriptor that stays open may be one that the next connection lacks.
-            socket.write(REFUSAL);
-            socket.destroySoon();
+            socket.end(REFUSAL, () => socket.destroy());
             return;
         }
         this.#surplus.set(socket, getNow() + SURPLUS_MS);
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -109,6 +109,7 @@
         await this.#serverConnections.stopListening(answerBy);
         await this.#serverConnections.waitForResponses(answerBy);
         this.#refuseUnserved();
+        this.#limits.endRefused();
         await this.#serverConnections.endConnections(closeBy);
         this.#open.forEach(abortResponse);
         this.close();
