Router: a start waits for ports that are in use

Cause: each server bound its port once. A port that was in use at that moment ended the process (callers, readiness, directory: code 2 after 30 to 50 ms), ended it by itself with code 0 (peer port, UDP: the promise of the bind never settled, and nothing else kept the process alive) or left it running without serving (peer port, TCP). The page of metrics stayed away. A predecessor that still finished its planned stop had all of them, so that its successor ended, and then nobody ran.

Change: PortBinder binds all ports of the router. It tries again while the error may pass (EADDRINUSE, EADDRNOTAVAIL), with one line when the wait begins and one when it ends, up to a stored deadline: the stop time-out, 2 s for the kill of a predecessor and 60 s for the TIME-WAIT state of a closed outgoing connection. Then, and at once for any other error, the start fails with a PortError that names server, address and cause, in the log and on standard error, with code 2. The metrics port is tried for the life of the process. The callers' port is bound last; until then the instance is "closed". The peer socket is bound before the state is created, whose waiting times begin when peers can be heard. A stop signal during the start ends it with code 0 and a line. Later errors of servers are logged. The start says "listening", for which ChildProcess now waits.

In the successor tests the request in flight is answered 200 by the predecessor, which ends with 0, and the successor answers 200.

--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -1,15 +1,16 @@
 import { createServer, type Server } from "node:http";
 import type { Locality } from "../core/routing/locality.js";
 import type { RouterSettings } from "../router/routerSettings.js";
+import type { PortBinder } from "../shared/portBinder.js";
 
 interface LookupServerOptions {
+    readonly ports: PortBinder;
     readonly directoryAddress: RouterSettings["callerAddress"];
     readonly readinessAddress: RouterSettings["callerAddress"];
     readonly termSeconds: number;
     readonly listAddresses: (caller: Locality, callerHost: string) => readonly string[];
     readonly isReady: () => boolean;
     readonly renderMetrics: () => string;
-    readonly onMetricsFailed: (reason: string) => void;
     /** Called for each response, also for one without addresses. */
     readonly onLookup: (dataCentre: string, callerHost: string, addresses: readonly string[]) => void;
 }
@@ -22,6 +23,7 @@
 /** Serves the address directory for callers, the platform's readiness checks and the metrics page. */
 export class LookupServer {
     readonly #servers: readonly Server[];
+    readonly #closed = new AbortController();
 
     private constructor(servers: readonly Server[]) {
         this.#servers = servers;
@@ -30,7 +32,7 @@
     /**
      * Starts the servers.
      *
-     * @throws Error when the directory or the readiness address cannot be bound.
+     * @throws PortError when the directory or the readiness address cannot be bound.
      */
     static async create(options: LookupServerOptions): Promise<LookupServer> {
         const directory = createServer((incoming, response) => {
@@ -63,28 +65,28 @@
                 options.renderMetrics(),
             );
         });
+        const lookup = new LookupServer([directory, readiness, metrics]);
+        const { ports, directoryAddress, readinessAddress } = options;
+        const metricsAddress = { host: readinessAddress.host, port: METRICS_PORT };
         // A taken port of the metrics page does not keep the router from serving requests.
-        metrics.on("error", error => options.onMetricsFailed(error.message));
-        metrics.listen(METRICS_PORT, options.readinessAddress.host);
-        await Promise.all([
-            startListening(directory, options.directoryAddress),
-            startListening(readiness, options.readinessAddress),
-        ]);
-        return new LookupServer([directory, readiness, metrics]);
+        void ports.openOptionalServer("metrics", metrics, metricsAddress, lookup.#closed.signal);
+        try {
+            await ports.openServer("directory", directory, directoryAddress);
+            await ports.openServer("readiness", readiness, readinessAddress);
+        }
+        catch (error) {
+            lookup.close();
+            throw error;
+        }
+        return lookup;
     }
 
     /** Closes the servers and their connections. */
     close(): void {
+        this.#closed.abort();
         this.#servers.forEach(server => {
             server.close();
             server.closeAllConnections();
         });
     }
 }
-
-function startListening(server: Server, address: RouterSettings["callerAddress"]): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(address.port, address.host, resolve);
-    });
-}
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -7,23 +7,38 @@
 import { LogSink } from "../router/logSink.js";
 import { Router } from "../router/router.js";
 import { RouterMetrics } from "../router/routerMetrics.js";
+import { PortBinder } from "../shared/portBinder.js";
 import { createErrorEnd } from "./createErrorEnd.js";
-import { LookupServer } from "./lookupServer.js";
+import { endStart } from "./endStart.js";
 import { parseSettings } from "./parseSettings.js";
 import { platformWireFormat } from "./platformWireFormat.js";
+import { startServers } from "./startServers.js";
 import { StoreFollower } from "./storeFollower.js";
 import { StoreSource } from "./storeSource.js";
 
 const DEFAULT_SETTINGS_PATH = "/etc/baobabspread/settings.toml";
-const INVALID_SETTINGS_EXIT_CODE = 2;
 const INTERNAL_ERROR_EXIT_CODE = 1;
 
+let log = LogSink.create({});
+
 async function runRouter(): Promise<void> {
+    const getNow = (): number => performance.now();
+    const startStop = new AbortController();
+    startupSignals.attach("SIGTERM", () => startStop.abort());
     const path = process.argv[2] ?? process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
     const settings = parseSettings(readFileSync(path, "utf8"));
-    const log = LogSink.create({ instance: settings.router.instance });
+    log = LogSink.create({ instance: settings.router.instance });
     log.write("started", { dataCentre: settings.router.locality.dataCentre });
-    const getNow = (): number => performance.now();
+    startupSignals.attach("SIGHUP", () => {
+        // All settings describe the machine and stay the same while the process runs, so nothing is reloaded.
+        log.write("reload-requested", {});
+    });
+    const ports = PortBinder.create({
+        deadline: getNow() + settings.portWaitMs,
+        stopSignal: startStop.signal,
+        getNow,
+        writeLog: (event, fields) => log.write(event, fields),
+    });
     const getTimeOfDay = (): number => Date.now();
     const store = StoreSource.create({ address: settings.storeAddress, getNow, getTimeOfDay });
     const metrics = RouterMetrics.create();
@@ -46,16 +61,17 @@
         log,
         metrics,
         errorBoundary,
+        ports,
     });
     endRequests = () => router.endRequests();
-    const lookup = await LookupServer.create({
+    const lookup = await startServers(router, {
+        ports,
         directoryAddress: settings.directoryAddress,
         readinessAddress: settings.readinessAddress,
         termSeconds: settings.router.addressTermSeconds,
         listAddresses: (caller, host) => router.listCallerAddresses(caller, host),
         isReady: () => router.isReady(),
         renderMetrics: () => metrics.render(),
-        onMetricsFailed: reason => log.write("metrics-failed", { reason }),
         onLookup: (dataCentre, caller, addresses) =>
             log.write("addresses-answered", { dataCentre, caller, count: addresses.length }),
     });
@@ -71,7 +87,8 @@
         onEvacuated: dataCentres => router.view.setEvacuated(dataCentres),
         onConfirmed: (at, timeOfDay) => router.view.recordConfirmation(at, timeOfDay),
     });
-    startupSignals.attach("SIGTERM", () => {
+    log.write("listening", {});
+    const stop = (): void => {
         void router.stop().then(async () => {
             follower.stop();
             lookup.close();
@@ -79,15 +96,12 @@
             await log.close();
             process.exit(0);
         });
-    });
-    startupSignals.attach("SIGHUP", () => {
-        // All settings describe the machine and stay the same while the process runs, so nothing is reloaded.
-        log.write("reload-requested", {});
-    });
+    };
+    startupSignals.attach("SIGTERM", stop);
+    if (startStop.signal.aborted) {
+        stop();
+    }
     await follower.run();
 }
 
-runRouter().catch((error: unknown) => {
-    process.stderr.write(`${JSON.stringify({ event: "start-failed", reason: String(error) })}\n`);
-    process.exit(INVALID_SETTINGS_EXIT_CODE);
-});
+runRouter().catch((error: unknown) => endStart(error, { log, exit: code => process.exit(code) }));
--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -12,6 +12,10 @@
 const RETRY_SHARE = 0.75;
 /** Callers may cache a response for three times its term; a short term lets a busy instance shed load soon. */
 const ADDRESS_TERM_SECONDS = 1;
+/** Covers the kill of a predecessor that does not stop in time. */
+const KILL_MARGIN_MS = 2000;
+/** Linux keeps the local port of an outgoing connection for this long after its close (TCP_TIMEWAIT_LEN). */
+const CLOSED_CONNECTION_MS = 60_000;
 /** Without strict revocation, keys are accepted for as long as the store is unreachable. */
 const UNLIMITED_MS = Number.MAX_SAFE_INTEGER;
 
@@ -45,6 +49,7 @@
     coldFactor: isNonNegativeNumber,
     coldSlack: isNonNegativeNumber,
     maxAddressTermSeconds: isNonNegativeNumber,
+    portWaitSeconds: value => value === undefined || isNonNegativeNumber(value),
 };
 
 interface RawSettings {
@@ -74,6 +79,8 @@
     readonly coldFactor: number;
     readonly coldSlack: number;
     readonly maxAddressTermSeconds: number;
+    /** @default outlasts the planned stop of a predecessor, its kill and a closed connection of another process */
+    readonly portWaitSeconds?: number;
 }
 
 /**
@@ -102,6 +109,7 @@
 }
 
 function buildSettings(raw: RawSettings): PlatformSettings {
+    const stopTimeoutMs = raw.stopTimeoutSeconds * MS_PER_SECOND;
     const keyFreshnessMs = raw.strictRevocation ? raw.revocationMs - REVOCATION_MARGIN_MS : UNLIMITED_MS;
     return {
         router: {
@@ -113,7 +121,7 @@
             seedHosts: raw.seedAddresses.map(address => splitAddress(address).host),
             weight: raw.processorShare * raw.processorSpeed,
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
-            stopTimeoutMs: raw.stopTimeoutSeconds * MS_PER_SECOND,
+            stopTimeoutMs,
             keyFreshnessMs,
             catchUpMs: raw.catchUpMs,
             maxChangeDelayMs: Math.min(raw.targetChangeMs, raw.configurationChangeMs, keyFreshnessMs),
@@ -123,6 +131,9 @@
             coldSlack: raw.coldSlack,
             addressTermSeconds: Math.min(ADDRESS_TERM_SECONDS, raw.maxAddressTermSeconds),
         },
+        portWaitMs: raw.portWaitSeconds === undefined
+            ? stopTimeoutMs + KILL_MARGIN_MS + CLOSED_CONNECTION_MS
+            : raw.portWaitSeconds * MS_PER_SECOND,
         readinessAddress: splitAddress(raw.readinessAddress),
         directoryAddress: splitAddress(raw.directoryAddress),
         storeAddress: splitAddress(raw.storeAddress),
--- a/src/router/changeFeedServer.ts
+++ b/src/router/changeFeedServer.ts
@@ -3,13 +3,13 @@
 import type { ChangePosition } from "../core/routing/changePosition.js";
 import { comparePositions } from "../core/routing/comparePositions.js";
 import { NO_ERA } from "../core/routing/noEra.js";
-import type { LogSink } from "./logSink.js";
+import type { PortBinder } from "../shared/portBinder.js";
 
 interface ChangeFeedServerOptions {
     readonly host: string;
     readonly port: number;
+    readonly ports: Pick<PortBinder, "openServer">;
     readonly changeLog: ChangeLog;
-    readonly log: LogSink;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
 }
@@ -42,14 +42,24 @@
             const era = Number(query.get("era") ?? NO_ERA);
             this.#serve(revision === null ? undefined : { era, revision: Number(revision) }, response);
         });
-        this.#server.on("error", error => options.log.write("feed-failed", { reason: error.message }));
         this.#timer = setInterval(() => this.flush(), FLUSH_INTERVAL_MS);
     }
 
-    /** Starts the server. */
+    /**
+     * Starts the server.
+     *
+     * @throws PortError when the address cannot be bound.
+     */
     static async create(options: ChangeFeedServerOptions): Promise<ChangeFeedServer> {
         const feed = new ChangeFeedServer(options);
-        await new Promise<void>(resolve => feed.#server.listen(options.port, options.host, resolve));
+        const { host, port, ports } = options;
+        try {
+            await ports.openServer("change-feed", feed.#server, { host, port });
+        }
+        catch (error) {
+            feed.close();
+            throw error;
+        }
         return feed;
     }
 
--- a/src/router/describeOwnState.ts
+++ b/src/router/describeOwnState.ts
@@ -4,11 +4,11 @@
 
 /** Describes the state of this instance as its peers and callers learn it. */
 export function describeOwnState(
-    isStopping: boolean,
+    isServing: boolean,
     view: Pick<DeploymentView, "configuration" | "hasHeardPeers" | "isFresh">,
     loadObserver: Pick<LoadObserver, "isBusy">,
 ): MemberRecord["state"] {
-    if (isStopping || !view.configuration || !view.hasHeardPeers) {
+    if (!isServing || !view.configuration || !view.hasHeardPeers) {
         return "closed";
     }
     if (!view.isFresh()) {
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -16,7 +16,6 @@
 import type { FleetViewOptions } from "./fleetViewOptions.js";
 import { parsePeerReport } from "./parsePeerReport.js";
 import { parsePermitMessage } from "./parsePermitMessage.js";
-import { PeerExchange } from "./peerExchange.js";
 import { PermitExchange } from "./permitExchange.js";
 import { ReportReceiver } from "./reportReceiver.js";
 import { ReportSender } from "./reportSender.js";
@@ -37,7 +36,6 @@
     readonly #permits: PermitExchange;
     #incarnation = Date.now();
     readonly #startedAt: number;
-    #exchange: PeerExchange | undefined;
     #sequence = 0;
     #role: ReportRole = { kind: "mesh", rank: 0, delegates: [] };
     #timer: NodeJS.Timeout | undefined;
@@ -52,29 +50,24 @@
             sentReports,
             listPeers: () => this.#listPeers(),
             buildRecord: () => this.#buildNextRecord(),
-            send: (report, hosts) => this.#exchange?.send(report, hosts),
+            send: (report, hosts) => options.exchange.send(report, hosts),
         });
         this.#startedAt = options.getNow();
         this.#permits = PermitExchange.create({
             ...options,
             membership: this.#membership,
             buildRecord: () => this.#buildNextRecord(),
-            send: (message, host) => this.#exchange?.send(message, [host]),
+            send: (message, host) => options.exchange.send(message, [host]),
             startedAt: this.#startedAt,
         });
     }
 
-    /** Binds the socket and starts to send reports. */
-    static async create(options: FleetViewOptions): Promise<FleetView> {
+    /** Starts to receive and to send reports. */
+    static create(options: FleetViewOptions): FleetView {
         const view = new FleetView(options);
-        const { host, port } = options.settings.peerAddress;
-        view.#exchange = await PeerExchange.create({
-            host,
-            port,
-            log: options.log,
-            onMessage: (message, sender) =>
-                options.errorBoundary.run("peer-report", () => view.#receive(message, sender)),
-        });
+        options.exchange.attach((message, sender) =>
+            options.errorBoundary.run("peer-report", () => view.#receive(message, sender))
+        );
         options.errorBoundary.run("peer-report", () => view.#sender.reportToSeeds(options.getNow()));
         view.#timer = setInterval(
             () => options.errorBoundary.run("peer-report", () => view.#sendReports()),
@@ -102,7 +95,7 @@
 
     /** Sends a message to the instance at a host, without a guarantee of delivery. */
     send(message: unknown, host: string): void {
-        this.#exchange?.send(message, [host]);
+        this.#options.exchange.send(message, [host]);
     }
 
     /** Lists the addresses that a caller in a locality should use. */
@@ -145,7 +138,7 @@
     /** Stops the reports and closes the socket. */
     close(): void {
         clearInterval(this.#timer);
-        this.#exchange?.close();
+        this.#options.exchange.close();
     }
 
     #listPeers(): readonly MemberRecord[] {
@@ -231,7 +224,7 @@
             report.scope === "data-centre" && report.sender.dataCentre !== settings.locality.dataCentre
             && senderHost === report.sender.ip
         ) {
-            this.#exchange?.send(report, this.#listLocalPeers().map(peer => peer.ip));
+            this.#options.exchange.send(report, this.#listLocalPeers().map(peer => peer.ip));
         }
     }
 
--- a/src/router/fleetViewOptions.ts
+++ b/src/router/fleetViewOptions.ts
@@ -5,6 +5,7 @@
 import type { PromptLocations } from "../core/routing/promptLocations.js";
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
+import type { PeerExchange } from "./peerExchange.js";
 import type { PeerReport } from "./peerReport.js";
 import type { RouterSettings } from "./routerSettings.js";
 import type { StartNotices } from "./startNotices.js";
@@ -15,6 +16,8 @@
     readonly settings: RouterSettings;
     readonly log: LogSink;
     readonly errorBoundary: ErrorBoundary;
+    /** Closed with the view. */
+    readonly exchange: PeerExchange;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
     readonly crashRecord: CrashRecord;
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -5,6 +5,7 @@
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { abortResponse } from "../shared/abortResponse.js";
 import { hashBytes } from "../shared/hashBytes.js";
+import type { PortBinder } from "../shared/portBinder.js";
 import { BodyReader } from "./bodyReader.js";
 import { CallerByteLimit } from "./callerByteLimit.js";
 import { CallerConnections } from "./callerConnections.js";
@@ -18,6 +19,7 @@
 interface IngressOptions {
     readonly host: string;
     readonly port: number;
+    readonly ports: Pick<PortBinder, "openServer">;
     readonly wire: WireFormat;
     readonly log: LogSink;
     readonly errorBoundary: ErrorBoundary;
@@ -100,17 +102,16 @@
     /**
      * Starts listening.
      *
-     * @throws Error when the address cannot be bound.
+     * @throws PortError when the address cannot be bound.
      */
     static async create(options: IngressOptions): Promise<Ingress> {
         const ingress = new Ingress(options);
-        await new Promise<void>((resolve, reject) => {
-            ingress.#server.once("error", reject);
-            ingress.#server.listen(
-                { host: options.host, port: options.port, backlog: LISTEN_BACKLOG },
-                resolve,
-            );
-        });
+        const { host, port, ports } = options;
+        await ports.openServer("callers", ingress.#server, { host, port, backlog: LISTEN_BACKLOG })
+            .catch((error: unknown) => {
+                ingress.close();
+                throw error;
+            });
         return ingress;
     }
 
@@ -168,7 +169,6 @@
         this.#open.forEach(abortResponse);
     }
 
-    /** Runs a handler of a request that is not being served; an unexpected error in it ends the request. */
     #runGuarded(response: ServerResponse, handler: () => void): void {
         const refuse = (): void => this.#refuse(response, "internal-error", "internal-error", RETRY_AFTER_MS);
         const { errorBoundary } = this.#options;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -9,14 +9,16 @@
 import { ActiveRequests } from "./activeRequests.js";
 import { ChangeFeedServer } from "./changeFeedServer.js";
 import { createDeploymentView } from "./createDeploymentView.js";
+import { createFleetView } from "./createFleetView.js";
 import { createRoutingState } from "./createRoutingState.js";
 import type { DeploymentView } from "./deploymentView.js";
 import { describeOwnState } from "./describeOwnState.js";
 import { endOpenRequests } from "./endOpenRequests.js";
-import { FleetView } from "./fleetView.js";
+import type { FleetView } from "./fleetView.js";
 import { Ingress } from "./ingress.js";
 import { LoadObserver } from "./loadObserver.js";
 import { PeerChangeSource } from "./peerChangeSource.js";
+import { PeerExchange } from "./peerExchange.js";
 import { registerGauges } from "./registerGauges.js";
 import { RelayedChangeSource } from "./relayedChangeSource.js";
 import { RequestResolver } from "./requestResolver.js";
@@ -24,7 +26,6 @@
 import type { RouterOptions } from "./routerOptions.js";
 import type { RoutingState } from "./routingState.js";
 import { ServicePool } from "./servicePool.js";
-import { StartNotices } from "./startNotices.js";
 import { TargetAgents } from "./targetAgents.js";
 import { TargetProber } from "./targetProber.js";
 import { waitForRequests } from "./waitForRequests.js";
@@ -115,10 +116,24 @@
         });
     }
 
-    /** Starts to listen; requests are refused until a configuration and the targets are known. */
+    /**
+     * Starts to exchange reports with peers; `serveCallers` completes the start.
+     *
+     * @throws PortError when the peer port cannot be bound.
+     */
     static async create(options: RouterOptions): Promise<Router> {
+        // First, because the waiting times of the state begin when peers can be heard.
+        const exchange = await PeerExchange.create({ ...options, ...options.settings.peerAddress });
         const router = new Router(options);
-        await router.#start();
+        router.#fleet = createFleetView({
+            ...options,
+            exchange,
+            state: router.#state,
+            view: router.#view,
+            servicePool: router.#servicePool,
+            getNow: router.#getNow,
+            getState: () => router.#getState(),
+        });
         return router;
     }
 
@@ -155,6 +170,17 @@
         return this.#stopped ??= this.#finishRequests();
     }
 
+    /** Closes all connections and servers. */
+    close(): void {
+        this.#ingress?.close();
+        this.#changeFeed?.close();
+        this.#fleet?.close();
+        clearInterval(this.#timer);
+        this.#targetAgents.close();
+        this.#targetProber.close();
+        this.#peerChangeSource.close();
+    }
+
     /** Ends all requests at once, as at the end of a stop, because the process cannot be relied on any more. */
     async endRequests(): Promise<void> {
         this.#stopPlan = planStop(this.#getNow(), 0);
@@ -174,46 +200,27 @@
             getNow: this.#getNow,
         });
         await endOpenRequests(this.#activeRequests, this.#ingress, this.#getNow);
-        this.#ingress?.close();
-        this.#changeFeed?.close();
-        this.#fleet?.close();
-        clearInterval(this.#timer);
-        this.#targetAgents.close();
-        this.#targetProber.close();
-        this.#peerChangeSource.close();
+        this.close();
         log.write("stopped", { active: this.#activeRequests.size });
         log.flush();
     }
 
-    async #start(): Promise<void> {
-        const { settings, log, wire, metrics, errorBoundary } = this.#options;
-        this.#fleet = await FleetView.create({
-            settings,
-            log,
-            errorBoundary,
-            ...this.#state,
-            getNow: this.#getNow,
-            getState: () => this.#getState(),
-            startNotices: StartNotices.create({
-                getNotice: () => this.#view.startNotice,
-                onNotice: (ip, notice) => this.#view.recordStartNotice(ip, notice),
-            }),
-            listLoads: () => this.#servicePool.listLoads(),
-            listDataCentreLoads: peers => this.#servicePool.listDataCentreLoads(this.#getNow(), peers),
-            onLoads: (peer, loads, validUntil) => this.#servicePool.setPeerLoads(peer, loads, validUntil),
-            onPermits: () => this.#servicePool.advance(this.#getNow()),
-        });
+    /**
+     * Serves peers, then callers, whose requests are refused until a configuration and the targets are known.
+     *
+     * @throws PortError when an address cannot be bound.
+     */
+    async serveCallers(): Promise<void> {
+        const { settings, log, metrics, ports } = this.#options;
         this.#changeFeed = await ChangeFeedServer.create({
             ...settings.peerAddress,
+            ports,
             changeLog: this.#changeLog,
-            log,
             getNow: this.#getNow,
         });
         this.#ingress = await Ingress.create({
+            ...this.#options,
             ...settings.callerAddress,
-            wire,
-            log,
-            errorBoundary,
             maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
             getNow: this.#getNow,
             resolve: (head, path, receivedAt) => this.#resolver.resolve(head, path, receivedAt),
@@ -235,7 +242,8 @@
     }
 
     #getState(): MemberRecord["state"] {
-        return describeOwnState(this.#stopPlan !== undefined, this.#view, this.#loadObserver);
+        const isServing = this.#ingress !== undefined && this.#stopPlan === undefined;
+        return describeOwnState(isServing, this.#view, this.#loadObserver);
     }
 
     #check(): void {
--- a/src/router/routerOptions.ts
+++ b/src/router/routerOptions.ts
@@ -1,3 +1,4 @@
+import type { PortBinder } from "../shared/portBinder.js";
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
 import type { RouterMetrics } from "./routerMetrics.js";
@@ -11,4 +12,5 @@
     readonly log: LogSink;
     readonly metrics: RouterMetrics;
     readonly errorBoundary: ErrorBoundary;
+    readonly ports: PortBinder;
 }
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -1,9 +1,5 @@
 import type { Locality } from "../core/routing/locality.js";
-
-interface ListenAddress {
-    readonly host: string;
-    readonly port: number;
-}
+import type { ListenAddress } from "../shared/listenAddress.js";
 
 /** Settings of a router process. */
 export interface RouterSettings {
--- a/src/testing/childProcess.ts
+++ b/src/testing/childProcess.ts
@@ -1,7 +1,7 @@
 import { type ChildProcess as NodeChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { openSync, readFileSync } from "node:fs";
-import { createInterface } from "node:readline";
+import { createInterface, type Interface } from "node:readline";
 import { fileURLToPath } from "node:url";
 
 interface ListeningLine {
@@ -54,7 +54,7 @@
                 `${path} exited with code ${String(code)} before it listened. ${reason}`.trimEnd(),
             );
         });
-        const line = await Promise.race([once(lines, "line").then(([text]) => String(text)), exited]);
+        const line = await Promise.race([readListeningLine(lines), exited]);
         exited.catch(() => undefined);
         return new ChildProcess(child, JSON.parse(line) as ListeningLine);
     }
@@ -91,6 +91,19 @@
     }
 }
 
+/** Skips the lines that a process writes before it listens, such as those about ports that are in use. */
+function readListeningLine(lines: Interface): Promise<string> {
+    return new Promise(resolve => {
+        const onLine = (line: string): void => {
+            if (line.includes(`"event":"listening"`)) {
+                lines.off("line", onLine);
+                resolve(line);
+            }
+        };
+        lines.on("line", onLine);
+    });
+}
+
 function readLastLine(path: string): string {
     return readFileSync(path, "utf8").trimEnd().split("\n").at(-1) ?? "";
 }
--- a/test/router/changeFeed.test.ts
+++ b/test/router/changeFeed.test.ts
@@ -1,9 +1,9 @@
 import test from "ava";
 import { ChangeLog } from "../../src/core/routing/changeLog.js";
 import { ChangeFeedServer } from "../../src/router/changeFeedServer.js";
-import type { LogSink } from "../../src/router/logSink.js";
 import { PeerChangeSource } from "../../src/router/peerChangeSource.js";
 import { findPorts } from "../../src/testing/platform/findPorts.js";
+import { createPortBinder } from "../helpers/createPortBinder.js";
 
 const HOST = "127.0.0.1";
 
@@ -16,7 +16,7 @@
         host: HOST,
         port,
         changeLog,
-        log: { write: () => undefined } as unknown as LogSink,
+        ports: createPortBinder(),
         getNow,
     });
     const source = PeerChangeSource.create({ port, getNow, getTimeOfDay: () => Date.now() });
--- a/test/router/ingress.test.ts
+++ b/test/router/ingress.test.ts
@@ -6,6 +6,7 @@
 import { ErrorBoundary } from "../../src/router/errorBoundary.js";
 import { Ingress } from "../../src/router/ingress.js";
 import { LogSink } from "../../src/router/logSink.js";
+import { createPortBinder } from "../helpers/createPortBinder.js";
 
 async function findPort(): Promise<number> {
     const server = createServer().listen(0, "127.0.0.1");
@@ -36,6 +37,7 @@
         }),
         host: "127.0.0.1",
         port,
+        ports: createPortBinder(),
         wire: platformWireFormat,
         log,
         maxBufferedBytes: 1_000_000,
--- a/test/testing/router/createIngress.ts
+++ b/test/testing/router/createIngress.ts
@@ -5,6 +5,7 @@
 import { ErrorBoundary } from "../../../src/router/errorBoundary.js";
 import { Ingress } from "../../../src/router/ingress.js";
 import { LogSink } from "../../../src/router/logSink.js";
+import { createPortBinder } from "../../helpers/createPortBinder.js";
 import { makeRoutedRequest } from "../scheduler/makeRoutedRequest.js";
 
 type Options = Parameters<typeof Ingress.create>[0];
@@ -33,6 +34,7 @@
         }),
         host: "127.0.0.1",
         port,
+        ports: createPortBinder(),
         wire: platformWireFormat,
         log,
         maxBufferedBytes: 1_000_000,
