--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -1,16 +1,17 @@
-import { createServer, type Server } from "node:http";
+import { createServer } from "node:http";
 import type { Locality } from "../core/routing/locality.js";
 import type { RouterSettings } from "../router/routerSettings.js";
+import type { PortBinder } from "../shared/portBinder.js";
 import { ServerConnections } from "../shared/serverConnections.js";
 
 interface LookupServerOptions {
+    readonly ports: PortBinder;
     readonly directoryAddress: RouterSettings["callerAddress"];
     readonly readinessAddress: RouterSettings["callerAddress"];
     readonly termSeconds: number;
     readonly listAddresses: (caller: Locality, callerHost: string) => readonly string[];
     readonly isReady: () => boolean;
     readonly renderMetrics: () => string;
-    readonly onMetricsFailed: (reason: string) => void;
     /** Called for each response, also for one without addresses. */
     readonly onLookup: (dataCentre: string, callerHost: string, addresses: readonly string[]) => void;
 }
@@ -23,6 +24,7 @@
 /** Serves the address directory for callers, the platform's readiness checks and the metrics page. */
 export class LookupServer {
     readonly #connections: readonly ServerConnections[];
+    readonly #closed = new AbortController();
 
     private constructor(connections: readonly ServerConnections[]) {
         this.#connections = connections;
@@ -31,7 +33,7 @@
     /**
      * Starts the servers.
      *
-     * @throws Error when the directory or the readiness address cannot be bound.
+     * @throws PortError when the directory or the readiness address cannot be bound.
      */
     static async create(options: LookupServerOptions): Promise<LookupServer> {
         const directory = createServer((incoming, response) => {
@@ -65,14 +67,20 @@
             );
         });
         const connections = [directory, readiness, metrics].map(server => ServerConnections.create(server));
+        const lookup = new LookupServer(connections);
+        const { ports, directoryAddress, readinessAddress } = options;
+        const metricsAddress = { host: readinessAddress.host, port: METRICS_PORT };
         // A taken port of the metrics page does not keep the router from serving requests.
-        metrics.on("error", error => options.onMetricsFailed(error.message));
-        metrics.listen(METRICS_PORT, options.readinessAddress.host);
-        await Promise.all([
-            startListening(directory, options.directoryAddress),
-            startListening(readiness, options.readinessAddress),
-        ]);
-        return new LookupServer(connections);
+        void ports.openOptionalServer("metrics", metrics, metricsAddress, lookup.#closed.signal);
+        try {
+            await ports.openServer("directory", directory, directoryAddress);
+            await ports.openServer("readiness", readiness, readinessAddress);
+        }
+        catch (error) {
+            await lookup.close(performance.now());
+            throw error;
+        }
+        return lookup;
     }
 
     /**
@@ -81,13 +89,7 @@
      * @param until Monotonic time in milliseconds at which the connections are closed in any case.
      */
     async close(until: number): Promise<void> {
+        this.#closed.abort();
         await Promise.all(this.#connections.map(connections => connections.close(until)));
     }
 }
-
-function startListening(server: Server, address: RouterSettings["callerAddress"]): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(address.port, address.host, resolve);
-    });
-}
--- /dev/null
+++ b/src/router/createRouterIngress.ts
@@ -0,0 +1,35 @@
+import { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
+import type { DeploymentView } from "./deploymentView.js";
+import { Ingress } from "./ingress.js";
+import type { IngressOptions } from "./ingressOptions.js";
+import type { RequestResolver } from "./requestResolver.js";
+import type { RequestServer } from "./requestServer.js";
+import type { RouterOptions } from "./routerOptions.js";
+
+interface CreateOptions extends RouterOptions, Pick<IngressOptions, "getNow" | "isStopping"> {
+    readonly view: DeploymentView;
+    readonly resolver: RequestResolver;
+    readonly requestServer: RequestServer;
+}
+
+/** Share of the instance's memory that buffered request bodies may take. */
+const BODY_MEMORY_SHARE = 0.15;
+
+/**
+ * Makes an instance accept its callers.
+ *
+ * @throws PortError when the address cannot be bound.
+ */
+export function createRouterIngress(options: CreateOptions): Promise<Ingress> {
+    const { settings, metrics, view, resolver, requestServer } = options;
+    return Ingress.create({
+        ...options,
+        ...settings.callerAddress,
+        maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
+        connectionLimits: computeConnectionLimits(settings),
+        resolve: (head, path, receivedAt) => resolver.resolve(head, path, receivedAt),
+        getLimits: () => view.configuration?.limits,
+        serve: exchange => requestServer.serve(exchange),
+        onRefused: reason => metrics.countRefusal(reason),
+    });
+}
