--- a/src/router/changeFeedServer.ts
+++ b/src/router/changeFeedServer.ts
@@ -4,14 +4,15 @@
 import { comparePositions } from "../core/routing/comparePositions.js";
 import type { EndPlan } from "../core/routing/endPlan.js";
 import { NO_ERA } from "../core/routing/noEra.js";
+import { planEnd } from "../core/routing/planEnd.js";
+import type { PortBinder } from "../shared/portBinder.js";
 import { ServerConnections } from "../shared/serverConnections.js";
-import type { LogSink } from "./logSink.js";
 
 interface ChangeFeedServerOptions {
     readonly host: string;
     readonly port: number;
+    readonly ports: Pick<PortBinder, "openServer">;
     readonly changeLog: ChangeLog;
-    readonly log: LogSink;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
 }
@@ -47,14 +48,25 @@
             this.#serve(revision === null ? undefined : { era, revision: Number(revision) }, response);
         });
         this.#connections = ServerConnections.create(this.#server);
-        this.#server.on("error", error => options.log.write("feed-failed", { reason: error.message }));
         this.#timer = setInterval(() => this.flush(), FLUSH_INTERVAL_MS);
     }
 
-    /** Starts the server. */
+    /**
+     * Starts the server.
+     *
+     * @throws PortError when the address cannot be bound.
+     */
     static async create(options: ChangeFeedServerOptions): Promise<ChangeFeedServer> {
         const feed = new ChangeFeedServer(options);
-        await new Promise<void>(resolve => feed.#server.listen(options.port, options.host, resolve));
+        const { host, port, ports } = options;
+        try {
+            await ports.openServer("change-feed", feed.#server, { host, port });
+        }
+        catch (error) {
+            const now = options.getNow();
+            await feed.close(planEnd(now, now));
+            throw error;
+        }
         return feed;
     }
 
--- a/src/router/ingressOptions.ts
+++ b/src/router/ingressOptions.ts
@@ -1,6 +1,7 @@
 import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import type { PortBinder } from "../shared/portBinder.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
@@ -10,6 +11,7 @@
 export interface IngressOptions {
     readonly host: string;
     readonly port: number;
+    readonly ports: Pick<PortBinder, "openServer">;
     readonly wire: WireFormat;
     readonly log: LogSink;
     readonly errorBoundary: ErrorBoundary;
