End of a stop: stops listening when callers have moved, and accepts the whole queue before it reads from it

Cause: it listened for as long as requests were active, which never ended while callers came; then 50 to 150 ms were left to empty a queue that grew as fast as the requests from it were answered.

Change: the router stops listening at lingerUntil (three quarters of the stop timeout), as the plan always said, and answers or refuses what it has accepted until the end. Meanwhile it only accepts: the connections are held, up to the limit of served ones, and their requests are read once the listening socket is closed. The end itself has all the time that is left until the log is written; connections without a request are awaited for 150 ms after the last connection or request.

--- a/src/core/routing/planEnd.ts
+++ b/src/core/routing/planEnd.ts
@@ -1,7 +1,5 @@
 import type { EndPlan } from "./endPlan.js";
 
-/** Time for requests on connections that were accepted a moment ago to arrive. */
-const ANSWER_MS = 150;
 /** Time for callers to close their side. */
 const CLOSE_MS = 100;
 /** Also an end that begins late answers what has arrived: the process was delayed, and the kill may be, too. */
@@ -11,13 +9,6 @@
 
 /** Plans the end of a process that begins at `startedAt` and must be over at `endBy`, in monotonic milliseconds. */
 export function planEnd(startedAt: number, endBy: number): EndPlan {
-    const lastCloseBy = endBy - CLOSE_MARGIN_MS;
-    const answerBy = Math.max(
-        startedAt + MIN_PHASE_MS,
-        Math.min(startedAt + ANSWER_MS, lastCloseBy - MIN_PHASE_MS),
-    );
-    return {
-        answerBy,
-        closeBy: Math.max(answerBy + MIN_PHASE_MS, Math.min(answerBy + CLOSE_MS, lastCloseBy)),
-    };
+    const answerBy = Math.max(startedAt + MIN_PHASE_MS, endBy - CLOSE_MARGIN_MS - CLOSE_MS);
+    return { answerBy, closeBy: answerBy + CLOSE_MS };
 }
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -42,7 +42,7 @@
             requestTimeout: 0,
             noDelay: true,
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
-        this.#serverConnections = ServerConnections.create(this.#server);
+        this.#serverConnections = ServerConnections.create(this.#server, options.connectionLimits.served);
         setCallerTimeouts(this.#server);
         const getMaxBodyBytes = (): number => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
         this.#bodies = BodyReader.create({
@@ -103,9 +103,14 @@
         }
     }
 
-    /** Answers the requests on the connections that callers have opened, accepts no more, and closes all. */
+    /** Accepts the connections that callers have opened until now, and no more; at the latest `until` (monotonic milliseconds). */
+    stopListening(until: number): Promise<void> {
+        return this.#serverConnections.stopListening(until);
+    }
+
+    /** Stops listening, answers the requests on open connections, and closes all. */
     async end({ answerBy, closeBy }: EndPlan): Promise<void> {
-        await this.#serverConnections.stopListening(answerBy);
+        await this.stopListening(answerBy);
         await this.#serverConnections.waitForResponses(answerBy);
         this.#refuseUnserved();
         this.#limits.endRefused();
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -196,6 +196,7 @@
         this.#ingress?.endKeepAlive();
         await waitForRequests({
             ...this.#stopPlan,
+            stopListening: until => this.#ingress?.stopListening(until),
             // A request that is still being read has been accepted, too.
             countActive: () => Math.max(this.#activeRequests.size, this.#ingress?.openRequests ?? 0),
             getNow: this.#getNow,
--- a/src/router/waitForRequests.ts
+++ b/src/router/waitForRequests.ts
@@ -2,17 +2,26 @@
     /** Monotonic times in milliseconds: the wait lasts until the first, and until the second while requests are active. */
     readonly lingerUntil: number;
     readonly stopBy: number;
+    /** Called at the first of both times, with the second one. */
+    readonly stopListening: (until: number) => Promise<void> | undefined;
     readonly countActive: () => number;
     readonly getNow: () => number;
 }
 
 const POLL_MS = 50;
 
-/** Waits until `lingerUntil`, so that callers move to other instances, and then for active requests until `stopBy`. */
+/**
+ * Waits until `lingerUntil`, so that callers move to other instances, stops listening, and waits for active requests until
+ * `stopBy`.
+ */
 export async function waitForRequests(
-    { lingerUntil, stopBy, countActive, getNow }: WaitOptions,
+    { lingerUntil, stopBy, stopListening, countActive, getNow }: WaitOptions,
 ): Promise<void> {
-    while (getNow() < lingerUntil || (countActive() > 0 && getNow() < stopBy)) {
+    while (getNow() < lingerUntil) {
+        await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+    await stopListening(stopBy);
+    while (countActive() > 0 && getNow() < stopBy) {
         await new Promise(resolve => setTimeout(resolve, POLL_MS));
     }
 }
--- a/src/shared/serverConnections.ts
+++ b/src/shared/serverConnections.ts
@@ -5,6 +5,10 @@
 /** A caller has this long to close its side after the last response on a connection. */
 const LINGER_MS = 1000;
 const CHECK_INTERVAL_MS = 20;
+/** Time in which a connection that was accepted at the end brings its request. */
+const FIRST_REQUEST_MS = 150;
+/** Few clients use the servers that set no other limit. */
+const DEFAULT_MAX_HELD = 256;
 
 /**
  * Connections of an HTTP server, closed so that callers get their responses. The operating system resets a connection that is
@@ -12,19 +16,23 @@
  */
 export class ServerConnections {
     readonly #server: Server;
+    readonly #maxHeld: number;
     /** Open connections with the number of responses that are due on them. */
     readonly #due = new Map<Socket, number>();
     /** Accepted connections on which no request has been read yet. */
     readonly #unused = new Set<Socket>();
     /** Connections whose last response has been sent, with the monotonic times in milliseconds at which they are closed. */
     readonly #lingering = new Map<Socket, number>();
-    #accepted = 0;
+    /** Monotonic time in milliseconds of the last accepted connection or request. */
+    #progressAt = 0;
+    #stopped: Promise<void> | undefined;
     #isEnding = false;
     /** Set while connections linger. */
     #timer: NodeJS.Timeout | undefined;
 
-    private constructor(server: Server) {
+    private constructor(server: Server, maxHeld: number) {
         this.#server = server;
+        this.#maxHeld = maxHeld;
         server.on("connection", (socket: Socket) => this.#add(socket));
         server.prependListener(
             "request",
@@ -32,9 +40,13 @@
         );
     }
 
-    /** Keeps track of the connections of a server. */
-    static create(server: Server): ServerConnections {
-        return new ServerConnections(server);
+    /**
+     * Keeps track of the connections of a server.
+     *
+     * @param maxHeld Number of connections that may be accepted at the end before their requests are read.
+     */
+    static create(server: Server, maxHeld = DEFAULT_MAX_HELD): ServerConnections {
+        return new ServerConnections(server, maxHeld);
     }
 
     /** Returns whether no response can be sent on a connection any more. */
@@ -48,17 +60,40 @@
      *
      * @param until Monotonic time in milliseconds at which it stops listening in any case.
      */
-    async stopListening(until: number): Promise<void> {
-        let accepted: number;
+    stopListening(until: number): Promise<void> {
+        return this.#stopped ??= this.#acceptLast(until);
+    }
+
+    async #acceptLast(until: number): Promise<void> {
+        const listeners = this.#server.listeners("connection") as ((socket: Socket) => void)[];
+        const held: Socket[] = [];
+        const release = (): void =>
+            held.splice(0).forEach(socket => {
+                listeners.forEach(listener => listener.call(this.#server, socket));
+                socket.resume();
+            });
+        let accepted = 0;
+        // Requests are read afterwards: a queue that grows faster than they are answered would never be empty.
+        this.#server.removeAllListeners("connection");
+        this.#server.on("connection", (socket: Socket) => {
+            accepted += 1;
+            socket.pause();
+            held.push(socket);
+            if (held.length >= this.#maxHeld) {
+                release();
+            }
+        });
+        let before: number;
         do {
-            accepted = this.#accepted;
+            before = accepted;
             // The event loop accepts one connection a turn, so that a turn without one has found the queue empty. After an
             // uncaught error the next turn may begin without a look at the sockets.
             await new Promise(resolve => setImmediate(() => setImmediate(resolve)));
         }
-        while (this.#accepted !== accepted && performance.now() < until);
+        while (accepted !== before && performance.now() < until);
         // `close` of an HTTP server also destroys connections whose request has not been read yet.
         TcpServer.prototype.close.call(this.#server);
+        release();
     }
 
     /**
@@ -67,7 +102,9 @@
      * @param until Monotonic time in milliseconds at which the wait ends in any case.
      */
     async waitForResponses(until: number): Promise<void> {
-        await this.#waitWhile(() => this.#unused.size > 0 || this.#hasDueResponse(), until);
+        const mayBringRequest = (): boolean =>
+            this.#unused.size > 0 && performance.now() < this.#progressAt + FIRST_REQUEST_MS;
+        await this.#waitWhile(() => mayBringRequest() || this.#hasDueResponse(), until);
     }
 
     /**
@@ -99,7 +136,7 @@
     }
 
     #add(socket: Socket): void {
-        this.#accepted += 1;
+        this.#progressAt = performance.now();
         this.#due.set(socket, 0);
         this.#unused.add(socket);
         // The HTTP server calls this after the last response. Its own version closes the connection while bytes may arrive.
@@ -113,6 +150,7 @@
     }
 
     #recordRequest({ socket }: IncomingMessage, response: ServerResponse): void {
+        this.#progressAt = performance.now();
         this.#unused.delete(socket);
         this.#addDue(socket, 1);
         response.once("close", () => {
--- a/test/platform/endOfStop.test.ts
+++ b/test/platform/endOfStop.test.ts
@@ -118,7 +118,11 @@
             const outcome = `${status} ${errorCode ?? ""}`;
             statuses.set(outcome, (statuses.get(outcome) ?? 0) + 1);
         }
-        t.log(`outcomes: ${JSON.stringify([...statuses])}; unanswered after ms: ${JSON.stringify(late)}`);
+        t.log(
+            `outcomes: ${JSON.stringify([...statuses])}; unanswered: ${late.length}, after ${
+                Math.max(0, ...late)
+            } ms at most`,
+        );
         t.deepEqual(late.filter(ms => ms >= CLOSE_SLACK_MS), []);
     });
 }
--- /dev/null
+++ b/test/shared/serverConnections.test.ts
@@ -0,0 +1,50 @@
+import test from "ava";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { ServerConnections } from "../../src/shared/serverConnections.js";
+import { rawCaller } from "../testing/router/rawCaller.js";
+
+const CALLERS = 50;
+const CLOSE_MS = 20_000;
+const REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+// Requests were answered between two connections of the queue, so that a queue that grew as fast as that was never empty,
+// and was reset with the listening socket.
+test("accepts all connections of the queue before it reads a request from them, and answers all", async t => {
+    const wasListening: boolean[] = [];
+    const server = createServer((_incoming, response) => {
+        wasListening.push(server.listening);
+        response.end();
+    });
+    const connections = ServerConnections.create(server);
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const calls = Array.from({ length: CALLERS }, () => rawCaller.send(url, REQUEST));
+    const now = performance.now();
+    const closed = connections.close({ answerBy: now + CLOSE_MS, closeBy: now + CLOSE_MS });
+    const outcomes = (await Promise.all(calls)).map(({ status, errorCode }) => errorCode ?? status);
+    await closed;
+    t.deepEqual(outcomes, calls.map(() => 200));
+    t.deepEqual(wasListening, calls.map(() => false));
+});
+
+// Each connection that is held takes a descriptor.
+test("reads requests as soon as as many connections are held as may be", async t => {
+    let wasListening = 0;
+    const server = createServer((_incoming, response) => {
+        wasListening += server.listening ? 1 : 0;
+        response.end();
+    });
+    const connections = ServerConnections.create(server, 1);
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const calls = Array.from({ length: CALLERS }, () => rawCaller.send(url, REQUEST));
+    const now = performance.now();
+    await connections.close({ answerBy: now + CLOSE_MS, closeBy: now + CLOSE_MS });
+    const outcomes = (await Promise.all(calls)).map(({ status, errorCode }) => errorCode ?? status);
+    t.deepEqual(outcomes, calls.map(() => 200));
+    t.true(wasListening > 0);
+});
