--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -1,5 +1,7 @@
 import { createServer } from "node:http";
+import type { EndPlan } from "../core/routing/endPlan.js";
 import type { Locality } from "../core/routing/locality.js";
+import { planEnd } from "../core/routing/planEnd.js";
 import type { RouterSettings } from "../router/routerSettings.js";
 import type { PortBinder } from "../shared/portBinder.js";
 import { ServerConnections } from "../shared/serverConnections.js";
@@ -77,19 +79,15 @@
             await ports.openServer("readiness", readiness, readinessAddress);
         }
         catch (error) {
-            await lookup.close(performance.now());
+            await lookup.close(planEnd(performance.now(), performance.now()));
             throw error;
         }
         return lookup;
     }
 
-    /**
-     * Closes the servers and their connections, after the responses that are due.
-     *
-     * @param until Monotonic time in milliseconds at which the connections are closed in any case.
-     */
-    async close(until: number): Promise<void> {
+    /** Closes the servers and their connections, after the responses that are due. */
+    async close(plan: EndPlan): Promise<void> {
         this.#closed.abort();
-        await Promise.all(this.#connections.map(connections => connections.close(until)));
+        await Promise.all(this.#connections.map(connections => connections.close(plan)));
     }
 }
