Daemon: read the rest of a refused request before its connection closes

Change: RequestDrain moves to src/shared and sends a body with a length; refusals of CallerServer end through it.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { abortResponse } from "../../shared/abortResponse.js";
+import { RequestDrain } from "../../shared/requestDrain.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerResponse } from "./callerResponse.js";
 import type { CallerServerOptions } from "./callerServerOptions.js";
@@ -28,11 +29,14 @@
 const RESPONSE_READ_TIMEOUT_MS = 30_000;
 /** No request is in flight by then; open connections have sent part of a request at most. */
 const CLOSE_TIMEOUT_MS = 1000;
+const DRAIN_CHECK_INTERVAL_MS = 250;
 
 /** Serves callers over HTTP. */
 export class CallerServer {
     readonly #options: CallerServerOptions;
     readonly #server: Server;
+    readonly #drain = RequestDrain.create();
+    readonly #drainTimer: NodeJS.Timeout;
     readonly #idleListeners: (() => void)[] = [];
     #requestsInFlight = 0;
     #isDraining = false;
@@ -45,6 +49,7 @@
             requestTimeout: REQUEST_TIMEOUT_MS,
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         }, (incoming, response) => void this.#serve(incoming, response));
+        this.#drainTimer = setInterval(() => this.#drain.expire(options.getNow()), DRAIN_CHECK_INTERVAL_MS);
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
             const requestId = createUuid();
             this.#finish(
@@ -90,6 +95,7 @@
         const timer = setTimeout(() => this.#server.closeAllConnections(), CLOSE_TIMEOUT_MS);
         await closed;
         clearTimeout(timer);
+        clearInterval(this.#drainTimer);
     }
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -100,7 +106,10 @@
             service: undefined,
         };
         response.setHeader("x-request-id", exchange.requestId);
-        const writer = CallerResponse.create(response);
+        const writer = CallerResponse.create(
+            response,
+            body => this.#drain.finish(response, this.#options.getNow(), body),
+        );
         this.#requestsInFlight += 1;
         let result: RequestResult | undefined;
         let failure: RequestError | undefined;
@@ -186,7 +195,7 @@
         // On a kept connection, the unread rest of a body would be parsed as the next request.
         const isBodyUnread = error.code === "body-too-large" || error.code === "request-incomplete";
         if (!response.headersSent && (isBodyUnread || this.#isDraining)) {
-            response.setHeader("connection", "close");
+            response.shouldKeepAlive = false;
         }
         const { dataCentre, getView } = this.#options;
         writer.fail(error, {
--- a/src/router/callerLimits.ts
+++ b/src/router/callerLimits.ts
@@ -1,10 +1,10 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
+import { RequestDrain } from "../shared/requestDrain.js";
 import { CallerByteLimit } from "./callerByteLimit.js";
 import { ConnectionLimit } from "./connectionLimit.js";
 import type { LogSink } from "./logSink.js";
-import { RequestDrain } from "./requestDrain.js";
 
 interface CallerLimitsOptions {
     readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
@@ -64,11 +64,7 @@
 
     /** Ends a response without a body; if its connection closes after it, once the request has been read. */
     finish(response: ServerResponse): void {
-        if (response.shouldKeepAlive || response.req.complete) {
-            response.end();
-            return;
-        }
-        this.#drain.add(response, this.#options.getNow());
+        this.#drain.finish(response, this.#options.getNow());
     }
 
     /** Stops checking; connections close elsewhere. */
--- a/src/router/requestDrain.ts
+++ b/src/shared/requestDrain.ts
@@ -17,19 +17,26 @@
     }
 
     /**
-     * Sends the head of a response, which has no body, and ends the response once the rest of its request has been read and
-     * dropped.
+     * Sends a response whose head is written, with the length of its body; if its connection closes after it, the response
+     * ends once the rest of its request has been read and dropped.
      *
      * @param now Monotonic time in milliseconds.
      */
-    add(response: ServerResponse, now: number): void {
+    finish(response: ServerResponse, now: number, body = ""): void {
         const { req: incoming } = response;
+        if (response.shouldKeepAlive || incoming.complete) {
+            response.end(body);
+            return;
+        }
         this.#deadlines.set(response, now + DRAIN_MS);
-        const finish = (): void => this.#finish(response);
-        incoming.on("end", finish);
-        incoming.on("error", finish);
+        const end = (): void => this.#end(response);
+        incoming.on("end", end);
+        incoming.on("error", end);
         response.on("close", () => this.#deadlines.delete(response));
         response.flushHeaders();
+        if (body !== "") {
+            response.write(body);
+        }
         incoming.resume();
     }
 
@@ -37,12 +44,12 @@
     expire(now: number): void {
         for (const [response, deadline] of this.#deadlines) {
             if (deadline <= now) {
-                this.#finish(response);
+                this.#end(response);
             }
         }
     }
 
-    #finish(response: ServerResponse): void {
+    #end(response: ServerResponse): void {
         if (this.#deadlines.delete(response)) {
             response.end();
         }
--- a/test/router/refusalReset.test.ts
+++ b/test/router/refusalReset.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { connect } from "node:net";
 import { createIngress } from "../testing/router/createIngress.js";
+import { sendUnread } from "../testing/sendUnread.js";
 
 const CALLERS = 4;
 /** More than the buffers of a connection hold, so that a caller is still sending when it is refused. */
@@ -9,20 +9,6 @@
 /** A caller waits for longer than the rest of its request may take, but not for a closed connection that never ends. */
 const STALL_LIMIT_MS = 5000;
 
-/** Sends a whole request before it reads anything. Resolves with what it then reads, and how the connection ends. */
-function sendUnread(port: number, head: string, body: Buffer): Promise<string> {
-    return new Promise(resolve => {
-        const socket = connect(port, "127.0.0.1");
-        let received = "";
-        socket.pause();
-        socket.on("error", (error: NodeJS.ErrnoException) => resolve(`${error.code} ${received}`));
-        socket.on("data", data => received += data.toString());
-        socket.on("end", () => resolve(received));
-        socket.write(head);
-        socket.write(body, () => socket.resume());
-    });
-}
-
 // The connection was closed with a part of the body unread, so that the kernel reset it and the caller lost the status.
 test("refusal by the head: a caller that sends its whole body and then reads gets the status", async t => {
     const { port, ingress } = await createIngress(t, () => t.fail("served"), {
