--- a/src/router/callerLimits.ts
+++ b/src/router/callerLimits.ts
@@ -8,6 +8,7 @@
 
 interface CallerLimitsOptions {
     readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
+    readonly countTargetConnections: () => number;
     readonly getMaxBodyBytes: () => number;
     readonly log: Pick<LogSink, "write">;
     /** Monotonic time in milliseconds. */
@@ -26,14 +27,14 @@
 
     private constructor(options: CallerLimitsOptions) {
         this.#options = options;
-        const { log, getMaxBodyBytes, connectionLimits, getNow } = options;
+        const { log, getMaxBodyBytes } = options;
         this.#byteLimit = CallerByteLimit.create({
             getMaxBodyBytes,
             onExceeded: () => log.write("caller-connection-failed", { reason: "bytes-without-end" }),
         });
         this.#connectionLimit = ConnectionLimit.create({
-            ...connectionLimits,
-            getNow,
+            ...options,
+            ...options.connectionLimits,
             onChanged: (isReached, open) => log.write("connection-limit-changed", { isReached, open }),
             onClosed: open => log.write("caller-connection-failed", { reason: "connection-limit", open }),
         });
--- a/src/router/connectionLimit.ts
+++ b/src/router/connectionLimit.ts
@@ -2,6 +2,8 @@
 import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 
 interface ConnectionLimitOptions extends ReturnType<typeof computeConnectionLimits> {
+    /** Counts the open connections to targets, which take descriptors, too. */
+    readonly countTargetConnections: () => number;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
     /** Called when the limit is reached, and when connections are served again. */
@@ -13,7 +15,7 @@
 /** Time in which a surplus connection brings a request and its caller reads the refusal. */
 const SURPLUS_MS = 5000;
 /** A reached limit counts as left below this share of it, so that single connections do not change the state. */
-const RECOVERED_SHARE = 0.9;
+const RECOVERED_SHARE = 0.95;
 const REFUSAL =
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
@@ -46,12 +48,12 @@
 
     /** Adds a connection, which counts until it closes. */
     add(socket: Socket): void {
-        const { served, surplus, getNow, onClosed } = this.#options;
-        if (this.#served.size < served) {
+        const { surplus, getNow, onClosed } = this.#options;
+        if (this.#served.size < this.#countServable()) {
             this.#served.add(socket);
             socket.once("close", () => {
                 this.#served.delete(socket);
-                if (this.#served.size < served * RECOVERED_SHARE) {
+                if (this.#served.size < this.#countServable() * RECOVERED_SHARE) {
                     this.#setReached(false);
                 }
             });
@@ -84,6 +86,11 @@
         }
     }
 
+    #countServable(): number {
+        const { served, surplus, descriptors, countTargetConnections } = this.#options;
+        return Math.min(served, descriptors - surplus - countTargetConnections());
+    }
+
     #setReached(isReached: boolean): void {
         if (this.#isReached !== isReached) {
             this.#isReached = isReached;
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,5 +1,4 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 import { planRequestEnd } from "../core/routing/planRequestEnd.js";
 import { RequestFingerprint } from "../core/routing/requestFingerprint.js";
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
@@ -17,7 +16,9 @@
 import { setCallerTimeouts } from "./setCallerTimeouts.js";
 import type { WireFormat } from "./wireFormat.js";
 
-interface IngressOptions {
+type LimitOptions = Parameters<typeof CallerLimits.create>[0];
+
+interface IngressOptions extends Pick<LimitOptions, "connectionLimits" | "countTargetConnections"> {
     readonly host: string;
     readonly port: number;
     readonly wire: WireFormat;
@@ -25,7 +26,6 @@
     readonly errorBoundary: ErrorBoundary;
     /** Limit for the total size of all buffered request bodies, in bytes. */
     readonly maxBufferedBytes: number;
-    readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
     readonly getNow: () => number;
     /** Finds the route and client account of a request, or the reason why it is refused. */
     readonly resolve: (
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -217,6 +217,7 @@
             errorBoundary,
             maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
             connectionLimits: computeConnectionLimits(settings),
+            countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
             resolve: (head, path, receivedAt) => this.#resolver.resolve(head, path, receivedAt),
             getLimits: () => this.#view.configuration?.limits,
--- a/src/router/targetAgent.ts
+++ b/src/router/targetAgent.ts
@@ -8,6 +8,7 @@
 /** Keep-alive connections to targets. An idle one that receives data is closed: the data belongs to no request. */
 export class TargetAgent extends Agent {
     readonly #idleDataListeners = new WeakMap<Socket, () => void>();
+    #openConnections = 0;
 
     private constructor(options: AgentOptions) {
         super({ ...options, noDelay: true });
@@ -28,8 +29,16 @@
         return new TargetAgent({ keepAlive: false });
     }
 
+    /** Number of connections that are open, or about to be. */
+    get openConnections(): number {
+        return this.#openConnections;
+    }
+
     override createConnection(options: TcpNetConnectOpts): Socket {
-        return PausableSocket.create(options);
+        const socket = PausableSocket.create(options);
+        this.#openConnections += 1;
+        socket.once("close", () => this.#openConnections -= 1);
+        return socket;
     }
 
     override keepSocketAlive(socket: Socket): boolean {
--- a/src/router/targetAgents.ts
+++ b/src/router/targetAgents.ts
@@ -24,6 +24,11 @@
         return mayRunAgain ? this.#kept : this.#dedicated;
     }
 
+    /** Number of open connections. */
+    get openConnections(): number {
+        return this.#kept.openConnections + this.#dedicated.openConnections;
+    }
+
     /** Closes all connections. */
     close(): void {
         this.#kept.destroy();
--- /dev/null
+++ b/test/router/connectionLimit.test.ts
@@ -0,0 +1,68 @@
+import test from "ava";
+import { once } from "node:events";
+import { Socket } from "node:net";
+import { ConnectionLimit } from "../../src/router/connectionLimit.js";
+
+const LIMITS = { served: 4, surplus: 2, descriptors: 6 };
+
+interface LimitHarness {
+    readonly limit: ConnectionLimit;
+    readonly changes: readonly boolean[];
+    /** Adds a connection. */
+    readonly add: () => Socket;
+    readonly advance: (ms: number) => void;
+}
+
+function createLimit(targetConnections: number): LimitHarness {
+    let now = 0;
+    const changes: boolean[] = [];
+    const limit = ConnectionLimit.create({
+        ...LIMITS,
+        countTargetConnections: () => targetConnections,
+        getNow: () => now,
+        onChanged: isReached => changes.push(isReached),
+        onClosed: () => undefined,
+    });
+    const add = (): Socket => {
+        const socket = Object.assign(new Socket(), { write: () => true });
+        limit.add(socket);
+        return socket;
+    };
+    const advance = (ms: number): void => {
+        now += ms;
+        limit.expire(now);
+    };
+    return { limit, changes, add, advance };
+}
+
+test("serves connections up to the limit, and further ones again once others have closed", async t => {
+    const { limit, changes, add } = createLimit(0);
+    const sockets = Array.from({ length: LIMITS.served }, add);
+    t.false(sockets.some(socket => limit.isSurplus(socket)));
+    t.true(limit.isSurplus(add()));
+    t.true(limit.isReached);
+    const [first] = sockets;
+    first?.destroy();
+    await once(first ?? t.fail() as never, "close");
+    t.deepEqual(changes, [true, false]);
+    t.false(limit.isSurplus(add()));
+});
+
+// Callers and targets share the descriptors of the process: what either takes, the other cannot have.
+test("serves fewer connections while connections to targets take descriptors", t => {
+    const { limit, add } = createLimit(3);
+    t.false(limit.isSurplus(add()));
+    t.true(limit.isSurplus(add()));
+});
+
+test("closes a surplus connection that brings no request in time, and those beyond the descriptors at once", t => {
+    const { limit, add, advance } = createLimit(3);
+    add();
+    const surplus = [add(), add()];
+    t.true(add().writableEnded);
+    advance(4000);
+    t.false(surplus.some(socket => socket.destroyed));
+    advance(2000);
+    t.true(surplus.every(socket => socket.destroyed));
+    t.true(limit.isReached);
+});
