--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { abortResponse } from "../../shared/abortResponse.js";
+import { RequestDrain } from "../../shared/requestDrain.js";
 import { ServerConnections } from "../../shared/serverConnections.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerResponse } from "./callerResponse.js";
@@ -20,6 +21,8 @@
     service: string | undefined;
 }
 
+/** Connections that do not fit into the queue of the operating system are acknowledged, too, and reset later. */
+const LISTEN_BACKLOG = 4096;
 const MAX_HEADER_BYTES = 16_384;
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 30_000;
@@ -31,12 +34,15 @@
 const LAST_ANSWERS_MS = 200;
 /** No request is in flight by then; open connections have sent part of a request at most. */
 const CLOSE_TIMEOUT_MS = 1000;
+const DRAIN_CHECK_INTERVAL_MS = 250;
 
 /** Serves callers over HTTP. */
 export class CallerServer {
     readonly #options: CallerServerOptions;
     readonly #server: Server;
     readonly #connections: ServerConnections;
+    readonly #drain = RequestDrain.create();
+    readonly #drainTimer: NodeJS.Timeout;
     readonly #idleListeners: (() => void)[] = [];
     #requestsInFlight = 0;
     #isDraining = false;
@@ -50,6 +56,7 @@
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         }, (incoming, response) => void this.#serve(incoming, response));
         this.#connections = ServerConnections.create(this.#server);
+        this.#drainTimer = setInterval(() => this.#drain.expire(options.getNow()), DRAIN_CHECK_INTERVAL_MS);
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
             const requestId = createUuid();
             this.#finish(
@@ -70,7 +77,7 @@
         const [host, port] = options.address.split(":");
         await new Promise<void>((resolve, reject) => {
             server.#server.once("error", reject);
-            server.#server.listen(Number(port), host, resolve);
+            server.#server.listen(Number(port), host, LISTEN_BACKLOG, resolve);
         });
         return server;
     }
@@ -93,6 +100,7 @@
     async close(): Promise<void> {
         const now = performance.now();
         await this.#connections.close({ answerBy: now + LAST_ANSWERS_MS, closeBy: now + CLOSE_TIMEOUT_MS });
+        clearInterval(this.#drainTimer);
     }
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -103,7 +111,10 @@
             service: undefined,
         };
         response.setHeader("x-request-id", exchange.requestId);
-        const writer = CallerResponse.create(response);
+        const writer = CallerResponse.create(
+            response,
+            body => this.#drain.finish(response, this.#options.getNow(), body),
+        );
         this.#requestsInFlight += 1;
         let result: RequestResult | undefined;
         let failure: RequestError | undefined;
@@ -189,7 +200,7 @@
         // On a kept connection, the unread rest of a body would be parsed as the next request.
         const isBodyUnread = error.code === "body-too-large" || error.code === "request-incomplete";
         if (!response.headersSent && (isBodyUnread || this.#isDraining)) {
-            response.setHeader("connection", "close");
+            response.shouldKeepAlive = false;
         }
         const { dataCentre, getView } = this.#options;
         writer.fail(error, {
--- a/src/router/createRouterIngress.ts
+++ b/src/router/createRouterIngress.ts
@@ -6,7 +6,8 @@
 import type { RequestServer } from "./requestServer.js";
 import type { RouterOptions } from "./routerOptions.js";
 
-interface CreateOptions extends RouterOptions, Pick<IngressOptions, "getNow" | "isStopping"> {
+interface CreateOptions
+    extends RouterOptions, Pick<IngressOptions, "countTargetConnections" | "getNow" | "isStopping"> {
     readonly view: DeploymentView;
     readonly resolver: RequestResolver;
     readonly requestServer: RequestServer;
