Daemon: a start waits for ports that are in use

Cause: as in the router, each server bound its port once; the callers' port was bound before the operators', and SIGTERM was handled only once the daemon listened. gRPC binds a port once and does not tell the code of the error.

Change: the daemon binds its ports with PortBinder, callers' last; the peer server listens on a TCP server of its own and hands its connections to gRPC. The wait is the setting portTimeoutMs (2 min).

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { abortResponse } from "../../shared/abortResponse.js";
+import { parseListenAddress } from "../../shared/parseListenAddress.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerResponse } from "./callerResponse.js";
 import type { CallerServerOptions } from "./callerServerOptions.js";
@@ -58,15 +59,11 @@
     /**
      * Starts listening and returns the server.
      *
-     * @throws Error when the address cannot be bound.
+     * @throws PortError when the address cannot be bound.
      */
     static async create(options: CallerServerOptions): Promise<CallerServer> {
         const server = new CallerServer(options);
-        const [host, port] = options.address.split(":");
-        await new Promise<void>((resolve, reject) => {
-            server.#server.once("error", reject);
-            server.#server.listen(Number(port), host, resolve);
-        });
+        await options.ports.openServer("callers", server.#server, parseListenAddress(options.address));
         return server;
     }
 
--- a/src/adapters/caller/callerServerOptions.ts
+++ b/src/adapters/caller/callerServerOptions.ts
@@ -3,11 +3,13 @@
 import type { FinishedRequest } from "../../core/request/finishedRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import type { ResponseWriter } from "../../core/request/responseWriter.js";
+import type { PortBinder } from "../../shared/portBinder.js";
 
 /** Settings, dependencies and callbacks of the caller server. */
 export interface CallerServerOptions {
     /** host:port; port 0 takes a free port. */
     readonly address: string;
+    readonly ports: Pick<PortBinder, "openServer">;
     /** Data centre of this instance, whose entries are listed first. */
     readonly dataCentre: string;
     /** Time for which a response to `GET /v1/entries` is valid, in milliseconds. */
--- a/src/adapters/operator/operatorServer.ts
+++ b/src/adapters/operator/operatorServer.ts
@@ -2,10 +2,13 @@
 import type { AddressInfo } from "node:net";
 import type { Decision } from "../../core/explain/decision.js";
 import type { StatusReport } from "../../core/explain/statusReport.js";
+import { parseListenAddress } from "../../shared/parseListenAddress.js";
+import type { PortBinder } from "../../shared/portBinder.js";
 
 interface OperatorServerOptions {
     /** host:port; port 0 takes a free port. */
     readonly address: string;
+    readonly ports: Pick<PortBinder, "openServer">;
     readonly instance: string;
     /** Renders the metrics in the Prometheus text format. */
     readonly renderMetrics: () => Promise<string>;
@@ -36,15 +39,11 @@
     /**
      * Starts listening and returns the server.
      *
-     * @throws Error from the socket when the address cannot be bound.
+     * @throws PortError when the address cannot be bound.
      */
     static async create(options: OperatorServerOptions): Promise<OperatorServer> {
         const server = new OperatorServer(options);
-        const [host, port] = options.address.split(":");
-        await new Promise<void>((resolve, reject) => {
-            server.#server.once("error", reject);
-            server.#server.listen(Number(port), host, resolve);
-        });
+        await options.ports.openServer("operators", server.#server, parseListenAddress(options.address));
         return server;
     }
 
--- a/src/daemon/createDaemonParts.ts
+++ b/src/daemon/createDaemonParts.ts
@@ -1,5 +1,4 @@
 import { start } from "nact";
-import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { v7 as createUuid } from "uuid";
 import { CallerServer } from "../adapters/caller/callerServer.js";
@@ -10,8 +9,8 @@
 import { buildStatusReport } from "../core/explain/buildStatusReport.js";
 import { listAccountStatus } from "../core/explain/listAccountStatus.js";
 import { listLeaseStatus } from "../core/explain/listLeaseStatus.js";
-import { createLogger } from "../observability/createLogger.js";
 import { Metrics } from "../observability/metrics.js";
+import type { PortBinder } from "../shared/portBinder.js";
 import { PeerClient } from "../transport/peerClient.js";
 import { PeerServer } from "../transport/peerServer.js";
 import type { TrafficRecorder } from "../transport/trafficRecorder.js";
@@ -34,14 +33,23 @@
 import { LoopbackCaller } from "./loopbackCaller.js";
 import { PeerDirectory } from "./peerDirectory.js";
 
-/** Creates the actors of a daemon and starts its servers, but not its configuration manager. */
-export async function createDaemonParts(settings: DaemonSettings): Promise<DaemonParts> {
+interface CreateOptions {
+    readonly settings: DaemonSettings;
+    readonly logger: DaemonContext["logger"];
+    readonly ports: PortBinder;
+    /** Monotonic time in milliseconds. */
+    readonly getNow: () => number;
+}
+
+/**
+ * Creates the actors of a daemon and starts its servers, but not its configuration manager.
+ *
+ * @throws PortError when an address cannot be bound.
+ */
+export async function createDaemonParts(
+    { settings, logger, ports, getNow }: CreateOptions,
+): Promise<DaemonParts> {
     const metrics = Metrics.create();
-    const logger = createLogger(settings.logLevel, {
-        instance: settings.instance,
-        dataCentre: settings.dataCentre,
-    });
-    const getNow = (): number => performance.now();
     const system = start();
     const configurationManager = ConfigurationManager.create({
         settings,
@@ -110,7 +118,12 @@
         accounting,
         claimHolder,
     });
-    const peerServer = await PeerServer.create(settings.peerAddress, handlers, traffic);
+    const peerServer = await PeerServer.create({
+        address: settings.peerAddress,
+        ports,
+        handlers,
+        traffic,
+    });
     const targetClient = TargetClient.create({ getNow, addressMap: settings.addressMap });
     const executor = RequestExecutor.create({
         context,
@@ -120,20 +133,10 @@
         getRandom: Math.random,
         wait: waitForRetry,
     });
-    const callerServer = await CallerServer.create({
-        address: settings.callerAddress,
-        dataCentre: settings.dataCentre,
-        entriesTermMs: settings.entriesTermMs,
-        getView: () => configurationManager.getView(),
-        waitForConfiguration: createConfigurationWait(context),
-        getNow,
-        execute: (request, writer, signal) => executor.execute(request, writer, signal),
-        onReceived: request => metrics.count("requests_total", { service: request.service.name }),
-        onFinished: finished => recordFinishedRequest(context, finished),
-    });
     const lifecycle = { leaving: false };
     const operatorServer = await OperatorServer.create({
         address: settings.operatorAddress,
+        ports,
         instance: settings.instance,
         renderMetrics: () => metrics.render(),
         getStatus: () =>
@@ -157,6 +160,19 @@
         explainAccount: (account, limit) => decisionLog.explainAccount(account, limit),
         onError: error => logger.error("operator-page-failed", { error: String(error) }),
     });
+    // The last port, so that a daemon that may still fail to start accepts no caller.
+    const callerServer = await CallerServer.create({
+        address: settings.callerAddress,
+        ports,
+        dataCentre: settings.dataCentre,
+        entriesTermMs: settings.entriesTermMs,
+        getView: () => configurationManager.getView(),
+        waitForConfiguration: createConfigurationWait(context),
+        getNow,
+        execute: (request, writer, signal) => executor.execute(request, writer, signal),
+        onReceived: request => metrics.count("requests_total", { service: request.service.name }),
+        onFinished: finished => recordFinishedRequest(context, finished),
+    });
     return {
         context,
         configurationManager,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,3 +1,6 @@
+import { performance } from "node:perf_hooks";
+import { createLogger } from "../observability/createLogger.js";
+import { PortBinder } from "../shared/portBinder.js";
 import { createDaemonParts } from "./createDaemonParts.js";
 import type { DaemonParts } from "./daemonParts.js";
 import type { DaemonSettings } from "./daemonSettings.js";
@@ -20,9 +23,27 @@
         this.#parts = parts;
     }
 
-    /** Starts all servers and actors. */
-    static async create(settings: DaemonSettings): Promise<Daemon> {
-        const parts = await createDaemonParts(settings);
+    /**
+     * Starts all servers and actors.
+     *
+     * @param stopSignal Ends the wait for ports that are in use, because the process is to stop.
+     * @throws PortError when an address cannot be bound.
+     * @throws StartStoppedError when the process is to stop.
+     */
+    static async create(settings: DaemonSettings, stopSignal: AbortSignal): Promise<Daemon> {
+        const { instance, dataCentre, logLevel, portTimeoutMs } = settings;
+        const logger = createLogger(logLevel, { instance, dataCentre });
+        const getNow = (): number => performance.now();
+        const ports = PortBinder.create({
+            deadline: getNow() + portTimeoutMs,
+            stopSignal,
+            getNow,
+            writeLog: (event, fields) => logger.warn(event, fields),
+        });
+        const parts = await createDaemonParts({ settings, logger, ports, getNow }).catch((error: unknown) => {
+            ports.close();
+            throw error;
+        });
         parts.configurationManager.start(
             parts.context.peers,
             SeedCaller.create({ client: parts.peerClient, addressMap: settings.addressMap }),
--- a/src/daemon/daemonSettingsSchema.ts
+++ b/src/daemon/daemonSettingsSchema.ts
@@ -36,6 +36,11 @@
     policy: z.enum(["fleet", "local", "fifo"]).default("fleet"),
     /** Time in milliseconds for which a response to `GET /v1/entries` is valid; the same on all instances. */
     entriesTermMs: z.number().int().positive().default(5000),
+    /**
+     * Time in milliseconds for which a start waits for ports that are in use. Longer than a predecessor takes to finish
+     * requests with the default deadline.
+     */
+    portTimeoutMs: z.int().nonnegative().default(120_000),
     /** Lowest level of log lines. */
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
 }).readonly();
--- a/src/shared/portBinder.ts
+++ b/src/shared/portBinder.ts
@@ -25,7 +25,7 @@
     /** host:port. */
     readonly address: string;
     /** Emits `listening` or `error` after `listen`. */
-    readonly emitter: EventEmitter;
+    readonly emitter: EventEmitter & { readonly close: () => unknown; };
     readonly listen: () => void;
     /** Returns the time of the next attempt; `undefined` if there is none. */
     readonly planRetry: (failure: FailedBind) => number | undefined;
@@ -38,6 +38,7 @@
  */
 export class PortBinder {
     readonly #options: PortBinderOptions;
+    readonly #open: { readonly close: () => unknown; }[] = [];
 
     private constructor(options: PortBinderOptions) {
         this.#options = options;
@@ -95,10 +96,15 @@
         }
     }
 
+    /** Closes everything that was opened, after a start that failed. */
+    close(): void {
+        this.#open.forEach(server => server.close());
+    }
+
     #createPort(
         server: string,
         { host, port }: ListenAddress,
-        emitter: EventEmitter,
+        emitter: Port["emitter"],
         listen: () => unknown,
     ): Port {
         const { deadline, stopSignal } = this.#options;
@@ -122,6 +128,7 @@
             }
             const error = await tryListen(port.emitter, port.listen);
             if (!error) {
+                this.#open.push(port.emitter);
                 port.emitter.on("error", (cause: Error) => {
                     writeLog("server-failed", { server, address, reason: cause.message });
                 });
--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -1,51 +1,57 @@
 import { type handleUnaryCall, Server, ServerCredentials, status } from "@grpc/grpc-js";
+import { type AddressInfo, createServer, type Server as TcpServer } from "node:net";
+import { parseListenAddress } from "../shared/parseListenAddress.js";
+import type { PortBinder } from "../shared/portBinder.js";
 import { countTraffic } from "./countTraffic.js";
 import { loadPeerDefinition } from "./loadPeerDefinition.js";
 import type { PeerHandlers } from "./peerHandlers.js";
 import type { TrafficRecorder } from "./trafficRecorder.js";
 
+interface PeerServerOptions {
+    /** host:port; port 0 takes a free port. */
+    readonly address: string;
+    readonly ports: Pick<PortBinder, "openServer">;
+    readonly handlers: PeerHandlers;
+    readonly traffic: TrafficRecorder;
+}
+
 type AnyHandler = (message: unknown) => Promise<unknown>;
 
 /** Serves calls from peers over gRPC. */
 export class PeerServer {
     readonly #server: Server;
-    /** Address that the server listens on, host:port. */
-    readonly address: string;
+    readonly #listener: TcpServer;
 
-    private constructor(server: Server, address: string) {
+    private constructor(server: Server, listener: TcpServer) {
         this.#server = server;
-        this.address = address;
+        this.#listener = listener;
     }
 
     /**
      * Starts listening.
      *
-     * @param address host:port; port 0 takes a free port.
-     * @throws Error from gRPC when the address cannot be bound.
+     * @throws PortError when the address cannot be bound.
      */
-    static async create(
-        address: string,
-        handlers: PeerHandlers,
-        traffic: TrafficRecorder,
-    ): Promise<PeerServer> {
+    static async create({ address, ports, handlers, traffic }: PeerServerOptions): Promise<PeerServer> {
         const server = new Server();
         const service = countTraffic(loadPeerDefinition().service, traffic, "server");
         server.addService(service, buildImplementation(handlers));
-        const port = await new Promise<number>((resolve, reject) => {
-            server.bindAsync(address, ServerCredentials.createInsecure(), (error, boundPort) => {
-                if (error) {
-                    reject(error);
-                    return;
-                }
-                resolve(boundPort);
-            });
-        });
-        const host = address.slice(0, address.lastIndexOf(":"));
-        return new PeerServer(server, `${host}:${port}`);
+        // gRPC binds a port once only, and does not tell the code of the error.
+        const injector = server.createConnectionInjector(ServerCredentials.createInsecure());
+        const listener = createServer(socket => injector.injectConnection(socket));
+        await ports.openServer("peers", listener, parseListenAddress(address));
+        return new PeerServer(server, listener);
+    }
+
+    /** Address that the server listens on, host:port. */
+    get address(): string {
+        const { address, port } = this.#listener.address() as AddressInfo;
+        return `${address}:${port}`;
     }
 
     /** Stops accepting calls and cancels open ones. */
     close(): void {
+        this.#listener.close();
         this.#server.forceShutdown();
     }
 }
--- a/test/adapters/operator/operatorServer.test.ts
+++ b/test/adapters/operator/operatorServer.test.ts
@@ -2,12 +2,14 @@
 import { request } from "undici";
 import { OperatorServer } from "../../../src/adapters/operator/operatorServer.js";
 import { buildStatusReport } from "../../../src/core/explain/buildStatusReport.js";
+import { createPortBinder } from "../../helpers/createPortBinder.js";
 
 const decision = { timeMs: 1, kind: "refused", reason: "queue-full", requestId: "r 1", account: "capel" };
 
 async function startServer(leaving: boolean): Promise<OperatorServer> {
     return OperatorServer.create({
         address: "127.0.0.1:0",
+        ports: createPortBinder(),
         instance: "daemon-0",
         renderMetrics: () => Promise.reject(new Error("broken page")),
         getStatus: () =>
--- a/test/helpers/startCallerServer.ts
+++ b/test/helpers/startCallerServer.ts
@@ -6,6 +6,7 @@
 import type { CallerServerOptions } from "../../src/adapters/caller/callerServerOptions.js";
 import type { CallerRequest } from "../../src/core/request/callerRequest.js";
 import type { FinishedRequest } from "../../src/core/request/finishedRequest.js";
+import { createPortBinder } from "./createPortBinder.js";
 import { makeClusterView } from "./makeClusterView.js";
 
 interface CallerSetup {
@@ -47,6 +48,7 @@
     const waiting: ((value: FinishedRequest) => void)[] = [];
     const server = await CallerServer.create({
         address: "127.0.0.1:0",
+        ports: createPortBinder(),
         dataCentre: "caerdydd-a",
         entriesTermMs: 5000,
         getView: () => makeClusterView([]),
