--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -79,8 +79,7 @@
             await ports.openServer("readiness", readiness, readinessAddress);
         }
         catch (error) {
-            const now = performance.now();
-            await lookup.close(planEnd(now, now));
+            await lookup.close(planEnd(performance.now(), performance.now()));
             throw error;
         }
         return lookup;
--- a/src/platform/startServers.ts
+++ b/src/platform/startServers.ts
@@ -19,8 +19,7 @@
         return lookup;
     }
     catch (error) {
-        const now = performance.now();
-        const plan = planEnd(now, now);
+        const plan = planEnd(performance.now(), performance.now());
         await lookup?.close(plan);
         await router.close(plan);
         throw error;
--- a/src/router/callerLimits.ts
+++ b/src/router/callerLimits.ts
@@ -1,13 +1,14 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
+import { RequestDrain } from "../shared/requestDrain.js";
 import { CallerByteLimit } from "./callerByteLimit.js";
 import { ConnectionLimit } from "./connectionLimit.js";
 import type { LogSink } from "./logSink.js";
-import { RequestDrain } from "./requestDrain.js";
 
 interface CallerLimitsOptions {
     readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
+    readonly countTargetConnections: () => number;
     readonly getMaxBodyBytes: () => number;
     readonly log: Pick<LogSink, "write">;
     /** Monotonic time in milliseconds. */
@@ -26,14 +27,14 @@
 
     private constructor(options: CallerLimitsOptions) {
         this.#options = options;
-        const { log, getMaxBodyBytes, connectionLimits, getNow } = options;
+        const { log, getMaxBodyBytes } = options;
         this.#byteLimit = CallerByteLimit.create({
             getMaxBodyBytes,
             onExceeded: () => log.write("caller-connection-failed", { reason: "bytes-without-end" }),
         });
         this.#connectionLimit = ConnectionLimit.create({
-            ...connectionLimits,
-            getNow,
+            ...options,
+            ...options.connectionLimits,
             onChanged: (isReached, open) => log.write("connection-limit-changed", { isReached, open }),
             onClosed: open => log.write("caller-connection-failed", { reason: "connection-limit", open }),
         });
@@ -64,11 +65,7 @@
 
     /** Ends a response without a body; if its connection closes after it, once the request has been read. */
     finish(response: ServerResponse): void {
-        if (response.shouldKeepAlive || response.req.complete) {
-            response.end();
-            return;
-        }
-        this.#drain.add(response, this.#options.getNow());
+        this.#drain.finish(response, this.#options.getNow());
     }
 
     /** Ends the responses that wait for the rest of their requests, because the process ends. */
--- a/src/router/changeFeedServer.ts
+++ b/src/router/changeFeedServer.ts
@@ -63,8 +63,7 @@
             await ports.openServer("change-feed", feed.#server, { host, port });
         }
         catch (error) {
-            const now = options.getNow();
-            await feed.close(planEnd(now, now));
+            await feed.close(planEnd(options.getNow(), options.getNow()));
             throw error;
         }
         return feed;
--- a/src/router/ingressOptions.ts
+++ b/src/router/ingressOptions.ts
@@ -1,14 +1,16 @@
-import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import type { PortBinder } from "../shared/portBinder.js";
 import type { CallerExchange } from "./callerExchange.js";
+import type { CallerLimits } from "./callerLimits.js";
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
 import type { RequestHead } from "./requestHead.js";
 import type { WireFormat } from "./wireFormat.js";
 
-export interface IngressOptions {
+type LimitOptions = Parameters<typeof CallerLimits.create>[0];
+
+export interface IngressOptions extends Pick<LimitOptions, "connectionLimits" | "countTargetConnections"> {
     readonly host: string;
     readonly port: number;
     readonly ports: Pick<PortBinder, "openServer">;
@@ -17,7 +19,6 @@
     readonly errorBoundary: ErrorBoundary;
     /** Limit for the total size of all buffered request bodies, in bytes. */
     readonly maxBufferedBytes: number;
-    readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
     readonly getNow: () => number;
     /** Finds the route and client account of a request, or the reason why it is refused. */
     readonly resolve: (
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -168,7 +168,7 @@
         return this.#ended ??= this.#endOpenRequests(this.#getNow() + timeoutMs);
     }
 
-    /** Closes all connections and servers, at once but for the connections of peers. */
+    /** Closes all connections and servers. */
     async close(plan: EndPlan): Promise<void> {
         this.#ingress?.close();
         this.#fleet?.close();
@@ -226,6 +226,7 @@
             view: this.#view,
             resolver: this.#resolver,
             requestServer: this.#requestServer,
+            countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
             isStopping: () => this.#stopPlan !== undefined,
         });
