End of a process: a stop that fails and an error after the start answer what is open, too, and end the process

Callers would see (by reading, no case reported): a stop that throws left the process without servers until it was killed; an error of the store's follower after the start ended the process at once, with all requests it was serving; the end after too many errors reset lookups of addresses.

A connection beyond the descriptors is closed with the socket's own destroySoon: the call-back of `end` failed router/connectionLimit.test.ts (ERR_SOCKET_CLOSED) on the merged code.

The overload is an open case: the event loop accepts one connection a turn, so that a queue of up to 4,096 may not be answered in the time that a stop leaves.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -3,12 +3,14 @@
 
 import { readFileSync } from "node:fs";
 import { performance } from "node:perf_hooks";
+import { planEnd } from "../core/routing/planEnd.js";
 import { ErrorBoundary } from "../router/errorBoundary.js";
 import { LogSink } from "../router/logSink.js";
 import { Router } from "../router/router.js";
 import { RouterMetrics } from "../router/routerMetrics.js";
 import { PortBinder } from "../shared/portBinder.js";
 import { createErrorEnd } from "./createErrorEnd.js";
+import { createPlannedEnd } from "./createPlannedEnd.js";
 import { endStart } from "./endStart.js";
 import { parseSettings } from "./parseSettings.js";
 import { platformWireFormat } from "./platformWireFormat.js";
@@ -23,6 +25,7 @@
 const LOOKUP_CLOSE_MS = 80;
 
 let log = LogSink.create({});
+let endRequests = (_timeoutMs: number): Promise<void> => Promise.resolve();
 
 async function runRouter(): Promise<void> {
     const getNow = (): number => performance.now();
@@ -47,7 +50,6 @@
     const getTimeOfDay = (): number => Date.now();
     const store = StoreSource.create({ address: settings.storeAddress, getNow, getTimeOfDay });
     const metrics = RouterMetrics.create();
-    let endRequests = (_timeoutMs: number): Promise<void> => Promise.resolve();
     const errorBoundary = ErrorBoundary.create({
         log,
         onError: () => metrics.countInternalError(),
@@ -80,6 +82,10 @@
         onLookup: (dataCentre, caller, addresses) =>
             log.write("addresses-answered", { dataCentre, caller, count: addresses.length }),
     });
+    endRequests = async timeoutMs => {
+        const now = getNow();
+        await Promise.all([router.endRequests(timeoutMs), lookup.close(planEnd(now, now + timeoutMs))]);
+    };
     const follower = StoreFollower.create({
         source: router.createChangeSource((after, isUrgent) => store.read(after, isUrgent)),
         targetDirectory: router.view.targets,
@@ -93,16 +99,17 @@
         onConfirmed: (at, timeOfDay) => router.view.recordConfirmation(at, timeOfDay),
     });
     log.write("listening", {});
-    const stop = (): void => {
-        void router.stop().then(async () => {
+    const stop = createPlannedEnd({
+        log,
+        stop: async () => {
+            await router.stop();
             follower.stop();
             const now = getNow();
             await lookup.close({ answerBy: now + LOOKUP_CLOSE_MS / 2, closeBy: now + LOOKUP_CLOSE_MS });
             store.close();
-            await log.close();
-            process.exit(0);
-        });
-    };
+        },
+        exit: code => process.exit(code),
+    });
     startupSignals.attach("SIGTERM", stop);
     if (startStop.signal.aborted) {
         stop();
@@ -110,4 +117,6 @@
     await follower.run();
 }
 
-runRouter().catch((error: unknown) => endStart(error, { log, exit: code => process.exit(code) }));
+runRouter().catch((error: unknown) =>
+    endStart(error, { log, endRequests, exit: code => process.exit(code) })
+);
--- a/src/router/connectionLimit.ts
+++ b/src/router/connectionLimit.ts
@@ -1,4 +1,4 @@
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 
 interface ConnectionLimitOptions extends ReturnType<typeof computeConnectionLimits> {
@@ -62,8 +62,10 @@
         this.#setReached(true);
         if (this.#surplus.size >= surplus) {
             onClosed(this.openConnections);
-            // Each further descriptor that stays open may be one that the next connection lacks.
-            socket.end(REFUSAL, () => socket.destroy());
+            // Each further descriptor that stays open may be one that the next connection lacks, so that the socket does not
+            // wait until its caller closes, as `destroySoon` of a server's connection does (ServerConnections).
+            socket.write(REFUSAL);
+            Socket.prototype.destroySoon.call(socket);
             return;
         }
         this.#surplus.set(socket, getNow() + SURPLUS_MS);
