--- a/test/platform/endOfStop.test.ts
+++ b/test/platform/endOfStop.test.ts
@@ -5,6 +5,7 @@
 import { sendCaller } from "../../src/testing/sendCaller.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
 import { createRouterFleet } from "../testing/router/createRouterFleet.js";
+import { createSlowFleet } from "../testing/router/createSlowFleet.js";
 import { KeptCaller } from "../testing/router/keptCaller.js";
 import { rawCaller } from "../testing/router/rawCaller.js";
 
@@ -160,3 +161,31 @@
     t.deepEqual(errors, []);
     t.is(await stopped, 0);
 });
+
+const LONG_STOP_SECONDS = 8;
+const LONG_ANSWER_MS = 7000;
+
+// The process listened for as long as requests were active, so that callers kept coming to the end of the stop.
+test.serial("planned stop: refuses connections once callers have moved, while the last requests are served", async t => {
+    const { fleet, targets } = await createSlowFleet(t, {
+        stopTimeoutSeconds: LONG_STOP_SECONDS,
+        timeoutMs: LONG_STOP_SECONDS * 1000,
+        plainMs: LONG_ANSWER_MS,
+        streamMs: 500,
+    });
+    const caller = await KeptCaller.create(fleet, "/safe/x");
+    t.teardown(() => caller.close());
+    let isAnswered = false;
+    const response = caller.send("/unsafe/x", "unsafe-long");
+    void response.then(() => isAnswered = true);
+    const isRun = (): boolean => targets.some(({ requestIds }) => requestIds.includes("unsafe-long"));
+    await waitUntil("a target has the request", isRun);
+    const stopped = fleet.instances[0]?.process.stop("SIGTERM");
+    await waitUntil("connections are refused", async () => {
+        const call = await rawCaller.send(getCallerUrl(fleet), formatRequest("new"));
+        return call.errorCode === "ECONNREFUSED";
+    });
+    t.false(isAnswered);
+    t.is((await response).status, 200);
+    t.is(await stopped, 0);
+});
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -66,7 +66,10 @@
         const lines: string[] = [];
         const { fleet, response } = await startRequest(t, lines);
         const code = await fleet.instances[0]?.process.stop(signal);
-        t.is((await response).status, 200);
+        const { status, headers } = await response;
+        t.is(status, 200);
+        // A caller that kept the connection would send its next request to a process that ends.
+        t.is(headers["connection"], "close");
         t.is(code, 0);
         t.true(
             lines.some(line => line.includes(`"event":"signal-received"`) && line.includes(`"${signal}"`)),
--- a/test/shared/serverConnections.test.ts
+++ b/test/shared/serverConnections.test.ts
@@ -1,8 +1,9 @@
 import test from "ava";
 import { once } from "node:events";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import { Agent, createServer } from "node:http";
+import { type AddressInfo, connect } from "node:net";
 import { ServerConnections } from "../../src/shared/serverConnections.js";
+import { sendCaller } from "../../src/testing/sendCaller.js";
 import { rawCaller } from "../testing/router/rawCaller.js";
 
 const CALLERS = 50;
@@ -48,3 +49,30 @@
     t.deepEqual(outcomes, calls.map(() => 200));
     t.true(wasListening > 0);
 });
+
+// Closing the listening socket closed all idle connections, also those on which a request was on its way.
+test("answers requests on kept connections after it has stopped listening, and waits for those of new ones", async t => {
+    const server = createServer((_incoming, response) => response.end());
+    const connections = ServerConnections.create(server);
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    t.teardown(() => agent.destroy());
+    const send = (): ReturnType<typeof sendCaller> => sendCaller(url, { method: "GET", headers: {}, agent });
+    t.is((await send()).status, 200);
+    const { hostname, port } = new URL(url);
+    const late = connect(Number(port), hostname);
+    await once(late, "connect");
+    await connections.stopListening(performance.now() + CLOSE_MS);
+    t.false(server.listening);
+    t.is((await send()).status, 200);
+    const waited = connections.waitForResponses(performance.now() + CLOSE_MS);
+    late.write(REQUEST);
+    await waited;
+    const now = performance.now();
+    const closed = connections.endConnections(now + CLOSE_MS);
+    const [data] = await once(late, "data");
+    t.regex(String(data), /^HTTP\/1\.1 200 /u);
+    await closed;
+});
