--- a/src/router/connectionLimit.ts
+++ b/src/router/connectionLimit.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
+import { UNREAD_REFUSAL } from "../shared/unreadRefusal.js";
 
 interface ConnectionLimitOptions extends ReturnType<typeof computeConnectionLimits> {
     /** Counts the open connections to targets, which take descriptors, too. */
@@ -16,8 +17,6 @@
 const SURPLUS_MS = 5000;
 /** A reached limit counts as left below this share of it, so that single connections do not change the state. */
 const RECOVERED_SHARE = 0.95;
-const REFUSAL =
-    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /** Tells which connections of callers are beyond what the process may serve, so that their requests are refused. */
 export class ConnectionLimit {
