--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -79,7 +79,8 @@
             await ports.openServer("readiness", readiness, readinessAddress);
         }
         catch (error) {
-            await lookup.close(planEnd(performance.now(), performance.now()));
+            const now = performance.now();
+            await lookup.close(planEnd(now, now));
             throw error;
         }
         return lookup;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -168,7 +168,7 @@
         return this.#ended ??= this.#endOpenRequests(this.#getNow() + timeoutMs);
     }
 
-    /** Closes all connections and servers. */
+    /** Closes all connections and servers, at once but for the connections of peers. */
     async close(plan: EndPlan): Promise<void> {
         this.#ingress?.close();
         this.#fleet?.close();
@@ -196,6 +196,7 @@
         this.#ingress?.endKeepAlive();
         await waitForRequests({
             ...this.#stopPlan,
+            stopListening: until => this.#ingress?.stopListening(until),
             // A request that is still being read has been accepted, too.
             countActive: () => Math.max(this.#activeRequests.size, this.#ingress?.openRequests ?? 0),
             getNow: this.#getNow,
@@ -225,7 +226,6 @@
             view: this.#view,
             resolver: this.#resolver,
             requestServer: this.#requestServer,
-            countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
             isStopping: () => this.#stopPlan !== undefined,
         });
