Log an accept queue that the operating system caps

net.core.somaxconn caps the backlog without an error, so that a burst may be reset although the router asks for 4,096; nothing told of it.

--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -9,6 +9,7 @@
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { CallerLimits } from "./callerLimits.js";
+import { checkAcceptQueue } from "./checkAcceptQueue.js";
 import { endResponse } from "./endResponse.js";
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
@@ -101,6 +102,7 @@
                 resolve,
             );
         });
+        void checkAcceptQueue(LISTEN_BACKLOG, options.log);
         return ingress;
     }
 
