Test of the accept queue: requests of callers that gave up in it reach no target

What the short queue was meant to save is saved after accepting: a request is served two turns of the event loop after it was read, which show that its caller has left.

--- a/test/platform/acceptQueue.test.ts
+++ b/test/platform/acceptQueue.test.ts
@@ -1,7 +1,9 @@
 import test, { type ExecutionContext, registerCompletionHandler } from "ava";
 import { buildCallerHeaders } from "../../src/testing/platform/buildCallerHeaders.js";
 import type { CooperativeFleet } from "../../src/testing/platform/cooperativeFleet.js";
+import { waitUntil } from "../../src/testing/waitUntil.js";
 import { createRouterFleet } from "../testing/router/createRouterFleet.js";
+import { sendToFleet } from "../testing/router/sendToFleet.js";
 import { sendBurst } from "../testing/sendBurst.js";
 
 // Half-open connections left by a fault would keep the test process alive.
@@ -20,11 +22,13 @@
     t: ExecutionContext,
     fleet: CooperativeFleet,
     kind: Kind,
+    options: { readonly giveUpMs?: number; } = {},
 ): Promise<Record<string, number>> {
     const engine = { key: fleet.key, sharedPart: "shared" };
     const [instance] = fleet.instances;
     const answers = await sendBurst(instance ? new URL(fleet.getUrls(instance).callers).host : "", {
         ...BURST,
+        ...options,
         path: `/${kind}/x`,
         buildHeaders: index =>
             buildCallerHeaders({
@@ -62,3 +66,19 @@
         t.is(served + refused, BURST.callers);
     });
 }
+
+// A long accept queue keeps requests whose callers have given up by the time that they are read.
+test.serial("accept queue: requests of callers that gave up in the queue reach no target", async t => {
+    const fleet = await createRouterFleet(t);
+    const [instance] = fleet.instances;
+    const resume = instance ? fleet.pauseInstance(instance) : t.fail() as never;
+    const counts = await countOutcomes(t, fleet, "unsafe", { giveUpMs: PAUSE_MS / 3 });
+    t.deepEqual(counts, { 0: BURST.callers });
+    resume();
+    await waitUntil(
+        "the instance serves again",
+        async () => (await sendToFleet(fleet, "/safe/x", { "Request-Id": "after" })).status === 200,
+    );
+    const arrived = fleet.targets.flatMap(({ target }) => target.arrivals);
+    t.deepEqual(arrived.filter(({ requestId }) => requestId.startsWith("burst")), []);
+});
--- a/test/testing/sendBurst.ts
+++ b/test/testing/sendBurst.ts
@@ -7,6 +7,8 @@
     readonly groupIntervalMs: number;
     readonly path: string;
     readonly bodyBytes: number;
+    /** Time in milliseconds after which a caller closes its connection without an answer. @default never */
+    readonly giveUpMs?: number;
     readonly buildHeaders: (index: number) => Readonly<Record<string, string>>;
 }
 
@@ -49,6 +51,9 @@
         let error: string | undefined;
         socket.write(`POST ${options.path} HTTP/1.1\r\n${lines}\r\n`);
         socket.write(Buffer.alloc(options.bodyBytes, "x"));
+        if (options.giveUpMs !== undefined) {
+            setTimeout(() => socket.destroy(), options.giveUpMs);
+        }
         socket.on("data", data => received += data.toString("latin1"));
         socket.on("error", (cause: NodeJS.ErrnoException) => error = cause.code ?? cause.message);
         socket.on("close", () => {
