--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,5 +1,5 @@
 // Loaded first, so that a signal during the start does not end the process.
-import { startupSignals } from "./startupSignals.js";
+import { startupSignals } from "../shared/startupSignals.js";
 
 import { readFileSync } from "node:fs";
 import { performance } from "node:perf_hooks";
@@ -7,35 +7,53 @@
 import { LogSink } from "../router/logSink.js";
 import { Router } from "../router/router.js";
 import { RouterMetrics } from "../router/routerMetrics.js";
+import { PortBinder } from "../shared/portBinder.js";
 import { createErrorEnd } from "./createErrorEnd.js";
-import { LookupServer } from "./lookupServer.js";
+import { endStart } from "./endStart.js";
 import { parseSettings } from "./parseSettings.js";
 import { platformWireFormat } from "./platformWireFormat.js";
 import { readDescriptorLimit } from "./readDescriptorLimit.js";
+import { startServers } from "./startServers.js";
 import { StoreFollower } from "./storeFollower.js";
 import { StoreSource } from "./storeSource.js";
 
 const DEFAULT_SETTINGS_PATH = "/etc/baobabspread/settings.toml";
-const INVALID_SETTINGS_EXIT_CODE = 2;
 const INTERNAL_ERROR_EXIT_CODE = 1;
+/** Part of the time reserved for the end in which the directory and the readiness check end. */
+const LOOKUP_CLOSE_MS = 80;
+
+let log = LogSink.create({});
 
 async function runRouter(): Promise<void> {
+    const getNow = (): number => performance.now();
+    const startStop = new AbortController();
+    startupSignals.attach("SIGTERM", () => startStop.abort());
     const path = process.argv[2] ?? process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
     const settings = parseSettings(readFileSync(path, "utf8"), readDescriptorLimit());
-    const log = LogSink.create({ instance: settings.router.instance });
+    log = LogSink.create({ instance: settings.router.instance });
+    startupSignals.observe((signal, action) => log.write("signal-received", { signal, action }));
     const { locality, maxDescriptors } = settings.router;
     log.write("started", { dataCentre: locality.dataCentre, maxDescriptors });
-    const getNow = (): number => performance.now();
+    startupSignals.attach("SIGHUP", () => {
+        // All settings describe the machine and stay the same while the process runs, so nothing is reloaded.
+        log.write("reload-requested", {});
+    });
+    const ports = PortBinder.create({
+        deadline: getNow() + settings.portWaitMs,
+        stopSignal: startStop.signal,
+        getNow,
+        writeLog: (event, fields) => log.write(event, fields),
+    });
     const getTimeOfDay = (): number => Date.now();
     const store = StoreSource.create({ address: settings.storeAddress, getNow, getTimeOfDay });
     const metrics = RouterMetrics.create();
-    let endRequests = (): Promise<void> => Promise.resolve();
+    let endRequests = (_timeoutMs: number): Promise<void> => Promise.resolve();
     const errorBoundary = ErrorBoundary.create({
         log,
         onError: () => metrics.countInternalError(),
         onFatal: createErrorEnd({
             log,
-            endRequests: () => endRequests(),
+            endRequests: timeoutMs => endRequests(timeoutMs),
             exit: () => process.exit(INTERNAL_ERROR_EXIT_CODE),
         }),
         getNow,
@@ -48,16 +66,17 @@
         log,
         metrics,
         errorBoundary,
+        ports,
     });
-    endRequests = () => router.endRequests();
-    const lookup = await LookupServer.create({
+    endRequests = timeoutMs => router.endRequests(timeoutMs);
+    const lookup = await startServers(router, {
+        ports,
         directoryAddress: settings.directoryAddress,
         readinessAddress: settings.readinessAddress,
         termSeconds: settings.router.addressTermSeconds,
         listAddresses: (caller, host) => router.listCallerAddresses(caller, host),
         isReady: () => router.isReady(),
         renderMetrics: () => metrics.render(),
-        onMetricsFailed: reason => log.write("metrics-failed", { reason }),
         onLookup: (dataCentre, caller, addresses) =>
             log.write("addresses-answered", { dataCentre, caller, count: addresses.length }),
     });
@@ -73,23 +92,22 @@
         onEvacuated: dataCentres => router.view.setEvacuated(dataCentres),
         onConfirmed: (at, timeOfDay) => router.view.recordConfirmation(at, timeOfDay),
     });
-    startupSignals.attach("SIGTERM", () => {
+    log.write("listening", {});
+    const stop = (): void => {
         void router.stop().then(async () => {
             follower.stop();
-            lookup.close();
+            const now = getNow();
+            await lookup.close({ answerBy: now + LOOKUP_CLOSE_MS / 2, closeBy: now + LOOKUP_CLOSE_MS });
             store.close();
             await log.close();
             process.exit(0);
         });
-    });
-    startupSignals.attach("SIGHUP", () => {
-        // All settings describe the machine and stay the same while the process runs, so nothing is reloaded.
-        log.write("reload-requested", {});
-    });
+    };
+    startupSignals.attach("SIGTERM", stop);
+    if (startStop.signal.aborted) {
+        stop();
+    }
     await follower.run();
 }
 
-runRouter().catch((error: unknown) => {
-    process.stderr.write(`${JSON.stringify({ event: "start-failed", reason: String(error) })}\n`);
-    process.exit(INVALID_SETTINGS_EXIT_CODE);
-});
+runRouter().catch((error: unknown) => endStart(error, { log, exit: code => process.exit(code) }));
--- a/src/router/changeFeedServer.ts
+++ b/src/router/changeFeedServer.ts
@@ -2,14 +2,17 @@
 import type { ChangeLog } from "../core/routing/changeLog.js";
 import type { ChangePosition } from "../core/routing/changePosition.js";
 import { comparePositions } from "../core/routing/comparePositions.js";
+import type { EndPlan } from "../core/routing/endPlan.js";
 import { NO_ERA } from "../core/routing/noEra.js";
-import type { LogSink } from "./logSink.js";
+import { planEnd } from "../core/routing/planEnd.js";
+import type { PortBinder } from "../shared/portBinder.js";
+import { ServerConnections } from "../shared/serverConnections.js";
 
 interface ChangeFeedServerOptions {
     readonly host: string;
     readonly port: number;
+    readonly ports: Pick<PortBinder, "openServer">;
     readonly changeLog: ChangeLog;
-    readonly log: LogSink;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
 }
@@ -31,7 +34,9 @@
 export class ChangeFeedServer {
     readonly #options: ChangeFeedServerOptions;
     readonly #server: Server;
+    readonly #connections: ServerConnections;
     #longPolls: readonly LongPoll[] = [];
+    #isClosing = false;
     readonly #timer: NodeJS.Timeout;
 
     private constructor(options: ChangeFeedServerOptions) {
@@ -42,14 +47,25 @@
             const era = Number(query.get("era") ?? NO_ERA);
             this.#serve(revision === null ? undefined : { era, revision: Number(revision) }, response);
         });
-        this.#server.on("error", error => options.log.write("feed-failed", { reason: error.message }));
+        this.#connections = ServerConnections.create(this.#server);
         this.#timer = setInterval(() => this.flush(), FLUSH_INTERVAL_MS);
     }
 
-    /** Starts the server. */
+    /**
+     * Starts the server.
+     *
+     * @throws PortError when the address cannot be bound.
+     */
     static async create(options: ChangeFeedServerOptions): Promise<ChangeFeedServer> {
         const feed = new ChangeFeedServer(options);
-        await new Promise<void>(resolve => feed.#server.listen(options.port, options.host, resolve));
+        const { host, port, ports } = options;
+        try {
+            await ports.openServer("change-feed", feed.#server, { host, port });
+        }
+        catch (error) {
+            await feed.close(planEnd(options.getNow(), options.getNow()));
+            throw error;
+        }
         return feed;
     }
 
@@ -67,17 +83,19 @@
         due.forEach(poll => this.#send(poll.after, poll.receivedAt, poll.response));
     }
 
-    /** Closes the server and its connections. */
-    close(): void {
+    /** Responds to all calls and closes the connections. */
+    async close(plan: EndPlan): Promise<void> {
         clearInterval(this.#timer);
-        this.#server.close();
-        this.#server.closeAllConnections();
+        this.#isClosing = true;
+        this.#longPolls.forEach(poll => this.#send(poll.after, poll.receivedAt, poll.response));
+        this.#longPolls = [];
+        await this.#connections.close(plan);
     }
 
     #serve(after: ChangePosition | undefined, response: ServerResponse): void {
         const receivedAt = this.#options.getNow();
         const { position } = this.#options.changeLog;
-        if (!after || !position || comparePositions(after, position) !== 0) {
+        if (this.#isClosing || !after || !position || comparePositions(after, position) !== 0) {
             this.#send(after, receivedAt, response);
             return;
         }
--- a/src/router/describeOwnState.ts
+++ b/src/router/describeOwnState.ts
@@ -3,11 +3,11 @@
 
 /** Describes the state of this instance as its peers and callers learn it. */
 export function describeOwnState(
-    isStopping: boolean,
+    isServing: boolean,
     view: Pick<DeploymentView, "configuration" | "hasHeardPeers" | "isFresh">,
     isBusy: boolean,
 ): MemberRecord["state"] {
-    if (isStopping || !view.configuration || !view.hasHeardPeers) {
+    if (!isServing || !view.configuration || !view.hasHeardPeers) {
         return "closed";
     }
     if (!view.isFresh()) {
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,45 +1,19 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { EndPlan } from "../core/routing/endPlan.js";
 import { planRequestEnd } from "../core/routing/planRequestEnd.js";
 import { RequestFingerprint } from "../core/routing/requestFingerprint.js";
-import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { abortResponse } from "../shared/abortResponse.js";
 import { hashBytes } from "../shared/hashBytes.js";
+import { ServerConnections } from "../shared/serverConnections.js";
 import { BodyReader } from "./bodyReader.js";
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { CallerLimits } from "./callerLimits.js";
 import { checkAcceptQueue } from "./checkAcceptQueue.js";
 import { endResponse } from "./endResponse.js";
-import type { ErrorBoundary } from "./errorBoundary.js";
-import type { LogSink } from "./logSink.js";
-import type { RequestHead } from "./requestHead.js";
+import type { IngressOptions } from "./ingressOptions.js";
 import { setCallerTimeouts } from "./setCallerTimeouts.js";
-import type { WireFormat } from "./wireFormat.js";
-
-type LimitOptions = Parameters<typeof CallerLimits.create>[0];
-
-interface IngressOptions extends Pick<LimitOptions, "connectionLimits" | "countTargetConnections"> {
-    readonly host: string;
-    readonly port: number;
-    readonly wire: WireFormat;
-    readonly log: LogSink;
-    readonly errorBoundary: ErrorBoundary;
-    /** Limit for the total size of all buffered request bodies, in bytes. */
-    readonly maxBufferedBytes: number;
-    readonly getNow: () => number;
-    /** Finds the route and client account of a request, or the reason why it is refused. */
-    readonly resolve: (
-        head: RequestHead,
-        path: string,
-        receivedAt: number,
-    ) => ReturnType<typeof resolveRequest>;
-    /** Size limits and timeouts for callers; `undefined` until a configuration is known. */
-    readonly getLimits: () => RouterConfiguration["limits"] | undefined;
-    readonly isStopping: () => boolean;
-    readonly serve: (exchange: CallerExchange) => void;
-    readonly onRefused: (reason: string) => void;
-}
 
 const MAX_HEADER_BYTES = 32_768;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
@@ -54,6 +28,7 @@
 export class Ingress {
     readonly #options: IngressOptions;
     readonly #server: Server;
+    readonly #serverConnections: ServerConnections;
     readonly #connections: CallerConnections;
     readonly #bodies: BodyReader;
     readonly #limits: CallerLimits;
@@ -68,6 +43,7 @@
             requestTimeout: 0,
             noDelay: true,
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
+        this.#serverConnections = ServerConnections.create(this.#server);
         setCallerTimeouts(this.#server);
         const getMaxBodyBytes = (): number => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
         this.#bodies = BodyReader.create({
@@ -91,17 +67,16 @@
     /**
      * Starts listening.
      *
-     * @throws Error when the address cannot be bound.
+     * @throws PortError when the address cannot be bound.
      */
     static async create(options: IngressOptions): Promise<Ingress> {
         const ingress = new Ingress(options);
-        await new Promise<void>((resolve, reject) => {
-            ingress.#server.once("error", reject);
-            ingress.#server.listen(
-                { host: options.host, port: options.port, backlog: LISTEN_BACKLOG },
-                resolve,
-            );
-        });
+        const { host, port, ports } = options;
+        await ports.openServer("callers", ingress.#server, { host, port, backlog: LISTEN_BACKLOG })
+            .catch((error: unknown) => {
+                ingress.close();
+                throw error;
+            });
         void checkAcceptQueue(LISTEN_BACKLOG, options.log);
         return ingress;
     }
@@ -121,11 +96,31 @@
         return this.#open.size;
     }
 
-    /** Stops accepting connections and closes the idle ones. */
+    /** Tells the callers of open requests that their connections close with the responses. */
+    endKeepAlive(): void {
+        for (const response of this.#open) {
+            if (!response.headersSent && this.#connections.isLast(response)) {
+                response.shouldKeepAlive = false;
+            }
+        }
+    }
+
+    /** Answers the requests on the connections that callers have opened, accepts no more, and closes all. */
+    async end({ answerBy, closeBy }: EndPlan): Promise<void> {
+        await this.#serverConnections.stopListening(answerBy);
+        await this.#serverConnections.waitForResponses(answerBy);
+        this.#refuseUnserved();
+        this.#limits.endRefused();
+        await this.#serverConnections.endConnections(closeBy);
+        this.#open.forEach(abortResponse);
+        this.close();
+    }
+
+    /** Closes everything at once. */
     close(): void {
         this.#limits.close();
         this.#server.close();
-        this.#server.closeIdleConnections();
+        this.#serverConnections.dropConnections();
     }
 
     /**
@@ -152,18 +147,6 @@
         this.#runGuarded(response, handler);
     }
 
-    /** Refuses the requests that are not being served yet, because the instance stops. */
-    refuseUnserved(): void {
-        for (const response of this.#unserved.keys()) {
-            this.#refuse(response, "stopping", "stopping", RETRY_AFTER_MS);
-        }
-    }
-
-    /** Closes the connections of the requests that are still open, because the process ends. */
-    abortOpenRequests(): void {
-        this.#open.forEach(abortResponse);
-    }
-
     /** Runs a handler of a request that is not being served; an unexpected error in it ends the request. */
     #runGuarded(response: ServerResponse, handler: () => void): void {
         const refuse = (): void => this.#refuse(response, "internal-error", "internal-error", RETRY_AFTER_MS);
@@ -175,7 +158,20 @@
         );
     }
 
+    /** Refuses the requests that are not being served yet, because the instance stops. */
+    #refuseUnserved(): void {
+        for (const response of this.#unserved.keys()) {
+            this.#refuse(response, "stopping", "stopping", RETRY_AFTER_MS);
+        }
+    }
+
     #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
+        if (ServerConnections.isEnded(incoming.socket)) {
+            // It was sent behind the last response, or as its connection ended, and cannot be answered any more.
+            this.#options.log.write("caller-connection-failed", { reason: "request-after-end" });
+            incoming.resume();
+            return;
+        }
         this.#open.add(response);
         this.#connections.add(incoming, response);
         response.on("close", () => {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,40 +1,40 @@
 import { performance } from "node:perf_hooks";
 import { ChangeLog } from "../core/routing/changeLog.js";
 import type { ChangeSource } from "../core/routing/changeSource.js";
-import { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
+import type { EndPlan } from "../core/routing/endPlan.js";
 import type { Locality } from "../core/routing/locality.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
+import { planEnd } from "../core/routing/planEnd.js";
 import { planStop } from "../core/routing/planStop.js";
 import { RunningClock } from "../core/routing/runningClock.js";
 import type { StopPlan } from "../core/routing/stopPlan.js";
 import { ActiveRequests } from "./activeRequests.js";
 import { ChangeFeedServer } from "./changeFeedServer.js";
 import { createDeploymentView } from "./createDeploymentView.js";
+import { createFleetView } from "./createFleetView.js";
+import { createRelayedSource } from "./createRelayedSource.js";
+import { createRouterIngress } from "./createRouterIngress.js";
 import { createRoutingState } from "./createRoutingState.js";
+import { createServicePool } from "./createServicePool.js";
 import type { DeploymentView } from "./deploymentView.js";
 import { describeOwnState } from "./describeOwnState.js";
 import { endOpenRequests } from "./endOpenRequests.js";
-import { FleetView } from "./fleetView.js";
-import { Ingress } from "./ingress.js";
+import type { FleetView } from "./fleetView.js";
+import type { Ingress } from "./ingress.js";
 import { LoadObserver } from "./loadObserver.js";
 import { PeerChangeSource } from "./peerChangeSource.js";
+import { PeerExchange } from "./peerExchange.js";
+import { PeriodicCheck } from "./periodicCheck.js";
 import { registerGauges } from "./registerGauges.js";
-import { RelayedChangeSource } from "./relayedChangeSource.js";
 import { RequestResolver } from "./requestResolver.js";
 import { RequestServer } from "./requestServer.js";
 import type { RouterOptions } from "./routerOptions.js";
 import type { RoutingState } from "./routingState.js";
-import { ServicePool } from "./servicePool.js";
-import { StartNotices } from "./startNotices.js";
+import type { ServicePool } from "./servicePool.js";
 import { TargetAgents } from "./targetAgents.js";
 import { TargetProber } from "./targetProber.js";
 import { waitForRequests } from "./waitForRequests.js";
 
-/** Interval of the deadline checks; callers tolerate half a second beyond a deadline. */
-const CHECK_INTERVAL_MS = 40;
-/** Share of the instance's memory that buffered request bodies may take. */
-const BODY_MEMORY_SHARE = 0.15;
-
 /** One router process: accepts callers, schedules and forwards their requests. */
 export class Router {
     readonly #options: RouterOptions;
@@ -54,13 +54,13 @@
     #fleet: FleetView | undefined;
     #ingress: Ingress | undefined;
     #changeFeed: ChangeFeedServer | undefined;
-    #timer: NodeJS.Timeout | undefined;
-    #nextCheckAt = 0;
+    #periodicCheck: PeriodicCheck | undefined;
     readonly #resolver: RequestResolver;
     readonly #requestServer: RequestServer;
     /** `undefined` unless the process is stopping. */
     #stopPlan: StopPlan | undefined;
     #stopped: Promise<void> | undefined;
+    #ended: Promise<void> | undefined;
 
     private constructor(options: RouterOptions) {
         this.#options = options;
@@ -73,20 +73,14 @@
             onBroken: target => this.#targetProber.check(target),
         });
         this.#loadObserver = LoadObserver.create(options.log);
-        this.#peerChangeSource = PeerChangeSource.create({
-            port: settings.peerAddress.port,
-            getNow: this.#getNow,
-            getTimeOfDay: Date.now,
-        });
-        this.#servicePool = ServicePool.create({
+        const clocks = { getNow: this.#getNow, getTimeOfDay: Date.now };
+        this.#peerChangeSource = PeerChangeSource.create({ port: settings.peerAddress.port, ...clocks });
+        this.#servicePool = createServicePool({
             settings,
-            ...this.#state,
+            state: this.#state,
             getTokensPerSecond: () => this.#view.configuration?.limits.tokensPerSecond ?? 0,
             getColdShare: (target, limit) => this.#fleet?.getColdShare(target, limit),
-            mayBegin: target =>
-                !this.#state.targetStarts.isRestarted(target)
-                && this.#state.streamOrigins.mayBegin(target, this.#getNow()),
-            mayGoOn: target => this.#state.targetStarts.mayGoOn(target),
+            getNow: this.#getNow,
         });
         this.#view = createDeploymentView({
             ...options,
@@ -116,10 +110,24 @@
         });
     }
 
-    /** Starts to listen; requests are refused until a configuration and the targets are known. */
+    /**
+     * Starts to exchange reports with peers; `serveCallers` completes the start.
+     *
+     * @throws PortError when the peer port cannot be bound.
+     */
     static async create(options: RouterOptions): Promise<Router> {
+        // First, because the waiting times of the state begin when peers can be heard.
+        const exchange = await PeerExchange.create({ ...options, ...options.settings.peerAddress });
         const router = new Router(options);
-        await router.#start();
+        router.#fleet = createFleetView({
+            ...options,
+            exchange,
+            state: router.#state,
+            view: router.#view,
+            servicePool: router.#servicePool,
+            getNow: router.#getNow,
+            getState: () => router.#getState(),
+        });
         return router;
     }
 
@@ -140,15 +148,14 @@
 
     /** Returns a source of the platform's changes that reads through peers in the data centre where possible. */
     createChangeSource(direct: ChangeSource): ChangeSource {
-        const source = RelayedChangeSource.create({
+        return createRelayedSource({
             direct,
-            readPeer: (host, after) => this.#peerChangeSource.read(host, after),
-            findReaders: () => this.#fleet?.findReaders() ?? { hosts: [], maxAgeMs: 0 },
+            peerChangeSource: this.#peerChangeSource,
+            getFleet: () => this.#fleet,
             changeLog: this.#changeLog,
             log: this.#options.log,
             getNow: this.#getNow,
         });
-        return (after, isUrgent) => source.read(after, isUrgent);
     }
 
     /** Stops gracefully; all calls wait for the end of the one stop. */
@@ -156,74 +163,71 @@
         return this.#stopped ??= this.#finishRequests();
     }
 
-    /** Ends all requests at once, as at the end of a stop, because the process cannot be relied on any more. */
-    async endRequests(): Promise<void> {
-        this.#stopPlan = planStop(this.#getNow(), 0);
-        await endOpenRequests(this.#activeRequests, this.#ingress, this.#getNow);
+    /** Ends all requests at once, as the process cannot be relied on any more; it ends after `timeoutMs` in any case. */
+    endRequests(timeoutMs: number): Promise<void> {
+        return this.#ended ??= this.#endOpenRequests(this.#getNow() + timeoutMs);
+    }
+
+    /** Closes all connections and servers. */
+    async close(plan: EndPlan): Promise<void> {
+        this.#ingress?.close();
+        this.#fleet?.close();
+        this.#periodicCheck?.close();
+        this.#targetAgents.close();
+        this.#targetProber.close();
+        this.#peerChangeSource.close();
+        await this.#changeFeed?.close(plan);
+    }
+
+    #endOpenRequests(endBy: number): Promise<void> {
+        const now = this.#getNow();
+        // Requests that arrive from now on are refused.
+        this.#stopPlan = planStop(now, 0);
+        return endOpenRequests(this.#activeRequests, this.#ingress, planEnd(now, endBy));
     }
 
     /** Notifies peers, lets callers move to other instances, finishes active requests and closes everything. */
     async #finishRequests(): Promise<void> {
         const { log, settings } = this.#options;
+        const endBy = this.#getNow() + settings.stopTimeoutMs;
         this.#stopPlan = planStop(this.#getNow(), settings.stopTimeoutMs);
         log.write("stopping", { active: this.#activeRequests.size });
         this.#fleet?.notifyPeers();
+        this.#ingress?.endKeepAlive();
         await waitForRequests({
             ...this.#stopPlan,
             // A request that is still being read has been accepted, too.
             countActive: () => Math.max(this.#activeRequests.size, this.#ingress?.openRequests ?? 0),
             getNow: this.#getNow,
         });
-        await endOpenRequests(this.#activeRequests, this.#ingress, this.#getNow);
-        this.#ingress?.close();
-        this.#changeFeed?.close();
-        this.#fleet?.close();
-        clearInterval(this.#timer);
-        this.#targetAgents.close();
-        this.#targetProber.close();
-        this.#peerChangeSource.close();
+        const plan = planEnd(this.#getNow(), endBy);
+        await Promise.all([this.#ended ??= this.#endOpenRequests(endBy), this.#changeFeed?.close(plan)]);
+        await this.close(plan);
         log.write("stopped", { active: this.#activeRequests.size });
         log.flush();
     }
 
-    async #start(): Promise<void> {
-        const { settings, log, wire, metrics, errorBoundary } = this.#options;
-        this.#fleet = await FleetView.create({
-            settings,
-            log,
-            errorBoundary,
-            ...this.#state,
-            getNow: this.#getNow,
-            getState: () => this.#getState(),
-            startNotices: StartNotices.create({
-                getNotice: () => this.#view.startNotice,
-                onNotice: (ip, notice) => this.#view.recordStartNotice(ip, notice),
-            }),
-            listLoads: () => this.#servicePool.listLoads(),
-            listDataCentreLoads: peers => this.#servicePool.listDataCentreLoads(this.#getNow(), peers),
-            onLoads: (peer, loads, validUntil) => this.#servicePool.setPeerLoads(peer, loads, validUntil),
-            onPermits: () => this.#servicePool.advance(this.#getNow()),
-        });
+    /**
+     * Serves peers, then callers, whose requests are refused until a configuration and the targets are known.
+     *
+     * @throws PortError when an address cannot be bound.
+     */
+    async serveCallers(): Promise<void> {
+        const { settings, log, metrics, ports } = this.#options;
         this.#changeFeed = await ChangeFeedServer.create({
             ...settings.peerAddress,
+            ports,
             changeLog: this.#changeLog,
-            log,
             getNow: this.#getNow,
         });
-        this.#ingress = await Ingress.create({
-            ...settings.callerAddress,
-            wire,
-            log,
-            errorBoundary,
-            maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
-            connectionLimits: computeConnectionLimits(settings),
+        this.#ingress = await createRouterIngress({
+            ...this.#options,
+            view: this.#view,
+            resolver: this.#resolver,
+            requestServer: this.#requestServer,
             countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
-            resolve: (head, path, receivedAt) => this.#resolver.resolve(head, path, receivedAt),
-            getLimits: () => this.#view.configuration?.limits,
             isStopping: () => this.#stopPlan !== undefined,
-            serve: exchange => this.#requestServer.serve(exchange),
-            onRefused: reason => metrics.countRefusal(reason),
         });
         registerGauges(metrics, {
             log,
@@ -234,24 +238,19 @@
             countPeers: () => this.#fleet?.countPeers() ?? 0,
             countConnections: () => this.#ingress?.connections.openConnections ?? 0,
         });
-        this.#nextCheckAt = this.#getNow() + CHECK_INTERVAL_MS;
-        this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
+        const run = (now: number, delayMs: number): void => this.#check(now, delayMs);
+        this.#periodicCheck = PeriodicCheck.create({ getNow: this.#getNow, run });
     }
 
     #getState(): MemberRecord["state"] {
-        return describeOwnState(
-            this.#stopPlan !== undefined,
-            this.#view,
-            this.#loadObserver.isBusy || this.#ingress?.connections.isReached === true,
-        );
+        const isServing = this.#ingress !== undefined && this.#stopPlan === undefined;
+        const isBusy = this.#loadObserver.isBusy || this.#ingress?.connections.isReached === true;
+        return describeOwnState(isServing, this.#view, isBusy);
     }
 
-    #check(): void {
-        const now = this.#getNow();
-        const delayMs = now - this.#nextCheckAt;
+    #check(now: number, delayMs: number): void {
         this.#runningClock.recordDelay(delayMs);
         this.#loadObserver.observe(delayMs, this.#activeRequests.size);
-        this.#nextCheckAt = now + CHECK_INTERVAL_MS;
         this.#view.expireTargets(now);
         this.#state.crashDetector.expire(now);
         this.#activeRequests.checkTimeouts(now);
--- a/src/testing/childProcess.ts
+++ b/src/testing/childProcess.ts
@@ -1,7 +1,7 @@
 import { type ChildProcess as NodeChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { openSync, readFileSync } from "node:fs";
-import { createInterface } from "node:readline";
+import { createInterface, type Interface } from "node:readline";
 import { fileURLToPath } from "node:url";
 
 interface ListeningLine {
@@ -15,6 +15,10 @@
     readonly logPath?: string;
     /** Called with each line of the standard output. */
     readonly onLine?: (line: string) => void;
+    /** Arguments of Node.js itself. @default none */
+    readonly runtimeArguments?: readonly string[];
+    /** Whether the standard output is read after the first line. @default true */
+    readonly isOutputRead?: boolean;
     /** Limit of open descriptors that the operating system sets. @default that of this process */
     readonly maxDescriptors?: number | undefined;
 }
@@ -44,10 +48,11 @@
         options: ChildProcessOptions = {},
     ): Promise<ChildProcess> {
         const path = fileURLToPath(module);
-        const command = [process.execPath, "--import", END_WITH_PARENT, path, ...args];
-        const [file = "", ...rest] = options.maxDescriptors === undefined
+        const { runtimeArguments = [], isOutputRead = true, maxDescriptors } = options;
+        const command = [process.execPath, ...runtimeArguments, "--import", END_WITH_PARENT, path, ...args];
+        const [file = "", ...rest] = maxDescriptors === undefined
             ? command
-            : ["sh", "-c", `ulimit -n ${options.maxDescriptors} && exec "$@"`, "sh", ...command];
+            : ["sh", "-c", `ulimit -n ${maxDescriptors} && exec "$@"`, "sh", ...command];
         const child = spawn(file, rest, {
             stdio: ["ignore", "pipe", options.logPath ? openSync(options.logPath, "a") : "ignore"],
         });
@@ -60,8 +65,12 @@
                 `${path} exited with code ${String(code)} before it listened. ${reason}`.trimEnd(),
             );
         });
-        const line = await Promise.race([once(lines, "line").then(([text]) => String(text)), exited]);
+        const line = await Promise.race([readListeningLine(lines), exited]);
         exited.catch(() => undefined);
+        if (!isOutputRead) {
+            lines.close();
+            child.stdout?.pause();
+        }
         return new ChildProcess(child, JSON.parse(line) as ListeningLine);
     }
 
@@ -97,6 +106,19 @@
     }
 }
 
+/** Skips the lines that a process writes before it listens, such as those about ports that are in use. */
+function readListeningLine(lines: Interface): Promise<string> {
+    return new Promise(resolve => {
+        const onLine = (line: string): void => {
+            if (line.includes(`"event":"listening"`)) {
+                lines.off("line", onLine);
+                resolve(line);
+            }
+        };
+        lines.on("line", onLine);
+    });
+}
+
 function readLastLine(path: string): string {
     return readFileSync(path, "utf8").trimEnd().split("\n").at(-1) ?? "";
 }
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -251,10 +251,14 @@
 
     /** The error of a process that does not start names the last line that it wrote to standard error. */
     #startProcess(host: string, settingsPath: string): Promise<ChildProcess> {
-        const onLine = (line: string): void => this.#options.onLogLine?.(host, line);
-        const { maxDescriptors } = this.#options;
-        const options = { logPath: `${settingsPath}.log`, onLine, maxDescriptors };
-        return ChildProcess.create(MAIN, [settingsPath], options);
+        const { runtimeArguments = [], isOutputRead = true, maxDescriptors } = this.#options;
+        return ChildProcess.create(MAIN, [settingsPath], {
+            logPath: `${settingsPath}.log`,
+            onLine: line => this.#options.onLogLine?.(host, line),
+            runtimeArguments,
+            isOutputRead,
+            maxDescriptors,
+        });
     }
 
     #buildSettings(host: string): object {
--- a/test/router/connectionLimit.test.ts
+++ b/test/router/connectionLimit.test.ts
@@ -24,7 +24,9 @@
         onClosed: () => undefined,
     });
     const add = (): Socket => {
-        const socket = Object.assign(new Socket(), { write: () => true });
+        const socket = new Socket();
+        // It has no peer.
+        socket.on("error", () => undefined);
         limit.add(socket);
         return socket;
     };
