--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -10,6 +10,7 @@
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { CallerLimits } from "./callerLimits.js";
+import { checkAcceptQueue } from "./checkAcceptQueue.js";
 import { endResponse } from "./endResponse.js";
 import type { IngressOptions } from "./ingressOptions.js";
 import { setCallerTimeouts } from "./setCallerTimeouts.js";
@@ -76,6 +77,7 @@
                 ingress.close();
                 throw error;
             });
+        void checkAcceptQueue(LISTEN_BACKLOG, options.log);
         return ingress;
     }
 
