Settings: a file that is being written is read again

Cause: a process that read its settings file while the platform was writing it, or between the removal of the old file and the arrival of the new one, ended with code 2.

Change: readWholeJson reads a file that is missing or not whole JSON again each 25 ms up to a stored deadline of 2 s, with the line `settings-awaited`, in the router and the daemon. After it, the process ends as before. A whole file with a missing or invalid key ends it at once, as before. A stop signal ends the wait with code 0 and a line.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -34,7 +34,11 @@
     if (option !== "--settings" || path === undefined) {
         throw SettingsError.create(["usage: baobabspread-daemon --settings FILE.json"]);
     }
-    const settings = await readDaemonSettings(path);
+    const settings = await readDaemonSettings(path, {
+        stopSignal: startStop.signal,
+        onWait: reason =>
+            process.stderr.write(`${JSON.stringify({ event: "settings-awaited", path, reason })}\n`),
+    });
     const daemon = await Daemon.create(settings, startStop.signal);
     process.stdout.write(
         `${JSON.stringify({ event: "listening", name: settings.instance, ...daemon.addresses })}\n`,
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,13 +1,13 @@
 // Loaded first, so that a signal during the start does not end the process.
 import { startupSignals } from "./startupSignals.js";
 
-import { readFileSync } from "node:fs";
 import { performance } from "node:perf_hooks";
 import { ErrorBoundary } from "../router/errorBoundary.js";
 import { LogSink } from "../router/logSink.js";
 import { Router } from "../router/router.js";
 import { RouterMetrics } from "../router/routerMetrics.js";
 import { PortBinder } from "../shared/portBinder.js";
+import { readWholeJson } from "../shared/readWholeJson.js";
 import { createErrorEnd } from "./createErrorEnd.js";
 import { endStart } from "./endStart.js";
 import { parseSettings } from "./parseSettings.js";
@@ -18,6 +18,8 @@
 
 const DEFAULT_SETTINGS_PATH = "/etc/baobabspread/settings.toml";
 const INTERNAL_ERROR_EXIT_CODE = 1;
+/** The platform writes a settings file of a few kilobytes in much less time. */
+const SETTINGS_WAIT_MS = 2000;
 
 let log = LogSink.create({});
 
@@ -26,7 +28,17 @@
     const startStop = new AbortController();
     startupSignals.attach("SIGTERM", () => startStop.abort());
     const path = process.argv[2] ?? process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
-    const settings = parseSettings(readFileSync(path, "utf8"));
+    const text = await readWholeJson(path, {
+        deadline: getNow() + SETTINGS_WAIT_MS,
+        stopSignal: startStop.signal,
+        getNow,
+        onWait: reason => {
+            log.write("settings-awaited", { path, reason });
+            // Written before the log that names the instance replaces this one.
+            log.flush();
+        },
+    });
+    const settings = parseSettings(text);
     log = LogSink.create({ instance: settings.router.instance });
     log.write("started", { dataCentre: settings.router.locality.dataCentre });
     startupSignals.attach("SIGHUP", () => {
