Tests of the start: waits for peers after the bind, the length of the wait, closing after a failure

The wait for the word of peers begins when the peer socket is bound: the log has at least 0.7 s between port-bound and start-wait-ended.

--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -186,3 +186,11 @@
     t.is(parse({ strictRevocation: false }), 6000);
     t.throws(() => parse({ catchUpMs: "4000" }), { name: "SettingsError" });
 });
+
+test("waits for ports longer than the planned stop of a predecessor and a closed connection last, unless told otherwise", t => {
+    const parse = (fields: object): number =>
+        parseSettings(JSON.stringify({ ...SETTINGS, ...fields })).portWaitMs;
+    t.true(parse({ stopTimeoutSeconds: 8 }) > 8000 + 60_000);
+    t.is(parse({ portWaitSeconds: 1.5 }), 1500);
+    t.throws(() => parse({ portWaitSeconds: "2" }), { name: "SettingsError", message: /portWaitSeconds/u });
+});
--- a/test/platform/takenPorts.test.ts
+++ b/test/platform/takenPorts.test.ts
@@ -11,6 +11,10 @@
 const REQUIRED = ["callers", "readiness", "directory", "change-feed", "peer-reports"] as const;
 const TAKEN_MS = 400;
 const ENDED_MS = 15_000;
+/** An instance without a word of a peer for this long after its start accepts keys. */
+const ALONE_MS = 800;
+/** The log has the time of day, whose clock may be adjusted. */
+const CLOCK_SLACK_MS = 100;
 
 type Started = ReturnType<RouterStarts["start"]>;
 
@@ -60,6 +64,24 @@
     });
 }
 
+// The state was created before the socket was bound, so that its waits for the word of peers ended while none could be heard.
+test.serial("a router that waited for the port of its peers listens to them before it accepts keys", async t => {
+    const starts = await RouterStarts.create(t);
+    const address = starts.getAddress("peer-reports");
+    const free = await takePort("udp", address);
+    const router = starts.start();
+    await waitForPort(router, "peer-reports");
+    await new Promise(resolve => setTimeout(resolve, 2 * ALONE_MS));
+    await free();
+    await starts.waitUntilServing(router);
+    await waitUntil("the log is written", () => router.getOutput().includes("start-wait-ended"));
+    const at = (event: string): number => {
+        const line = router.getOutput().split("\n").find(text => text.includes(`"event":"${event}"`)) ?? "{}";
+        return (JSON.parse(line) as { readonly at: number; }).at;
+    };
+    t.true(at("start-wait-ended") - at("port-bound") > ALONE_MS - CLOCK_SLACK_MS, router.getOutput());
+});
+
 // The page stayed away for as long as the process lived.
 test.serial("a router serves while the port of the metrics page is in use, and the page comes back", async t => {
     const starts = await RouterStarts.create(t);
--- a/test/shared/portBinder.test.ts
+++ b/test/shared/portBinder.test.ts
@@ -67,3 +67,14 @@
     await t.throwsAsync(required, { name: "StartStoppedError", code: "start-stopped" });
     await t.notThrowsAsync(optional);
 });
+
+test("closes what it has opened after a start that failed", async t => {
+    const ports = createPortBinder();
+    const [first, second] = [createServer(), createServer()];
+    await ports.openServer("peers", first, { host: HOST, port: 0 });
+    const { port } = first.address() as AddressInfo;
+    await t.throwsAsync(ports.openServer("callers", second, { host: HOST, port }), { name: "PortError" });
+    ports.close();
+    await t.notThrowsAsync(createPortBinder().openServer("peers", second, { host: HOST, port }));
+    second.close();
+});
