--- a/test/shared/acceptQueue.test.ts
+++ b/test/shared/acceptQueue.test.ts
@@ -17,7 +17,7 @@
     });
     server.on("connection", () => accepted += 1);
     // A clock that stands still: the longest wait does not pass.
-    AcceptQueue.create(server, () => 0);
+    AcceptQueue.create(server, { maxUnread: CONNECTIONS + 1, getNow: () => 0 });
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
     t.teardown(() => server.close());
