--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -2,6 +2,7 @@
 import { startupSignals } from "../shared/startupSignals.js";
 
 import { performance } from "node:perf_hooks";
+import { planEnd } from "../core/routing/planEnd.js";
 import { ErrorBoundary } from "../router/errorBoundary.js";
 import { LogSink } from "../router/logSink.js";
 import { Router } from "../router/router.js";
@@ -9,6 +10,7 @@
 import { PortBinder } from "../shared/portBinder.js";
 import { readWholeJson } from "../shared/readWholeJson.js";
 import { createErrorEnd } from "./createErrorEnd.js";
+import { createPlannedEnd } from "./createPlannedEnd.js";
 import { endStart } from "./endStart.js";
 import { parseSettings } from "./parseSettings.js";
 import { platformWireFormat } from "./platformWireFormat.js";
@@ -25,6 +27,7 @@
 const SETTINGS_WAIT_MS = 2000;
 
 let log = LogSink.create({});
+let endRequests = (_timeoutMs: number): Promise<void> => Promise.resolve();
 
 async function runRouter(): Promise<void> {
     const getNow = (): number => performance.now();
@@ -59,7 +62,6 @@
     const getTimeOfDay = (): number => Date.now();
     const store = StoreSource.create({ address: settings.storeAddress, getNow, getTimeOfDay });
     const metrics = RouterMetrics.create();
-    let endRequests = (_timeoutMs: number): Promise<void> => Promise.resolve();
     const errorBoundary = ErrorBoundary.create({
         log,
         onError: () => metrics.countInternalError(),
@@ -92,6 +94,10 @@
         onLookup: (dataCentre, caller, addresses) =>
             log.write("addresses-answered", { dataCentre, caller, count: addresses.length }),
     });
+    endRequests = async timeoutMs => {
+        const now = getNow();
+        await Promise.all([router.endRequests(timeoutMs), lookup.close(planEnd(now, now + timeoutMs))]);
+    };
     const follower = StoreFollower.create({
         source: router.createChangeSource((after, isUrgent) => store.read(after, isUrgent)),
         targetDirectory: router.view.targets,
@@ -105,16 +111,17 @@
         onConfirmed: (at, timeOfDay) => router.view.recordConfirmation(at, timeOfDay),
     });
     log.write("listening", {});
-    const stop = (): void => {
-        void router.stop().then(async () => {
+    const stop = createPlannedEnd({
+        log,
+        stop: async () => {
+            await router.stop();
             follower.stop();
             const now = getNow();
             await lookup.close({ answerBy: now + LOOKUP_CLOSE_MS / 2, closeBy: now + LOOKUP_CLOSE_MS });
             store.close();
-            await log.close();
-            process.exit(0);
-        });
-    };
+        },
+        exit: code => process.exit(code),
+    });
     startupSignals.attach("SIGTERM", stop);
     if (startStop.signal.aborted) {
         stop();
@@ -122,4 +129,6 @@
     await follower.run();
 }
 
-runRouter().catch((error: unknown) => endStart(error, { log, exit: code => process.exit(code) }));
+runRouter().catch((error: unknown) =>
+    endStart(error, { log, endRequests, exit: code => process.exit(code) })
+);
