Remove RequestDrain: connections that linger read the rest of a refused request

The test of the connection limit asserts the status that is sent to a connection beyond the descriptors; it fails without that bound.

--- a/src/adapters/caller/callerResponse.ts
+++ b/src/adapters/caller/callerResponse.ts
@@ -15,21 +15,15 @@
 /** Writes the response to one request: that of the target or a problem document. */
 export class CallerResponse implements ResponseWriter {
     readonly #response: ServerResponse;
-    readonly #finish: (body: string) => void;
     #isEventStream = false;
 
-    private constructor(response: ServerResponse, finish: (body: string) => void) {
+    private constructor(response: ServerResponse) {
         this.#response = response;
-        this.#finish = finish;
     }
 
-    /**
-     * Creates a writer over a Node response whose head is not written yet.
-     *
-     * @param finish Sends the body of a refusal and ends the response.
-     */
-    static create(response: ServerResponse, finish: (body: string) => void): CallerResponse {
-        return new CallerResponse(response, finish);
+    /** Creates a writer over a Node response whose head is not written yet. */
+    static create(response: ServerResponse): CallerResponse {
+        return new CallerResponse(response);
     }
 
     writeHead(status: number, headers: HttpHeaders): void {
@@ -72,6 +66,6 @@
             "content-type": "application/problem+json",
             "content-length": Buffer.byteLength(body),
         });
-        this.#finish(body);
+        this.#response.end(body);
     }
 }
--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -7,7 +7,6 @@
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { abortResponse } from "../../shared/abortResponse.js";
 import { parseListenAddress } from "../../shared/parseListenAddress.js";
-import { RequestDrain } from "../../shared/requestDrain.js";
 import { ServerConnections } from "../../shared/serverConnections.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerResponse } from "./callerResponse.js";
@@ -35,15 +34,12 @@
 const LAST_ANSWERS_MS = 200;
 /** No request is in flight by then; open connections have sent part of a request at most. */
 const CLOSE_TIMEOUT_MS = 1000;
-const DRAIN_CHECK_INTERVAL_MS = 250;
 
 /** Serves callers over HTTP. */
 export class CallerServer {
     readonly #options: CallerServerOptions;
     readonly #server: Server;
     readonly #connections: ServerConnections;
-    readonly #drain = RequestDrain.create();
-    readonly #drainTimer: NodeJS.Timeout;
     readonly #idleListeners: (() => void)[] = [];
     #requestsInFlight = 0;
     #isDraining = false;
@@ -57,7 +53,6 @@
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         }, (incoming, response) => void this.#serve(incoming, response));
         this.#connections = ServerConnections.create(this.#server);
-        this.#drainTimer = setInterval(() => this.#drain.expire(options.getNow()), DRAIN_CHECK_INTERVAL_MS);
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
             const requestId = createUuid();
             this.#finish(
@@ -98,7 +93,6 @@
     async close(): Promise<void> {
         const now = performance.now();
         await this.#connections.close({ answerBy: now + LAST_ANSWERS_MS, closeBy: now + CLOSE_TIMEOUT_MS });
-        clearInterval(this.#drainTimer);
     }
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -109,10 +103,7 @@
             service: undefined,
         };
         response.setHeader("x-request-id", exchange.requestId);
-        const writer = CallerResponse.create(
-            response,
-            body => this.#drain.finish(response, this.#options.getNow(), body),
-        );
+        const writer = CallerResponse.create(response);
         this.#requestsInFlight += 1;
         let result: RequestResult | undefined;
         let failure: RequestError | undefined;
@@ -198,7 +189,7 @@
         // On a kept connection, the unread rest of a body would be parsed as the next request.
         const isBodyUnread = error.code === "body-too-large" || error.code === "request-incomplete";
         if (!response.headersSent && (isBodyUnread || this.#isDraining)) {
-            response.shouldKeepAlive = false;
+            response.setHeader("connection", "close");
         }
         const { dataCentre, getView } = this.#options;
         writer.fail(error, {
--- a/src/router/bodyReader.ts
+++ b/src/router/bodyReader.ts
@@ -64,13 +64,13 @@
         this.#deadlines.set(response, deadline);
         this.#timer ??= setInterval(() => this.#expire(), CHECK_INTERVAL_MS);
         incoming.on("data", (chunk: Buffer) => {
-            if (!response.headersSent) {
+            if (!response.writableEnded) {
                 runGuarded(response, () => readChunk(chunk));
             }
         });
         incoming.on("end", () => {
             this.#deadlines.delete(response);
-            if (!response.headersSent) {
+            if (!response.writableEnded) {
                 runGuarded(response, () => onBody(hasBody ? Buffer.concat(chunks) : undefined));
             }
         });
@@ -87,7 +87,7 @@
         for (const [response, deadline] of this.#deadlines) {
             if (deadline <= now) {
                 this.#deadlines.delete(response);
-                if (!response.headersSent) {
+                if (!response.writableEnded) {
                     this.#options.runGuarded(response, () => this.#options.onLate(response));
                 }
             }
--- a/src/router/callerLimits.ts
+++ b/src/router/callerLimits.ts
@@ -1,7 +1,5 @@
-import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
-import { RequestDrain } from "../shared/requestDrain.js";
 import { CallerByteLimit } from "./callerByteLimit.js";
 import { ConnectionLimit } from "./connectionLimit.js";
 import type { LogSink } from "./logSink.js";
@@ -17,12 +15,11 @@
 
 const CHECK_INTERVAL_MS = 250;
 
-/** Limits of callers' connections: their number, the bytes between two requests, and the time after a last response. */
+/** Limits of callers' connections: their number, and the bytes between two requests. */
 export class CallerLimits {
     readonly #options: CallerLimitsOptions;
     readonly #byteLimit: CallerByteLimit;
     readonly #connectionLimit: ConnectionLimit;
-    readonly #drain = RequestDrain.create();
     readonly #timer: NodeJS.Timeout;
 
     private constructor(options: CallerLimitsOptions) {
@@ -63,25 +60,13 @@
         return !this.#connectionLimit.isSurplus(socket);
     }
 
-    /** Ends a response without a body; if its connection closes after it, once the request has been read. */
-    finish(response: ServerResponse): void {
-        this.#drain.finish(response, this.#options.getNow());
-    }
-
-    /** Ends the responses that wait for the rest of their requests, because the process ends. */
-    endRefused(): void {
-        this.#drain.expire(Number.POSITIVE_INFINITY);
-    }
-
     /** Stops checking; connections close elsewhere. */
     close(): void {
         clearInterval(this.#timer);
     }
 
     #check(): void {
-        const now = this.#options.getNow();
         this.#byteLimit.check();
-        this.#drain.expire(now);
-        this.#connectionLimit.expire(now);
+        this.#connectionLimit.expire(this.#options.getNow());
     }
 }
--- a/src/router/endResponse.ts
+++ b/src/router/endResponse.ts
@@ -10,7 +10,6 @@
     wire: WireFormat,
     requestId: string | undefined,
     end: ReturnType<typeof planRequestEnd>,
-    finish: () => void = () => response.end(),
 ): void {
     if (end.kind === "close") {
         abortResponse(response);
@@ -23,5 +22,5 @@
         ...wire.buildLocalResponseHeaders(requestId, end.retryAfterMs),
         "Content-Length": "0",
     });
-    finish();
+    response.end();
 }
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -110,7 +110,6 @@
         await this.#serverConnections.stopListening(answerBy);
         await this.#serverConnections.waitForResponses(answerBy);
         this.#refuseUnserved();
-        this.#limits.endRefused();
         await this.#serverConnections.endConnections(closeBy);
         this.#open.forEach(abortResponse);
         this.close();
@@ -196,6 +195,7 @@
         }
         if (!this.#limits.recordRequest(incoming.socket)) {
             response.shouldKeepAlive = false;
+            incoming.resume();
             this.#refuse(response, "no-target", "connection-limit", RETRY_AFTER_MS);
             return;
         }
@@ -260,6 +260,6 @@
         });
         this.#options.onRefused(reason);
         this.#unserved.delete(response);
-        endResponse(response, this.#options.wire, requestId, end, () => this.#limits.finish(response));
+        endResponse(response, this.#options.wire, requestId, end);
     }
 }
--- a/test/router/connectionLimit.test.ts
+++ b/test/router/connectionLimit.test.ts
@@ -10,6 +10,8 @@
     readonly changes: readonly boolean[];
     /** Numbers of open connections when one was closed. */
     readonly closed: readonly number[];
+    /** What was sent before the end of a connection. */
+    readonly sent: readonly string[];
     /** Adds a connection. */
     readonly add: () => Socket;
     readonly advance: (ms: number) => void;
@@ -19,6 +21,7 @@
     let now = 0;
     const changes: boolean[] = [];
     const closed: number[] = [];
+    const sent: string[] = [];
     const limit = ConnectionLimit.create({
         ...LIMITS,
         countTargetConnections: () => targetConnections,
@@ -28,8 +31,10 @@
     });
     const add = (): Socket => {
         const socket = new Socket();
-        // It has no peer.
-        socket.on("error", () => undefined);
+        socket.end = ((text: string) => {
+            sent.push(text);
+            return socket;
+        }) as typeof socket.end;
         limit.add(socket);
         return socket;
     };
@@ -37,7 +42,7 @@
         now += ms;
         limit.expire(now);
     };
-    return { limit, changes, closed, add, advance };
+    return { limit, changes, closed, sent, add, advance };
 }
 
 test("serves connections up to the limit, and further ones again once others have closed", async t => {
@@ -61,12 +66,13 @@
 });
 
 test("closes a surplus connection that brings no request in time, and those beyond the descriptors at once", t => {
-    const { limit, closed, add, advance } = createLimit(3);
+    const { limit, closed, sent, add, advance } = createLimit(3);
     add();
     const surplus = [add(), add()];
-    const last = add();
-    t.true(last.destroyed || last.writableEnded);
+    t.deepEqual(closed, []);
+    add();
     t.deepEqual(closed, [3]);
+    t.regex(sent.join(), /^HTTP\/1\.1 503 .*\r\nRetry-After: 1\r\n/);
     advance(4000);
     t.false(surplus.some(socket => socket.destroyed));
     advance(2000);
