--- a/src/platform/startServers.ts
+++ b/src/platform/startServers.ts
@@ -19,7 +19,8 @@
         return lookup;
     }
     catch (error) {
-        const plan = planEnd(performance.now(), performance.now());
+        const now = performance.now();
+        const plan = planEnd(now, now);
         await lookup?.close(plan);
         await router.close(plan);
         throw error;
