--- a/src/router/connectionLimit.ts
+++ b/src/router/connectionLimit.ts
@@ -62,7 +62,7 @@
         if (this.#surplus.size >= surplus) {
             onClosed(this.openConnections);
             // Each further descriptor that stays open may be one that the next connection lacks.
-            socket.end(REFUSAL, () => socket.destroy());
+            socket.end(UNREAD_REFUSAL, () => socket.destroy());
             return;
         }
         this.#surplus.set(socket, getNow() + SURPLUS_MS);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -228,6 +228,7 @@
             requestServer: this.#requestServer,
             getNow: this.#getNow,
             isStopping: () => this.#stopPlan !== undefined,
+            countTargetConnections: () => this.#targetAgents.openConnections,
         });
         registerGauges(metrics, {
             log,
