--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -226,6 +226,7 @@
             view: this.#view,
             resolver: this.#resolver,
             requestServer: this.#requestServer,
+            countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
             isStopping: () => this.#stopPlan !== undefined,
             countTargetConnections: () => this.#targetAgents.openConnections,
--- a/src/shared/acceptQueue.ts
+++ b/src/shared/acceptQueue.ts
@@ -1,5 +1,12 @@
 import type { Server, Socket } from "node:net";
 
+interface AcceptQueueOptions {
+    /** Number of accepted connections that may wait until they are read; each takes a descriptor. */
+    readonly maxUnread: number;
+    /** Returns the monotonic time in milliseconds. */
+    readonly getNow: () => number;
+}
+
 /** Longest time for which accepted connections wait for further ones before they are read. */
 const MAX_WAIT_MS = 10;
 
@@ -8,7 +15,7 @@
  * turn of its event loop: if each turn also serves requests, a burst fills the queue, and its connections wait unseen.
  */
 export class AcceptQueue {
-    readonly #getNow: () => number;
+    readonly #options: AcceptQueueOptions;
     /** Accepted connections that are not read yet. */
     #unread: Socket[] = [];
     /** Monotonic time in milliseconds at which they are read in any case. */
@@ -16,25 +23,21 @@
     #accepted = 0;
     #isDraining = false;
 
-    private constructor(server: Server, getNow: () => number) {
-        this.#getNow = getNow;
+    private constructor(server: Server, options: AcceptQueueOptions) {
+        this.#options = options;
         // An option of `net.createServer` that `http.createServer` does not pass on.
         Object.assign(server, { pauseOnConnect: true });
         server.on("connection", (socket: Socket) => this.#add(socket));
     }
 
-    /**
-     * Takes over the connections of a server that does not listen yet.
-     *
-     * @param getNow Returns the monotonic time in milliseconds.
-     */
-    static create(server: Server, getNow: () => number): AcceptQueue {
-        return new AcceptQueue(server, getNow);
+    /** Takes over the connections of a server that does not listen yet. */
+    static create(server: Server, options: AcceptQueueOptions): AcceptQueue {
+        return new AcceptQueue(server, options);
     }
 
     /**
-     * Waits until the queue of the operating system is empty. Nothing is read from the connections that are accepted until
-     * `readAll`.
+     * Waits until the queue of the operating system is empty. Unless there are too many, nothing is read from the connections that
+     * are accepted until `readAll`.
      *
      * @param until Monotonic time in milliseconds at which the wait ends in any case.
      */
@@ -47,23 +50,31 @@
             // look at the sockets.
             await new Promise(resolve => setImmediate(() => setImmediate(resolve)));
         }
-        while (this.#accepted !== accepted && this.#getNow() < until);
+        while (this.#accepted !== accepted && this.#options.getNow() < until);
     }
 
     /** Reads from the connections that have been accepted. */
     readAll(): void {
         this.#isDraining = false;
-        this.#unread.splice(0).forEach(socket => socket.resume());
+        this.#read();
     }
 
     #add(socket: Socket): void {
         this.#accepted += 1;
-        if (this.#unread.push(socket) === 1) {
-            this.#readBy = this.#getNow() + MAX_WAIT_MS;
+        this.#unread.push(socket);
+        if (this.#unread.length >= this.#options.maxUnread) {
+            this.#read();
+        }
+        else if (this.#unread.length === 1) {
+            this.#readBy = this.#options.getNow() + MAX_WAIT_MS;
             setImmediate(() => this.#readAfterTurn());
         }
     }
 
+    #read(): void {
+        this.#unread.splice(0).forEach(socket => socket.resume());
+    }
+
     /** Reads at the end of the first turn of the event loop that accepts no connection. */
     #readAfterTurn(): void {
         const accepted = this.#accepted;
@@ -71,7 +82,7 @@
             if (this.#isDraining) {
                 return;
             }
-            if (this.#accepted === accepted || this.#getNow() >= this.#readBy) {
+            if (this.#accepted === accepted || this.#options.getNow() >= this.#readBy) {
                 this.readAll();
             }
             else {
--- a/src/shared/serverConnections.ts
+++ b/src/shared/serverConnections.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
 import type { EndPlan } from "../core/routing/endPlan.js";
+import { AcceptQueue } from "./acceptQueue.js";
+import { UNREAD_REFUSAL } from "./unreadRefusal.js";
 
 /** A caller has this long to close its side after the last response on a connection. */
 const LINGER_MS = 1000;
@@ -8,7 +10,7 @@
 /** Time in which a connection that was accepted at the end brings its request. */
 const FIRST_REQUEST_MS = 150;
 /** Few clients use the servers that set no other limit. */
-const DEFAULT_MAX_HELD = 256;
+const DEFAULT_MAX_UNREAD = 256;
 
 /**
  * Connections of an HTTP server, closed so that callers get their responses. The operating system resets a connection that is
@@ -16,7 +18,7 @@
  */
 export class ServerConnections {
     readonly #server: Server;
-    readonly #maxHeld: number;
+    readonly #queue: AcceptQueue;
     /** Open connections with the number of responses that are due on them. */
     readonly #due = new Map<Socket, number>();
     /** Accepted connections on which no request has been read yet. */
@@ -30,9 +32,9 @@
     /** Set while connections linger. */
     #timer: NodeJS.Timeout | undefined;
 
-    private constructor(server: Server, maxHeld: number) {
+    private constructor(server: Server, maxUnread: number) {
         this.#server = server;
-        this.#maxHeld = maxHeld;
+        this.#queue = AcceptQueue.create(server, { maxUnread, getNow: () => performance.now() });
         server.on("connection", (socket: Socket) => this.#add(socket));
         server.prependListener(
             "request",
@@ -41,12 +43,12 @@
     }
 
     /**
-     * Keeps track of the connections of a server.
+     * Keeps track of the connections of a server that does not listen yet.
      *
-     * @param maxHeld Number of connections that may be accepted at the end before their requests are read.
+     * @param maxUnread Number of accepted connections that may wait until they are read.
      */
-    static create(server: Server, maxHeld = DEFAULT_MAX_HELD): ServerConnections {
-        return new ServerConnections(server, maxHeld);
+    static create(server: Server, maxUnread = DEFAULT_MAX_UNREAD): ServerConnections {
+        return new ServerConnections(server, maxUnread);
     }
 
     /** Returns whether no response can be sent on a connection any more. */
@@ -65,35 +67,10 @@
     }
 
     async #acceptLast(until: number): Promise<void> {
-        const listeners = this.#server.listeners("connection") as ((socket: Socket) => void)[];
-        const held: Socket[] = [];
-        const release = (): void =>
-            held.splice(0).forEach(socket => {
-                listeners.forEach(listener => listener.call(this.#server, socket));
-                socket.resume();
-            });
-        let accepted = 0;
-        // Requests are read afterwards: a queue that grows faster than they are answered would never be empty.
-        this.#server.removeAllListeners("connection");
-        this.#server.on("connection", (socket: Socket) => {
-            accepted += 1;
-            socket.pause();
-            held.push(socket);
-            if (held.length >= this.#maxHeld) {
-                release();
-            }
-        });
-        let before: number;
-        do {
-            before = accepted;
-            // The event loop accepts one connection a turn, so that a turn without one has found the queue empty. After an
-            // uncaught error the next turn may begin without a look at the sockets.
-            await new Promise(resolve => setImmediate(() => setImmediate(resolve)));
-        }
-        while (accepted !== before && performance.now() < until);
+        await this.#queue.drain(until);
         // `close` of an HTTP server also destroys connections whose request has not been read yet.
         TcpServer.prototype.close.call(this.#server);
-        release();
+        this.#queue.readAll();
     }
 
     /**
@@ -108,14 +85,18 @@
     }
 
     /**
-     * Ends the idle connections now and the others after their responses, and waits until callers have closed them.
+     * Ends the idle connections now and the others after their responses, and waits until callers have closed them. Connections
+     * whose requests could not be read in time are refused.
      *
      * @param until Monotonic time in milliseconds at which the wait ends in any case.
      */
     async endConnections(until: number): Promise<void> {
         this.#isEnding = true;
         this.#due.forEach((count, socket) => {
-            if (count === 0) {
+            if (this.#unused.has(socket)) {
+                socket.end(UNREAD_REFUSAL);
+            }
+            else if (count === 0) {
                 socket.end();
             }
         });
