--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -229,7 +229,6 @@
             countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
             isStopping: () => this.#stopPlan !== undefined,
-            countTargetConnections: () => this.#targetAgents.openConnections,
         });
         registerGauges(metrics, {
             log,
