--- a/src/router/callerLimits.ts
+++ b/src/router/callerLimits.ts
@@ -1,13 +1,17 @@
+import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 import { CallerByteLimit } from "./callerByteLimit.js";
 import { ConnectionLimit } from "./connectionLimit.js";
 import type { LogSink } from "./logSink.js";
+import type { RequestMemory } from "./requestMemory.js";
+import { UnreadResponses } from "./unreadResponses.js";
 
 interface CallerLimitsOptions {
     readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
     readonly countTargetConnections: () => number;
     readonly getMaxBodyBytes: () => number;
+    readonly memory: RequestMemory;
     readonly log: Pick<LogSink, "write">;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
@@ -15,11 +19,12 @@
 
 const CHECK_INTERVAL_MS = 250;
 
-/** Limits of callers' connections: their number, and the bytes between two requests. */
+/** Limits of callers' connections: their number, the bytes between two requests, and unread responses. */
 export class CallerLimits {
     readonly #options: CallerLimitsOptions;
     readonly #byteLimit: CallerByteLimit;
     readonly #connectionLimit: ConnectionLimit;
+    readonly #unread: UnreadResponses;
     readonly #timer: NodeJS.Timeout;
 
     private constructor(options: CallerLimitsOptions) {
@@ -35,6 +40,7 @@
             onChanged: (isReached, open) => log.write("connection-limit-changed", { isReached, open }),
             onClosed: open => log.write("caller-connection-failed", { reason: "connection-limit", open }),
         });
+        this.#unread = UnreadResponses.create(options);
         this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
     }
 
@@ -60,6 +66,11 @@
         return !this.#connectionLimit.isSurplus(socket);
     }
 
+    /** Adds the response that is due for a request with a deadline in monotonic milliseconds. */
+    addDue(response: ServerResponse, deadline: number): void {
+        this.#unread.add(response, deadline);
+    }
+
     /** Stops checking; connections close elsewhere. */
     close(): void {
         clearInterval(this.#timer);
@@ -67,6 +78,7 @@
 
     #check(): void {
         this.#byteLimit.check();
+        this.#unread.check();
         this.#connectionLimit.expire(this.#options.getNow());
     }
 }
--- a/src/router/createRouterIngress.ts
+++ b/src/router/createRouterIngress.ts
@@ -7,15 +7,14 @@
 import type { RouterOptions } from "./routerOptions.js";
 
 interface CreateOptions
-    extends RouterOptions, Pick<IngressOptions, "countTargetConnections" | "getNow" | "isStopping"> {
+    extends
+        RouterOptions,
+        Pick<IngressOptions, "memory" | "countTargetConnections" | "getNow" | "isStopping"> {
     readonly view: DeploymentView;
     readonly resolver: RequestResolver;
     readonly requestServer: RequestServer;
 }
 
-/** Share of the instance's memory that buffered request bodies may take. */
-const BODY_MEMORY_SHARE = 0.15;
-
 /**
  * Makes an instance accept its callers.
  *
@@ -26,7 +25,6 @@
     return Ingress.create({
         ...options,
         ...settings.callerAddress,
-        maxBufferedBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
         connectionLimits: computeConnectionLimits(settings),
         resolve: (head, path, receivedAt) => resolver.resolve(head, path, receivedAt),
         getLimits: () => view.configuration?.limits,
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,16 +1,15 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { EndPlan } from "../core/routing/endPlan.js";
 import { planRequestEnd } from "../core/routing/planRequestEnd.js";
-import { RequestFingerprint } from "../core/routing/requestFingerprint.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { abortResponse } from "../shared/abortResponse.js";
-import { hashBytes } from "../shared/hashBytes.js";
 import { ServerConnections } from "../shared/serverConnections.js";
 import { BodyReader } from "./bodyReader.js";
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { CallerLimits } from "./callerLimits.js";
 import { checkAcceptQueue } from "./checkAcceptQueue.js";
+import { createFingerprint } from "./createFingerprint.js";
 import { endResponse } from "./endResponse.js";
 import type { IngressOptions } from "./ingressOptions.js";
 import { setCallerTimeouts } from "./setCallerTimeouts.js";
@@ -47,7 +46,7 @@
         setCallerTimeouts(this.#server);
         const getMaxBodyBytes = (): number => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
         this.#bodies = BodyReader.create({
-            maxBufferedBytes: options.maxBufferedBytes,
+            memory: options.memory,
             getNow: options.getNow,
             getMaxBodyBytes,
             onTooLarge: (response, cause) => this.#refuse(response, cause, cause, RETRY_AFTER_MS),
@@ -200,27 +199,20 @@
         }
         if (!this.#limits.recordRequest(incoming.socket)) {
             response.shouldKeepAlive = false;
-            incoming.resume();
+            this.#bodies.skip(incoming);
             this.#refuse(response, "no-target", "connection-limit", RETRY_AFTER_MS);
             return;
         }
         const resolved = resolve(head, incoming.url ?? "/", receivedAt);
         if (resolved.kind === "refused") {
-            incoming.resume();
+            this.#bodies.skip(incoming);
             const { status, reason, retryAfterMs, account } = resolved;
             this.#refuse(response, status, reason, retryAfterMs, account);
             return;
         }
+        this.#limits.addDue(response, resolved.request.deadline);
         this.#bodies.read(incoming, response, resolved.request.deadline, body => {
-            const fingerprint = RequestFingerprint.create({
-                method: incoming.method ?? "",
-                host: head.host,
-                path: incoming.url ?? "/",
-                account: resolved.request.account,
-                prompt: head.prompt,
-                body,
-                hashBytes,
-            });
+            const fingerprint = createFingerprint(incoming, head, resolved.request.account, body);
             const request = { ...resolved.request, fingerprint };
             this.#serveInTurn({ incoming, response, head, request, body });
         });
--- a/src/router/ingressOptions.ts
+++ b/src/router/ingressOptions.ts
@@ -6,6 +6,7 @@
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
 import type { RequestHead } from "./requestHead.js";
+import type { RequestMemory } from "./requestMemory.js";
 import type { WireFormat } from "./wireFormat.js";
 
 type LimitOptions = Parameters<typeof CallerLimits.create>[0];
@@ -17,8 +18,7 @@
     readonly wire: WireFormat;
     readonly log: LogSink;
     readonly errorBoundary: ErrorBoundary;
-    /** Limit for the total size of all buffered request bodies, in bytes. */
-    readonly maxBufferedBytes: number;
+    readonly memory: RequestMemory;
     readonly getNow: () => number;
     /** Finds the route and client account of a request, or the reason why it is refused. */
     readonly resolve: (
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -12,6 +12,7 @@
 import { ChangeFeedServer } from "./changeFeedServer.js";
 import { createDeploymentView } from "./createDeploymentView.js";
 import { createFleetView } from "./createFleetView.js";
+import { createMemoryGuard } from "./createMemoryGuard.js";
 import { createRelayedSource } from "./createRelayedSource.js";
 import { createRouterIngress } from "./createRouterIngress.js";
 import { createRoutingState } from "./createRoutingState.js";
@@ -22,6 +23,7 @@
 import type { FleetView } from "./fleetView.js";
 import type { Ingress } from "./ingress.js";
 import { LoadObserver } from "./loadObserver.js";
+import type { MemoryGuard } from "./memoryGuard.js";
 import { PeerChangeSource } from "./peerChangeSource.js";
 import { PeerExchange } from "./peerExchange.js";
 import { PeriodicCheck } from "./periodicCheck.js";
@@ -48,6 +50,7 @@
     readonly #targetProber = TargetProber.create(id =>
         this.#state.crashDetector.recordGone(id, this.#getNow())
     );
+    readonly #memory: MemoryGuard;
     readonly #servicePool: ServicePool;
     readonly #activeRequests = ActiveRequests.create();
     readonly #peerChangeSource: PeerChangeSource;
@@ -72,23 +75,21 @@
             send: (message, host) => this.#fleet?.send(message, host),
             onBroken: target => this.#targetProber.check(target),
         });
+        this.#memory = createMemoryGuard(options, this.#getNow);
         this.#loadObserver = LoadObserver.create(options.log);
         const clocks = { getNow: this.#getNow, getTimeOfDay: Date.now };
         this.#peerChangeSource = PeerChangeSource.create({ port: settings.peerAddress.port, ...clocks });
+        const shared = { ...options, state: this.#state, getNow: this.#getNow };
         this.#servicePool = createServicePool({
-            settings,
-            state: this.#state,
+            ...shared,
             getTokensPerSecond: () => this.#view.configuration?.limits.tokensPerSecond ?? 0,
             getColdShare: (target, limit) => this.#fleet?.getColdShare(target, limit),
-            getNow: this.#getNow,
         });
         this.#view = createDeploymentView({
-            ...options,
+            ...shared,
             servicePool: this.#servicePool,
-            state: this.#state,
             onConfiguration: ({ limits }) => this.#ingress?.applyLimits(limits),
             listPeerHosts: () => this.#fleet?.listPeerHosts() ?? [],
-            getNow: this.#getNow,
         });
         this.#resolver = RequestResolver.create({
             view: this.#view,
@@ -97,16 +98,15 @@
             getStopPlan: () => this.#stopPlan,
         });
         this.#requestServer = RequestServer.create({
-            ...options,
-            state: this.#state,
+            ...shared,
             servicePool: this.#servicePool,
             resolver: this.#resolver,
             activeRequests: this.#activeRequests,
             targetAgents: this.#targetAgents,
-            getNow: this.#getNow,
             getRunningTime: () => this.#runningClock.toRunningTime(this.#getNow()),
             isBatching: () => this.#loadObserver.isBatching,
             getIngress: () => this.#ingress,
+            memory: this.#memory,
         });
     }
 
@@ -223,6 +223,7 @@
         });
         this.#ingress = await createRouterIngress({
             ...this.#options,
+            memory: this.#memory,
             view: this.#view,
             resolver: this.#resolver,
             requestServer: this.#requestServer,
@@ -234,6 +235,7 @@
             log,
             state: this.#state,
             loadObserver: this.#loadObserver,
+            memory: this.#memory,
             countActive: () => this.#activeRequests.size,
             getConfigurationAgeMs: () => this.#view.ageMs,
             countPeers: () => this.#fleet?.countPeers() ?? 0,
@@ -252,6 +254,7 @@
     #check(now: number, delayMs: number): void {
         this.#runningClock.recordDelay(delayMs);
         this.#loadObserver.observe(delayMs, this.#activeRequests.size);
+        this.#memory.check();
         this.#view.expireTargets(now);
         this.#state.crashDetector.expire(now);
         this.#activeRequests.checkTimeouts(now);
--- a/test/testing/router/createIngress.ts
+++ b/test/testing/router/createIngress.ts
@@ -7,6 +7,7 @@
 import { LogSink } from "../../../src/router/logSink.js";
 import { createPortBinder } from "../../helpers/createPortBinder.js";
 import { makeRoutedRequest } from "../scheduler/makeRoutedRequest.js";
+import { makeRequestMemory } from "./makeRequestMemory.js";
 
 type Options = Parameters<typeof Ingress.create>[0];
 
@@ -37,7 +38,7 @@
         ports: createPortBinder(),
         wire: platformWireFormat,
         log,
-        maxBufferedBytes: 1_000_000,
+        memory: makeRequestMemory(1_000_000),
         connectionLimits: { served: 1000, surplus: 100, descriptors: 2000 },
         countTargetConnections: () => 0,
         getNow,
