--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -1,13 +1,13 @@
+import { Agent } from "node:http";
 import type { LinkFault } from "../standIns/faultProxy/linkFault.js";
-import { buildCallerHeaders } from "../testing/platform/buildCallerHeaders.js";
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
-import { sendCaller } from "../testing/sendCaller.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
 import { changeFaults } from "./changeFaults.js";
 import { createFaultSource } from "./createFaultSource.js";
 import { oddEntries } from "./oddEntries.js";
 import { pickItem } from "./pickItem.js";
 import { processFaults } from "./processFaults.js";
+import { sendSoakRequest } from "./sendSoakRequest.js";
 import { slowTargetFaults } from "./slowTargetFaults.js";
 import type { SoakFault } from "./soakFault.js";
 import { targetVersionFaults } from "./targetVersionFaults.js";
@@ -169,17 +169,20 @@
     },
     {
         name: "crashing-request",
-        inject: async (fleet, random, wait) => {
+        inject: async (fleet, random, wait, observer) => {
             const body = `crashing ${Math.floor(random() * MAX_SEED)}`;
             const route = pickItem(["safe", "unsafe"] as const, random);
+            const agent = new Agent();
             const until = performance.now() + CRASHING_MS;
             for (let i = 0; performance.now() < until; i += 1) {
-                const headers = buildCallerHeaders({
+                void sendSoakRequest(fleet, observer, {
                     requestId: `${body}-${i}`.replace(" ", "-"),
-                    patienceMs: SHORT_MS,
+                    route,
+                    turn: Math.floor(random() * fleet.instances.length),
+                    agent,
+                    body,
+                    timeoutMs: SHORT_MS,
                 });
-                const { callers } = fleet.getUrls(pickItem(fleet.instances, random));
-                void sendCaller(`${callers}/${route}/x`, { method: "POST", headers, body });
                 const sentAt = performance.now();
                 await wait(SHORT_MS * (random() < FAULT_SHARE ? 2 : 1));
                 // After the end of the soak, waits return at once.
