--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -60,7 +60,7 @@
             impairments: this.impairments,
             ports: this.ports,
             stopTimeoutMs: this.stopTimeoutMs,
-            onLogLine: options.onLogLine,
+            processOptions: options,
         });
     }
 
