--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,67 +1,36 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { EndPlan } from "../core/routing/endPlan.js";
 import { planRequestEnd } from "../core/routing/planRequestEnd.js";
 import { RequestFingerprint } from "../core/routing/requestFingerprint.js";
-import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { abortResponse } from "../shared/abortResponse.js";
 import { hashBytes } from "../shared/hashBytes.js";
+import { ServerConnections } from "../shared/serverConnections.js";
 import { BodyReader } from "./bodyReader.js";
-import { CallerByteLimit } from "./callerByteLimit.js";
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
+import { CallerLimits } from "./callerLimits.js";
 import { endResponse } from "./endResponse.js";
-import type { ErrorBoundary } from "./errorBoundary.js";
-import type { LogSink } from "./logSink.js";
-import type { RequestHead } from "./requestHead.js";
-import type { WireFormat } from "./wireFormat.js";
-
-interface IngressOptions {
-    readonly host: string;
-    readonly port: number;
-    readonly wire: WireFormat;
-    readonly log: LogSink;
-    readonly errorBoundary: ErrorBoundary;
-    /** Limit for the total size of all buffered request bodies, in bytes. */
-    readonly maxBufferedBytes: number;
-    readonly getNow: () => number;
-    /** Finds the route and client account of a request, or the reason why it is refused. */
-    readonly resolve: (
-        head: RequestHead,
-        path: string,
-        receivedAt: number,
-    ) => ReturnType<typeof resolveRequest>;
-    /** Size limits and timeouts for callers; `undefined` until a configuration is known. */
-    readonly getLimits: () => RouterConfiguration["limits"] | undefined;
-    readonly isStopping: () => boolean;
-    readonly serve: (exchange: CallerExchange) => void;
-    readonly onRefused: (reason: string) => void;
-}
+import type { IngressOptions } from "./ingressOptions.js";
+import { setCallerTimeouts } from "./setCallerTimeouts.js";
 
 const MAX_HEADER_BYTES = 32_768;
-/** Callers reuse idle connections for up to four fifths of the configured timeout; closing later avoids a race. */
-const IDLE_MARGIN_MS = 5000;
-const DEFAULT_IDLE_MS = 15_000;
-/** Callers send their headers within the configured timeout, but a delayed event loop reads them later. */
-const HEADERS_MARGIN_MS = 7000;
-const DEFAULT_HEADERS_MS = 3000;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /**
- * Connections that the operating system queues while the process is busy. Callers give up on a request that is not read
- * within a second, so a longer queue would hold only abandoned requests; callers whose connection is refused try
- * another instance.
+ * Connections that the operating system queues while the process is busy; it caps the value to its own limit. Connections
+ * beyond the queue are acknowledged, too, and reset later, so a surplus is refused once it has been accepted.
  */
-const LISTEN_BACKLOG = 64;
+const LISTEN_BACKLOG = 4096;
 const RETRY_AFTER_MS = 500;
-const BYTE_CHECK_INTERVAL_MS = 250;
 
 /** Accepts callers' connections and reads their requests. */
 export class Ingress {
     readonly #options: IngressOptions;
     readonly #server: Server;
+    readonly #serverConnections: ServerConnections;
     readonly #connections: CallerConnections;
     readonly #bodies: BodyReader;
-    readonly #byteLimit: CallerByteLimit;
-    readonly #byteTimer: NodeJS.Timeout;
+    readonly #limits: CallerLimits;
     /** Requests that are not being served yet, with their identifiers. */
     readonly #unserved = new Map<ServerResponse, string | undefined>();
     readonly #open = new Set<ServerResponse>();
@@ -70,15 +39,16 @@
         this.#options = options;
         this.#server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
-            keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_MARGIN_MS,
-            headersTimeout: DEFAULT_HEADERS_MS + HEADERS_MARGIN_MS,
             requestTimeout: 0,
             noDelay: true,
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
+        this.#serverConnections = ServerConnections.create(this.#server);
+        setCallerTimeouts(this.#server);
+        const getMaxBodyBytes = (): number => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
         this.#bodies = BodyReader.create({
             maxBufferedBytes: options.maxBufferedBytes,
             getNow: options.getNow,
-            getMaxBodyBytes: () => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+            getMaxBodyBytes,
             onTooLarge: (response, cause) => this.#refuse(response, cause, cause, RETRY_AFTER_MS),
             onLate: response => this.#refuse(response, "read-too-late", "read-too-late", undefined),
             runGuarded: (response, handler) => this.#runGuarded(response, handler),
@@ -88,12 +58,8 @@
             onFailure: (reason, dueResponses) =>
                 options.log.write("caller-connection-failed", { reason, dueResponses }),
         });
-        this.#byteLimit = CallerByteLimit.create({
-            getMaxBodyBytes: () => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
-            onExceeded: () => options.log.write("caller-connection-failed", { reason: "bytes-without-end" }),
-        });
-        this.#byteTimer = setInterval(() => this.#byteLimit.check(), BYTE_CHECK_INTERVAL_MS);
-        this.#server.on("connection", socket => this.#byteLimit.add(socket));
+        this.#limits = CallerLimits.create({ ...options, getMaxBodyBytes });
+        this.#server.on("connection", socket => this.#limits.add(socket));
         this.#server.on("clientError", (error, socket) => this.#connections.end(error, socket));
     }
 
@@ -116,8 +82,12 @@
 
     /** Applies the timeouts of a new configuration. */
     applyLimits(limits: RouterConfiguration["limits"]): void {
-        this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
-        this.#server.headersTimeout = limits.headerTimeoutMs + HEADERS_MARGIN_MS;
+        setCallerTimeouts(this.#server, limits);
+    }
+
+    /** Open connections of callers, and whether there are as many as this instance may serve. */
+    get connections(): CallerLimits["connections"] {
+        return this.#limits.connections;
     }
 
     /** Requests that are being read or served. */
@@ -125,11 +95,30 @@
         return this.#open.size;
     }
 
-    /** Stops accepting connections and closes the idle ones. */
+    /** Tells the callers of open requests that their connections close with the responses. */
+    endKeepAlive(): void {
+        for (const response of this.#open) {
+            if (!response.headersSent && this.#connections.isLast(response)) {
+                response.shouldKeepAlive = false;
+            }
+        }
+    }
+
+    /** Answers the requests on the connections that callers have opened, accepts no more, and closes all. */
+    async end({ answerBy, closeBy }: EndPlan): Promise<void> {
+        await this.#serverConnections.stopListening(answerBy);
+        await this.#serverConnections.waitForResponses(answerBy);
+        this.#refuseUnserved();
+        await this.#serverConnections.endConnections(closeBy);
+        this.#open.forEach(abortResponse);
+        this.close();
+    }
+
+    /** Closes everything at once. */
     close(): void {
-        clearInterval(this.#byteTimer);
+        this.#limits.close();
         this.#server.close();
-        this.#server.closeIdleConnections();
+        this.#serverConnections.dropConnections();
     }
 
     /**
@@ -156,18 +145,6 @@
         this.#runGuarded(response, handler);
     }
 
-    /** Refuses the requests that are not being served yet, because the instance stops. */
-    refuseUnserved(): void {
-        for (const response of this.#unserved.keys()) {
-            this.#refuse(response, "stopping", "stopping", RETRY_AFTER_MS);
-        }
-    }
-
-    /** Closes the connections of the requests that are still open, because the process ends. */
-    abortOpenRequests(): void {
-        this.#open.forEach(abortResponse);
-    }
-
     /** Runs a handler of a request that is not being served; an unexpected error in it ends the request. */
     #runGuarded(response: ServerResponse, handler: () => void): void {
         const refuse = (): void => this.#refuse(response, "internal-error", "internal-error", RETRY_AFTER_MS);
@@ -179,9 +156,21 @@
         );
     }
 
+    /** Refuses the requests that are not being served yet, because the instance stops. */
+    #refuseUnserved(): void {
+        for (const response of this.#unserved.keys()) {
+            this.#refuse(response, "stopping", "stopping", RETRY_AFTER_MS);
+        }
+    }
+
     #acceptGuarded(incoming: IncomingMessage, response: ServerResponse): void {
+        if (ServerConnections.isEnded(incoming.socket)) {
+            // It was sent behind the last response, or as its connection ended, and cannot be answered any more.
+            this.#options.log.write("caller-connection-failed", { reason: "request-after-end" });
+            incoming.resume();
+            return;
+        }
         this.#open.add(response);
-        this.#byteLimit.recordRequest(incoming.socket);
         this.#connections.add(incoming, response);
         response.on("close", () => {
             this.#open.delete(response);
@@ -203,6 +192,11 @@
         if (isStopping()) {
             response.shouldKeepAlive = false;
         }
+        if (!this.#limits.recordRequest(incoming.socket)) {
+            response.shouldKeepAlive = false;
+            this.#refuse(response, "no-target", "connection-limit", RETRY_AFTER_MS);
+            return;
+        }
         const resolved = resolve(head, incoming.url ?? "/", receivedAt);
         if (resolved.kind === "refused") {
             incoming.resume();
@@ -264,6 +258,6 @@
         });
         this.#options.onRefused(reason);
         this.#unserved.delete(response);
-        endResponse(response, this.#options.wire, requestId, end);
+        endResponse(response, this.#options.wire, requestId, end, () => this.#limits.finish(response));
     }
 }
--- a/src/testing/platform/fleetInstanceGroup.ts
+++ b/src/testing/platform/fleetInstanceGroup.ts
@@ -12,7 +12,7 @@
     /** Ports on which each instance listens; the fourth one takes datagrams, too. */
     readonly ports: readonly number[];
     readonly stopTimeoutMs: number;
-    readonly processOptions: Pick<CooperativeFleetOptions, "onLogLine" | "runtimeArguments" | "isOutputRead">;
+    readonly processOptions: CooperativeFleetOptions;
 }
 
 /** Process that ended without a request, ended a stop with an error, did not start, or did not listen. */
@@ -226,7 +226,8 @@
 
     /** The error of a process that does not start names the last line that it wrote to standard error. */
     async #startProcess(host: string, settingsPath: string): Promise<ChildProcess> {
-        const { onLogLine, runtimeArguments = [], isOutputRead = true } = this.#options.processOptions;
+        const { onLogLine, runtimeArguments = [], isOutputRead = true, maxDescriptors } =
+            this.#options.processOptions;
         const logPath = `${settingsPath}.log`;
         let lastLine = "";
         const onLine = (line: string): void => {
@@ -238,6 +239,7 @@
             onLine,
             runtimeArguments,
             isOutputRead,
+            maxDescriptors,
         });
         void process.ended.then(end => {
             const text = describeUnexpectedEnd(process.signals, end);
