--- a/src/testing/platform/fleetInstanceGroup.ts
+++ b/src/testing/platform/fleetInstanceGroup.ts
@@ -100,9 +100,12 @@
         instance.isStarting = true;
         try {
             const holder = await takePorts?.();
-            instance.process = await this.#startAgain(instance);
-            await holder?.freed;
-            await this.#waitUntilListening(instance);
+            for (let i = 0; !instance.process.running && i < MAX_START_TRIES; i += 1) {
+                // Another caller may stop or kill the new process before it listens, and leave its start to this one.
+                instance.process = await this.#startAgain(instance);
+                await holder?.freed;
+                await this.#waitUntilListening(instance);
+            }
         }
         finally {
             instance.isStarting = false;
