--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -66,17 +66,16 @@
     /**
      * Starts listening.
      *
-     * @throws Error when the address cannot be bound.
+     * @throws PortError when the address cannot be bound.
      */
     static async create(options: IngressOptions): Promise<Ingress> {
         const ingress = new Ingress(options);
-        await new Promise<void>((resolve, reject) => {
-            ingress.#server.once("error", reject);
-            ingress.#server.listen(
-                { host: options.host, port: options.port, backlog: LISTEN_BACKLOG },
-                resolve,
-            );
-        });
+        const { host, port, ports } = options;
+        await ports.openServer("callers", ingress.#server, { host, port, backlog: LISTEN_BACKLOG })
+            .catch((error: unknown) => {
+                ingress.close();
+                throw error;
+            });
         return ingress;
     }
 
