--- a/src/soak/findCause.ts
+++ b/src/soak/findCause.ts
@@ -2,6 +2,11 @@
 import type { IncompleteCause } from "./incompleteCause.js";
 import type { IncompleteRequest } from "./incompleteRequest.js";
 
+/** What the fleet has recorded of instances, links and targets. */
+interface CauseRecords extends Pick<CooperativeFleet, "impairments" | "stopTimeoutMs"> {
+    readonly targets: readonly { readonly target: { readonly brokenRequests: ReadonlySet<string>; }; }[];
+}
+
 /** A closing connection can cross a request for this long. */
 const CROSSING_MS = 200;
 /** A request that is sent later than this after the signal to stop must end before the process does. */
@@ -16,7 +21,7 @@
  * @param arrivedAt Identifiers of the targets that ran the request.
  */
 export function findCause(
-    fleet: CooperativeFleet,
+    fleet: CauseRecords,
     request: IncompleteRequest,
     arrivedAt: readonly string[],
 ): IncompleteCause | undefined {
