--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -6,6 +6,9 @@
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { abortResponse } from "../../shared/abortResponse.js";
+import { parseListenAddress } from "../../shared/parseListenAddress.js";
+import { RequestDrain } from "../../shared/requestDrain.js";
+import { ServerConnections } from "../../shared/serverConnections.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerResponse } from "./callerResponse.js";
 import type { CallerServerOptions } from "./callerServerOptions.js";
@@ -19,6 +22,8 @@
     service: string | undefined;
 }
 
+/** Connections that do not fit into the queue of the operating system are acknowledged, too, and reset later. */
+const LISTEN_BACKLOG = 4096;
 const MAX_HEADER_BYTES = 16_384;
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 30_000;
@@ -26,13 +31,19 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 /** A caller that does not read the buffered end of its response must not block a planned stop. */
 const RESPONSE_READ_TIMEOUT_MS = 30_000;
+/** Time for requests on connections that were accepted a moment ago to arrive. */
+const LAST_ANSWERS_MS = 200;
 /** No request is in flight by then; open connections have sent part of a request at most. */
 const CLOSE_TIMEOUT_MS = 1000;
+const DRAIN_CHECK_INTERVAL_MS = 250;
 
 /** Serves callers over HTTP. */
 export class CallerServer {
     readonly #options: CallerServerOptions;
     readonly #server: Server;
+    readonly #connections: ServerConnections;
+    readonly #drain = RequestDrain.create();
+    readonly #drainTimer: NodeJS.Timeout;
     readonly #idleListeners: (() => void)[] = [];
     #requestsInFlight = 0;
     #isDraining = false;
@@ -45,6 +56,8 @@
             requestTimeout: REQUEST_TIMEOUT_MS,
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         }, (incoming, response) => void this.#serve(incoming, response));
+        this.#connections = ServerConnections.create(this.#server);
+        this.#drainTimer = setInterval(() => this.#drain.expire(options.getNow()), DRAIN_CHECK_INTERVAL_MS);
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
             const requestId = createUuid();
             this.#finish(
@@ -58,15 +71,12 @@
     /**
      * Starts listening and returns the server.
      *
-     * @throws Error when the address cannot be bound.
+     * @throws PortError when the address cannot be bound.
      */
     static async create(options: CallerServerOptions): Promise<CallerServer> {
         const server = new CallerServer(options);
-        const [host, port] = options.address.split(":");
-        await new Promise<void>((resolve, reject) => {
-            server.#server.once("error", reject);
-            server.#server.listen(Number(port), host, resolve);
-        });
+        const address = { ...parseListenAddress(options.address), backlog: LISTEN_BACKLOG };
+        await options.ports.openServer("callers", server.#server, address);
         return server;
     }
 
@@ -84,12 +94,11 @@
         }
     }
 
-    /** Stops listening, closes idle connections and resolves when the last connection has closed. */
+    /** Stops listening, refuses the requests that callers have sent, and resolves when the last connection has closed. */
     async close(): Promise<void> {
-        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
-        const timer = setTimeout(() => this.#server.closeAllConnections(), CLOSE_TIMEOUT_MS);
-        await closed;
-        clearTimeout(timer);
+        const now = performance.now();
+        await this.#connections.close({ answerBy: now + LAST_ANSWERS_MS, closeBy: now + CLOSE_TIMEOUT_MS });
+        clearInterval(this.#drainTimer);
     }
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -100,7 +109,10 @@
             service: undefined,
         };
         response.setHeader("x-request-id", exchange.requestId);
-        const writer = CallerResponse.create(response);
+        const writer = CallerResponse.create(
+            response,
+            body => this.#drain.finish(response, this.#options.getNow(), body),
+        );
         this.#requestsInFlight += 1;
         let result: RequestResult | undefined;
         let failure: RequestError | undefined;
@@ -186,7 +198,7 @@
         // On a kept connection, the unread rest of a body would be parsed as the next request.
         const isBodyUnread = error.code === "body-too-large" || error.code === "request-incomplete";
         if (!response.headersSent && (isBodyUnread || this.#isDraining)) {
-            response.setHeader("connection", "close");
+            response.shouldKeepAlive = false;
         }
         const { dataCentre, getView } = this.#options;
         writer.fail(error, {
--- a/src/platform/startServers.ts
+++ b/src/platform/startServers.ts
@@ -1,3 +1,4 @@
+import { planEnd } from "../core/routing/planEnd.js";
 import type { Router } from "../router/router.js";
 import { LookupServer } from "./lookupServer.js";
 
@@ -18,9 +19,9 @@
         return lookup;
     }
     catch (error) {
-        const now = performance.now();
-        await lookup?.close(now);
-        await router.close(now);
+        const plan = planEnd(performance.now(), performance.now());
+        await lookup?.close(plan);
+        await router.close(plan);
         throw error;
     }
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,6 +1,7 @@
 import { performance } from "node:perf_hooks";
 import { ChangeLog } from "../core/routing/changeLog.js";
 import type { ChangeSource } from "../core/routing/changeSource.js";
+import type { EndPlan } from "../core/routing/endPlan.js";
 import type { Locality } from "../core/routing/locality.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import { planEnd } from "../core/routing/planEnd.js";
@@ -167,19 +168,15 @@
         return this.#ended ??= this.#endOpenRequests(this.#getNow() + timeoutMs);
     }
 
-    /**
-     * Closes all connections and servers.
-     *
-     * @param until Monotonic time in milliseconds at which connections of peers are closed in any case.
-     */
-    async close(until: number): Promise<void> {
+    /** Closes all connections and servers. */
+    async close(plan: EndPlan): Promise<void> {
         this.#ingress?.close();
         this.#fleet?.close();
         this.#periodicCheck?.close();
         this.#targetAgents.close();
         this.#targetProber.close();
         this.#peerChangeSource.close();
-        await this.#changeFeed?.close(until);
+        await this.#changeFeed?.close(plan);
     }
 
     #endOpenRequests(endBy: number): Promise<void> {
@@ -203,9 +200,9 @@
             countActive: () => Math.max(this.#activeRequests.size, this.#ingress?.openRequests ?? 0),
             getNow: this.#getNow,
         });
-        const { closeBy } = planEnd(this.#getNow(), endBy);
-        await Promise.all([this.#ended ??= this.#endOpenRequests(endBy), this.#changeFeed?.close(closeBy)]);
-        await this.close(closeBy);
+        const plan = planEnd(this.#getNow(), endBy);
+        await Promise.all([this.#ended ??= this.#endOpenRequests(endBy), this.#changeFeed?.close(plan)]);
+        await this.close(plan);
         log.write("stopped", { active: this.#activeRequests.size });
         log.flush();
     }
@@ -228,6 +225,7 @@
             view: this.#view,
             resolver: this.#resolver,
             requestServer: this.#requestServer,
+            countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
             isStopping: () => this.#stopPlan !== undefined,
         });
--- a/test/adapters/operator/operatorServer.test.ts
+++ b/test/adapters/operator/operatorServer.test.ts
@@ -2,12 +2,14 @@
 import { request } from "undici";
 import { OperatorServer } from "../../../src/adapters/operator/operatorServer.js";
 import { buildStatusReport } from "../../../src/core/explain/buildStatusReport.js";
+import { createPortBinder } from "../../helpers/createPortBinder.js";
 
 const decision = { timeMs: 1, kind: "refused", reason: "queue-full", requestId: "r 1", account: "capel" };
 
 async function startServer(leaving: boolean): Promise<OperatorServer> {
     return OperatorServer.create({
         address: "127.0.0.1:0",
+        ports: createPortBinder(),
         instance: "daemon-0",
         renderMetrics: () => Promise.reject(new Error("broken page")),
         getStatus: () =>
@@ -43,14 +45,14 @@
 
 test("reports a daemon that has no configuration or is leaving as not ready", async t => {
     const server = await startServer(true);
-    t.teardown(() => server.close());
+    t.teardown(() => void server.close());
     t.deepEqual(await fetchPage(server, "/readyz"), [503, { notReady: ["no-configuration", "leaving"] }]);
     t.is((await fetchPage(server, "/healthz"))[0], 200);
 });
 
 test("finds decisions by request and by account and decodes names in the URL", async t => {
     const server = await startServer(false);
-    t.teardown(() => server.close());
+    t.teardown(() => void server.close());
     const expected = [200, { instance: "daemon-0", decisions: [decision] }];
     t.deepEqual(await fetchPage(server, "/v1/explain/requests/r%201"), expected);
     t.deepEqual(await fetchPage(server, "/v1/explain/accounts/capel"), expected);
@@ -58,7 +60,7 @@
 
 test("responds to a malformed path or a failing page with a problem document", async t => {
     const server = await startServer(false);
-    t.teardown(() => server.close());
+    t.teardown(() => void server.close());
     t.is((await fetchPage(server, "/v1/explain/accounts/%E0%A4%A"))[0], 404);
     t.is((await fetchPage(server, "/metrics"))[0], 500);
 });
