--- a/src/soak/findCause.ts
+++ b/src/soak/findCause.ts
@@ -11,6 +11,8 @@
 const CROSSING_MS = 200;
 /** A request that is sent later than this after the signal to stop must end before the process does. */
 const EARLY_MS = 3000;
+/** Callers use the addresses that they know for a while, so that a stopping instance listens for this share of the time to stop. */
+const LINGER_SHARE = 3 / 4;
 /** A target that is still at work after this share of the time to stop excuses a request that was sent earlier. */
 const STOP_SHARE = 5 / 6;
 
@@ -32,8 +34,10 @@
     }
     const stop = impairments.find(`stop ${host}`, sentAt, endedAt);
     const down = impairments.find(host, sentAt, endedAt);
-    if ((stop ?? down) && errorCode === "ECONNREFUSED") {
-        return "away";
+    if (errorCode === "ECONNREFUSED") {
+        const isEnded = down ?? impairments.find(`ended ${host}`, sentAt, endedAt);
+        const isClosing = stop !== undefined && sentAt > stop.from + stopTimeoutMs * LINGER_SHARE;
+        return isEnded ? "away" : isClosing ? "closing" : undefined;
     }
     if (down) {
         return down.kind === "paused" ? "paused" : "killed";
--- a/src/soak/incompleteCause.ts
+++ b/src/soak/incompleteCause.ts
@@ -2,7 +2,8 @@
  * Reason for which a request got no whole response:
  *
  * - `deadline`: it ended after the time that its caller waits.
- * - `away`: its connection was refused while the instance was killed, or after its stop.
+ * - `away`: its connection was refused after the end of a process, before its successor listened.
+ * - `closing`: its connection was refused in the last quarter of the time that a stopping instance has.
  * - `killed`, `paused`: its instance was, while it was open.
  * - `target`: a target crashed, or broke the response off or spoilt it.
  * - `link`: the link to its target was faulty, or, if no target got it, a link to some target of its service.
@@ -12,6 +13,7 @@
 export type IncompleteCause =
     | "deadline"
     | "away"
+    | "closing"
     | "killed"
     | "paused"
     | "target"
--- a/src/testing/platform/fleetInstanceGroup.ts
+++ b/src/testing/platform/fleetInstanceGroup.ts
@@ -171,6 +171,7 @@
         }, stopTimeoutMs + STOP_SLACK_MS);
         await process.stop(signal);
         clearTimeout(late);
+        endImpairments.push(impairments.start(`ended ${host}`));
     }
 
     /** Suspends an instance. Returns the function that resumes it. */
--- a/test/soak/findCause.test.ts
+++ b/test/soak/findCause.test.ts
@@ -47,7 +47,20 @@
         impairments: [["link plain"], ["link i-2"]],
         arrivedAt: ["i-1"],
     },
-    { name: "a stop that has ended", cause: "away", request: REFUSED, stop: [3900, 3901] },
+    {
+        name: "an instance that has stopped",
+        cause: "away",
+        impairments: [["ended h"]],
+        request: REFUSED,
+        stop: [2000, 2001],
+    },
+    {
+        name: "a refused connection at the end of a stop",
+        cause: "closing",
+        request: REFUSED,
+        stop: [3900, 3901],
+    },
+    { name: "a refused connection early in a stop", cause: undefined, request: REFUSED, stop: [2000, 2001] },
     { name: "a new connection at the end of a stop", cause: undefined, stop: [3900, 3901] },
     {
         name: "a kept connection that is closed at the end of a stop",
