--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -10,6 +10,7 @@
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { CallerLimits } from "./callerLimits.js";
+import { checkAcceptQueue } from "./checkAcceptQueue.js";
 import { endResponse } from "./endResponse.js";
 import type { IngressOptions } from "./ingressOptions.js";
 import { setCallerTimeouts } from "./setCallerTimeouts.js";
@@ -42,7 +43,7 @@
             requestTimeout: 0,
             noDelay: true,
         }, (incoming, response) => this.#acceptGuarded(incoming, response));
-        this.#serverConnections = ServerConnections.create(this.#server);
+        this.#serverConnections = ServerConnections.create(this.#server, options.connectionLimits.served);
         setCallerTimeouts(this.#server);
         const getMaxBodyBytes = (): number => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
         this.#bodies = BodyReader.create({
@@ -76,6 +77,7 @@
                 ingress.close();
                 throw error;
             });
+        void checkAcceptQueue(LISTEN_BACKLOG, options.log);
         return ingress;
     }
 
@@ -103,9 +105,14 @@
         }
     }
 
-    /** Answers the requests on the connections that callers have opened, accepts no more, and closes all. */
+    /** Accepts the connections that callers have opened until now, and no more; at the latest `until` (monotonic milliseconds). */
+    stopListening(until: number): Promise<void> {
+        return this.#serverConnections.stopListening(until);
+    }
+
+    /** Stops listening, answers the requests on open connections, and closes all. */
     async end({ answerBy, closeBy }: EndPlan): Promise<void> {
-        await this.#serverConnections.stopListening(answerBy);
+        await this.stopListening(answerBy);
         await this.#serverConnections.waitForResponses(answerBy);
         this.#refuseUnserved();
         this.#limits.endRefused();
