Postmortem of taken ports; the test of an outgoing connection decides beside load

The test of a port that an outgoing connection has failed once beside other fleets: the kernel had given the freed port to a connection of another process before the router could bind it, and kept it in TIME-WAIT.

--- a/test/platform/takenPorts.test.ts
+++ b/test/platform/takenPorts.test.ts
@@ -11,6 +11,8 @@
 const REQUIRED = ["callers", "readiness", "directory", "change-feed", "peer-reports"] as const;
 const TAKEN_MS = 400;
 const ENDED_MS = 15_000;
+/** Beside many other test processes, one of them may get the port that was just freed. */
+const MAX_ROUNDS = 20;
 /** An instance without a word of a peer for this long after its start accepts keys. */
 const ALONE_MS = 800;
 /** The log has the time of day, whose clock may be adjusted. */
@@ -121,14 +123,26 @@
 test.serial("a router waits for a port that an outgoing connection has", async t => {
     const starts = await RouterStarts.create(t);
     for (const key of ["callerAddress", "readinessAddress", "directoryAddress"] as const) {
-        const connection = await connectAlone();
-        const settings = { ...starts.settings, [key]: `127.0.0.1:${connection.port}` };
-        const router = starts.startWith(JSON.stringify(settings));
-        await waitForPort(router, settings[key]);
-        await connection.close();
-        await starts.waitUntilServing(router, settings);
-        router.child.kill("SIGKILL");
-        await router.exited;
+        let isServed = false;
+        for (let round = 0; !isServed && round < MAX_ROUNDS; round += 1) {
+            const connection = await connectAlone();
+            const settings = { ...starts.settings, [key]: `127.0.0.1:${connection.port}` };
+            const router = starts.startWith(JSON.stringify(settings));
+            await waitForPort(router, settings[key]);
+            await connection.close();
+            const isListening = (): boolean => router.getOutput().includes(`"event":"listening"`);
+            await waitUntil(
+                "the process listens, or another process has a connection with the port",
+                () => isListening() || connection.isReused(),
+            );
+            if (isListening()) {
+                await starts.waitUntilServing(router, settings);
+                isServed = true;
+            }
+            router.child.kill("SIGKILL");
+            await router.exited;
+        }
+        t.true(isServed, key);
     }
 });
 
--- a/test/testing/platform/connectAlone.ts
+++ b/test/testing/platform/connectAlone.ts
@@ -7,6 +7,8 @@
     readonly port: number;
     /** Closes the connection; resolves when its port is free. */
     readonly close: () => Promise<void>;
+    /** Whether the operating system has given the port to another connection since. */
+    readonly isReused: () => boolean;
 }
 
 const MAX_CONNECTIONS = 500;
@@ -26,20 +28,19 @@
             socket.end();
             await closed;
         };
-        if (countUses(socket.remotePort ?? 0) === 1) {
+        const port = socket.remotePort ?? 0;
+        if (countUses(port) === 1) {
             server.close();
-            return { port: socket.remotePort ?? 0, close };
+            return { port, close, isReused: () => countUses(port) > 0 };
         }
         await close();
     }
     throw new Error("Each port that the operating system gave has another use.");
 }
 
-/** Counts the connections with a local port. */
+/** Counts the connections with a local port, but not a server that listens there (state 0A). */
 function countUses(port: number): number {
-    const local = new RegExp(
-        `^ *\\d+: [0-9A-F]{8}:${port.toString(16).toUpperCase().padStart(HEX_DIGITS, "0")} `,
-        "u",
-    );
+    const digits = port.toString(16).toUpperCase().padStart(HEX_DIGITS, "0");
+    const local = new RegExp(`^ *\\d+: [0-9A-F]{8}:${digits} [0-9A-F]{8}:[0-9A-F]{4} (?!0A)`, "u");
     return readFileSync("/proc/net/tcp", "utf8").split("\n").filter(line => local.test(line)).length;
 }
