The daemon bounds the bodies of all requests together

Cause: readBody bounds each body, not their sum, so that a daemon without a setting of its memory held as many bodies as callers sent.

Change: bodies take their bytes from one budget of 40 MB (0.15 of the 256 MB of a daemon) until their responses have ended; beyond it a request is refused by its head, or within its body, with 503 `memory-limit` and Retry-After.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -3,6 +3,8 @@
 import { v7 as createUuid } from "uuid";
 import { RequestError } from "../../core/errors/requestError.js";
 import { listEntries } from "../../core/membership/listEntries.js";
+import { HeldBytes } from "../../core/memory/heldBytes.js";
+import { MemoryBudget } from "../../core/memory/memoryBudget.js";
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { abortResponse } from "../../shared/abortResponse.js";
@@ -19,6 +21,8 @@
     service: string | undefined;
 }
 
+/** A daemon has 256 MB; this is the share that the router's bodies get. */
+const MAX_HELD_BYTES = 40_000_000;
 const MAX_HEADER_BYTES = 16_384;
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 30_000;
@@ -33,12 +37,15 @@
 export class CallerServer {
     readonly #options: CallerServerOptions;
     readonly #server: Server;
+    /** Bodies of the requests in flight. */
+    readonly #bodies: MemoryBudget;
     readonly #idleListeners: (() => void)[] = [];
     #requestsInFlight = 0;
     #isDraining = false;
 
     private constructor(options: CallerServerOptions) {
         this.#options = options;
+        this.#bodies = MemoryBudget.create(options.maxHeldBytes ?? MAX_HELD_BYTES);
         this.#server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
             headersTimeout: HEADERS_TIMEOUT_MS,
@@ -131,7 +138,7 @@
             this.#sendEntries(incoming, writer);
             return undefined;
         }
-        const request = await this.#read(incoming, exchange);
+        const request = await this.#read(incoming, response, exchange);
         this.#options.onReceived(request);
         const abort = new AbortController();
         response.once("close", () => {
@@ -146,7 +153,11 @@
         return this.#options.execute(request, writer, abort.signal);
     }
 
-    async #read(incoming: IncomingMessage, exchange: Exchange): Promise<CallerRequest> {
+    async #read(
+        incoming: IncomingMessage,
+        response: ServerResponse,
+        exchange: Exchange,
+    ): Promise<CallerRequest> {
         if (this.#isDraining) {
             throw RequestError.create("instance-leaving", "The instance is leaving; use another entry.");
         }
@@ -159,7 +170,9 @@
         }
         const account = authenticateCaller(incoming.headers.authorization, index);
         exchange.account = account.name;
-        const request = await readCallerRequest({ ...exchange, incoming, index, account });
+        const held = HeldBytes.create(this.#bodies);
+        response.once("close", () => held.release());
+        const request = await readCallerRequest({ ...exchange, incoming, held, index, account });
         exchange.service = request.service.name;
         return request;
     }
@@ -184,7 +197,8 @@
 
     #fail(error: RequestError, writer: CallerResponse, response: ServerResponse, exchange: Exchange): void {
         // On a kept connection, the unread rest of a body would be parsed as the next request.
-        const isBodyUnread = error.code === "body-too-large" || error.code === "request-incomplete";
+        const isBodyUnread = error.code === "body-too-large" || error.code === "memory-limit"
+            || error.code === "request-incomplete";
         if (!response.headersSent && (isBodyUnread || this.#isDraining)) {
             response.setHeader("connection", "close");
         }
--- a/src/adapters/caller/callerServerOptions.ts
+++ b/src/adapters/caller/callerServerOptions.ts
@@ -12,6 +12,8 @@
     readonly dataCentre: string;
     /** Time for which a response to `GET /v1/entries` is valid, in milliseconds. */
     readonly entriesTermMs: number;
+    /** Limit of the bodies of all requests in flight together, in bytes. @default 40,000,000 */
+    readonly maxHeldBytes?: number;
     readonly getView: () => ClusterView;
     /** Waits a bounded time for a configuration. If absent, requests without a configuration are refused at once. */
     readonly waitForConfiguration?: () => Promise<void>;
--- a/src/adapters/caller/readBody.ts
+++ b/src/adapters/caller/readBody.ts
@@ -1,30 +1,49 @@
 import type { IncomingMessage } from "node:http";
 import { RequestError } from "../../core/errors/requestError.js";
+import type { HeldBytes } from "../../core/memory/heldBytes.js";
+
+const RETRY_AFTER_SECONDS = 1;
 
 /**
  * Reads a whole request body.
  *
- * @throws RequestError `body-too-large`, or `request-incomplete` when the connection ends before the body does.
+ * @param held Holds the bytes of the body until its request has ended.
+ * @throws RequestError `body-too-large`, `memory-limit` when the bodies of all requests take too much memory, or `request-incomplete` when the connection ends before the body does.
  */
-export function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer> {
+export function readBody(incoming: IncomingMessage, maxBytes: number, held: HeldBytes): Promise<Buffer> {
     return new Promise((resolve, reject) => {
         const chunks: Buffer[] = [];
         let length = 0;
-        const refuse = (): void => {
+        const refuse = (error: RequestError): void => {
             incoming.off("data", onData);
             incoming.pause();
-            reject(RequestError.create("body-too-large", `The body is larger than ${maxBytes} bytes.`));
+            reject(error);
         };
+        const refuseTooLarge = (): void =>
+            refuse(RequestError.create("body-too-large", `The body is larger than ${maxBytes} bytes.`));
+        const refuseForMemory = (): void =>
+            refuse(RequestError.create("memory-limit", "The instance holds too many bodies.", {
+                retryAfterSeconds: RETRY_AFTER_SECONDS,
+            }));
         const onData = (chunk: Buffer): void => {
             length += chunk.length;
             if (length > maxBytes) {
-                refuse();
+                refuseTooLarge();
+                return;
+            }
+            if (!held.add(chunk.length)) {
+                refuseForMemory();
                 return;
             }
             chunks.push(chunk);
         };
-        if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
-            refuse();
+        const declaredBytes = Number(incoming.headers["content-length"] ?? 0);
+        if (declaredBytes > maxBytes) {
+            refuseTooLarge();
+            return;
+        }
+        if (!held.has(declaredBytes)) {
+            refuseForMemory();
             return;
         }
         incoming.on("data", onData);
--- a/src/adapters/caller/readCallerRequest.ts
+++ b/src/adapters/caller/readCallerRequest.ts
@@ -2,6 +2,7 @@
 import type { ClientAccount } from "../../core/configuration/clientAccount.js";
 import type { ConfigurationIndex } from "../../core/configuration/configurationIndex.js";
 import { RequestError } from "../../core/errors/requestError.js";
+import type { HeldBytes } from "../../core/memory/heldBytes.js";
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import { selectEndToEndHeaders } from "../../core/request/selectEndToEndHeaders.js";
 import { parseChat } from "./parseChat.js";
@@ -11,6 +12,8 @@
 
 interface ReadOptions {
     readonly incoming: IncomingMessage;
+    /** Holds the bytes of the body until the request has ended. */
+    readonly held: HeldBytes;
     readonly requestId: string;
     readonly account: ClientAccount;
     readonly index: ConfigurationIndex;
@@ -61,11 +64,12 @@
 }
 
 async function readChat(options: ReadOptions): Promise<CallerRequest> {
-    const { account, incoming, index } = options;
+    const { account, incoming, held, index } = options;
     const common = parseCommon(options);
     const models = account.services.map(name => index.services.get(name))
         .filter(service => service?.kind === "model");
-    const body = await readBody(incoming, Math.max(0, ...models.map(service => service?.maxBodyBytes ?? 0)));
+    const maxBytes = Math.max(0, ...models.map(service => service?.maxBodyBytes ?? 0));
+    const body = await readBody(incoming, maxBytes, held);
     const chat = parseChat(body);
     const service = resolveService(index, account, "model", chat.model);
     if (body.length > service.maxBodyBytes) {
@@ -85,10 +89,10 @@
 }
 
 async function readPlain(options: ReadOptions, name: string, rest: string): Promise<CallerRequest> {
-    const { account, incoming, index } = options;
+    const { account, incoming, held, index } = options;
     const common = parseCommon(options);
     const service = resolveService(index, account, "plain", name);
-    const body = await readBody(incoming, service.maxBodyBytes);
+    const body = await readBody(incoming, service.maxBodyBytes, held);
     return {
         ...common,
         service,
--- a/src/adapters/caller/statusByRefusalReason.ts
+++ b/src/adapters/caller/statusByRefusalReason.ts
@@ -11,6 +11,7 @@
     "malformed-deadline": 400,
     "malformed-idempotency-key": 400,
     "body-too-large": 413,
+    "memory-limit": 503,
     "headers-too-large": 431,
     "request-incomplete": 400,
     "queue-full": 429,
--- a/src/core/errors/refusalReason.ts
+++ b/src/core/errors/refusalReason.ts
@@ -9,6 +9,7 @@
     | "malformed-deadline"
     | "malformed-idempotency-key"
     | "body-too-large"
+    | "memory-limit"
     | "headers-too-large"
     | "request-incomplete"
     | "queue-full"
