--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,7 +1,6 @@
 // Loaded first, so that a signal during the start does not end the process.
 import { startupSignals } from "../shared/startupSignals.js";
 
-import { readFileSync } from "node:fs";
 import { performance } from "node:perf_hooks";
 import { planEnd } from "../core/routing/planEnd.js";
 import { ErrorBoundary } from "../router/errorBoundary.js";
@@ -9,6 +8,7 @@
 import { Router } from "../router/router.js";
 import { RouterMetrics } from "../router/routerMetrics.js";
 import { PortBinder } from "../shared/portBinder.js";
+import { readWholeJson } from "../shared/readWholeJson.js";
 import { createErrorEnd } from "./createErrorEnd.js";
 import { createPlannedEnd } from "./createPlannedEnd.js";
 import { endStart } from "./endStart.js";
@@ -23,6 +23,8 @@
 const INTERNAL_ERROR_EXIT_CODE = 1;
 /** Part of the time reserved for the end in which the directory and the readiness check end. */
 const LOOKUP_CLOSE_MS = 80;
+/** The platform writes a settings file of a few kilobytes in much less time. */
+const SETTINGS_WAIT_MS = 2000;
 
 let log = LogSink.create({});
 let endRequests = (_timeoutMs: number): Promise<void> => Promise.resolve();
@@ -32,7 +34,17 @@
     const startStop = new AbortController();
     startupSignals.attach("SIGTERM", () => startStop.abort());
     const path = process.argv[2] ?? process.env["BAOBABSPREAD_NODE_FILE"] ?? DEFAULT_SETTINGS_PATH;
-    const settings = parseSettings(readFileSync(path, "utf8"), readDescriptorLimit());
+    const text = await readWholeJson(path, {
+        deadline: getNow() + SETTINGS_WAIT_MS,
+        stopSignal: startStop.signal,
+        getNow,
+        onWait: reason => {
+            log.write("settings-awaited", { path, reason });
+            // Written before the log that names the instance replaces this one.
+            log.flush();
+        },
+    });
+    const settings = parseSettings(text, readDescriptorLimit());
     log = LogSink.create({ instance: settings.router.instance });
     startupSignals.observe((signal, action) => log.write("signal-received", { signal, action }));
     const { locality, maxDescriptors } = settings.router;
--- a/src/router/callerLimits.ts
+++ b/src/router/callerLimits.ts
@@ -1,15 +1,17 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
-import { RequestDrain } from "../shared/requestDrain.js";
 import { CallerByteLimit } from "./callerByteLimit.js";
 import { ConnectionLimit } from "./connectionLimit.js";
 import type { LogSink } from "./logSink.js";
+import type { RequestMemory } from "./requestMemory.js";
+import { UnreadResponses } from "./unreadResponses.js";
 
 interface CallerLimitsOptions {
     readonly connectionLimits: ReturnType<typeof computeConnectionLimits>;
     readonly countTargetConnections: () => number;
     readonly getMaxBodyBytes: () => number;
+    readonly memory: RequestMemory;
     readonly log: Pick<LogSink, "write">;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
@@ -17,12 +19,12 @@
 
 const CHECK_INTERVAL_MS = 250;
 
-/** Limits of callers' connections: their number, the bytes between two requests, and the time after a last response. */
+/** Limits of callers' connections: their number, the bytes between two requests, and unread responses. */
 export class CallerLimits {
     readonly #options: CallerLimitsOptions;
     readonly #byteLimit: CallerByteLimit;
     readonly #connectionLimit: ConnectionLimit;
-    readonly #drain = RequestDrain.create();
+    readonly #unread: UnreadResponses;
     readonly #timer: NodeJS.Timeout;
 
     private constructor(options: CallerLimitsOptions) {
@@ -38,6 +40,7 @@
             onChanged: (isReached, open) => log.write("connection-limit-changed", { isReached, open }),
             onClosed: open => log.write("caller-connection-failed", { reason: "connection-limit", open }),
         });
+        this.#unread = UnreadResponses.create(options);
         this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
     }
 
@@ -63,14 +66,9 @@
         return !this.#connectionLimit.isSurplus(socket);
     }
 
-    /** Ends a response without a body; if its connection closes after it, once the request has been read. */
-    finish(response: ServerResponse): void {
-        this.#drain.finish(response, this.#options.getNow());
-    }
-
-    /** Ends the responses that wait for the rest of their requests, because the process ends. */
-    endRefused(): void {
-        this.#drain.expire(Number.POSITIVE_INFINITY);
+    /** Adds the response that is due for a request with a deadline in monotonic milliseconds. */
+    addDue(response: ServerResponse, deadline: number): void {
+        this.#unread.add(response, deadline);
     }
 
     /** Stops checking; connections close elsewhere. */
@@ -79,9 +77,8 @@
     }
 
     #check(): void {
-        const now = this.#options.getNow();
         this.#byteLimit.check();
-        this.#drain.expire(now);
-        this.#connectionLimit.expire(now);
+        this.#unread.check();
+        this.#connectionLimit.expire(this.#options.getNow());
     }
 }
--- a/src/router/changeFeedServer.ts
+++ b/src/router/changeFeedServer.ts
@@ -63,7 +63,8 @@
             await ports.openServer("change-feed", feed.#server, { host, port });
         }
         catch (error) {
-            await feed.close(planEnd(options.getNow(), options.getNow()));
+            const now = options.getNow();
+            await feed.close(planEnd(now, now));
             throw error;
         }
         return feed;
--- a/test/router/connectionLimit.test.ts
+++ b/test/router/connectionLimit.test.ts
@@ -8,6 +8,10 @@
 interface LimitHarness {
     readonly limit: ConnectionLimit;
     readonly changes: readonly boolean[];
+    /** Numbers of open connections when one was closed. */
+    readonly closed: readonly number[];
+    /** What was sent before the end of a connection. */
+    readonly sent: readonly string[];
     /** Adds a connection. */
     readonly add: () => Socket;
     readonly advance: (ms: number) => void;
@@ -16,15 +20,21 @@
 function createLimit(targetConnections: number): LimitHarness {
     let now = 0;
     const changes: boolean[] = [];
+    const closed: number[] = [];
+    const sent: string[] = [];
     const limit = ConnectionLimit.create({
         ...LIMITS,
         countTargetConnections: () => targetConnections,
         getNow: () => now,
         onChanged: isReached => changes.push(isReached),
-        onClosed: () => undefined,
+        onClosed: open => closed.push(open),
     });
     const add = (): Socket => {
-        const socket = Object.assign(new Socket(), { write: () => true });
+        const socket = new Socket();
+        socket.end = ((text: string) => {
+            sent.push(text);
+            return socket;
+        }) as typeof socket.end;
         limit.add(socket);
         return socket;
     };
@@ -32,7 +42,7 @@
         now += ms;
         limit.expire(now);
     };
-    return { limit, changes, add, advance };
+    return { limit, changes, closed, sent, add, advance };
 }
 
 test("serves connections up to the limit, and further ones again once others have closed", async t => {
@@ -56,10 +66,13 @@
 });
 
 test("closes a surplus connection that brings no request in time, and those beyond the descriptors at once", t => {
-    const { limit, add, advance } = createLimit(3);
+    const { limit, closed, sent, add, advance } = createLimit(3);
     add();
     const surplus = [add(), add()];
-    t.true(add().writableEnded);
+    t.deepEqual(closed, []);
+    add();
+    t.deepEqual(closed, [3]);
+    t.regex(sent.join(), /^HTTP\/1\.1 503 .*\r\nRetry-After: 1\r\n/);
     advance(4000);
     t.false(surplus.some(socket => socket.destroyed));
     advance(2000);
--- a/test/router/ingress.test.ts
+++ b/test/router/ingress.test.ts
@@ -7,6 +7,7 @@
 import { Ingress } from "../../src/router/ingress.js";
 import { LogSink } from "../../src/router/logSink.js";
 import { createPortBinder } from "../helpers/createPortBinder.js";
+import { makeRequestMemory } from "../testing/router/makeRequestMemory.js";
 
 async function findPort(): Promise<number> {
     const server = createServer().listen(0, "127.0.0.1");
@@ -40,7 +41,7 @@
         ports: createPortBinder(),
         wire: platformWireFormat,
         log,
-        maxBufferedBytes: 1_000_000,
+        memory: makeRequestMemory(1_000_000),
         connectionLimits: { served: 1000, surplus: 100, descriptors: 2000 },
         countTargetConnections: () => 0,
         getNow,
