--- a/src/router/memoryGuard.ts
+++ b/src/router/memoryGuard.ts
@@ -9,8 +9,8 @@
     /** Limit of the resident memory in bytes. */
     readonly limitBytes: number;
     readonly log: Pick<LogSink, "write">;
-    /** Collects garbage; `undefined` if the process was started without `--expose-gc`. */
-    readonly collect: NodeJS.GCFunction | undefined;
+    /** Collects garbage, of the young generation only if `isMinor`; `undefined` if the process was started without `--expose-gc`. */
+    readonly collect: ((isMinor: boolean) => void) | undefined;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -74,7 +74,7 @@
         this.#memory = MemoryGuard.create({
             limitBytes: settings.memoryBytes,
             log: options.log,
-            collect: globalThis.gc,
+            collect: globalThis.gc && (isMinor => void globalThis.gc?.(isMinor)),
             getNow: this.#getNow,
         });
         this.#loadObserver = LoadObserver.create(options.log);
