Memory for a body grows with what arrives

Callers saw 503 for every request of an instance as long as a few others uploaded slowly: memory for the whole declared length was allocated before its first byte. The bytes are not resident, but they count as external memory, by which the guard of the resident memory decides. 60 callers that declared 4 MB each and sent 100 bytes, or 1,500 that declared 60 KB, made the memory count as scarce (estimated 288 and 169 MB, resident 57 and 80 MB) until their deadlines.

The memory now begins with 16 KB at the first part and doubles up to the declared length.

--- a/src/router/requestBody.ts
+++ b/src/router/requestBody.ts
@@ -1,12 +1,17 @@
+/** First memory for a body whose length is known. */
+const FIRST_CAPACITY_BYTES = 16_384;
+
 /** Body of a request, as far as it has arrived. */
 export class RequestBody {
-    /** Memory for a body whose length is known; pages that nothing was written to are not resident. */
-    readonly #bytes: Buffer | undefined;
+    /** Length of the body; `undefined` if it is not known. */
+    readonly #declaredBytes: number | undefined;
+    /** Memory for a body whose length is known. It grows with what arrives, since a caller may send less than it has declared. */
+    #bytes = Buffer.alloc(0);
     readonly #parts: Buffer[] = [];
     #length = 0;
 
     private constructor(declaredBytes: number | undefined) {
-        this.#bytes = declaredBytes === undefined ? undefined : Buffer.allocUnsafeSlow(declaredBytes);
+        this.#declaredBytes = declaredBytes;
     }
 
     /**
@@ -23,19 +28,31 @@
         return this.#length;
     }
 
-    /** Adds a part. It is copied if there is memory for the body, so that it need not be held until the end. */
+    /** Adds a part. It is copied if the length of the body is known, so that it need not be held until the end. */
     append(part: Buffer): void {
-        if (this.#bytes) {
-            part.copy(this.#bytes, this.#length);
+        const length = this.#length + part.length;
+        if (this.#declaredBytes === undefined) {
+            this.#parts.push(part);
         }
         else {
-            this.#parts.push(part);
+            this.#reserve(length, this.#declaredBytes);
+            part.copy(this.#bytes, this.#length);
         }
-        this.#length += part.length;
+        this.#length = length;
     }
 
     /** Returns the complete body. */
     join(): Buffer {
-        return this.#bytes ?? Buffer.concat(this.#parts);
+        return this.#declaredBytes === undefined ? Buffer.concat(this.#parts) : this.#bytes;
+    }
+
+    #reserve(length: number, declaredBytes: number): void {
+        const capacity = this.#bytes.length;
+        if (length > capacity) {
+            const grown = Math.min(declaredBytes, Math.max(length, capacity * 2, FIRST_CAPACITY_BYTES));
+            const bytes = Buffer.allocUnsafeSlow(grown);
+            this.#bytes.copy(bytes, 0, 0, this.#length);
+            this.#bytes = bytes;
+        }
     }
 }
