Connection limit: left also when connections to targets close

An instance looked whether it was below its connection limit only when a served connection of a caller closed. If connections to targets had taken the descriptors and no caller's connection was being served, nothing closed: the instance told its peers that it was busy for good, and callers who are sent elsewhere brought no connection that could close.

The check of the surplus connections, which runs all 250 ms, looks as well. Before, the new test saw the limit still reached; now it is left.

--- a/src/router/connectionLimit.ts
+++ b/src/router/connectionLimit.ts
@@ -52,9 +52,7 @@
             this.#served.add(socket);
             socket.once("close", () => {
                 this.#served.delete(socket);
-                if (this.#served.size < this.#countServable() * RECOVERED_SHARE) {
-                    this.#setReached(false);
-                }
+                this.#recover();
             });
             return;
         }
@@ -74,8 +72,10 @@
         return this.#surplus.has(socket);
     }
 
-    /** Closes the surplus connections that are open at their deadlines. */
+    /** Closes the surplus connections that are open at their deadlines, and looks whether connections can be served again. */
     expire(now: number): void {
+        // Connections to targets also leave descriptors when no caller's connection closes.
+        this.#recover();
         for (const [socket, deadline] of this.#surplus) {
             if (deadline <= now) {
                 this.#options.onClosed(this.openConnections);
@@ -89,6 +89,12 @@
         return Math.min(served, descriptors - surplus - countTargetConnections());
     }
 
+    #recover(): void {
+        if (this.#served.size < this.#countServable() * RECOVERED_SHARE) {
+            this.#setReached(false);
+        }
+    }
+
     #setReached(isReached: boolean): void {
         if (this.#isReached !== isReached) {
             this.#isReached = isReached;
--- a/test/router/connectionLimit.test.ts
+++ b/test/router/connectionLimit.test.ts
@@ -15,10 +15,12 @@
     /** Adds a connection. */
     readonly add: () => Socket;
     readonly advance: (ms: number) => void;
+    readonly setTargetConnections: (count: number) => void;
 }
 
-function createLimit(targetConnections: number): LimitHarness {
+function createLimit(initialTargetConnections: number): LimitHarness {
     let now = 0;
+    let targetConnections = initialTargetConnections;
     const changes: boolean[] = [];
     const closed: number[] = [];
     const sent: string[] = [];
@@ -42,7 +44,8 @@
         now += ms;
         limit.expire(now);
     };
-    return { limit, changes, closed, sent, add, advance };
+    const setTargetConnections = (count: number): void => void (targetConnections = count);
+    return { limit, changes, closed, sent, add, advance, setTargetConnections };
 }
 
 test("serves connections up to the limit, and further ones again once others have closed", async t => {
@@ -79,3 +82,16 @@
     t.true(surplus.every(socket => socket.destroyed));
     t.true(limit.isReached);
 });
+
+// The state was left only when a connection that is served closed: an instance without one stayed busy for good, and its
+// callers, who avoid busy instances, brought none.
+test("leaves the limit once connections to targets have closed, also if no caller's connection does", t => {
+    const { limit, changes, add, advance, setTargetConnections } = createLimit(LIMITS.served);
+    t.true(limit.isSurplus(add()));
+    advance(250);
+    t.true(limit.isReached);
+    setTargetConnections(0);
+    advance(250);
+    t.false(limit.isReached);
+    t.deepEqual(changes, [true, false]);
+});
