Test of the resident memory: callers connect again where the router has announced the end of the connection

With 178 MB 2,278 connections are served. The first request of each further one is refused with `Connection: close`, but the callers of the test sent their next request on it, and found it closed.

--- a/test/testing/memory/callerCrowd.ts
+++ b/test/testing/memory/callerCrowd.ts
@@ -14,10 +14,12 @@
 }
 
 interface CrowdCaller {
-    readonly socket: Socket;
+    socket: Socket;
     /** First bytes of the response. */
     received: string;
     isClosed: boolean;
+    /** True if the router has announced that it closes the connection, so that the next request needs another one. */
+    isLast: boolean;
 }
 
 /** Connections that are opened at once: no more than a short accept queue holds. */
@@ -26,16 +28,21 @@
 const ACCEPT_MS = 20;
 const HEAD_BYTES = 64;
 
-/** Callers that send a request each, on connections that the router has accepted before. */
+/** Callers that send a request each, on connections that the router has accepted before unless it has announced their end. */
 export class CallerCrowd {
+    readonly #fleet: CooperativeFleet;
     readonly #callers: CrowdCaller[] = [];
 
+    private constructor(fleet: CooperativeFleet) {
+        this.#fleet = fleet;
+    }
+
     /** Opens the connections of callers that read nothing until `resumeReading`. */
     static async createUnreading(fleet: CooperativeFleet, callers: number): Promise<CallerCrowd> {
-        const crowd = new CallerCrowd();
+        const crowd = new CallerCrowd(fleet);
         for (let i = 0; i < callers; i += CONNECT_CALLERS) {
             await Promise.all(Array.from({ length: Math.min(CONNECT_CALLERS, callers - i) }, async () => {
-                const { socket } = crowd.#connect(fleet);
+                const { socket } = crowd.#add();
                 socket.pause();
                 await once(socket, "connect");
             }));
@@ -46,12 +53,13 @@
 
     /** Opens the connections of the callers; each has had one response on its own. */
     static async create(fleet: CooperativeFleet, callers: number): Promise<CallerCrowd> {
-        const crowd = new CallerCrowd();
+        const crowd = new CallerCrowd(fleet);
         for (let i = 0; i < callers; i += CONNECT_CALLERS) {
             await Promise.all(Array.from({ length: Math.min(CONNECT_CALLERS, callers - i) }, async () => {
-                const { socket } = crowd.#connect(fleet);
-                socket.write("GET /none HTTP/1.1\r\nHost: none\r\nRequest-Id: none\r\n\r\n");
-                await once(socket, "data");
+                const caller = crowd.#add();
+                caller.socket.write("GET /none HTTP/1.1\r\nHost: none\r\nRequest-Id: none\r\n\r\n");
+                const [data] = await once(caller.socket, "data") as [Buffer];
+                caller.isLast = /^connection: close\r$/imu.test(data.toString("latin1"));
             }));
         }
         return crowd;
@@ -65,6 +73,9 @@
             if (i > 0 && i % waveCallers === 0) {
                 await new Promise(resolve => setTimeout(resolve, waveMs));
             }
+            if (caller.isLast) {
+                this.#renew(caller);
+            }
             sendRequest(caller, request, body);
         }
     }
@@ -94,18 +105,31 @@
         this.#callers.forEach(({ socket }) => socket.destroy());
     }
 
-    #connect(fleet: CooperativeFleet): CrowdCaller {
-        const [instance] = fleet.instances;
-        const { hostname, port } = new URL(instance ? fleet.getUrls(instance).callers : "");
-        const socket = connect(Number(port), hostname);
-        const caller: CrowdCaller = { socket, received: "", isClosed: false };
+    #add(): CrowdCaller {
+        const caller: CrowdCaller = { socket: this.#connect(), received: "", isClosed: false, isLast: false };
+        watchClose(caller);
         this.#callers.push(caller);
-        socket.on("error", () => undefined);
-        socket.on("close", () => {
-            caller.isClosed = true;
-        });
         return caller;
     }
+
+    #renew(caller: CrowdCaller): void {
+        Object.assign(caller, { socket: this.#connect(), isClosed: false, isLast: false });
+        watchClose(caller);
+    }
+
+    #connect(): Socket {
+        const [instance] = this.#fleet.instances;
+        const { hostname, port } = new URL(instance ? this.#fleet.getUrls(instance).callers : "");
+        return connect(Number(port), hostname);
+    }
+}
+
+function watchClose(caller: CrowdCaller): void {
+    const { socket } = caller;
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+        caller.isClosed ||= caller.socket === socket;
+    });
 }
 
 let nextRequest = 0;
