Soak: times of refused connections, and one connection that the close of a listening socket resets

The end of the request is compared now.

The kernel can accept a connection between the last look at its queue and the close of the listening socket.

--- a/src/soak/findCause.ts
+++ b/src/soak/findCause.ts
@@ -36,7 +36,8 @@
     const down = impairments.find(host, sentAt, endedAt);
     if (errorCode === "ECONNREFUSED") {
         const isEnded = down ?? impairments.find(`ended ${host}`, sentAt, endedAt);
-        const isClosing = stop !== undefined && sentAt > stop.from + stopTimeoutMs * LINGER_SHARE;
+        // A busy caller opens the connection later than it says.
+        const isClosing = stop !== undefined && endedAt > stop.from + stopTimeoutMs * LINGER_SHARE;
         return isEnded ? "away" : isClosing ? "closing" : undefined;
     }
     if (down) {
@@ -56,6 +57,13 @@
     if (arrivedAt.length > 0) {
         return isAtEndOfStop ? "stop-timeout" : undefined;
     }
+    if (endedAt >= sentAt + CROSSING_MS) {
+        return undefined;
+    }
     // The instance cannot know of a request that its caller writes while it closes an idle connection.
-    return isReused && endedAt < sentAt + CROSSING_MS ? "crossed" : undefined;
+    if (isReused) {
+        return "crossed";
+    }
+    // The kernel may accept a connection between the instance's last look at the queue and the close of the listening socket.
+    return stop && endedAt > stop.from + stopTimeoutMs * LINGER_SHARE ? "queued" : undefined;
 }
