--- a/test/platform/endOfStop.test.ts
+++ b/test/platform/endOfStop.test.ts
@@ -105,7 +105,9 @@
         let isGone = false;
         void stopped?.then(() => isGone = true);
         while (!isGone) {
-            calls.push(rawCaller.send(url, formatRequest(`late-${calls.length}`)));
+            for (let i = 0; i < 5; i += 1) {
+                calls.push(rawCaller.send(url, formatRequest(`late-${calls.length}`)));
+            }
             await waitMs(2);
         }
         t.is(await stopped, 0);
