Memory pressure: a low limit leaves room for an idle process

With a limit of 64 MB a router refused every request from its start (memory scarce, estimated 65 MB, resident 57 MB), and from the marks one of 80 MB would not have recovered from a burst: the least room of 16 MB, meant to keep some service, was less than the committed heap of an idle process takes, about 20 MB. It is 48 MB now.

Before, the new test saw memory scarce for an idle process, and a real router with 64 MB answered no request in 20 s; now 50 of 50 requests got 200. Deployments with 94 MB and more keep their marks.

--- a/src/core/memory/memoryPressure.ts
+++ b/src/core/memory/memoryPressure.ts
@@ -12,8 +12,11 @@
     readonly residentBytes: number;
 }
 
-/** Least room beside the baseline that is assumed, so that a limit that is too low does not stop all service. */
-const MIN_ROOM_BYTES = 16_777_216;
+/**
+ * Least room beside the baseline that is assumed, so that a limit that is too low does not stop all service: the committed heap
+ * of an idle process takes 20 MB of it, which have to stay below the low mark.
+ */
+const MIN_ROOM_BYTES = 50_331_648;
 /** Marks, as parts of what the limit leaves beside the baseline; the rest is for fragments that the allocator keeps. */
 const COLLECT_MARK = 0.3;
 const LOW_MARK = 0.55;
--- a/test/core/memory/memoryPressure.test.ts
+++ b/test/core/memory/memoryPressure.test.ts
@@ -52,6 +52,19 @@
     t.false(pressure.isScarce);
 });
 
+// The heap of an idle process was above the marks, so that each request was refused for as long as the process lived.
+test("a limit that an idle process nearly reaches leaves room for some requests, also after a burst", t => {
+    for (const limitMb of [1, 64, 80]) {
+        const pressure = MemoryPressure.create(limitMb * MB);
+        pressure.observe(makeUsage(0, 57));
+        t.false(pressure.isScarce, `idle, ${limitMb} MB`);
+        pressure.observe(makeUsage(60, 110));
+        t.true(pressure.isScarce, `burst, ${limitMb} MB`);
+        pressure.observe(makeUsage(0, 100));
+        t.false(pressure.isScarce, `after the burst, ${limitMb} MB`);
+    }
+});
+
 test("collects after growth only, and everything only far from the last full collection", t => {
     const pressure = MemoryPressure.create(LIMIT);
     t.is(pressure.planCollection(makeUsage(0), 0), "none");
