Tests and soak: one list of the signals that are ignored

Cause: the list stood in three places beside the product's own. Change: ignoredSignals, used by the tests of both processes and the soak. The product's list stays separate, so that a signal that is dropped there fails a test.

--- a/src/soak/processFaults.ts
+++ b/src/soak/processFaults.ts
@@ -1,5 +1,6 @@
 import { Agent } from "node:http";
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
+import { ignoredSignals } from "../testing/platform/ignoredSignals.js";
 import { stopSignals } from "../testing/platform/stopSignals.js";
 import { pickItem } from "./pickItem.js";
 import { sendSoakRequest } from "./sendSoakRequest.js";
@@ -7,24 +8,15 @@
 import type { SoakFault } from "./soakFault.js";
 import { takePort } from "./takePort.js";
 
-/** Signals whose default action ends a process, though they do not ask for a stop, and some that are ignored. */
-const OTHER_SIGNALS = [
-    "SIGHUP",
-    "SIGUSR1",
-    "SIGUSR2",
-    "SIGALRM",
-    "SIGVTALRM",
-    "SIGXCPU",
-    "SIGXFSZ",
-    "SIGIO",
-    "SIGSTKFLT",
-    "SIGPROF",
+/** Signals that ask for no stop: those whose default action ends a process, and some that the system ignores or that resume. */
+const OTHER_SIGNALS: readonly NodeJS.Signals[] = [
+    ...ignoredSignals,
     "SIGPIPE",
     "SIGWINCH",
     "SIGURG",
     "SIGCHLD",
     "SIGCONT",
-] as const;
+];
 const MAX_SIGNALS = 12;
 const MAX_SIGNAL_PAUSE_MS = 150;
 const MIN_TAKEN_MS = 200;
--- a/test/daemon/signals.test.ts
+++ b/test/daemon/signals.test.ts
@@ -6,25 +6,13 @@
 import { join } from "node:path";
 import { text } from "node:stream/consumers";
 import { request } from "undici";
+import { ignoredSignals } from "../../src/testing/platform/ignoredSignals.js";
+import { stopSignals } from "../../src/testing/platform/stopSignals.js";
 import { sendCaller } from "../../src/testing/sendCaller.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
 import { daemonProcess } from "../testing/daemonProcess.js";
 import { hasSignalHandlers } from "../testing/hasSignalHandlers.js";
 
-const IGNORED_SIGNALS = [
-    "SIGHUP",
-    "SIGUSR1",
-    "SIGUSR2",
-    "SIGALRM",
-    "SIGVTALRM",
-    "SIGXCPU",
-    "SIGXFSZ",
-    "SIGIO",
-    "SIGSTKFLT",
-    "SIGPROF",
-] as const;
-const STOP_SIGNALS = ["SIGINT", "SIGQUIT", "SIGPWR", "SIGTERM"] as const;
-
 function isLogged({ getErrors }: { readonly getErrors: () => string; }, signal: string): boolean {
     return getErrors().split("\n").some(line =>
         line.includes(`"signal-received"`) && line.includes(`"${signal}"`)
@@ -32,7 +20,7 @@
 }
 
 // Only SIGTERM began a planned stop; the default action of the others ended the daemon at once.
-for (const signal of STOP_SIGNALS) {
+for (const signal of stopSignals) {
     test(`${signal}: begins a planned stop, which answers the requests that wait`, async t => {
         const daemon = await daemonProcess.run(t);
         const sent = sendCaller(`http://${daemon.callerAddress}/v1/chat/completions`, {
@@ -53,14 +41,14 @@
 // The default action of most of these signals ended the daemon at once; SIGUSR1 opened a debugger on a port.
 test("signals that ask for no end are logged and do not end the daemon", async t => {
     const daemon = await daemonProcess.run(t);
-    for (const signal of IGNORED_SIGNALS) {
+    for (const signal of ignoredSignals) {
         daemon.child.kill(signal);
     }
     await waitUntil(
         "the signals are logged",
         () =>
             daemon.child.exitCode !== null || daemon.child.signalCode !== null
-            || IGNORED_SIGNALS.every(signal => isLogged(daemon, signal)),
+            || ignoredSignals.every(signal => isLogged(daemon, signal)),
     );
     t.is(daemon.child.signalCode, null);
     t.is((await request(`http://${daemon.callerAddress}/v1/entries`)).statusCode, 200);
@@ -76,9 +64,9 @@
     const errors = text(child.stderr);
     await waitUntil(
         "the daemon handles the signals",
-        () => child.exitCode !== null || hasSignalHandlers(child.pid, IGNORED_SIGNALS),
+        () => child.exitCode !== null || hasSignalHandlers(child.pid, ignoredSignals),
     );
-    for (const signal of [...IGNORED_SIGNALS, "SIGINT", "SIGTERM"] as const) {
+    for (const signal of [...ignoredSignals, "SIGINT", "SIGTERM"] as const) {
         child.kill(signal);
     }
     t.deepEqual(await exited, [0, null]);
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -1,6 +1,8 @@
 import test, { registerCompletionHandler } from "ava";
 import { readdirSync, readFileSync, readlinkSync } from "node:fs";
 import type { CooperativeFleet } from "../../src/testing/platform/cooperativeFleet.js";
+import { ignoredSignals } from "../../src/testing/platform/ignoredSignals.js";
+import { stopSignals } from "../../src/testing/platform/stopSignals.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
 import { createRawFleet } from "../testing/router/createRawFleet.js";
 import { rawAnswers } from "../testing/router/rawAnswers.js";
@@ -9,19 +11,6 @@
 // Half-open connections left by a fault would keep the test process alive.
 registerCompletionHandler(() => process.exit());
 
-const IGNORED_SIGNALS = [
-    "SIGHUP",
-    "SIGUSR1",
-    "SIGUSR2",
-    "SIGALRM",
-    "SIGVTALRM",
-    "SIGXCPU",
-    "SIGXFSZ",
-    "SIGIO",
-    "SIGSTKFLT",
-    "SIGPROF",
-] as const;
-const STOP_SIGNALS = ["SIGINT", "SIGQUIT", "SIGPWR", "SIGTERM"] as const;
 /** Long enough for the signals, and shorter than the timeout of the route (1 s). */
 const ANSWER_MS = 600;
 
@@ -61,7 +50,7 @@
 }
 
 // The default action of each of these signals ended the process at once, with all requests that it was serving.
-for (const signal of STOP_SIGNALS) {
+for (const signal of stopSignals) {
     test.serial(`${signal}: begins a planned stop, which answers the requests that are being served`, async t => {
         const lines: string[] = [];
         const { fleet, response } = await startRequest(t, lines);
@@ -84,14 +73,14 @@
     const { fleet, response } = await startRequest(t, lines);
     const router = fleet.instances[0]?.process ?? t.fail() as never;
     const listeners = countListeners(router.pid);
-    for (const signal of IGNORED_SIGNALS) {
+    for (const signal of ignoredSignals) {
         router.kill(signal);
     }
     const isLogged = (signal: string): boolean =>
         lines.some(line => line.includes(`"event":"signal-received"`) && line.includes(`"${signal}"`));
     await waitUntil(
         "the signals are logged",
-        () => !router.running || IGNORED_SIGNALS.every(isLogged),
+        () => !router.running || ignoredSignals.every(isLogged),
     );
     t.true(router.running);
     t.is((await response).status, 200);
@@ -104,7 +93,7 @@
     const { fleet, response } = await startRequest(t);
     const router = fleet.instances[0]?.process ?? t.fail() as never;
     const stopped = router.stop("SIGTERM");
-    for (const signal of [...STOP_SIGNALS, ...IGNORED_SIGNALS]) {
+    for (const signal of [...stopSignals, ...ignoredSignals]) {
         router.kill(signal);
     }
     t.is((await response).status, 200);
