Soak: connections that its own holder of a port accepted and reset have a cause

Cause: the instance had ended by then, and the soak held its port for callers (fault taken-ports): the listener accepts, and resets its connections when the port is freed. Change: the time of the holder is recorded, and is the cause `taken` of a request that no target has got.

--- a/src/soak/findCause.ts
+++ b/src/soak/findCause.ts
@@ -57,6 +57,9 @@
     if (arrivedAt.length > 0) {
         return isAtEndOfStop ? "stop-timeout" : undefined;
     }
+    if (impairments.find(`taken ${host}`, sentAt, endedAt)) {
+        return "taken";
+    }
     if (endedAt >= sentAt + CROSSING_MS) {
         return undefined;
     }
--- a/src/soak/processFaults.ts
+++ b/src/soak/processFaults.ts
@@ -22,6 +22,7 @@
 const MIN_TAKEN_MS = 200;
 const MAX_TAKEN_MS = 1000;
 const MAX_TAKEN_PORTS = 3;
+const CALLERS_PORT_INDEX = 0;
 const PEER_PORT_INDEX = 3;
 const DATAGRAMS_SHARE = 0.5;
 const MAX_SUCCESSOR_DELAY_MS = 1500;
@@ -37,7 +38,7 @@
 
 /** Takes some ports of an instance for some hundred milliseconds. `freed` is fulfilled when they are free again. */
 async function takePorts(
-    { ports }: CooperativeFleet,
+    { ports, impairments }: CooperativeFleet,
     { host }: Instance,
     random: () => number,
     wait: (ms: number) => Promise<void>,
@@ -52,8 +53,11 @@
             port,
         );
     }));
+    const isCallersPort = taken.has(ports[CALLERS_PORT_INDEX] ?? 0);
+    const endImpairment = isCallersPort ? impairments.start(`taken ${host}`) : undefined;
     const freed = wait(MIN_TAKEN_MS + random() * (MAX_TAKEN_MS - MIN_TAKEN_MS))
-        .then(() => Promise.all(frees.map(free => free())));
+        .then(() => Promise.all(frees.map(free => free())))
+        .then(endImpairment);
     return { freed };
 }
 
--- a/test/soak/findCause.test.ts
+++ b/test/soak/findCause.test.ts
@@ -77,6 +77,17 @@
         stop: [3900, 3901],
     },
     { name: "a refused connection early in a stop", cause: undefined, request: REFUSED, stop: [2000, 2001] },
+    {
+        name: "a port that the soak has taken",
+        cause: "taken",
+        impairments: [["taken h"]],
+        stop: [2000, 2001],
+    },
+    {
+        name: "a port of another instance that the soak has taken",
+        cause: undefined,
+        impairments: [["taken other"]],
+    },
     { name: "a new connection at the end of a stop", cause: "queued", stop: [3900, 3901] },
     { name: "a new connection early in a stop", cause: undefined, stop: [2000, 2001] },
     { name: "a new connection that is reset much later", cause: undefined, stop: [2900, 3901] },
