--- a/src/shared/serverConnections.ts
+++ b/src/shared/serverConnections.ts
@@ -34,7 +34,7 @@
 
     private constructor(server: Server, maxUnread: number) {
         this.#server = server;
-        this.#queue = AcceptQueue.create(server, { maxUnread, getNow: () => performance.now() });
+        this.#queue = AcceptQueue.create(server, maxUnread);
         server.on("connection", (socket: Socket) => this.#add(socket));
         server.prependListener(
             "request",
