--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -1,5 +1,5 @@
 import { SettingsError } from "../core/errors/settingsError.js";
-import type { RouterSettings } from "../router/routerSettings.js";
+import { parseListenAddress } from "../shared/parseListenAddress.js";
 import type { PlatformSettings } from "./platformSettings.js";
 
 type Check = (value: unknown) => boolean;
@@ -120,9 +120,9 @@
             instance: raw.instance,
             locality: { dataCentre: raw.dataCentre, region: raw.region },
             regionsByDataCentre: new Map(Object.entries(raw.dataCentres)),
-            callerAddress: splitAddress(raw.callerAddress),
+            callerAddress: parseListenAddress(raw.callerAddress),
             peerAddress: { host: raw.host, port: raw.peerPort },
-            seedHosts: raw.seedAddresses.map(address => splitAddress(address).host),
+            seedHosts: raw.seedAddresses.map(address => parseListenAddress(address).host),
             weight: raw.processorShare * raw.processorSpeed,
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
             maxDescriptors: raw.maxDescriptors ?? systemDescriptors,
@@ -139,13 +139,8 @@
         portWaitMs: raw.portWaitSeconds === undefined
             ? stopTimeoutMs + KILL_MARGIN_MS + CLOSED_CONNECTION_MS
             : raw.portWaitSeconds * MS_PER_SECOND,
-        readinessAddress: splitAddress(raw.readinessAddress),
-        directoryAddress: splitAddress(raw.directoryAddress),
-        storeAddress: splitAddress(raw.storeAddress),
+        readinessAddress: parseListenAddress(raw.readinessAddress),
+        directoryAddress: parseListenAddress(raw.directoryAddress),
+        storeAddress: parseListenAddress(raw.storeAddress),
     };
 }
-
-function splitAddress(address: string): RouterSettings["callerAddress"] {
-    const separator = address.lastIndexOf(":");
-    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-}
