--- a/src/core/routing/routedRequest.ts
+++ b/src/core/routing/routedRequest.ts
@@ -26,6 +26,8 @@
     readonly origin?: Pick<StreamOrigin, "service"> & Pick<TargetDescriptor, "version">;
     /** Time in milliseconds for which connections waited when this one was accepted; absent unless the request is the first on it. */
     readonly acceptWaitMs?: number | undefined;
+    /** Whether a busy instance has relayed its connection to this one. */
+    readonly isRelayed?: boolean;
     /**
      * Time in milliseconds for which it was held on its connection, until its turn or until it was known whether its caller still
      * reads; absent if it was not.
--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -34,6 +34,7 @@
     directoryAddress: isAddress,
     host: isText,
     peerPort: isNonNegativeNumber,
+    relayPort: value => value === undefined || isNonNegativeNumber(value),
     seedAddresses: value => Array.isArray(value) && value.every(isAddress),
     storeAddress: isAddress,
     processorShare: isNonNegativeNumber,
@@ -64,6 +65,8 @@
     readonly directoryAddress: string;
     readonly host: string;
     readonly peerPort: number;
+    /** @default connections are not relayed */
+    readonly relayPort?: number;
     readonly seedAddresses: readonly string[];
     readonly storeAddress: string;
     readonly processorShare: number;
@@ -122,6 +125,7 @@
             regionsByDataCentre: new Map(Object.entries(raw.dataCentres)),
             callerAddress: parseListenAddress(raw.callerAddress),
             peerAddress: { host: raw.host, port: raw.peerPort },
+            relayAddress: raw.relayPort === undefined ? undefined : { host: raw.host, port: raw.relayPort },
             seedHosts: raw.seedAddresses.map(address => parseListenAddress(address).host),
             weight: raw.processorShare * raw.processorSpeed,
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
--- a/src/router/callerAdmission.ts
+++ b/src/router/callerAdmission.ts
@@ -94,6 +94,11 @@
         return isServed;
     }
 
+    /** Admits a new connection that another instance has room for, by the account of its first request. Returns whether it is. */
+    tryRelay(account: string): boolean {
+        return !this.#limits.connections.isReached && this.#connections.tryRelay(account);
+    }
+
     /** Records a connection that is refused. */
     recordRefused(): void {
         this.#connections.recordRefused();
--- a/src/router/createRouterIngress.ts
+++ b/src/router/createRouterIngress.ts
@@ -1,7 +1,9 @@
 import { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
+import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { DeploymentView } from "./deploymentView.js";
 import { Ingress } from "./ingress.js";
 import type { IngressOptions } from "./ingressOptions.js";
+import { RelayPeers } from "./relayPeers.js";
 import type { RequestResolver } from "./requestResolver.js";
 import type { RequestServer } from "./requestServer.js";
 import type { RouterOptions } from "./routerOptions.js";
@@ -13,6 +15,8 @@
     readonly view: DeploymentView;
     readonly resolver: RequestResolver;
     readonly requestServer: RequestServer;
+    /** Lists the live peers of the data centre that accept callers and are not busy. */
+    readonly listOpenPeers: () => readonly MemberRecord[];
 }
 
 /**
@@ -21,15 +25,22 @@
  * @throws PortError when the address cannot be bound.
  */
 export function createRouterIngress(options: CreateOptions): Promise<Ingress> {
-    const { settings, metrics, view, resolver, requestServer } = options;
+    const { settings, metrics, view, resolver, requestServer, listOpenPeers, getNow } = options;
+    const relayPeers = RelayPeers.create({
+        port: settings.relayAddress?.port,
+        listPeers: listOpenPeers,
+        getNow,
+    });
     return Ingress.create({
         ...options,
-        ...settings.callerAddress,
+        callerAddress: settings.callerAddress,
+        relayAddress: settings.relayAddress,
         connectionLimits: computeConnectionLimits(settings),
         resolve: (head, path, receivedAt) => resolver.resolve(head, path, receivedAt),
         findAccount: key => view.configuration?.accountsByKey.get(key ?? "")?.name ?? "",
         getLimits: () => view.configuration?.limits,
         serve: exchange => requestServer.serve(exchange),
+        findPeer: caller => relayPeers.find(caller),
         onRefused: reason => metrics.countRefusal(reason),
     });
 }
--- a/src/router/describeRequestEnd.ts
+++ b/src/router/describeRequestEnd.ts
@@ -15,6 +15,7 @@
         tokens: request.promptTokens,
         resumesAfter: request.resumesAfter,
         acceptWaitMs: request.acceptWaitMs,
+        isRelayed: request.isRelayed === true ? true : undefined,
         target: grant?.target.descriptor.id,
         version: grant?.target.descriptor.version,
         promptSource: grant?.promptSource,
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -112,6 +112,11 @@
         return findChangeReaders(instance, peers, maxChangeDelayMs);
     }
 
+    /** Lists the live peers of the data centre that accept callers and are not busy. */
+    listOpenPeers(): readonly MemberRecord[] {
+        return this.#listLocalPeers().filter(({ state }) => state === "open");
+    }
+
     /** Returns this instance's share of the request limit of a cold target; `undefined` if it may not use it. */
     getColdShare(
         target: TargetDescriptor,
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EndPlan } from "../core/routing/endPlan.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { abortResponse } from "../shared/abortResponse.js";
@@ -8,20 +8,16 @@
 import { CallerAdmission } from "./callerAdmission.js";
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
-import { checkAcceptQueue } from "./checkAcceptQueue.js";
-import { createCallerServer } from "./createCallerServer.js";
+import { CallerListeners } from "./callerListeners.js";
 import { createFingerprint } from "./createFingerprint.js";
 import type { IngressOptions } from "./ingressOptions.js";
 import { refuseRequest } from "./refuseRequest.js";
-import { setCallerTimeouts } from "./setCallerTimeouts.js";
 
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
-/**
- * Connections that the operating system queues while the process is busy; it caps the value to its own limit. Connections
- * beyond the queue are acknowledged, too, and reset later, so a surplus is refused once it has been accepted.
- */
-const LISTEN_BACKLOG = 4096;
 const RETRY_AFTER_MS = 500;
+/** Of the connections that may be served: each relayed one takes two descriptors. */
+const MAX_RELAYED_SHARE = 0.25;
+const DESCRIPTORS_PER_RELAY = 2;
 
 type Refusal = readonly [
     cause: Parameters<typeof refuseRequest>[2]["cause"],
@@ -33,8 +29,7 @@
 /** Accepts callers' connections and reads their requests. */
 export class Ingress {
     readonly #options: IngressOptions;
-    readonly #server: Server;
-    readonly #serverConnections: ServerConnections;
+    readonly #listeners: CallerListeners;
     readonly #connections: CallerConnections;
     readonly #bodies: BodyReader;
     /** Decides which connections and requests are served. */
@@ -45,27 +40,38 @@
 
     private constructor(options: IngressOptions) {
         this.#options = options;
-        this.#server = createCallerServer((incoming, response) => this.#acceptGuarded(incoming, response));
         const getMaxBodyBytes = (): number => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
         const readAccount = (head: string): string => options.findAccount(options.wire.readKey(head));
-        this.#serverConnections = ServerConnections.create(this.#server, {
-            maxUnread: options.connectionLimits.served,
-            maxRefused: options.connectionLimits.surplus,
-            mayServe: socket => this.admission.mayServe(socket),
-            mayRefuse: () => this.admission.isOverloaded,
-            tryRefuse: head => this.admission.tryRefuse(readAccount(head)),
-            maySpare: (socket, head) => this.admission.maySpare(socket, readAccount(head)),
-            countHoldable: () => this.admission.countHoldable(),
-            mayServeHeld: (socket, head) => this.admission.mayServeHeld(socket, readAccount(head)),
-            onRefused: () => this.admission.recordRefused(),
-            onFailed: error => this.admission.recordFailure(error),
+        this.#listeners = CallerListeners.create({
+            connections: {
+                maxUnread: options.connectionLimits.served,
+                maxRefused: options.connectionLimits.surplus,
+                mayServe: socket => this.admission.mayServe(socket),
+                mayRefuse: () => this.admission.isOverloaded,
+                tryRefuse: head => this.admission.tryRefuse(readAccount(head)),
+                maySpare: (socket, head) => this.admission.maySpare(socket, readAccount(head)),
+                countHoldable: () => this.admission.countHoldable(),
+                mayServeHeld: (socket, head) => this.admission.mayServeHeld(socket, readAccount(head)),
+                maxRelayed: Math.floor(options.connectionLimits.served * MAX_RELAYED_SHARE),
+                findPeer: options.findPeer,
+                tryRelay: head => this.admission.tryRelay(readAccount(head)),
+                onRefused: () => this.admission.recordRefused(),
+                onFailed: error => this.admission.recordFailure(error),
+            },
+            onRequest: (incoming, response) => this.#acceptGuarded(incoming, response),
+            onClientError: (error, socket) => this.#connections.end(error, socket),
+            onConnect: socket => this.#connections.refuseTunnel(socket),
+            onUpgrade: socket => this.#connections.keepFor(socket),
         });
         this.admission = CallerAdmission.create({
             ...options,
             getMaxBodyBytes,
-            queue: this.#serverConnections.queue,
+            queue: this.#listeners.queue,
             countActive: () => this.#open.size,
-            countHeld: () => this.#serverConnections.held,
+            countHeld: () => this.#listeners.held,
+            countTargetConnections: () =>
+                options.countTargetConnections()
+                + this.#listeners.relayedToPeers * DESCRIPTORS_PER_RELAY,
         });
         this.#bodies = BodyReader.create({
             memory: options.memory,
@@ -81,36 +87,30 @@
             onFailure: (reason, dueResponses) =>
                 options.log.write("caller-connection-failed", { reason, dueResponses }),
         });
-        this.#server.on("clientError", (error, socket) => this.#connections.end(error, socket));
-        this.#server.on("connect", (_incoming, socket) => this.#connections.refuseTunnel(socket));
-        this.#server.on("upgrade", (_incoming, socket) => this.#connections.keepFor(socket));
     }
 
     /**
      * Starts listening.
      *
-     * @throws PortError when the address cannot be bound.
+     * @throws PortError when an address cannot be bound.
      */
     static async create(options: IngressOptions): Promise<Ingress> {
         const ingress = new Ingress(options);
-        const { host, port, ports } = options;
-        await ports.openServer("callers", ingress.#server, { host, port, backlog: LISTEN_BACKLOG })
-            .catch((error: unknown) => {
-                ingress.close();
-                throw error;
-            });
-        void checkAcceptQueue(LISTEN_BACKLOG, options.log);
+        await ingress.#listeners.open(options).catch((error: unknown) => {
+            ingress.close();
+            throw error;
+        });
         return ingress;
     }
 
     /** Applies the timeouts of a new configuration. */
     applyLimits(limits: RouterConfiguration["limits"]): void {
-        setCallerTimeouts(this.#server, limits);
+        this.#listeners.setTimeouts(limits);
     }
 
-    /** Requests that are being read or served. */
+    /** Requests that are being read or served, and connections that peers serve for this instance. */
     get openRequests(): number {
-        return this.#open.size;
+        return this.#open.size + this.#listeners.relayedToPeers;
     }
 
     /** Tells the callers of open requests that their connections close with the responses. */
@@ -120,15 +120,15 @@
 
     /** Accepts the connections that callers have opened until now, and no more; at the latest `until` (monotonic milliseconds). */
     stopListening(until: number): Promise<void> {
-        return this.#serverConnections.stopListening(until);
+        return this.#listeners.stopListening(until);
     }
 
     /** Stops listening, answers the requests on open connections, and closes all. */
     async end({ answerBy, closeBy }: EndPlan): Promise<void> {
         await this.stopListening(answerBy);
-        await this.#serverConnections.waitForResponses(answerBy);
+        await this.#listeners.waitForResponses(answerBy);
         this.#refuseUnserved();
-        await this.#serverConnections.endConnections(closeBy);
+        await this.#listeners.endConnections(closeBy);
         this.#open.forEach(abortResponse);
         this.close();
     }
@@ -136,8 +136,7 @@
     /** Closes everything at once. */
     close(): void {
         this.admission.close();
-        this.#server.close();
-        this.#serverConnections.dropConnections();
+        this.#listeners.close();
     }
 
     /**
@@ -204,7 +203,9 @@
         const receivedAt = getNow();
         const head = wire.readRequestHead(incoming);
         this.#unserved.set(response, head.requestId);
-        if (isStopping()) {
+        const isRelayed = this.#listeners.isFromPeer(incoming.socket);
+        if (isStopping() || isRelayed) {
+            // The peer relays only the first request of a connection.
             this.#connections.endAfter(response);
         }
         const refusal = this.admission.recordRequest(incoming.socket, findAccount(head.key));
@@ -223,7 +224,7 @@
         this.admission.addDue(response, resolved.request.deadline);
         this.#bodies.read(incoming, response, resolved.request.deadline, body => {
             const fingerprint = createFingerprint(incoming, head, resolved.request.account, body);
-            const request = { ...resolved.request, fingerprint, acceptWaitMs };
+            const request = { ...resolved.request, fingerprint, acceptWaitMs, isRelayed };
             this.#serveInTurn({ incoming, response, head, request, body });
         });
     }
--- a/src/router/ingressOptions.ts
+++ b/src/router/ingressOptions.ts
@@ -1,5 +1,6 @@
 import type { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import type { ListenAddress } from "../shared/listenAddress.js";
 import type { PortBinder } from "../shared/portBinder.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { CallerLimits } from "./callerLimits.js";
@@ -12,8 +13,9 @@
 type LimitOptions = Parameters<typeof CallerLimits.create>[0];
 
 export interface IngressOptions extends Pick<LimitOptions, "connectionLimits" | "countTargetConnections"> {
-    readonly host: string;
-    readonly port: number;
+    readonly callerAddress: ListenAddress;
+    /** Address for connections that peers relay; `undefined` if they relay none. */
+    readonly relayAddress: ListenAddress | undefined;
     readonly ports: Pick<PortBinder, "openServer">;
     readonly wire: WireFormat;
     readonly log: LogSink;
@@ -31,6 +33,8 @@
     /** Size limits and timeouts for callers; `undefined` until a configuration is known. */
     readonly getLimits: () => RouterConfiguration["limits"] | undefined;
     readonly isStopping: () => boolean;
+    /** Finds an instance that has room for a connection, by an address of its caller; `undefined` if there is none. */
+    readonly findPeer: (caller: string) => ListenAddress | undefined;
     readonly serve: (exchange: CallerExchange) => void;
     readonly onRefused: (reason: string) => void;
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -226,6 +226,7 @@
             countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
             isStopping: () => this.#stopPlan !== undefined,
+            listOpenPeers: () => this.#fleet?.listOpenPeers() ?? [],
         });
         registerGauges(metrics, {
             log,
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -11,6 +11,8 @@
     readonly callerAddress: ListenAddress;
     /** Address of the change feed (TCP) and for reports of peers (UDP); the port is the same at all instances. */
     readonly peerAddress: ListenAddress;
+    /** Address for callers' connections that busy peers relay; the port is the same at all instances. Absent if nothing is relayed. */
+    readonly relayAddress?: ListenAddress | undefined;
     /** Hosts of the instances that a starting instance contacts first; some may be down. */
     readonly seedHosts: readonly string[];
     /** Processor share relative to other instances. */
--- a/src/shared/connectionAdmission.ts
+++ b/src/shared/connectionAdmission.ts
@@ -12,6 +12,7 @@
         | "maySpare"
         | "countHoldable"
         | "mayServeHeld"
+        | "tryRelay"
         | "recordRefused"
         | "recordFailure"
         | "mayServe"
@@ -89,6 +90,11 @@
         return isServed;
     }
 
+    /** Admits a new connection that another instance has room for, by the account of its first request. Returns whether it is. */
+    tryRelay(account: string): boolean {
+        return this.#guard.tryRelay(account);
+    }
+
     /** Records a connection that is refused. */
     recordRefused(): void {
         this.#guard.recordRefused();
--- /dev/null
+++ b/src/shared/connectionRelay.ts
@@ -0,0 +1,164 @@
+import { getSystemErrorName } from "node:util";
+import type { findStreamBinding } from "./findStreamBinding.js";
+import type { SocketHandle } from "./socketHandle.js";
+
+interface ConnectionRelayOptions {
+    readonly binding: NonNullable<ReturnType<typeof findStreamBinding>>;
+    /** The caller's connection, which is not being read. */
+    readonly caller: SocketHandle;
+    /** Connection to the other instance. */
+    readonly peer: SocketHandle;
+    /** What has been read from the caller. */
+    readonly received: Buffer;
+    /** Called when the connection to the other instance fails. */
+    readonly onFailed: (error: Error) => void;
+    /** Called once both connections are closed. */
+    readonly onClosed: () => void;
+}
+
+/** Longer than any pause that the timeouts of requests and streams allow. */
+const IDLE_TIMEOUT_MS = 60_000;
+/** A caller has this long to close its side after the response. */
+const LINGER_MS = 1000;
+const BAD_GATEWAY = Buffer.from(
+    "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+    "latin1",
+);
+
+/** Relays the bytes between a caller and another instance, and the way in which either side ends. */
+export class ConnectionRelay {
+    readonly #options: ConnectionRelayOptions;
+    /** Sides that have been told of the end of the other one. */
+    readonly #told = new Set<SocketHandle>();
+    #hasResponse = false;
+    #isClosed = false;
+    /** Monotonic time in milliseconds at which the connections are closed unless there are more bytes. */
+    #until = performance.now() + IDLE_TIMEOUT_MS;
+
+    private constructor(options: ConnectionRelayOptions) {
+        this.#options = options;
+    }
+
+    /** Starts to relay. */
+    static create(options: ConnectionRelayOptions): ConnectionRelay {
+        const relay = new ConnectionRelay(options);
+        const { caller, peer, received } = options;
+        relay.#write(peer, received, () => undefined);
+        relay.#relay(caller, peer);
+        relay.#relay(peer, caller);
+        return relay;
+    }
+
+    /** Closes connections on which nothing has happened for too long. */
+    expire(now: number): void {
+        if (this.#until <= now) {
+            this.close();
+        }
+    }
+
+    /** Closes both connections at once, with resets unless they have ended in order. */
+    close(): void {
+        if (this.#isClosed) {
+            return;
+        }
+        this.#isClosed = true;
+        const { caller, peer, onClosed } = this.#options;
+        const isAnswered = this.#told.has(caller);
+        // A response that ends with its connection must not look whole if it broke off, and the other instance must not go on for a
+        // caller that seems to have closed its sending side only.
+        [caller, peer].forEach(side => {
+            // A side that still sends its last bytes cannot be reset.
+            if (isAnswered || side.reset() < 0) {
+                side.close();
+            }
+        });
+        onClosed();
+    }
+
+    #relay(from: SocketHandle, to: SocketHandle): void {
+        const { binding } = this.#options;
+        from.onread = bytes => {
+            const { length, offset } = binding.getLastRead();
+            if (length === 0 || this.#isClosed) {
+                return;
+            }
+            if (!bytes || length < 0) {
+                this.#onEnd(from, to, getSystemErrorName(length));
+                return;
+            }
+            this.#until = performance.now() + IDLE_TIMEOUT_MS;
+            this.#hasResponse ||= to === this.#options.caller;
+            let isWritten = false;
+            this.#write(to, Buffer.from(bytes, offset, length), () => {
+                if (isWritten && !this.#isClosed) {
+                    from.readStart();
+                }
+                isWritten = true;
+            });
+            if (!isWritten && !this.#isClosed) {
+                isWritten = true;
+                from.readStop();
+            }
+        };
+        from.readStart();
+    }
+
+    /** @param onWritten Called once the bytes have left the process, maybe before this returns. */
+    #write(to: SocketHandle, bytes: Buffer, onWritten: () => void): void {
+        const status = this.#options.binding.write(to, bytes, onWritten);
+        if (status < 0) {
+            this.#fail(to, getSystemErrorName(status));
+        }
+    }
+
+    #onEnd(from: SocketHandle, to: SocketHandle, code: string): void {
+        if (code !== "EOF") {
+            this.#fail(from, code);
+            return;
+        }
+        from.readStop();
+        if (to === this.#options.caller) {
+            this.#endResponse();
+        }
+        else {
+            this.#end(to);
+        }
+    }
+
+    #end(side: SocketHandle): void {
+        const onEnded = (): void => {
+            this.#told.add(side);
+            if (this.#told.size === 2) {
+                this.close();
+            }
+        };
+        const status = this.#options.binding.end(side, onEnded);
+        if (status < 0) {
+            this.#fail(side, getSystemErrorName(status));
+        }
+    }
+
+    #fail(side: SocketHandle, code: string): void {
+        const { peer, onFailed } = this.#options;
+        if (side === peer) {
+            onFailed(Object.assign(new Error(code), { code }));
+            if (!this.#hasResponse) {
+                this.#endResponse();
+                this.#told.add(peer);
+                return;
+            }
+        }
+        this.close();
+    }
+
+    #endResponse(): void {
+        const { binding, caller } = this.#options;
+        if (!this.#hasResponse) {
+            // The other instance may have run the request.
+            this.#hasResponse = true;
+            binding.write(caller, BAD_GATEWAY, () => undefined);
+        }
+        this.#end(caller);
+        this.#until = performance.now() + LINGER_MS;
+    }
+}
--- a/src/shared/findStreamBinding.ts
+++ b/src/shared/findStreamBinding.ts
@@ -1,8 +1,10 @@
+import { loadNodeBinding } from "./loadNodeBinding.js";
 import type { SocketHandle } from "./socketHandle.js";
 
 /** What `Socket` of Node.js uses itself. */
 interface NodeBinding {
-    readonly WriteWrap: new() => { oncomplete?: () => void; };
+    readonly WriteWrap: new() => { oncomplete?: () => void; buffer?: Buffer; };
+    readonly ShutdownWrap: new() => { oncomplete?: () => void; };
     readonly streamBaseState: Int32Array;
     readonly kReadBytesOrError: number;
     readonly kArrayBufferOffset: number;
@@ -15,19 +17,26 @@
     readonly getLastRead: () => { readonly length: number; readonly offset: number; };
     /** Writes to a connection. Returns zero or the negative number of an error; `onWritten` is called unless there was one. */
     readonly write: (connection: SocketHandle, data: Buffer, onWritten: () => void) => number;
+    /**
+     * Ends the sending side of a connection. Returns zero or the negative number of an error; `onEnded` is called unless there was
+     * one, once everything has been written.
+     */
+    readonly end: (connection: SocketHandle, onEnded: () => void) => number;
 }
 
 /** Finds the functions of this version of Node.js; `undefined` if it has others. */
 export function findStreamBinding(): StreamBinding | undefined {
-    const { binding } = process as { readonly binding?: (name: string) => Partial<NodeBinding>; };
-    if (!binding) {
-        return undefined;
-    }
-    const { WriteWrap, streamBaseState, kReadBytesOrError, kArrayBufferOffset, kLastWriteWasAsync } =
-        loadBinding(binding);
+    const {
+        WriteWrap,
+        ShutdownWrap,
+        streamBaseState,
+        kReadBytesOrError,
+        kArrayBufferOffset,
+        kLastWriteWasAsync,
+    } = loadNodeBinding<NodeBinding>("stream_wrap");
     if (
-        !WriteWrap || !streamBaseState || kReadBytesOrError === undefined || kArrayBufferOffset === undefined
-        || kLastWriteWasAsync === undefined
+        !WriteWrap || !ShutdownWrap || !streamBaseState || kReadBytesOrError === undefined
+        || kArrayBufferOffset === undefined || kLastWriteWasAsync === undefined
     ) {
         return undefined;
     }
@@ -41,21 +50,23 @@
             const status = connection.writeBuffer(request, data);
             if (status === 0 && streamBaseState[kLastWriteWasAsync] !== 0) {
                 request.oncomplete = onWritten;
+                // Keeps the memory until it has been written.
+                request.buffer = data;
             }
             else if (status === 0) {
                 onWritten();
             }
             return status;
         },
+        end: (connection, onEnded) => {
+            const request = new ShutdownWrap();
+            request.oncomplete = onEnded;
+            const status = connection.shutdown(request);
+            if (status > 0) {
+                // It was done at once.
+                onEnded();
+            }
+            return Math.min(0, status);
+        },
     };
 }
-
-/** Loads the binding; an empty one if this process may not. */
-function loadBinding(binding: (name: string) => Partial<NodeBinding>): Partial<NodeBinding> {
-    try {
-        return binding.call(process, "stream_wrap");
-    }
-    catch {
-        return {};
-    }
-}
--- a/src/shared/overloadGuard.ts
+++ b/src/shared/overloadGuard.ts
@@ -47,6 +47,7 @@
     #holdUntil = 0;
     /** Monotonic time in milliseconds at which the next overload may be a burst of its own. */
     #holdAgainAt = 0;
+    #relayed = 0;
     #refused = 0;
     #spared = 0;
     #failed = 0;
@@ -169,6 +170,21 @@
         return true;
     }
 
+    /**
+     * Admits a new connection of an account that another instance has room for, while this one is overloaded. Returns whether it is;
+     * it has to be decided about as any other if not.
+     */
+    tryRelay(account: string): boolean {
+        const now = performance.now();
+        if (!this.#limit.isActive || this.#observeWait(now) || !this.#limit.hasAdmission(now)) {
+            return false;
+        }
+        this.#limit.mayAdmit(now);
+        this.recordRequest(account);
+        this.#relayed += 1;
+        return true;
+    }
+
     /** Records a connection that is refused. */
     recordRefused(): void {
         this.#refused += 1;
@@ -219,6 +235,7 @@
         this.#options.onReport({
             isOverloaded,
             refused: this.#refused,
+            relayed: this.#relayed,
             spared: this.#spared,
             failed: this.#failed,
             lastFailure: this.#lastFailure,
@@ -227,6 +244,7 @@
             perSecond: Math.round(this.#limit.rate),
         });
         this.#refused = 0;
+        this.#relayed = 0;
         this.#spared = 0;
         this.#failed = 0;
         this.#lastFailure = undefined;
--- a/src/shared/overloadReport.ts
+++ b/src/shared/overloadReport.ts
@@ -3,6 +3,8 @@
     readonly isOverloaded: boolean;
     /** Connections that were refused since the last report. */
     readonly refused: number;
+    /** Connections since the last report that were relayed to other instances. */
+    readonly relayed: number;
     /** Requests since the last report that were served beyond the limit because their accounts ask for little. */
     readonly spared: number;
     /** Refused connections and measurements of the queue that have failed since the last report. */
--- /dev/null
+++ b/src/shared/relayedConnections.ts
@@ -0,0 +1,171 @@
+import { getSystemErrorName } from "node:util";
+import { ConnectionRelay } from "./connectionRelay.js";
+import { findStreamBinding } from "./findStreamBinding.js";
+import { findTcpBinding } from "./findTcpBinding.js";
+import type { ListenAddress } from "./listenAddress.js";
+import type { SocketHandle } from "./socketHandle.js";
+
+interface RelayedConnectionsOptions {
+    /** Finds an instance that has room for a connection, by an address of its caller; `undefined` if there is none. */
+    readonly findPeer: (caller: string) => ListenAddress | undefined;
+    /** Number of connections that may be relayed at a time; each takes two descriptors. */
+    readonly maxOpen: number;
+    /** Returns whether a connection is relayed, by the head of its first request with all its line ends. */
+    readonly tryRelay: (head: string) => boolean;
+    /** Called when the connection to the other instance fails. */
+    readonly onFailed: (error: Error) => void;
+}
+
+type StreamBinding = NonNullable<ReturnType<typeof findStreamBinding>>;
+
+interface Bindings {
+    readonly stream: StreamBinding;
+    readonly tcp: NonNullable<ReturnType<typeof findTcpBinding>>;
+}
+
+/** Part of a request that has been read from a connection. */
+interface ReceivedRequest {
+    readonly head: string;
+    /** All bytes that have been read, with the head. */
+    readonly bytes: Buffer;
+}
+
+/** Connection to another instance that is being opened. */
+interface PendingConnection {
+    /** Monotonic time in milliseconds. */
+    readonly until: number;
+    readonly fail: (code: string) => void;
+    readonly close: () => void;
+}
+
+/** Instances of one data centre connect within a few milliseconds. */
+const CONNECT_TIMEOUT_MS = 250;
+const CHECK_INTERVAL_MS = 50;
+
+/**
+ * Callers' connections whose bytes are relayed unparsed to another instance, which serves them. An instance relays several connections
+ * in the processor time of one that it serves. No byte is sent twice: a connection is served here only while none has been sent.
+ * Without the parts of Node.js that are not public, nothing is relayed.
+ */
+export class RelayedConnections {
+    readonly #options: RelayedConnectionsOptions;
+    readonly #bindings: Bindings | undefined;
+    readonly #pending = new Set<PendingConnection>();
+    readonly #open = new Set<ConnectionRelay>();
+    /** Set while connections are relayed. */
+    #timer: NodeJS.Timeout | undefined;
+
+    private constructor(options: RelayedConnectionsOptions) {
+        this.#options = options;
+        const [stream, tcp] = [findStreamBinding(), findTcpBinding()];
+        this.#bindings = stream && tcp && { stream, tcp };
+    }
+
+    /** Creates a record of no connections. */
+    static create(options: RelayedConnectionsOptions): RelayedConnections {
+        return new RelayedConnections(options);
+    }
+
+    /** Number of connections that are being relayed. */
+    get size(): number {
+        return this.#pending.size + this.#open.size;
+    }
+
+    /**
+     * Relays a connection that is not being read, if another instance has room. Returns whether it does.
+     *
+     * @param serve Called if the other instance does not accept the connection, before anything has been sent to it.
+     */
+    tryAdd(caller: SocketHandle, { head, bytes }: ReceivedRequest, serve: () => void): boolean {
+        const { findPeer, maxOpen, tryRelay } = this.#options;
+        const bindings = this.#bindings;
+        if (!bindings || this.size >= maxOpen) {
+            return false;
+        }
+        const address = findPeer(describeCaller(caller));
+        if (!address || !tryRelay(head)) {
+            return false;
+        }
+        this.#timer ??= setInterval(() => this.#expire(), CHECK_INTERVAL_MS);
+        this.#connect(bindings, caller, bytes, address, serve);
+        return true;
+    }
+
+    /** Closes all connections at once. */
+    drop(): void {
+        this.#pending.forEach(({ close }) => close());
+        this.#open.forEach(relay => relay.close());
+    }
+
+    #connect(
+        { stream, tcp }: Bindings,
+        caller: SocketHandle,
+        received: Buffer,
+        address: ListenAddress,
+        serve: () => void,
+    ): void {
+        const { onFailed } = this.#options;
+        const peer = tcp.connect(address, status => {
+            if (!this.#pending.has(pending)) {
+                return;
+            }
+            if (status < 0) {
+                pending.fail(getSystemErrorName(status));
+            }
+            else {
+                this.#pending.delete(pending);
+                this.#relay(stream, caller, peer, received);
+            }
+        });
+        const pending: PendingConnection = {
+            until: performance.now() + CONNECT_TIMEOUT_MS,
+            fail: code => {
+                this.#pending.delete(pending);
+                peer.close();
+                onFailed(Object.assign(new Error(code), { code }));
+                serve();
+            },
+            close: () => {
+                this.#pending.delete(pending);
+                peer.close();
+                caller.reset();
+            },
+        };
+        this.#pending.add(pending);
+    }
+
+    #relay(binding: StreamBinding, caller: SocketHandle, peer: SocketHandle, received: Buffer): void {
+        const { onFailed } = this.#options;
+        let isClosed = false;
+        const relay = ConnectionRelay.create({
+            binding,
+            caller,
+            peer,
+            received,
+            onFailed,
+            onClosed: () => {
+                isClosed = true;
+                this.#open.delete(relay);
+            },
+        });
+        if (!isClosed) {
+            this.#open.add(relay);
+        }
+    }
+
+    #expire(): void {
+        const now = performance.now();
+        [...this.#pending].filter(({ until }) => until <= now).forEach(({ fail }) => fail("ETIMEDOUT"));
+        this.#open.forEach(relay => relay.expire(now));
+        if (this.size === 0) {
+            clearInterval(this.#timer);
+            this.#timer = undefined;
+        }
+    }
+}
+
+function describeCaller(caller: SocketHandle): string {
+    const address: { address?: string; port?: number; } = {};
+    caller.getpeername(address);
+    return `${address.address}:${address.port}`;
+}
--- a/src/shared/serverConnections.ts
+++ b/src/shared/serverConnections.ts
@@ -2,15 +2,15 @@
 import { Server as TcpServer, type Socket } from "node:net";
 import type { EndPlan } from "../core/routing/endPlan.js";
 import { AcceptQueue } from "./acceptQueue.js";
+import { LingeringConnections } from "./lingeringConnections.js";
 import { RefusedConnections } from "./refusedConnections.js";
+import { RelayedConnections } from "./relayedConnections.js";
 import type { ServerConnectionsOptions } from "./serverConnectionsOptions.js";
 import { UNREAD_REFUSAL } from "./unreadRefusal.js";
 import { UnwrappedConnections } from "./unwrappedConnections.js";
 import { UpgradeRequests } from "./upgradeRequests.js";
 
-/** A caller has this long to close its side after the last response on a connection. */
-const LINGER_MS = 1000;
-const CHECK_INTERVAL_MS = 20;
+const POLL_MS = 5;
 /** Time in which a connection that was accepted at the end brings its request. */
 const FIRST_REQUEST_MS = 150;
 /** Few clients use the servers that set no other limits. */
@@ -25,19 +25,17 @@
     readonly #server: Server;
     readonly #queue: AcceptQueue;
     readonly #refused: RefusedConnections;
+    readonly #relayed: RelayedConnections;
     readonly #unwrapped: UnwrappedConnections;
     /** Open connections with the responses that are due on them, in order. */
     readonly #due = new Map<Socket, readonly ServerResponse[]>();
     /** Accepted connections on which no request has been read yet. */
     readonly #unused = new Set<Socket>();
-    /** Connections whose last response has been sent, with the monotonic times in milliseconds at which they are closed. */
-    readonly #lingering = new Map<Socket, number>();
+    readonly #lingering = LingeringConnections.create();
     /** Monotonic time in milliseconds of the last accepted connection or request. */
     #progressAt = 0;
     #stopped: Promise<void> | undefined;
     #isEnding = false;
-    /** Set while connections linger. */
-    #timer: NodeJS.Timeout | undefined;
 
     private constructor(server: Server, options: ServerConnectionsOptions) {
         const {
@@ -49,9 +47,13 @@
             maySpare = () => false,
             countHoldable = () => 0,
             mayServeHeld = () => false,
+            maxRelayed = 0,
+            findPeer = () => undefined,
+            tryRelay = () => false,
             onRefused = () => undefined,
             onFailed,
         } = options;
+        const recordFailure = onFailed ?? ((): void => undefined);
         this.#server = server;
         this.#queue = AcceptQueue.create(server, { maxUnread, onProbeFailed: onFailed });
         // The listener of the HTTP server itself. Without its parser, a refused connection costs less.
@@ -64,6 +66,12 @@
             socket.setNoDelay(true);
             readRequests(socket);
         };
+        this.#relayed = RelayedConnections.create({
+            maxOpen: maxRelayed,
+            findPeer,
+            tryRelay,
+            onFailed: recordFailure,
+        });
         UpgradeRequests.create(server, {
             listDue: socket => this.#due.get(socket) ?? [],
             serve: readRequests,
@@ -75,14 +83,15 @@
             mayServeHeld,
             serve,
             onRefused,
-            onFailed: onFailed ?? (() => undefined),
+            onFailed: recordFailure,
         });
         this.#unwrapped = UnwrappedConnections.create(server, {
             queue: this.#queue,
             mayRefuse: () => mayRefuse() && this.#unwrapped.size + this.#refused.size < maxRefused,
             tryRefuse,
+            tryRelay: (...connection) => this.#relayed.tryAdd(...connection),
             onRefused,
-            onFailed: onFailed ?? (() => undefined),
+            onFailed: recordFailure,
         });
         server.on("connection", (socket: Socket) => {
             if (!this.#queue.add(socket)) {
@@ -116,6 +125,11 @@
         return this.#refused.held;
     }
 
+    /** Number of connections that are relayed to other instances. */
+    get relayed(): number {
+        return this.#relayed.size;
+    }
+
     /** Number of connections that are decided about before they have sockets. */
     get unwrapped(): number {
         return this.#unwrapped.size;
@@ -151,7 +165,10 @@
     async waitForResponses(until: number): Promise<void> {
         const mayBringRequest = (): boolean =>
             this.#unused.size > 0 && performance.now() < this.#progressAt + FIRST_REQUEST_MS;
-        await this.#waitWhile(() => mayBringRequest() || this.#hasDueResponse(), until);
+        await this.#waitWhile(
+            () => mayBringRequest() || this.#hasDueResponse() || this.#relayed.size > 0,
+            until,
+        );
     }
 
     /**
@@ -176,7 +193,10 @@
             }
         });
         this.#refused.end();
-        await this.#waitWhile(() => this.#due.size > 0 || this.#refused.size > 0, until);
+        await this.#waitWhile(
+            () => this.#due.size > 0 || this.#refused.size > 0 || this.#relayed.size > 0,
+            until,
+        );
     }
 
     /** Closes all connections at once. */
@@ -184,6 +204,7 @@
         this.#due.forEach((_due, socket) => socket.destroy());
         this.#unwrapped.drop();
         this.#refused.drop();
+        this.#relayed.drop();
     }
 
     /** Stops listening, and closes all connections after the responses to the requests on them. */
@@ -200,7 +221,7 @@
         this.#unused.add(socket);
         // The HTTP server calls this after the last response. Its own version closes the connection while bytes may arrive.
         socket.destroySoon = () => void socket.end();
-        socket.once("finish", () => this.#waitForClose(socket));
+        socket.once("finish", () => this.#lingering.add(socket));
         socket.once("close", () => {
             this.#due.delete(socket);
             this.#unused.delete(socket);
@@ -230,31 +251,9 @@
         return [...this.#due.values()].some(due => due.length > 0);
     }
 
-    /** Reads on until the caller closes its side, for a limited time. */
-    #waitForClose(socket: Socket): void {
-        if (socket.destroyed) {
-            return;
-        }
-        this.#lingering.set(socket, performance.now() + LINGER_MS);
-        this.#timer ??= setInterval(() => this.#expire(), CHECK_INTERVAL_MS);
-    }
-
-    #expire(): void {
-        const now = performance.now();
-        this.#lingering.forEach((until, socket) => {
-            if (until <= now) {
-                socket.destroy();
-            }
-        });
-        if (this.#lingering.size === 0) {
-            clearInterval(this.#timer);
-            this.#timer = undefined;
-        }
-    }
-
     async #waitWhile(isPending: () => boolean, until: number): Promise<void> {
         while (isPending() && performance.now() < until) {
-            await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL_MS / 4));
+            await new Promise(resolve => setTimeout(resolve, POLL_MS));
         }
     }
 }
--- a/src/shared/serverConnectionsOptions.ts
+++ b/src/shared/serverConnectionsOptions.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import type { ListenAddress } from "./listenAddress.js";
 
 /** Decides which connections of a server are served. */
 export interface ServerConnectionsOptions {
@@ -18,6 +19,12 @@
     readonly countHoldable?: () => number;
     /** Returns whether a connection that has been held is served now. @default always false */
     readonly mayServeHeld?: (socket: Socket, head: string) => boolean;
+    /** Number of connections that may be relayed to other instances at a time. @default none */
+    readonly maxRelayed?: number;
+    /** Finds another instance that has room for a connection, by an address of its caller. @default always `undefined` */
+    readonly findPeer?: (caller: string) => ListenAddress | undefined;
+    /** Returns whether a connection that is not refused is relayed, by the head of its first request. @default always false */
+    readonly tryRelay?: (head: string) => boolean;
     /** Called for each connection that gets a refusal. */
     readonly onRefused?: () => void;
     /** Called when a refused connection, or a measurement of the queue, fails. If absent, the queue is not measured. */
--- a/src/shared/socketHandle.ts
+++ b/src/shared/socketHandle.ts
@@ -6,6 +6,10 @@
     readonly readStart: () => number;
     readonly readStop: () => number;
     readonly writeBuffer: (request: object, data: Buffer) => number;
+    /** Ends the sending side once everything has been written. */
+    readonly shutdown: (request: object) => number;
     readonly getpeername: (peer: { address?: string; port?: number; }) => number;
     readonly close: () => void;
+    /** Closes the connection with a reset. */
+    readonly reset: () => number;
 }
--- a/src/shared/unwrappedConnections.ts
+++ b/src/shared/unwrappedConnections.ts
@@ -14,6 +14,12 @@
     readonly mayRefuse: () => boolean;
     /** Returns whether a connection is refused, by the head of its first request with all its line ends; it counts as offered then. */
     readonly tryRefuse: (head: string) => boolean;
+    /** Relays a connection that is not refused to another instance, or else calls `serve`, later. Returns whether it does. */
+    readonly tryRelay: (
+        connection: SocketHandle,
+        request: { readonly head: string; readonly bytes: Buffer; },
+        serve: () => void,
+    ) => boolean;
     readonly onRefused: () => void;
     /** Called when a connection breaks before its caller has sent its request, or as the refusal is written. */
     readonly onFailed: (error: Error) => void;
@@ -103,7 +109,7 @@
     }
 
     #onRead(connection: SocketHandle, bytes: ArrayBuffer | undefined): void {
-        const { tryRefuse, onRefused } = this.#options;
+        const { tryRefuse, tryRelay, onRefused } = this.#options;
         const { length, offset } = binding?.getLastRead() ?? { length: 0, offset: 0 };
         if (!bytes || length <= 0) {
             this.#fail(connection, length);
@@ -112,7 +118,14 @@
         const chunk = Buffer.from(bytes, offset, length);
         const head = readRequestHead(chunk);
         if (head === undefined || !isWholeRequest(chunk, head) || !tryRefuse(head)) {
-            this.#makeSocket(connection, chunk);
+            connection.readStop();
+            const serve = (): void => this.#makeSocket(connection, chunk);
+            if (head !== undefined && tryRelay(connection, { head, bytes: chunk }, serve)) {
+                this.#open.delete(connection);
+            }
+            else {
+                serve();
+            }
             return;
         }
         connection.readStop();
--- a/src/testing/platform/buildRouterSettings.ts
+++ b/src/testing/platform/buildRouterSettings.ts
@@ -2,7 +2,7 @@
     /** Loopback address of the instance, and of the first instance of its fleet. */
     readonly host: string;
     readonly firstHost: string;
-    /** Ports for callers, readiness checks, directory lookups and peers. */
+    /** Ports for callers, readiness checks, directory lookups, peers and relayed connections. */
     readonly ports: readonly number[];
     /** host:port. */
     readonly storeAddress: string;
@@ -16,7 +16,7 @@
 /** Builds the settings of a router process of a test fleet. */
 export function buildRouterSettings(values: RouterSettingsValues): object {
     const { host, firstHost, storeAddress, stopTimeoutSeconds, revocationMs } = values;
-    const [callers, ready, directory, peers] = values.ports;
+    const [callers, ready, directory, peers, relay] = values.ports;
     return {
         instance: `instance-${host}`,
         dataCentre: "a",
@@ -27,6 +27,7 @@
         directoryAddress: `${host}:${directory}`,
         host,
         peerPort: peers,
+        relayPort: relay,
         seedAddresses: [`${firstHost}:1`],
         storeAddress,
         processorShare: 1,
--- a/src/testing/platform/cooperativeFleet.ts
+++ b/src/testing/platform/cooperativeFleet.ts
@@ -68,7 +68,7 @@
     static async create(options: CooperativeFleetOptions): Promise<CooperativeFleet> {
         const store = await CooperativeStore.create();
         const link = await FaultLink.create(store.address);
-        const fleet = new CooperativeFleet(options, store, link, await findPorts(4));
+        const fleet = new CooperativeFleet(options, store, link, await findPorts(5));
         for (let i = 0; i < options.engines + options.plainTargets; i += 1) {
             const service = i < options.engines ? "engine" : "plain";
             await fleet.addTarget(service, options.versions?.[i % options.versions.length]);
@@ -98,7 +98,7 @@
         return this.#instances.failures;
     }
 
-    /** Ports of an instance: callers, readiness, directory, peers, metrics. */
+    /** Ports of an instance: callers, readiness, directory, peers, relayed connections, metrics. */
     get ports(): readonly number[] {
         return [...this.#ports, METRICS_PORT];
     }
--- /dev/null
+++ b/test/router/callerListeners.test.ts
@@ -0,0 +1,71 @@
+import test, { type ExecutionContext } from "ava";
+import type { ServerResponse } from "node:http";
+import { CallerListeners } from "../../src/router/callerListeners.js";
+import { findPorts } from "../../src/testing/platform/findPorts.js";
+import { sendOnNewConnection } from "../../src/testing/sendOnNewConnection.js";
+import { createPortBinder } from "../helpers/createPortBinder.js";
+
+const HOST = "127.0.0.1";
+const ANSWER_MS = 200;
+const STOP_MS = 3000;
+
+/** Starts listeners whose callers' connections are all relayed to their own port for relayed ones. */
+async function createListeners(t: ExecutionContext, onRequest: (response: ServerResponse) => void): Promise<{
+    readonly listeners: CallerListeners;
+    readonly address: string;
+    readonly countFound: () => number;
+}> {
+    const [callers = 0, relay = 0] = await findPorts(2);
+    let found = 0;
+    const listeners = CallerListeners.create({
+        connections: {
+            maxRelayed: 10,
+            mayRefuse: () => true,
+            tryRelay: () => true,
+            findPeer: () => {
+                found += 1;
+                return { host: HOST, port: relay };
+            },
+        },
+        onRequest: (incoming, response) => {
+            t.true(listeners.isFromPeer(incoming.socket));
+            onRequest(response);
+        },
+        onClientError: (_error, socket) => socket.destroy(),
+        onConnect: socket => socket.destroy(),
+        onUpgrade: () => undefined,
+    });
+    t.teardown(() => listeners.close());
+    await listeners.open({
+        ports: createPortBinder(),
+        log: { write: () => undefined },
+        callerAddress: { host: HOST, port: callers },
+        relayAddress: { host: HOST, port: relay },
+    });
+    return { listeners, address: `${HOST}:${callers}`, countFound: () => found };
+}
+
+const request = { path: "/x", headers: { Host: "h" }, bodyBytes: 10 };
+
+test("a connection that a peer relays is served and relayed no further", async t => {
+    const { address, countFound } = await createListeners(t, response => response.end("ok"));
+    t.is((await sendOnNewConnection(address, request)).status, 200);
+    t.is(countFound(), 1);
+});
+
+test("a stop waits for the response to a connection that is relayed to a peer", async t => {
+    let onRead: () => void = () => undefined;
+    const isRead = new Promise<void>(resolve => onRead = resolve);
+    const { listeners, address } = await createListeners(t, response => {
+        onRead();
+        setTimeout(() => response.end("ok"), ANSWER_MS);
+    });
+    const answer = sendOnNewConnection(address, request);
+    await isRead;
+    const until = performance.now() + STOP_MS;
+    await listeners.stopListening(until);
+    await listeners.waitForResponses(until);
+    await listeners.endConnections(until);
+    listeners.close();
+    t.is((await answer).status, 200);
+});
--- /dev/null
+++ b/test/shared/relayedConnections.test.ts
@@ -0,0 +1,143 @@
+import test, { type ExecutionContext } from "ava";
+import { once } from "node:events";
+import { createServer as createHttpServer } from "node:http";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import type { ListenAddress } from "../../src/shared/listenAddress.js";
+import { ServerConnections } from "../../src/shared/serverConnections.js";
+import { waitUntil } from "../../src/testing/waitUntil.js";
+
+const REQUEST = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+const RESPONSE = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole";
+const HOST = "127.0.0.1";
+/** More than the operating system buffers. */
+const LONG_BYTES = 8_000_000;
+const LATE_MS = 200;
+const UNUSED_ADDRESS: ListenAddress = { host: HOST, port: 1 };
+
+/** Listens on a free port, with connections that may be half-closed. */
+async function openServer(
+    t: ExecutionContext,
+    onConnection: (socket: Socket) => void,
+): Promise<{ readonly address: ListenAddress; }> {
+    const server = createServer({ allowHalfOpen: true }, onConnection).listen(0, HOST);
+    await once(server, "listening");
+    t.teardown(() => server.close());
+    return { address: { host: HOST, port: (server.address() as AddressInfo).port } };
+}
+
+/** Sends a request to a server that relays it to `peer`, or serves it with the response "here". */
+async function sendThroughRelay(
+    t: ExecutionContext,
+    peer: ListenAddress | undefined,
+    maxRelayed = 1,
+): Promise<{
+    readonly connections: ServerConnections;
+    readonly caller: Socket;
+    readonly ended: Promise<{ readonly received: string; readonly error: string | undefined; }>;
+}> {
+    const server = createHttpServer((incoming, response) => response.end(`here ${incoming.url}`));
+    const connections = ServerConnections.create(server, {
+        mayRefuse: () => true,
+        maxRelayed,
+        findPeer: () => peer,
+        tryRelay: head => t.is(head, REQUEST),
+        onFailed: () => undefined,
+    });
+    server.listen(0, HOST);
+    await once(server, "listening");
+    t.teardown(() => connections.close({ answerBy: 0, closeBy: 0 }));
+    const { port } = server.address() as AddressInfo;
+    const caller = connect({ host: HOST, port, allowHalfOpen: true });
+    t.teardown(() => caller.destroy());
+    let received = "";
+    let error: string | undefined;
+    caller.on("data", data => received += String(data));
+    caller.on("error", (cause: NodeJS.ErrnoException) => error = cause.code);
+    caller.write(REQUEST);
+    const ended = new Promise<{ readonly received: string; readonly error: string | undefined; }>(resolve => {
+        const end = (): void => resolve({ received, error });
+        caller.on("end", end);
+        caller.on("close", end);
+    });
+    return { connections, caller, ended };
+}
+
+test("relays a request and its response unchanged, and the end of either side", async t => {
+    let request = "";
+    const { address } = await openServer(t, socket => {
+        socket.on("data", data => request += String(data));
+        // The caller has closed its sending side.
+        socket.on("end", () => socket.end(RESPONSE));
+    });
+    const { connections, caller, ended } = await sendThroughRelay(t, address);
+    caller.end("more");
+    t.deepEqual(await ended, { received: RESPONSE, error: undefined });
+    t.is(request, `${REQUEST}more`);
+    await once(caller, "close");
+    await waitUntil("nothing is relayed any more", () => connections.relayed === 0);
+});
+
+test("serves a connection here if the other instance does not accept it, or there is no room", async t => {
+    const refused = await sendThroughRelay(t, UNUSED_ADDRESS);
+    t.regex(String(await once(refused.caller, "data")), /here \/x/);
+    const full = await sendThroughRelay(t, UNUSED_ADDRESS, 0);
+    t.regex(String(await once(full.caller, "data")), /here \/x/);
+    const alone = await sendThroughRelay(t, undefined);
+    t.regex(String(await once(alone.caller, "data")), /here \/x/);
+});
+
+test("relays a long response and a long request whole to sides that read late", async t => {
+    const part = Buffer.alloc(LONG_BYTES, "x");
+    let bytes = 0;
+    const { address } = await openServer(t, socket => {
+        socket.write(part);
+        socket.pause();
+        setTimeout(() => socket.resume(), LATE_MS);
+        socket.on("data", data => bytes += data.length);
+        socket.on("end", () => socket.end());
+    });
+    const { caller, ended } = await sendThroughRelay(t, address);
+    caller.pause();
+    caller.end(part);
+    setTimeout(() => caller.resume(), LATE_MS);
+    const { received, error } = await ended;
+    t.deepEqual([received.length, error], [LONG_BYTES, undefined]);
+    t.is(bytes, REQUEST.length + LONG_BYTES);
+});
+
+// The other instance is killed: whether the request has run is not known.
+for (const isReset of [true, false]) {
+    test(`answers 502 if the other instance ${isReset ? "resets" : "closes"} the connection without a response`, async t => {
+        const { address } = await openServer(t, socket => {
+            socket.once("data", () => void (isReset ? socket.resetAndDestroy() : socket.end()));
+        });
+        const { ended } = await sendThroughRelay(t, address);
+        t.regex((await ended).received, /^HTTP\/1.1 502 /);
+    });
+}
+
+test("a response without a length that breaks off at the other instance does not look whole", async t => {
+    const { address } = await openServer(t, socket => {
+        socket.once("data", () => socket.write(RESPONSE));
+        setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+    const { caller, ended } = await sendThroughRelay(t, address);
+    const { received, error } = await ended;
+    t.is(received, RESPONSE);
+    t.is(error, "ECONNRESET");
+    t.true(caller.destroyed);
+});
+
+test("the other instance sees a reset when the caller leaves, not the end of its requests", async t => {
+    let onLeft: (code: string) => void = () => undefined;
+    const left = new Promise<string>(resolve => onLeft = resolve);
+    const { address } = await openServer(t, socket => {
+        socket.on("data", () => socket.write(RESPONSE));
+        socket.on("end", () => onLeft("end"));
+        socket.on("error", (error: NodeJS.ErrnoException) => onLeft(error.code ?? ""));
+    });
+    const { caller } = await sendThroughRelay(t, address);
+    await once(caller, "data");
+    caller.resetAndDestroy();
+    t.is(await left, "ECONNRESET");
+});
