--- a/src/adapters/caller/callerConnections.ts
+++ b/src/adapters/caller/callerConnections.ts
@@ -36,16 +36,19 @@
         this.#halfClosed = HalfClosedCallers.create(options.getNow);
     }
 
+    /** Creates a record of no connections. */
+    static create(options: CallerConnectionsOptions): CallerConnections {
+        return new CallerConnections(options);
+    }
+
     /** Handles the errors and the CONNECT requests on connections of a server. */
-    static create(server: Server, options: CallerConnectionsOptions): CallerConnections {
-        const connections = new CallerConnections(options);
+    attach(server: Server): void {
         // Node.js would end a connection as soon as its caller has closed its side, with responses due. The types lack the property.
         Object.assign(server, { httpAllowHalfOpen: true });
-        server.on("clientError", (error: NodeJS.ErrnoException, socket) => connections.#fail(socket, error));
-        server.on("connect", (_incoming, socket) => connections.#refuseConnect(socket));
+        server.on("clientError", (error: NodeJS.ErrnoException, socket) => this.#fail(socket, error));
+        server.on("connect", (_incoming, socket) => this.#refuseConnect(socket));
         // A request with Upgrade is added after the responses that are due.
-        server.on("upgrade", (_incoming, socket) => connections.#followed.add(socket));
-        return connections;
+        server.on("upgrade", (_incoming, socket) => this.#followed.add(socket));
     }
 
     /** Adds a request whose response is due from now on. */
--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -1,6 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
-import { setImmediate as waitForNextTurn } from "node:timers/promises";
+import { setImmediate as waitForNextTurn, setTimeout as sleep } from "node:timers/promises";
 import { v7 as createUuid } from "uuid";
 import type { ClientAccount } from "../../core/configuration/clientAccount.js";
 import { RequestError } from "../../core/errors/requestError.js";
@@ -10,11 +9,12 @@
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { planEnd } from "../../core/routing/planEnd.js";
+import { CallerListeners } from "../../shared/callerListeners.js";
 import { ConnectionAdmission } from "../../shared/connectionAdmission.js";
 import { OverloadGuard } from "../../shared/overloadGuard.js";
 import { parseListenAddress } from "../../shared/parseListenAddress.js";
 import { readHeader } from "../../shared/readHeader.js";
-import { ServerConnections } from "../../shared/serverConnections.js";
+import type { ServerConnectionsOptions } from "../../shared/serverConnectionsOptions.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerConnections } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
@@ -32,8 +32,12 @@
     service: string | undefined;
 }
 
-/** Connections that do not fit into the queue of the operating system are acknowledged, too, and reset later. */
-const LISTEN_BACKLOG = 4096;
+/** Connections that may be open until they are refused. */
+const MAX_REFUSED = 4096;
+/** Connections that are relayed at a time, of those that may be served: each takes two descriptors. */
+const MAX_RELAYED = 1024;
+const MAX_RELAYED_SHARE = 0.25;
+const RELAY_POLL_MS = 20;
 /** A daemon has 256 MB; this is the share that the router's bodies get. */
 const MAX_HELD_BYTES = 40_000_000;
 const MAX_HEADER_BYTES = 16_384;
@@ -49,8 +53,7 @@
 /** Serves callers over HTTP. */
 export class CallerServer {
     readonly #options: CallerServerOptions;
-    readonly #server: Server;
-    readonly #connections: ServerConnections;
+    readonly #listeners: CallerListeners;
     readonly #callers: CallerConnections;
     readonly #admission: ConnectionAdmission;
     /** Bodies of the requests in flight. */
@@ -64,68 +67,76 @@
     private constructor(options: CallerServerOptions) {
         this.#options = options;
         this.#bodies = MemoryBudget.create(options.maxHeldBytes ?? MAX_HELD_BYTES);
-        this.#server = createServer({
-            maxHeaderSize: MAX_HEADER_BYTES,
-            headersTimeout: HEADERS_TIMEOUT_MS,
-            requestTimeout: REQUEST_TIMEOUT_MS,
-            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-            // Set on connections that are served.
-            noDelay: false,
-        }, (incoming, response) => void this.#serve(incoming, response));
         const readAccount = (head: string): string =>
             findAccount(readHeader(head, "authorization"), options.getView().index)?.name ?? "";
-        const served = ServedConnections.create(options.connectionLimits?.maxServed ?? Infinity);
-        this.#connections = ServerConnections.create(this.#server, {
-            maxRefused: options.connectionLimits?.maxRefused ?? LISTEN_BACKLOG,
+        const maxServed = options.connectionLimits?.maxServed ?? Infinity;
+        const served = ServedConnections.create(maxServed);
+        const connections: ServerConnectionsOptions = {
+            maxRefused: options.connectionLimits?.maxRefused ?? MAX_REFUSED,
             mayServe: socket => served.tryAdd(socket, () => this.#admission.mayServe(socket)),
             mayRefuse: () => this.#admission.isOverloaded,
             tryRefuse: head => this.#admission.tryRefuse(readAccount(head)),
             maySpare: (socket, head) =>
                 served.tryAdd(socket, () => this.#admission.maySpare(socket, readAccount(head))),
+            maxRelayed: Math.floor(Math.min(MAX_RELAYED, maxServed * MAX_RELAYED_SHARE)),
+            findPeer: options.findPeer ?? ((): undefined => undefined),
+            tryRelay: head => this.#admission.tryRelay(readAccount(head)),
             onRefused: () => this.#admission.recordRefused(),
             onFailed: error => this.#admission.recordFailure(error),
-        });
-        const { queue } = this.#connections;
-        const countActive = (): number => this.#requestsInFlight;
-        const guard = OverloadGuard.create({ queue, countActive, onReport: options.onOverload });
-        this.#admission = ConnectionAdmission.create({ queue, guard });
-        this.#callers = CallerConnections.create(this.#server, {
+        };
+        this.#callers = CallerConnections.create({
             getNow: options.getNow,
             onUnreadable: (requestId, error) =>
                 this.#finish(this.#createExchange(requestId), undefined, error),
         });
+        this.#listeners = CallerListeners.create({ connections, createServer: () => this.#createServer() });
+        const { queue } = this.#listeners;
+        const countActive = (): number => this.#requestsInFlight;
+        const guard = OverloadGuard.create({ queue, countActive, onReport: options.onOverload });
+        this.#admission = ConnectionAdmission.create({ queue, guard });
     }
 
     /**
      * Starts listening and returns the server.
      *
-     * @throws PortError when the address cannot be bound.
+     * @throws PortError when an address cannot be bound.
      */
     static async create(options: CallerServerOptions): Promise<CallerServer> {
         const server = new CallerServer(options);
-        const address = { ...parseListenAddress(options.address), backlog: LISTEN_BACKLOG };
-        await options.ports.openServer("callers", server.#server, address);
+        const { address, relayAddress, ports } = options;
+        await server.#listeners.open({
+            ports,
+            callerAddress: parseListenAddress(address),
+            relayAddress: relayAddress === undefined ? undefined : parseListenAddress(relayAddress),
+        });
         return server;
     }
 
     /** Address that the server listens on, host:port. */
     get address(): string {
-        const { address, port } = this.#server.address() as AddressInfo;
-        return `${address}:${port}`;
+        return this.#listeners.callerAddress;
     }
 
-    /** Refuses new requests from now on and resolves when the requests in flight have ended. */
+    /** Address for connections that peers relay, host:port; `undefined` if they relay none. */
+    get relayAddress(): string | undefined {
+        return this.#listeners.relayAddress;
+    }
+
+    /** Refuses new requests from now on and resolves when the requests in flight have ended, here and at peers. */
     async drain(): Promise<void> {
         this.#isDraining = true;
         if (this.#requestsInFlight > 0) {
             await new Promise<void>(resolve => this.#idleListeners.push(resolve));
         }
+        while (this.#listeners.relayedToPeers > 0) {
+            await sleep(RELAY_POLL_MS);
+        }
     }
 
     /** Stops listening, refuses the requests that callers have sent, and resolves when the last connection has closed. */
     async close(): Promise<void> {
         const now = performance.now();
-        await this.#connections.close({ answerBy: now + LAST_ANSWERS_MS, closeBy: now + CLOSE_TIMEOUT_MS });
+        await this.#listeners.end({ answerBy: now + LAST_ANSWERS_MS, closeBy: now + CLOSE_TIMEOUT_MS });
     }
 
     /** Ends the open requests with an error, and closes all connections within a time in milliseconds, as the process cannot go on. */
@@ -134,7 +145,20 @@
         const error = RequestError.create("internal-error", "The instance failed.", { outcome: "unknown" });
         this.#failOpen.forEach(fail => fail(error));
         const now = performance.now();
-        await this.#connections.close(planEnd(now, now + timeoutMs));
+        await this.#listeners.end(planEnd(now, now + timeoutMs));
+    }
+
+    #createServer(): Server {
+        const server = createServer({
+            maxHeaderSize: MAX_HEADER_BYTES,
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            requestTimeout: REQUEST_TIMEOUT_MS,
+            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+            // Set on connections that are served.
+            noDelay: false,
+        }, (incoming, response) => void this.#serve(incoming, response));
+        this.#callers.attach(server);
+        return server;
     }
 
     #createExchange(requestId: string): Exchange {
@@ -145,6 +169,10 @@
         const exchange = this.#createExchange(createUuid());
         response.setHeader("x-request-id", exchange.requestId);
         this.#callers.add(response);
+        if (this.#listeners.isFromPeer(incoming.socket)) {
+            // The peer relays only the first request of a connection.
+            this.#callers.endWith(response);
+        }
         const writer = CallerResponse.create(response);
         this.#requestsInFlight += 1;
         let result: RequestResult | undefined;
--- a/src/adapters/caller/callerServerOptions.ts
+++ b/src/adapters/caller/callerServerOptions.ts
@@ -3,6 +3,7 @@
 import type { FinishedRequest } from "../../core/request/finishedRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import type { ResponseWriter } from "../../core/request/responseWriter.js";
+import type { ListenAddress } from "../../shared/listenAddress.js";
 import type { OverloadReport } from "../../shared/overloadReport.js";
 import type { PortBinder } from "../../shared/portBinder.js";
 
@@ -10,6 +11,10 @@
 export interface CallerServerOptions {
     /** host:port; port 0 takes a free port. */
     readonly address: string;
+    /** host:port for connections that busy peers relay; port 0 takes a free port. @default they relay none */
+    readonly relayAddress?: string | undefined;
+    /** Finds an instance that has room for a connection, by an address of its caller. @default none has */
+    readonly findPeer?: (caller: string) => ListenAddress | undefined;
     readonly ports: Pick<PortBinder, "openServer">;
     /** Data centre of this instance, whose entries are listed first. */
     readonly dataCentre: string;
--- a/src/core/membership/instance.ts
+++ b/src/core/membership/instance.ts
@@ -6,6 +6,8 @@
     readonly callerAddress: string;
     /** Address for other daemons, host:port. */
     readonly peerAddress: string;
+    /** Address for callers' connections that busy peers relay, host:port; absent if it accepts none. */
+    readonly relayAddress?: string | undefined;
     /** Address for operators, host:port. */
     readonly operatorAddress: string;
     readonly state: "live" | "leaving";
--- a/src/core/membership/instanceListSchema.ts
+++ b/src/core/membership/instanceListSchema.ts
@@ -5,6 +5,7 @@
     dataCentre: z.string().min(1),
     callerAddress: z.string().default(""),
     peerAddress: z.string().default(""),
+    relayAddress: z.string().optional(),
     operatorAddress: z.string().default(""),
     state: z.enum(["live", "leaving"]),
 }).readonly();
--- a/src/daemon/createDaemonParts.ts
+++ b/src/daemon/createDaemonParts.ts
@@ -11,6 +11,7 @@
 import { listLeaseStatus } from "../core/explain/listLeaseStatus.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { PortBinder } from "../shared/portBinder.js";
+import { RelayPeers } from "../shared/relayPeers.js";
 import { PeerClient } from "../transport/peerClient.js";
 import { PeerServer } from "../transport/peerServer.js";
 import type { TrafficRecorder } from "../transport/trafficRecorder.js";
@@ -31,6 +32,7 @@
 import { recordFinishedRequest } from "./execution/recordFinishedRequest.js";
 import { RequestExecutor } from "./execution/requestExecutor.js";
 import { waitForRetry } from "./execution/waitForRetry.js";
+import { listRelayPeers } from "./listRelayPeers.js";
 import { LoopbackCaller } from "./loopbackCaller.js";
 import { PeerDirectory } from "./peerDirectory.js";
 
@@ -164,9 +166,15 @@
         explainAccount: (account, limit) => decisionLog.explainAccount(account, limit),
         onError: error => logger.error("operator-page-failed", { error: String(error) }),
     });
+    const relayPeers = RelayPeers.create({
+        listPeers: () => listRelayPeers(configurationManager.getView(), settings),
+        getNow,
+    });
     // The last port, so that a daemon that may still fail to start accepts no caller.
     const callerServer = await CallerServer.create({
         address: settings.callerAddress,
+        relayAddress: settings.relayAddress,
+        findPeer: caller => relayPeers.find(caller),
         ports,
         dataCentre: settings.dataCentre,
         entriesTermMs: settings.entriesTermMs,
@@ -178,6 +186,7 @@
         onOverload: report => {
             logger.warn("overload", report);
             metrics.count("connections_refused_total", {}, report.refused);
+            metrics.count("connections_relayed_total", {}, report.relayed);
         },
         onReceived: request => metrics.count("requests_total", { service: request.service.name }),
         onFinished: finished => recordFinishedRequest(context, finished),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -18,6 +18,8 @@
     readonly callerAddress: string;
     readonly peerAddress: string;
     readonly operatorAddress: string;
+    /** Absent if peers relay no connections to it. */
+    readonly relayAddress: string | undefined;
 }
 
 const INTERNAL_ERROR_EXIT_CODE = 1;
@@ -91,6 +93,7 @@
             callerAddress: this.#parts.callerServer.address,
             peerAddress: this.#parts.peerServer.address,
             operatorAddress: this.#parts.operatorServer.address,
+            relayAddress: this.#parts.callerServer.relayAddress,
         };
     }
 
--- a/src/daemon/daemonSettingsSchema.ts
+++ b/src/daemon/daemonSettingsSchema.ts
@@ -15,6 +15,8 @@
     callerAddress: addressSchema,
     /** Address for peers; port 0 takes a free port. */
     peerAddress: addressSchema,
+    /** Address for callers' connections that busy peers relay; port 0 takes a free port. Absent if it accepts none. */
+    relayAddress: addressSchema.optional(),
     /** Address for operators; port 0 takes a free port. */
     operatorAddress: addressSchema,
     /** Base URL of the platform. */
--- a/src/observability/counterDefinitions.ts
+++ b/src/observability/counterDefinitions.ts
@@ -9,6 +9,10 @@
         help: "Connections refused because more came than the daemon could serve.",
         labels: [],
     },
+    connections_relayed_total: {
+        help: "Connections relayed to other daemons because more came than the daemon could serve.",
+        labels: [],
+    },
     internal_errors_total: {
         help: "Errors that no handler has caught, by source.",
         labels: ["source"],
--- a/src/router/createRouterIngress.ts
+++ b/src/router/createRouterIngress.ts
@@ -1,9 +1,9 @@
 import { computeConnectionLimits } from "../core/routing/computeConnectionLimits.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
+import { RelayPeers } from "../shared/relayPeers.js";
 import type { DeploymentView } from "./deploymentView.js";
 import { Ingress } from "./ingress.js";
 import type { IngressOptions } from "./ingressOptions.js";
-import { RelayPeers } from "./relayPeers.js";
 import type { RequestResolver } from "./requestResolver.js";
 import type { RequestServer } from "./requestServer.js";
 import type { RouterOptions } from "./routerOptions.js";
@@ -27,8 +27,12 @@
 export function createRouterIngress(options: CreateOptions): Promise<Ingress> {
     const { settings, metrics, view, resolver, requestServer, listOpenPeers, getNow } = options;
     const relayPeers = RelayPeers.create({
-        port: settings.relayAddress?.port,
-        listPeers: listOpenPeers,
+        listPeers: () =>
+            listOpenPeers().flatMap(({ name, weight, ip }) =>
+                settings.relayAddress
+                    ? [{ name, weight, address: { ...settings.relayAddress, host: ip } }]
+                    : []
+            ),
         getNow,
     });
     return Ingress.create({
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -2,16 +2,18 @@
 import type { EndPlan } from "../core/routing/endPlan.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { abortResponse } from "../shared/abortResponse.js";
+import { CallerListeners } from "../shared/callerListeners.js";
 import { ServerConnections } from "../shared/serverConnections.js";
 import { addHeldTime } from "./addHeldTime.js";
 import { BodyReader } from "./bodyReader.js";
 import { CallerAdmission } from "./callerAdmission.js";
 import { CallerConnections } from "./callerConnections.js";
 import type { CallerExchange } from "./callerExchange.js";
-import { CallerListeners } from "./callerListeners.js";
+import { createCallerServer } from "./createCallerServer.js";
 import { createFingerprint } from "./createFingerprint.js";
 import type { IngressOptions } from "./ingressOptions.js";
 import { refuseRequest } from "./refuseRequest.js";
+import { setCallerTimeouts } from "./setCallerTimeouts.js";
 
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 const RETRY_AFTER_MS = 500;
@@ -58,10 +60,15 @@
                 onRefused: () => this.admission.recordRefused(),
                 onFailed: error => this.admission.recordFailure(error),
             },
-            onRequest: (incoming, response) => this.#acceptGuarded(incoming, response),
-            onClientError: (error, socket) => this.#connections.end(error, socket),
-            onConnect: socket => this.#connections.refuseTunnel(socket),
-            onUpgrade: socket => this.#connections.keepFor(socket),
+            createServer: () => {
+                const server = createCallerServer((incoming, response) =>
+                    this.#acceptGuarded(incoming, response)
+                );
+                server.on("clientError", (error, socket) => this.#connections.end(error, socket));
+                server.on("connect", (_incoming, socket) => this.#connections.refuseTunnel(socket));
+                server.on("upgrade", (_incoming, socket) => this.#connections.keepFor(socket));
+                return server;
+            },
         });
         this.admission = CallerAdmission.create({
             ...options,
@@ -105,7 +112,7 @@
 
     /** Applies the timeouts of a new configuration. */
     applyLimits(limits: RouterConfiguration["limits"]): void {
-        this.#listeners.setTimeouts(limits);
+        this.#listeners.servers.forEach(server => setCallerTimeouts(server, limits));
     }
 
     /** Requests that are being read or served, and connections that peers serve for this instance. */
--- a/src/router/callerListeners.ts
+++ b/src/shared/callerListeners.ts
@@ -1,30 +1,26 @@
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
-import type { AcceptQueue } from "../shared/acceptQueue.js";
-import type { ListenAddress } from "../shared/listenAddress.js";
-import type { PortBinder } from "../shared/portBinder.js";
-import { ServerConnections } from "../shared/serverConnections.js";
-import type { ServerConnectionsOptions } from "../shared/serverConnectionsOptions.js";
+import type { Server } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { EndPlan } from "../core/routing/endPlan.js";
+import type { AcceptQueue } from "./acceptQueue.js";
 import { checkAcceptQueue } from "./checkAcceptQueue.js";
-import { createCallerServer } from "./createCallerServer.js";
-import type { LogSink } from "./logSink.js";
-import { setCallerTimeouts } from "./setCallerTimeouts.js";
+import type { ListenAddress } from "./listenAddress.js";
+import type { PortBinder } from "./portBinder.js";
+import { ServerConnections } from "./serverConnections.js";
+import type { ServerConnectionsOptions } from "./serverConnectionsOptions.js";
 
 interface CallerListenersOptions {
     readonly connections: ServerConnectionsOptions;
-    readonly onRequest: (incoming: IncomingMessage, response: ServerResponse) => void;
-    readonly onClientError: (error: Error, socket: Duplex) => void;
-    readonly onConnect: (socket: Duplex) => void;
-    readonly onUpgrade: (socket: Duplex) => void;
+    /** Creates a server for callers that does not listen yet. */
+    readonly createServer: () => Server;
 }
 
 interface ListenOptions {
     readonly ports: Pick<PortBinder, "openServer">;
-    readonly log: Pick<LogSink, "write">;
     readonly callerAddress: ListenAddress;
     /** Address for connections that peers relay; `undefined` if they relay none. */
     readonly relayAddress: ListenAddress | undefined;
+    /** Told if the operating system caps the accept queues. @default nobody */
+    readonly log?: Parameters<typeof checkAcceptQueue>[1];
 }
 
 /**
@@ -42,21 +38,10 @@
     readonly #fromPeers = new WeakSet<Socket>();
     #listening: readonly ServerConnections[] = [];
 
-    private constructor(options: CallerListenersOptions) {
-        const createServer = (): Server => {
-            const server = createCallerServer(options.onRequest);
-            server.on("clientError", options.onClientError);
-            server.on("connect", (_incoming, socket) => options.onConnect(socket));
-            server.on("upgrade", (_incoming, socket) => options.onUpgrade(socket));
-            return server;
-        };
+    private constructor({ connections, createServer }: CallerListenersOptions) {
         this.#servers = { callers: createServer(), relay: createServer() };
-        this.#callers = ServerConnections.create(this.#servers.callers, options.connections);
-        const relayNone = { maxRelayed: 0 };
-        this.#relayed = ServerConnections.create(this.#servers.relay, {
-            ...options.connections,
-            ...relayNone,
-        });
+        this.#callers = ServerConnections.create(this.#servers.callers, connections);
+        this.#relayed = ServerConnections.create(this.#servers.relay, { ...connections, maxRelayed: 0 });
         this.#servers.relay.prependListener(
             "connection",
             (socket: Socket) => void this.#fromPeers.add(socket),
@@ -81,7 +66,9 @@
             await ports.openServer("relay", this.#servers.relay, { ...relayAddress, backlog });
             this.#listening = [this.#callers, this.#relayed];
         }
-        void checkAcceptQueue(backlog, log);
+        if (log) {
+            void checkAcceptQueue(backlog, log);
+        }
     }
 
     /** The queues of connections that have not been accepted yet, of which the slower one counts. */
@@ -109,9 +96,20 @@
         return this.#fromPeers.has(socket);
     }
 
-    /** Sets the timeouts for callers. */
-    setTimeouts(timeouts: Parameters<typeof setCallerTimeouts>[1]): void {
-        Object.values(this.#servers).forEach(server => setCallerTimeouts(server, timeouts));
+    /** The servers, in no order. */
+    get servers(): readonly Server[] {
+        return Object.values(this.#servers);
+    }
+
+    /** Address that the server for callers listens on, host:port. */
+    get callerAddress(): string {
+        return formatAddress(this.#servers.callers.address() as AddressInfo);
+    }
+
+    /** Address for connections that peers relay, host:port; `undefined` if they relay none. */
+    get relayAddress(): string | undefined {
+        const address = this.#servers.relay.address() as AddressInfo | null;
+        return address ? formatAddress(address) : undefined;
     }
 
     /** Accepts the connections that have been opened until now, and no more; at the latest `until` (monotonic milliseconds). */
@@ -129,9 +127,21 @@
         await Promise.all(this.#listening.map(connections => connections.endConnections(until)));
     }
 
+    /** Stops listening, and closes all connections after the responses to the requests on them. */
+    async end({ answerBy, closeBy }: EndPlan): Promise<void> {
+        await this.stopListening(answerBy);
+        await this.waitForResponses(answerBy);
+        await this.endConnections(closeBy);
+        this.close();
+    }
+
     /** Closes everything at once. */
     close(): void {
         Object.values(this.#servers).forEach(server => server.close());
         [this.#callers, this.#relayed].forEach(connections => connections.dropConnections());
     }
 }
+
+function formatAddress({ address, port }: AddressInfo): string {
+    return `${address}:${port}`;
+}
--- a/src/testing/fleet.ts
+++ b/src/testing/fleet.ts
@@ -142,6 +142,7 @@
                     peerAddress: this.#parts.links?.getPublishedAddress(name) ?? listening["peerAddress"]
                         ?? "",
                     operatorAddress: listening["operatorAddress"] ?? "",
+                    relayAddress: listening["relayAddress"],
                     state: this.#leaving.has(name) ? "leaving" : "live",
                 };
             }),
--- a/test/router/callerListeners.test.ts
+++ b/test/shared/callerListeners.test.ts
@@ -1,6 +1,6 @@
 import test, { type ExecutionContext } from "ava";
-import type { ServerResponse } from "node:http";
-import { CallerListeners } from "../../src/router/callerListeners.js";
+import { createServer, type ServerResponse } from "node:http";
+import { CallerListeners } from "../../src/shared/callerListeners.js";
 import { findPorts } from "../../src/testing/platform/findPorts.js";
 import { sendOnNewConnection } from "../../src/testing/sendOnNewConnection.js";
 import { createPortBinder } from "../helpers/createPortBinder.js";
@@ -27,13 +27,11 @@
                 return { host: HOST, port: relay };
             },
         },
-        onRequest: (incoming, response) => {
-            t.true(listeners.isFromPeer(incoming.socket));
-            onRequest(response);
-        },
-        onClientError: (_error, socket) => socket.destroy(),
-        onConnect: socket => socket.destroy(),
-        onUpgrade: () => undefined,
+        createServer: () =>
+            createServer((incoming, response) => {
+                t.true(listeners.isFromPeer(incoming.socket));
+                onRequest(response);
+            }),
     });
     t.teardown(() => listeners.close());
     await listeners.open({
@@ -63,9 +61,6 @@
     const answer = sendOnNewConnection(address, request);
     await isRead;
     const until = performance.now() + STOP_MS;
-    await listeners.stopListening(until);
-    await listeners.waitForResponses(until);
-    await listeners.endConnections(until);
-    listeners.close();
+    await listeners.end({ answerBy: until, closeBy: until });
     t.is((await answer).status, 200);
 });
--- a/test/router/checkAcceptQueue.test.ts
+++ b/test/shared/checkAcceptQueue.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { readFile } from "node:fs/promises";
-import { checkAcceptQueue } from "../../src/router/checkAcceptQueue.js";
+import { checkAcceptQueue } from "../../src/shared/checkAcceptQueue.js";
 
 const LIMIT_PATH = "/proc/sys/net/core/somaxconn";
 
