--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { setImmediate as waitForNextTurn, setTimeout as sleep } from "node:timers/promises";
 import { v7 as createUuid } from "uuid";
 import type { ClientAccount } from "../../core/configuration/clientAccount.js";
@@ -9,20 +9,19 @@
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { planEnd } from "../../core/routing/planEnd.js";
-import { CallerListeners } from "../../shared/callerListeners.js";
+import type { CallerListeners } from "../../shared/callerListeners.js";
 import { ConnectionAdmission } from "../../shared/connectionAdmission.js";
 import { OverloadGuard } from "../../shared/overloadGuard.js";
 import { parseListenAddress } from "../../shared/parseListenAddress.js";
-import { readHeader } from "../../shared/readHeader.js";
-import type { ServerConnectionsOptions } from "../../shared/serverConnectionsOptions.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerConnections } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
 import type { CallerServerOptions } from "./callerServerOptions.js";
+import { createCallerHttpServer } from "./createCallerHttpServer.js";
+import { createCallerListeners } from "./createCallerListeners.js";
 import { findAccount } from "./findAccount.js";
 import { readCallerRequest } from "./readCallerRequest.js";
 import { sendEntries } from "./sendEntries.js";
-import { ServedConnections } from "./servedConnections.js";
 import { waitForResponseEnd } from "./waitForResponseEnd.js";
 
 interface Exchange {
@@ -32,19 +31,9 @@
     service: string | undefined;
 }
 
-/** Connections that may be open until they are refused. */
-const MAX_REFUSED = 4096;
-/** Connections that are relayed at a time, of those that may be served: each takes two descriptors. */
-const MAX_RELAYED = 1024;
-const MAX_RELAYED_SHARE = 0.25;
 const RELAY_POLL_MS = 20;
 /** A daemon has 256 MB; this is the share that the router's bodies get. */
 const MAX_HELD_BYTES = 40_000_000;
-const MAX_HEADER_BYTES = 16_384;
-const HEADERS_TIMEOUT_MS = 10_000;
-const REQUEST_TIMEOUT_MS = 30_000;
-/** Longer than an entries response is valid, so that a caller with steady requests keeps its connection. */
-const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 /** Time for requests on connections that were accepted a moment ago to arrive. */
 const LAST_ANSWERS_MS = 200;
 /** No request is in flight by then; open connections have sent part of a request at most. */
@@ -67,29 +56,12 @@
     private constructor(options: CallerServerOptions) {
         this.#options = options;
         this.#bodies = MemoryBudget.create(options.maxHeldBytes ?? MAX_HELD_BYTES);
-        const readAccount = (head: string): string =>
-            findAccount(readHeader(head, "authorization"), options.getView().index)?.name ?? "";
-        const maxServed = options.connectionLimits?.maxServed ?? Infinity;
-        const served = ServedConnections.create(maxServed);
-        const connections: ServerConnectionsOptions = {
-            maxRefused: options.connectionLimits?.maxRefused ?? MAX_REFUSED,
-            mayServe: socket => served.tryAdd(socket, () => this.#admission.mayServe(socket)),
-            mayRefuse: () => this.#admission.isOverloaded,
-            tryRefuse: head => this.#admission.tryRefuse(readAccount(head)),
-            maySpare: (socket, head) =>
-                served.tryAdd(socket, () => this.#admission.maySpare(socket, readAccount(head))),
-            maxRelayed: Math.floor(Math.min(MAX_RELAYED, maxServed * MAX_RELAYED_SHARE)),
-            findPeer: options.findPeer ?? ((): undefined => undefined),
-            tryRelay: head => this.#admission.tryRelay(readAccount(head)),
-            onRefused: () => this.#admission.recordRefused(),
-            onFailed: error => this.#admission.recordFailure(error),
-        };
         this.#callers = CallerConnections.create({
             getNow: options.getNow,
             onUnreadable: (requestId, error) =>
                 this.#finish(this.#createExchange(requestId), undefined, error),
         });
-        this.#listeners = CallerListeners.create({ connections, createServer: () => this.#createServer() });
+        this.#listeners = createCallerListeners(options, () => this.#admission, () => this.#createServer());
         const { queue } = this.#listeners;
         const countActive = (): number => this.#requestsInFlight;
         const guard = OverloadGuard.create({ queue, countActive, onReport: options.onOverload });
@@ -149,14 +121,7 @@
     }
 
     #createServer(): Server {
-        const server = createServer({
-            maxHeaderSize: MAX_HEADER_BYTES,
-            headersTimeout: HEADERS_TIMEOUT_MS,
-            requestTimeout: REQUEST_TIMEOUT_MS,
-            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-            // Set on connections that are served.
-            noDelay: false,
-        }, (incoming, response) => void this.#serve(incoming, response));
+        const server = createCallerHttpServer((incoming, response) => void this.#serve(incoming, response));
         this.#callers.attach(server);
         return server;
     }
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -2,6 +2,7 @@
 import type { EndPlan } from "../core/routing/endPlan.js";
 import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
 import { abortResponse } from "../shared/abortResponse.js";
+import { buildAdmissionOptions } from "../shared/buildAdmissionOptions.js";
 import { CallerListeners } from "../shared/callerListeners.js";
 import { ServerConnections } from "../shared/serverConnections.js";
 import { addHeldTime } from "./addHeldTime.js";
@@ -46,19 +47,11 @@
         const readAccount = (head: string): string => options.findAccount(options.wire.readKey(head));
         this.#listeners = CallerListeners.create({
             connections: {
+                ...buildAdmissionOptions(() => this.admission, readAccount),
                 maxUnread: options.connectionLimits.served,
                 maxRefused: options.connectionLimits.surplus,
-                mayServe: socket => this.admission.mayServe(socket),
-                mayRefuse: () => this.admission.isOverloaded,
-                tryRefuse: head => this.admission.tryRefuse(readAccount(head)),
-                maySpare: (socket, head) => this.admission.maySpare(socket, readAccount(head)),
-                countHoldable: () => this.admission.countHoldable(),
-                mayServeHeld: (socket, head) => this.admission.mayServeHeld(socket, readAccount(head)),
                 maxRelayed: Math.floor(options.connectionLimits.served * MAX_RELAYED_SHARE),
                 findPeer: options.findPeer,
-                tryRelay: head => this.admission.tryRelay(readAccount(head)),
-                onRefused: () => this.admission.recordRefused(),
-                onFailed: error => this.admission.recordFailure(error),
             },
             createServer: () => {
                 const server = createCallerServer((incoming, response) =>
