Relayed connections: callers that are gone are found before a connection is relayed (GONE)

Cause, by reading: the relay sends the request before it has read the end behind it, so that the peer waits two turns of its event loop in vain; the protection of the one instance was lost on the way to the other. Change: the caller is read until the peer has accepted, which takes a round trip; one that has ended is served here, where the existing checks tell callers that are gone from half-closed ones.

--- a/src/shared/relayedConnections.ts
+++ b/src/shared/relayedConnections.ts
@@ -41,6 +41,8 @@
 /** Instances of one data centre connect within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
 const CHECK_INTERVAL_MS = 50;
+/** Pieces of up to 64 KB that are held until the other instance has accepted the connection. */
+const MAX_CHUNKS = 4;
 
 /**
  * Callers' connections whose bytes are relayed unparsed to another instance, which serves them. An instance relays several connections
@@ -74,9 +76,13 @@
     /**
      * Relays a connection that is not being read, if another instance has room. Returns whether it does.
      *
-     * @param serve Called if the other instance does not accept the connection, before anything has been sent to it.
+     * @param serve Called with what has been read if the connection is to be served here, before anything has been sent.
      */
-    tryAdd(caller: SocketHandle, { head, bytes }: ReceivedRequest, serve: () => void): boolean {
+    tryAdd(
+        caller: SocketHandle,
+        { head, bytes }: ReceivedRequest,
+        serve: (received: Buffer) => void,
+    ): boolean {
         const { findPeer, maxOpen, tryRelay } = this.#options;
         const bindings = this.#bindings;
         if (!bindings || this.size >= maxOpen) {
@@ -102,9 +108,10 @@
         caller: SocketHandle,
         received: Buffer,
         address: ListenAddress,
-        serve: () => void,
+        serve: (received: Buffer) => void,
     ): void {
         const { onFailed } = this.#options;
+        const chunks = [received];
         const peer = tcp.connect(address, status => {
             if (!this.#pending.has(pending)) {
                 return;
@@ -114,16 +121,15 @@
             }
             else {
                 this.#pending.delete(pending);
-                this.#relay(stream, caller, peer, received);
+                caller.readStop();
+                this.#relay(stream, caller, peer, Buffer.concat(chunks));
             }
         });
         const pending: PendingConnection = {
             until: performance.now() + CONNECT_TIMEOUT_MS,
             fail: code => {
-                this.#pending.delete(pending);
-                peer.close();
                 onFailed(Object.assign(new Error(code), { code }));
-                serve();
+                serveHere();
             },
             close: () => {
                 this.#pending.delete(pending);
@@ -131,7 +137,28 @@
                 caller.reset();
             },
         };
+        const serveHere = (): void => {
+            this.#pending.delete(pending);
+            peer.close();
+            caller.readStop();
+            serve(Buffer.concat(chunks));
+        };
         this.#pending.add(pending);
+        // A caller that closed its connection while that waited to be accepted would look like one that has closed its sending side a
+        // moment ago, as the other instance gets the end later than the request.
+        caller.onread = bytes => {
+            const { length, offset } = stream.getLastRead();
+            if (bytes && length > 0) {
+                chunks.push(Buffer.from(bytes, offset, length));
+                if (chunks.length >= MAX_CHUNKS) {
+                    caller.readStop();
+                }
+            }
+            else if (length < 0) {
+                serveHere();
+            }
+        };
+        caller.readStart();
     }
 
     #relay(binding: StreamBinding, caller: SocketHandle, peer: SocketHandle, received: Buffer): void {
--- a/src/shared/unwrappedConnections.ts
+++ b/src/shared/unwrappedConnections.ts
@@ -18,7 +18,7 @@
     readonly tryRelay: (
         connection: SocketHandle,
         request: { readonly head: string; readonly bytes: Buffer; },
-        serve: () => void,
+        serve: (received: Buffer) => void,
     ) => boolean;
     readonly onRefused: () => void;
     /** Called when a connection breaks before its caller has sent its request, or as the refusal is written. */
@@ -119,12 +119,12 @@
         const head = readRequestHead(chunk);
         if (head === undefined || !isWholeRequest(chunk, head) || !tryRefuse(head)) {
             connection.readStop();
-            const serve = (): void => this.#makeSocket(connection, chunk);
+            const serve = (received: Buffer): void => this.#makeSocket(connection, received);
             if (head !== undefined && tryRelay(connection, { head, bytes: chunk }, serve)) {
                 this.#open.delete(connection);
             }
             else {
-                serve();
+                serve(chunk);
             }
             return;
         }
--- a/test/shared/relayedConnections.test.ts
+++ b/test/shared/relayedConnections.test.ts
@@ -64,12 +64,18 @@
 
 test("relays a request and its response unchanged, and the end of either side", async t => {
     let request = "";
+    let onRequest: () => void = () => undefined;
+    const isReceived = new Promise<void>(resolve => onRequest = resolve);
     const { address } = await openServer(t, socket => {
-        socket.on("data", data => request += String(data));
+        socket.on("data", data => {
+            request += String(data);
+            onRequest();
+        });
         // The caller has closed its sending side.
         socket.on("end", () => socket.end(RESPONSE));
     });
     const { connections, caller, ended } = await sendThroughRelay(t, address);
+    await isReceived;
     caller.end("more");
     t.deepEqual(await ended, { received: RESPONSE, error: undefined });
     t.is(request, `${REQUEST}more`);
@@ -128,6 +134,16 @@
     t.true(caller.destroyed);
 });
 
+// The other instance would get the end later than the request, and pass the request on for a caller that was gone.
+test("a connection whose caller has closed it before it is accepted is not relayed", async t => {
+    let received = "";
+    const { address } = await openServer(t, socket => socket.on("data", data => received += String(data)));
+    const { connections, caller, ended } = await sendThroughRelay(t, address);
+    caller.end();
+    await ended;
+    t.deepEqual([received, connections.relayed], ["", 0]);
+});
+
 test("the other instance sees a reset when the caller leaves, not the end of its requests", async t => {
     let onLeft: (code: string) => void = () => undefined;
     const left = new Promise<string>(resolve => onLeft = resolve);
