--- a/src/router/pausableSocket.ts
+++ b/src/router/pausableSocket.ts
@@ -12,6 +12,7 @@
  */
 export class PausableSocket extends Socket {
     #isReadingPaused = false;
+    #endDelayMs = 0;
 
     private constructor(options: TcpNetConnectOpts) {
         const onread: OnReadOpts = {
@@ -43,6 +44,24 @@
         }
     }
 
+    /** Delays the end of what is read by a time in milliseconds, after which a reset that follows it is known. */
+    delayEnd(delayMs: number): void {
+        this.#endDelayMs = delayMs;
+    }
+
+    override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+        if (chunk !== null || this.#endDelayMs === 0) {
+            return super.push(chunk, encoding);
+        }
+        const end = (): void => {
+            if (!this.destroyed) {
+                super.push(null);
+            }
+        };
+        setTimeout(end, this.#endDelayMs);
+        return false;
+    }
+
     override resume(): this {
         return this.#isReadingPaused ? this : super.resume();
     }
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -15,6 +15,13 @@
 const MAX_DRAINED_BYTES = 65_536;
 const DRAIN_TIMEOUT_MS = 500;
 
+/**
+ * A target that closes a connection without having read the request resets it within a few milliseconds of its end, whatever the
+ * distance.
+ */
+const RESET_MS = 25;
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 /** One request to one target and its response. */
 export class TargetExchange {
     static readonly CONNECT_TIMEOUT = "connect-timeout";
@@ -182,6 +189,11 @@
                 this.#fail("truncated");
                 return;
             }
+            if (isEndedByConnection(response) && this.#request?.writableFinished === false) {
+                // The target cannot have read the request, so that its response is not known to be whole.
+                this.#fail("request-unread");
+                return;
+            }
             this.#isEnded = true;
             // The connection returns to its pool and must not stay paused.
             this.resumeConnection();
@@ -196,10 +208,13 @@
      * and no error, if it reads the last bytes and the reset at once; a connection that was reset has no peer any more.
      */
     #watchReset(response: IncomingMessage): void {
-        const { headers, socket } = response;
-        if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
+        const { socket } = response;
+        if (!isEndedByConnection(response)) {
             return;
         }
+        if (socket instanceof PausableSocket && (this.#options.outgoing.body?.length ?? 0) > 0) {
+            socket.delayEnd(RESET_MS);
+        }
         const checkReset = (): void => {
             if (socket.remoteAddress === undefined) {
                 this.#fail("ECONNRESET");
@@ -225,3 +240,9 @@
         this.#options.onFail(reason, this.#isWritten);
     }
 }
+
+/** Returns whether nothing but the end of its connection ends a response. */
+function isEndedByConnection({ headers, statusCode = 0 }: IncomingMessage): boolean {
+    return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined
+        && !STATUSES_WITHOUT_BODY.has(statusCode);
+}
--- a/test/router/targetReset.test.ts
+++ b/test/router/targetReset.test.ts
@@ -25,12 +25,22 @@
 };
 
 /** Reads one response without a length, with a pause after its first bytes if `isPaused`. */
-async function readResponse(port: number, agent: TargetAgent, isPaused: boolean): Promise<string> {
+async function readResponse(
+    port: number,
+    agent: TargetAgent,
+    isPaused: boolean,
+    bodyBytes = 1,
+): Promise<string> {
     return new Promise(resolve => {
         const exchange: TargetExchange = TargetExchange.create({
             address: `127.0.0.1:${port}`,
             agent,
-            outgoing: { method: "POST", path: "/", headers: ["Host", "h"], body: Buffer.from("x") },
+            outgoing: {
+                method: "POST",
+                path: "/",
+                headers: ["Host", "h"],
+                body: Buffer.alloc(bodyBytes, "x"),
+            },
             onHead: () => undefined,
             onData: () => {
                 if (isPaused) {
@@ -79,6 +89,32 @@
     });
 }
 
+// A part of an answer to a long upload was taken for a whole one: the target closed its side in order, and the reset came when the
+// end had been read (issue 57, MIXED).
+for (const bodyBytes of [60_000, 4_000_000]) {
+    for (const resetAfterMs of [0, 3, 6]) {
+        test(`response without a length to ${bodyBytes} unread bytes is broken off if a reset follows its end by ${resetAfterMs} ms`, async t => {
+            const server = createServer({ pauseOnConnect: true }, socket => {
+                socket.on("error", () => undefined);
+                socket.write(`HTTP/1.1 200 OK\r\n\r\n${EVENT}`);
+                socket.end();
+                setTimeout(() => socket.resetAndDestroy(), resetAfterMs);
+            });
+            server.listen(0, "127.0.0.1");
+            await once(server, "listening");
+            const [kept, dedicated] = [TargetAgent.create(5000), TargetAgent.createDedicated()];
+            t.teardown(() => {
+                kept.destroy();
+                server.close();
+            });
+            const { port } = server.address() as AddressInfo;
+            for (const agent of Array.from({ length: 10 }, () => [kept, dedicated]).flat()) {
+                t.not(await readResponse(port, agent, false, bodyBytes), "complete");
+            }
+        });
+    }
+}
+
 test("responses without a body leave no listeners on a kept connection", async t => {
     const sockets = new Set<Socket>();
     const server = createServer(socket => {
