--- a/src/adapters/target/targetAttempt.ts
+++ b/src/adapters/target/targetAttempt.ts
@@ -18,6 +18,8 @@
 
 const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
+/** Higher statuses are invalid (RFC 9110, section 15). */
+const LAST_STATUS = 599;
 
 /** Tracks one attempt and classifies its ending. */
 export class TargetAttempt implements Dispatcher.DispatchHandler {
@@ -64,6 +66,10 @@
         if (status < 200 || this.#isEnded) {
             return;
         }
+        if (status > LAST_STATUS) {
+            this.#abort({ kind: "broken", reason: "status-invalid" });
+            return;
+        }
         if (headers["x-request-id"] !== this.#options.request.requestId) {
             this.#abort({ kind: "broken", reason: "answer-mismatched" });
             return;
--- a/src/core/retry/attemptEnding.ts
+++ b/src/core/retry/attemptEnding.ts
@@ -15,5 +15,11 @@
     | { readonly kind: "completed"; }
     | {
         readonly kind: "broken";
-        readonly reason: "truncated" | "reset" | "stalled" | "answer-mismatched" | "caller-disconnected";
+        readonly reason:
+            | "truncated"
+            | "reset"
+            | "stalled"
+            | "answer-mismatched"
+            | "status-invalid"
+            | "caller-disconnected";
     };
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -12,6 +12,8 @@
 import { waitForCaller } from "./waitForCaller.js";
 
 const OK = 200;
+/** Higher statuses are invalid (RFC 9110, section 15). Node.js rejects lower ones than 100. */
+const LAST_STATUS = 599;
 /** Bytes of one event; a stream that sends more without completing an event sends none. */
 const MAX_EVENT_BYTES = 262_144;
 /** A third of the delay that the platform allows a router to add to an event (passMs, 300 ms); covers several events. */
@@ -172,6 +174,10 @@
         const head = wire.readResponseHead(incoming);
         this.#head = head;
         this.#status = incoming.statusCode ?? 0;
+        if (this.#status > LAST_STATUS) {
+            this.#fail("status-invalid");
+            return;
+        }
         const isFirst = this.#exchange?.isFirstOnConnection ?? false;
         const kind = findAnswerKind(head, caller.request.requestId, isFirst);
         if (kind === "mismatched") {
--- a/test/adapters/target/targetClient.test.ts
+++ b/test/adapters/target/targetClient.test.ts
@@ -116,6 +116,15 @@
     t.deepEqual(result.ending, { kind: "broken", reason: "truncated" });
 });
 
+// A caller would get a status that is none (RFC 9110, section 15) as an answer.
+test("classifies a response with a status above 599 as broken", async t => {
+    const result = await runAttempt(t, (request, { socket }) => {
+        const id = String(request.headers["x-request-id"]);
+        socket?.end(`HTTP/1.1 600 X\r\nx-request-id: ${id}\r\ncontent-length: 2\r\n\r\nok`);
+    });
+    t.deepEqual(result.ending, { kind: "broken", reason: "status-invalid" });
+});
+
 test("classifies a reset after the write as broken, since the request may have run", async t => {
     const result = await runAttempt(t, request => request.socket.resetAndDestroy());
     t.deepEqual(result.ending, { kind: "broken", reason: "reset" });
