--- a/src/adapters/target/targetAttempt.ts
+++ b/src/adapters/target/targetAttempt.ts
@@ -1,6 +1,7 @@
 import type { Dispatcher } from "undici";
 import { errors } from "undici";
 import type { AttemptEnding } from "../../core/retry/attemptEnding.js";
+import { isValidStatus } from "../../shared/isValidStatus.js";
 import type { ResponseSink } from "./responseSink.js";
 import type { AttemptResult } from "./attemptResult.js";
 import type { AttemptRequest } from "./attemptRequest.js";
@@ -18,8 +19,6 @@
 
 const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
-/** Higher statuses are invalid (RFC 9110, section 15). */
-const LAST_STATUS = 599;
 
 /** Tracks one attempt and classifies its ending. */
 export class TargetAttempt implements Dispatcher.DispatchHandler {
@@ -66,7 +65,7 @@
         if (status < 200 || this.#isEnded) {
             return;
         }
-        if (status > LAST_STATUS) {
+        if (!isValidStatus(status)) {
             this.#abort({ kind: "broken", reason: "status-invalid" });
             return;
         }
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -2,6 +2,7 @@
 import { findInactivity } from "../core/routing/findInactivity.js";
 import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
+import { isValidStatus } from "../shared/isValidStatus.js";
 import { createTargetExchange } from "./createTargetExchange.js";
 import { findAnswerKind } from "./findAnswerKind.js";
 import type { ForwardAttemptOptions } from "./forwardAttemptOptions.js";
@@ -12,8 +13,6 @@
 import { waitForCaller } from "./waitForCaller.js";
 
 const OK = 200;
-/** Higher statuses are invalid (RFC 9110, section 15). Node.js rejects lower ones than 100. */
-const LAST_STATUS = 599;
 /** Bytes of one event; a stream that sends more without completing an event sends none. */
 const MAX_EVENT_BYTES = 262_144;
 /** A third of the delay that the platform allows a router to add to an event (passMs, 300 ms); covers several events. */
@@ -174,14 +173,10 @@
         const head = wire.readResponseHead(incoming);
         this.#head = head;
         this.#status = incoming.statusCode ?? 0;
-        if (this.#status > LAST_STATUS) {
-            this.#fail("status-invalid");
-            return;
-        }
         const isFirst = this.#exchange?.isFirstOnConnection ?? false;
         const kind = findAnswerKind(head, caller.request.requestId, isFirst);
-        if (kind === "mismatched") {
-            this.#fail("answer-mismatched");
+        if (kind === "mismatched" || !isValidStatus(this.#status)) {
+            this.#fail(kind === "mismatched" ? "answer-mismatched" : "status-invalid");
             return;
         }
         recordStatements(this.#options, head, this.#status);
--- a/src/router/pausableSocket.ts
+++ b/src/router/pausableSocket.ts
@@ -45,7 +45,7 @@
     }
 
     /** Delays the end of what is read by a time in milliseconds, after which a reset that follows it is known. */
-    delayEnd(delayMs: number): void {
+    setEndDelay(delayMs: number): void {
         this.#endDelayMs = delayMs;
     }
 
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -213,7 +213,7 @@
             return;
         }
         if (socket instanceof PausableSocket && (this.#options.outgoing.body?.length ?? 0) > 0) {
-            socket.delayEnd(RESET_MS);
+            socket.setEndDelay(RESET_MS);
         }
         const checkReset = (): void => {
             if (socket.remoteAddress === undefined) {
--- a/src/shared/overloadGuard.ts
+++ b/src/shared/overloadGuard.ts
@@ -48,6 +48,8 @@
     /** Monotonic time in milliseconds at which the next overload may be a burst of its own. */
     #holdAgainAt = 0;
     #relayed = 0;
+    /** Refusals since the last report, by client account. */
+    readonly #refusedByAccount = new Map<string, number>();
     #refused = 0;
     #spared = 0;
     #failed = 0;
@@ -101,7 +103,11 @@
             return false;
         }
         this.#demand.addOffered(account, now);
-        return !this.mayAccept();
+        const isRefused = !this.mayAccept();
+        if (isRefused) {
+            this.#refusedByAccount.set(account, (this.#refusedByAccount.get(account) ?? 0) + 1);
+        }
+        return isRefused;
     }
 
     /** Lowers the limit if connections wait for too long. Returns whether a new one is too late, whatever the rate. */
@@ -230,11 +236,15 @@
         if (isOverloaded === this.#isReported && (!isOverloaded || now < this.#nextReportAt)) {
             return;
         }
+        const [topAccount, topAccountRefused = 0] =
+            [...this.#refusedByAccount].sort(([, a], [, b]) => b - a)[0] ?? [];
         this.#isReported = isOverloaded;
         this.#nextReportAt = now + REPORT_INTERVAL_MS;
         this.#options.onReport({
             isOverloaded,
             refused: this.#refused,
+            topAccount,
+            topAccountRefused,
             relayed: this.#relayed,
             spared: this.#spared,
             failed: this.#failed,
@@ -245,6 +255,7 @@
         });
         this.#refused = 0;
         this.#relayed = 0;
+        this.#refusedByAccount.clear();
         this.#spared = 0;
         this.#failed = 0;
         this.#lastFailure = undefined;
--- a/src/shared/overloadReport.ts
+++ b/src/shared/overloadReport.ts
@@ -3,6 +3,9 @@
     readonly isOverloaded: boolean;
     /** Connections that were refused since the last report. */
     readonly refused: number;
+    /** Client account with the most of those whose account is known; `undefined` if there were none. */
+    readonly topAccount: string | undefined;
+    readonly topAccountRefused: number;
     /** Connections since the last report that were relayed to other instances. */
     readonly relayed: number;
     /** Requests since the last report that were served beyond the limit because their accounts ask for little. */
