Relayed connections: a half-closed caller that has left is found with the first write (GONE)

Evidence (logs of the data centre): the request waited 4 s at the peer for a target, as its account was beyond its share; its caller left after 3.2 s, and the peer saw it 1.2 s later. Cause: the relay had read the end of the caller's side and read no more, so that the reset that answered the peer's probe came to light with the second write, a second later. Test: relayedConnections (failed before: late).

--- a/src/shared/connectionRelay.ts
+++ b/src/shared/connectionRelay.ts
@@ -31,6 +31,7 @@
     /** Sides that have been told of the end of the other one. */
     readonly #told = new Set<SocketHandle>();
     #hasResponse = false;
+    #isHalfClosed = false;
     #isClosed = false;
     /** Monotonic time in milliseconds at which the connections are closed unless there are more bytes. */
     #until = performance.now() + IDLE_TIMEOUT_MS;
@@ -49,11 +50,15 @@
         return relay;
     }
 
-    /** Closes connections on which nothing has happened for too long. */
-    expire(now: number): void {
+    /** Closes connections on which nothing has happened for too long, or whose caller turns out to be gone. */
+    check(now: number): void {
         if (this.#until <= now) {
             this.close();
         }
+        else if (this.#isHalfClosed && this.#options.caller.getpeername({}) < 0) {
+            // Nothing is read any more that could tell of a reset; a connection that was reset has no peer.
+            this.close();
+        }
     }
 
     /** Closes both connections at once, with resets unless they have ended in order. */
@@ -121,6 +126,7 @@
             this.#endResponse();
         }
         else {
+            this.#isHalfClosed = true;
             this.#end(to);
         }
     }
--- a/src/shared/relayedConnections.ts
+++ b/src/shared/relayedConnections.ts
@@ -183,7 +183,7 @@
     #expire(): void {
         const now = performance.now();
         [...this.#pending].filter(({ until }) => until <= now).forEach(({ fail }) => fail("ETIMEDOUT"));
-        this.#open.forEach(relay => relay.expire(now));
+        this.#open.forEach(relay => relay.check(now));
         if (this.size === 0) {
             clearInterval(this.#timer);
             this.#timer = undefined;
--- a/test/shared/relayedConnections.test.ts
+++ b/test/shared/relayedConnections.test.ts
@@ -12,6 +12,8 @@
 /** More than the operating system buffers. */
 const LONG_BYTES = 8_000_000;
 const LATE_MS = 200;
+/** Less than a further probe takes. */
+const WAIT_MS = 900;
 const UNUSED_ADDRESS: ListenAddress = { host: HOST, port: 1 };
 
 /** Listens on a free port, with connections that may be half-closed. */
@@ -19,7 +21,10 @@
     t: ExecutionContext,
     onConnection: (socket: Socket) => void,
 ): Promise<{ readonly address: ListenAddress; }> {
-    const server = createServer({ allowHalfOpen: true }, onConnection).listen(0, HOST);
+    const server = createServer({ allowHalfOpen: true }, socket => {
+        socket.on("error", () => undefined);
+        onConnection(socket);
+    }).listen(0, HOST);
     await once(server, "listening");
     t.teardown(() => server.close());
     return { address: { host: HOST, port: (server.address() as AddressInfo).port } };
@@ -111,6 +116,17 @@
     t.is(bytes, REQUEST.length + LONG_BYTES);
 });
 
+test("a stop waits for the response to a relayed connection", async t => {
+    const { address } = await openServer(t, socket => {
+        socket.once("data", () => setTimeout(() => socket.end(RESPONSE), LATE_MS));
+    });
+    const { connections, ended } = await sendThroughRelay(t, address);
+    await waitUntil("it is relayed", () => connections.relayed === 1);
+    const until = performance.now() + 5 * LATE_MS;
+    await connections.close({ answerBy: until, closeBy: until });
+    t.deepEqual(await ended, { received: RESPONSE, error: undefined });
+});
+
 // The other instance is killed: whether the request has run is not known.
 for (const isReset of [true, false]) {
     test(`answers 502 if the other instance ${isReset ? "resets" : "closes"} the connection without a response`, async t => {
@@ -144,6 +160,31 @@
     t.deepEqual([received, connections.relayed], ["", 0]);
 });
 
+// The reset that answers the probe of the other instance was seen with the next write only, a second later; meanwhile the request of
+// a caller that had left was passed on (issue 57, GONE).
+test("the other instance sees a reset after one write when the caller had left behind the end of its requests", async t => {
+    let onLeft: (code: string) => void = () => undefined;
+    const left = new Promise<string>(resolve => onLeft = resolve);
+    const { address } = await openServer(t, socket => {
+        socket.resume();
+        socket.on("end", () => {
+            setTimeout(() => {
+                socket.write("HTTP/1.1 100 Continue\r\n\r\n");
+                setTimeout(() => onLeft("late"), WAIT_MS);
+            }, LATE_MS);
+            // A write of no bytes fails after a reset, which is not read behind the end.
+            const timer = setInterval(() => socket.write(""), LATE_MS / 10);
+            t.teardown(() => clearInterval(timer));
+        });
+        socket.on("error", (error: NodeJS.ErrnoException) => onLeft(error.code ?? ""));
+    });
+    const { connections, caller } = await sendThroughRelay(t, address);
+    await waitUntil("it is relayed", () => connections.relayed === 1);
+    await new Promise(resolve => setTimeout(resolve, LATE_MS));
+    caller.destroy();
+    t.regex(await left, /^(EPIPE|ECONNRESET)$/);
+});
+
 test("the other instance sees a reset when the caller leaves, not the end of its requests", async t => {
     let onLeft: (code: string) => void = () => undefined;
     const left = new Promise<string>(resolve => onLeft = resolve);
