--- a/src/shared/connectionRelay.ts
+++ b/src/shared/connectionRelay.ts
@@ -131,16 +131,16 @@
         }
     }
 
+    /** Ends a side. Everything has been written to it: the other one is read only once that has been. */
     #end(side: SocketHandle): void {
-        const onEnded = (): void => {
-            this.#told.add(side);
-            if (this.#told.size === 2) {
-                this.close();
-            }
-        };
-        const status = this.#options.binding.end(side, onEnded);
+        const status = this.#options.binding.end(side);
         if (status < 0) {
             this.#fail(side, getSystemErrorName(status));
+            return;
+        }
+        this.#told.add(side);
+        if (this.#told.size === 2) {
+            this.close();
         }
     }
 
--- a/src/shared/findStreamBinding.ts
+++ b/src/shared/findStreamBinding.ts
@@ -4,7 +4,7 @@
 /** What `Socket` of Node.js uses itself. */
 interface NodeBinding {
     readonly WriteWrap: new() => { oncomplete?: () => void; buffer?: Buffer; };
-    readonly ShutdownWrap: new() => { oncomplete?: () => void; };
+    readonly ShutdownWrap: new() => object;
     readonly streamBaseState: Int32Array;
     readonly kReadBytesOrError: number;
     readonly kArrayBufferOffset: number;
@@ -17,11 +17,8 @@
     readonly getLastRead: () => { readonly length: number; readonly offset: number; };
     /** Writes to a connection. Returns zero or the negative number of an error; `onWritten` is called unless there was one. */
     readonly write: (connection: SocketHandle, data: Buffer, onWritten: () => void) => number;
-    /**
-     * Ends the sending side of a connection. Returns zero or the negative number of an error; `onEnded` is called unless there was
-     * one, once everything has been written.
-     */
-    readonly end: (connection: SocketHandle, onEnded: () => void) => number;
+    /** Ends the sending side of a connection. Returns zero or the negative number of an error. */
+    readonly end: (connection: SocketHandle) => number;
 }
 
 /** Finds the functions of this version of Node.js; `undefined` if it has others. */
@@ -58,15 +55,6 @@
             }
             return status;
         },
-        end: (connection, onEnded) => {
-            const request = new ShutdownWrap();
-            request.oncomplete = onEnded;
-            const status = connection.shutdown(request);
-            if (status > 0) {
-                // It was done at once.
-                onEnded();
-            }
-            return Math.min(0, status);
-        },
+        end: connection => Math.min(0, connection.shutdown(new ShutdownWrap())),
     };
 }
