Overload: an account that peers refuse is refused unread, while at most a third of its relayed requests are served

Change: AccountDemand counts what peers serve and refuse of each account; beyond two refusals for each that is served, and ten a second, its connections are refused unread here. Test: accountDemand.

--- a/src/core/routing/accountDemand.ts
+++ b/src/core/routing/accountDemand.ts
@@ -6,9 +6,17 @@
 const MIN_RATE = 0.1;
 const EXPIRY_INTERVAL_MS = 100;
 
+/** Other instances refuse so many requests of an account for each that they serve before fewer are relayed to them. */
+const MAX_REFUSED_PER_SERVED = 2;
+/** Requests a second that are relayed in any case, so that it is seen when others serve an account again. */
+const FREE_RELAYS = 10;
+
 interface AccountRates {
     readonly offered: DecayingSum;
     readonly admitted: DecayingSum;
+    /** Requests that other instances have served and refused. */
+    readonly servedByPeers: DecayingSum;
+    readonly refusedByPeers: DecayingSum;
 }
 
 /** What client accounts ask of an instance, and get, in requests a second. */
@@ -39,6 +47,19 @@
         return { offered: rates.offered.getPerSecond(now), admitted: rates.admitted.getPerSecond(now) };
     }
 
+    /** Counts a request of an account that another instance has served or refused; `now` in monotonic milliseconds. */
+    addRelayed(account: string, isRefused: boolean, now: number): void {
+        const { servedByPeers, refusedByPeers } = this.#find(account);
+        (isRefused ? refusedByPeers : servedByPeers).add(1, now);
+    }
+
+    /** Returns whether other instances serve enough of what an account sends; `now` in monotonic milliseconds. */
+    isServedByPeers(account: string, now: number): boolean {
+        const { servedByPeers, refusedByPeers } = this.#find(account);
+        return refusedByPeers.getPerSecond(now)
+            <= servedByPeers.getPerSecond(now) * MAX_REFUSED_PER_SERVED + FREE_RELAYS;
+    }
+
     /** Returns the number of accounts that send requests. */
     get accounts(): number {
         return this.#rates.size;
@@ -59,7 +80,12 @@
     #find(account: string): AccountRates {
         let rates = this.#rates.get(account);
         if (!rates) {
-            rates = { offered: DecayingSum.create(AVERAGE_MS), admitted: DecayingSum.create(AVERAGE_MS) };
+            rates = {
+                offered: DecayingSum.create(AVERAGE_MS),
+                admitted: DecayingSum.create(AVERAGE_MS),
+                servedByPeers: DecayingSum.create(AVERAGE_MS),
+                refusedByPeers: DecayingSum.create(AVERAGE_MS),
+            };
             this.#rates.set(account, rates);
         }
         return rates;
--- a/src/core/routing/admissionLimit.ts
+++ b/src/core/routing/admissionLimit.ts
@@ -112,6 +112,13 @@
         return true;
     }
 
+    /** Records a request that is refused for another reason; the limit stays in force. */
+    recordRefusal(now: number): void {
+        this.#offered.add(1, now);
+        this.update(now);
+        this.#keptAt = now;
+    }
+
     /**
      * Returns whether another request would be admitted now, without a record of it.
      *
--- a/src/router/callerAdmission.ts
+++ b/src/router/callerAdmission.ts
@@ -94,9 +94,9 @@
         return isServed;
     }
 
-    /** Admits a new connection that another instance has room for, by the account of its first request. Returns whether it is. */
-    tryRelay(account: string): boolean {
-        return !this.#limits.connections.isReached && this.#connections.tryRelay(account);
+    /** Admits a new connection that another instance has room for, by the account of its first request; as `OverloadGuard` does. */
+    tryRelay(account: string): ReturnType<OverloadGuard["tryRelay"]> {
+        return this.#limits.connections.isReached ? undefined : this.#connections.tryRelay(account);
     }
 
     /** Records a connection that is refused. */
--- a/src/shared/connectionAdmission.ts
+++ b/src/shared/connectionAdmission.ts
@@ -90,8 +90,8 @@
         return isServed;
     }
 
-    /** Admits a new connection that another instance has room for, by the account of its first request. Returns whether it is. */
-    tryRelay(account: string): boolean {
+    /** Admits a new connection that another instance has room for, by the account of its first request; as `OverloadGuard` does. */
+    tryRelay(account: string): ReturnType<OverloadGuard["tryRelay"]> {
         return this.#guard.tryRelay(account);
     }
 
--- a/src/shared/connectionRelay.ts
+++ b/src/shared/connectionRelay.ts
@@ -10,6 +10,8 @@
     readonly peer: SocketHandle;
     /** What has been read from the caller. */
     readonly received: Buffer;
+    /** Called with the first bytes of the response: whether they refuse the request. */
+    readonly onResponse: (isRefused: boolean) => void;
     /** Called when the connection to the other instance fails. */
     readonly onFailed: (error: Error) => void;
     /** Called once both connections are closed. */
@@ -20,6 +22,7 @@
 const IDLE_TIMEOUT_MS = 60_000;
 /** A caller has this long to close its side after the response. */
 const LINGER_MS = 1000;
+const REFUSALS: readonly string[] = ["HTTP/1.1 503", "HTTP/1.1 429"];
 const BAD_GATEWAY = Buffer.from(
     "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
     "latin1",
@@ -81,7 +84,7 @@
     }
 
     #relay(from: SocketHandle, to: SocketHandle): void {
-        const { binding } = this.#options;
+        const { binding, caller, onResponse } = this.#options;
         from.onread = bytes => {
             const { length, offset } = binding.getLastRead();
             if (length === 0 || this.#isClosed) {
@@ -92,9 +95,13 @@
                 return;
             }
             this.#until = performance.now() + IDLE_TIMEOUT_MS;
-            this.#hasResponse ||= to === this.#options.caller;
+            const chunk = Buffer.from(bytes, offset, length);
+            if (to === caller && !this.#hasResponse) {
+                this.#hasResponse = true;
+                onResponse(REFUSALS.some(start => chunk.toString("latin1", 0, start.length) === start));
+            }
             let isWritten = false;
-            this.#write(to, Buffer.from(bytes, offset, length), () => {
+            this.#write(to, chunk, () => {
                 if (isWritten && !this.#isClosed) {
                     from.readStart();
                 }
--- a/src/shared/overloadGuard.ts
+++ b/src/shared/overloadGuard.ts
@@ -94,16 +94,22 @@
         const now = performance.now();
         const isLate = this.#observeWait(now);
         const maxDebtMs = this.#findMaxDebtMs(account, now);
+        const isVain = !this.#demand.isServedByPeers(account, now);
         if (
             !this.#limit.isActive
-            || !isLate && this.#limit.hasAdmission(now)
-            || (this.#options.countHeld?.() ?? 0) < this.countHoldable()
-            || maxDebtMs !== undefined && this.#limit.hasAdmission(now, maxDebtMs)
+            || !isVain && (
+                    !isLate && this.#limit.hasAdmission(now)
+                    || (this.#options.countHeld?.() ?? 0) < this.countHoldable()
+                    || maxDebtMs !== undefined && this.#limit.hasAdmission(now, maxDebtMs)
+                )
         ) {
             return false;
         }
         this.#demand.addOffered(account, now);
-        const isRefused = !this.mayAccept();
+        if (isVain) {
+            this.#limit.recordRefusal(now);
+        }
+        const isRefused = isVain || !this.mayAccept();
         if (isRefused) {
             this.#refusedByAccount.set(account, (this.#refusedByAccount.get(account) ?? 0) + 1);
         }
@@ -177,18 +183,18 @@
     }
 
     /**
-     * Admits a new connection of an account that another instance has room for, while this one is overloaded. Returns whether it is;
-     * it has to be decided about as any other if not.
+     * Admits a new connection of an account that another instance has room for, while this one is overloaded. Returns a function that
+     * records whether the other instance has refused it; `undefined` if it has to be decided about as any other.
      */
-    tryRelay(account: string): boolean {
+    tryRelay(account: string): ((isRefused: boolean) => void) | undefined {
         const now = performance.now();
         if (!this.#limit.isActive || this.#observeWait(now) || !this.#limit.hasAdmission(now)) {
-            return false;
+            return undefined;
         }
         this.#limit.mayAdmit(now);
         this.recordRequest(account);
         this.#relayed += 1;
-        return true;
+        return isRefused => this.#demand.addRelayed(account, isRefused, performance.now());
     }
 
     /** Records a connection that is refused. */
--- a/src/shared/relayedConnections.ts
+++ b/src/shared/relayedConnections.ts
@@ -10,16 +10,19 @@
     readonly findPeer: (caller: string) => ListenAddress | undefined;
     /** Number of connections that may be relayed at a time; each takes two descriptors. */
     readonly maxOpen: number;
-    /** Returns whether a connection is relayed, by the head of its first request with all its line ends. */
-    readonly tryRelay: (head: string) => boolean;
+    /**
+     * Returns a function if a connection is relayed, by the head of its first request with all its line ends; it is told whether the
+     * other instance has refused the request.
+     */
+    readonly tryRelay: (head: string) => ((isRefused: boolean) => void) | undefined;
     /** Called when the connection to the other instance fails. */
     readonly onFailed: (error: Error) => void;
 }
 
-type StreamBinding = NonNullable<ReturnType<typeof findStreamBinding>>;
+type RelayOptions = Parameters<typeof ConnectionRelay.create>[0];
 
 interface Bindings {
-    readonly stream: StreamBinding;
+    readonly stream: RelayOptions["binding"];
     readonly tcp: NonNullable<ReturnType<typeof findTcpBinding>>;
 }
 
@@ -89,11 +92,12 @@
             return false;
         }
         const address = findPeer(describeCaller(caller));
-        if (!address || !tryRelay(head)) {
+        const onResponse = address && tryRelay(head);
+        if (!address || !onResponse) {
             return false;
         }
         this.#timer ??= setInterval(() => this.#expire(), CHECK_INTERVAL_MS);
-        this.#connect(bindings, caller, bytes, address, serve);
+        this.#connect({ ...bindings, onResponse }, caller, bytes, address, serve);
         return true;
     }
 
@@ -104,7 +108,7 @@
     }
 
     #connect(
-        { stream, tcp }: Bindings,
+        { stream, tcp, onResponse }: Bindings & Pick<RelayOptions, "onResponse">,
         caller: SocketHandle,
         received: Buffer,
         address: ListenAddress,
@@ -122,7 +126,14 @@
             else {
                 this.#pending.delete(pending);
                 caller.readStop();
-                this.#relay(stream, caller, peer, Buffer.concat(chunks));
+                this.#relay({
+                    binding: stream,
+                    caller,
+                    peer,
+                    received: Buffer.concat(chunks),
+                    onResponse,
+                    onFailed,
+                });
             }
         });
         const pending: PendingConnection = {
@@ -161,15 +172,10 @@
         caller.readStart();
     }
 
-    #relay(binding: StreamBinding, caller: SocketHandle, peer: SocketHandle, received: Buffer): void {
-        const { onFailed } = this.#options;
+    #relay(options: Omit<RelayOptions, "onClosed">): void {
         let isClosed = false;
         const relay = ConnectionRelay.create({
-            binding,
-            caller,
-            peer,
-            received,
-            onFailed,
+            ...options,
             onClosed: () => {
                 isClosed = true;
                 this.#open.delete(relay);
--- a/src/shared/serverConnections.ts
+++ b/src/shared/serverConnections.ts
@@ -49,7 +49,7 @@
             mayServeHeld = () => false,
             maxRelayed = 0,
             findPeer = () => undefined,
-            tryRelay = () => false,
+            tryRelay = () => undefined,
             onRefused = () => undefined,
             onFailed,
         } = options;
--- a/src/shared/serverConnectionsOptions.ts
+++ b/src/shared/serverConnectionsOptions.ts
@@ -23,8 +23,11 @@
     readonly maxRelayed?: number;
     /** Finds another instance that has room for a connection, by an address of its caller. @default always `undefined` */
     readonly findPeer?: (caller: string) => ListenAddress | undefined;
-    /** Returns whether a connection that is not refused is relayed, by the head of its first request. @default always false */
-    readonly tryRelay?: (head: string) => boolean;
+    /**
+     * Returns a function if a connection that is not refused is relayed, by the head of its first request; it is told whether the other
+     * instance has refused the request. @default always `undefined`
+     */
+    readonly tryRelay?: (head: string) => ((isRefused: boolean) => void) | undefined;
     /** Called for each connection that gets a refusal. */
     readonly onRefused?: () => void;
     /** Called when a refused connection, or a measurement of the queue, fails. If absent, the queue is not measured. */
--- a/test/core/routing/accountDemand.test.ts
+++ b/test/core/routing/accountDemand.test.ts
@@ -26,3 +26,22 @@
     t.true(Math.abs(admitted - 1) < 0.5, `${admitted}`);
     t.deepEqual(demand.getRates("b", MINUTE_MS), { offered: 0, admitted: 0 });
 });
+
+// An account beyond its share over the fleet is refused wherever its requests are relayed to, which took a tenth of the processors of a
+// data centre (krabbalina-grown scale-1).
+test("an account counts as served by peers while they refuse at most twice as much as they serve", t => {
+    const demand = AccountDemand.create();
+    const addRelayed = (count: number, isRefused: boolean, now: number): void => {
+        for (let i = 0; i < count; i += 1) {
+            demand.addRelayed("a", isRefused, now);
+        }
+    };
+    t.true(demand.isServedByPeers("a", 0));
+    addRelayed(100, false, 0);
+    addRelayed(200, true, 0);
+    t.true(demand.isServedByPeers("a", 0));
+    addRelayed(100, true, 0);
+    t.false(demand.isServedByPeers("a", 0));
+    t.true(demand.isServedByPeers("b", 0));
+    t.true(demand.isServedByPeers("a", 10_000));
+});
--- a/test/shared/callerListeners.test.ts
+++ b/test/shared/callerListeners.test.ts
@@ -21,7 +21,7 @@
         connections: {
             maxRelayed: 10,
             mayRefuse: () => true,
-            tryRelay: () => true,
+            tryRelay: () => () => undefined,
             findPeer: () => {
                 found += 1;
                 return { host: HOST, port: relay };
--- a/test/shared/connectionAdmission.test.ts
+++ b/test/shared/connectionAdmission.test.ts
@@ -23,7 +23,7 @@
             mayServeHeld: record("held", true),
             mayServe: record("further", false),
             recordRequest: account => void record("first", true)(account),
-            tryRelay: () => false,
+            tryRelay: () => undefined,
             recordRefused: () => undefined,
             recordFailure: () => undefined,
         },
--- a/test/shared/relayedConnections.test.ts
+++ b/test/shared/relayedConnections.test.ts
@@ -38,14 +38,20 @@
 ): Promise<{
     readonly connections: ServerConnections;
     readonly caller: Socket;
+    /** Whether the responses of the other instance were refusals. */
+    readonly refusals: readonly boolean[];
     readonly ended: Promise<{ readonly received: string; readonly error: string | undefined; }>;
 }> {
+    const refusals: boolean[] = [];
     const server = createHttpServer((incoming, response) => response.end(`here ${incoming.url}`));
     const connections = ServerConnections.create(server, {
         mayRefuse: () => true,
         maxRelayed,
         findPeer: () => peer,
-        tryRelay: head => t.is(head, REQUEST),
+        tryRelay: head => {
+            t.is(head, REQUEST);
+            return isRefused => refusals.push(isRefused);
+        },
         onFailed: () => undefined,
     });
     server.listen(0, HOST);
@@ -64,7 +70,7 @@
         caller.on("end", end);
         caller.on("close", end);
     });
-    return { connections, caller, ended };
+    return { connections, caller, ended, refusals };
 }
 
 test("relays a request and its response unchanged, and the end of either side", async t => {
@@ -79,13 +85,14 @@
         // The caller has closed its sending side.
         socket.on("end", () => socket.end(RESPONSE));
     });
-    const { connections, caller, ended } = await sendThroughRelay(t, address);
+    const { connections, caller, ended, refusals } = await sendThroughRelay(t, address);
     await isReceived;
     caller.end("more");
     t.deepEqual(await ended, { received: RESPONSE, error: undefined });
     t.is(request, `${REQUEST}more`);
     await once(caller, "close");
     await waitUntil("nothing is relayed any more", () => connections.relayed === 0);
+    t.deepEqual(refusals, [false]);
 });
 
 test("serves a connection here if the other instance does not accept it, or there is no room", async t => {
@@ -116,6 +123,16 @@
     t.is(bytes, REQUEST.length + LONG_BYTES);
 });
 
+test("a refusal of the other instance is passed on and reported", async t => {
+    const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\n";
+    const { address } = await openServer(t, socket => {
+        socket.once("data", () => socket.end(refusal));
+    });
+    const { ended, refusals } = await sendThroughRelay(t, address);
+    t.is((await ended).received, refusal);
+    t.deepEqual(refusals, [true]);
+});
+
 test("a stop waits for the response to a relayed connection", async t => {
     const { address } = await openServer(t, socket => {
         socket.once("data", () => setTimeout(() => socket.end(RESPONSE), LATE_MS));
