--- a/src/shared/connectionRelay.ts
+++ b/src/shared/connectionRelay.ts
@@ -14,8 +14,8 @@
     readonly onResponse: (isRefused: boolean) => void;
     /** Called when the connection to the other instance fails. */
     readonly onFailed: (error: Error) => void;
-    /** Called once both connections are closed. */
-    readonly onClosed: () => void;
+    /** Called once both connections are closed, maybe before `create` returns. */
+    readonly onClosed: (relay: ConnectionRelay) => void;
 }
 
 /** Longer than any pause that the timeouts of requests and streams allow. */
@@ -53,6 +53,11 @@
         return relay;
     }
 
+    /** True once both connections are closed. */
+    get isClosed(): boolean {
+        return this.#isClosed;
+    }
+
     /** Closes connections on which nothing has happened for too long, or whose caller turns out to be gone. */
     check(now: number): void {
         if (this.#until <= now) {
@@ -80,7 +85,7 @@
                 side.close();
             }
         });
-        onClosed();
+        onClosed(this);
     }
 
     #relay(from: SocketHandle, to: SocketHandle): void {
--- a/src/shared/relayedConnections.ts
+++ b/src/shared/relayedConnections.ts
@@ -173,15 +173,11 @@
     }
 
     #relay(options: Omit<RelayOptions, "onClosed">): void {
-        let isClosed = false;
         const relay = ConnectionRelay.create({
             ...options,
-            onClosed: () => {
-                isClosed = true;
-                this.#open.delete(relay);
-            },
+            onClosed: closed => this.#open.delete(closed),
         });
-        if (!isClosed) {
+        if (!relay.isClosed) {
             this.#open.add(relay);
         }
     }
