Relayed connections: none in a stop, and 502 at its end where no response has begun

Cause, by reading: connections that the stopping instance had relayed were dropped when it ended. Change: a stopping instance relays nothing more, and answers what has no response at the end with 502, which promises nothing. Test: relayedConnections, the end of a stop.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -61,7 +61,11 @@
             onUnreadable: (requestId, error) =>
                 this.#finish(this.#createExchange(requestId), undefined, error),
         });
-        this.#listeners = createCallerListeners(options, () => this.#admission, () => this.#createServer());
+        this.#listeners = createCallerListeners(
+            { ...options, findPeer: caller => this.#isDraining ? undefined : options.findPeer?.(caller) },
+            () => this.#admission,
+            () => this.#createServer(),
+        );
         const { queue } = this.#listeners;
         const countActive = (): number => this.#requestsInFlight;
         const guard = OverloadGuard.create({ queue, countActive, onReport: options.onOverload });
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -51,7 +51,7 @@
                 maxUnread: options.connectionLimits.served,
                 maxRefused: options.connectionLimits.surplus,
                 maxRelayed: Math.floor(options.connectionLimits.served * MAX_RELAYED_SHARE),
-                findPeer: options.findPeer,
+                findPeer: caller => options.isStopping() ? undefined : options.findPeer(caller),
             },
             createServer: () => {
                 const server = createCallerServer((incoming, response) =>
--- a/src/shared/connectionRelay.ts
+++ b/src/shared/connectionRelay.ts
@@ -35,6 +35,7 @@
     readonly #told = new Set<SocketHandle>();
     #hasResponse = false;
     #isHalfClosed = false;
+    #hasPeerEnded = false;
     #isClosed = false;
     /** Monotonic time in milliseconds at which the connections are closed unless there are more bytes. */
     #until = performance.now() + IDLE_TIMEOUT_MS;
@@ -69,6 +70,13 @@
         }
     }
 
+    /** Ends the wait for a response that has not begun. */
+    end(): void {
+        if (!this.#hasResponse) {
+            this.#endResponse();
+        }
+    }
+
     /** Closes both connections at once, with resets unless they have ended in order. */
     close(): void {
         if (this.#isClosed) {
@@ -76,12 +84,15 @@
         }
         this.#isClosed = true;
         const { caller, peer, onClosed } = this.#options;
-        const isAnswered = this.#told.has(caller);
         // A response that ends with its connection must not look whole if it broke off, and the other instance must not go on for a
         // caller that seems to have closed its sending side only.
-        [caller, peer].forEach(side => {
+        const ends: readonly (readonly [SocketHandle, isInOrder: boolean])[] = [
+            [caller, this.#told.has(caller)],
+            [peer, this.#hasPeerEnded],
+        ];
+        ends.forEach(([side, isInOrder]) => {
             // A side that still sends its last bytes cannot be reset.
-            if (isAnswered || side.reset() < 0) {
+            if (isInOrder || side.reset() < 0) {
                 side.close();
             }
         });
@@ -135,6 +146,7 @@
         }
         from.readStop();
         if (to === this.#options.caller) {
+            this.#hasPeerEnded = true;
             this.#endResponse();
         }
         else {
@@ -170,10 +182,11 @@
     }
 
     #endResponse(): void {
-        const { binding, caller } = this.#options;
+        const { binding, caller, peer } = this.#options;
         if (!this.#hasResponse) {
-            // The other instance may have run the request.
+            // The other instance may have run the request; what it still sends is for nobody.
             this.#hasResponse = true;
+            peer.readStop();
             binding.write(caller, BAD_GATEWAY, () => undefined);
         }
         this.#end(caller);
--- a/src/shared/relayedConnections.ts
+++ b/src/shared/relayedConnections.ts
@@ -101,6 +101,11 @@
         return true;
     }
 
+    /** Answers the connections on which no response has begun: their instance is about to end. */
+    end(): void {
+        this.#open.forEach(relay => relay.end());
+    }
+
     /** Closes all connections at once. */
     drop(): void {
         this.#pending.forEach(({ close }) => close());
--- a/src/shared/serverConnections.ts
+++ b/src/shared/serverConnections.ts
@@ -193,6 +193,7 @@
             }
         });
         this.#refused.end();
+        this.#relayed.end();
         await this.#waitWhile(
             () => this.#due.size > 0 || this.#refused.size > 0 || this.#relayed.size > 0,
             until,
--- a/test/shared/relayedConnections.test.ts
+++ b/test/shared/relayedConnections.test.ts
@@ -144,6 +144,16 @@
     t.deepEqual(await ended, { received: RESPONSE, error: undefined });
 });
 
+// A burst beside the end of a stop was relayed to peers that were as busy, and 54 callers were reset (soak, seed 57003).
+test("the end of a stop answers a relayed connection whose response has not begun", async t => {
+    const { address } = await openServer(t, socket => socket.resume());
+    const { connections, ended } = await sendThroughRelay(t, address);
+    await waitUntil("it is relayed", () => connections.relayed === 1);
+    const now = performance.now();
+    await connections.close({ answerBy: now + LATE_MS, closeBy: now + 2 * LATE_MS });
+    t.regex((await ended).received, /^HTTP\/1.1 502 /);
+});
+
 // The other instance is killed: whether the request has run is not known.
 for (const isReset of [true, false]) {
     test(`answers 502 if the other instance ${isReset ? "resets" : "closes"} the connection without a response`, async t => {
