Overload: an account that peers refuse is served here while there is no peer

By reading: when all peers of an overloaded instance become busy, what they had refused kept the instance from serving the account itself for some seconds. Change: what peers have refused counts while there are some. Test: overloadGuard.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -68,7 +68,12 @@
         );
         const { queue } = this.#listeners;
         const countActive = (): number => this.#requestsInFlight;
-        const guard = OverloadGuard.create({ queue, countActive, onReport: options.onOverload });
+        const guard = OverloadGuard.create({
+            queue,
+            countActive,
+            hasPeer: () => options.findPeer?.("") !== undefined,
+            onReport: options.onOverload,
+        });
         this.#admission = ConnectionAdmission.create({ queue, guard });
     }
 
--- a/src/router/callerAdmission.ts
+++ b/src/router/callerAdmission.ts
@@ -13,6 +13,8 @@
     readonly countActive: () => number;
     /** Counts the connections that are held until they may be served. */
     readonly countHeld: () => number;
+    /** Returns whether another instance has room for connections. @default always false */
+    readonly hasPeer?: () => boolean;
     readonly onRefused: (reason: string) => void;
 }
 
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -20,7 +20,6 @@
 const RETRY_AFTER_MS = 500;
 /** Of the connections that may be served: each relayed one takes two descriptors. */
 const MAX_RELAYED_SHARE = 0.25;
-const DESCRIPTORS_PER_RELAY = 2;
 
 type Refusal = readonly [
     cause: Parameters<typeof refuseRequest>[2]["cause"],
@@ -69,9 +68,8 @@
             queue: this.#listeners.queue,
             countActive: () => this.#open.size,
             countHeld: () => this.#listeners.held,
-            countTargetConnections: () =>
-                options.countTargetConnections()
-                + this.#listeners.relayedToPeers * DESCRIPTORS_PER_RELAY,
+            hasPeer: () => !options.isStopping() && options.findPeer("") !== undefined,
+            countTargetConnections: () => options.countTargetConnections() + this.#listeners.relayDescriptors,
         });
         this.#bodies = BodyReader.create({
             memory: options.memory,
--- a/src/shared/callerListeners.ts
+++ b/src/shared/callerListeners.ts
@@ -91,6 +91,11 @@
         return this.#callers.relayed;
     }
 
+    /** Number of descriptors of these connections, which take two each. */
+    get relayDescriptors(): number {
+        return this.relayedToPeers * 2;
+    }
+
     /** Returns whether a connection is relayed by a peer. */
     isFromPeer(socket: Socket): boolean {
         return this.#fromPeers.has(socket);
--- a/src/shared/overloadGuard.ts
+++ b/src/shared/overloadGuard.ts
@@ -1,6 +1,7 @@
 import { AccountDemand } from "../core/routing/accountDemand.js";
 import { AdmissionLimit } from "../core/routing/admissionLimit.js";
 import type { AcceptQueue } from "./acceptQueue.js";
+import { AccountCounts } from "./accountCounts.js";
 import type { OverloadReport } from "./overloadReport.js";
 
 interface OverloadGuardOptions {
@@ -9,6 +10,8 @@
     readonly countActive: () => number;
     /** Counts the connections that are held until they may be served. @default none */
     readonly countHeld?: () => number;
+    /** Returns whether another instance has room for connections. @default always false */
+    readonly hasPeer?: () => boolean;
     /** Called when an overload begins, once a second meanwhile, and with the first connection after it. */
     readonly onReport: (report: OverloadReport) => void;
 }
@@ -48,8 +51,7 @@
     /** Monotonic time in milliseconds at which the next overload may be a burst of its own. */
     #holdAgainAt = 0;
     #relayed = 0;
-    /** Refusals since the last report, by client account. */
-    readonly #refusedByAccount = new Map<string, number>();
+    readonly #refusedByAccount = AccountCounts.create();
     #refused = 0;
     #spared = 0;
     #failed = 0;
@@ -94,7 +96,8 @@
         const now = performance.now();
         const isLate = this.#observeWait(now);
         const maxDebtMs = this.#findMaxDebtMs(account, now);
-        const isVain = !this.#demand.isServedByPeers(account, now);
+        // It would be relayed, and refused there.
+        const isVain = !this.#demand.isServedByPeers(account, now) && this.#options.hasPeer?.() === true;
         if (
             !this.#limit.isActive
             || !isVain && (
@@ -110,9 +113,7 @@
             this.#limit.recordRefusal(now);
         }
         const isRefused = isVain || !this.mayAccept();
-        if (isRefused) {
-            this.#refusedByAccount.set(account, (this.#refusedByAccount.get(account) ?? 0) + 1);
-        }
+        this.#refusedByAccount.add(account, Number(isRefused));
         return isRefused;
     }
 
@@ -183,8 +184,8 @@
     }
 
     /**
-     * Admits a new connection of an account that another instance has room for, while this one is overloaded. Returns a function that
-     * records whether the other instance has refused it; `undefined` if it has to be decided about as any other.
+     * Admits a new connection that another instance has room for, in an overload. Returns a function that records whether that one has
+     * refused it; `undefined` if it has to be decided about as any other.
      */
     tryRelay(account: string): ((isRefused: boolean) => void) | undefined {
         const now = performance.now();
@@ -242,8 +243,7 @@
         if (isOverloaded === this.#isReported && (!isOverloaded || now < this.#nextReportAt)) {
             return;
         }
-        const [topAccount, topAccountRefused = 0] =
-            [...this.#refusedByAccount].sort(([, a], [, b]) => b - a)[0] ?? [];
+        const { topAccount, count: topAccountRefused } = this.#refusedByAccount.takeTop();
         this.#isReported = isOverloaded;
         this.#nextReportAt = now + REPORT_INTERVAL_MS;
         this.#options.onReport({
@@ -261,7 +261,6 @@
         });
         this.#refused = 0;
         this.#relayed = 0;
-        this.#refusedByAccount.clear();
         this.#spared = 0;
         this.#failed = 0;
         this.#lastFailure = undefined;
--- a/test/shared/overloadGuard.test.ts
+++ b/test/shared/overloadGuard.test.ts
@@ -89,8 +89,9 @@
 async function startOverload(
     queue: { waitMs: number; },
     send: (guard: OverloadGuard) => void = guard => guard.recordRequest("large"),
+    hasPeer = (): boolean => false,
 ): Promise<OverloadGuard> {
-    const guard = OverloadGuard.create({ queue, countActive: () => 10, onReport: () => undefined });
+    const guard = OverloadGuard.create({ queue, countActive: () => 10, hasPeer, onReport: () => undefined });
     queue.waitMs = 100;
     await waitUntil("connections are refused", () => {
         Array.from({ length: LARGE_BURST }, () => send(guard));
@@ -111,6 +112,22 @@
     t.true(guard.mayServe("small"));
 });
 
+// An account beyond its share is refused wherever it is relayed to; with no peer left, it is served here as before.
+test("refuses an account that peers refuse unread, while there are peers and no longer than they do", async t => {
+    let hasPeer = true;
+    const queue = { waitMs: 0 };
+    const guard = await startOverload(queue, undefined, () => hasPeer);
+    queue.waitMs = 0;
+    let report: ReturnType<OverloadGuard["tryRelay"]>;
+    await waitUntil("a connection is relayed", () => (report = guard.tryRelay("large")) !== undefined);
+    await waitUntil("another one would be", () => !guard.tryRefuse("large"));
+    Array.from({ length: LARGE_BURST }, () => report?.(true));
+    t.true(guard.tryRefuse("large"));
+    t.false(guard.tryRefuse("other"));
+    hasPeer = false;
+    await waitUntil("it is served here", () => !guard.tryRefuse("large"));
+});
+
 // The queue would not get empty if all that have waited too long were served.
 test("spares no large account while connections wait for too long, and a small one all the same", async t => {
     const queue = { waitMs: 0 };
