Relayed connections: one place each for what was written twice

Reading the whole change once more: - getPeerAddress reads the address behind a handle, for the relay and for the probe's view. - ConnectionRelay derives from what both sides were told whether its caller is half-closed. - Ingress and CallerServer decide in one place that a stopping instance relays nothing. In the daemon the twin had forgotten it: while it drained, an account that peers refuse was refused unread although nothing was relayed any more. - The wait for relayed connections stands beside them (CallerListeners), not in the daemon's server. - targetReset.test starts its targets in one place; the checks are the same.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { setImmediate as waitForNextTurn, setTimeout as sleep } from "node:timers/promises";
+import { setImmediate as waitForNextTurn } from "node:timers/promises";
 import { v7 as createUuid } from "uuid";
 import type { ClientAccount } from "../../core/configuration/clientAccount.js";
 import { RequestError } from "../../core/errors/requestError.js";
@@ -13,6 +13,7 @@
 import { ConnectionAdmission } from "../../shared/connectionAdmission.js";
 import { OverloadGuard } from "../../shared/overloadGuard.js";
 import { parseListenAddress } from "../../shared/parseListenAddress.js";
+import type { RelayPeers } from "../../shared/relayPeers.js";
 import { authenticateCaller } from "./authenticateCaller.js";
 import { CallerConnections } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
@@ -31,7 +32,6 @@
     service: string | undefined;
 }
 
-const RELAY_POLL_MS = 20;
 /** A daemon has 256 MB; this is the share that the router's bodies get. */
 const MAX_HELD_BYTES = 40_000_000;
 /** Time for requests on connections that were accepted a moment ago to arrive. */
@@ -61,8 +61,11 @@
             onUnreadable: (requestId, error) =>
                 this.#finish(this.#createExchange(requestId), undefined, error),
         });
+        const findPeer: RelayPeers["find"] = caller =>
+            this.#isDraining ? undefined : options.findPeer?.(caller);
+        const listenerOptions = { ...options, findPeer };
         this.#listeners = createCallerListeners(
-            { ...options, findPeer: caller => this.#isDraining ? undefined : options.findPeer?.(caller) },
+            listenerOptions,
             () => this.#admission,
             () => this.#createServer(),
         );
@@ -71,7 +74,7 @@
         const guard = OverloadGuard.create({
             queue,
             countActive,
-            hasPeer: () => options.findPeer?.("") !== undefined,
+            hasPeer: () => findPeer("") !== undefined,
             onReport: options.onOverload,
         });
         this.#admission = ConnectionAdmission.create({ queue, guard });
@@ -109,9 +112,7 @@
         if (this.#requestsInFlight > 0) {
             await new Promise<void>(resolve => this.#idleListeners.push(resolve));
         }
-        while (this.#listeners.relayedToPeers > 0) {
-            await sleep(RELAY_POLL_MS);
-        }
+        await this.#listeners.waitForRelayed();
     }
 
     /** Stops listening, refuses the requests that callers have sent, and resolves when the last connection has closed. */
--- a/src/router/createRouterIngress.ts
+++ b/src/router/createRouterIngress.ts
@@ -22,7 +22,7 @@
 /**
  * Makes an instance accept its callers.
  *
- * @throws PortError when the address cannot be bound.
+ * @throws PortError when an address cannot be bound.
  */
 export function createRouterIngress(options: CreateOptions): Promise<Ingress> {
     const { settings, metrics, view, resolver, requestServer, listOpenPeers, getNow } = options;
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -43,6 +43,8 @@
     private constructor(options: IngressOptions) {
         this.#options = options;
         const getMaxBodyBytes = (): number => options.getLimits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+        const findPeer: IngressOptions["findPeer"] = caller =>
+            options.isStopping() ? undefined : options.findPeer(caller);
         const readAccount = (head: string): string => options.findAccount(options.wire.readKey(head));
         this.#listeners = CallerListeners.create({
             connections: {
@@ -50,7 +52,7 @@
                 maxUnread: options.connectionLimits.served,
                 maxRefused: options.connectionLimits.surplus,
                 maxRelayed: Math.floor(options.connectionLimits.served * MAX_RELAYED_SHARE),
-                findPeer: caller => options.isStopping() ? undefined : options.findPeer(caller),
+                findPeer,
             },
             createServer: () => {
                 const server = createCallerServer((incoming, response) =>
@@ -68,7 +70,7 @@
             queue: this.#listeners.queue,
             countActive: () => this.#open.size,
             countHeld: () => this.#listeners.held,
-            hasPeer: () => !options.isStopping() && options.findPeer("") !== undefined,
+            hasPeer: () => findPeer("") !== undefined,
             countTargetConnections: () => options.countTargetConnections() + this.#listeners.relayDescriptors,
         });
         this.#bodies = BodyReader.create({
--- a/src/shared/callerListeners.ts
+++ b/src/shared/callerListeners.ts
@@ -1,5 +1,6 @@
 import type { Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { EndPlan } from "../core/routing/endPlan.js";
 import type { AcceptQueue } from "./acceptQueue.js";
 import { checkAcceptQueue } from "./checkAcceptQueue.js";
@@ -28,6 +29,7 @@
  * beyond the queue are acknowledged, too, and reset later, so a surplus is refused once it has been accepted.
  */
 const LISTEN_BACKLOG = 4096;
+const POLL_MS = 20;
 
 /** Servers for callers' connections: those that callers open here, and those that busy peers relay, which are relayed no further. */
 export class CallerListeners {
@@ -117,6 +119,13 @@
         return address ? formatAddress(address) : undefined;
     }
 
+    /** Waits until peers have served all connections that were relayed to them. */
+    async waitForRelayed(): Promise<void> {
+        while (this.relayedToPeers > 0) {
+            await sleep(POLL_MS);
+        }
+    }
+
     /** Accepts the connections that have been opened until now, and no more; at the latest `until` (monotonic milliseconds). */
     async stopListening(until: number): Promise<void> {
         await Promise.all(this.#listening.map(connections => connections.stopListening(until)));
--- a/src/shared/connectionRelay.ts
+++ b/src/shared/connectionRelay.ts
@@ -34,7 +34,6 @@
     /** Sides that have been told of the end of the other one. */
     readonly #told = new Set<SocketHandle>();
     #hasResponse = false;
-    #isHalfClosed = false;
     #hasPeerEnded = false;
     #isClosed = false;
     /** Monotonic time in milliseconds at which the connections are closed unless there are more bytes. */
@@ -61,11 +60,10 @@
 
     /** Closes connections on which nothing has happened for too long, or whose caller turns out to be gone. */
     check(now: number): void {
-        if (this.#until <= now) {
-            this.close();
-        }
-        else if (this.#isHalfClosed && this.#options.caller.getpeername({}) < 0) {
-            // Nothing is read any more that could tell of a reset; a connection that was reset has no peer.
+        const { caller, peer } = this.#options;
+        // Nothing is read any more from a half-closed caller that could tell of a reset; a connection that was reset has no peer.
+        const isCallerGone = this.#told.has(peer) && caller.getpeername({}) < 0;
+        if (this.#until <= now || isCallerGone) {
             this.close();
         }
     }
@@ -150,7 +148,6 @@
             this.#endResponse();
         }
         else {
-            this.#isHalfClosed = true;
             this.#end(to);
         }
     }
--- a/src/shared/relayedConnections.ts
+++ b/src/shared/relayedConnections.ts
@@ -2,6 +2,7 @@
 import { ConnectionRelay } from "./connectionRelay.js";
 import { findStreamBinding } from "./findStreamBinding.js";
 import { findTcpBinding } from "./findTcpBinding.js";
+import { getPeerAddress } from "./getPeerAddress.js";
 import type { ListenAddress } from "./listenAddress.js";
 import type { SocketHandle } from "./socketHandle.js";
 
@@ -199,7 +200,6 @@
 }
 
 function describeCaller(caller: SocketHandle): string {
-    const address: { address?: string; port?: number; } = {};
-    caller.getpeername(address);
-    return `${address.address}:${address.port}`;
+    const { address, port } = getPeerAddress(caller);
+    return `${address}:${port}`;
 }
--- a/src/shared/unwrappedConnections.ts
+++ b/src/shared/unwrappedConnections.ts
@@ -3,6 +3,7 @@
 import type { AcceptedConnection } from "./acceptedConnection.js";
 import type { AcceptQueue } from "./acceptQueue.js";
 import { findStreamBinding } from "./findStreamBinding.js";
+import { getPeerAddress } from "./getPeerAddress.js";
 import { isWholeRequest } from "./isWholeRequest.js";
 import { readRequestHead } from "./readRequestHead.js";
 import type { SocketHandle } from "./socketHandle.js";
@@ -180,11 +181,10 @@
 
 /** Shows a connection to the queue, which looks for the one that the process has opened itself. */
 function createProbeView(connection: SocketHandle): AcceptedConnection {
-    const peer: { address?: string; port?: number; } = {};
-    connection.getpeername(peer);
+    const { address, port } = getPeerAddress(connection);
     return {
-        remoteAddress: peer.address,
-        remotePort: peer.port,
+        remoteAddress: address,
+        remotePort: port,
         destroy: () => connection.close(),
         resume: () => undefined,
     };
--- a/test/router/targetReset.test.ts
+++ b/test/router/targetReset.test.ts
@@ -1,6 +1,6 @@
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { TargetAgent } from "../../src/router/targetAgent.js";
 import { TargetExchange } from "../../src/router/targetExchange.js";
 
@@ -24,6 +24,22 @@
     "ends in order later": { isReset: false, end: endLater(socket => void socket.end()) },
 };
 
+/** Makes a server listen, with agents that keep connections to it and do not. */
+async function openTarget(t: ExecutionContext, server: Server): Promise<{
+    readonly port: number;
+    readonly kept: TargetAgent;
+    readonly dedicated: TargetAgent;
+}> {
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const [kept, dedicated] = [TargetAgent.create(5000), TargetAgent.createDedicated()];
+    t.teardown(() => {
+        kept.destroy();
+        server.close();
+    });
+    return { port: (server.address() as AddressInfo).port, kept, dedicated };
+}
+
 /** Reads one response without a length, with a pause after its first bytes if `isPaused`. */
 async function readResponse(
     port: number,
@@ -68,14 +84,7 @@
                 }, PAUSE_MS / 5);
             });
         });
-        server.listen(0, "127.0.0.1");
-        await once(server, "listening");
-        const [kept, dedicated] = [TargetAgent.create(5000), TargetAgent.createDedicated()];
-        t.teardown(() => {
-            kept.destroy();
-            server.close();
-        });
-        const { port } = server.address() as AddressInfo;
+        const { port, kept, dedicated } = await openTarget(t, server);
         for (const agent of [kept, dedicated]) {
             for (const isPaused of [false, true]) {
                 const outcome = await readResponse(port, agent, isPaused);
@@ -100,14 +109,7 @@
                 socket.end();
                 setTimeout(() => socket.resetAndDestroy(), resetAfterMs);
             });
-            server.listen(0, "127.0.0.1");
-            await once(server, "listening");
-            const [kept, dedicated] = [TargetAgent.create(5000), TargetAgent.createDedicated()];
-            t.teardown(() => {
-                kept.destroy();
-                server.close();
-            });
-            const { port } = server.address() as AddressInfo;
+            const { port, kept, dedicated } = await openTarget(t, server);
             for (const agent of Array.from({ length: 10 }, () => [kept, dedicated]).flat()) {
                 t.not(await readResponse(port, agent, false, bodyBytes), "complete");
             }
