Relay port: connections that peers hold open without a request are bounded

Cause, by reading: connections at the port for relayed ones counted as callers' connections, up to the limit of all of them. Change: BoundedConnections, which the other internal ports use, bounds them to as many as an instance relays. Test: callerListeners, idle connections (fails with the bound switched off).

--- a/src/shared/callerListeners.ts
+++ b/src/shared/callerListeners.ts
@@ -3,11 +3,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { EndPlan } from "../core/routing/endPlan.js";
 import type { AcceptQueue } from "./acceptQueue.js";
+import { BoundedConnections } from "./boundedConnections.js";
 import { checkAcceptQueue } from "./checkAcceptQueue.js";
 import type { ListenAddress } from "./listenAddress.js";
 import type { PortBinder } from "./portBinder.js";
 import { ServerConnections } from "./serverConnections.js";
 import type { ServerConnectionsOptions } from "./serverConnectionsOptions.js";
+import { UNREAD_REFUSAL } from "./unreadRefusal.js";
 
 interface CallerListenersOptions {
     readonly connections: ServerConnectionsOptions;
@@ -43,7 +45,13 @@
     private constructor({ connections, createServer }: CallerListenersOptions) {
         this.#servers = { callers: createServer(), relay: createServer() };
         this.#callers = ServerConnections.create(this.#servers.callers, connections);
-        this.#relayed = ServerConnections.create(this.#servers.relay, { ...connections, maxRelayed: 0 });
+        const { maxRelayed = 0, mayServe = () => true } = connections;
+        const bounded = limitConnections(this.#servers.relay, maxRelayed);
+        this.#relayed = ServerConnections.create(this.#servers.relay, {
+            ...connections,
+            maxRelayed: 0,
+            mayServe: socket => bounded.tryAdd(socket) && mayServe(socket),
+        });
         this.#servers.relay.prependListener(
             "connection",
             (socket: Socket) => void this.#fromPeers.add(socket),
@@ -156,6 +164,21 @@
     }
 }
 
+/** Bounds the connections of a server, so that idle ones do not take the place of those that callers open. */
+function limitConnections(server: Server, maxOpen: number): BoundedConnections {
+    const bounded = BoundedConnections.create({
+        maxOpen,
+        getNow: () => performance.now(),
+        close: (socket, isUsed) =>
+            void (isUsed ? socket.destroy() : socket.end(UNREAD_REFUSAL, () => socket.destroy())),
+    });
+    server.prependListener("request", ({ socket }, response) => {
+        bounded.recordRequest(socket);
+        response.once("close", () => bounded.recordEnd(socket));
+    });
+    return bounded;
+}
+
 function formatAddress({ address, port }: AddressInfo): string {
     return `${address}:${port}`;
 }
--- a/test/shared/callerListeners.test.ts
+++ b/test/shared/callerListeners.test.ts
@@ -3,23 +3,27 @@
 import { CallerListeners } from "../../src/shared/callerListeners.js";
 import { findPorts } from "../../src/testing/platform/findPorts.js";
 import { sendOnNewConnection } from "../../src/testing/sendOnNewConnection.js";
+import { waitUntil } from "../../src/testing/waitUntil.js";
 import { createPortBinder } from "../helpers/createPortBinder.js";
+import { openIdle } from "../testing/openIdle.js";
 
 const HOST = "127.0.0.1";
 const ANSWER_MS = 200;
 const STOP_MS = 3000;
+const MAX_RELAYED = 10;
 
 /** Starts listeners whose callers' connections are all relayed to their own port for relayed ones. */
 async function createListeners(t: ExecutionContext, onRequest: (response: ServerResponse) => void): Promise<{
     readonly listeners: CallerListeners;
     readonly address: string;
+    readonly relayPort: number;
     readonly countFound: () => number;
 }> {
     const [callers = 0, relay = 0] = await findPorts(2);
     let found = 0;
     const listeners = CallerListeners.create({
         connections: {
-            maxRelayed: 10,
+            maxRelayed: MAX_RELAYED,
             mayRefuse: () => true,
             tryRelay: () => () => undefined,
             findPeer: () => {
@@ -40,7 +44,7 @@
         callerAddress: { host: HOST, port: callers },
         relayAddress: { host: HOST, port: relay },
     });
-    return { listeners, address: `${HOST}:${callers}`, countFound: () => found };
+    return { listeners, address: `${HOST}:${callers}`, relayPort: relay, countFound: () => found };
 }
 
 const request = { path: "/x", headers: { Host: "h" }, bodyBytes: 10 };
@@ -64,3 +68,14 @@
     await listeners.end({ answerBy: until, closeBy: until });
     t.is((await answer).status, 200);
 });
+
+// Idle connections at the port of peers took the descriptors of callers (idleConnections, once in a CI).
+test("idle connections at the port for relayed ones are closed beyond their number, and others are served", async t => {
+    const { address, relayPort } = await createListeners(t, response => response.end("ok"));
+    const idle = await openIdle(t, { host: HOST, port: relayPort }, 3 * MAX_RELAYED);
+    await waitUntil(
+        "the surplus is closed",
+        () => idle.filter(({ destroyed }) => destroyed).length >= 2 * MAX_RELAYED,
+    );
+    t.is((await sendOnNewConnection(address, request)).status, 200);
+});
