Routing: the score of a target has named terms

Cause: the score was one expression inside the picker, so that nothing else could tell why a target was picked or left out. The scores are unchanged. Measured: the tests of core/routing pass.

--- /dev/null
+++ b/src/core/routing/candidateBuilder.ts
@@ -0,0 +1,189 @@
+import type { LimitGate } from "../limits/limitGate.js";
+import type { CachedPrompt } from "./cachedPrompt.js";
+import type { EngineModel } from "./engineModel.js";
+import { estimateFetch } from "./estimateFetch.js";
+import { estimateTarget } from "./estimateTarget.js";
+import type { RoutedRequest } from "./routedRequest.js";
+import type { RoutedService } from "./routedService.js";
+import type { SchedulerSettings } from "./schedulerSettings.js";
+import type { ScoreTerms } from "./scoreTerms.js";
+import type { TargetCandidate } from "./targetCandidate.js";
+import type { TargetDescriptor } from "./targetDescriptor.js";
+import type { TargetState } from "./targetState.js";
+
+interface CandidateBuilderOptions {
+    readonly settings: SchedulerSettings;
+    readonly limits: LimitGate;
+    readonly engineModel: EngineModel;
+    readonly getService: () => RoutedService;
+    /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
+    readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
+}
+
+/** Why a target that a request may use gets none now. */
+type LeftOutReason = "request-limit" | "cold-limit" | "slots-taken" | "queue-full";
+
+/** Penalty in milliseconds of a target that fails all its requests, so that a faulty one is picked last. */
+const FAILURE_PENALTY_MS = 2000;
+/**
+ * Penalties per shared token that a target lacks, beyond the time that it takes: moving it uses the links of the engines
+ * and is billed, reading it again holds up the other requests of the engine and is billed several times as much.
+ */
+const MOVED_TOKEN_PENALTY_MS = 0.02;
+const REREAD_TOKEN_PENALTY_MS = 0.06;
+
+/** Scores a target for a request, or tells why the target has no capacity for it. Reserves nothing. */
+export class CandidateBuilder {
+    readonly #options: CandidateBuilderOptions;
+
+    private constructor(options: CandidateBuilderOptions) {
+        this.#options = options;
+    }
+
+    /** Creates a builder. */
+    static create(options: CandidateBuilderOptions): CandidateBuilder {
+        return new CandidateBuilder(options);
+    }
+
+    /** @param isOverShare True if the account is over its share, so that only capacity is used that would stay idle. */
+    build(
+        target: TargetState,
+        request: RoutedRequest,
+        cached: CachedPrompt,
+        isOverShare: boolean,
+        now: number,
+    ): TargetCandidate | LeftOutReason {
+        const { descriptor } = target;
+        if (!this.#options.limits.isOpen(descriptor.id, now)) {
+            return "request-limit";
+        }
+        const coldShare = this.#getColdShare(target, now);
+        if (coldShare && !target.coldBucket.has(now, coldShare.perSecond, coldShare.burst)) {
+            return "cold-limit";
+        }
+        if (target.isCold(now) && !coldShare && this.#options.getService().coldRequestsPerSecond > 0) {
+            return "cold-limit";
+        }
+        const source = cached.cachingTargets.includes(target) ? undefined : this.#findSource(target, cached);
+        const estimate = this.#estimate(target, request, cached, source, now);
+        if (target.countInFlight(now) >= descriptor.slots) {
+            return "slots-taken";
+        }
+        if (estimate.queueMs > this.#getMaxQueueMs(isOverShare)) {
+            return "queue-full";
+        }
+        const networkMs = this.#getRoundTripMs(descriptor, this.#options.settings.locality);
+        const terms: ScoreTerms = {
+            expectedMs: estimate.expectedMs * target.slowness,
+            networkMs,
+            failureMs: target.getFailureShare(now) * FAILURE_PENALTY_MS,
+            cacheMs: estimate.uncachedTokens
+                * (estimate.isFetching ? MOVED_TOKEN_PENALTY_MS : REREAD_TOKEN_PENALTY_MS),
+        };
+        return {
+            target,
+            coldShare,
+            terms,
+            score: terms.expectedMs + terms.networkMs + terms.failureMs + terms.cacheMs,
+            grant: {
+                target,
+                promptSource: estimate.isFetching ? source?.descriptor.address : undefined,
+                sharedPartId: cached.reportedPartId,
+                missingTokens: estimate.missingTokens,
+                tokensAhead: estimate.tokensAhead,
+                overheadMs: estimate.overheadMs + networkMs,
+                expectedMs: estimate.expectedMs + networkMs,
+                grantedAt: now,
+            },
+        };
+    }
+
+    #estimate(
+        target: TargetState,
+        request: RoutedRequest,
+        cached: CachedPrompt,
+        source: TargetState | undefined,
+        now: number,
+    ): ReturnType<typeof estimateTarget> {
+        const { engine } = this.#options.getService();
+        return estimateTarget(target, request, {
+            prefillTokensPerMs: engine && this.#options.engineModel.getPrefillTokensPerMs(now),
+            sharedParts: describeSharedParts(
+                cached.cachingTargets.includes(target),
+                target === cached.affinityTarget,
+                cached.cachingTargets.length > 0,
+            ),
+            estimateFetchMs: engine && source
+                ? tokens =>
+                    estimateFetch(engine, tokens, {
+                        roundTripMs: this.#getRoundTripMs(target.descriptor, source.descriptor),
+                        isSameDataCentre: target.descriptor.dataCentre === source.descriptor.dataCentre,
+                    })
+                : undefined,
+            now,
+        });
+    }
+
+    /** Finds another target from which a target can fetch the shared parts, the nearest first; only one that lacks them is asked. */
+    #findSource(
+        target: TargetState,
+        cached: CachedPrompt,
+    ): TargetState | undefined {
+        const { settings: { regionsByDataCentre }, limits } = this.#options;
+        // A fetch is a request at its source, too.
+        const isSource = (other: TargetState | undefined): boolean =>
+            other !== undefined && !limits.isLimited(other.descriptor.id);
+        const cachingTargets = cached.cachingTargets.filter(isSource);
+        const [affinityTarget, remoteAffinityTarget] = [cached.affinityTarget, cached.remoteAffinityTarget]
+            .map(other => isSource(other) ? other : undefined);
+        const { dataCentre } = target.descriptor;
+        const region = regionsByDataCentre.get(dataCentre);
+        return cachingTargets.find(({ descriptor }) => descriptor.dataCentre === dataCentre)
+            ?? cachingTargets.find(({ descriptor }) =>
+                regionsByDataCentre.get(descriptor.dataCentre) === region
+            )
+            ?? cachingTargets[0]
+            ?? (target === affinityTarget ? remoteAffinityTarget : affinityTarget);
+    }
+
+    #getMaxQueueMs(isOverShare: boolean): number {
+        const { settings, getService } = this.#options;
+        const { shortestObjectiveMs } = getService();
+        return shortestObjectiveMs
+            * (isOverShare ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
+    }
+
+    #getColdShare(target: TargetState, now: number): TargetCandidate["coldShare"] {
+        const { settings, getColdShare } = this.#options;
+        if (!target.isCold(now) || this.#options.getService().coldRequestsPerSecond <= 0) {
+            return undefined;
+        }
+        return getColdShare(
+            target.descriptor,
+            this.#options.getService().coldRequestsPerSecond * settings.coldFactor + settings.coldSlack,
+        );
+    }
+
+    /** Returns the network round-trip time between two places in milliseconds. */
+    #getRoundTripMs(from: { readonly dataCentre: string; }, to: { readonly dataCentre: string; }): number {
+        const { regionsByDataCentre, dataCentreDelayMs, regionDelayMs } = this.#options.settings;
+        if (from.dataCentre === to.dataCentre) {
+            return 0;
+        }
+        const isSameRegion =
+            regionsByDataCentre.get(from.dataCentre) === regionsByDataCentre.get(to.dataCentre);
+        return 2 * (isSameRegion ? dataCentreDelayMs : regionDelayMs);
+    }
+}
+
+/** Without reports, the affinity target is the best guess: all instances of the region send the parts there. */
+function describeSharedParts(
+    isCachingTarget: boolean,
+    isAffinityTarget: boolean,
+    hasReports: boolean,
+): "cached" | "uncached" | "unknown" {
+    if (isCachingTarget || (isAffinityTarget && !hasReports)) {
+        return "cached";
+    }
+    return hasReports ? "uncached" : "unknown";
+}
--- a/src/core/routing/targetCandidate.ts
+++ b/src/core/routing/targetCandidate.ts
@@ -1,3 +1,4 @@
+import type { ScoreTerms } from "./scoreTerms.js";
 import type { TargetGrant } from "./targetGrant.js";
 import type { TargetState } from "./targetState.js";
 
@@ -6,6 +7,7 @@
     readonly target: TargetState;
     /** Expected time to first event plus penalties, in milliseconds; the lowest score wins. */
     readonly score: number;
+    readonly terms: ScoreTerms;
     readonly grant: TargetGrant;
     /** Rate and burst at which this instance may use the target while it is cold. */
     readonly coldShare: { readonly perSecond: number; readonly burst: number; } | undefined;
