Admission: accounts over their share yield only to demand that is unmet

Change: AdmissionPressure counts what accounts within their share lack, here and, by the report field unmet, elsewhere; only then does an account over its share yield. Not wired to a condition yet.

--- a/src/core/routing/accountUsage.ts
+++ b/src/core/routing/accountUsage.ts
@@ -59,6 +59,12 @@
             + this.#peers.get(account, now).granted + this.#remote.get(account, now).granted;
     }
 
+    /** Returns the tokens recently granted to all client accounts by all instances. */
+    sumGranted(now: number): number {
+        return this.listDataCentre(now).reduce((sum, [, , granted]) => sum + granted, 0)
+            + [...this.#remote.listTotals(now).values()].reduce((sum, { granted }) => sum + granted, 0);
+    }
+
     /**
      * Returns whether a client account gets tokens at this instance now no faster than its share allows, of which this instance's
      * part is that of the account's demand.
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -43,6 +43,8 @@
         this.#shares = AccountShares.create({
             usage: options.usage,
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
+            pressure: options.pressure,
+            isWorkConserving: () => options.isWorkConserving?.() === true,
         });
         this.#engineModel = EngineModel.create(options.settings);
         const eligibility = TargetEligibility.create({
@@ -249,6 +251,9 @@
             return { kind: "waiting" };
         }
         this.#options.limits.addRefusal(this.#service.name, now);
+        if (!isExcluded) {
+            this.#shares.recordRefusal(request.account, countRequestTokens(request), now);
+        }
         return {
             kind: "refused",
             reason: this.#targets.size === 0 ? "no-target" : "overloaded",
--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -1,3 +1,4 @@
+import type { AdmissionPressure } from "../admission/admissionPressure.js";
 import type { LimitGate } from "../limits/limitGate.js";
 import type { AccountUsage } from "./accountUsage.js";
 import type { CrashRecord } from "./crashRecord.js";
@@ -19,6 +20,10 @@
     readonly notices: TargetNotices;
     /** Tokens a second that all engines process together; 0 if unknown. */
     readonly getTokensPerSecond: () => number;
+    /** Tells whether accounts within their share lack capacity. @default accounts over their share always yield */
+    readonly pressure?: AdmissionPressure | undefined;
+    /** Whether accounts over their share yield only while others lack capacity. @default never */
+    readonly isWorkConserving?: () => boolean;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
     /** Whether a new stream that may be taken up later may begin at a target. */
--- a/src/router/createRoutingState.ts
+++ b/src/router/createRoutingState.ts
@@ -1,3 +1,4 @@
+import { AdmissionPressure } from "../core/admission/admissionPressure.js";
 import { AccountUsage } from "../core/routing/accountUsage.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import { PromptLocations } from "../core/routing/promptLocations.js";
@@ -36,6 +37,7 @@
 ): RoutingState {
     const crashRecord = createCrashRecord(settings.instance, log, callbacks.countInstances);
     return {
+        pressure: AdmissionPressure.create(),
         usage: AccountUsage.create(USAGE_WINDOW_MS),
         promptLocations: PromptLocations.create(),
         crashRecord,
--- a/src/router/fleetViewOptions.ts
+++ b/src/router/fleetViewOptions.ts
@@ -1,3 +1,4 @@
+import type { AdmissionPressure } from "../core/admission/admissionPressure.js";
 import type { RequestLimiter } from "../core/limits/requestLimiter.js";
 import type { AccountUsage } from "../core/routing/accountUsage.js";
 import type { CrashRecord } from "../core/routing/crashRecord.js";
@@ -18,6 +19,7 @@
     readonly errorBoundary: ErrorBoundary;
     /** Closed with the view. */
     readonly exchange: PeerExchange;
+    readonly pressure: AdmissionPressure;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
     readonly crashRecord: CrashRecord;
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -20,6 +20,7 @@
         && isValidMember(report.sender)
         && isListOf(report.loads, load => isTuple(load, [isText, isAmount, isAmount]))
         && isListOf(report.usage, usage => isTuple(usage, [isText, isAmount, isAmount]))
+        && (report.unmet === undefined || isAmount(report.unmet))
         && isListOf(report.prompts, prompt => isTuple(prompt, [isText, isText]))
         && (report.crashOutcomes === undefined || isListOf(report.crashOutcomes, isOutcome))
         && isListOf(report.others, isValidMember)
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -15,6 +15,8 @@
     readonly loads: readonly (readonly [id: string, inFlight: number, pendingTokens: number])[];
     /** Recent tokens by client account, requested and granted. */
     readonly usage: readonly (readonly [account: string, asked: number, granted: number])[];
+    /** Tokens a second that accounts within their share lacked in the last moments; left out if none, and by older versions. */
+    readonly unmet?: number | undefined;
     /** Prompt cache locations that are new since the last report: shared prompt part and target with a cached copy. */
     readonly prompts: readonly (readonly [partId: string, targetId: string])[];
     /** Crashes and complete responses of requests on which targets may crash, new since the last report. */
--- a/src/router/reportReceiver.ts
+++ b/src/router/reportReceiver.ts
@@ -1,3 +1,4 @@
+import type { AdmissionPressure } from "../core/admission/admissionPressure.js";
 import type { RequestLimiter } from "../core/limits/requestLimiter.js";
 import type { AccountUsage } from "../core/routing/accountUsage.js";
 import type { CrashRecord } from "../core/routing/crashRecord.js";
@@ -10,6 +11,7 @@
 
 interface ReportReceiverOptions {
     readonly settings: RouterSettings;
+    readonly pressure: AdmissionPressure;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
     readonly crashRecord: CrashRecord;
@@ -65,7 +67,7 @@
 
     /** Applies a report that is newer than the last one of its sender. */
     apply(report: PeerReport, role: ReportRole, now: number): void {
-        const { settings, usage, promptLocations, crashRecord, limits, onLoads } = this.#options;
+        const { settings, pressure, usage, promptLocations, crashRecord, limits, onLoads } = this.#options;
         const isLocal = report.sender.dataCentre === settings.locality.dataCentre;
         promptLocations.adopt(report.prompts, isLocal, now);
         crashRecord.adopt(report.crashOutcomes ?? [], isLocal, now);
@@ -76,6 +78,11 @@
             if (report.scope === "data-centre") {
                 const { dataCentre } = report.sender;
                 usage.setRemoteUsage(dataCentre, buildUsage(report.usage, now));
+                pressure.setReported(
+                    `data centre ${dataCentre}`,
+                    report.unmet ?? 0,
+                    now + REMOTE_LOAD_VALIDITY_MS,
+                );
                 onLoads(`data centre ${dataCentre}`, report.loads, now + REMOTE_LOAD_VALIDITY_MS);
             }
             return;
@@ -93,7 +100,7 @@
     }
 
     #applySummary(report: PeerReport, now: number): void {
-        const { settings, usage, sentReports, onLoads } = this.#options;
+        const { settings, pressure, usage, sentReports, onLoads } = this.#options;
         for (const name of this.#applied.keys()) {
             this.#dropSource(name, now);
         }
@@ -102,10 +109,12 @@
         const included = report.included?.find(([name]) => name === settings.instance);
         const others = sentReports.removeFrom(report, included?.[2]);
         usage.setPeerUsage(LOCAL_SUMMARY, buildUsage(others.usage, now));
+        const unmet = (report.unmet ?? 0) - pressure.getLocalUnmet(now);
+        pressure.setReported(LOCAL_SUMMARY, unmet, now + LOAD_VALIDITY_MS);
         onLoads(LOCAL_SUMMARY, others.loads, now + LOAD_VALIDITY_MS);
     }
 
-    #applyInstance({ sender, usage, loads }: PeerReport, now: number): void {
+    #applyInstance({ sender, usage, unmet = 0, loads }: PeerReport, now: number): void {
         if (this.#hasAppliedSummary) {
             this.#hasAppliedSummary = false;
             this.#dropSource(LOCAL_SUMMARY, now);
@@ -113,12 +122,14 @@
         const { name, incarnation, sequence, state } = sender;
         this.#applied.set(name, { status: [name, incarnation, sequence, state], receivedAt: now });
         this.#options.usage.setPeerUsage(name, buildUsage(usage, now));
+        this.#options.pressure.setReported(name, unmet, now + LOAD_VALIDITY_MS);
         this.#options.onLoads(name, loads, now + LOAD_VALIDITY_MS);
     }
 
     /** Removes what a source has reported, because another one reports the same. */
     #dropSource(name: string, now: number): void {
         this.#options.usage.setPeerUsage(name, { tokens: new Map(), validUntil: now });
+        this.#options.pressure.setReported(name, 0, now);
         this.#options.onLoads(name, [], now);
     }
 }
--- a/src/router/reportSender.ts
+++ b/src/router/reportSender.ts
@@ -1,3 +1,4 @@
+import type { AdmissionPressure } from "../core/admission/admissionPressure.js";
 import type { RequestLimiter } from "../core/limits/requestLimiter.js";
 import type { AccountUsage } from "../core/routing/accountUsage.js";
 import type { CrashRecord } from "../core/routing/crashRecord.js";
@@ -16,6 +17,7 @@
 
 interface ReportSenderOptions {
     readonly settings: RouterSettings;
+    readonly pressure: AdmissionPressure;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
     readonly crashRecord: CrashRecord;
@@ -78,6 +80,7 @@
             sender: buildRecord(),
             loads: listDataCentreLoads(localPeers.map(peer => peer.name)),
             usage: usage.listDataCentre(now),
+            unmet: this.#sumUnmet(localPeers, now),
             prompts: promptLocations.takeLocalSummary(),
             crashOutcomes: crashRecord.takeReport("data-centre", now),
             others: pickRandom(localPeers, RELAYED_MEMBERS),
@@ -110,6 +113,7 @@
             sender: record,
             loads: listDataCentreLoads(localPeers.map(peer => peer.name)),
             usage: usage.listDataCentre(now),
+            unmet: this.#sumUnmet(localPeers, now),
             prompts: turn === "all" ? promptLocations.takeSummary() : [],
             crashOutcomes: turn === "all" ? crashRecord.takeReport("remote", now) : undefined,
             others: [record, ...localPeers],
@@ -142,6 +146,12 @@
         send(this.#buildReport(now, NO_NEWS), hosts);
     }
 
+    /** Left out while it is 0, as nearly always. */
+    #sumUnmet(peers: readonly MemberRecord[], now: number): number | undefined {
+        const unmet = Math.round(this.#options.pressure.sumUnmet(now, peers.map(({ name }) => name)));
+        return unmet > 0 ? unmet : undefined;
+    }
+
     #buildReport(now: number, news: ReportNews): PeerReport {
         const { usage, sentReports, limits, listLoads, listPeers, buildRecord, startNotices } = this.#options;
         const sender = buildRecord();
@@ -150,6 +160,7 @@
             sender,
             loads: listLoads(),
             usage: usage.listLocal(now),
+            unmet: this.#sumUnmet([], now),
             ...news,
             others: pickRandom(listPeers(), RELAYED_MEMBERS),
             ...startNotices.build(now),
--- a/src/router/routingState.ts
+++ b/src/router/routingState.ts
@@ -1,3 +1,4 @@
+import type { AdmissionPressure } from "../core/admission/admissionPressure.js";
 import type { RequestLimiter } from "../core/limits/requestLimiter.js";
 import type { AccountUsage } from "../core/routing/accountUsage.js";
 import type { CrashDetector } from "../core/routing/crashDetector.js";
@@ -9,6 +10,7 @@
 
 /** What an instance knows beyond single targets and requests, from its own traffic and from the reports of peers. */
 export interface RoutingState {
+    readonly pressure: AdmissionPressure;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
     readonly crashRecord: CrashRecord;
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -1,3 +1,4 @@
+import type { AdmissionPressure } from "../core/admission/admissionPressure.js";
 import type { LimitGate } from "../core/limits/limitGate.js";
 import type { AccountUsage } from "../core/routing/accountUsage.js";
 import type { CrashRecord } from "../core/routing/crashRecord.js";
@@ -12,6 +13,7 @@
 import { schedulerTuning } from "./schedulerTuning.js";
 
 interface ServicePoolOptions {
+    readonly pressure: AdmissionPressure;
     readonly settings: RouterSettings;
     readonly usage: AccountUsage;
     readonly promptLocations: PromptLocations;
@@ -57,7 +59,7 @@
 
     /** Adds the new services of a configuration and updates the known ones. */
     applyConfiguration(configuration: RouterConfiguration): void {
-        const { settings, usage, promptLocations, crashRecord, limits, notices } = this.#options;
+        const { settings, pressure, usage, promptLocations, crashRecord, limits, notices } = this.#options;
         const { getTokensPerSecond, getColdShare, mayBegin, mayGoOn } = this.#options;
         for (const service of configuration.services.values()) {
             const known = this.#services.get(service.name);
@@ -68,6 +70,8 @@
             this.#services.set(service.name, {
                 scheduler: ServiceScheduler.create({
                     service,
+                    pressure,
+                    isWorkConserving: () => true,
                     usage,
                     promptLocations,
                     crashRecord,
--- a/test/router/reportReceiver.test.ts
+++ b/test/router/reportReceiver.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { AdmissionPressure } from "../../src/core/admission/admissionPressure.js";
 import { AccountUsage } from "../../src/core/routing/accountUsage.js";
 import type { CrashRecord } from "../../src/core/routing/crashRecord.js";
 import type { MemberRecord } from "../../src/core/routing/memberRecord.js";
@@ -56,6 +57,7 @@
     const crashRecord = createCrashRecord();
     const loads = new Map<string, PeerReport["loads"]>();
     const receiver = ReportReceiver.create({
+        pressure: AdmissionPressure.create(),
         settings: { instance: "self", locality: { dataCentre: "a", region: "r" } } as RouterSettings,
         usage,
         promptLocations: PromptLocations.create(),
--- a/test/router/servicePool.test.ts
+++ b/test/router/servicePool.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { AdmissionPressure } from "../../src/core/admission/admissionPressure.js";
 import { AccountUsage } from "../../src/core/routing/accountUsage.js";
 import { PromptLocations } from "../../src/core/routing/promptLocations.js";
 import type { RoutedService } from "../../src/core/routing/routedService.js";
@@ -34,6 +35,7 @@
 // A target that had left stayed in use if an error ended the update of another service, until the next change.
 test("gives each service its new targets, whatever happens to a request of another service that waits for one", t => {
     const pool = ServicePool.create({
+        pressure: AdmissionPressure.create(),
         settings: SETTINGS,
         usage: AccountUsage.create(4000),
         promptLocations: PromptLocations.create(),
