Platform: Server-Load is decoded

Targets state their load in Server-Load, with how long work takes there at the moment as an optional fourth figure. The header was dropped unread.

The platform's adapter decodes it into a value with units. Nothing uses the value yet.

--- a/src/platform/platformWireFormat.ts
+++ b/src/platform/platformWireFormat.ts
@@ -5,6 +5,7 @@
 import { readHeader } from "../shared/readHeader.js";
 import { parseRequestLimit } from "./parseRequestLimit.js";
 import { parseRuns } from "./parseRuns.js";
+import { parseServerLoad } from "./parseServerLoad.js";
 import { parseStart } from "./parseStart.js";
 import { parseTargetNotice } from "./parseTargetNotice.js";
 
@@ -104,6 +105,7 @@
                 ? { kind: "none" }
                 : parseRequestLimit(response.headersDistinct["server-limit"]),
             notice: readNotice(response),
+            load: parseServerLoad(readText(headers["server-load"])),
             forwardedHeaders: listForwardedHeaders(response, DROPPED_FROM_RESPONSE),
         };
     },
--- a/src/router/responseHead.ts
+++ b/src/router/responseHead.ts
@@ -1,5 +1,6 @@
 import type { LimitStatement } from "../core/limits/limitStatement.js";
 import type { TargetNotice } from "../core/routing/targetNotice.js";
+import type { LoadStatement } from "../core/targetSpeed/loadStatement.js";
 
 /** Attributes of a target's response that its status and headers give. */
 export interface ResponseHead {
@@ -17,6 +18,8 @@
     readonly requestLimit: LimitStatement;
     /** What the response says of the requests that its target wants. */
     readonly notice: TargetNotice;
+    /** What the response says of the load of its target; `undefined` if it says nothing readable. */
+    readonly load: LoadStatement | undefined;
     /** Headers to forward, as a flat list of names and values. */
     readonly forwardedHeaders: readonly string[];
 }
--- a/test/router/findAnswerKind.test.ts
+++ b/test/router/findAnswerKind.test.ts
@@ -16,6 +16,7 @@
     isSigned: false,
     requestLimit: { kind: "none" },
     notice: { isLeaving: false, pauseMs: undefined, unusualHeaders: [] },
+    load: undefined,
     forwardedHeaders: [],
 };
 
