Routing: the speed of a target is learned on both sides of 1

A target that is faster than others counted as one of usual speed, a slower one moved by a tenth per sample, and plain services were taken to need 20 ms.

Each target has a speed: the ratio of measured to expected time, as a mean of logarithms that stays near 1 with few samples, and the ratio that the target states, which decays to the learned value within about half a second and counts as far as earlier statements were true. It scales the expected time, the length of the queue and the time after which a target counts as silent, once at least half of the targets that state their load name the ratio. Other services keep the slowness.

--- a/src/core/routing/candidateBuilder.ts
+++ b/src/core/routing/candidateBuilder.ts
@@ -1,4 +1,5 @@
 import type { LimitGate } from "../limits/limitGate.js";
+import type { ServiceSpeeds } from "../targetSpeed/serviceSpeeds.js";
 import type { CachedPrompt } from "./cachedPrompt.js";
 import type { EngineModel } from "./engineModel.js";
 import { estimateFetch } from "./estimateFetch.js";
@@ -15,6 +16,7 @@
     readonly settings: SchedulerSettings;
     readonly limits: LimitGate;
     readonly engineModel: EngineModel;
+    readonly speeds: ServiceSpeeds;
     readonly getService: () => RoutedService;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
@@ -69,12 +71,15 @@
         if (target.countInFlight(now) >= descriptor.slots) {
             return "slots-taken";
         }
-        if (estimate.queueMs > this.#getMaxQueueMs(isOverShare)) {
+        const timeRatio = target.getTimeRatio(now);
+        // Without reported speeds, the length of a queue is compared as if all targets were equally fast.
+        const queueMs = estimate.queueMs * (this.#options.speeds.isActive ? timeRatio : 1);
+        if (queueMs > this.#getMaxQueueMs(isOverShare)) {
             return "queue-full";
         }
         const networkMs = this.#getRoundTripMs(descriptor, this.#options.settings.locality);
         const terms: ScoreTerms = {
-            expectedMs: estimate.expectedMs * target.slowness,
+            expectedMs: estimate.expectedMs * timeRatio,
             networkMs,
             failureMs: target.getFailureShare(now) * FAILURE_PENALTY_MS,
             cacheMs: estimate.uncachedTokens
@@ -91,6 +96,7 @@
                 sharedPartId: cached.reportedPartId,
                 missingTokens: estimate.missingTokens,
                 tokensAhead: estimate.tokensAhead,
+                networkMs,
                 overheadMs: estimate.overheadMs + networkMs,
                 expectedMs: estimate.expectedMs + networkMs,
                 grantedAt: now,
@@ -107,6 +113,7 @@
     ): ReturnType<typeof estimateTarget> {
         const { engine } = this.#options.getService();
         return estimateTarget(target, request, {
+            plainWorkMs: this.#options.speeds.plainWorkMs,
             prefillTokensPerMs: engine && this.#options.engineModel.getPrefillTokensPerMs(now),
             sharedParts: describeSharedParts(
                 cached.cachingTargets.includes(target),
--- a/src/core/routing/estimateTarget.ts
+++ b/src/core/routing/estimateTarget.ts
@@ -6,8 +6,6 @@
 const ENGINE_BASE_MS = 20;
 /** Time in milliseconds by which each running request slows a step of the engine. */
 const RUNNING_REQUEST_MS = 0.3;
-/** Typical processing time of a request at a plain service in milliseconds. */
-const PLAIN_WORK_MS = 20;
 /** Reading a prompt holds up all requests of an engine, fetching it only one, so fetching may take longer. */
 const FETCH_ADVANTAGE = 3;
 
@@ -24,11 +22,13 @@
     readonly isFetching: boolean;
     /** Part of `expectedMs` that is not spent reading prompts. */
     readonly overheadMs: number;
-    /** Time to first event in milliseconds, without the network delay and the slowness of the target. */
+    /** Time to first event in milliseconds, without the network delay and the speed of the target. */
     readonly expectedMs: number;
 }
 
 interface EstimateOptions {
+    /** Usual processing time of a request at a plain service in milliseconds. */
+    readonly plainWorkMs: number;
     /** Prompt tokens that the engines of the service read per millisecond; `undefined` for a plain service. */
     readonly prefillTokensPerMs: number | undefined;
     /**
@@ -45,19 +45,19 @@
 export function estimateTarget(
     target: TargetState,
     request: RoutedRequest,
-    { prefillTokensPerMs, sharedParts, estimateFetchMs, now }: EstimateOptions,
+    { plainWorkMs, prefillTokensPerMs, sharedParts, estimateFetchMs, now }: EstimateOptions,
 ): TargetEstimate {
     const inFlight = target.countInFlight(now);
     if (prefillTokensPerMs === undefined) {
-        const queueMs = PLAIN_WORK_MS * inFlight / Math.max(1, target.descriptor.slots);
+        const queueMs = plainWorkMs * inFlight / Math.max(1, target.descriptor.slots);
         return {
             queueMs,
             tokensAhead: 0,
             missingTokens: 0,
             uncachedTokens: 0,
             isFetching: false,
-            overheadMs: PLAIN_WORK_MS,
-            expectedMs: PLAIN_WORK_MS + queueMs,
+            overheadMs: plainWorkMs,
+            expectedMs: plainWorkMs + queueMs,
         };
     }
     const pendingTokens = target.countPendingTokens(now);
--- a/src/core/routing/replaceTargetStates.ts
+++ b/src/core/routing/replaceTargetStates.ts
@@ -1,3 +1,4 @@
+import type { ServiceSpeeds } from "../targetSpeed/serviceSpeeds.js";
 import type { TargetDescriptor } from "./targetDescriptor.js";
 import { TargetState } from "./targetState.js";
 
@@ -7,6 +8,7 @@
     targets: readonly TargetDescriptor[],
     memoryTokens: number | undefined,
     now: number,
+    serviceSpeeds: ServiceSpeeds,
 ): void {
     const listed = new Set(targets.map(target => target.id));
     for (const id of states.keys()) {
@@ -20,6 +22,7 @@
             known.descriptor = target;
             continue;
         }
-        states.set(target.id, TargetState.create(target, memoryTokens, now));
+        states.set(target.id, TargetState.create(target, memoryTokens, now, serviceSpeeds));
     }
+    serviceSpeeds.update();
 }
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,3 +1,4 @@
+import { ServiceSpeeds } from "../targetSpeed/serviceSpeeds.js";
 import { AccountShares } from "./accountShares.js";
 import { countRequestTokens } from "./countRequestTokens.js";
 import { EngineModel } from "./engineModel.js";
@@ -34,6 +35,8 @@
     readonly #waits: WaitEstimator;
     #service: RoutedService;
     readonly #targets = new Map<string, TargetState>();
+    /** Speeds of the targets. */
+    readonly speeds = ServiceSpeeds.create(this.#targets);
     #evacuated: ReadonlySet<string> = new Set();
     #waiting: WaitingRequest[] = [];
 
@@ -56,6 +59,7 @@
             eligibility,
             engineModel: this.#engineModel,
             targets: this.#targets,
+            speeds: this.speeds,
             getService: () => this.#service,
         });
         this.#waits = WaitEstimator.create({
@@ -97,7 +101,7 @@
     replaceTargets(targets: readonly TargetDescriptor[], evacuated: ReadonlySet<string>, now: number): void {
         const reinstated = [...this.#evacuated].filter(dataCentre => !evacuated.has(dataCentre));
         this.#evacuated = evacuated;
-        replaceTargetStates(this.#targets, targets, this.#service.engine?.memoryTokens, now);
+        replaceTargetStates(this.#targets, targets, this.#service.engine?.memoryTokens, now, this.speeds);
         markPresumedCold(this.#targets.values(), reinstated, now + this.#service.warmupMs);
     }
 
@@ -168,7 +172,7 @@
             this.#options.promptLocations.record(grant.sharedPartId, grant.target.descriptor.id, now);
         }
         const measuredMs = now - grant.grantedAt;
-        grant.target.recordFirstEvent(measuredMs, grant.expectedMs);
+        grant.target.recordFirstEvent(measuredMs, grant, now);
         if (this.#service.engine) {
             this.#engineModel.recordFirstEvent(grant.tokensAhead, measuredMs - grant.overheadMs, now);
         }
--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -17,6 +17,8 @@
     readonly crashRecord: CrashRecord;
     readonly limits: LimitGate;
     readonly notices: TargetNotices;
+    /** Returns a random number from 0 to 1, as `Math.random`. */
+    readonly getRandom: () => number;
     /** Tokens a second that all engines process together; 0 if unknown. */
     readonly getTokensPerSecond: () => number;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
--- a/src/core/routing/targetGrant.ts
+++ b/src/core/routing/targetGrant.ts
@@ -13,6 +13,8 @@
     readonly tokensAhead: number;
     /** Part of `expectedMs` that is not spent reading prompts. */
     readonly overheadMs: number;
+    /** Network round trip, part of `overheadMs` and `expectedMs`. */
+    readonly networkMs: number;
     /** Expected time to first event in milliseconds, with the network delay. */
     readonly expectedMs: number;
     /** Monotonic time in milliseconds. */
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -1,3 +1,4 @@
+import { pickNearBest } from "../targetSpeed/pickNearBest.js";
 import type { CachedPrompt } from "./cachedPrompt.js";
 import { CandidateBuilder } from "./candidateBuilder.js";
 import { findSharedPrefix } from "./findSharedPrefix.js";
@@ -16,6 +17,8 @@
     readonly targets: ReadonlyMap<string, TargetState>;
     readonly promptLocations: PromptLocations;
     readonly eligibility: TargetEligibility;
+    /** Returns a random number from 0 to 1. */
+    readonly getRandom: () => number;
 }
 
 /** Shorter prefixes are read again in less time than it takes to report their location. */
@@ -51,9 +54,15 @@
         isOverShare: boolean,
         now: number,
     ): TargetCandidate | undefined {
+        const candidates = [...this.compareTargets(waiting, isOverShare, now).values()]
+            .filter(candidate => typeof candidate !== "string");
+        const { speeds, getRandom } = this.#options;
+        if (speeds.isActive) {
+            return pickNearBest(candidates, getRandom);
+        }
         let best: TargetCandidate | undefined;
-        for (const candidate of this.compareTargets(waiting, isOverShare, now).values()) {
-            if (typeof candidate !== "string" && (!best || candidate.score < best.score)) {
+        for (const candidate of candidates) {
+            if (!best || candidate.score < best.score) {
                 best = candidate;
             }
         }
--- a/src/core/routing/targetState.ts
+++ b/src/core/routing/targetState.ts
@@ -1,3 +1,7 @@
+import type { LoadStatement } from "../targetSpeed/loadStatement.js";
+import { ServiceSpeeds } from "../targetSpeed/serviceSpeeds.js";
+import type { SpeedObservation } from "../targetSpeed/speedObservation.js";
+import { TargetSpeed } from "../targetSpeed/targetSpeed.js";
 import { DecayingSum } from "./decayingSum.js";
 import { LongTimeEstimate } from "./longTimeEstimate.js";
 import type { PeerLoad } from "./peerLoad.js";
@@ -5,6 +9,7 @@
 import { PromptCache } from "./promptCache.js";
 import { RateBucket } from "./rateBucket.js";
 import type { TargetDescriptor } from "./targetDescriptor.js";
+import type { TargetGrant } from "./targetGrant.js";
 
 /** Consecutive failures after which a target is ejected. */
 const FAILURES_TO_EJECT = 3;
@@ -26,6 +31,8 @@
 export class TargetState {
     readonly cache: PromptCache;
     readonly coldBucket: RateBucket;
+    readonly speed: TargetSpeed;
+    readonly #serviceSpeeds: ServiceSpeeds;
     descriptor: TargetDescriptor;
     inFlight = 0;
     pendingTokens = 0;
@@ -41,15 +48,28 @@
     readonly #pauses = LongTimeEstimate.create(1);
     readonly #responseTimes = LongTimeEstimate.create(MIN_RESPONSE_RATIO);
 
-    private constructor(descriptor: TargetDescriptor, memoryTokens: number, now: number) {
+    private constructor(
+        descriptor: TargetDescriptor,
+        memoryTokens: number,
+        now: number,
+        serviceSpeeds: ServiceSpeeds,
+    ) {
         this.descriptor = descriptor;
+        this.speed = TargetSpeed.create(now);
+        this.#serviceSpeeds = serviceSpeeds;
         this.cache = PromptCache.create(memoryTokens);
         this.coldBucket = RateBucket.create(1, now);
     }
 
     /** Creates the state of a target that got no requests yet. */
-    static create(descriptor: TargetDescriptor, memoryTokens: number | undefined, now: number): TargetState {
-        return new TargetState(descriptor, (memoryTokens ?? DEFAULT_CACHE_TOKENS) * CACHE_SHARE, now);
+    static create(
+        descriptor: TargetDescriptor,
+        memoryTokens: number | undefined,
+        now: number,
+        serviceSpeeds = ServiceSpeeds.create(new Map()),
+    ): TargetState {
+        const cacheTokens = (memoryTokens ?? DEFAULT_CACHE_TOKENS) * CACHE_SHARE;
+        return new TargetState(descriptor, cacheTokens, now, serviceSpeeds);
     }
 
     /** Returns whether the target may only get requests at the rate that a cold one tolerates. */
@@ -118,9 +138,56 @@
         return this.#responseTimes.get();
     }
 
-    /** Updates the slowness from a measured and an expected time to first event. */
-    recordFirstEvent(measuredMs: number, expectedMs: number): void {
-        const sample = Math.min(MAX_SLOWNESS, Math.max(1, measuredMs / Math.max(1, expectedMs)));
+    /** Records what the target states of its load. */
+    recordLoad(load: LoadStatement, now: number): void {
+        this.#updateSpeed(() => this.speed.recordLoad(load, now));
+    }
+
+    /** Adopts the speed that a peer has observed. */
+    adoptSpeed(observation: SpeedObservation, now: number): void {
+        this.#updateSpeed(() => this.speed.adopt(observation, now));
+    }
+
+    /** Returns by how much longer than expected a request takes at the target, as a ratio. */
+    getTimeRatio(now: number): number {
+        return this.#serviceSpeeds.isActive ? this.speed.getTimeRatio(now) : this.slowness;
+    }
+
+    /** Updates slowness and speed from the time from a grant to the first event. */
+    recordFirstEvent(measuredMs: number, grant: TargetGrant, now: number): void {
+        const sample = Math.min(MAX_SLOWNESS, Math.max(1, measuredMs / Math.max(1, grant.expectedMs)));
         this.slowness += (sample - this.slowness) * SLOWNESS_WEIGHT;
+        if (grant.tokensAhead > 0) {
+            const { networkMs, expectedMs } = grant;
+            this.speed.recordSample(measuredMs - networkMs, expectedMs - networkMs, now);
+        }
+        else {
+            this.#recordPlainWork(measuredMs, grant, now);
+        }
+    }
+
+    /** Updates the speed from the time from a grant to a response that is no stream; an engine's depends on its length. */
+    recordResponse(measuredMs: number, grant: TargetGrant, now: number): void {
+        if (grant.tokensAhead === 0) {
+            this.#recordPlainWork(measuredMs, grant, now);
+        }
+    }
+
+    #recordPlainWork(measuredMs: number, { networkMs, overheadMs, expectedMs }: TargetGrant, now: number): void {
+        const workMs = measuredMs - networkMs;
+        // The overhead of a plain service is the work time that was usual when the target was granted.
+        const queueFactor = (expectedMs - networkMs) / (overheadMs - networkMs);
+        this.#serviceSpeeds.recordPlainWork(workMs / queueFactor);
+        if (this.#serviceSpeeds.isActive) {
+            this.speed.recordSample(workMs, this.#serviceSpeeds.plainWorkMs * queueFactor, now);
+        }
+    }
+
+    #updateSpeed(update: () => void): void {
+        const { namesRatio } = this.speed;
+        update();
+        if (this.speed.namesRatio !== namesRatio) {
+            this.#serviceSpeeds.update();
+        }
     }
 }
--- /dev/null
+++ b/src/core/targetSpeed/peerSpeeds.ts
@@ -0,0 +1,50 @@
+import type { SpeedObservation } from "./speedObservation.js";
+
+/** Observations of peers that are older do not count. */
+const MAX_AGE_MS = 2000;
+/** Newest observations that are kept of each target; more would hardly change their mean. */
+const MAX_KEPT = 6;
+/** The same observation arrives through several peers, with ages that differ by the time for which it was under way. */
+const SAME_WITHIN_MS = 100;
+
+/** Newest observations that peers have reported of one target. */
+export class PeerSpeeds {
+    #observations: readonly SpeedObservation[] = [];
+
+    /** Creates an empty list. */
+    static create(): PeerSpeeds {
+        return new PeerSpeeds();
+    }
+
+    /** Adds an observation, unless it is known, too old, or older than all that are kept. */
+    add(added: SpeedObservation, now: number): void {
+        const isKnown = this.#observations.some(({ logRatio, observedAt }) =>
+            logRatio === added.logRatio && Math.abs(observedAt - added.observedAt) < SAME_WITHIN_MS
+        );
+        if (isKnown || now - added.observedAt >= MAX_AGE_MS) {
+            return;
+        }
+        this.#observations = [...this.#observations, added]
+            .filter(({ observedAt }) => now - observedAt < MAX_AGE_MS)
+            .sort((a, b) => b.observedAt - a.observedAt)
+            .slice(0, MAX_KEPT);
+    }
+
+    /** Returns the newest observation that still counts. */
+    getNewest(now: number): SpeedObservation | undefined {
+        const [newest] = this.#observations;
+        return newest && now - newest.observedAt < MAX_AGE_MS ? newest : undefined;
+    }
+
+    /** Sums the observations, each with a weight that falls from 1 to 0 at the age at which it no longer counts. */
+    sum(now: number): { readonly weight: number; readonly weightedLogRatio: number; } {
+        let weight = 0;
+        let weightedLogRatio = 0;
+        for (const { logRatio, observedAt } of this.#observations) {
+            const ownWeight = Math.min(1, Math.max(0, 1 - (now - observedAt) / MAX_AGE_MS));
+            weight += ownWeight;
+            weightedLogRatio += ownWeight * logRatio;
+        }
+        return { weight, weightedLogRatio };
+    }
+}
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -29,8 +29,8 @@
     #startedAt: number;
     /** True while the target has not taken a connection in time. */
     #isConnectLate = false;
-    /** Time in milliseconds from the start to the head; `undefined` before it. */
-    #headMs: number | undefined;
+    /** Time in milliseconds from the start to the head of a response that is no stream; `undefined` before it. */
+    headMs: number | undefined;
     /** True once the response is passed on as a stream. */
     #isStreamed = false;
     #progress: ProgressTracker;
@@ -92,14 +92,14 @@
 
     /** Longest silence of the target in milliseconds, before its head or after it; `undefined` for streams. */
     get longestSilenceMs(): number | undefined {
-        return this.#headMs === undefined
+        return this.headMs === undefined
             ? undefined
-            : Math.max(this.#headMs, this.#progress.longestPauseMs, this.silentMs);
+            : Math.max(this.headMs, this.#progress.longestPauseMs, this.silentMs);
     }
 
     /** Returns the reason why the target counts as unresponsive, or `undefined` if it does not. */
     findInactivity(): string | undefined {
-        const { grant, caller } = this.#options;
+        const { grant, caller, getNow } = this.#options;
         if (this.#isConnectLate) {
             return TargetExchange.CONNECT_TIMEOUT;
         }
@@ -107,7 +107,7 @@
             inactiveMs: this.silentMs,
             hasEvents: this.hasEvents,
             objectiveMs: caller.request.route.objectiveMs,
-            expectedFirstMs: grant.expectedMs * grant.target.slowness,
+            expectedFirstMs: grant.expectedMs * grant.target.getTimeRatio(getNow()),
             longFirstMs: grant.target.getLongResponseMs(),
             expectedPauseMs: grant.target.getLongPauseMs(),
         });
@@ -186,7 +186,7 @@
         }
         if (caller.request.route.kind !== "stream") {
             this.#progress.recordProgress(getRunningTime());
-            this.#headMs = getRunningTime() - this.#startedAt;
+            this.headMs = getRunningTime() - this.#startedAt;
             return;
         }
         if (response.isStarted || this.#status === OK) {
--- a/src/router/recordAttemptSuccess.ts
+++ b/src/router/recordAttemptSuccess.ts
@@ -13,7 +13,10 @@
 const OK = 200;
 const FIRST_REDIRECTION = 300;
 
-/** Records what a complete response says about crashes of its target: its end is certain only if the response is framed. */
+/**
+ * Records what a complete response says about the speed of its target, and about its crashes: its end is certain only if the
+ * response is framed.
+ */
 export function recordAttemptSuccess(
     { crashDetector, crashRecord }: RequestOutcomeRecords,
     request: RoutedRequest,
@@ -25,6 +28,9 @@
         return;
     }
     const { target, grantedAt } = attempt.grant;
+    if (attempt.headMs !== undefined) {
+        target.recordResponse(attempt.headMs, attempt.grant, now);
+    }
     if (head.isFramed) {
         crashDetector.recordComplete(crashRecord.listProvenKeys(request), grantedAt, now);
         return;
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -8,6 +8,8 @@
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
 import type { TargetNotices } from "../core/routing/targetNotices.js";
 import type { TargetState } from "../core/routing/targetState.js";
+import type { SpeedObservation } from "../core/targetSpeed/speedObservation.js";
+import type { TargetSpeed } from "../core/targetSpeed/targetSpeed.js";
 import type { RouterSettings } from "./routerSettings.js";
 import { schedulerTuning } from "./schedulerTuning.js";
 
@@ -80,6 +82,7 @@
                         coldFactor: settings.coldFactor,
                         coldSlack: settings.coldSlack,
                     },
+                    getRandom: Math.random,
                     getTokensPerSecond,
                     getColdShare,
                     mayBegin,
@@ -153,6 +156,18 @@
         });
     }
 
+    /** Lists the speeds of the targets of services for which they count. */
+    listSpeeds(): readonly (readonly [targetId: string, speed: TargetSpeed])[] {
+        return [...this.#services.values()].filter(({ scheduler }) => scheduler.speeds.isActive)
+            .flatMap(({ scheduler }) => [...scheduler.targets.values()])
+            .map(({ descriptor, speed }) => [descriptor.id, speed] as const);
+    }
+
+    /** Adopts the speed of a target that a peer has observed. */
+    adoptSpeed(targetId: string, observation: SpeedObservation, now: number): void {
+        this.#findTarget(targetId)?.adoptSpeed(observation, now);
+    }
+
     #listTargets(): readonly TargetState[] {
         return [...this.#services.values()].flatMap(({ scheduler }) => [...scheduler.targets.values()]);
     }
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -20,6 +20,7 @@
     notices = createTargetNotices(),
     mayBegin: (target: TargetDescriptor) => boolean = () => true,
     mayGoOn: (target: TargetDescriptor) => boolean = () => true,
+    getRandom: () => number = () => 0,
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -47,6 +48,7 @@
         crashRecord,
         limits,
         notices,
+        getRandom,
         getTokensPerSecond: () => tokensPerSecond,
         getColdShare,
         mayBegin,
