Reports: instances share the speeds of targets

One instance sends to a given engine only every 10 s or so, and learns its speed too late.

Optional field speeds of reports and summaries: own observations, and in summaries the newest one of each target, those that have changed most first. Instances before this ignore the field.

--- a/src/router/createFleetView.ts
+++ b/src/router/createFleetView.ts
@@ -1,3 +1,4 @@
+import { SpeedReports } from "../core/targetSpeed/speedReports.js";
 import type { DeploymentView } from "./deploymentView.js";
 import { FleetView } from "./fleetView.js";
 import type { FleetViewOptions } from "./fleetViewOptions.js";
@@ -23,6 +24,10 @@
             getNotice: () => view.startNotice,
             onNotice: (ip, notice) => view.recordStartNotice(ip, notice),
         }),
+        speedReports: SpeedReports.create({
+            listSpeeds: () => servicePool.listSpeeds(),
+            onObservation: (id, observation, now) => servicePool.adoptSpeed(id, observation, now),
+        }),
         listLoads: () => servicePool.listLoads(),
         listDataCentreLoads: peers => servicePool.listDataCentreLoads(getNow(), peers),
         onLoads: (peer, loads, validUntil) => servicePool.setPeerLoads(peer, loads, validUntil),
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -169,7 +169,7 @@
     }
 
     #sendReports(): void {
-        const { promptLocations, crashRecord, limits, getNow, getState } = this.#options;
+        const { promptLocations, crashRecord, limits, speedReports, getNow, getState } = this.#options;
         const now = getNow();
         this.#permits.advance(getState() === "closed", now);
         const localPeers = this.#listLocalPeers();
@@ -185,9 +185,11 @@
                 ...localPeers.filter(({ name }) => name === limits.coordinator),
             ]
             : localPeers;
-        this.#sender.sendReport([...new Set(receivers)], now, {
+        const uniqueReceivers = [...new Set(receivers)];
+        this.#sender.sendReport(uniqueReceivers, now, {
             prompts: promptLocations.takePending(now),
             crashOutcomes: crashRecord.takeReport("peers", now),
+            speeds: speedReports.takeReport(uniqueReceivers.length, now),
         });
         const isFirst = role.rank === 0 || !this.#receiver.hasSummary(now, DELEGATE_TIMEOUT_MS);
         if (role.kind === "delegate" && isFirst) {
@@ -232,7 +234,9 @@
             report.scope === "data-centre" && report.sender.dataCentre !== settings.locality.dataCentre
             && senderHost === report.sender.ip
         ) {
-            this.#options.exchange.send(report, this.#listLocalPeers().map(peer => peer.ip));
+            // Its speeds are part of the next summary of this data centre, within the same bound of bytes.
+            const forwarded = { ...report, speeds: undefined };
+            this.#options.exchange.send(forwarded, this.#listLocalPeers().map(peer => peer.ip));
         }
     }
 
--- a/src/router/fleetViewOptions.ts
+++ b/src/router/fleetViewOptions.ts
@@ -3,6 +3,7 @@
 import type { CrashRecord } from "../core/routing/crashRecord.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { PromptLocations } from "../core/routing/promptLocations.js";
+import type { SpeedReports } from "../core/targetSpeed/speedReports.js";
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
 import type { PeerExchange } from "./peerExchange.js";
@@ -22,6 +23,7 @@
     readonly promptLocations: PromptLocations;
     readonly crashRecord: CrashRecord;
     readonly limits: RequestLimiter;
+    readonly speedReports: SpeedReports;
     readonly streamOrigins: StreamOrigins;
     readonly getNow: () => number;
     readonly getState: () => MemberRecord["state"];
--- a/src/router/parsePeerReport.ts
+++ b/src/router/parsePeerReport.ts
@@ -27,6 +27,8 @@
             || isListOf(report.included, status => isStatus(status, latestIncarnation)))
         && (report.configurationVersion === undefined || isVersion(report.configurationVersion))
         && (report.startedMsAgo === undefined || isAmount(report.startedMsAgo))
+        && (report.speeds === undefined
+            || isListOf(report.speeds, speed => isTuple(speed, [isText, isAmount, isAmount])))
         && (report.limits === undefined || isLimitReport(report.limits));
     return isValid ? report as PeerReport : undefined;
 }
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -3,6 +3,7 @@
 import type { CrashOutcome } from "../core/routing/crashOutcome.js";
 import type { MemberRecord } from "../core/routing/memberRecord.js";
 import type { MemberStatus } from "../core/routing/memberStatus.js";
+import type { SharedSpeed } from "../core/targetSpeed/sharedSpeed.js";
 
 /**
  * Datagram between instances: the report of the sender, or the summary of its whole data centre for remote ones
@@ -29,4 +30,6 @@
     readonly startedMsAgo?: number | undefined;
     /** Request limits of targets; left out while no target has one. */
     readonly limits?: LimitReport | undefined;
+    /** Speeds of targets, those that have changed most; left out while none is known, and by older versions. */
+    readonly speeds?: readonly SharedSpeed[] | undefined;
 }
--- a/src/router/reportReceiver.ts
+++ b/src/router/reportReceiver.ts
@@ -5,6 +5,7 @@
 import type { PromptLocations } from "../core/routing/promptLocations.js";
 import type { ReportRole } from "../core/routing/reportRole.js";
 import type { SentReports } from "../core/routing/sentReports.js";
+import type { SpeedReports } from "../core/targetSpeed/speedReports.js";
 import type { PeerReport } from "./peerReport.js";
 import type { RouterSettings } from "./routerSettings.js";
 
@@ -15,6 +16,7 @@
     readonly crashRecord: CrashRecord;
     readonly sentReports: SentReports;
     readonly limits: RequestLimiter;
+    readonly speedReports: SpeedReports;
     readonly onLoads: (sender: string, loads: PeerReport["loads"], validUntil: number) => void;
 }
 
@@ -65,10 +67,12 @@
 
     /** Applies a report that is newer than the last one of its sender. */
     apply(report: PeerReport, role: ReportRole, now: number): void {
-        const { settings, usage, promptLocations, crashRecord, limits, onLoads } = this.#options;
+        const { settings, usage, promptLocations, crashRecord, limits, speedReports, onLoads } =
+            this.#options;
         const isLocal = report.sender.dataCentre === settings.locality.dataCentre;
         promptLocations.adopt(report.prompts, isLocal, now);
         crashRecord.adopt(report.crashOutcomes ?? [], isLocal, now);
+        speedReports.adopt(report.speeds ?? [], isLocal, now);
         if (report.limits) {
             limits.applyReport(report.limits, report.sender, report.scope, now);
         }
--- a/src/router/reportSender.ts
+++ b/src/router/reportSender.ts
@@ -9,6 +9,7 @@
 import type { ReportRole } from "../core/routing/reportRole.js";
 import type { SentReports } from "../core/routing/sentReports.js";
 import { SummarySchedule } from "../core/routing/summarySchedule.js";
+import type { SpeedReports } from "../core/targetSpeed/speedReports.js";
 import { pickRandom } from "../shared/pickRandom.js";
 import type { PeerReport } from "./peerReport.js";
 import type { RouterSettings } from "./routerSettings.js";
@@ -21,6 +22,7 @@
     readonly crashRecord: CrashRecord;
     readonly sentReports: SentReports;
     readonly limits: RequestLimiter;
+    readonly speedReports: SpeedReports;
     readonly listLoads: () => PeerReport["loads"];
     /** Loads that this instance and the named peers have put on targets. */
     readonly listDataCentreLoads: (peers: readonly string[]) => PeerReport["loads"];
@@ -32,7 +34,7 @@
     readonly send: (report: PeerReport, hosts: readonly string[]) => void;
 }
 
-type ReportNews = Pick<PeerReport, "prompts" | "crashOutcomes">;
+type ReportNews = Pick<PeerReport, "prompts" | "crashOutcomes" | "speeds">;
 
 const NO_NEWS: ReportNews = { prompts: [] };
 /** Other members included in each report (gossip), so that a starting instance learns of all members. */
@@ -71,7 +73,7 @@
         included: readonly MemberStatus[],
         now: number,
     ): void {
-        const { usage, promptLocations, crashRecord, limits } = this.#options;
+        const { usage, promptLocations, crashRecord, limits, speedReports } = this.#options;
         const { listDataCentreLoads, buildRecord, send } = this.#options;
         send({
             scope: "local-summary",
@@ -83,12 +85,13 @@
             others: pickRandom(localPeers, RELAYED_MEMBERS),
             included,
             limits: limits.buildSummary("local-summary", now),
+            speeds: speedReports.takeSummary(localPeers.length, now),
         }, localPeers.map(peer => peer.ip));
     }
 
     /** Sends a summary of the data centre to one delegate of each remote one, if this is the first delegate. */
     sendRemoteSummary(role: ReportRole, now: number): void {
-        const { settings, usage, promptLocations, crashRecord, limits } = this.#options;
+        const { settings, usage, promptLocations, crashRecord, limits, speedReports } = this.#options;
         const { listDataCentreLoads, listPeers, buildRecord, send } = this.#options;
         const turn = this.#summarySchedule.takeTurn(now);
         if (turn === "none" || (role.kind !== "mesh" && !(role.kind === "delegate" && role.rank === 0))) {
@@ -114,6 +117,7 @@
             crashOutcomes: turn === "all" ? crashRecord.takeReport("remote", now) : undefined,
             others: [record, ...localPeers],
             limits: limits.buildSummary("data-centre", now),
+            speeds: speedReports.takeSummary(receivers.length, now),
         }, receivers.map(member => member.ip));
     }
 
--- a/test/router/reportReceiver.test.ts
+++ b/test/router/reportReceiver.test.ts
@@ -6,6 +6,7 @@
 import { PromptLocations } from "../../src/core/routing/promptLocations.js";
 import type { ReportRole } from "../../src/core/routing/reportRole.js";
 import { SentReports } from "../../src/core/routing/sentReports.js";
+import { SpeedReports } from "../../src/core/targetSpeed/speedReports.js";
 import { parsePeerReport } from "../../src/router/parsePeerReport.js";
 import type { PeerReport } from "../../src/router/peerReport.js";
 import { ReportReceiver } from "../../src/router/reportReceiver.js";
@@ -62,6 +63,7 @@
         crashRecord,
         sentReports,
         limits: createLimiter(),
+        speedReports: SpeedReports.create({ listSpeeds: () => [], onObservation: () => undefined }),
         onLoads: (sender, reported) => loads.set(sender, reported),
     });
     const sumLoad = (): number => [...loads.values()].flat().reduce((sum, [, inFlight]) => sum + inFlight, 0);
