--- a/src/core/routing/candidateBuilder.ts
+++ b/src/core/routing/candidateBuilder.ts
@@ -1,4 +1,6 @@
+import type { CapacityClass } from "../admission/capacityClass.js";
 import type { LimitGate } from "../limits/limitGate.js";
+import type { ServiceSpeeds } from "../targetSpeed/serviceSpeeds.js";
 import type { CachedPrompt } from "./cachedPrompt.js";
 import type { EngineModel } from "./engineModel.js";
 import { estimateFetch } from "./estimateFetch.js";
@@ -15,6 +17,7 @@
     readonly settings: SchedulerSettings;
     readonly limits: LimitGate;
     readonly engineModel: EngineModel;
+    readonly speeds: ServiceSpeeds;
     readonly getService: () => RoutedService;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
@@ -45,12 +48,12 @@
         return new CandidateBuilder(options);
     }
 
-    /** @param isOverShare True if the account is over its share, so that only capacity is used that would stay idle. */
+    /** @param capacity Capacity that the request may use, by the share of its account. */
     build(
         target: TargetState,
         request: RoutedRequest,
         cached: CachedPrompt,
-        isOverShare: boolean,
+        capacity: CapacityClass,
         now: number,
     ): TargetCandidate | LeftOutReason {
         const { descriptor } = target;
@@ -69,12 +72,15 @@
         if (target.countInFlight(now) >= descriptor.slots) {
             return "slots-taken";
         }
-        if (estimate.queueMs > this.#getMaxQueueMs(isOverShare)) {
+        const timeRatio = target.getTimeRatio(now);
+        // Without reported speeds, the length of a queue is compared as if all targets were equally fast.
+        const queueMs = estimate.queueMs * (this.#options.speeds.isActive ? timeRatio : 1);
+        if (queueMs > this.#getMaxQueueMs(capacity)) {
             return "queue-full";
         }
         const networkMs = this.#getRoundTripMs(descriptor, this.#options.settings.locality);
         const terms: ScoreTerms = {
-            expectedMs: estimate.expectedMs * target.slowness,
+            expectedMs: estimate.expectedMs * timeRatio,
             networkMs,
             failureMs: target.getFailureShare(now) * FAILURE_PENALTY_MS,
             cacheMs: estimate.uncachedTokens
@@ -91,6 +97,7 @@
                 sharedPartId: cached.reportedPartId,
                 missingTokens: estimate.missingTokens,
                 tokensAhead: estimate.tokensAhead,
+                networkMs,
                 overheadMs: estimate.overheadMs + networkMs,
                 expectedMs: estimate.expectedMs + networkMs,
                 grantedAt: now,
@@ -107,6 +114,7 @@
     ): ReturnType<typeof estimateTarget> {
         const { engine } = this.#options.getService();
         return estimateTarget(target, request, {
+            plainWorkMs: this.#options.speeds.plainWorkMs,
             prefillTokensPerMs: engine && this.#options.engineModel.getPrefillTokensPerMs(now),
             sharedParts: describeSharedParts(
                 cached.cachingTargets.includes(target),
@@ -146,11 +154,11 @@
             ?? (target === affinityTarget ? remoteAffinityTarget : affinityTarget);
     }
 
-    #getMaxQueueMs(isOverShare: boolean): number {
+    #getMaxQueueMs(capacity: CapacityClass): number {
         const { settings, getService } = this.#options;
         const { shortestObjectiveMs } = getService();
         return shortestObjectiveMs
-            * (isOverShare ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
+            * (capacity !== "any" ? settings.overShareObjectiveShare : settings.queueObjectiveShare);
     }
 
     #getColdShare(target: TargetState, now: number): TargetCandidate["coldShare"] {
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,3 +1,5 @@
+import { pickCapacityClass } from "../admission/pickCapacityClass.js";
+import { ServiceSpeeds } from "../targetSpeed/serviceSpeeds.js";
 import { AccountShares } from "./accountShares.js";
 import { countRequestTokens } from "./countRequestTokens.js";
 import { EngineModel } from "./engineModel.js";
@@ -34,6 +36,8 @@
     readonly #waits: WaitEstimator;
     #service: RoutedService;
     readonly #targets = new Map<string, TargetState>();
+    /** Speeds of the targets. */
+    readonly speeds = ServiceSpeeds.create(this.#targets);
     #evacuated: ReadonlySet<string> = new Set();
     #waiting: WaitingRequest[] = [];
 
@@ -44,7 +48,7 @@
             usage: options.usage,
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
             pressure: options.pressure,
-            isWorkConserving: () => options.isWorkConserving?.() === true,
+            isWorkConserving: () => this.speeds.isActive,
         });
         this.#engineModel = EngineModel.create(options.settings);
         const eligibility = TargetEligibility.create({
@@ -58,6 +62,7 @@
             eligibility,
             engineModel: this.#engineModel,
             targets: this.#targets,
+            speeds: this.speeds,
             getService: () => this.#service,
         });
         this.#waits = WaitEstimator.create({
@@ -99,7 +104,7 @@
     replaceTargets(targets: readonly TargetDescriptor[], evacuated: ReadonlySet<string>, now: number): void {
         const reinstated = [...this.#evacuated].filter(dataCentre => !evacuated.has(dataCentre));
         this.#evacuated = evacuated;
-        replaceTargetStates(this.#targets, targets, this.#service.engine?.memoryTokens, now);
+        replaceTargetStates(this.#targets, targets, this.#service.engine?.memoryTokens, now, this.speeds);
         markPresumedCold(this.#targets.values(), reinstated, now + this.#service.warmupMs);
     }
 
@@ -141,7 +146,7 @@
         const isRefused = kind === "excluded" || crashRecord.findRefusal(request, now);
         const grant = isRefused
             ? undefined
-            : this.#granter.tryGrant({ request, excludedTargets }, kind === "over", new Set(), now);
+            : this.#granter.tryGrant({ request, excludedTargets }, pickCapacityClass(kind), new Set(), now);
         if (grant) {
             limits.addRequest(this.#service.name, now);
         }
@@ -170,7 +175,7 @@
             this.#options.promptLocations.record(grant.sharedPartId, grant.target.descriptor.id, now);
         }
         const measuredMs = now - grant.grantedAt;
-        grant.target.recordFirstEvent(measuredMs, grant.expectedMs);
+        grant.target.recordFirstEvent(measuredMs, grant, now);
         if (this.#service.engine) {
             this.#engineModel.recordFirstEvent(grant.tokensAhead, measuredMs - grant.overheadMs, now);
         }
@@ -233,13 +238,15 @@
         }
         const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
         const isExcluded = kind === "excluded";
-        const grant = isExcluded ? undefined : this.#granter.tryGrant(waiting, kind === "over", blocked, now);
+        const grant = isExcluded
+            ? undefined
+            : this.#granter.tryGrant(waiting, pickCapacityClass(kind), blocked, now);
         if (grant) {
             return { kind: "granted", grant };
         }
         const waitDeadline = findWaitDeadline(
             request,
-            kind === "over",
+            kind !== "within",
             this.#waits.estimateReadingMs(request, now),
         );
         const hopeless = this.prospects.findHopeless(waiting, waitDeadline, now);
--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -18,12 +18,12 @@
     readonly crashRecord: CrashRecord;
     readonly limits: LimitGate;
     readonly notices: TargetNotices;
+    /** Returns a random number from 0 to 1, as `Math.random`. */
+    readonly getRandom: () => number;
     /** Tokens a second that all engines process together; 0 if unknown. */
     readonly getTokensPerSecond: () => number;
     /** Tells whether accounts within their share lack capacity. @default accounts over their share always yield */
     readonly pressure?: AdmissionPressure | undefined;
-    /** Whether accounts over their share yield only while others lack capacity. @default never */
-    readonly isWorkConserving?: () => boolean;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
     /** Whether a new stream that may be taken up later may begin at a target. */
--- a/src/core/routing/targetGranter.ts
+++ b/src/core/routing/targetGranter.ts
@@ -1,3 +1,4 @@
+import type { CapacityClass } from "../admission/capacityClass.js";
 import type { AccountUsage } from "./accountUsage.js";
 import type { CrashRecord } from "./crashRecord.js";
 import { describeRequestKind } from "./describeRequestKind.js";
@@ -31,21 +32,21 @@
     /**
      * Grants a request the best target; returns `undefined` if none has capacity now.
      *
-     * @param isOverShare True if the account is over its share, so that only capacity is used that would stay idle.
+     * @param capacity Capacity that the request may use, by the share of its account.
      * @param blocked Kinds of requests for which no target has capacity; further requests of these kinds are not tried.
      */
     tryGrant(
         waiting: Pick<WaitingRequest, "request" | "excludedTargets">,
-        isOverShare: boolean,
+        capacity: CapacityClass,
         blocked: Set<string>,
         now: number,
     ): TargetGrant | undefined {
         const { request, excludedTargets } = waiting;
-        const kind = describeRequestKind(request, isOverShare);
+        const kind = describeRequestKind(request, capacity);
         if (blocked.has(kind)) {
             return undefined;
         }
-        const candidate = this.#picker.pick(waiting, isOverShare, now);
+        const candidate = this.#picker.pick(waiting, capacity, now);
         if (candidate) {
             return reserveTarget(this.#options, request, candidate, now);
         }
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -1,3 +1,5 @@
+import type { CapacityClass } from "../admission/capacityClass.js";
+import { pickNearBest } from "../targetSpeed/pickNearBest.js";
 import type { CachedPrompt } from "./cachedPrompt.js";
 import { CandidateBuilder } from "./candidateBuilder.js";
 import { findSharedPrefix } from "./findSharedPrefix.js";
@@ -16,6 +18,8 @@
     readonly targets: ReadonlyMap<string, TargetState>;
     readonly promptLocations: PromptLocations;
     readonly eligibility: TargetEligibility;
+    /** Returns a random number from 0 to 1. */
+    readonly getRandom: () => number;
 }
 
 /** Shorter prefixes are read again in less time than it takes to report their location. */
@@ -44,16 +48,22 @@
     /**
      * Returns the best target with capacity, or `undefined`.
      *
-     * @param isOverShare True if the account is over its share, so that only capacity is used that would stay idle.
+     * @param capacity Capacity that the request may use, by the share of its account.
      */
     pick(
         waiting: Pick<WaitingRequest, "request" | "excludedTargets">,
-        isOverShare: boolean,
+        capacity: CapacityClass,
         now: number,
     ): TargetCandidate | undefined {
+        const candidates = [...this.compareTargets(waiting, capacity, now).values()]
+            .filter(candidate => typeof candidate !== "string");
+        const { speeds, getRandom } = this.#options;
+        if (speeds.isActive) {
+            return pickNearBest(candidates, getRandom);
+        }
         let best: TargetCandidate | undefined;
-        for (const candidate of this.compareTargets(waiting, isOverShare, now).values()) {
-            if (typeof candidate !== "string" && (!best || candidate.score < best.score)) {
+        for (const candidate of candidates) {
+            if (!best || candidate.score < best.score) {
                 best = candidate;
             }
         }
@@ -63,7 +73,7 @@
     /** Scores the targets that a request may use now, or tells why one has no capacity for it. Reserves nothing. */
     compareTargets(
         waiting: Pick<WaitingRequest, "request" | "excludedTargets">,
-        isOverShare: boolean,
+        capacity: CapacityClass,
         now: number,
     ): ReadonlyMap<TargetState, ReturnType<CandidateBuilder["build"]>> {
         const { targets, eligibility } = this.#options;
@@ -78,7 +88,7 @@
         const cached = this.#findCached(waiting.request, notEjected, now);
         // A request over the share of its account is not worth moving a shared part of a prompt or reading it again, unless
         // the part is short and a permit for the target would be lost.
-        const eligible = isOverShare && cached.affinityTarget
+        const eligible = capacity === "idle-cached" && cached.affinityTarget
             ? notExcluded.filter(target =>
                 target === cached.affinityTarget || cached.cachingTargets.includes(target)
                 || (cached.reportedPartId === undefined
@@ -87,7 +97,7 @@
             : notExcluded;
         return new Map(
             eligible.map(target =>
-                [target, this.#builder.build(target, waiting.request, cached, isOverShare, now)] as const
+                [target, this.#builder.build(target, waiting.request, cached, capacity, now)] as const
             ),
         );
     }
