--- /dev/null
+++ b/test/testing/memory/chunkForm.ts
@@ -0,0 +1,5 @@
+/** A chunked body as it is sent. */
+export interface ChunkForm {
+    readonly name: string;
+    readonly whole: Buffer;
+}
