Router: bodies without a declared length are copied into one buffer, and counted as held

Cause: each chunk of a chunked body was kept as a Buffer of its own, counted by its content. The Buffer and its backing store take some hundred bytes, so that 48 KB in chunks of one byte took megabytes. Bytes of a body that was refused or timed out stayed referenced by the listeners of its request until the connection closed, though they counted as released.

CollectedBytes (src/core/bodies, in place of RequestBody) copies parts into a buffer that doubles, at most up to the limit of a body, and gives unused capacity up at the end. The budget counts the capacity; growth without room is refused before it is allocated. A body is dropped with the refusal or the time-out of its request. The memory is checked after 1 MiB of chunks and their buffers, no longer of content alone.

--- a/src/router/bodyReader.ts
+++ b/src/router/bodyReader.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { RequestBody } from "./requestBody.js";
+import { CollectedBytes } from "../core/bodies/collectedBytes.js";
 import type { RequestMemory } from "./requestMemory.js";
 
 interface BodyReaderOptions {
@@ -19,6 +19,9 @@
 /** Callers tolerate half a second beyond a deadline. */
 const CHECK_INTERVAL_MS = 50;
 
+/** The buffer of a part takes this much memory until it is collected, beside its content. */
+const PART_BYTES = 256;
+
 /** Reads the bodies of requests into memory, within limits. */
 export class BodyReader {
     readonly #options: BodyReaderOptions;
@@ -56,44 +59,63 @@
             return;
         }
         const isKnown = declared !== undefined && declaredBytes <= getMaxBodyBytes();
-        let buffered: RequestBody | undefined = RequestBody.create(isKnown ? declaredBytes : undefined);
-        let length = 0;
+        let buffered: CollectedBytes | undefined = CollectedBytes.create(
+            isKnown ? declaredBytes : getMaxBodyBytes(),
+        );
         const hasBody = declared !== undefined || encoding !== undefined;
-        const readChunk = (chunk: Buffer): void => {
-            length += chunk.length;
-            memory.budget.add(chunk.length);
-            buffered?.append(chunk);
-            const isTooLarge = length > getMaxBodyBytes();
-            if (isTooLarge || !memory.mayTake(0)) {
-                buffered = undefined;
-                this.#deadlines.delete(response);
-                onTooLarge(response, isTooLarge ? "body-too-large" : "memory-limit");
+        let heldBytes = 0;
+        const drop = (): void => {
+            // The listeners below keep the request alive while its connection is open.
+            buffered = undefined;
+            this.#deadlines.delete(response);
+            memory.budget.release(heldBytes);
+            heldBytes = 0;
+        };
+        const refuse = (cause: "body-too-large" | "memory-limit"): void => {
+            drop();
+            onTooLarge(response, cause);
+        };
+        const readChunk = (chunk: Buffer, body: CollectedBytes): void => {
+            if (body.length + chunk.length > getMaxBodyBytes()) {
+                refuse("body-too-large");
+                return;
             }
+            if (!memory.mayTake(body.computeGrowth(chunk.length))) {
+                refuse("memory-limit");
+                return;
+            }
+            body.append(chunk);
+            memory.budget.add(body.heldBytes - heldBytes);
+            heldBytes = body.heldBytes;
         };
         this.#deadlines.set(response, deadline);
         this.#timer ??= setInterval(() => this.#expire(), CHECK_INTERVAL_MS);
         incoming.on("data", (chunk: Buffer) => {
-            memory.recordRead(chunk.length);
-            if (!response.writableEnded) {
-                runGuarded(response, () => readChunk(chunk));
+            memory.recordRead(chunk.length + PART_BYTES);
+            const body = buffered;
+            if (body && !response.writableEnded) {
+                runGuarded(response, () => readChunk(chunk, body));
             }
         });
         incoming.on("end", () => {
             this.#deadlines.delete(response);
             if (!response.writableEnded) {
-                runGuarded(response, () => onBody(hasBody ? buffered?.join() : undefined));
+                const body = hasBody ? buffered?.join() : undefined;
+                memory.budget.add((buffered?.heldBytes ?? 0) - heldBytes);
+                heldBytes = buffered?.heldBytes ?? 0;
+                buffered = undefined;
+                runGuarded(response, () => onBody(body));
             }
         });
         incoming.on("error", () => response.destroy());
-        response.on("close", () => {
-            this.#deadlines.delete(response);
-            memory.budget.release(length);
-        });
+        // Refused before the end of its body, a response ends while the connection goes on.
+        response.on("finish", () => buffered ? drop() : undefined);
+        response.on("close", drop);
     }
 
     /** Reads a body that nobody needs, so that the connection can be used again. */
     skip(incoming: IncomingMessage): void {
-        incoming.on("data", (chunk: Buffer) => this.#options.memory.recordRead(chunk.length));
+        incoming.on("data", (chunk: Buffer) => this.#options.memory.recordRead(chunk.length + PART_BYTES));
     }
 
     /** Ends the requests whose bodies have not been read by their deadlines. */
