Daemon: bodies are copied into one buffer, and counted as held

Cause: the same as at the router; readBody kept each chunk as a Buffer of its own, counted by its content. It now collects parts with CollectedBytes and holds the capacity; growth without room is refused before it is allocated, and a refused body is released with its refusal, not with the end of its response.

--- a/src/adapters/caller/readBody.ts
+++ b/src/adapters/caller/readBody.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { CollectedBytes } from "../../core/bodies/collectedBytes.js";
 import { RequestError } from "../../core/errors/requestError.js";
 import type { HeldBytes } from "../../core/memory/heldBytes.js";
 
@@ -7,16 +8,17 @@
 /**
  * Reads a whole request body.
  *
- * @param held Holds the bytes of the body until its request has ended.
+ * @param held Holds the memory of the body until its request has ended.
  * @throws RequestError `body-too-large`, `memory-limit` when the bodies of all requests take too much memory, or `request-incomplete` when the connection ends before the body does.
  */
 export function readBody(incoming: IncomingMessage, maxBytes: number, held: HeldBytes): Promise<Buffer> {
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const declared = incoming.headers["content-length"];
+        const body = CollectedBytes.create(declared === undefined ? maxBytes : Number(declared));
         const refuse = (error: RequestError): void => {
             incoming.off("data", onData);
             incoming.pause();
+            held.release();
             reject(error);
         };
         const refuseTooLarge = (): void =>
@@ -26,18 +28,17 @@
                 retryAfterSeconds: RETRY_AFTER_SECONDS,
             }));
         const onData = (chunk: Buffer): void => {
-            length += chunk.length;
-            if (length > maxBytes) {
+            if (body.length + chunk.length > maxBytes) {
                 refuseTooLarge();
                 return;
             }
-            if (!held.add(chunk.length)) {
+            if (!held.add(body.computeGrowth(chunk.length))) {
                 refuseForMemory();
                 return;
             }
-            chunks.push(chunk);
+            body.append(chunk);
         };
-        const declaredBytes = Number(incoming.headers["content-length"] ?? 0);
+        const declaredBytes = Number(declared ?? 0);
         if (declaredBytes > maxBytes) {
             refuseTooLarge();
             return;
@@ -47,7 +48,11 @@
             return;
         }
         incoming.on("data", onData);
-        incoming.once("end", () => resolve(Buffer.concat(chunks)));
+        incoming.once("end", () => {
+            const whole = body.join();
+            held.releaseSome(held.bytes - body.heldBytes);
+            resolve(whole);
+        });
         incoming.once("error", reject);
         incoming.once("close", () => {
             if (incoming.complete) {
--- a/src/core/memory/heldBytes.ts
+++ b/src/core/memory/heldBytes.ts
@@ -29,6 +29,17 @@
         return true;
     }
 
+    /** Bytes that are held. */
+    get bytes(): number {
+        return this.#bytes;
+    }
+
+    /** Releases some of the bytes. */
+    releaseSome(bytes: number): void {
+        this.#budget.release(bytes);
+        this.#bytes -= bytes;
+    }
+
     /** Releases all bytes. */
     release(): void {
         this.#budget.release(this.#bytes);
