Router and daemon: responses and documents in tiny pieces are collected in one buffer

The fault of chunked bodies elsewhere: buffered responses of targets (router: BufferedBody, daemon: ResponseRelay, 256 KiB each), documents of the store and of peers (fetchJson, 8 MB; readBoundedJson) and reports of targets (CheckedExchange) were kept as one Buffer for each piece, counted by content. They use CollectedBytes now, and BufferedBody counts its capacity for the budget. EventStreamSplitter counts 256 bytes beside the content of each kept piece, so that it keeps at most 31 tiny events unread instead of 4,096.

Run: hostileTarget with the new test (a response of 5,000 bytes in pieces of one counts 8,192; it counted 5,000), eventStreamSplitter, fetchJson, checkedExchange, longAnswers, unreadResponses, streamOrigins, requestExecutor and forwardAttempt pass. Connections that are relayed keep a bounded number of pieces, each copied: nothing to change.

--- a/src/daemon/execution/responseRelay.ts
+++ b/src/daemon/execution/responseRelay.ts
@@ -1,6 +1,7 @@
 import { EventStreamParser } from "../../adapters/target/eventStreamParser.js";
 import { parseUsage } from "../../adapters/target/parseUsage.js";
 import type { ResponseSink } from "../../adapters/target/responseSink.js";
+import { CollectedBytes } from "../../core/bodies/collectedBytes.js";
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { HttpHeaders } from "../../core/request/httpHeaders.js";
 import type { ResponseWriter } from "../../core/request/responseWriter.js";
@@ -34,7 +35,7 @@
     #mode: Mode = "buffer";
     #status = 0;
     #headers: HttpHeaders = {};
-    #bufferedChunks: Buffer[] = [];
+    #buffered = CollectedBytes.create(MAX_BUFFERED_BYTES);
     #attemptBytes = 0;
     #isResponseStarted = false;
     #isStreamStarted = false;
@@ -90,7 +91,7 @@
     startAttempt(charge: (tokens: number) => void): void {
         this.#charge = charge;
         this.#parser.reset();
-        this.#bufferedChunks = [];
+        this.#buffered = CollectedBytes.create(MAX_BUFFERED_BYTES);
         this.#attemptBytes = 0;
         this.#attemptTokens = 0;
     }
@@ -122,7 +123,7 @@
         if (this.#mode === "through") {
             return this.#options.writer.write(chunk) ? "more" : "wait";
         }
-        this.#bufferedChunks.push(chunk);
+        this.#buffered.append(chunk);
         if (this.#attemptBytes <= MAX_BUFFERED_BYTES) {
             return "more";
         }
@@ -143,7 +144,7 @@
     finish(): void {
         this.#flushCharges();
         if (this.#mode === "buffer") {
-            this.#bufferedUsage = tryParseUsage(this.#bufferedChunks);
+            this.#bufferedUsage = tryParseUsage(this.#buffered.join());
             this.#startPlainResponse();
             this.#flushBuffer();
         }
@@ -214,18 +215,16 @@
     }
 
     #flushBuffer(): boolean {
-        let isWritable = true;
-        for (const chunk of this.#bufferedChunks) {
-            isWritable = this.#options.writer.write(chunk);
-        }
-        this.#bufferedChunks = [];
+        const body = this.#buffered.join();
+        const isWritable = body.length === 0 || this.#options.writer.write(body);
+        this.#buffered = CollectedBytes.create(MAX_BUFFERED_BYTES);
         return isWritable;
     }
 }
 
-function tryParseUsage(chunks: readonly Buffer[]): TokenUsage | undefined {
+function tryParseUsage(body: Buffer): TokenUsage | undefined {
     try {
-        return parseUsage(JSON.parse(Buffer.concat(chunks).toString("utf8")));
+        return parseUsage(JSON.parse(body.toString("utf8")));
     }
     catch {
         return undefined;
--- a/src/router/bufferedBody.ts
+++ b/src/router/bufferedBody.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import { CollectedBytes } from "../core/bodies/collectedBytes.js";
 import type { MemoryBudget } from "../core/memory/memoryBudget.js";
 
 /** A body up to this size is buffered until complete, so that a truncated one can be replaced. */
@@ -8,8 +9,9 @@
 export class BufferedBody {
     readonly #budget: MemoryBudget;
     readonly #response: ServerResponse;
-    readonly #chunks: Buffer[] = [];
-    #length = 0;
+    #bytes = CollectedBytes.create(MAX_BODY_BYTES);
+    /** Memory that counts for the budget. */
+    #heldBytes = 0;
 
     private constructor(budget: MemoryBudget, response: ServerResponse) {
         this.#budget = budget;
@@ -23,17 +25,20 @@
 
     /** Appends a part. Returns false if the body has become too large to be held, or the budget is used up. */
     append(chunk: Buffer): boolean {
-        if (this.#length === 0) {
-            this.#response.once("close", () => this.#budget.release(this.#length));
+        if (this.#heldBytes === 0) {
+            this.#response.once("close", () => this.#budget.release(this.#heldBytes));
         }
-        this.#budget.add(chunk.length);
-        this.#length += chunk.length;
-        this.#chunks.push(chunk);
-        return this.#length <= MAX_BODY_BYTES && this.#budget.has(0);
+        const growth = this.#bytes.computeGrowth(chunk.length);
+        this.#budget.add(growth);
+        this.#heldBytes += growth;
+        this.#bytes.append(chunk);
+        return this.#bytes.length <= MAX_BODY_BYTES && this.#budget.has(0);
     }
 
-    /** Takes the parts out. They count for the budget as before. */
+    /** Takes the body out. It counts for the budget as before. */
     take(): readonly Buffer[] {
-        return this.#chunks.splice(0);
+        const body = this.#bytes.join();
+        this.#bytes = CollectedBytes.create(MAX_BODY_BYTES);
+        return body.length > 0 ? [body] : [];
     }
 }
--- a/src/router/checkedExchange.ts
+++ b/src/router/checkedExchange.ts
@@ -1,3 +1,4 @@
+import { CollectedBytes } from "../core/bodies/collectedBytes.js";
 import { CheckedAgent } from "./checkedAgent.js";
 import type { OutgoingRequest } from "./outgoingRequest.js";
 import { TargetExchange } from "./targetExchange.js";
@@ -88,9 +89,8 @@
         this.#connections += 1;
         this.#isSending = false;
         const agent = CheckedAgent.create();
-        const chunks: Buffer[] = [];
+        const body = CollectedBytes.create(MAX_ANSWER_BYTES);
         let status = 0;
-        let length = 0;
         this.#current = TargetExchange.create({
             address,
             agent,
@@ -99,19 +99,18 @@
                 status = statusCode;
             },
             onData: chunk => {
-                length += chunk.length;
-                if (length > MAX_ANSWER_BYTES) {
+                if (body.length + chunk.length > MAX_ANSWER_BYTES) {
                     this.#current?.abort();
                     onFail("report-too-long", false);
                     return;
                 }
-                chunks.push(chunk);
+                body.append(chunk);
             },
             onEnd: () =>
                 runGuarded(() => {
                     this.#hasReport = status === OK;
                     const startMs = this.#hasReport
-                        ? readStart(Buffer.concat(chunks).toString())
+                        ? readStart(body.join().toString())
                         : undefined;
                     this.#sendRequest(agent, status, startMs);
                 }),
--- a/src/router/eventStreamSplitter.ts
+++ b/src/router/eventStreamSplitter.ts
@@ -7,6 +7,9 @@
 /** Complete events are kept for this long before their identifiers are read, as most streams end without a need for them. */
 const MAX_UNREAD_BYTES = 8192;
 
+/** A kept piece takes this much memory beside its content. */
+const PIECE_BYTES = 256;
+
 /** Splits a stream into complete events and tracks their identifiers, so that another target can resume it. */
 export class EventStreamSplitter {
     readonly #partial = GrowingBuffer.create();
@@ -43,7 +46,7 @@
             this.#readIds();
         }
         this.#unread.push(complete);
-        this.#unreadBytes += complete.length;
+        this.#unreadBytes += complete.length + PIECE_BYTES;
         return complete;
     }
 
@@ -81,14 +84,15 @@
             return true;
         }
         this.#unread = [last];
-        this.#unreadBytes = last.length;
+        this.#unreadBytes = last.length + PIECE_BYTES;
         const [first] = last.toString("latin1").matchAll(ID_PATTERN);
         return this.#sequence.mayFollow(first?.[1]);
     }
 
     /** Forgets the events of the last call of `push`, which the caller does not get. */
     dropLastEvents(): void {
-        this.#unreadBytes -= this.#unread.pop()?.length ?? 0;
+        const last = this.#unread.pop();
+        this.#unreadBytes -= last ? last.length + PIECE_BYTES : 0;
     }
 
     #readIds(): void {
--- a/src/router/fetchJson.ts
+++ b/src/router/fetchJson.ts
@@ -1,4 +1,5 @@
 import { type Agent, type IncomingHttpHeaders, request as sendRequest } from "node:http";
+import { CollectedBytes } from "../core/bodies/collectedBytes.js";
 import { SourceError } from "../core/routing/sourceError.js";
 import { countJsonParts } from "./countJsonParts.js";
 import { limitBytesBeforeHead } from "./limitBytesBeforeHead.js";
@@ -50,16 +51,14 @@
             request.once("close", endLimit);
         });
         request.on("response", response => {
-            const chunks: Buffer[] = [];
-            let length = 0;
+            const body = CollectedBytes.create(MAX_BODY_BYTES);
             response.on("data", (chunk: Buffer) => {
-                length += chunk.length;
-                if (length > MAX_BODY_BYTES) {
+                if (body.length + chunk.length > MAX_BODY_BYTES) {
                     request.destroy();
                     fail("body-too-long", response.statusCode);
                     return;
                 }
-                chunks.push(chunk);
+                body.append(chunk);
             });
             response.on("error", (error: NodeJS.ErrnoException) => fail(error.code ?? "truncated"));
             response.on("end", () => {
@@ -69,7 +68,7 @@
                 }
                 clearTimeout(timer);
                 onHeaders?.(response.headers);
-                const document = Buffer.concat(chunks);
+                const document = body.join();
                 if (document.length > MAX_JSON_PARTS && countJsonParts(document) > MAX_JSON_PARTS) {
                     fail("too-many-values");
                     return;
--- a/src/shared/readBoundedJson.ts
+++ b/src/shared/readBoundedJson.ts
@@ -1,3 +1,5 @@
+import { CollectedBytes } from "../core/bodies/collectedBytes.js";
+
 interface Bounds {
     readonly maxBytes: number;
     /** Monotonic time in milliseconds after which no more bytes are read. */
@@ -10,19 +12,17 @@
  * @throws RangeError when the body is larger or later than its bounds.
  * @throws SyntaxError when it is not JSON.
  */
-export async function readBoundedJson(body: AsyncIterable<Buffer>, bounds: Bounds): Promise<unknown> {
-    const chunks: Buffer[] = [];
-    let length = 0;
+export async function readBoundedJson(parts: AsyncIterable<Buffer>, bounds: Bounds): Promise<unknown> {
+    const body = CollectedBytes.create(bounds.maxBytes);
     // A throw within the loop closes the connection.
-    for await (const chunk of body) {
-        length += chunk.length;
-        if (length > bounds.maxBytes) {
+    for await (const chunk of parts) {
+        if (body.length + chunk.length > bounds.maxBytes) {
             throw new RangeError(`The body is larger than ${bounds.maxBytes} bytes.`);
         }
         if (performance.now() > bounds.deadline) {
             throw new RangeError("The body did not arrive in time.");
         }
-        chunks.push(chunk);
+        body.append(chunk);
     }
-    return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+    return JSON.parse(body.join().toString("utf8"));
 }
--- a/test/router/hostileTarget.test.ts
+++ b/test/router/hostileTarget.test.ts
@@ -169,6 +169,20 @@
     t.is(budget.usedBytes, 0);
 });
 
+// Guards against responses in tiny pieces that take a multiple of what counts for the budget.
+test("a response in pieces of one byte counts as much as it holds, until the caller has read it", t => {
+    const budget = MemoryBudget.create(CHUNK.length);
+    const response = new EventEmitter();
+    const body = BufferedBody.create(budget, response as unknown as ServerResponse);
+    for (let i = 0; i < 5000; i += 1) {
+        body.append(Buffer.from([i % 251]));
+    }
+    t.is(budget.usedBytes, 8192);
+    t.deepEqual(body.take().map(part => part.length), [5000]);
+    response.emit("close");
+    t.is(budget.usedBytes, 0);
+});
+
 test("late second answer: no caller gets an answer that is not its own, wherever the extra bytes are split", async t => {
     const second = `${HEAD}1\r\nContent-Length: 5\r\n\r\nfirst`;
     for (let split = 0; split <= second.length; split += 1) {
