Router: stalled bodies are ended, and while memory is short those that hold most and progress least

Cause: stalled bodies kept their memory until the deadline of their request, and while the memory for bodies was full, the body that grew or arrived next was refused: the ordinary caller, not those who held the memory.

* A body of which no byte of content arrives for bodyIdleSeconds (optional setting, 1 to 3,600; default: idleTimeoutMs of the configuration) is ended with 408, reason body-stalled.
* Log request-refused and counter requests_refused_total carry both reasons.

--- a/src/core/routing/planRequestEnd.ts
+++ b/src/core/routing/planRequestEnd.ts
@@ -11,6 +11,8 @@
     | "internal-error"
     | "body-too-large"
     | "memory-limit"
+    | "body-stalled"
+    | "body-shed"
     | "unreadable"
     | "read-too-late"
     | number;
@@ -47,8 +49,14 @@
     "body-too-large": PAYLOAD_TOO_LARGE,
     "unreadable": BAD_REQUEST,
     "read-too-late": REQUEST_TIMEOUT,
+    "body-stalled": REQUEST_TIMEOUT,
 };
-const LAST_CAUSES: ReadonlySet<EndCause> = new Set(["unreadable", "read-too-late"]);
+const LAST_CAUSES: ReadonlySet<EndCause> = new Set([
+    "unreadable",
+    "read-too-late",
+    "body-stalled",
+    "body-shed",
+]);
 
 /**
  * Decides how a request that was read ends if no target's response does: every path on which the router itself ends a
--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -23,6 +23,8 @@
 const isText: Check = value => typeof value === "string" && value !== "";
 const isAddress: Check = value => typeof value === "string" && /^[\d.]+:\d{1,5}$/.test(value);
 const isNonNegativeNumber: Check = value => typeof value === "number" && Number.isFinite(value) && value >= 0;
+/** Less would end bodies of callers on slow links; more has no effect, since requests have deadlines. */
+const isBodyIdle: Check = value => typeof value === "number" && value >= 1 && value <= 3600;
 
 const CHECKS: Readonly<Record<string, Check>> = {
     instance: isText,
@@ -52,6 +54,7 @@
     coldFactor: isNonNegativeNumber,
     coldSlack: isNonNegativeNumber,
     maxAddressTermSeconds: isNonNegativeNumber,
+    bodyIdleSeconds: value => value === undefined || isBodyIdle(value),
     portWaitSeconds: value => value === undefined || isNonNegativeNumber(value),
 };
 
@@ -85,6 +88,8 @@
     readonly coldFactor: number;
     readonly coldSlack: number;
     readonly maxAddressTermSeconds: number;
+    /** @default the idle time-out of the configuration */
+    readonly bodyIdleSeconds?: number;
     /** @default outlasts the planned stop of a predecessor, its kill and a closed connection of another process */
     readonly portWaitSeconds?: number;
 }
@@ -129,6 +134,9 @@
             seedHosts: raw.seedAddresses.map(address => parseListenAddress(address).host),
             weight: raw.processorShare * raw.processorSpeed,
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
+            bodyIdleMs: raw.bodyIdleSeconds === undefined
+                ? undefined
+                : raw.bodyIdleSeconds * MS_PER_SECOND,
             maxDescriptors: raw.maxDescriptors ?? systemDescriptors,
             stopTimeoutMs,
             keyFreshnessMs,
--- a/src/router/bodyReader.ts
+++ b/src/router/bodyReader.ts
@@ -1,17 +1,25 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { BodyProgress } from "../core/bodies/bodyProgress.js";
 import { CollectedBytes } from "../core/bodies/collectedBytes.js";
+import { OpenBodies } from "../core/bodies/openBodies.js";
 import type { RequestMemory } from "./requestMemory.js";
 
+/**
+ * Why a body is not read to its end: it is too large, memory is short, nothing of it arrives, it progresses least while memory is
+ * short, or the deadline of its request has passed.
+ */
+type Cause = "body-too-large" | "memory-limit" | "body-stalled" | "body-shed" | "read-too-late";
+
 interface BodyReaderOptions {
     /** Limit of one body in bytes. */
     readonly getMaxBodyBytes: () => number;
     readonly memory: RequestMemory;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
-    /** Called when a body is refused: it is too large, or memory is short. */
-    readonly onTooLarge: (response: ServerResponse, cause: "body-too-large" | "memory-limit") => void;
-    /** Called at the deadline of a request whose body has not been read to its end. */
-    readonly onLate: (response: ServerResponse) => void;
+    /** Longest time in milliseconds for which no byte of the content of a body arrives. */
+    readonly getMaxIdleMs: () => number;
+    /** Called when a request ends before its body has been read. */
+    readonly onRefused: (response: ServerResponse, cause: Cause) => void;
     /** Runs a handler of a request; an unexpected error in it ends the request. */
     readonly runGuarded: (response: ServerResponse, handler: () => void) => void;
 }
@@ -27,6 +35,7 @@
     readonly #options: BodyReaderOptions;
     /** Requests whose bodies are being read, with their deadlines in monotonic milliseconds. */
     readonly #deadlines = new Map<ServerResponse, number>();
+    readonly #open = OpenBodies.create();
     /** Set while bodies are being read. */
     #timer: NodeJS.Timeout | undefined;
 
@@ -50,12 +59,12 @@
         deadline: number,
         onBody: (body: Buffer | undefined) => void,
     ): void {
-        const { getMaxBodyBytes, memory, onTooLarge, runGuarded } = this.#options;
+        const { getMaxBodyBytes, memory, onRefused, runGuarded } = this.#options;
         const { "content-length": declared, "transfer-encoding": encoding } = incoming.headers;
         const declaredBytes = Number(declared ?? 0);
-        if (!memory.mayTake(declaredBytes)) {
+        if (!this.#tryMakeRoom(declaredBytes)) {
             this.skip(incoming);
-            onTooLarge(response, "memory-limit");
+            onRefused(response, "memory-limit");
             return;
         }
         const isKnown = declared !== undefined && declaredBytes <= getMaxBodyBytes();
@@ -64,31 +73,44 @@
         );
         const hasBody = declared !== undefined || encoding !== undefined;
         let heldBytes = 0;
+        const progress = BodyProgress.create(this.#open.now);
         const drop = (): void => {
             // The listeners below keep the request alive while its connection is open.
             buffered = undefined;
             this.#deadlines.delete(response);
+            this.#open.delete(progress);
             memory.budget.release(heldBytes);
             heldBytes = 0;
         };
-        const refuse = (cause: "body-too-large" | "memory-limit"): void => {
+        const refuse = (cause: Cause): void => {
             drop();
-            onTooLarge(response, cause);
+            onRefused(response, cause);
         };
         const readChunk = (chunk: Buffer, body: CollectedBytes): void => {
             if (body.length + chunk.length > getMaxBodyBytes()) {
                 refuse("body-too-large");
                 return;
             }
-            if (!memory.mayTake(body.computeGrowth(chunk.length))) {
+            const growth = body.computeGrowth(chunk.length);
+            const hasRoom = growth === 0 || this.#tryMakeRoom(growth);
+            if (!buffered) {
+                // It was itself the one that progresses least.
+                return;
+            }
+            if (!hasRoom) {
                 refuse("memory-limit");
                 return;
             }
             body.append(chunk);
             memory.budget.add(body.heldBytes - heldBytes);
             heldBytes = body.heldBytes;
+            progress.record(chunk.length, heldBytes, this.#open.now);
         };
         this.#deadlines.set(response, deadline);
+        this.#open.add({
+            progress,
+            end: cause => response.writableEnded ? drop() : runGuarded(response, () => refuse(cause)),
+        });
         this.#timer ??= setInterval(() => this.#expire(), CHECK_INTERVAL_MS);
         incoming.on("data", (chunk: Buffer) => {
             memory.recordRead(chunk.length + PART_BYTES);
@@ -99,6 +121,7 @@
         });
         incoming.on("end", () => {
             this.#deadlines.delete(response);
+            this.#open.delete(progress);
             if (!response.writableEnded) {
                 const body = hasBody ? buffered?.join() : undefined;
                 memory.budget.add((buffered?.heldBytes ?? 0) - heldBytes);
@@ -118,14 +141,39 @@
         incoming.on("data", (chunk: Buffer) => this.#options.memory.recordRead(chunk.length + PART_BYTES));
     }
 
+    /**
+     * Makes room for further bytes of a body, if need be by ending bodies that have been without progress for a while. While the
+     * process is near its limit, one is ended for each part that others send: what is freed shows only later.
+     */
+    #tryMakeRoom(bytes: number): boolean {
+        const { memory } = this.#options;
+        while (!memory.mayTake(bytes)) {
+            if (!this.#open.tryEndOne()) {
+                return false;
+            }
+            if (memory.isScarce) {
+                return memory.budget.has(bytes);
+            }
+        }
+        return true;
+    }
+
     /** Ends the requests whose bodies have not been read by their deadlines. */
     #expire(): void {
-        const now = this.#options.getNow();
+        const { getNow, getMaxIdleMs, memory } = this.#options;
+        this.#open.advance(CHECK_INTERVAL_MS, getMaxIdleMs());
+        if (memory.isScarce) {
+            this.#open.tryEndOne();
+        }
+        const now = getNow();
         for (const [response, deadline] of this.#deadlines) {
             if (deadline <= now) {
                 this.#deadlines.delete(response);
                 if (!response.writableEnded) {
-                    this.#options.runGuarded(response, () => this.#options.onLate(response));
+                    this.#options.runGuarded(
+                        response,
+                        () => this.#options.onRefused(response, "read-too-late"),
+                    );
                 }
             }
         }
--- a/src/router/createRouterIngress.ts
+++ b/src/router/createRouterIngress.ts
@@ -8,6 +8,9 @@
 import type { RequestServer } from "./requestServer.js";
 import type { RouterOptions } from "./routerOptions.js";
 
+/** Idle time-out of a configuration that names none. */
+const DEFAULT_BODY_IDLE_MS = 15_000;
+
 interface CreateOptions
     extends
         RouterOptions,
@@ -39,6 +42,8 @@
         ...options,
         callerAddress: settings.callerAddress,
         relayAddress: settings.relayAddress,
+        getMaxBodyIdleMs: () =>
+            settings.bodyIdleMs ?? view.configuration?.limits.idleTimeoutMs ?? DEFAULT_BODY_IDLE_MS,
         connectionLimits: computeConnectionLimits(settings),
         resolve: (head, path, receivedAt) => resolver.resolve(head, path, receivedAt),
         findAccount: key => view.configuration?.accountsByKey.get(key ?? "")?.name ?? "",
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -77,8 +77,8 @@
             memory: options.memory,
             getNow: options.getNow,
             getMaxBodyBytes,
-            onTooLarge: (response, cause) => this.#refuse(response, cause, cause, RETRY_AFTER_MS),
-            onLate: response => this.#refuse(response, "read-too-late", "read-too-late", undefined),
+            getMaxIdleMs: options.getMaxBodyIdleMs,
+            onRefused: (response, cause) => this.#refuse(response, cause, cause, RETRY_AFTER_MS),
             runGuarded: (response, handler) => this.runGuarded({ response }, handler),
         });
         this.#connections = CallerConnections.create({
--- a/src/router/ingressOptions.ts
+++ b/src/router/ingressOptions.ts
@@ -32,6 +32,8 @@
     readonly findAccount: (key: string | undefined) => string;
     /** Size limits and timeouts for callers; `undefined` until a configuration is known. */
     readonly getLimits: () => RouterConfiguration["limits"] | undefined;
+    /** Longest time in milliseconds for which no byte of a body arrives. */
+    readonly getMaxBodyIdleMs: () => number;
     readonly isStopping: () => boolean;
     /** Finds an instance that has room for a connection, by an address of its caller; `undefined` if there is none. */
     readonly findPeer: (caller: string) => ListenAddress | undefined;
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -18,6 +18,8 @@
     /** Processor share relative to other instances. */
     readonly weight: number;
     readonly memoryBytes: number;
+    /** Longest time in milliseconds without a byte of a body. Absent: the idle time-out of the configuration. */
+    readonly bodyIdleMs?: number | undefined;
     /** Descriptors that the process may have open. */
     readonly maxDescriptors: number;
     /** Longest time from the stop signal to the end of the process, in milliseconds. */
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -205,3 +205,14 @@
     t.is(parse({ portWaitSeconds: 1.5 }), 1500);
     t.throws(() => parse({ portWaitSeconds: "2" }), { name: "SettingsError", message: /portWaitSeconds/u });
 });
+
+// Guards against a limit that ends each body, and against one that is ignored.
+test("ends stalled bodies after the time that is set, which must be 1 s to 1 h", t => {
+    const parse = (fields: object): number | undefined =>
+        parseSettings(JSON.stringify({ ...SETTINGS, ...fields })).router.bodyIdleMs;
+    t.is(parse({}), undefined);
+    t.is(parse({ bodyIdleSeconds: 2.5 }), 2500);
+    for (const bodyIdleSeconds of [0, 0.9, 3601, "5", -1]) {
+        t.throws(() => parse({ bodyIdleSeconds }), { name: "SettingsError", message: /bodyIdleSeconds/u });
+    }
+});
--- a/test/router/ingress.test.ts
+++ b/test/router/ingress.test.ts
@@ -49,6 +49,7 @@
         resolve: () => ({ kind: "refused", status: 404, reason: "no-route", retryAfterMs: undefined }),
         findAccount: () => "",
         getLimits: () => limits,
+        getMaxBodyIdleMs: () => 15_000,
         isStopping: () => false,
         serve: () => t.fail("served"),
         onRefused: () => undefined,
--- a/test/testing/router/createIngress.ts
+++ b/test/testing/router/createIngress.ts
@@ -49,6 +49,7 @@
         }),
         findAccount: () => "",
         getLimits: () => undefined,
+        getMaxBodyIdleMs: () => 15_000,
         isStopping: () => false,
         serve,
         onRefused: () => undefined,
