Daemon: stalled bodies are ended, and while memory is short those that hold most and progress least

CallerBodies keeps the budget and the OpenBodies of src/core/bodies. A body that arrives or grows without room ends the one that holds most and progresses least (body-shed, 503, last on its connection); one of which no byte arrives for bodyIdleTimeoutMs (new setting, 1,000 to 3,600,000, default 15,000) is ended with 408, body-stalled. Both are reasons of refusals_total and of the log line of the request.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -4,8 +4,6 @@
 import type { ClientAccount } from "../../core/configuration/clientAccount.js";
 import { RequestError } from "../../core/errors/requestError.js";
 import { listEntries } from "../../core/membership/listEntries.js";
-import { HeldBytes } from "../../core/memory/heldBytes.js";
-import { MemoryBudget } from "../../core/memory/memoryBudget.js";
 import type { CallerRequest } from "../../core/request/callerRequest.js";
 import type { RequestResult } from "../../core/request/requestResult.js";
 import { planEnd } from "../../core/routing/planEnd.js";
@@ -15,6 +13,7 @@
 import { parseListenAddress } from "../../shared/parseListenAddress.js";
 import type { RelayPeers } from "../../shared/relayPeers.js";
 import { authenticateCaller } from "./authenticateCaller.js";
+import { CallerBodies } from "./callerBodies.js";
 import { CallerConnections } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
 import type { CallerServerOptions } from "./callerServerOptions.js";
@@ -32,8 +31,6 @@
     service: string | undefined;
 }
 
-/** A daemon has 256 MB; this is the share that the router's bodies get. */
-const MAX_HELD_BYTES = 40_000_000;
 /** Time for requests on connections that were accepted a moment ago to arrive. */
 const LAST_ANSWERS_MS = 200;
 /** No request is in flight by then; open connections have sent part of a request at most. */
@@ -45,8 +42,7 @@
     readonly #listeners: CallerListeners;
     readonly #callers: CallerConnections;
     readonly #admission: ConnectionAdmission;
-    /** Bodies of the requests in flight. */
-    readonly #bodies: MemoryBudget;
+    readonly #bodies: CallerBodies;
     readonly #idleListeners: (() => void)[] = [];
     /** End the open requests with an error. */
     readonly #failOpen = new Set<(error: RequestError) => void>();
@@ -55,7 +51,7 @@
 
     private constructor(options: CallerServerOptions) {
         this.#options = options;
-        this.#bodies = MemoryBudget.create(options.maxHeldBytes ?? MAX_HELD_BYTES);
+        this.#bodies = CallerBodies.create(options);
         this.#callers = CallerConnections.create({
             getNow: options.getNow,
             onUnreadable: (requestId, error) =>
@@ -119,6 +115,7 @@
     async close(): Promise<void> {
         const now = performance.now();
         await this.#listeners.end({ answerBy: now + LAST_ANSWERS_MS, closeBy: now + CLOSE_TIMEOUT_MS });
+        this.#bodies.close();
     }
 
     /** Ends the open requests with an error, and closes all connections within a time in milliseconds, as the process cannot go on. */
@@ -228,17 +225,20 @@
         // A configuration may have arrived meanwhile.
         const account = knownAccount ?? authenticateCaller(incoming.headers.authorization, index);
         exchange.account = account.name;
-        const held = HeldBytes.create(this.#bodies);
-        response.once("close", () => held.release());
-        const request = await readCallerRequest({ ...exchange, incoming, held, index, account });
+        const request = await readCallerRequest({
+            ...exchange,
+            ...this.#bodies.reserve(response),
+            incoming,
+            index,
+            account,
+        });
         exchange.service = request.service.name;
         return request;
     }
 
     #fail(error: RequestError, writer: CallerResponse, response: ServerResponse, exchange: Exchange): void {
         // On a kept connection, the unread rest of a body would be parsed as the next request.
-        const isBodyUnread = error.code === "body-too-large" || error.code === "memory-limit"
-            || error.code === "request-incomplete";
+        const isBodyUnread = CallerBodies.isUnreadAfter(error);
         // Refusals of new connections cost less, and callers that retry at once would take the place of others.
         if (isBodyUnread || error.code === "overloaded" || this.#isDraining) {
             this.#callers.endWith(response);
--- a/src/adapters/caller/callerServerOptions.ts
+++ b/src/adapters/caller/callerServerOptions.ts
@@ -22,6 +22,8 @@
     readonly entriesTermMs: number;
     /** Limit of the bodies of all requests in flight together, in bytes. @default 40,000,000 */
     readonly maxHeldBytes?: number;
+    /** Longest time in milliseconds for which no byte of a body arrives. @default 15,000 */
+    readonly bodyIdleTimeoutMs?: number;
     /** Connections that are served, and further ones that are open until they are refused. @default no limit, and 4096 */
     readonly connectionLimits?: { readonly maxServed: number; readonly maxRefused: number; };
     readonly getView: () => ClusterView;
--- a/src/adapters/caller/readCallerRequest.ts
+++ b/src/adapters/caller/readCallerRequest.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { OpenBodies } from "../../core/bodies/openBodies.js";
 import type { ClientAccount } from "../../core/configuration/clientAccount.js";
 import type { ConfigurationIndex } from "../../core/configuration/configurationIndex.js";
 import { RequestError } from "../../core/errors/requestError.js";
@@ -14,6 +15,8 @@
     readonly incoming: IncomingMessage;
     /** Holds the bytes of the body until the request has ended. */
     readonly held: HeldBytes;
+    /** Bodies that are being read. */
+    readonly openBodies: OpenBodies;
     readonly requestId: string;
     readonly account: ClientAccount;
     readonly index: ConfigurationIndex;
@@ -64,12 +67,12 @@
 }
 
 async function readChat(options: ReadOptions): Promise<CallerRequest> {
-    const { account, incoming, held, index } = options;
+    const { account, incoming, index } = options;
     const common = parseCommon(options);
     const models = account.services.map(name => index.services.get(name))
         .filter(service => service?.kind === "model");
     const maxBytes = Math.max(0, ...models.map(service => service?.maxBodyBytes ?? 0));
-    const body = await readBody(incoming, maxBytes, held);
+    const body = await readBody(incoming, maxBytes, options);
     const chat = parseChat(body);
     const service = resolveService(index, account, "model", chat.model);
     if (body.length > service.maxBodyBytes) {
@@ -89,10 +92,10 @@
 }
 
 async function readPlain(options: ReadOptions, name: string, rest: string): Promise<CallerRequest> {
-    const { account, incoming, held, index } = options;
+    const { account, incoming, index } = options;
     const common = parseCommon(options);
     const service = resolveService(index, account, "plain", name);
-    const body = await readBody(incoming, service.maxBodyBytes, held);
+    const body = await readBody(incoming, service.maxBodyBytes, options);
     return {
         ...common,
         service,
--- a/src/adapters/caller/statusByRefusalReason.ts
+++ b/src/adapters/caller/statusByRefusalReason.ts
@@ -13,6 +13,8 @@
     "malformed-idempotency-key": 400,
     "body-too-large": 413,
     "memory-limit": 503,
+    "body-stalled": 408,
+    "body-shed": 503,
     "headers-too-large": 431,
     "request-incomplete": 400,
     "overloaded": 503,
--- a/src/core/errors/refusalReason.ts
+++ b/src/core/errors/refusalReason.ts
@@ -11,6 +11,8 @@
     | "malformed-idempotency-key"
     | "body-too-large"
     | "memory-limit"
+    | "body-stalled"
+    | "body-shed"
     | "headers-too-large"
     | "request-incomplete"
     | "overloaded"
--- a/src/daemon/createDaemonParts.ts
+++ b/src/daemon/createDaemonParts.ts
@@ -178,6 +178,7 @@
         ports,
         dataCentre: settings.dataCentre,
         entriesTermMs: settings.entriesTermMs,
+        bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs,
         connectionLimits: limits,
         getView: () => configurationManager.getView(),
         waitForConfiguration: createConfigurationWait(context),
--- a/src/daemon/daemonSettingsSchema.ts
+++ b/src/daemon/daemonSettingsSchema.ts
@@ -38,6 +38,8 @@
     policy: z.enum(["fleet", "local", "fifo"]).default("fleet"),
     /** Time in milliseconds for which a response to `GET /v1/entries` is valid; the same on all instances. */
     entriesTermMs: z.number().int().positive().default(5000),
+    /** Longest time in milliseconds for which no byte of a request's body arrives. */
+    bodyIdleTimeoutMs: z.int().min(1000).max(3_600_000).default(15_000),
     /**
      * Time in milliseconds for which a start waits for ports that are in use. Longer than a predecessor takes to finish
      * requests with the default deadline.
--- a/test/adapters/caller/heldBodies.test.ts
+++ b/test/adapters/caller/heldBodies.test.ts
@@ -34,3 +34,24 @@
         async () => (await send("POST", PATH, "x".repeat(1000))).status === 200,
     );
 });
+
+// Guards against stalled bodies that keep other callers out, and that stay open for as long as their callers like.
+test("while memory is short, ends the body that holds most; later, one of which nothing arrives", async t => {
+    const { open, send } = await startCallerServer(t, { maxHeldBytes: 1500, bodyIdleTimeoutMs: 2000 });
+    const [small, large] = [400, 900].map(bytes => {
+        const request = open("POST", PATH, { "content-length": String(bytes) });
+        request.write("x".repeat(bytes - 1));
+        return request;
+    });
+    const [refusedLarge, refusedSmall] = [large, small].map(request =>
+        once(request ?? t.fail() as never, "response") as Promise<[IncomingMessage]>
+    );
+    await new Promise(resolve => setTimeout(resolve, 1000));
+    t.is((await send("POST", PATH, "x".repeat(600))).status, 200);
+    t.is((await refusedLarge)?.[0].statusCode, 503);
+    t.is((await refusedSmall)?.[0].statusCode, 408);
+    await waitUntil(
+        "both are released",
+        async () => (await send("POST", PATH, "x".repeat(1000))).status === 200,
+    );
+});
--- a/test/daemon/main.test.ts
+++ b/test/daemon/main.test.ts
@@ -24,6 +24,7 @@
         peerAddress: "127.0.0.1:0",
         operatorAddress: "127.0.0.1:0",
         platformUrl: "ftp://10.0.0.1",
+        bodyIdleTimeoutMs: 999,
         disk: "/var",
     }));
     t.is(code, 2);
@@ -31,6 +32,7 @@
         "dataCentre",
         "callerAddress",
         "platformUrl",
+        "bodyIdleTimeoutMs",
         "settings",
     ]);
 });
