Spill: each request weighs what leaving the data centre costs

Cause: a target elsewhere cost its round trip and nothing else, so that several data centres sent to the same capacity and moved requests to and fro. Change: a term spillMs (bytes on the links, moved prompt parts, displaced callers) in the score, a smallest gain, and a window for each data centre that follows its reported headroom, divided among the instances that lack capacity. Off unless the options of the scheduler name it.

--- a/src/core/routing/candidateBuilder.ts
+++ b/src/core/routing/candidateBuilder.ts
@@ -1,4 +1,5 @@
 import type { LimitGate } from "../limits/limitGate.js";
+import type { SpillCosts } from "../spill/spillCosts.js";
 import type { CachedPrompt } from "./cachedPrompt.js";
 import type { EngineModel } from "./engineModel.js";
 import { estimateFetch } from "./estimateFetch.js";
@@ -18,10 +19,19 @@
     readonly getService: () => RoutedService;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
+    /** Prices the use of other data centres; absent if it costs nothing beyond the round trip. */
+    readonly spillCosts?: SpillCosts | undefined;
 }
 
 /** Why a target that a request may use gets none now. */
-type LeftOutReason = "request-limit" | "cold-limit" | "slots-taken" | "queue-full";
+type LeftOutReason =
+    | "request-limit"
+    | "cold-limit"
+    | "slots-taken"
+    | "queue-full"
+    /** In another data centre: the flow there is at its bound, or the gain is too small. */
+    | "spill-limit"
+    | "spill-gain";
 
 /** Penalty in milliseconds of a target that fails all its requests, so that a faulty one is picked last. */
 const FAILURE_PENALTY_MS = 2000;
@@ -64,7 +74,7 @@
         if (target.isCold(now) && !coldShare && this.#options.getService().coldRequestsPerSecond > 0) {
             return "cold-limit";
         }
-        const source = cached.cachingTargets.includes(target) ? undefined : this.#findSource(target, cached);
+        const source = this.#findAffordableSource(target, cached, now);
         const estimate = this.#estimate(target, request, cached, source, now);
         if (target.countInFlight(now) >= descriptor.slots) {
             return "slots-taken";
@@ -79,12 +89,13 @@
             failureMs: target.getFailureShare(now) * FAILURE_PENALTY_MS,
             cacheMs: estimate.uncachedTokens
                 * (estimate.isFetching ? MOVED_TOKEN_PENALTY_MS : REREAD_TOKEN_PENALTY_MS),
+            spillMs: this.#computeSpillMs(target, request, source, estimate, now),
         };
         return {
             target,
             coldShare,
             terms,
-            score: terms.expectedMs + terms.networkMs + terms.failureMs + terms.cacheMs,
+            score: terms.expectedMs + terms.networkMs + terms.failureMs + terms.cacheMs + terms.spillMs,
             grant: {
                 target,
                 promptSource: estimate.isFetching ? source?.descriptor.address : undefined,
@@ -98,6 +109,41 @@
         };
     }
 
+    /** Returns the source of the shared parts, unless the link from there costs more than reading them again. */
+    #findAffordableSource(
+        target: TargetState,
+        cached: CachedPrompt,
+        now: number,
+    ): TargetState | undefined {
+        const { spillCosts, engineModel } = this.#options;
+        const source = cached.cachingTargets.includes(target) ? undefined : this.#findSource(target, cached);
+        if (!source || !spillCosts) {
+            return source;
+        }
+        // The price is per token, so that the sum over any number of tokens compares alike.
+        const moveMs = spillCosts.computeMoveMs(1, source.descriptor, target.descriptor);
+        const rereadMs = REREAD_TOKEN_PENALTY_MS - MOVED_TOKEN_PENALTY_MS
+            + 1 / engineModel.getPrefillTokensPerMs(now);
+        return moveMs <= rereadMs ? source : undefined;
+    }
+
+    #computeSpillMs(
+        target: TargetState,
+        request: RoutedRequest,
+        source: TargetState | undefined,
+        estimate: ReturnType<typeof estimateTarget>,
+        now: number,
+    ): number {
+        const { spillCosts, engineModel, getService } = this.#options;
+        return spillCosts?.computeMs(
+            request,
+            target.descriptor,
+            source?.descriptor,
+            estimate,
+            getService().engine && engineModel.getPrefillTokensPerMs(now),
+        ) ?? 0;
+    }
+
     #estimate(
         target: TargetState,
         request: RoutedRequest,
--- a/src/core/routing/routedRequest.ts
+++ b/src/core/routing/routedRequest.ts
@@ -16,6 +16,8 @@
     readonly promptTokens: number;
     readonly outputTokens: number;
     readonly prompt: readonly PromptPart[];
+    /** Bytes of the body; absent until it has been read. */
+    readonly bodyBytes?: number;
     /** Recognises the request when it comes again; absent until its body has been read. */
     readonly fingerprint?: RequestFingerprint;
     /** Identifier of the caller's attempt that brings the first event of the stream. */
--- a/src/core/routing/scoreTerms.ts
+++ b/src/core/routing/scoreTerms.ts
@@ -8,4 +8,6 @@
     readonly failureMs: number;
     /** Penalty for shared prompt tokens that have to be moved or read again. */
     readonly cacheMs: number;
+    /** What serving the request in another data centre costs others: bytes on the links and displaced callers. 0 without spill. */
+    readonly spillMs: number;
 }
--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -1,4 +1,5 @@
 import type { LimitGate } from "../limits/limitGate.js";
+import type { SpillInputs } from "../spill/spillInputs.js";
 import type { AccountUsage } from "./accountUsage.js";
 import type { CrashRecord } from "./crashRecord.js";
 import type { PromptLocations } from "./promptLocations.js";
@@ -25,4 +26,6 @@
     readonly mayBegin: (target: TargetDescriptor) => boolean;
     /** Whether a stream may go on at a target that is listed with its version. */
     readonly mayGoOn: (target: TargetDescriptor) => boolean;
+    /** Absent if requests leave their data centre by the score alone. */
+    readonly spill?: SpillInputs | undefined;
 }
--- a/src/core/routing/targetEligibility.ts
+++ b/src/core/routing/targetEligibility.ts
@@ -82,6 +82,14 @@
             && (request.regions.length === 0 || request.regions.includes(region));
     }
 
+    /** Returns whether a target takes requests of some kind now, as far as it and its data centre have said. */
+    isOpen(descriptor: TargetDescriptor, now: number): boolean {
+        return !descriptor.isDraining
+            && !this.#options.notices.isLeaving(descriptor)
+            && !this.#options.getEvacuated().has(descriptor.dataCentre)
+            && this.getPausedUntil(descriptor) <= now;
+    }
+
     /** Returns the monotonic time in milliseconds until which a target wants no requests of this instance. */
     getPausedUntil(descriptor: TargetDescriptor): number {
         return this.#options.notices.getPausedUntil(descriptor);
--- a/src/core/routing/targetGrant.ts
+++ b/src/core/routing/targetGrant.ts
@@ -1,3 +1,4 @@
+import type { SpillRecord } from "../spill/spillRecord.js";
 import type { TargetState } from "./targetState.js";
 
 /** Permission to send a request to a target; must be released exactly once. */
@@ -15,6 +16,8 @@
     readonly overheadMs: number;
     /** Expected time to first event in milliseconds, with the network delay. */
     readonly expectedMs: number;
+    /** Present if the request leaves its data centre, and spill is on. */
+    readonly spill?: SpillRecord;
     /** Monotonic time in milliseconds. */
     readonly grantedAt: number;
 }
--- a/src/core/routing/targetGranter.ts
+++ b/src/core/routing/targetGranter.ts
@@ -47,6 +47,7 @@
         }
         const candidate = this.#picker.pick(waiting, isOverShare, now);
         if (candidate) {
+            this.#picker.recordGrant(candidate, now);
             return reserveTarget(this.#options, request, candidate, now);
         }
         if (excludedTargets.size === 0) {
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -1,3 +1,5 @@
+import type { SpillInputs } from "../spill/spillInputs.js";
+import { SpillPlanner } from "../spill/spillPlanner.js";
 import type { CachedPrompt } from "./cachedPrompt.js";
 import { CandidateBuilder } from "./candidateBuilder.js";
 import { findSharedPrefix } from "./findSharedPrefix.js";
@@ -9,13 +11,15 @@
 import type { TargetState } from "./targetState.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
-type CandidateBuilderOptions = Parameters<typeof CandidateBuilder.create>[0];
+type CandidateBuilderOptions = Omit<Parameters<typeof CandidateBuilder.create>[0], "spillCosts">;
 
 interface TargetPickerOptions extends CandidateBuilderOptions {
     /** Targets by identifier. */
     readonly targets: ReadonlyMap<string, TargetState>;
     readonly promptLocations: PromptLocations;
     readonly eligibility: TargetEligibility;
+    /** Absent if requests leave their data centre by the score alone. */
+    readonly spill?: SpillInputs | undefined;
 }
 
 /** Shorter prefixes are read again in less time than it takes to report their location. */
@@ -26,10 +30,12 @@
     readonly #options: TargetPickerOptions;
     readonly #affinity: PromptAffinity;
     readonly #builder: CandidateBuilder;
+    readonly #spill: SpillPlanner | undefined;
 
     private constructor(options: TargetPickerOptions) {
         this.#options = options;
-        this.#builder = CandidateBuilder.create(options);
+        this.#spill = options.spill && SpillPlanner.create({ ...options, inputs: options.spill });
+        this.#builder = CandidateBuilder.create({ ...options, spillCosts: this.#spill?.costs });
         const { locality, regionsByDataCentre } = options.settings;
         this.#affinity = PromptAffinity.create(({ descriptor }) =>
             regionsByDataCentre.get(descriptor.dataCentre) === locality.region
@@ -52,12 +58,20 @@
         now: number,
     ): TargetCandidate | undefined {
         let best: TargetCandidate | undefined;
-        for (const candidate of this.compareTargets(waiting, isOverShare, now).values()) {
+        const candidates = this.compareTargets(waiting, isOverShare, now);
+        for (const candidate of candidates.values()) {
             if (typeof candidate !== "string" && (!best || candidate.score < best.score)) {
                 best = candidate;
             }
         }
-        return best;
+        return best && this.#spill
+            ? this.#spill.describe(best, candidates, { request: waiting.request, isOverShare }, now)
+            : best;
+    }
+
+    /** Records that a picked target was granted. */
+    recordGrant(candidate: TargetCandidate, now: number): void {
+        this.#spill?.recordGrant(candidate, now);
     }
 
     /** Scores the targets that a request may use now, or tells why one has no capacity for it. Reserves nothing. */
@@ -85,11 +99,14 @@
                     && this.#options.limits.hasSpare(target.descriptor.id, now))
             )
             : notExcluded;
-        return new Map(
+        this.#spill?.update(now);
+        const candidates = new Map(
             eligible.map(target =>
                 [target, this.#builder.build(target, waiting.request, cached, isOverShare, now)] as const
             ),
         );
+        this.#spill?.limit(candidates, notExcluded, { request: waiting.request, isOverShare }, now);
+        return candidates;
     }
 
     #findCached(request: RoutedRequest, targets: readonly TargetState[], now: number): CachedPrompt {
