Router: settings group spill, and what is seen of the requests that leave

Cause: the decisions of core/spill had no settings, no sizes of responses and no trace. Change: the group spill (sameRegionWaitMsPerMb, otherRegionWaitMsPerMb, minGainMs); faults in it end the start with code 2. RouterSpill counts requests and bytes by service and data centre, logs when a flow starts and stops, and learns the bytes of a route's responses. The end of a request names where it went and the estimated gain. Measured: 186 tests of core/routing, servicePool, forwardAttempt, requestForwarder and reportReceiver pass.

--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -1,5 +1,6 @@
 import { SettingsError } from "../core/errors/settingsError.js";
 import { parseListenAddress } from "../shared/parseListenAddress.js";
+import { parseSpillSettings } from "./parseSpillSettings.js";
 import type { PlatformSettings } from "./platformSettings.js";
 
 type Check = (value: unknown) => boolean;
@@ -87,6 +88,8 @@
     readonly maxAddressTermSeconds: number;
     /** @default outlasts the planned stop of a predecessor, its kill and a closed connection of another process */
     readonly portWaitSeconds?: number;
+    /** @default requests leave their data centre by the score alone */
+    readonly spill?: unknown;
 }
 
 /**
@@ -108,7 +111,8 @@
     }
     const fields = value as Readonly<Record<string, unknown>>;
     const faults = Object.entries(CHECKS).filter(([name, check]) => !check(fields[name]))
-        .map(([name]) => `${name}: missing or invalid`);
+        .map(([name]) => `${name}: missing or invalid`)
+        .concat(parseSpillSettings(fields["spill"]).faults);
     if (faults.length > 0) {
         throw SettingsError.create(faults);
     }
@@ -138,6 +142,7 @@
             retryWindowMs: raw.retryWindowSeconds * MS_PER_SECOND,
             coldFactor: raw.coldFactor,
             coldSlack: raw.coldSlack,
+            spill: parseSpillSettings(raw.spill).settings,
             addressTermSeconds: Math.min(ADDRESS_TERM_SECONDS, raw.maxAddressTermSeconds),
         },
         portWaitMs: raw.portWaitSeconds === undefined
--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -185,7 +185,7 @@
         else if (isSuccess && attempt.longestSilenceMs !== undefined) {
             target.recordResponseTime(attempt.longestSilenceMs);
         }
-        this.#release(attempt);
+        this.#release(attempt, isSuccess);
     }
 
     /** Ends an attempt that has failed; its target is not tried again. */
@@ -269,9 +269,10 @@
         }
     }
 
-    #release(attempt: ForwardAttempt): void {
-        const { scheduler, getNow } = this.#options;
+    #release(attempt: ForwardAttempt, isComplete = false): void {
+        const { scheduler, exchange, spill, getNow } = this.#options;
         this.#running.delete(attempt);
+        spill?.recordAttempt(exchange.request, attempt, isComplete);
         scheduler.release(attempt.grant, attempt.hasEvents, getNow());
     }
 }
--- a/src/router/createFleetView.ts
+++ b/src/router/createFleetView.ts
@@ -26,6 +26,7 @@
         listLoads: () => servicePool.listLoads(),
         listDataCentreLoads: peers => servicePool.listDataCentreLoads(getNow(), peers),
         onLoads: (peer, loads, validUntil) => servicePool.setPeerLoads(peer, loads, validUntil),
+        onSummary: (dataCentre, validUntil) => state.spill?.inputs.summaries.record(dataCentre, validUntil),
         onPermits: () => servicePool.advance(getNow()),
     });
 }
--- a/src/router/createRoutingState.ts
+++ b/src/router/createRoutingState.ts
@@ -7,9 +7,9 @@
 import { createRequestLimiter } from "./createRequestLimiter.js";
 import { createTargetNotices } from "./createTargetNotices.js";
 import { createTargetStarts } from "./createTargetStarts.js";
-import type { LogSink } from "./logSink.js";
-import type { RouterSettings } from "./routerSettings.js";
+import type { RouterOptions } from "./routerOptions.js";
 import type { RoutingState } from "./routingState.js";
+import { RouterSpill } from "./spill/routerSpill.js";
 import { StreamOrigins } from "./streamOrigins.js";
 
 interface RoutingStateCallbacks {
@@ -29,8 +29,7 @@
 
 /** Creates the empty state of an instance that started at a monotonic time in milliseconds. */
 export function createRoutingState(
-    settings: RouterSettings,
-    log: LogSink,
+    { settings, log, metrics }: Pick<RouterOptions, "settings" | "log" | "metrics">,
     startedAt: number,
     callbacks: RoutingStateCallbacks,
 ): RoutingState {
@@ -43,6 +42,7 @@
         limits: createRequestLimiter(settings, log, startedAt),
         notices: createTargetNotices(log, callbacks.getNow),
         targetStarts: createTargetStarts(log),
+        spill: RouterSpill.create({ settings, log, metrics, startedAt, ...callbacks }),
         streamOrigins: StreamOrigins.create({ settings, log, ...callbacks }),
     };
 }
--- a/src/router/createServicePool.ts
+++ b/src/router/createServicePool.ts
@@ -13,10 +13,11 @@
 
 /** Creates the pool of an instance, whose streams begin and go on where their versions are known. */
 export function createServicePool({ state, getNow, ...options }: CreateOptions): ServicePool {
-    const { targetStarts, streamOrigins } = state;
+    const { targetStarts, streamOrigins, spill } = state;
     return ServicePool.create({
         ...options,
         ...state,
+        spill: spill?.inputs,
         mayBegin: target => !targetStarts.isRestarted(target) && streamOrigins.mayBegin(target, getNow()),
         mayGoOn: target => targetStarts.mayGoOn(target),
     });
--- a/src/router/describeRequestEnd.ts
+++ b/src/router/describeRequestEnd.ts
@@ -21,6 +21,9 @@
         promptSource: grant?.promptSource,
         missingTokens: grant?.missingTokens,
         expectedMs: grant && Math.round(grant.expectedMs),
+        spilledTo: grant?.spill?.dataCentre,
+        isOtherRegion: grant?.spill?.isOtherRegion,
+        spillGainMs: grant?.spill?.gainMs === undefined ? undefined : Math.round(grant.spill.gainMs),
         queuedMs: grant && Math.round(grant.grantedAt - request.receivedAt),
         firstEventMs: grant && firstEventAt !== undefined
             ? Math.round(firstEventAt - grant.grantedAt)
--- a/src/router/fleetViewOptions.ts
+++ b/src/router/fleetViewOptions.ts
@@ -30,6 +30,8 @@
     /** Loads that this instance and the named peers have put on targets. */
     readonly listDataCentreLoads: (peers: readonly string[]) => PeerReport["loads"];
     readonly onLoads: (sender: string, loads: PeerReport["loads"], validUntil: number) => void;
+    /** Called with the monotonic time in milliseconds until which the summary of another data centre is valid. */
+    readonly onSummary?: (dataCentre: string, validUntil: number) => void;
     /** Called when this instance has got permits for targets with a request limit. */
     readonly onPermits: () => void;
 }
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -24,6 +24,7 @@
     #exchange: ReturnType<typeof createTargetExchange> | undefined;
     #head: ResponseHead | undefined;
     #status = 0;
+    receivedBytes = 0;
     #firstEventAt: number | undefined;
     readonly #plain: PlainResponse;
     #startedAt: number;
@@ -219,6 +220,7 @@
             this.#options;
         onProgress();
         memory.recordRead(chunk.length);
+        this.receivedBytes += chunk.length;
         if (!this.#isStreamed) {
             this.#progress.recordBytes(chunk.length, getRunningTime());
             if (this.#head && !this.#plain.add(chunk, this.#status, this.#head)) {
--- a/src/router/reportReceiver.ts
+++ b/src/router/reportReceiver.ts
@@ -16,6 +16,8 @@
     readonly sentReports: SentReports;
     readonly limits: RequestLimiter;
     readonly onLoads: (sender: string, loads: PeerReport["loads"], validUntil: number) => void;
+    /** Called with the monotonic time in milliseconds until which the summary of another data centre is valid. */
+    readonly onSummary?: (dataCentre: string, validUntil: number) => void;
 }
 
 interface AppliedReport {
@@ -77,6 +79,7 @@
                 const { dataCentre } = report.sender;
                 usage.setRemoteUsage(dataCentre, buildUsage(report.usage, now));
                 onLoads(`data centre ${dataCentre}`, report.loads, now + REMOTE_LOAD_VALIDITY_MS);
+                this.#options.onSummary?.(dataCentre, now + REMOTE_LOAD_VALIDITY_MS);
             }
             return;
         }
--- a/src/router/requestForwarderOptions.ts
+++ b/src/router/requestForwarderOptions.ts
@@ -9,6 +9,7 @@
 import type { ErrorBoundary } from "./errorBoundary.js";
 import type { LogSink } from "./logSink.js";
 import type { RequestMemory } from "./requestMemory.js";
+import type { RouterSpill } from "./spill/routerSpill.js";
 import type { StreamOrigins } from "./streamOrigins.js";
 import type { TargetAgents } from "./targetAgents.js";
 import type { WireFormat } from "./wireFormat.js";
@@ -29,6 +30,8 @@
     readonly log: LogSink;
     readonly errorBoundary: ErrorBoundary;
     readonly memory: RequestMemory;
+    /** Absent if requests leave their data centre by the score alone. */
+    readonly spill?: RouterSpill | undefined;
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
     /** The same without the time in which the process was suspended. */
--- a/src/router/requestServer.ts
+++ b/src/router/requestServer.ts
@@ -40,7 +40,9 @@
     }
 
     /** Serves a request; one that takes a stream up, once it is known where the stream began. */
-    serve(exchange: CallerExchange): void {
+    serve(received: CallerExchange): void {
+        const bodyBytes = received.body?.length ?? 0;
+        const exchange = { ...received, request: { ...received.request, bodyBytes } };
         if (exchange.request.resumesAfter === undefined) {
             this.#forward(exchange);
             return;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -68,7 +68,7 @@
     private constructor(options: RouterOptions) {
         this.#options = options;
         const { settings } = options;
-        this.#state = createRoutingState(settings, options.log, this.#getNow(), {
+        this.#state = createRoutingState(options, this.#getNow(), {
             getNow: this.#getNow,
             countInstances: () => 1 + (this.#fleet?.countPeers() ?? 0),
             listMembers: () => this.#fleet?.listMembers() ?? [],
@@ -249,6 +249,7 @@
                 "crashes": now => this.#state.crashDetector.expire(now),
                 "timeouts": now => this.#activeRequests.checkTimeouts(now),
                 "scheduler": now => this.#servicePool.advance(now),
+                "spill": now => this.#state.spill?.expire(now),
                 "stream-origins": now => this.#state.streamOrigins.flush(now),
                 "change-feed": () => this.#changeFeed?.flush(),
             },
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -1,4 +1,5 @@
 import type { Locality } from "../core/routing/locality.js";
+import type { SpillSettings } from "../core/spill/spillSettings.js";
 import type { ListenAddress } from "../shared/listenAddress.js";
 
 /** Settings of a router process. */
@@ -34,6 +35,8 @@
     /** The limit of a cold target is `coldRequestsPerSecond * coldFactor + coldSlack` requests per second. */
     readonly coldFactor: number;
     readonly coldSlack: number;
+    /** Absent if requests leave their data centre by the score alone. */
+    readonly spill?: SpillSettings | undefined;
     /** Term of a directory response (its time to live at callers), in seconds. */
     readonly addressTermSeconds: number;
 }
--- a/src/router/routingState.ts
+++ b/src/router/routingState.ts
@@ -5,6 +5,7 @@
 import type { PromptLocations } from "../core/routing/promptLocations.js";
 import type { TargetNotices } from "../core/routing/targetNotices.js";
 import type { TargetStarts } from "../core/routing/targetStarts.js";
+import type { RouterSpill } from "./spill/routerSpill.js";
 import type { StreamOrigins } from "./streamOrigins.js";
 
 /** What an instance knows beyond single targets and requests, from its own traffic and from the reports of peers. */
@@ -17,4 +18,6 @@
     readonly notices: TargetNotices;
     readonly targetStarts: TargetStarts;
     readonly streamOrigins: StreamOrigins;
+    /** Absent if requests leave their data centre by the score alone. */
+    readonly spill: RouterSpill | undefined;
 }
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -8,6 +8,7 @@
 import type { TargetDescriptor } from "../core/routing/targetDescriptor.js";
 import type { TargetNotices } from "../core/routing/targetNotices.js";
 import type { TargetState } from "../core/routing/targetState.js";
+import type { SpillInputs } from "../core/spill/spillInputs.js";
 import type { RouterSettings } from "./routerSettings.js";
 import { schedulerTuning } from "./schedulerTuning.js";
 
@@ -27,6 +28,7 @@
     readonly mayBegin: (target: TargetDescriptor) => boolean;
     /** Whether a stream may go on at a target that is listed with its version. */
     readonly mayGoOn: (target: TargetDescriptor) => boolean;
+    readonly spill?: SpillInputs | undefined;
 }
 
 interface PooledService {
@@ -58,7 +60,7 @@
     /** Adds the new services of a configuration and updates the known ones. */
     applyConfiguration(configuration: RouterConfiguration): void {
         const { settings, usage, promptLocations, crashRecord, limits, notices } = this.#options;
-        const { getTokensPerSecond, getColdShare, mayBegin, mayGoOn } = this.#options;
+        const { getTokensPerSecond, getColdShare, mayBegin, mayGoOn, spill } = this.#options;
         for (const service of configuration.services.values()) {
             const known = this.#services.get(service.name);
             if (known) {
@@ -84,6 +86,7 @@
                     getColdShare,
                     mayBegin,
                     mayGoOn,
+                    spill,
                 }),
                 retryBudget: SlidingRetryBudget.create({
                     ratio: settings.retryRatio,
