--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -1,5 +1,6 @@
 import type { AdmissionPressure } from "../admission/admissionPressure.js";
 import type { LimitGate } from "../limits/limitGate.js";
+import type { SpillInputs } from "../spill/spillInputs.js";
 import type { AccountUsage } from "./accountUsage.js";
 import type { CrashRecord } from "./crashRecord.js";
 import type { PromptLocations } from "./promptLocations.js";
@@ -30,4 +31,6 @@
     readonly mayBegin: (target: TargetDescriptor) => boolean;
     /** Whether a stream may go on at a target that is listed with its version. */
     readonly mayGoOn: (target: TargetDescriptor) => boolean;
+    /** Absent if requests leave their data centre by the score alone. */
+    readonly spill?: SpillInputs | undefined;
 }
--- a/src/core/routing/targetGranter.ts
+++ b/src/core/routing/targetGranter.ts
@@ -48,6 +48,7 @@
         }
         const candidate = this.#picker.pick(waiting, capacity, now);
         if (candidate) {
+            this.#picker.recordGrant(candidate, now);
             return reserveTarget(this.#options, request, candidate, now);
         }
         if (excludedTargets.size === 0) {
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -1,4 +1,6 @@
 import type { CapacityClass } from "../admission/capacityClass.js";
+import type { SpillInputs } from "../spill/spillInputs.js";
+import { SpillPlanner } from "../spill/spillPlanner.js";
 import { pickNearBest } from "../targetSpeed/pickNearBest.js";
 import type { CachedPrompt } from "./cachedPrompt.js";
 import { CandidateBuilder } from "./candidateBuilder.js";
@@ -11,7 +13,7 @@
 import type { TargetState } from "./targetState.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
-type CandidateBuilderOptions = Parameters<typeof CandidateBuilder.create>[0];
+type CandidateBuilderOptions = Omit<Parameters<typeof CandidateBuilder.create>[0], "spillCosts">;
 
 interface TargetPickerOptions extends CandidateBuilderOptions {
     /** Targets by identifier. */
@@ -20,6 +22,8 @@
     readonly eligibility: TargetEligibility;
     /** Returns a random number from 0 to 1. */
     readonly getRandom: () => number;
+    /** Absent if requests leave their data centre by the score alone. */
+    readonly spill?: SpillInputs | undefined;
 }
 
 /** Shorter prefixes are read again in less time than it takes to report their location. */
@@ -30,10 +34,12 @@
     readonly #options: TargetPickerOptions;
     readonly #affinity: PromptAffinity;
     readonly #builder: CandidateBuilder;
+    readonly #spill: SpillPlanner | undefined;
 
     private constructor(options: TargetPickerOptions) {
         this.#options = options;
-        this.#builder = CandidateBuilder.create(options);
+        this.#spill = options.spill && SpillPlanner.create({ ...options, inputs: options.spill });
+        this.#builder = CandidateBuilder.create({ ...options, spillCosts: this.#spill?.costs });
         const { locality, regionsByDataCentre } = options.settings;
         this.#affinity = PromptAffinity.create(({ descriptor }) =>
             regionsByDataCentre.get(descriptor.dataCentre) === locality.region
@@ -55,19 +61,19 @@
         capacity: CapacityClass,
         now: number,
     ): TargetCandidate | undefined {
-        const candidates = [...this.compareTargets(waiting, capacity, now).values()]
-            .filter(candidate => typeof candidate !== "string");
         const { speeds, getRandom } = this.#options;
-        if (speeds.isActive) {
-            return pickNearBest(candidates, getRandom);
-        }
-        let best: TargetCandidate | undefined;
-        for (const candidate of candidates) {
-            if (!best || candidate.score < best.score) {
-                best = candidate;
-            }
-        }
-        return best;
+        const compared = this.compareTargets(waiting, capacity, now);
+        const candidates = [...compared.values()].filter(candidate => typeof candidate !== "string");
+        const picked = speeds.isActive ? pickNearBest(candidates, getRandom) : findBest(candidates);
+        const { request } = waiting;
+        return picked && this.#spill
+            ? this.#spill.describe(picked, compared, { request, isOverShare: capacity !== "any" }, now)
+            : picked;
+    }
+
+    /** Records that a picked target was granted. */
+    recordGrant(candidate: TargetCandidate, now: number): void {
+        this.#spill?.recordGrant(candidate, now);
     }
 
     /** Scores the targets that a request may use now, or tells why one has no capacity for it. Reserves nothing. */
@@ -95,11 +101,17 @@
                     && this.#options.limits.hasSpare(target.descriptor.id, now))
             )
             : notExcluded;
-        return new Map(
+        this.#spill?.update(now);
+        const candidates = new Map(
             eligible.map(target =>
                 [target, this.#builder.build(target, waiting.request, cached, capacity, now)] as const
             ),
         );
+        this.#spill?.limit(candidates, notExcluded, {
+            request: waiting.request,
+            isOverShare: capacity !== "any",
+        }, now);
+        return candidates;
     }
 
     #findCached(request: RoutedRequest, targets: readonly TargetState[], now: number): CachedPrompt {
@@ -117,3 +129,13 @@
         };
     }
 }
+
+function findBest(candidates: readonly TargetCandidate[]): TargetCandidate | undefined {
+    let best: TargetCandidate | undefined;
+    for (const candidate of candidates) {
+        if (!best || candidate.score < best.score) {
+            best = candidate;
+        }
+    }
+    return best;
+}
--- a/src/router/reportReceiver.ts
+++ b/src/router/reportReceiver.ts
@@ -20,6 +20,8 @@
     readonly limits: RequestLimiter;
     readonly speedReports: SpeedReports;
     readonly onLoads: (sender: string, loads: PeerReport["loads"], validUntil: number) => void;
+    /** Called with the monotonic time in milliseconds until which the summary of another data centre is valid. */
+    readonly onSummary?: (dataCentre: string, validUntil: number) => void;
 }
 
 interface AppliedReport {
@@ -88,6 +90,7 @@
                     now + REMOTE_LOAD_VALIDITY_MS,
                 );
                 onLoads(`data centre ${dataCentre}`, report.loads, now + REMOTE_LOAD_VALIDITY_MS);
+                this.#options.onSummary?.(dataCentre, now + REMOTE_LOAD_VALIDITY_MS);
             }
             return;
         }
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -4,6 +4,7 @@
 import { ServiceScheduler } from "../../../src/core/routing/serviceScheduler.js";
 import type { TargetCandidate } from "../../../src/core/routing/targetCandidate.js";
 import type { TargetDescriptor } from "../../../src/core/routing/targetDescriptor.js";
+import type { SpillInputs } from "../../../src/core/spill/spillInputs.js";
 import { createCrashRecord } from "../createCrashRecord.js";
 import { createLimiter } from "../createLimiter.js";
 import { createTargetNotices } from "../createTargetNotices.js";
@@ -21,6 +22,7 @@
     mayBegin: (target: TargetDescriptor) => boolean = () => true,
     mayGoOn: (target: TargetDescriptor) => boolean = () => true,
     getRandom: () => number = () => 0,
+    spill?: SpillInputs,
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -53,6 +55,7 @@
         getColdShare,
         mayBegin,
         mayGoOn,
+        spill,
     });
     return { scheduler, usage };
 }
