--- a/test/testing/router/runSimulatedStart.ts
+++ b/test/testing/router/runSimulatedStart.ts
@@ -1,3 +1,4 @@
+import { AdmissionPressure } from "../../../src/core/admission/admissionPressure.js";
 import type { MemberRecord } from "../../../src/core/routing/memberRecord.js";
 import type { Membership } from "../../../src/core/routing/membership.js";
 import { StartingVersion } from "../../../src/core/routing/startingVersion.js";
@@ -162,6 +163,7 @@
     const sender = ReportSender.create(
         {
             settings: { seedHosts, peerAddress: { host: ip }, locality: { dataCentre } },
+            pressure: AdmissionPressure.create(),
             usage: { listLocal: () => [] },
             sentReports: { add: () => undefined },
             limits: { buildReport: () => undefined },
