Returns: a refused request waits when it comes again

Cause: Retry-After followed from the tokens that wait here, with no account of the requests that were told the same time. A request that has come again waits until its deadline, before new ones of its account if it has a promise or its deadline is near, and after them otherwise. Off by default; the option is not wired yet. Nothing is sent.

--- /dev/null
+++ b/src/core/returns/serviceReturns.ts
@@ -0,0 +1,164 @@
+import type { RoutedRequest } from "../routing/routedRequest.js";
+import type { SchedulerDecision } from "../routing/schedulerDecision.js";
+import type { WaitingRequest } from "../routing/waitingRequest.js";
+import { CallerPatience } from "./callerPatience.js";
+import { ReturnCalendar } from "./returnCalendar.js";
+
+/** Requests of a service, and of one of its accounts, that wait after they have returned. */
+const MAX_RETURNED = 500;
+const MAX_RETURNED_OF_ACCOUNT = 250;
+/** Time in milliseconds that an idle target takes to begin its response. */
+const MIN_START_MS = 40;
+/** Without a grant for this long, as many as an instance has in a few seconds, another instance may be better. */
+const MAX_DRY_MS = 2000;
+
+/**
+ * Requests of one service that were refused for want of capacity and have come again. They wait until their deadline, in place
+ * of being refused again: before the new requests of their account if they claim a promise that is due or if their deadline is
+ * near, and after them otherwise, since new requests may still be on time. Times are monotonic milliseconds.
+ */
+export class ServiceReturns {
+    readonly #isActive: () => boolean;
+    readonly #patience = CallerPatience.create();
+    readonly #calendar = ReturnCalendar.create();
+    /** Waiting requests that have returned, and whether they have claimed a promise. */
+    readonly #returned = new Map<WaitingRequest, boolean>();
+    readonly #countsByAccount = new Map<string, number>();
+    #claimed = 0;
+    /** Time of the last grant to any request. */
+    #grantedAt = Number.NEGATIVE_INFINITY;
+    #keptTotal = 0;
+    #brokenTotal = 0;
+
+    private constructor(isActive: () => boolean) {
+        this.#isActive = isActive;
+    }
+
+    /**
+     * Creates the record of a service to which no request has returned.
+     *
+     * @param isActive Returns whether refused requests of the service are promised capacity; nothing changes while they are not.
+     */
+    static create(isActive: () => boolean): ServiceReturns {
+        return new ServiceReturns(isActive);
+    }
+
+    /** Counts promises that are open or claimed, that ended with a grant, and that ended without one. */
+    countPromises(now: number): { readonly open: number; readonly kept: number; readonly lapsed: number; } {
+        const open = this.#calendar.countOpen(now) + this.#claimed;
+        return { open, kept: this.#keptTotal, lapsed: this.#calendar.lapsedTotal + this.#brokenTotal };
+    }
+
+    /**
+     * Promises capacity to a refused request and returns in how many milliseconds it is due; `undefined` if none is expected
+     * within what its caller waits.
+     *
+     * @param earliestMs Time in milliseconds before which the account gets no capacity.
+     * @param readingMs Time in milliseconds that a target takes to read the prompt.
+     */
+    reserve(request: RoutedRequest, earliestMs: number, readingMs: number, now: number): number | undefined {
+        return this.#isActive() ? this.#calendar.reserve(request, earliestMs, readingMs, now) : undefined;
+    }
+
+    /** Returns whether a request has come again and may wait, whatever its account has used. */
+    mayWait(request: RoutedRequest, now: number): boolean {
+        if (!this.#isActive()) {
+            return false;
+        }
+        this.#patience.record(request, now);
+        return this.#patience.isReturning(request) && this.#hasRoom(request);
+    }
+
+    /** Adds a request that begins to wait, if it has come again. */
+    add(waiting: WaitingRequest, now: number): void {
+        const { request, isResume } = waiting;
+        if (isResume || request.origin || !this.mayWait(request, now)) {
+            return;
+        }
+        const promise = this.#calendar.findDue(request, now);
+        if (promise) {
+            this.#calendar.remove(promise);
+            this.#claimed += 1;
+        }
+        this.#returned.set(waiting, promise !== undefined);
+        this.#countsByAccount.set(request.account, this.#countOf(request) + 1);
+    }
+
+    /** Returns whether a waiting request has come again. */
+    has(waiting: WaitingRequest): boolean {
+        return this.#returned.has(waiting);
+    }
+
+    /** Returns whether a waiting request has claimed a promise, so that what its account has used does not count. */
+    hasClaim(waiting: WaitingRequest): boolean {
+        return this.#returned.get(waiting) === true;
+    }
+
+    /** Returns the rank of a waiting request among those of its account: 0 for a new one; the highest goes first. */
+    getRank(waiting: WaitingRequest, now: number): number {
+        const hasClaim = this.#returned.get(waiting);
+        if (hasClaim === undefined) {
+            return 0;
+        }
+        const { deadline, route } = waiting.request;
+        return hasClaim || deadline - now <= route.objectiveMs ? 1 : -1;
+    }
+
+    /**
+     * Returns the time until which a request that has come again waits; `undefined` for a new one. It waits no longer than a new
+     * one if no capacity becomes available here.
+     *
+     * @param readingMs Time in milliseconds that a target takes to read the prompt.
+     */
+    findWaitDeadline(waiting: WaitingRequest, readingMs: number): number | undefined {
+        if (!this.has(waiting)) {
+            return undefined;
+        }
+        const { deadline, objectiveDeadline } = waiting.request;
+        return Math.min(deadline, Math.max(objectiveDeadline, this.#grantedAt + MAX_DRY_MS))
+            - MIN_START_MS - readingMs;
+    }
+
+    /** Records a decision on a request: a grant shows the capacity that there is. */
+    recordDecision(waiting: WaitingRequest, { kind }: SchedulerDecision, now: number): void {
+        if (kind === "granted" && this.#isActive()) {
+            this.#grantedAt = now;
+            this.#calendar.recordGrant(waiting.request, now);
+        }
+        if (kind !== "waiting") {
+            this.#end(waiting, kind === "granted");
+        }
+    }
+
+    /** Removes a request whose caller has disconnected. */
+    withdraw(waiting: WaitingRequest): void {
+        this.#end(waiting, false);
+    }
+
+    #end(waiting: WaitingRequest, isGranted: boolean): void {
+        const hasClaim = this.#returned.get(waiting);
+        if (hasClaim === undefined) {
+            return;
+        }
+        this.#returned.delete(waiting);
+        const { request } = waiting;
+        const count = this.#countOf(request) - 1;
+        if (count > 0) {
+            this.#countsByAccount.set(request.account, count);
+        }
+        else {
+            this.#countsByAccount.delete(request.account);
+        }
+        this.#claimed -= Number(hasClaim);
+        this.#keptTotal += Number(hasClaim && isGranted);
+        this.#brokenTotal += Number(hasClaim && !isGranted);
+    }
+
+    #hasRoom(request: RoutedRequest): boolean {
+        return this.#returned.size < MAX_RETURNED && this.#countOf(request) < MAX_RETURNED_OF_ACCOUNT;
+    }
+
+    #countOf({ account }: RoutedRequest): number {
+        return this.#countsByAccount.get(account) ?? 0;
+    }
+}
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,3 +1,4 @@
+import { ServiceReturns } from "../returns/serviceReturns.js";
 import { AccountShares } from "./accountShares.js";
 import { countRequestTokens } from "./countRequestTokens.js";
 import { EngineModel } from "./engineModel.js";
@@ -32,6 +33,8 @@
     readonly #shares: AccountShares;
     readonly #engineModel: EngineModel;
     readonly #waits: WaitEstimator;
+    /** Refused requests that come again. */
+    readonly returns: ServiceReturns;
     #service: RoutedService;
     readonly #targets = new Map<string, TargetState>();
     #evacuated: ReadonlySet<string> = new Set();
@@ -45,6 +48,7 @@
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
         });
         this.#engineModel = EngineModel.create(options.settings);
+        this.returns = ServiceReturns.create(() => options.usesReservations?.(this.#service.name) ?? false);
         const eligibility = TargetEligibility.create({
             ...options,
             targets: this.#targets,
@@ -104,10 +108,8 @@
     /** Adds a request, which is granted a target or refused, now or later. */
     enqueue(waiting: WaitingRequest, now: number): void {
         if (this.#waiting.length >= MAX_WAITING && !waiting.isResume) {
-            waiting.onRefuse({
-                reason: "overloaded",
-                retryAfterMs: limitRetryAfter(Number.POSITIVE_INFINITY, waiting.request.requestId),
-            });
+            const retryAfterMs = limitRetryAfter(Number.POSITIVE_INFINITY, waiting.request.requestId);
+            waiting.onRefuse({ reason: "overloaded", retryAfterMs });
             return;
         }
         const { usage, crashRecord, limits } = this.#options;
@@ -115,12 +117,14 @@
         if (!waiting.isResume && !crashRecord.findRefusal(waiting.request, now)) {
             usage.addDemand(waiting.request.account, countRequestTokens(waiting.request), now);
         }
+        this.returns.add(waiting, now);
         // Requests already waiting could not use the free slots, so only the new one is tried.
         const countAhead = (): number => this.#waits.countAhead(waiting, this.#waiting, now);
         const decision = this.#resolve(waiting, new Set(), countAhead, now);
         if (decision.kind === "waiting") {
             this.#waiting.push(waiting);
         }
+        this.returns.recordDecision(waiting, decision, now);
         notifyWaiting(waiting, decision);
     }
 
@@ -149,16 +153,18 @@
     /** Returns the retry delay in milliseconds if the account is excluded; the request then still counts as demand. */
     findRetryDelay(request: RoutedRequest, now: number): number | undefined {
         const { kind, returnMs } = this.#shares.getStatus(request.account, now);
-        if (kind !== "excluded") {
+        if (kind !== "excluded" || this.returns.mayWait(request, now)) {
             return undefined;
         }
         this.#options.usage.addDemand(request.account, countRequestTokens(request), now);
-        return limitRetryAfter(returnMs, request.requestId);
+        return this.returns.reserve(request, returnMs, 0, now)
+            ?? limitRetryAfter(returnMs, request.requestId);
     }
 
     /** Removes a waiting request whose caller has disconnected. */
     withdraw(waiting: WaitingRequest): void {
         this.#waiting = this.#waiting.filter(other => other !== waiting);
+        this.returns.withdraw(waiting);
     }
 
     /** Records the first event of a response: the target has read the prompt. */
@@ -190,10 +196,12 @@
             return;
         }
         const blocked = new Set<string>();
-        const decided = sortWaiting(this.#waiting, this.#options.usage, now).map((waiting, i) =>
+        const getRank = (waiting: WaitingRequest): number => this.returns.getRank(waiting, now);
+        const decided = sortWaiting(this.#waiting, this.#options.usage, now, getRank).map((waiting, i) =>
             [waiting, this.#tryResolve(waiting, blocked, () => i, now)] as const
         );
         this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
+        decided.forEach(([waiting, decision]) => this.returns.recordDecision(waiting, decision, now));
         decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision));
     }
 
@@ -229,34 +237,32 @@
         if (refusal) {
             return { kind: "refused", reason: refusal.reason, retryAfterMs: refusal.until - now };
         }
-        const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
+        const { kind: shareKind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
+        const kind = this.returns.hasClaim(waiting) ? "within" : shareKind;
         const isExcluded = kind === "excluded";
         const grant = isExcluded ? undefined : this.#granter.tryGrant(waiting, kind === "over", blocked, now);
         if (grant) {
             return { kind: "granted", grant };
         }
-        const waitDeadline = findWaitDeadline(
-            request,
-            kind === "over",
-            this.#waits.estimateReadingMs(request, now),
-        );
+        const readingMs = this.#waits.estimateReadingMs(request, now);
+        const waitDeadline = this.returns.findWaitDeadline(waiting, readingMs)
+            ?? findWaitDeadline(request, kind === "over", readingMs);
         const hopeless = this.prospects.findHopeless(waiting, waitDeadline, now);
         if (hopeless) {
             return { kind: "refused", ...hopeless, shareRatio };
         }
         const permitMs = this.#waits.estimatePermitMs(request, countAhead, now);
-        if (isResume || (!isExcluded && now < waitDeadline && now + permitMs < waitDeadline)) {
+        const mayWait = !isExcluded || this.returns.has(waiting);
+        if (isResume || (mayWait && now < waitDeadline && now + permitMs < waitDeadline)) {
             return { kind: "waiting" };
         }
         this.#options.limits.addRefusal(this.#service.name, now);
-        return {
-            kind: "refused",
-            reason: this.#targets.size === 0 ? "no-target" : "overloaded",
-            retryAfterMs: limitRetryAfter(
-                Math.max(returnMs, permitMs, this.#waits.estimateReturnMs(this.#waiting, now)),
-                request.requestId,
-            ),
-            shareRatio,
-        };
+        const reason = this.#targets.size === 0 ? "no-target" : "overloaded";
+        const promisedMs = reason === "overloaded"
+            ? this.returns.reserve(request, Math.max(returnMs, permitMs), readingMs, now)
+            : undefined;
+        const estimatedMs = Math.max(returnMs, permitMs, this.#waits.estimateReturnMs(this.#waiting, now));
+        const retryAfterMs = promisedMs ?? limitRetryAfter(estimatedMs, request.requestId);
+        return { kind: "refused", reason, retryAfterMs, isPromised: promisedMs !== undefined, shareRatio };
     }
 }
--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -19,6 +19,8 @@
     readonly notices: TargetNotices;
     /** Tokens a second that all engines process together; 0 if unknown. */
     readonly getTokensPerSecond: () => number;
+    /** Whether refused requests of a service are promised capacity; none are if it is absent. */
+    readonly usesReservations?: ((service: string) => boolean) | undefined;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
     /** Whether a new stream that may be taken up later may begin at a target. */
--- a/src/core/routing/sortWaiting.ts
+++ b/src/core/routing/sortWaiting.ts
@@ -3,12 +3,14 @@
 
 /**
  * Requests attempted before come first, then streams that callers take up, whose callers have waited already, then the
- * requests of accounts with the lowest recent usage, then the oldest.
+ * requests of accounts with the lowest recent usage, then those of the highest rank, then the
+ * oldest.
  */
 export function sortWaiting(
     waiting: readonly WaitingRequest[],
     usage: AccountUsage,
     now: number,
+    getRank: (waiting: WaitingRequest) => number = () => 0,
 ): readonly WaitingRequest[] {
     const granted = new Map<string, number>();
     for (const { request } of waiting) {
@@ -20,6 +22,7 @@
         Number(b.isResume) - Number(a.isResume)
         || Number(b.request.origin !== undefined) - Number(a.request.origin !== undefined)
         || (granted.get(a.request.account) ?? 0) - (granted.get(b.request.account) ?? 0)
+        || getRank(b) - getRank(a)
         || a.request.receivedAt - b.request.receivedAt
     );
 }
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -20,6 +20,7 @@
     notices = createTargetNotices(),
     mayBegin: (target: TargetDescriptor) => boolean = () => true,
     mayGoOn: (target: TargetDescriptor) => boolean = () => true,
+    usesReservations?: (service: string) => boolean,
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -51,6 +52,7 @@
         getColdShare,
         mayBegin,
         mayGoOn,
+        usesReservations,
     });
     return { scheduler, usage };
 }
