Returns: promises are logged and counted

Cause: operators cannot see which refusals promise capacity, nor how many of the promises are kept. Change: field promised of request-ended, gauges promises_open, promises_kept and promises_lapsed, and the option usesReservations of createServicePool. Refusals from the head (over-share) have no field promised; the gauges count them.

--- a/src/router/createServicePool.ts
+++ b/src/router/createServicePool.ts
@@ -4,7 +4,8 @@
 
 type PoolOptions = Parameters<typeof ServicePool.create>[0];
 
-interface CreateOptions extends Pick<PoolOptions, "getTokensPerSecond" | "getColdShare"> {
+interface CreateOptions
+    extends Pick<PoolOptions, "getTokensPerSecond" | "usesReservations" | "getColdShare"> {
     readonly settings: RouterSettings;
     readonly state: RoutingState;
     /** Monotonic time in milliseconds. */
--- a/src/router/registerGauges.ts
+++ b/src/router/registerGauges.ts
@@ -4,6 +4,7 @@
 import type { MemoryGuard } from "./memoryGuard.js";
 import type { RouterMetrics } from "./routerMetrics.js";
 import type { RoutingState } from "./routingState.js";
+import type { ServicePool } from "./servicePool.js";
 
 interface GaugeSources {
     readonly log: Pick<LogSink, "droppedTotal">;
@@ -13,6 +14,7 @@
     readonly countActive: () => number;
     readonly getConfigurationAgeMs: () => number;
     readonly countPeers: () => number;
+    readonly countPromises: () => ReturnType<ServicePool["countPromises"]>;
     readonly getAdmission: () => Pick<CallerAdmission, "openConnections" | "acceptWaitMs"> | undefined;
 }
 
@@ -29,6 +31,9 @@
         targets_limited: () => limits.limitedCount,
         prompt_parts_blocked: () => crashRecord.countBlocked("part"),
         requests_blocked: () => crashRecord.countBlocked("request"),
+        promises_open: () => sources.countPromises().open,
+        promises_kept: () => sources.countPromises().kept,
+        promises_lapsed: () => sources.countPromises().lapsed,
         memory_scarce: () => Number(memory.isScarce),
         memory_resident_bytes: () => memory.residentBytes,
         memory_buffered_bytes: () => memory.budget.usedBytes,
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -107,9 +107,10 @@
                 this.#waiting = undefined;
                 this.#runGuarded(() => this.#attempts.send(grant));
             },
-            onRefuse: ({ reason, retryAfterMs, shareRatio }) => {
+            onRefuse: ({ reason, retryAfterMs, isPromised, shareRatio }) => {
                 this.#waiting = undefined;
-                this.#runGuarded(() => this.#refuse("no-target", reason, retryAfterMs, shareRatio));
+                const decidedBy = { promised: isPromised || undefined, shareRatio: shareRatio?.toFixed(2) };
+                this.#runGuarded(() => this.#refuse("no-target", reason, retryAfterMs, decidedBy));
             },
             onError: error => {
                 this.#waiting = undefined;
@@ -197,8 +198,12 @@
         });
     }
 
-    /** Ends the request with the error response of a target, or else as planned for the cause. */
-    #refuse(cause: EndCause, reason: string, retryAfterMs: number, shareRatio?: number): void {
+    /**
+     * Ends the request with the error response of a target, or else as planned for the cause.
+     *
+     * @param decidedBy What decided it, for the log.
+     */
+    #refuse(cause: EndCause, reason: string, retryAfterMs: number, decidedBy: object = {}): void {
         if (this.#isEnded) {
             return;
         }
@@ -210,8 +215,7 @@
         const isStarted = this.#response.isStarted;
         const mayHaveRun = this.#attempts.executions > 0;
         this.#response.end(planRequestEnd({ cause, isStarted, mayHaveRun, retryAfterMs }));
-        const decidedBy = { retryAfterMs: Math.round(retryAfterMs), shareRatio: shareRatio?.toFixed(2) };
-        this.#end(reason, undefined, decidedBy);
+        this.#end(reason, undefined, { retryAfterMs: Math.round(retryAfterMs), ...decidedBy });
     }
 
     #onCallerClosed(): void {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -236,6 +236,7 @@
             countActive: () => this.#activeRequests.size,
             getConfigurationAgeMs: () => this.#view.ageMs,
             countPeers: () => this.#fleet?.countPeers() ?? 0,
+            countPromises: () => this.#servicePool.countPromises(this.#getNow()),
             getAdmission: () => this.#ingress?.admission,
         });
         this.#periodicCheck = PeriodicCheck.create({
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -19,6 +19,8 @@
     readonly limits: LimitGate;
     readonly notices: TargetNotices;
     readonly getTokensPerSecond: () => number;
+    /** Whether refused requests of a service are promised capacity; none are if it is absent. */
+    readonly usesReservations?: ((service: string) => boolean) | undefined;
     readonly getColdShare: (
         target: TargetDescriptor,
         limitPerSecond: number,
@@ -58,7 +60,7 @@
     /** Adds the new services of a configuration and updates the known ones. */
     applyConfiguration(configuration: RouterConfiguration): void {
         const { settings, usage, promptLocations, crashRecord, limits, notices } = this.#options;
-        const { getTokensPerSecond, getColdShare, mayBegin, mayGoOn } = this.#options;
+        const { getTokensPerSecond, usesReservations, getColdShare, mayBegin, mayGoOn } = this.#options;
         for (const service of configuration.services.values()) {
             const known = this.#services.get(service.name);
             if (known) {
@@ -81,6 +83,7 @@
                         coldSlack: settings.coldSlack,
                     },
                     getTokensPerSecond,
+                    usesReservations,
                     getColdShare,
                     mayBegin,
                     mayGoOn,
@@ -153,6 +156,21 @@
         });
     }
 
+    /** Counts the promises to refused requests that are open, and those that ended with a grant and without one. */
+    countPromises(now: number): ReturnType<ServiceScheduler["returns"]["countPromises"]> {
+        const counts = [...this.#services.values()].map(({ scheduler }) =>
+            scheduler.returns.countPromises(now)
+        );
+        return counts.reduce(
+            (sum, { open, kept, lapsed }) => ({
+                open: sum.open + open,
+                kept: sum.kept + kept,
+                lapsed: sum.lapsed + lapsed,
+            }),
+            { open: 0, kept: 0, lapsed: 0 },
+        );
+    }
+
     #listTargets(): readonly TargetState[] {
         return [...this.#services.values()].flatMap(({ scheduler }) => [...scheduler.targets.values()]);
     }
