Silence: what a target answers to others tells that it is unresponsive

Cause: each attempt without a first event was judged by its own silence (1.5 objectives, at least 500 ms), so that requests that were sent later to the same unresponsive target waited for as long again. Change: a target that has sent this instance no byte while an attempt waits there for 1.2 s longer than expected is unresponsive for all attempts that have been silent for 100 ms. Bytes of any response begin the time anew. Active for services that use reservations; off otherwise. The tests of core/silence, core/returns, core/routing and router pass (374).

--- a/src/core/returns/serviceReturns.ts
+++ b/src/core/returns/serviceReturns.ts
@@ -43,6 +43,11 @@
         return new ServiceReturns(isActive);
     }
 
+    /** Whether the service uses reservations now. */
+    get isActive(): boolean {
+        return this.#isActive();
+    }
+
     /** Counts promises that are open or claimed, that ended with a grant, and that ended without one. */
     countPromises(now: number): { readonly open: number; readonly kept: number; readonly lapsed: number; } {
         const open = this.#calendar.countOpen(now) + this.#claimed;
--- a/src/core/routing/notifyWaiting.ts
+++ b/src/core/routing/notifyWaiting.ts
@@ -1,8 +1,15 @@
+import type { ServiceReturns } from "../returns/serviceReturns.js";
 import type { SchedulerDecision } from "./schedulerDecision.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
-/** Passes a decision on to its request; nothing happens while the request goes on waiting. */
-export function notifyWaiting(waiting: WaitingRequest, decision: SchedulerDecision): void {
+/** Records a decision and passes it on to its request; nothing happens while the request goes on waiting. */
+export function notifyWaiting(
+    waiting: WaitingRequest,
+    decision: SchedulerDecision,
+    returns: Pick<ServiceReturns, "recordDecision">,
+    now: number,
+): void {
+    returns.recordDecision(waiting, decision, now);
     if (decision.kind === "granted") {
         waiting.onGrant(decision.grant);
     }
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -124,8 +124,7 @@
         if (decision.kind === "waiting") {
             this.#waiting.push(waiting);
         }
-        this.returns.recordDecision(waiting, decision, now);
-        notifyWaiting(waiting, decision);
+        notifyWaiting(waiting, decision, this.returns, now);
     }
 
     /**
@@ -169,6 +168,7 @@
 
     /** Records the first event of a response: the target has read the prompt. */
     start(grant: TargetGrant, now: number): void {
+        grant.target.activity.remove(grant);
         grant.target.pendingTokens -= grant.missingTokens;
         if (grant.sharedPartId !== undefined) {
             this.#options.promptLocations.record(grant.sharedPartId, grant.target.descriptor.id, now);
@@ -183,6 +183,7 @@
 
     /** Releases a grant; `wasStarted` is true if `start` was called for it. */
     release(grant: TargetGrant, wasStarted: boolean, now: number): void {
+        grant.target.activity.remove(grant);
         grant.target.inFlight -= 1;
         if (!wasStarted) {
             grant.target.pendingTokens -= grant.missingTokens;
@@ -201,8 +202,7 @@
             [waiting, this.#tryResolve(waiting, blocked, () => i, now)] as const
         );
         this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
-        decided.forEach(([waiting, decision]) => this.returns.recordDecision(waiting, decision, now));
-        decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision));
+        decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision, this.returns, now));
     }
 
     /** Decides on one request; an unexpected error must not keep the others of the same pass from their grants. */
--- a/src/core/routing/targetState.ts
+++ b/src/core/routing/targetState.ts
@@ -1,3 +1,4 @@
+import { TargetActivity } from "../silence/targetActivity.js";
 import { DecayingSum } from "./decayingSum.js";
 import { LongTimeEstimate } from "./longTimeEstimate.js";
 import type { PeerLoad } from "./peerLoad.js";
@@ -26,6 +27,7 @@
 export class TargetState {
     readonly cache: PromptCache;
     readonly coldBucket: RateBucket;
+    readonly activity = TargetActivity.create();
     descriptor: TargetDescriptor;
     inFlight = 0;
     pendingTokens = 0;
--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -105,6 +105,7 @@
             agent: targetAgents.getAgent(
                 isRepeatable && this.#executions + 1 < exchange.request.route.maxAttempts,
             ),
+            watchesTarget: scheduler.returns.isActive,
             isListed: () =>
                 scheduler.targets.get(descriptor.id) === grant.target && !grant.target.descriptor.isDraining,
             onWritten: () => this.#onWritten(descriptor),
--- a/src/router/checkedExchange.ts
+++ b/src/router/checkedExchange.ts
@@ -50,6 +50,11 @@
         return this.#isSending && (this.#current?.isWritten ?? false);
     }
 
+    /** True once the connection has taken the whole request. */
+    get isSent(): boolean {
+        return this.#isSending && (this.#current?.isSent ?? false);
+    }
+
     /** True if the target has refused nothing on the connection, so that a refusal without an identifier is meant for the request. */
     get isFirstOnConnection(): boolean {
         return this.#hasReport && (this.#current?.isFirstOnConnection ?? false);
--- a/src/router/createTargetExchange.ts
+++ b/src/router/createTargetExchange.ts
@@ -1,6 +1,7 @@
 import { buildOutgoingRequest } from "./buildOutgoingRequest.js";
 import { CheckedExchange } from "./checkedExchange.js";
 import type { ForwardAttemptOptions } from "./forwardAttemptOptions.js";
+import { watchExchange } from "./silence/watchExchange.js";
 import { TargetExchange } from "./targetExchange.js";
 import type { TargetExchangeOptions } from "./targetExchangeOptions.js";
 
@@ -17,16 +18,18 @@
     const { grant, caller, response, wire, agent, targetStarts, runGuarded, onFail } = options;
     const { descriptor } = grant.target;
     const { request } = caller;
+    let exchange: TargetExchange | CheckedExchange | undefined;
     const exchangeOptions = {
-        ...callbacks,
+        ...watchExchange(options, callbacks, () => exchange?.isSent ?? false),
         address: descriptor.address,
         outgoing: buildOutgoingRequest(options),
     };
     const isGoingOn = response.getLastEventId() !== undefined || request.resumesAfter !== undefined;
     if (!isGoingOn && !(request.route.isResumable && targetStarts.hasBroken(descriptor))) {
-        return TargetExchange.create({ ...exchangeOptions, agent });
+        exchange = TargetExchange.create({ ...exchangeOptions, agent });
+        return exchange;
     }
-    return CheckedExchange.create({
+    exchange = CheckedExchange.create({
         ...exchangeOptions,
         question: wire.buildStartQuestion(descriptor),
         readStart: body => wire.readStart(body),
@@ -38,4 +41,5 @@
         runGuarded,
         onRefused: reason => runGuarded(() => onFail("refused", reason)),
     });
+    return exchange;
 }
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
-import { findInactivity } from "../core/routing/findInactivity.js";
 import { ProgressTracker } from "../core/routing/progressTracker.js";
 import type { TargetGrant } from "../core/routing/targetGrant.js";
+import { findSilence } from "../core/silence/findSilence.js";
 import { isValidStatus } from "../shared/isValidStatus.js";
 import { createTargetExchange } from "./createTargetExchange.js";
 import { findAnswerKind } from "./findAnswerKind.js";
@@ -99,11 +99,13 @@
 
     /** Returns the reason why the target counts as unresponsive, or `undefined` if it does not. */
     findInactivity(): string | undefined {
-        const { grant, caller } = this.#options;
+        const { grant, caller, watchesTarget, getRunningTime } = this.#options;
         if (this.#isConnectLate) {
             return TargetExchange.CONNECT_TIMEOUT;
         }
-        return findInactivity({
+        return findSilence({
+            activity: watchesTarget ? grant.target.activity : undefined,
+            now: getRunningTime(),
             inactiveMs: this.silentMs,
             hasEvents: this.hasEvents,
             objectiveMs: caller.request.route.objectiveMs,
--- a/src/router/forwardAttemptOptions.ts
+++ b/src/router/forwardAttemptOptions.ts
@@ -29,6 +29,8 @@
     readonly isBatching: () => boolean;
     /** Runs a handler; an unexpected error in it ends the request. */
     readonly runGuarded: (handler: () => void) => void;
+    /** Whether other responses of the target tell that it is unresponsive. */
+    readonly watchesTarget: boolean;
     /** Returns whether the target is still listed as one that stays. */
     readonly isListed: () => boolean;
     /** Called before a byte of the request is written to the target. */
--- a/src/router/targetExchange.ts
+++ b/src/router/targetExchange.ts
@@ -49,6 +49,11 @@
         return this.#isWritten;
     }
 
+    /** True once the connection has taken the whole request. */
+    get isSent(): boolean {
+        return this.#request?.writableFinished === true;
+    }
+
     /** True if the connection has carried no other request. */
     get isFirstOnConnection(): boolean {
         return this.#request?.reusedSocket === false;
--- a/test/router/forwardAttempt.test.ts
+++ b/test/router/forwardAttempt.test.ts
@@ -2,15 +2,9 @@
 import { once } from "node:events";
 import { createServer, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { platformWireFormat } from "../../src/platform/platformWireFormat.js";
-import type { CallerExchange } from "../../src/router/callerExchange.js";
-import { CallerResponse } from "../../src/router/callerResponse.js";
 import { ForwardAttempt } from "../../src/router/forwardAttempt.js";
 import { TargetAgent } from "../../src/router/targetAgent.js";
-import { createLimiter } from "../testing/createLimiter.js";
-import { createTargetNotices } from "../testing/createTargetNotices.js";
-import { createTargetStarts } from "../testing/createTargetStarts.js";
-import { makeRequestMemory } from "../testing/router/makeRequestMemory.js";
+import { makeAttemptOptions } from "../testing/router/makeAttemptOptions.js";
 import { createScheduler } from "../testing/scheduler/createScheduler.js";
 import { enqueueRequest } from "../testing/scheduler/enqueueRequest.js";
 import { makeRoutedRequest } from "../testing/scheduler/makeRoutedRequest.js";
@@ -47,37 +41,12 @@
         throw new Error("The request was granted no target.");
     }
     return new Promise<string>(resolve => {
-        ForwardAttempt.create({
+        ForwardAttempt.create(makeAttemptOptions(request, {
             grant,
-            caller: {
-                incoming: { method: "POST", url: "/" },
-                head: { forwardedHeaders: ["Host", "h", "Request-Id", request.requestId] },
-                request,
-                body: undefined,
-            } as unknown as CallerExchange,
-            response: CallerResponse.create({
-                response: { writeHead: () => undefined, write: () => true } as unknown as ServerResponse,
-                wire: platformWireFormat,
-                requestId: request.requestId,
-            }),
-            wire: platformWireFormat,
             agent,
-            memory: makeRequestMemory(1_000_000),
-            limits: createLimiter(),
-            notices: createTargetNotices(),
-            targetStarts: createTargetStarts(),
-            getNow: () => 0,
-            getRunningTime: () => 0,
-            isBatching: () => false,
-            runGuarded: handler => handler(),
-            isListed: () => true,
-            onWritten: () => undefined,
-            onProgress: () => undefined,
-            onFirstEvent: () => undefined,
-            onPassed: () => undefined,
             onComplete: () => resolve("complete"),
             onFail: (_, failure) => resolve(failure),
-        }).send();
+        })).send();
     });
 }
 
--- a/test/router/silenceHandler.test.ts
+++ b/test/router/silenceHandler.test.ts
@@ -11,6 +11,7 @@
     readonly plan: ReturnType<Options["planNextAttempt"]>;
     readonly hasRetry: boolean;
     readonly hasTarget: boolean;
+    readonly reason?: string;
 }
 
 const FREE: Situation = { isStream: true, isSuspect: false, plan: "retry", hasRetry: true, hasTarget: true };
@@ -44,7 +45,7 @@
             running,
             findSilence: (at: number) => {
                 now = at;
-                return running.length > 0 ? "silent" : undefined;
+                return running.length > 0 ? situation.reason ?? "silent" : undefined;
             },
             listUsedTargets: () => new Set(["t1"]),
             pause: () => {
@@ -97,3 +98,19 @@
     handler.check(280);
     t.is(looks.at(-1), 280);
 });
+
+// With no target that answers, a request that moves or ends early would lose the answer of one that goes on.
+test("all targets are unresponsive: the attempt goes on", t => {
+    const { handler, steps } = createHandler({ ...FREE, reason: "unresponsive", hasTarget: false });
+    handler.check(0);
+    t.deepEqual(steps, []);
+    t.is(handler.lacking, "no-target");
+});
+
+// Silence that is found sooner must not send more attempts than the budget allows.
+test("unresponsive target without a retry budget: the attempt goes on", t => {
+    const { handler, steps } = createHandler({ ...FREE, reason: "unresponsive", hasRetry: false });
+    handler.check(0);
+    t.deepEqual(steps, []);
+    t.is(handler.lacking, "no-retry-budget");
+});
