--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -25,6 +25,8 @@
     readonly getTokensPerSecond: () => number;
     /** Tells whether accounts within their share lack capacity. @default accounts over their share always yield */
     readonly pressure?: AdmissionPressure | undefined;
+    /** Whether refused requests of a service are promised capacity. @default they are where targets report how long work takes */
+    readonly usesReservations?: ((service: string) => boolean) | undefined;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
     /** Whether a new stream that may be taken up later may begin at a target. */
--- a/src/core/routing/targetState.ts
+++ b/src/core/routing/targetState.ts
@@ -1,3 +1,4 @@
+import { TargetActivity } from "../silence/targetActivity.js";
 import type { LoadStatement } from "../targetSpeed/loadStatement.js";
 import { ServiceSpeeds } from "../targetSpeed/serviceSpeeds.js";
 import type { SpeedObservation } from "../targetSpeed/speedObservation.js";
@@ -33,6 +34,7 @@
     readonly coldBucket: RateBucket;
     readonly speed: TargetSpeed;
     readonly #serviceSpeeds: ServiceSpeeds;
+    readonly activity = TargetActivity.create();
     descriptor: TargetDescriptor;
     inFlight = 0;
     pendingTokens = 0;
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -23,6 +23,7 @@
     mayGoOn: (target: TargetDescriptor) => boolean = () => true,
     getRandom: () => number = () => 0,
     spill?: SpillInputs,
+    usesReservations?: (service: string) => boolean,
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -56,6 +57,7 @@
         mayBegin,
         mayGoOn,
         spill,
+        usesReservations,
     });
     return { scheduler, usage };
 }
