--- a/src/core/admission/admissionPressure.ts
+++ b/src/core/admission/admissionPressure.ts
@@ -7,6 +7,8 @@
     readonly validUntil: number;
 }
 
+type OnChange = (isShort: boolean, unmetPerSecond: number) => void;
+
 /** Time constant of the refused tokens: refused callers come back after 250 ms at the earliest, so older refusals are moot. */
 const REFUSED_WINDOW_MS = 500;
 /** Time in milliseconds for which a refusal shows that capacity is contended; a refused caller may be back by then. */
@@ -19,6 +21,8 @@
  * taken from accounts beyond their share; otherwise it would stay idle.
  */
 export class AdmissionPressure {
+    readonly #onChange: OnChange | undefined;
+    #wasShort = false;
     /** Refused tokens of accounts within their share. */
     readonly #unmet = DecayingSum.create(REFUSED_WINDOW_MS);
     /** Monotonic times in milliseconds of the last refusal, whosever request it was, and of the last one within a share. */
@@ -27,9 +31,13 @@
     /** Unmet demand by the instance or data centre that reported it. */
     readonly #reported = new Map<string, ReportedDemand>();
 
-    /** Creates a pressure without refusals. */
-    static create(): AdmissionPressure {
-        return new AdmissionPressure();
+    private constructor(onChange: OnChange | undefined) {
+        this.#onChange = onChange;
+    }
+
+    /** Creates a pressure without refusals; `onChange` is called when capacity has become short or is not short any more. */
+    static create(onChange?: OnChange): AdmissionPressure {
+        return new AdmissionPressure(onChange);
     }
 
     /** Records a request that was refused for want of capacity. */
@@ -71,8 +79,13 @@
      * a small account asks for; elsewhere more than a small part of the capacity has to be lacking.
      */
     isShort(capacityPerSecond: number, now: number): boolean {
-        return now - this.#unmetAt < CONTENDED_MS
-            || this.sumUnmet(now) > capacityPerSecond * MAX_UNMET_RATIO;
+        const unmet = this.sumUnmet(now);
+        const isShort = now - this.#unmetAt < CONTENDED_MS || unmet > capacityPerSecond * MAX_UNMET_RATIO;
+        if (isShort !== this.#wasShort) {
+            this.#wasShort = isShort;
+            this.#onChange?.(isShort, unmet);
+        }
+        return isShort;
     }
 
     /** Returns whether this instance has just refused a request, whosever it was. */
--- a/src/core/routing/accountShares.ts
+++ b/src/core/routing/accountShares.ts
@@ -61,7 +61,10 @@
 
     /** Records a request of an account that was refused for want of capacity. */
     recordRefusal(account: string, tokens: number, now: number): void {
-        this.#options.pressure?.recordRefusal(tokens, this.getStatus(account, now).shareRatio <= 1, now);
+        const { pressure, isWorkConserving } = this.#options;
+        if (pressure && isWorkConserving?.() === true) {
+            pressure.recordRefusal(tokens, this.getStatus(account, now).shareRatio <= 1, now);
+        }
     }
 
     #getContendedStatus(
--- a/src/router/createRoutingState.ts
+++ b/src/router/createRoutingState.ts
@@ -36,7 +36,9 @@
 ): RoutingState {
     const crashRecord = createCrashRecord(settings.instance, log, callbacks.countInstances);
     return {
-        pressure: AdmissionPressure.create(),
+        pressure: AdmissionPressure.create((isShort, unmetPerSecond) =>
+            log.write("capacity-short-changed", { isShort, unmetPerSecond: Math.round(unmetPerSecond) })
+        ),
         usage: AccountUsage.create(USAGE_WINDOW_MS),
         promptLocations: PromptLocations.create(),
         crashRecord,
--- a/src/router/registerGauges.ts
+++ b/src/router/registerGauges.ts
@@ -8,7 +8,7 @@
 
 interface GaugeSources {
     readonly log: Pick<LogSink, "droppedTotal">;
-    readonly state: Pick<RoutingState, "limits" | "crashRecord">;
+    readonly state: Pick<RoutingState, "limits" | "crashRecord" | "pressure">;
     readonly loadObserver: Pick<LoadObserver, "loopDelayMs">;
     readonly memory: Pick<MemoryGuard, "budget" | "isScarce" | "residentBytes">;
     readonly countActive: () => number;
@@ -20,7 +20,7 @@
 
 /** Registers the gauges of a router. */
 export function registerGauges(metrics: RouterMetrics, sources: GaugeSources): void {
-    const { log, state: { limits, crashRecord }, loadObserver, memory } = sources;
+    const { log, state: { limits, crashRecord, pressure }, loadObserver, memory } = sources;
     metrics.registerGauges({
         requests_active: sources.countActive,
         lag_ms: () => loadObserver.loopDelayMs,
@@ -28,6 +28,7 @@
         peers_live: sources.countPeers,
         connections_open: () => sources.getAdmission()?.openConnections ?? 0,
         accept_wait_ms: () => sources.getAdmission()?.acceptWaitMs ?? 0,
+        unmet_tokens_per_second: () => pressure.sumUnmet(performance.now()),
         targets_limited: () => limits.limitedCount,
         prompt_parts_blocked: () => crashRecord.countBlocked("part"),
         requests_blocked: () => crashRecord.countBlocked("request"),
