Routing: the scheduler explains its decision on a request without a change

Cause: an operator could not see where a request would be routed now and why, short of sending it.

Change: DecisionExplainer runs findRetryDelay and the decision of enqueue on a request that does not exist. The decision is the same code up to the reservation; demand, refusals and reservations are not recorded, the reused share is not renewed, the token buckets of cold targets are restored, and peers are not told of a new version.

--- /dev/null
+++ b/src/core/explain/route/decisionExplainer.ts
@@ -0,0 +1,133 @@
+import type { LimitGate } from "../../limits/limitGate.js";
+import type { AccountShares } from "../../routing/accountShares.js";
+import type { AccountUsage } from "../../routing/accountUsage.js";
+import { countRequestTokens } from "../../routing/countRequestTokens.js";
+import type { RoutedRequest } from "../../routing/routedRequest.js";
+import type { SchedulerDecision } from "../../routing/schedulerDecision.js";
+import type { TargetEligibility } from "../../routing/targetEligibility.js";
+import type { TargetGranter } from "../../routing/targetGranter.js";
+import type { TargetState } from "../../routing/targetState.js";
+import type { WaitingRequest } from "../../routing/waitingRequest.js";
+import { findReason } from "./findReason.js";
+import type { SchedulerExplanation } from "./schedulerExplanation.js";
+
+interface DecisionExplainerOptions {
+    readonly usage: AccountUsage;
+    readonly limits: LimitGate;
+    readonly shares: AccountShares;
+    readonly eligibility: TargetEligibility;
+    /** Targets of the service by identifier. */
+    readonly targets: ReadonlyMap<string, TargetState>;
+    readonly granter: TargetGranter;
+    /** Returns the retry delay in milliseconds of a request whose account is excluded before its body is read. */
+    readonly findRetryDelay: (request: RoutedRequest, now: number) => number | undefined;
+    /** Decides on a new request; while `isActive`, without an effect. */
+    readonly add: (waiting: WaitingRequest, now: number) => SchedulerDecision;
+}
+
+/**
+ * Runs the decision of a scheduler on a request that does not exist. All that a decision counts or reserves goes through this
+ * class, or depends on `isActive`; token buckets, which refill as they are read, are restored.
+ */
+export class DecisionExplainer {
+    readonly #options: DecisionExplainerOptions;
+    #isActive = false;
+
+    private constructor(options: DecisionExplainerOptions) {
+        this.#options = options;
+    }
+
+    /** Creates an explainer of the decisions of one scheduler. */
+    static create(options: DecisionExplainerOptions): DecisionExplainer {
+        return new DecisionExplainer(options);
+    }
+
+    /** True while a decision is only explained, which must change nothing. */
+    get isActive(): boolean {
+        return this.#isActive;
+    }
+
+    /**
+     * Returns the fair-share status of a request's account.
+     *
+     * @param isCounted True if the demand of the request has been recorded, unless it is only explained. @default false
+     */
+    getStatus(
+        request: RoutedRequest,
+        now: number,
+        isCounted = false,
+    ): ReturnType<AccountShares["getStatus"]> {
+        const { shares } = this.#options;
+        return this.#isActive
+            ? shares.estimateStatus(request.account, now, isCounted ? countRequestTokens(request) : undefined)
+            : shares.getStatus(request.account, now);
+    }
+
+    /** Records the demand of a request's account, unless the request is only explained. */
+    addDemand(request: RoutedRequest, now: number): void {
+        if (!this.#isActive) {
+            this.#options.usage.addDemand(request.account, countRequestTokens(request), now);
+        }
+    }
+
+    /** Records a request for a service, unless it is only explained. */
+    addRequest(service: string, now: number): void {
+        if (!this.#isActive) {
+            this.#options.limits.addRequest(service, now);
+        }
+    }
+
+    /** Records a refusal because no target had capacity, unless the request is only explained. */
+    addRefusal(service: string, now: number): void {
+        if (!this.#isActive) {
+            this.#options.limits.addRefusal(service, now);
+        }
+    }
+
+    /** Returns what would be decided on a new request now, and how the targets of the service compare. */
+    explain(request: RoutedRequest, now: number): SchedulerExplanation {
+        const restores = [...this.#options.targets.values()].map(({ coldBucket }) => coldBucket.keep());
+        this.#isActive = true;
+        try {
+            return this.#explain(makeWaiting(request), now);
+        }
+        finally {
+            this.#isActive = false;
+            restores.forEach(restore => restore());
+        }
+    }
+
+    #explain(waiting: WaitingRequest, now: number): SchedulerExplanation {
+        const { eligibility, targets, granter, findRetryDelay, add } = this.#options;
+        const { request } = waiting;
+        const retryAfterMs = findRetryDelay(request, now);
+        const status = this.getStatus(request, now, true);
+        const compared = granter.compareTargets(waiting, status.kind !== "within", now);
+        const results = [...targets.values()].map(target => ({
+            target,
+            result: compared.get(target) ?? findReason(target, request, eligibility, now),
+        }));
+        return {
+            status,
+            decision: retryAfterMs === undefined
+                ? add(waiting, now)
+                : { kind: "refused", reason: "over-share", retryAfterMs },
+            candidates: results.flatMap(({ result }) => typeof result === "string" ? [] : [result])
+                .sort((a, b) => a.score - b.score),
+            leftOut: results.flatMap(({ target: { descriptor }, result }) =>
+                typeof result === "string" ? [{ target: descriptor, reason: result }] : []
+            ),
+        };
+    }
+}
+
+function makeWaiting(request: RoutedRequest): WaitingRequest {
+    return {
+        request,
+        excludedTargets: new Set(),
+        isResume: false,
+        onGrant: () => undefined,
+        onRefuse: () => undefined,
+        onError: () => undefined,
+    };
+}
--- /dev/null
+++ b/src/core/explain/route/schedulerExplanation.ts
@@ -0,0 +1,16 @@
+import type { AccountShares } from "../../routing/accountShares.js";
+import type { SchedulerDecision } from "../../routing/schedulerDecision.js";
+import type { TargetCandidate } from "../../routing/targetCandidate.js";
+import type { TargetDescriptor } from "../../routing/targetDescriptor.js";
+
+/** What the scheduler of a service would decide on a request now, and why. */
+export interface SchedulerExplanation {
+    readonly status: ReturnType<AccountShares["getStatus"]>;
+    readonly decision:
+        | SchedulerDecision
+        | { readonly kind: "refused"; readonly reason: "over-share"; readonly retryAfterMs: number; };
+    /** Targets with capacity for the request, the lowest score first. */
+    readonly candidates: readonly TargetCandidate[];
+    /** Other targets of the service, and why the request would not be sent there. */
+    readonly leftOut: readonly { readonly target: TargetDescriptor; readonly reason: string; }[];
+}
--- a/src/core/routing/accountShares.ts
+++ b/src/core/routing/accountShares.ts
@@ -33,28 +33,45 @@
      * `excluded`, it gets nothing until its usage has decayed, or its rate has fallen to its share.
      */
     getStatus(account: string, now: number): FairShareStatus {
+        return this.#compare(account, this.#getShare(now), now);
+    }
+
+    /**
+     * Returns what `getStatus` would, but leaves the share that it reuses as it is.
+     *
+     * @param asked Tokens of a request whose demand would have been recorded; `undefined` if there is none.
+     */
+    estimateStatus(account: string, now: number, asked?: number): FairShareStatus {
+        const share = now >= this.#validUntil ? this.#computeShare(now) : this.#share;
+        return this.#compare(account, share, now, asked);
+    }
+
+    #compare(account: string, share: number, now: number, asked?: number): FairShareStatus {
         const { usage } = this.#options;
-        const share = this.#getShare(now);
         const shareRatio = usage.getGranted(account, now) / share;
         if (shareRatio <= 1) {
             return { kind: "within", shareRatio, returnMs: 0 };
         }
         // What it used while others left capacity idle must not keep it from its share now.
-        return shareRatio > MAX_SHARE_RATIO && !usage.isWithinRate(account, share, now)
+        return shareRatio > MAX_SHARE_RATIO && !usage.isWithinRate(account, share, now, asked)
             ? { kind: "excluded", shareRatio, returnMs: usage.windowMs * Math.log(shareRatio) }
             : { kind: "over", shareRatio, returnMs: 0 };
     }
 
     #getShare(now: number): number {
         if (now >= this.#validUntil) {
-            const rate = this.#options.getTokensPerSecond();
-            this.#share = rate > 0
-                ? this.#options.usage.computeShare(rate * CACHE_HIT_FACTOR, now)
-                : Number.POSITIVE_INFINITY;
+            this.#share = this.#computeShare(now);
             this.#validUntil = now + SHARE_VALIDITY_MS;
         }
         return this.#share;
     }
+
+    #computeShare(now: number): number {
+        const rate = this.#options.getTokensPerSecond();
+        return rate > 0
+            ? this.#options.usage.computeShare(rate * CACHE_HIT_FACTOR, now)
+            : Number.POSITIVE_INFINITY;
+    }
 }
 
 interface FairShareStatus {
--- a/src/core/routing/rateBucket.ts
+++ b/src/core/routing/rateBucket.ts
@@ -15,6 +15,15 @@
         return new RateBucket(burst, now);
     }
 
+    /** Returns a function that undoes all later changes, so that a decision can be explained without an effect on the bucket. */
+    keep(): () => void {
+        const [tokens, refilledAt] = [this.#tokens, this.#refilledAt];
+        return () => {
+            this.#tokens = tokens;
+            this.#refilledAt = refilledAt;
+        };
+    }
+
     /**
      * Returns whether there are enough tokens, without taking one.
      *
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,5 +1,5 @@
+import { DecisionExplainer } from "../explain/route/decisionExplainer.js";
 import { AccountShares } from "./accountShares.js";
-import { countRequestTokens } from "./countRequestTokens.js";
 import { EngineModel } from "./engineModel.js";
 import { findWaitDeadline } from "./findWaitDeadline.js";
 import { limitRetryAfter } from "./limitRetryAfter.js";
@@ -10,6 +10,7 @@
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
 import type { SchedulerDecision } from "./schedulerDecision.js";
+import { resolveAll } from "./scheduling/resolveAll.js";
 import type { ServiceSchedulerOptions } from "./serviceSchedulerOptions.js";
 import { sortWaiting } from "./sortWaiting.js";
 import type { TargetDescriptor } from "./targetDescriptor.js";
@@ -29,7 +30,8 @@
     readonly #granter: TargetGranter;
     /** What the targets of the service let a request expect. */
     readonly prospects: RequestProspects;
-    readonly #shares: AccountShares;
+    /** Explains what `findRetryDelay` and `enqueue` would decide on a new request; changes nothing. */
+    readonly explainer: DecisionExplainer;
     readonly #engineModel: EngineModel;
     readonly #waits: WaitEstimator;
     #service: RoutedService;
@@ -40,7 +42,7 @@
     private constructor(options: ServiceSchedulerOptions) {
         this.#options = options;
         this.#service = options.service;
-        this.#shares = AccountShares.create({
+        const shares = AccountShares.create({
             usage: options.usage,
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
         });
@@ -49,6 +51,7 @@
             ...options,
             targets: this.#targets,
             getEvacuated: () => this.#evacuated,
+            mayBegin: target => options.mayBegin(target, this.explainer.isActive),
         });
         this.prospects = RequestProspects.create(eligibility, () => this.#targets.size);
         this.#granter = TargetGranter.create({
@@ -57,6 +60,16 @@
             engineModel: this.#engineModel,
             targets: this.#targets,
             getService: () => this.#service,
+            isExplaining: () => this.explainer.isActive,
+        });
+        this.explainer = DecisionExplainer.create({
+            ...options,
+            shares,
+            eligibility,
+            targets: this.#targets,
+            granter: this.#granter,
+            findRetryDelay: (...args) => this.findRetryDelay(...args),
+            add: (...args) => this.#add(...args),
         });
         this.#waits = WaitEstimator.create({
             ...options,
@@ -103,27 +116,28 @@
 
     /** Adds a request, which is granted a target or refused, now or later. */
     enqueue(waiting: WaitingRequest, now: number): void {
-        if (this.#waiting.length >= MAX_WAITING && !waiting.isResume) {
-            waiting.onRefuse({
-                reason: "overloaded",
-                retryAfterMs: limitRetryAfter(Number.POSITIVE_INFINITY, waiting.request.requestId),
-            });
-            return;
-        }
-        const { usage, crashRecord, limits } = this.#options;
-        limits.addRequest(this.#service.name, now);
-        if (!waiting.isResume && !crashRecord.findRefusal(waiting.request, now)) {
-            usage.addDemand(waiting.request.account, countRequestTokens(waiting.request), now);
-        }
-        // Requests already waiting could not use the free slots, so only the new one is tried.
-        const countAhead = (): number => this.#waits.countAhead(waiting, this.#waiting, now);
-        const decision = this.#resolve(waiting, new Set(), countAhead, now);
+        const decision = this.#add(waiting, now);
         if (decision.kind === "waiting") {
             this.#waiting.push(waiting);
         }
         notifyWaiting(waiting, decision);
     }
 
+    #add(waiting: WaitingRequest, now: number): SchedulerDecision {
+        const { request, isResume } = waiting;
+        if (this.#waiting.length >= MAX_WAITING && !isResume) {
+            const retryAfterMs = limitRetryAfter(Number.POSITIVE_INFINITY, request.requestId);
+            return { kind: "refused", reason: "overloaded", retryAfterMs };
+        }
+        this.explainer.addRequest(this.#service.name, now);
+        if (!isResume && !this.#options.crashRecord.findRefusal(request, now)) {
+            this.explainer.addDemand(request, now);
+        }
+        // Requests already waiting could not use the free slots, so only the new one is tried.
+        const countAhead = (): number => this.#waits.countAhead(waiting, this.#waiting, now);
+        return this.#resolve(waiting, new Set(), countAhead, now);
+    }
+
     /**
      * Grants a target with capacity to a request beside its attempt in progress; returns `undefined` if there is none now.
      *
@@ -135,7 +149,7 @@
         now: number,
     ): TargetGrant | undefined {
         const { crashRecord, limits } = this.#options;
-        const { kind } = this.#shares.getStatus(request.account, now);
+        const { kind } = this.explainer.getStatus(request, now);
         const isRefused = kind === "excluded" || crashRecord.findRefusal(request, now);
         const grant = isRefused
             ? undefined
@@ -148,11 +162,11 @@
 
     /** Returns the retry delay in milliseconds if the account is excluded; the request then still counts as demand. */
     findRetryDelay(request: RoutedRequest, now: number): number | undefined {
-        const { kind, returnMs } = this.#shares.getStatus(request.account, now);
+        const { kind, returnMs } = this.explainer.getStatus(request, now);
         if (kind !== "excluded") {
             return undefined;
         }
-        this.#options.usage.addDemand(request.account, countRequestTokens(request), now);
+        this.explainer.addDemand(request, now);
         return limitRetryAfter(returnMs, request.requestId);
     }
 
@@ -189,29 +203,12 @@
         if (this.#waiting.length === 0) {
             return;
         }
-        const blocked = new Set<string>();
-        const decided = sortWaiting(this.#waiting, this.#options.usage, now).map((waiting, i) =>
-            [waiting, this.#tryResolve(waiting, blocked, () => i, now)] as const
-        );
+        const sorted = sortWaiting(this.#waiting, this.#options.usage, now);
+        const decided = resolveAll(sorted, (...args) => this.#resolve(...args, now));
         this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
         decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision));
     }
 
-    /** Decides on one request; an unexpected error must not keep the others of the same pass from their grants. */
-    #tryResolve(
-        waiting: WaitingRequest,
-        blocked: Set<string>,
-        countAhead: () => number,
-        now: number,
-    ): SchedulerDecision {
-        try {
-            return this.#resolve(waiting, blocked, countAhead, now);
-        }
-        catch (error) {
-            return { kind: "failed", error };
-        }
-    }
-
     /**
      * Decides on one request.
      *
@@ -229,7 +226,7 @@
         if (refusal) {
             return { kind: "refused", reason: refusal.reason, retryAfterMs: refusal.until - now };
         }
-        const { kind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
+        const { kind, shareRatio, returnMs } = this.explainer.getStatus(request, now, true);
         const isExcluded = kind === "excluded";
         const grant = isExcluded ? undefined : this.#granter.tryGrant(waiting, kind === "over", blocked, now);
         if (grant) {
@@ -248,7 +245,7 @@
         if (isResume || (!isExcluded && now < waitDeadline && now + permitMs < waitDeadline)) {
             return { kind: "waiting" };
         }
-        this.#options.limits.addRefusal(this.#service.name, now);
+        this.explainer.addRefusal(this.#service.name, now);
         return {
             kind: "refused",
             reason: this.#targets.size === 0 ? "no-target" : "overloaded",
--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -21,8 +21,11 @@
     readonly getTokensPerSecond: () => number;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
-    /** Whether a new stream that may be taken up later may begin at a target. */
-    readonly mayBegin: (target: TargetDescriptor) => boolean;
+    /**
+     * Whether a new stream that may be taken up later may begin at a target. With `isExplaining`, nothing is done to make
+     * this possible.
+     */
+    readonly mayBegin: (target: TargetDescriptor, isExplaining: boolean) => boolean;
     /** Whether a stream may go on at a target that is listed with its version. */
     readonly mayGoOn: (target: TargetDescriptor) => boolean;
 }
--- a/src/core/routing/targetEligibility.ts
+++ b/src/core/routing/targetEligibility.ts
@@ -21,6 +21,15 @@
     readonly mayGoOn: (target: TargetDescriptor) => boolean;
 }
 
+type ExclusionReason =
+    | "version-differs"
+    | "restarted"
+    | "draining"
+    | "leaving"
+    | "region-not-allowed"
+    | "evacuated"
+    | "version-new";
+
 /** Decides which targets of a service a request may use, whatever their load. */
 export class TargetEligibility {
     readonly #options: TargetEligibilityOptions;
@@ -42,7 +51,7 @@
         const { targets, notices } = this.#options;
         let until = Number.POSITIVE_INFINITY;
         for (const { descriptor } of targets.values()) {
-            if (excludedTargets.has(descriptor.id) || !this.#isPermitted(descriptor, request)) {
+            if (excludedTargets.has(descriptor.id) || this.#findLastingExclusion(descriptor, request)) {
                 continue;
             }
             const pausedUntil = notices.getPausedUntil(descriptor);
@@ -67,19 +76,39 @@
      * centre and region are allowed.
      */
     isUsable(descriptor: TargetDescriptor, request: RoutedRequest): boolean {
+        return this.findExclusion(descriptor, request) === undefined;
+    }
+
+    /** Returns why a target may get no request, in the words of `explain route`; `undefined` if it may get it. */
+    findExclusion(descriptor: TargetDescriptor, request: RoutedRequest): ExclusionReason | undefined {
+        const lasting = this.#findLastingExclusion(descriptor, request);
+        if (lasting !== undefined) {
+            return lasting;
+        }
+        if (this.#options.getEvacuated().has(descriptor.dataCentre)) {
+            return "evacuated";
+        }
         const isNewStream = request.route.isResumable && request.origin === undefined;
-        return this.#isPermitted(descriptor, request)
-            && !this.#options.getEvacuated().has(descriptor.dataCentre)
-            && (!isNewStream || this.#options.mayBegin(descriptor));
+        return isNewStream && !this.#options.mayBegin(descriptor) ? "version-new" : undefined;
     }
 
     /** The same without what may end at any moment: an evacuation, or the time in which a version gets no new streams. */
-    #isPermitted(descriptor: TargetDescriptor, request: RoutedRequest): boolean {
+    #findLastingExclusion(descriptor: TargetDescriptor, request: RoutedRequest): ExclusionReason | undefined {
+        if (!hasVersion(descriptor, request)) {
+            return "version-differs";
+        }
+        if (request.origin !== undefined && !this.#options.mayGoOn(descriptor)) {
+            return "restarted";
+        }
+        if (descriptor.isDraining) {
+            return "draining";
+        }
+        if (this.#options.notices.isLeaving(descriptor)) {
+            return "leaving";
+        }
         const region = this.#options.settings.regionsByDataCentre.get(descriptor.dataCentre) ?? "";
-        const mayGoOn = request.origin === undefined || this.#options.mayGoOn(descriptor);
-        return hasVersion(descriptor, request) && mayGoOn && !descriptor.isDraining
-            && !this.#options.notices.isLeaving(descriptor)
-            && (request.regions.length === 0 || request.regions.includes(region));
+        const isAllowed = request.regions.length === 0 || request.regions.includes(region);
+        return isAllowed ? undefined : "region-not-allowed";
     }
 
     /** Returns the monotonic time in milliseconds until which a target wants no requests of this instance. */
--- a/src/core/routing/targetGranter.ts
+++ b/src/core/routing/targetGranter.ts
@@ -11,6 +11,8 @@
 interface TargetGranterOptions extends TargetPickerOptions {
     readonly crashRecord: CrashRecord;
     readonly usage: AccountUsage;
+    /** True while a decision is only explained, so that nothing is reserved. */
+    readonly isExplaining: () => boolean;
 }
 
 /** Picks targets with capacity and reserves it. */
@@ -28,6 +30,13 @@
         return new TargetGranter(options);
     }
 
+    /** Scores the targets for a request as `tryGrant` does; reserves nothing. */
+    compareTargets(
+        ...args: Parameters<TargetPicker["compareTargets"]>
+    ): ReturnType<TargetPicker["compareTargets"]> {
+        return this.#picker.compareTargets(...args);
+    }
+
     /**
      * Grants a request the best target; returns `undefined` if none has capacity now.
      *
@@ -46,6 +55,9 @@
             return undefined;
         }
         const candidate = this.#picker.pick(waiting, isOverShare, now);
+        if (candidate && this.#options.isExplaining()) {
+            return candidate.grant;
+        }
         if (candidate) {
             return reserveTarget(this.#options, request, candidate, now);
         }
--- a/src/router/createServicePool.ts
+++ b/src/router/createServicePool.ts
@@ -17,7 +17,8 @@
     return ServicePool.create({
         ...options,
         ...state,
-        mayBegin: target => !targetStarts.isRestarted(target) && streamOrigins.mayBegin(target, getNow()),
+        mayBegin: (target, isExplaining) =>
+            !targetStarts.isRestarted(target) && streamOrigins.mayBegin(target, getNow(), isExplaining),
         mayGoOn: target => targetStarts.mayGoOn(target),
     });
 }
--- a/src/router/newVersionNotices.ts
+++ b/src/router/newVersionNotices.ts
@@ -70,6 +70,19 @@
         return notice?.isKnown ?? false;
     }
 
+    /** Returns what `notify` would, and tells nobody: a new notice is known at once if there is no other instance. */
+    mayBeKnown(service: string, version: string | null, now: number): boolean {
+        const { startedAt, maxDelayMs, listMembers, instance } = this.#options;
+        const known = this.#find(service, version);
+        if (known || now - startedAt < maxDelayMs || this.#notices.size >= MAX_NOTICES) {
+            return known?.isKnown ?? false;
+        }
+        const isDue = now >= this.#nextMembersAt;
+        const hasLive = isDue && listMembers().some(({ name }) => name !== instance);
+        return !hasLive
+            && ![...this.#liveAt.values()].some(at => !isDue || now - at <= maxDelayMs + MEMBERS_INTERVAL_MS);
+    }
+
     /** Records that a peer tells all instances of a version, and confirms it. */
     accept(service: string, version: string | null, host: string, now: number): void {
         if (!this.#find(service, version)) {
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -24,7 +24,7 @@
         limitPerSecond: number,
     ) => { readonly perSecond: number; readonly burst: number; } | undefined;
     /** Whether a new stream that may be taken up later may begin at a target. */
-    readonly mayBegin: (target: TargetDescriptor) => boolean;
+    readonly mayBegin: (target: TargetDescriptor, isExplaining: boolean) => boolean;
     /** Whether a stream may go on at a target that is listed with its version. */
     readonly mayGoOn: (target: TargetDescriptor) => boolean;
 }
--- a/src/router/streamOrigins.ts
+++ b/src/router/streamOrigins.ts
@@ -99,11 +99,19 @@
         this.#certainty.recordConfirmation(at, this.#options.getNow());
     }
 
-    /** Returns whether a new stream of a resumable route may begin at a target. */
-    mayBegin({ service, version }: TargetDescriptor, now: number): boolean {
+    /**
+     * Returns whether a new stream of a resumable route may begin at a target.
+     *
+     * @param isExplaining True if peers are not to be told of a version that they do not know.
+     */
+    mayBegin({ service, version }: TargetDescriptor, now: number, isExplaining = false): boolean {
         const standing = this.#certainty.findStanding(service, version, now);
-        return standing === "established"
-            || (standing === "alone" && this.#notices.notify(service, version ?? null, now));
+        if (standing !== "alone") {
+            return standing === "established";
+        }
+        return isExplaining
+            ? this.#notices.mayBeKnown(service, version ?? null, now)
+            : this.#notices.notify(service, version ?? null, now);
     }
 
     /**
