Tests: random states change shares between an explanation and the next decision

Cause: with the reused share renewed, or token buckets refilled, by an explanation, the test still passed: shares didn't change between an explanation and the decision after it, and states of neighbouring seeds were alike.

Change: ten explanations in each series, each followed by a report of usage and another share of cold targets; the generator runs 50 numbers ahead.

--- a/test/core/explain/route/decisionExplainer.test.ts
+++ b/test/core/explain/route/decisionExplainer.test.ts
@@ -40,17 +40,24 @@
         : decision;
 }
 
-/** Decides on ten requests, the first one at the time of the state, and advances the waiting ones in between. */
+/** Decides on ten requests; a moment before each, another request may be explained, and shares then change. */
 function resolveSeries(seed: number, isExplained: boolean): readonly object[] {
-    const { scheduler, now, random, makeRequest } = buildRandomState(seed);
-    const first = makeRequest(now);
-    if (isExplained) {
-        scheduler.explainer.explain(first, now);
-    }
+    const { scheduler, usage, changeColdShare, now, random, makeRequest } = buildRandomState(seed);
+    let at = now;
     return Array.from({ length: 10 }, (_, i) => {
-        const at = now + i * 45 * random();
-        scheduler.advance(at);
-        const outcome = resolveNow(scheduler, i === 0 ? first : makeRequest(at), at);
+        at += 50 * random();
+        const explained = makeRequest(at);
+        if (isExplained) {
+            scheduler.explainer.explain(explained, at);
+        }
+        at += 10 * random();
+        changeColdShare();
+        const tokens = new Map([["c", { asked: 40_000 * random(), granted: 20_000 * random() }]]);
+        usage.setPeerUsage("q", { tokens, validUntil: at + 400 });
+        if (i % 2 > 0) {
+            scheduler.advance(at);
+        }
+        const outcome = resolveNow(scheduler, makeRequest(at), at);
         const targets = [...scheduler.targets.values()].map(({ inFlight, pendingTokens }) => [
             inFlight,
             pendingTokens,
--- a/test/testing/explain/buildRandomState.ts
+++ b/test/testing/explain/buildRandomState.ts
@@ -1,5 +1,7 @@
+import type { AccountUsage } from "../../../src/core/routing/accountUsage.js";
 import type { RoutedRequest } from "../../../src/core/routing/routedRequest.js";
 import type { ServiceScheduler } from "../../../src/core/routing/serviceScheduler.js";
+import type { TargetCandidate } from "../../../src/core/routing/targetCandidate.js";
 import { createRandom } from "../../../src/standIns/client/createRandom.js";
 import { createCrashRecord } from "../createCrashRecord.js";
 import { createLimiter } from "../createLimiter.js";
@@ -12,6 +14,9 @@
 
 interface RandomState {
     readonly scheduler: ServiceScheduler;
+    readonly usage: AccountUsage;
+    /** Changes what the instance may send to cold targets, as when members come and go. */
+    readonly changeColdShare: () => void;
     readonly now: number;
     readonly random: () => number;
     readonly makeRequest: (now: number) => RoutedRequest;
@@ -22,9 +27,13 @@
 /** Builds the state of a scheduler after seconds of random load and faults; the same seed builds the same state again. */
 export function buildRandomState(seed: number): RandomState {
     const random = createRandom(seed);
+    // The first numbers of neighbouring seeds are much alike.
+    Array.from({ length: 50 }, random);
     const pick = <T>(...values: readonly T[]): T => values[Math.floor(random() * values.length)] as T;
     const [limits, notices, crashRecord] = [createLimiter(), createTargetNotices(), createCrashRecord()];
-    const coldShare = pick(undefined, { perSecond: 3, burst: 2 });
+    const pickColdShare = (): TargetCandidate["coldShare"] =>
+        pick(undefined, { perSecond: 3, burst: 2 }, { perSecond: 30, burst: 3 });
+    let coldShare = pickColdShare();
     const newVersion = pick("v2", "v1", "none", "none", "none");
     const { scheduler, usage } = createScheduler(
         pick(0, 1500, 6000, 60_000),
@@ -102,5 +111,8 @@
     targets.forEach(target =>
         notices.observe(target, { isLeaving: false, pauseMs, unusualHeaders: [] }, now)
     );
-    return { scheduler, now: now + pick(0, 1, 60), random, makeRequest };
+    const changeColdShare = (): void => {
+        coldShare = pickColdShare();
+    };
+    return { scheduler, usage, changeColdShare, now: now + pick(0, 1, 60), random, makeRequest };
 }
