Router: a page for operators explains a request

Cause: the decision of a router could only be read from its log after the fact.

Change: POST /explain/route on the metrics port resolves host, path, account or key, prompt parts and tokens through resolveRequest and the schedulers' explainer. Counter route_explanations_total, log event route-explained.

--- a/src/platform/lookupServer.ts
+++ b/src/platform/lookupServer.ts
@@ -6,6 +6,7 @@
 import { createGuardedListener } from "../router/createGuardedListener.js";
 import type { ErrorBoundary } from "../router/errorBoundary.js";
 import type { RouterSettings } from "../router/routerSettings.js";
+import { RoutePage } from "../shared/explain/routePage.js";
 import { limitServer } from "../shared/limitServer.js";
 import type { PortBinder } from "../shared/portBinder.js";
 import { ServerConnections } from "../shared/serverConnections.js";
@@ -21,6 +22,7 @@
     readonly listAddresses: (caller: Locality, callerHost: string) => readonly string[];
     readonly isReady: () => boolean;
     readonly renderMetrics: () => string;
+    readonly routePage: RoutePage;
     /** Called for each response, also for one without addresses. */
     readonly onLookup: (dataCentre: string, callerHost: string, addresses: readonly string[]) => void;
 }
@@ -72,7 +74,11 @@
             response.writeHead(options.isReady() ? 200 : SERVICE_UNAVAILABLE, { "Content-Length": "0" })
                 .end();
         });
-        const metrics = createGuarded("metrics", (_url, response) => {
+        const metrics = createGuarded("metrics", (url, response, incoming) => {
+            if (url.pathname === RoutePage.path) {
+                void options.routePage.serve(incoming, response);
+                return;
+            }
             const page = options.renderMetrics();
             response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" }).end(page);
         });
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -5,6 +5,7 @@
 import { computeServerLimits } from "../core/routing/computeServerLimits.js";
 import { planEnd } from "../core/routing/planEnd.js";
 import { ErrorBoundary } from "../router/errorBoundary.js";
+import { createRoutePage } from "../router/explain/createRoutePage.js";
 import { LogSink } from "../router/logSink.js";
 import { Router } from "../router/router.js";
 import { RouterMetrics } from "../router/routerMetrics.js";
@@ -99,6 +100,14 @@
         listAddresses: (caller, host) => router.listCallerAddresses(caller, host),
         isReady: () => router.isReady(),
         renderMetrics: () => metrics.render(),
+        routePage: createRoutePage({
+            settings: settings.router,
+            resolver: router.resolver,
+            log,
+            metrics,
+            errorBoundary,
+            getNow,
+        }),
         onLookup: (dataCentre, caller, addresses) =>
             log.write("addresses-answered", { dataCentre, caller, count: addresses.length }),
     });
--- a/src/router/requestResolver.ts
+++ b/src/router/requestResolver.ts
@@ -1,7 +1,10 @@
 import { findStopRefusal } from "../core/routing/findStopRefusal.js";
+import type { RequestAttributes } from "../core/routing/requestAttributes.js";
 import { resolveRequest } from "../core/routing/resolveRequest.js";
 import type { RoutedRequest } from "../core/routing/routedRequest.js";
 import { RouteDurations } from "../core/routing/routeDurations.js";
+import type { RouterConfiguration } from "../core/routing/routerConfiguration.js";
+import type { ServiceScheduler } from "../core/routing/serviceScheduler.js";
 import type { StopPlan } from "../core/routing/stopPlan.js";
 import { computePosition } from "../shared/computePosition.js";
 import type { DeploymentView } from "./deploymentView.js";
@@ -43,16 +46,8 @@
      * @param receivedAt Monotonic time in milliseconds.
      */
     resolve(head: RequestHead, path: string, receivedAt: number): ReturnType<typeof resolveRequest> {
-        const { view, servicePool, loadObserver, getStopPlan } = this.#options;
-        const resolved = resolveRequest(head, path, {
-            configuration: view.configuration,
-            isFresh: view.isFresh(),
-            isOverloaded: loadObserver.loopDelayMs > MAX_LOOP_DELAY_MS,
-            stopPlan: getStopPlan(),
-            estimateMs: request => this.#durations.estimate(request),
-            receivedAt,
-            random: pickPosition(head),
-        });
+        const { servicePool } = this.#options;
+        const resolved = this.explain(head, path, receivedAt, pickPosition(head));
         if (resolved.kind === "refused") {
             return resolved;
         }
@@ -66,6 +61,53 @@
         return { kind: "refused", status: SERVICE_UNAVAILABLE, reason: "over-share", retryAfterMs, account };
     }
 
+    /**
+     * Finds what `resolve` does, before the share of the account is looked at; changes nothing.
+     *
+     * @param position Uniformly distributed in [0, 1); it picks the service of the route.
+     */
+    explain(
+        attributes: RequestAttributes,
+        path: string,
+        receivedAt: number,
+        position: number,
+    ): ReturnType<typeof resolveRequest> {
+        const { view, loadObserver, getStopPlan } = this.#options;
+        return resolveRequest(attributes, path, {
+            configuration: view.configuration,
+            isFresh: view.isFresh(),
+            isOverloaded: loadObserver.loopDelayMs > MAX_LOOP_DELAY_MS,
+            stopPlan: getStopPlan(),
+            estimateMs: request => this.#durations.estimate(request),
+            receivedAt,
+            random: position,
+        });
+    }
+
+    /** Finds the scheduler of a service; `undefined` if no configuration has named it. */
+    findScheduler(service: string): ServiceScheduler | undefined {
+        return this.#options.servicePool.find(service)?.scheduler;
+    }
+
+    /** Configuration that requests are resolved with, and what this instance lacks to serve them. */
+    get state(): {
+        readonly configuration: RouterConfiguration | undefined;
+        readonly notReady: readonly string[];
+    } {
+        const { view, getStopPlan } = this.#options;
+        const { configuration } = view;
+        const isStarting = !configuration || !view.hasHeardPeers;
+        return {
+            configuration,
+            notReady: [
+                ...(getStopPlan() ? ["stopping"] : []),
+                ...(isStarting ? ["starting"] : []),
+                ...(configuration ? [] : ["not-configured"]),
+                ...(isStarting || view.isFresh() ? [] : ["configuration-stale"]),
+            ],
+        };
+    }
+
     /** Returns why a request whose body has been read is not forwarded any more, or `undefined` if it is. */
     findStopRefusal(request: RoutedRequest, now: number): ReturnType<typeof findStopRefusal> {
         return findStopRefusal(request, this.#durations.estimate(request), this.#options.getStopPlan(), now);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -58,7 +58,8 @@
     #ingress: Ingress | undefined;
     #changeFeed: ChangeFeedServer | undefined;
     #periodicCheck: PeriodicCheck | undefined;
-    readonly #resolver: RequestResolver;
+    /** Decides by the head of a request whether it is served. */
+    readonly resolver: RequestResolver;
     readonly #requestServer: RequestServer;
     /** `undefined` unless the process is stopping. */
     #stopPlan: StopPlan | undefined;
@@ -91,7 +92,7 @@
             onConfiguration: ({ limits }) => this.#ingress?.applyLimits(limits),
             listPeerHosts: () => this.#fleet?.listPeerHosts() ?? [],
         });
-        this.#resolver = RequestResolver.create({
+        this.resolver = RequestResolver.create({
             view: this.#view,
             servicePool: this.#servicePool,
             loadObserver: this.#loadObserver,
@@ -100,7 +101,7 @@
         this.#requestServer = RequestServer.create({
             ...shared,
             servicePool: this.#servicePool,
-            resolver: this.#resolver,
+            resolver: this.resolver,
             activeRequests: this.#activeRequests,
             targetAgents: this.#targetAgents,
             getRunningTime: () => this.#runningClock.toRunningTime(this.#getNow()),
@@ -221,7 +222,7 @@
             ...this.#options,
             memory: this.#memory,
             view: this.#view,
-            resolver: this.#resolver,
+            resolver: this.resolver,
             requestServer: this.#requestServer,
             countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
--- a/src/router/routerMetrics.ts
+++ b/src/router/routerMetrics.ts
@@ -13,6 +13,7 @@
     readonly #ends = new Map<string, number>();
     readonly #refusals = new Map<string, number>();
     readonly #latencies = new Map<RouteKind, LatencyHistogram>();
+    readonly #explanations = new Map<string, number>();
     #internalErrors = 0;
     readonly #gauges = new Map<string, () => number>();
 
@@ -31,6 +32,11 @@
         this.#internalErrors += 1;
     }
 
+    /** Counts an answer of the page that explains routes. */
+    countExplanation(result: string): void {
+        this.#explanations.set(result, (this.#explanations.get(result) ?? 0) + 1);
+    }
+
     /** Counts a request that has ended after `ms` milliseconds. */
     countEnd(kind: RouteKind, outcome: string, ms: number): void {
         const labels = `kind="${kind}",outcome="${outcome}"`;
@@ -60,6 +66,9 @@
             ...[...this.#refusals].map(([reason, count]) =>
                 `baobabspread_requests_refused_total{reason="${reason}"} ${count}`
             ),
+            ...[...this.#explanations].map(([result, count]) =>
+                `baobabspread_route_explanations_total{result="${result}"} ${count}`
+            ),
             `baobabspread_internal_errors_total ${this.#internalErrors}`,
             ...[...this.#gauges].map(([name, read]) => `baobabspread_${name} ${read()}`),
             ...[...this.#latencies].flatMap(([kind, histogram]) => renderHistogram(kind, histogram)),
