--- a/src/cli/fetchFromOperators.ts
+++ b/src/cli/fetchFromOperators.ts
@@ -5,8 +5,9 @@
 export async function fetchFromOperators<T>(
     addresses: readonly string[],
     path: string,
+    body?: string,
 ): Promise<OperatorResponses<T>> {
-    const results = await Promise.allSettled(addresses.map(address => fetchJson(address, path)));
+    const results = await Promise.allSettled(addresses.map(address => fetchJson(address, path, body)));
     const collected = results.map((result, index) => ({ result, address: addresses[index] ?? "" }));
     return {
         answers: collected.flatMap(({ result, address }) =>
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { ExplainAccountCommand } from "./commands/explainAccountCommand.js";
 import { ExplainLogCommand } from "./commands/explainLogCommand.js";
 import { ExplainRequestCommand } from "./commands/explainRequestCommand.js";
+import { ExplainRouteCommand } from "./commands/explainRouteCommand.js";
 import { StatusCommand } from "./commands/statusCommand.js";
 
 const INVALID_ARGUMENTS_EXIT_CODE = 2;
@@ -20,6 +21,7 @@
     ExplainRequestCommand,
     ExplainAccountCommand,
     ExplainLogCommand,
+    ExplainRouteCommand,
     EntriesCommand,
 ], { binaryName: "baobabspread", binaryLabel: "Operate a baobabspread fleet", enableColors: false });
 process.exitCode = await runCli(process.argv.slice(2));
--- a/src/cli/operatorCommand.ts
+++ b/src/cli/operatorCommand.ts
@@ -21,14 +21,15 @@
     /**
      * Fetches a page from the daemons selected by `--operator` and `--all`.
      *
+     * @param body JSON text to post; by default, the page is only read.
      * @throws SettingsError when an address is malformed.
      */
-    protected async fetchPages<T>(path: string): Promise<OperatorResponses<T>> {
+    protected async fetchPages<T>(path: string, body?: string): Promise<OperatorResponses<T>> {
         const malformed = this.operators.filter(address => !/^[^\s/]+:\d{1,5}$/.test(address));
         if (malformed.length > 0) {
             throw SettingsError.create(malformed.map(address => `--operator ${address}: must be host:port`));
         }
-        return fetchFromOperators<T>(this.all ? await this.#listOperators() : this.operators, path);
+        return fetchFromOperators<T>(this.all ? await this.#listOperators() : this.operators, path, body);
     }
 
     /** Prints the failed calls to standard error; returns the exit code. */
