Daemon: the operator address explains a request

Cause: a daemon explained only decisions that it had made.

Change: POST /explain/route on the operator address authenticates, finds the service and runs the dispatch on a copy of the state, with the functions that serve callers: the loop of SlotScheduler is selectRequests, the reach of a queue findReachFault, the path of a service parseServicePath. Counter route_explanations_total, log event route-explained. The command knows the daemon's refusals.

--- a/src/adapters/caller/readCallerRequest.ts
+++ b/src/adapters/caller/readCallerRequest.ts
@@ -7,6 +7,7 @@
 import { selectEndToEndHeaders } from "../../core/request/selectEndToEndHeaders.js";
 import { parseChat } from "./parseChat.js";
 import { parseDeadline } from "./parseDeadline.js";
+import { parseServicePath } from "./parseServicePath.js";
 import { readBody } from "./readBody.js";
 import { resolveService } from "./resolveService.js";
 
@@ -22,7 +23,6 @@
 }
 
 const CHAT_PATH = "/v1/chat/completions";
-const PLAIN_PATH = /^\/services\/([^/?]+)([/?].*)?$/;
 /** Approximate; used for the prompt part of the cost hint. */
 const BYTES_PER_TOKEN = 4;
 const MAX_IDEMPOTENCY_KEY_LENGTH = 255;
@@ -49,18 +49,17 @@
  */
 export async function readCallerRequest(options: ReadOptions): Promise<CallerRequest> {
     const { incoming } = options;
-    const path = incoming.url?.split("?", 1)[0];
-    if (path === CHAT_PATH) {
+    const path = parseServicePath(incoming.url);
+    if (path?.kind === "model") {
         if (incoming.method !== "POST") {
             throw RequestError.create("method-not-allowed", `${CHAT_PATH} takes POST.`);
         }
         return readChat(options);
     }
-    const [, name, rest] = PLAIN_PATH.exec(incoming.url ?? "") ?? [];
-    if (name === undefined) {
+    if (!path) {
         throw RequestError.create("unknown-route", "There is nothing at this path.");
     }
-    return readPlain(options, name, rest ?? "/");
+    return readPlain(options, path.name, path.rest);
 }
 
 async function readChat(options: ReadOptions): Promise<CallerRequest> {
--- a/src/adapters/operator/operatorServer.ts
+++ b/src/adapters/operator/operatorServer.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from "node:net";
 import type { Decision } from "../../core/explain/decision.js";
 import type { StatusReport } from "../../core/explain/statusReport.js";
+import { RoutePage } from "../../shared/explain/routePage.js";
 import { limitServer } from "../../shared/limitServer.js";
 import { parseListenAddress } from "../../shared/parseListenAddress.js";
 import type { PortBinder } from "../../shared/portBinder.js";
@@ -19,6 +20,7 @@
     readonly getStatus: () => StatusReport;
     readonly explainRequest: (requestId: string) => readonly Decision[];
     readonly explainAccount: (account: string, limit: number) => readonly Decision[];
+    readonly routePage: RoutePage;
     readonly onError: (error: unknown) => void;
 }
 
@@ -72,6 +74,10 @@
     }
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (incoming.url?.split("?", 1)[0] === RoutePage.path) {
+            await this.#options.routePage.serve(incoming, response);
+            return;
+        }
         incoming.resume();
         const page = await this.#route(incoming).catch((error: unknown) => {
             this.#options.onError(error);
--- a/src/cli/commands/explainRouteCommand.ts
+++ b/src/cli/commands/explainRouteCommand.ts
@@ -11,9 +11,11 @@
 /** Refusals because of what was asked for, with what to do about them. */
 const INPUT_REFUSALS: Readonly<Record<string, string>> = {
     "no-route": "no route matches --host and --path",
-    "no-service": "no service takes requests with this --path and --model",
+    "unknown-route": "nothing is at --path",
+    "unknown-service": "no service takes requests with this --path and --model",
     "service-forbidden": "the account may not use this service",
     "unknown-account": "no account has the name that --account gives",
+    "unauthenticated": "no --account or --key-file is given, or no account has this key",
     "unknown-key":
         "the route needs an account: no --account or --key-file is given, or no account has this key",
 };
--- a/src/core/dispatch/selectNextRequest.ts
+++ b/src/core/dispatch/selectNextRequest.ts
@@ -2,6 +2,7 @@
 import type { DispatchPolicy } from "./dispatchPolicy.js";
 import type { DispatchSelection } from "./dispatchSelection.js";
 import type { DispatchState } from "./dispatchState.js";
+import { findReachFault } from "./findReachFault.js";
 import { listQueueCandidates } from "./listQueueCandidates.js";
 import { listTargetCandidates } from "./listTargetCandidates.js";
 
@@ -21,10 +22,7 @@
         const excluded = collectExcluded(queue.head.ticket.excludedTargets, service, inputs);
         const target = targets.find(candidate =>
             !excluded.has(candidate.target.name)
-            && policy.isWithinHorizon(state, queue, candidate.target)
-            && ["ask", "use"].includes(
-                policy.computeInterest(state, queue, candidate.target.dataCentre, inputs),
-            )
+            && findReachFault(state, queue, candidate, policy, inputs) === undefined
         );
         if (target) {
             return { queue, target };
--- a/src/core/explain/buildStatusReport.ts
+++ b/src/core/explain/buildStatusReport.ts
@@ -1,5 +1,6 @@
 import type { ConfigurationRejection } from "../configuration/configurationRejection.js";
 import type { ClusterView } from "../membership/clusterView.js";
+import { listMissing } from "./listMissing.js";
 import type { StatusReport } from "./statusReport.js";
 
 interface StatusOptions {
@@ -25,11 +26,7 @@
         dataCentre: options.dataCentre,
         incarnation: options.incarnation,
         startedAt: new Date(options.startedAtMs).toISOString(),
-        notReady: [
-            ...(view.index ? [] : ["no-configuration"]),
-            ...(view.instances.revision >= 0 ? [] : ["no-instance-list"]),
-            ...(options.leaving ? ["leaving"] : []),
-        ],
+        notReady: listMissing(view, options.leaving),
         configuration: view.index
             ? { revision: view.configurationRevision, digest: view.configurationDigest }
             : undefined,
--- a/src/daemon/actors/dispatcher.ts
+++ b/src/daemon/actors/dispatcher.ts
@@ -12,6 +12,8 @@
 import { listPoolDemands } from "../../core/dispatch/listPoolDemands.js";
 import { localPolicy } from "../../core/dispatch/localPolicy.js";
 import { releaseSlots } from "../../core/dispatch/releaseSlots.js";
+import { explainDispatch } from "../../core/explain/route/explainDispatch.js";
+import type { ServiceExplanation } from "../../core/explain/route/serviceExplanation.js";
 import type { RequestTicket } from "../../core/request/requestTicket.js";
 import type { SlotBroker } from "../../core/request/slotBroker.js";
 import type { SlotGrant } from "../../core/request/slotGrant.js";
@@ -48,6 +50,8 @@
     fifo: fifoPolicy,
 };
 
+/** Identifier of a request that is only explained; those of callers' requests are positive. */
+const EXPLAINED_ID = -1;
 /** Time between two ticks, which check deadlines, slots and reports; also the shortest time between two reports. */
 const TICK_INTERVAL_MS = 20;
 
@@ -176,6 +180,13 @@
         return this.#state;
     }
 
+    /** Explains what would be decided on a new request now, on a copy of the state; `undefined` without a configuration. */
+    explainSlot(ticket: RequestTicket): ServiceExplanation | undefined {
+        const request = { id: EXPLAINED_ID, ticket, enqueuedAt: this.#context.getNow() };
+        const inputs = this.#inputs.read();
+        return inputs && explainDispatch(this.#state, request, this.#policy, inputs);
+    }
+
     /** Refuses new requests, waits until none is queued or in flight, and then returns all slots. */
     async drain(): Promise<void> {
         this.#isLeaving = true;
--- a/src/daemon/actors/slotScheduler.ts
+++ b/src/daemon/actors/slotScheduler.ts
@@ -1,4 +1,3 @@
-import { applySelection } from "../../core/dispatch/applySelection.js";
 import type { DispatchInputs } from "../../core/dispatch/dispatchInputs.js";
 import type { DispatchPolicy } from "../../core/dispatch/dispatchPolicy.js";
 import type { DispatchSelection } from "../../core/dispatch/dispatchSelection.js";
@@ -6,7 +5,7 @@
 import { enqueueRequest } from "../../core/dispatch/enqueueRequest.js";
 import { expireRequests } from "../../core/dispatch/expireRequests.js";
 import { removeRequest } from "../../core/dispatch/removeRequest.js";
-import { selectNextRequest } from "../../core/dispatch/selectNextRequest.js";
+import { selectRequests } from "../../core/dispatch/selectRequests.js";
 import type { WaitingRequest } from "../../core/dispatch/waitingRequest.js";
 import type { RefusalReason } from "../../core/errors/refusalReason.js";
 import type { DaemonContext } from "../daemonContext.js";
@@ -102,17 +101,12 @@
         if (!inputs || this.#options.requests.waitingCount === 0) {
             return state;
         }
-        let current = state;
-        for (const service of new Set([...current.queues.values()].map(queue => queue.service))) {
-            for (;;) {
-                const selection = selectNextRequest(current, service, this.#options.policy, inputs);
-                if (!selection) {
-                    break;
-                }
-                current = applySelection(current, selection, inputs);
-                this.#grant(selection, inputs);
-            }
-        }
+        const current = selectRequests(
+            state,
+            this.#options.policy,
+            inputs,
+            selection => this.#grant(selection, inputs),
+        );
         if (newestQueued && this.#options.requests.isWaiting(newestQueued)) {
             this.#recorder.recordQueued(current, newestQueued, this.#options.policy, inputs);
         }
--- a/src/daemon/createDaemonParts.ts
+++ b/src/daemon/createDaemonParts.ts
@@ -32,6 +32,7 @@
 import { recordFinishedRequest } from "./execution/recordFinishedRequest.js";
 import { RequestExecutor } from "./execution/requestExecutor.js";
 import { waitForRetry } from "./execution/waitForRetry.js";
+import { createDaemonRoutePage } from "./explain/createDaemonRoutePage.js";
 import { listRelayPeers } from "./listRelayPeers.js";
 import { LoopbackCaller } from "./loopbackCaller.js";
 import { PeerDirectory } from "./peerDirectory.js";
@@ -162,6 +163,11 @@
                     leases: listLeaseStatus(dispatcher.getState(), getNow()),
                 },
             }),
+        routePage: createDaemonRoutePage({
+            context,
+            dispatcher,
+            isLeaving: () => lifecycle.leaving,
+        }),
         explainRequest: requestId => decisionLog.explainRequest(requestId),
         explainAccount: (account, limit) => decisionLog.explainAccount(account, limit),
         onError: error => logger.error("operator-page-failed", { error: String(error) }),
--- a/src/observability/counterDefinitions.ts
+++ b/src/observability/counterDefinitions.ts
@@ -40,5 +40,6 @@
     peer_bytes_total: { help: "Bytes of control traffic.", labels: ["method", "direction"] },
     peer_calls_total: { help: "Calls to other daemons, by result.", labels: ["method", "result"] },
     cross_region_bytes_total: { help: "Bytes exchanged with targets of other regions.", labels: ["service"] },
+    route_explanations_total: { help: "Answers of the page that explains routes.", labels: ["result"] },
     tokens_total: { help: "Tokens served, by client account.", labels: ["account"] },
 } as const satisfies Readonly<Record<string, { readonly help: string; readonly labels: readonly string[]; }>>;
--- a/test/adapters/operator/operatorServer.test.ts
+++ b/test/adapters/operator/operatorServer.test.ts
@@ -4,10 +4,21 @@
 import { request } from "undici";
 import { OperatorServer } from "../../../src/adapters/operator/operatorServer.js";
 import { buildStatusReport } from "../../../src/core/explain/buildStatusReport.js";
+import { RoutePage } from "../../../src/shared/explain/routePage.js";
 import { createPortBinder } from "../../helpers/createPortBinder.js";
 
 const decision = { timeMs: 1, kind: "refused", reason: "queue-full", requestId: "r 1", account: "capel" };
 
+const EXPLANATION = {
+    instance: "daemon-0",
+    dataCentre: "caerdydd-a",
+    notReady: [],
+    route: undefined,
+    account: undefined,
+    refusal: undefined,
+    services: [],
+};
+
 async function startServer(leaving: boolean): Promise<OperatorServer> {
     return OperatorServer.create({
         address: "127.0.0.1:0",
@@ -37,6 +48,11 @@
             }),
         explainRequest: requestId => requestId === decision.requestId ? [decision] : [],
         explainAccount: (account, limit) => account === decision.account && limit > 0 ? [decision] : [],
+        routePage: RoutePage.create({
+            explain: () => EXPLANATION,
+            onAnswered: () => undefined,
+            onError: () => undefined,
+        }),
         onError: () => undefined,
     });
 }
@@ -61,6 +77,17 @@
     t.deepEqual(await fetchPage(server, "/v1/explain/accounts/capel"), expected);
 });
 
+// Guards against the page being refused as the others are that only read.
+test("explains a route that is posted", async t => {
+    const server = await startServer(false);
+    t.teardown(() => void server.close());
+    const { body } = await request(`http://${server.address}/explain/route`, {
+        method: "POST",
+        body: JSON.stringify({ host: "h", path: "/" }),
+    });
+    t.is((await body.json() as { instance: string; }).instance, "daemon-0");
+});
+
 test("responds to a malformed path or a failing page with a problem document", async t => {
     const server = await startServer(false);
     t.teardown(() => void server.close());
