Tests: explanations leave the reported demand and usage as they are

Cause: a refusal recorded by an explanation changes no decision of the instance itself, only what it reports for the limits.

Change: the series compares the report of the limits and the local usage after each decision.

--- a/test/core/explain/route/decisionExplainer.test.ts
+++ b/test/core/explain/route/decisionExplainer.test.ts
@@ -42,7 +42,7 @@
 
 /** Decides on ten requests; a moment before each, another request may be explained, and shares then change. */
 function resolveSeries(seed: number, isExplained: boolean): readonly object[] {
-    const { scheduler, usage, changeColdShare, now, random, makeRequest } = buildRandomState(seed);
+    const { scheduler, usage, limits, changeColdShare, now, random, makeRequest } = buildRandomState(seed);
     let at = now;
     return Array.from({ length: 10 }, (_, i) => {
         at += 50 * random();
@@ -62,7 +62,8 @@
             inFlight,
             pendingTokens,
         ]);
-        return { outcome, waiting: scheduler.waitingCount, targets };
+        const reports = [usage.listLocal(at), limits.buildReport(at)];
+        return { outcome, waiting: scheduler.waitingCount, targets, reports };
     });
 }
 
--- a/test/testing/explain/buildRandomState.ts
+++ b/test/testing/explain/buildRandomState.ts
@@ -1,3 +1,4 @@
+import type { RequestLimiter } from "../../../src/core/limits/requestLimiter.js";
 import type { AccountUsage } from "../../../src/core/routing/accountUsage.js";
 import type { RoutedRequest } from "../../../src/core/routing/routedRequest.js";
 import type { ServiceScheduler } from "../../../src/core/routing/serviceScheduler.js";
@@ -15,6 +16,7 @@
 interface RandomState {
     readonly scheduler: ServiceScheduler;
     readonly usage: AccountUsage;
+    readonly limits: RequestLimiter;
     /** Changes what the instance may send to cold targets, as when members come and go. */
     readonly changeColdShare: () => void;
     readonly now: number;
@@ -114,5 +116,5 @@
     const changeColdShare = (): void => {
         coldShare = pickColdShare();
     };
-    return { scheduler, usage, changeColdShare, now: now + pick(0, 1, 60), random, makeRequest };
+    return { scheduler, usage, limits, changeColdShare, now: now + pick(0, 1, 60), random, makeRequest };
 }
