--- a/src/router/requestResolver.ts
+++ b/src/router/requestResolver.ts
@@ -13,9 +13,9 @@
 import type { ServicePool } from "./servicePool.js";
 
 interface RequestResolverOptions {
-    readonly view: DeploymentView;
-    readonly servicePool: ServicePool;
-    readonly loadObserver: LoadObserver;
+    readonly view: Pick<DeploymentView, "configuration" | "hasHeardPeers" | "isFresh">;
+    readonly servicePool: Pick<ServicePool, "find">;
+    readonly loadObserver: Pick<LoadObserver, "loopDelayMs">;
     /** Returns `undefined` unless the process is stopping. */
     readonly getStopPlan: () => StopPlan | undefined;
 }
--- a/test/router/streamOriginsVersions.test.ts
+++ b/test/router/streamOriginsVersions.test.ts
@@ -103,3 +103,23 @@
     instance.origins.observeTargets([V1, V2], instance.now);
     t.false(instance.origins.mayBegin(V2, instance.now));
 });
+
+// Guards against an explanation that announces a version to all instances, or that predicts another answer than theirs.
+test("an explanation announces no version, and predicts whether streams may begin", t => {
+    const instance = OriginsHarness.create();
+    instance.observe([V1], 5000);
+    instance.origins.observeTargets([V3], instance.now);
+    t.false(instance.origins.mayBegin(V3, instance.now, true));
+    t.deepEqual(instance.take("new-version"), []);
+    t.false(instance.origins.mayBegin(V3, instance.now));
+    const hosts = instance.take("new-version").map(([host]) => host);
+    hosts.forEach(host => instance.origins.receive(["version-confirmed", "s", "v3"], host));
+    t.true(instance.origins.mayBegin(V3, instance.now, true));
+
+    const alone = OriginsHarness.create();
+    alone.members = alone.members.slice(0, 1);
+    alone.observe([V1], 5000);
+    alone.origins.observeTargets([V3], alone.now);
+    t.true(alone.origins.mayBegin(V3, alone.now, true));
+    t.true(alone.origins.mayBegin(V3, alone.now));
+});
