Routing: explanations compare an account without the demand of the request itself

Cause: with the demand of the explained request left out of AccountUsage.isWithinRate, no test failed: it only raises the account's part of its share, and findRetryDelay has compared the account without it before.

Change: the parameter goes; AccountUsage is as before.

--- a/src/core/explain/route/decisionExplainer.ts
+++ b/src/core/explain/route/decisionExplainer.ts
@@ -48,19 +48,12 @@
     }
 
     /**
-     * Returns the fair-share status of a request's account.
-     *
-     * @param isCounted True if the demand of the request has been recorded, unless it is only explained. @default false
+     * Returns the fair-share status of a request's account. The demand of a request that is only explained does not count; it
+     * would raise the account's part of its share, but `findRetryDelay` has compared the account without it.
      */
-    getStatus(
-        request: RoutedRequest,
-        now: number,
-        isCounted = false,
-    ): ReturnType<AccountShares["getStatus"]> {
+    getStatus({ account }: RoutedRequest, now: number): ReturnType<AccountShares["getStatus"]> {
         const { shares } = this.#options;
-        return this.#isActive
-            ? shares.estimateStatus(request.account, now, isCounted ? countRequestTokens(request) : undefined)
-            : shares.getStatus(request.account, now);
+        return this.#isActive ? shares.estimateStatus(account, now) : shares.getStatus(account, now);
     }
 
     /** Records the demand of a request's account, unless the request is only explained. */
@@ -101,7 +94,7 @@
         const { eligibility, targets, granter, findRetryDelay, add } = this.#options;
         const { request } = waiting;
         const retryAfterMs = findRetryDelay(request, now);
-        const status = this.getStatus(request, now, true);
+        const status = this.getStatus(request, now);
         const compared = granter.compareTargets(waiting, status.kind !== "within", now);
         const results = [...targets.values()].map(target => ({
             target,
--- a/src/core/routing/accountShares.ts
+++ b/src/core/routing/accountShares.ts
@@ -36,24 +36,20 @@
         return this.#compare(account, this.#getShare(now), now);
     }
 
-    /**
-     * Returns what `getStatus` would, but leaves the share that it reuses as it is.
-     *
-     * @param asked Tokens of a request whose demand would have been recorded; `undefined` if there is none.
-     */
-    estimateStatus(account: string, now: number, asked?: number): FairShareStatus {
+    /** Returns what `getStatus` would, but leaves the share that it reuses as it is. */
+    estimateStatus(account: string, now: number): FairShareStatus {
         const share = now >= this.#validUntil ? this.#computeShare(now) : this.#share;
-        return this.#compare(account, share, now, asked);
+        return this.#compare(account, share, now);
     }
 
-    #compare(account: string, share: number, now: number, asked?: number): FairShareStatus {
+    #compare(account: string, share: number, now: number): FairShareStatus {
         const { usage } = this.#options;
         const shareRatio = usage.getGranted(account, now) / share;
         if (shareRatio <= 1) {
             return { kind: "within", shareRatio, returnMs: 0 };
         }
         // What it used while others left capacity idle must not keep it from its share now.
-        return shareRatio > MAX_SHARE_RATIO && !usage.isWithinRate(account, share, now, asked)
+        return shareRatio > MAX_SHARE_RATIO && !usage.isWithinRate(account, share, now)
             ? { kind: "excluded", shareRatio, returnMs: usage.windowMs * Math.log(shareRatio) }
             : { kind: "over", shareRatio, returnMs: 0 };
     }
--- a/src/core/routing/accountUsage.ts
+++ b/src/core/routing/accountUsage.ts
@@ -64,17 +64,16 @@
      * part is that of the account's demand.
      *
      * @param share Tokens that the account may be granted over the window by all instances.
-     * @param asked Tokens of a request that counts as if its demand had been recorded; `undefined` if there is none.
      */
-    isWithinRate(account: string, share: number, now: number, asked?: number): boolean {
+    isWithinRate(account: string, share: number, now: number): boolean {
         const record = this.#local.get(account);
-        if (!record && asked === undefined) {
+        if (!record) {
             return true;
         }
-        const requested = (record?.requested.get(now) ?? 0) + (asked ?? 0);
+        const requested = record.requested.get(now);
         const others = this.#peers.get(account, now).asked + this.#remote.get(account, now).asked;
         const part = requested / (requested + others);
-        return (record?.recent.getPerSecond(now) ?? 0) <= share * part / this.windowMs * MS_PER_SECOND;
+        return record.recent.getPerSecond(now) <= share * part / this.windowMs * MS_PER_SECOND;
     }
 
     /**
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -226,7 +226,7 @@
         if (refusal) {
             return { kind: "refused", reason: refusal.reason, retryAfterMs: refusal.until - now };
         }
-        const { kind, shareRatio, returnMs } = this.explainer.getStatus(request, now, true);
+        const { kind, shareRatio, returnMs } = this.explainer.getStatus(request, now);
         const isExcluded = kind === "excluded";
         const grant = isExcluded ? undefined : this.#granter.tryGrant(waiting, kind === "over", blocked, now);
         if (grant) {
