Explain route: candidates say whether the request may be sent there now

Change: isPossible marks the candidates among which the decision chooses: the lowest score at a router, the first reachable target at a daemon. listPossible is the one place to widen when a router chooses among targets that are nearly as good.

--- a/src/cli/renderRoute.ts
+++ b/src/cli/renderRoute.ts
@@ -26,11 +26,12 @@
         `  share: ${describeMembers(service.share)}`,
         `  outcome: ${describeOutcome(service)}`,
         ...(candidates.length === 0 ? [] : renderTable([
-            ["CANDIDATE", "DATA CENTRE", "REGION", "SCORE", ...names],
-            ...candidates.map(({ target, dataCentre, region, score, terms }) => [
+            ["CANDIDATE", "DATA CENTRE", "REGION", "POSSIBLE", "SCORE", ...names],
+            ...candidates.map(({ target, dataCentre, region, isPossible, score, terms }) => [
                 target,
                 dataCentre,
                 region,
+                isPossible ? "yes" : "no",
                 formatNumber(score),
                 ...names.map(name => formatNumber(terms[name])),
             ]),
--- a/src/core/explain/route/describeService.ts
+++ b/src/core/explain/route/describeService.ts
@@ -1,5 +1,6 @@
 import type { Locality } from "../../routing/locality.js";
 import type { TargetDescriptor } from "../../routing/targetDescriptor.js";
+import { listPossible } from "./listPossible.js";
 import type { SchedulerExplanation } from "./schedulerExplanation.js";
 import type { ServiceExplanation } from "./serviceExplanation.js";
 
@@ -24,6 +25,7 @@
         dataCentre,
         region: regionsByDataCentre.get(dataCentre) ?? "",
     });
+    const possible = listPossible(candidates);
     const granted = decision.kind === "granted" ? place(decision.grant.target.descriptor) : undefined;
     return {
         service,
@@ -34,10 +36,11 @@
             ...(Number.isFinite(status.shareRatio) ? { ratio: status.shareRatio } : {}),
         },
         outcome: describeOutcome(decision),
-        candidates: candidates.slice(0, MAX_LISTED).map(({ target: { descriptor }, score, terms }) => ({
-            ...place(descriptor),
-            score,
-            terms: { ...terms },
+        candidates: candidates.slice(0, MAX_LISTED).map(candidate => ({
+            ...place(candidate.target.descriptor),
+            isPossible: possible.has(candidate),
+            score: candidate.score,
+            terms: { ...candidate.terms },
         })),
         leftOut: leftOut.slice(0, MAX_LISTED).map(({ target, reason }) => ({ ...place(target), reason })),
         omitted: Math.max(0, candidates.length - MAX_LISTED) + Math.max(0, leftOut.length - MAX_LISTED),
--- a/src/core/explain/route/explainDispatch.ts
+++ b/src/core/explain/route/explainDispatch.ts
@@ -92,8 +92,9 @@
         target.service === service && !free.some(candidate => candidate.target === target)
     );
     return {
-        candidates: free.filter(candidate => faults.get(candidate) === undefined).map(candidate => ({
+        candidates: free.filter(candidate => faults.get(candidate) === undefined).map((candidate, i) => ({
             ...place(candidate.target),
+            isPossible: i === 0,
             score: undefined,
             terms: {
                 distance: candidate.distance,
--- a/src/core/explain/route/serviceExplanation.ts
+++ b/src/core/explain/route/serviceExplanation.ts
@@ -21,6 +21,8 @@
     };
     /** Targets that the request could be sent to now, the best first. */
     readonly candidates: readonly (PlacedTarget & {
+        /** Whether the request may be sent there now; others have capacity, but are worse. */
+        readonly isPossible: boolean;
         /** Sum of the terms; `undefined` if the instance compares targets without a score. */
         readonly score: number | undefined;
         readonly terms: Readonly<Record<string, number>>;
--- a/test/platform/explainRoute.test.ts
+++ b/test/platform/explainRoute.test.ts
@@ -29,7 +29,10 @@
     t.regex(table.output, /route: name=stream .*\n {2}account: account\n/);
     t.regex(table.output, /share: status=within ratio=0\n/);
     t.regex(table.output, /outcome: grant of \S+, stays in its data centre\n/);
-    t.regex(table.output, /CANDIDATE +DATA CENTRE +REGION +SCORE +expectedMs +networkMs +failureMs +cacheMs/);
+    t.regex(
+        table.output,
+        /CANDIDATE +DATA CENTRE +REGION +POSSIBLE +SCORE +expectedMs +networkMs +failureMs +cacheMs/,
+    );
 
     // Guards against a name that leads to another account than its key does.
     const json = await runExplainRoute(operators, { args: ["--account", "account", "--json"] });
--- a/test/router/explain/routeExplainer.test.ts
+++ b/test/router/explain/routeExplainer.test.ts
@@ -78,6 +78,10 @@
     t.deepEqual([near?.outcome.target, near?.leavesDataCentre, near?.leavesRegion], ["in-a", false, false]);
     t.deepEqual([far?.outcome.target, far?.leavesDataCentre, far?.leavesRegion], ["in-b", true, true]);
     t.deepEqual(far?.leftOut.map(({ target, reason }) => [target, reason]), [["in-a", "region-not-allowed"]]);
+    t.deepEqual(near?.candidates.map(({ target, isPossible }) => [target, isPossible]), [
+        ["in-a", true],
+        ["in-b", false],
+    ]);
     // All terms are listed whatever their names, and the score is their sum.
     for (const { score, terms } of near?.candidates ?? []) {
         t.is(score, Object.values(terms).reduce((sum, term) => sum + term, 0));
