--- a/src/cli/operatorCommand.ts
+++ b/src/cli/operatorCommand.ts
@@ -9,7 +9,8 @@
 export abstract class OperatorCommand extends BaseCommand {
     readonly operators = Option.Array("--operator", {
         required: true,
-        description: "Operator address of a daemon, host:port; may be repeated.",
+        description:
+            "Operator address of a daemon, host:port (for `explain route` also a router's metrics address); may be repeated.",
     });
 
     readonly all = Option.Boolean("--all", false, {
