--- a/src/core/admission/admissionPressure.ts
+++ b/src/core/admission/admissionPressure.ts
@@ -79,13 +79,16 @@
      * a small account asks for; elsewhere more than a small part of the capacity has to be lacking.
      */
     isShort(capacityPerSecond: number, now: number): boolean {
-        const unmet = this.sumUnmet(now);
-        const isShort = now - this.#unmetAt < CONTENDED_MS || unmet > capacityPerSecond * MAX_UNMET_RATIO;
+        return now - this.#unmetAt < CONTENDED_MS
+            || this.sumUnmet(now) > capacityPerSecond * MAX_UNMET_RATIO;
+    }
+
+    /** Tells whether capacity has become short or is not short any more. */
+    notify(isShort: boolean, now: number): void {
         if (isShort !== this.#wasShort) {
             this.#wasShort = isShort;
-            this.#onChange?.(isShort, unmet);
+            this.#onChange?.(isShort, this.sumUnmet(now));
         }
-        return isShort;
     }
 
     /** Returns whether this instance has just refused a request, whosever it was. */
--- a/src/core/admission/capacityEstimate.ts
+++ b/src/core/admission/capacityEstimate.ts
@@ -26,17 +26,21 @@
      * @param grantedPerSecond Rate at which all instances are granting tokens.
      * @param isShort Whether accounts within their share lack capacity.
      */
-    update(statedPerSecond: number, grantedPerSecond: number, isShort: boolean, now: number): number {
-        const previous = this.#perSecond ?? statedPerSecond;
-        const elapsedMs = Math.max(0, now - this.#updatedAt);
+    estimate(statedPerSecond: number, grantedPerSecond: number, isShort: boolean, now: number): number {
+        if (this.#perSecond === undefined) {
+            return statedPerSecond;
+        }
         const goal = isShort
             ? Math.max(grantedPerSecond, statedPerSecond * MIN_RATIO)
             : Math.max(grantedPerSecond, statedPerSecond);
+        const elapsedMs = Math.max(0, now - this.#updatedAt);
         const weight = 1 - Math.exp(-elapsedMs / (isShort ? FALL_MS : RECOVERY_MS));
-        this.#perSecond = this.#perSecond === undefined
-            ? statedPerSecond
-            : previous + (goal - previous) * weight;
+        return this.#perSecond + (goal - this.#perSecond) * weight;
+    }
+
+    /** Records an estimate, from which the next one goes on. */
+    record(perSecond: number, now: number): void {
+        this.#perSecond = perSecond;
         this.#updatedAt = now;
-        return this.#perSecond;
     }
 }
--- a/src/core/returns/returnCalendar.ts
+++ b/src/core/returns/returnCalendar.ts
@@ -3,6 +3,13 @@
 import { GrantRates } from "./grantRates.js";
 import type { ReturnPromise } from "./returnPromise.js";
 
+/** When promised capacity is due, and until when the capacity of the service and of the account is promised with it. */
+interface ReturnPlan {
+    readonly dueAt: number;
+    readonly bookedUntil: number;
+    readonly accountBookedUntil: number;
+}
+
 const MS_PER_SECOND = 1000;
 /**
  * Share of the granted rate that is promised. A request that returns is late, and takes the place of a new one that would not
@@ -64,7 +71,33 @@
      */
     reserve(request: RoutedRequest, earliestMs: number, readingMs: number, now: number): number | undefined {
         this.#expire(now);
+        const plan = this.#plan(request, earliestMs, readingMs, now);
+        if (!plan) {
+            return undefined;
+        }
         const { account, route, deadline } = request;
+        const { dueAt, bookedUntil, accountBookedUntil } = plan;
+        this.#bookedUntil = bookedUntil;
+        this.#accountsBookedUntil.set(account, accountBookedUntil);
+        const until = dueAt + route.objectiveMs * OPEN_OBJECTIVE_SHARE;
+        this.#promises.push({ account, route: route.name, deadline, dueAt, until });
+        this.#nextExpiryAt = Math.min(this.#nextExpiryAt, until);
+        return dueAt - now;
+    }
+
+    /** Returns what `reserve` would, without a promise. */
+    estimate(request: RoutedRequest, earliestMs: number, readingMs: number, now: number): number | undefined {
+        const plan = this.#plan(request, earliestMs, readingMs, now);
+        return plan && plan.dueAt - now;
+    }
+
+    #plan(
+        request: RoutedRequest,
+        earliestMs: number,
+        readingMs: number,
+        now: number,
+    ): ReturnPlan | undefined {
+        const { account, deadline } = request;
         const tokens = Math.max(1, countRequestTokens(request));
         const bookedUntil = computeBooking(this.#bookedUntil, tokens, this.#rates.getTotal(now), now);
         const accountBookedUntil = computeBooking(
@@ -75,15 +108,8 @@
         );
         const dueAt = Math.max(bookedUntil, accountBookedUntil, now + earliestMs, now + MIN_WAIT_MS);
         const isUseful = dueAt - now <= (deadline - now) * WAIT_SHARE && dueAt + readingMs < deadline;
-        if (!isUseful || this.#promises.length >= MAX_PROMISES) {
-            return undefined;
-        }
-        this.#bookedUntil = bookedUntil;
-        this.#accountsBookedUntil.set(account, accountBookedUntil);
-        const until = dueAt + route.objectiveMs * OPEN_OBJECTIVE_SHARE;
-        this.#promises.push({ account, route: route.name, deadline, dueAt, until });
-        this.#nextExpiryAt = Math.min(this.#nextExpiryAt, until);
-        return dueAt - now;
+        const isFull = this.#promises.filter(({ until }) => now <= until).length >= MAX_PROMISES;
+        return isUseful && !isFull ? { dueAt, bookedUntil, accountBookedUntil } : undefined;
     }
 
     /** Finds the due promise of the account and route of a request that comes again, made for the nearest deadline. */
--- a/src/core/returns/serviceReturns.ts
+++ b/src/core/returns/serviceReturns.ts
@@ -65,6 +65,11 @@
         return this.#isActive() ? this.#calendar.reserve(request, earliestMs, readingMs, now) : undefined;
     }
 
+    /** Returns what `reserve` would, without a promise. */
+    estimate(...args: Parameters<ReturnCalendar["estimate"]>): number | undefined {
+        return this.#isActive() ? this.#calendar.estimate(...args) : undefined;
+    }
+
     /** Returns whether a request has come again and may wait, whatever its account has used. */
     mayWait(request: RoutedRequest, now: number): boolean {
         if (!this.#isActive()) {
--- a/src/core/routing/accountShares.ts
+++ b/src/core/routing/accountShares.ts
@@ -20,12 +20,13 @@
 const SHARE_VALIDITY_MS = 40;
 const MS_PER_SECOND = 1000;
 
+const UNLIMITED: Share = { tokens: Number.POSITIVE_INFINITY, capacityPerSecond: 0, isShort: false };
+
 /** Compares the tokens granted to client accounts with their fair share. */
 export class AccountShares {
     readonly #options: AccountSharesOptions;
     readonly #capacity = CapacityEstimate.create();
-    #isShort = false;
-    #share = Number.POSITIVE_INFINITY;
+    #share = UNLIMITED;
     #validUntil = 0;
 
     private constructor(options: AccountSharesOptions) {
@@ -43,69 +44,79 @@
      * share, but nobody within a share lacks capacity.
      */
     getStatus(account: string, now: number): FairShareStatus {
-        const { usage, pressure, isWorkConserving } = this.#options;
-        const share = this.#getShare(now);
-        const shareRatio = usage.getGranted(account, now) / share;
-        if (shareRatio <= 1) {
-            return { kind: "within", shareRatio, returnMs: 0 };
-        }
-        const isExcess = shareRatio > MAX_SHARE_RATIO && !usage.isWithinRate(account, share, now);
-        if (pressure && isWorkConserving?.() === true) {
-            return this.#getContendedStatus(pressure, isExcess, shareRatio, now);
-        }
-        // What it used while others left capacity idle must not keep it from its share now.
-        return isExcess
-            ? { kind: "excluded", shareRatio, returnMs: usage.windowMs * Math.log(shareRatio) }
-            : { kind: "over", shareRatio, returnMs: 0 };
+        return this.#compare(account, this.#update(now), now);
+    }
+
+    /** Returns what `getStatus` would, but leaves what it reuses as it is. */
+    estimateStatus(account: string, now: number): FairShareStatus {
+        return this.#compare(account, now >= this.#validUntil ? this.#compute(now) : this.#share, now);
     }
 
     /** Records a request of an account that was refused for want of capacity. */
     recordRefusal(account: string, tokens: number, now: number): void {
-        const { pressure, isWorkConserving } = this.#options;
-        if (pressure && isWorkConserving?.() === true) {
-            pressure.recordRefusal(tokens, this.getStatus(account, now).shareRatio <= 1, now);
-        }
+        this.#findPressure()?.recordRefusal(tokens, this.getStatus(account, now).shareRatio <= 1, now);
     }
 
-    #getContendedStatus(
-        pressure: AdmissionPressure,
-        isExcess: boolean,
-        shareRatio: number,
-        now: number,
-    ): FairShareStatus {
-        const { windowMs } = this.#options.usage;
-        if (isExcess && (this.#isShort || pressure.isContended(now))) {
-            return { kind: "excluded", shareRatio, returnMs: windowMs * Math.log(shareRatio) };
+    #compare(account: string, { tokens, isShort }: Share, now: number): FairShareStatus {
+        const { usage } = this.#options;
+        const shareRatio = usage.getGranted(account, now) / tokens;
+        if (shareRatio <= 1) {
+            return { kind: "within", shareRatio, returnMs: 0 };
         }
-        return { kind: this.#isShort ? "over" : "surplus", shareRatio, returnMs: 0 };
+        const pressure = this.#findPressure();
+        const mayExclude = !pressure || isShort || pressure.isContended(now);
+        // What it used while others left capacity idle must not keep it from its share now.
+        if (mayExclude && shareRatio > MAX_SHARE_RATIO && !usage.isWithinRate(account, tokens, now)) {
+            return { kind: "excluded", shareRatio, returnMs: usage.windowMs * Math.log(shareRatio) };
+        }
+        return { kind: !pressure || isShort ? "over" : "surplus", shareRatio, returnMs: 0 };
     }
 
-    #getShare(now: number): number {
+    #findPressure(): AdmissionPressure | undefined {
+        const { pressure, isWorkConserving } = this.#options;
+        return isWorkConserving?.() === true ? pressure : undefined;
+    }
+
+    #update(now: number): Share {
         if (now >= this.#validUntil) {
-            const rate = this.#options.getTokensPerSecond();
-            this.#share = rate > 0
-                ? this.#options.usage.computeShare(this.#getCapacity(rate * CACHE_HIT_FACTOR, now), now)
-                : Number.POSITIVE_INFINITY;
+            this.#share = this.#compute(now);
             this.#validUntil = now + SHARE_VALIDITY_MS;
+            this.#capacity.record(this.#share.capacityPerSecond, now);
+            this.#findPressure()?.notify(this.#share.isShort, now);
         }
         return this.#share;
     }
 
-    #getCapacity(statedPerSecond: number, now: number): number {
-        const { usage, pressure, isWorkConserving } = this.#options;
-        if (!pressure || isWorkConserving?.() !== true) {
-            return statedPerSecond;
+    #compute(now: number): Share {
+        const { usage, getTokensPerSecond } = this.#options;
+        const rate = getTokensPerSecond();
+        if (rate <= 0) {
+            return UNLIMITED;
         }
-        this.#isShort = pressure.isShort(statedPerSecond, now);
-        return this.#capacity.update(
-            statedPerSecond,
-            usage.sumGranted(now) / usage.windowMs * MS_PER_SECOND,
-            this.#isShort,
-            now,
-        );
+        const statedPerSecond = rate * CACHE_HIT_FACTOR;
+        const isShort = this.#findPressure()?.isShort(statedPerSecond, now);
+        const capacityPerSecond = isShort === undefined
+            ? statedPerSecond
+            : this.#capacity.estimate(
+                statedPerSecond,
+                usage.sumGranted(now) / usage.windowMs * MS_PER_SECOND,
+                isShort,
+                now,
+            );
+        const tokens = usage.computeShare(capacityPerSecond, now);
+        return { tokens, capacityPerSecond, isShort: isShort === true };
     }
 }
 
+/** Fair share of an account and what it follows from. */
+interface Share {
+    /** Tokens that an account may be granted over the window of the usage. */
+    readonly tokens: number;
+    readonly capacityPerSecond: number;
+    /** Whether accounts within their share lack capacity. */
+    readonly isShort: boolean;
+}
+
 interface FairShareStatus {
     readonly kind: "within" | "surplus" | "over" | "excluded";
     /** Tokens granted to the account, as a multiple of its share. */
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -1,8 +1,8 @@
 import { pickCapacityClass } from "../admission/pickCapacityClass.js";
+import { DecisionExplainer } from "../explain/route/decisionExplainer.js";
 import { ServiceReturns } from "../returns/serviceReturns.js";
 import { ServiceSpeeds } from "../targetSpeed/serviceSpeeds.js";
 import { AccountShares } from "./accountShares.js";
-import { countRequestTokens } from "./countRequestTokens.js";
 import { EngineModel } from "./engineModel.js";
 import { findWaitDeadline } from "./findWaitDeadline.js";
 import { limitRetryAfter } from "./limitRetryAfter.js";
@@ -13,6 +13,10 @@
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RoutedService } from "./routedService.js";
 import type { SchedulerDecision } from "./schedulerDecision.js";
+import { recordRelease } from "./scheduling/recordRelease.js";
+import { recordStart } from "./scheduling/recordStart.js";
+import { RefusalBuilder } from "./scheduling/refusalBuilder.js";
+import { resolveAll } from "./scheduling/resolveAll.js";
 import type { ServiceSchedulerOptions } from "./serviceSchedulerOptions.js";
 import { sortWaiting } from "./sortWaiting.js";
 import type { TargetDescriptor } from "./targetDescriptor.js";
@@ -32,9 +36,11 @@
     readonly #granter: TargetGranter;
     /** What the targets of the service let a request expect. */
     readonly prospects: RequestProspects;
-    readonly #shares: AccountShares;
+    /** Explains what `findRetryDelay` and `enqueue` would decide on a new request; changes nothing. */
+    readonly explainer: DecisionExplainer;
     readonly #engineModel: EngineModel;
     readonly #waits: WaitEstimator;
+    readonly #refusals: RefusalBuilder;
     /** Refused requests that come again. */
     readonly returns: ServiceReturns;
     #service: RoutedService;
@@ -47,7 +53,7 @@
     private constructor(options: ServiceSchedulerOptions) {
         this.#options = options;
         this.#service = options.service;
-        this.#shares = AccountShares.create({
+        const shares = AccountShares.create({
             usage: options.usage,
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
             pressure: options.pressure,
@@ -61,6 +67,7 @@
             ...options,
             targets: this.#targets,
             getEvacuated: () => this.#evacuated,
+            mayBegin: target => options.mayBegin(target, this.explainer.isActive),
         });
         this.prospects = RequestProspects.create(eligibility, () => this.#targets.size);
         this.#granter = TargetGranter.create({
@@ -70,6 +77,16 @@
             targets: this.#targets,
             speeds: this.speeds,
             getService: () => this.#service,
+            isExplaining: () => this.explainer.isActive,
+        });
+        this.explainer = DecisionExplainer.create({
+            ...options,
+            shares,
+            eligibility,
+            targets: this.#targets,
+            granter: this.#granter,
+            findRetryDelay: (...args) => this.findRetryDelay(...args),
+            add: (...args) => this.#add(...args),
         });
         this.#waits = WaitEstimator.create({
             ...options,
@@ -78,6 +95,13 @@
             countTargets: () => this.#targets.size,
             hasOnlyLimited: request => eligibility.hasOnlyLimited(request),
         });
+        this.#refusals = RefusalBuilder.create({
+            explainer: this.explainer,
+            returns: this.returns,
+            waits: this.#waits,
+            getServiceName: () => this.#service.name,
+            countTargets: () => this.#targets.size,
+        });
     }
 
     /** Creates a scheduler without targets. */
@@ -116,26 +140,31 @@
 
     /** Adds a request, which is granted a target or refused, now or later. */
     enqueue(waiting: WaitingRequest, now: number): void {
-        if (this.#waiting.length >= MAX_WAITING && !waiting.isResume) {
-            const retryAfterMs = limitRetryAfter(Number.POSITIVE_INFINITY, waiting.request.requestId);
-            waiting.onRefuse({ reason: "overloaded", retryAfterMs });
-            return;
-        }
-        const { usage, crashRecord, limits } = this.#options;
-        limits.addRequest(this.#service.name, now);
-        if (!waiting.isResume && !crashRecord.findRefusal(waiting.request, now)) {
-            usage.addDemand(waiting.request.account, countRequestTokens(waiting.request), now);
-        }
-        this.returns.add(waiting, now);
-        // Requests already waiting could not use the free slots, so only the new one is tried.
-        const countAhead = (): number => this.#waits.countAhead(waiting, this.#waiting, now);
-        const decision = this.#resolve(waiting, new Set(), countAhead, now);
+        const decision = this.#add(waiting, now);
         if (decision.kind === "waiting") {
             this.#waiting.push(waiting);
         }
         notifyWaiting(waiting, decision, this.returns, now);
     }
 
+    #add(waiting: WaitingRequest, now: number): SchedulerDecision {
+        const { request, isResume } = waiting;
+        if (this.#waiting.length >= MAX_WAITING && !isResume) {
+            const retryAfterMs = limitRetryAfter(Number.POSITIVE_INFINITY, request.requestId);
+            return { kind: "refused", reason: "overloaded", retryAfterMs };
+        }
+        this.explainer.addRequest(this.#service.name, now);
+        if (!isResume && !this.#options.crashRecord.findRefusal(request, now)) {
+            this.explainer.addDemand(request, now);
+        }
+        if (!this.explainer.isActive) {
+            this.returns.add(waiting, now);
+        }
+        // Requests already waiting could not use the free slots, so only the new one is tried.
+        const countAhead = (): number => this.#waits.countAhead(waiting, this.#waiting, now);
+        return this.#resolve(waiting, new Set(), countAhead, now);
+    }
+
     /**
      * Grants a target with capacity to a request beside its attempt in progress; returns `undefined` if there is none now.
      *
@@ -147,7 +176,7 @@
         now: number,
     ): TargetGrant | undefined {
         const { crashRecord, limits } = this.#options;
-        const { kind } = this.#shares.getStatus(request.account, now);
+        const { kind } = this.explainer.getStatus(request, now);
         const isRefused = kind === "excluded" || crashRecord.findRefusal(request, now);
         const grant = isRefused
             ? undefined
@@ -160,13 +189,7 @@
 
     /** Returns the retry delay in milliseconds if the account is excluded; the request then still counts as demand. */
     findRetryDelay(request: RoutedRequest, now: number): number | undefined {
-        const { kind, returnMs } = this.#shares.getStatus(request.account, now);
-        if (kind !== "excluded" || this.returns.mayWait(request, now)) {
-            return undefined;
-        }
-        this.#options.usage.addDemand(request.account, countRequestTokens(request), now);
-        return this.returns.reserve(request, returnMs, 0, now)
-            ?? limitRetryAfter(returnMs, request.requestId);
+        return this.#refusals.findRetryDelay(request, now);
     }
 
     /** Removes a waiting request whose caller has disconnected. */
@@ -177,26 +200,17 @@
 
     /** Records the first event of a response: the target has read the prompt. */
     start(grant: TargetGrant, now: number): void {
-        grant.target.activity.remove(grant);
-        grant.target.pendingTokens -= grant.missingTokens;
-        if (grant.sharedPartId !== undefined) {
-            this.#options.promptLocations.record(grant.sharedPartId, grant.target.descriptor.id, now);
-        }
-        const measuredMs = now - grant.grantedAt;
-        grant.target.recordFirstEvent(measuredMs, grant, now);
-        if (this.#service.engine) {
-            this.#engineModel.recordFirstEvent(grant.tokensAhead, measuredMs - grant.overheadMs, now);
-        }
+        recordStart(grant, {
+            promptLocations: this.#options.promptLocations,
+            engineModel: this.#service.engine && this.#engineModel,
+            now,
+        });
         this.advance(now);
     }
 
     /** Releases a grant; `wasStarted` is true if `start` was called for it. */
     release(grant: TargetGrant, wasStarted: boolean, now: number): void {
-        grant.target.activity.remove(grant);
-        grant.target.inFlight -= 1;
-        if (!wasStarted) {
-            grant.target.pendingTokens -= grant.missingTokens;
-        }
+        recordRelease(grant, wasStarted);
         this.advance(now);
     }
 
@@ -205,30 +219,13 @@
         if (this.#waiting.length === 0) {
             return;
         }
-        const blocked = new Set<string>();
         const getRank = (waiting: WaitingRequest): number => this.returns.getRank(waiting, now);
-        const decided = sortWaiting(this.#waiting, this.#options.usage, now, getRank).map((waiting, i) =>
-            [waiting, this.#tryResolve(waiting, blocked, () => i, now)] as const
-        );
+        const sorted = sortWaiting(this.#waiting, this.#options.usage, now, getRank);
+        const decided = resolveAll(sorted, (...args) => this.#resolve(...args, now));
         this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
         decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision, this.returns, now));
     }
 
-    /** Decides on one request; an unexpected error must not keep the others of the same pass from their grants. */
-    #tryResolve(
-        waiting: WaitingRequest,
-        blocked: Set<string>,
-        countAhead: () => number,
-        now: number,
-    ): SchedulerDecision {
-        try {
-            return this.#resolve(waiting, blocked, countAhead, now);
-        }
-        catch (error) {
-            return { kind: "failed", error };
-        }
-    }
-
     /**
      * Decides on one request.
      *
@@ -246,7 +243,7 @@
         if (refusal) {
             return { kind: "refused", reason: refusal.reason, retryAfterMs: refusal.until - now };
         }
-        const { kind: shareKind, shareRatio, returnMs } = this.#shares.getStatus(request.account, now);
+        const { kind: shareKind, shareRatio, returnMs } = this.explainer.getStatus(request, now);
         const kind = this.returns.hasClaim(waiting) ? "within" : shareKind;
         const isExcluded = kind === "excluded";
         const grant = isExcluded
@@ -267,16 +264,7 @@
         if (isResume || (mayWait && now < waitDeadline && now + permitMs < waitDeadline)) {
             return { kind: "waiting" };
         }
-        this.#options.limits.addRefusal(this.#service.name, now);
-        if (!isExcluded) {
-            this.#shares.recordRefusal(request.account, countRequestTokens(request), now);
-        }
-        const reason = this.#targets.size === 0 ? "no-target" : "overloaded";
-        const promisedMs = reason === "overloaded"
-            ? this.returns.reserve(request, Math.max(returnMs, permitMs), readingMs, now)
-            : undefined;
-        const estimatedMs = Math.max(returnMs, permitMs, this.#waits.estimateReturnMs(this.#waiting, now));
-        const retryAfterMs = promisedMs ?? limitRetryAfter(estimatedMs, request.requestId);
-        return { kind: "refused", reason, retryAfterMs, isPromised: promisedMs !== undefined, shareRatio };
+        const cause = { isExcluded, shareRatio, returnMs, permitMs, readingMs };
+        return { kind: "refused", ...this.#refusals.build(request, cause, this.#waiting, now) };
     }
 }
--- a/src/core/routing/targetGranter.ts
+++ b/src/core/routing/targetGranter.ts
@@ -12,6 +12,8 @@
 interface TargetGranterOptions extends TargetPickerOptions {
     readonly crashRecord: CrashRecord;
     readonly usage: AccountUsage;
+    /** True while a decision is only explained, so that nothing is reserved. */
+    readonly isExplaining: () => boolean;
 }
 
 /** Picks targets with capacity and reserves it. */
@@ -29,6 +31,13 @@
         return new TargetGranter(options);
     }
 
+    /** Scores the targets for a request as `tryGrant` does; reserves nothing. */
+    compareTargets(
+        ...args: Parameters<TargetPicker["compareTargets"]>
+    ): ReturnType<TargetPicker["compareTargets"]> {
+        return this.#picker.compareTargets(...args);
+    }
+
     /**
      * Grants a request the best target; returns `undefined` if none has capacity now.
      *
@@ -47,6 +56,9 @@
             return undefined;
         }
         const candidate = this.#picker.pick(waiting, capacity, now);
+        if (candidate && this.#options.isExplaining()) {
+            return candidate.grant;
+        }
         if (candidate) {
             this.#picker.recordGrant(candidate, now);
             return reserveTarget(this.#options, request, candidate, now);
--- a/src/router/attemptRunner.ts
+++ b/src/router/attemptRunner.ts
@@ -164,8 +164,7 @@
         if (attempt) {
             this.#dropSuspended();
             this.#running.delete(attempt);
-            const run = this.#options.response.pauseRun();
-            this.#suspended = { attempt, run, until: Number.POSITIVE_INFINITY };
+            this.#suspended = { attempt, run: this.#options.response.pauseRun(), until: Infinity };
         }
     }
 
--- a/src/router/createServicePool.ts
+++ b/src/router/createServicePool.ts
@@ -19,7 +19,8 @@
         ...options,
         ...state,
         spill: spill?.inputs,
-        mayBegin: target => !targetStarts.isRestarted(target) && streamOrigins.mayBegin(target, getNow()),
+        mayBegin: (target, isExplaining) =>
+            !targetStarts.isRestarted(target) && streamOrigins.mayBegin(target, getNow(), isExplaining),
         mayGoOn: target => targetStarts.mayGoOn(target),
     });
 }
--- a/src/router/forwardAttempt.ts
+++ b/src/router/forwardAttempt.ts
@@ -26,7 +26,8 @@
     #status = 0;
     receivedBytes = 0;
     #firstEventAt: number | undefined;
-    readonly #plain: PlainResponse;
+    /** The response, unless it is passed on as a stream. */
+    readonly plain: PlainResponse;
     #startedAt: number;
     /** True while the target has not taken a connection in time. */
     #isConnectLate = false;
@@ -43,7 +44,7 @@
 
     private constructor(options: ForwardAttemptOptions) {
         this.#options = options;
-        this.#plain = PlainResponse.create({
+        this.plain = PlainResponse.create({
             ...options,
             budget: options.memory.budget,
             onBlocked: this.#onBlocked,
@@ -81,11 +82,6 @@
         return this.#isStreamed;
     }
 
-    /** The response, unless it is passed on as a stream. */
-    get plain(): PlainResponse {
-        return this.#plain;
-    }
-
     /** True once a byte of the request can have reached the target. */
     get isWritten(): boolean {
         return this.#exchange?.isWritten ?? false;
@@ -225,7 +221,7 @@
         this.receivedBytes += chunk.length;
         if (!this.#isStreamed) {
             this.#progress.recordBytes(chunk.length, getRunningTime());
-            if (this.#head && !this.#plain.add(chunk, this.#status, this.#head)) {
+            if (this.#head && !this.plain.add(chunk, this.#status, this.#head)) {
                 this.#fail("answer-too-long");
             }
             return;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -58,7 +58,7 @@
     #ingress: Ingress | undefined;
     #changeFeed: ChangeFeedServer | undefined;
     #periodicCheck: PeriodicCheck | undefined;
-    readonly #resolver: RequestResolver;
+    readonly resolver: RequestResolver;
     readonly #requestServer: RequestServer;
     /** `undefined` unless the process is stopping. */
     #stopPlan: StopPlan | undefined;
@@ -77,9 +77,8 @@
         });
         this.#memory = createMemoryGuard(options, this.#getNow);
         this.#loadObserver = LoadObserver.create(options.log);
-        const clocks = { getNow: this.#getNow, getTimeOfDay: Date.now };
-        this.#peerChangeSource = PeerChangeSource.create({ port: settings.peerAddress.port, ...clocks });
-        const shared = { ...options, state: this.#state, getNow: this.#getNow };
+        const shared = { ...options, state: this.#state, getNow: this.#getNow, getTimeOfDay: Date.now };
+        this.#peerChangeSource = PeerChangeSource.create({ ...shared, port: settings.peerAddress.port });
         this.#servicePool = createServicePool({
             ...shared,
             getTokensPerSecond: () => this.#view.configuration?.limits.tokensPerSecond ?? 0,
@@ -91,7 +90,7 @@
             onConfiguration: ({ limits }) => this.#ingress?.applyLimits(limits),
             listPeerHosts: () => this.#fleet?.listPeerHosts() ?? [],
         });
-        this.#resolver = RequestResolver.create({
+        this.resolver = RequestResolver.create({
             view: this.#view,
             servicePool: this.#servicePool,
             loadObserver: this.#loadObserver,
@@ -100,7 +99,7 @@
         this.#requestServer = RequestServer.create({
             ...shared,
             servicePool: this.#servicePool,
-            resolver: this.#resolver,
+            resolver: this.resolver,
             activeRequests: this.#activeRequests,
             targetAgents: this.#targetAgents,
             getRunningTime: () => this.#runningClock.toRunningTime(this.#getNow()),
@@ -221,7 +220,7 @@
             ...this.#options,
             memory: this.#memory,
             view: this.#view,
-            resolver: this.#resolver,
+            resolver: this.resolver,
             requestServer: this.#requestServer,
             countTargetConnections: () => this.#targetAgents.openConnections,
             getNow: this.#getNow,
