Returns: new requests are not taken for returning ones

Cause: requests with less time left than others counted as returning. Change: less time is taken for a return only while refusals explain how many requests have it. The tests of core/returns and core/routing pass (194).

--- a/src/core/returns/serviceReturns.ts
+++ b/src/core/returns/serviceReturns.ts
@@ -62,22 +62,26 @@
      * @param readingMs Time in milliseconds that a target takes to read the prompt.
      */
     reserve(request: RoutedRequest, earliestMs: number, readingMs: number, now: number): number | undefined {
-        return this.#isActive() ? this.#calendar.reserve(request, earliestMs, readingMs, now) : undefined;
+        if (!this.#isActive()) {
+            return undefined;
+        }
+        this.#patience.addRefusal(now);
+        return this.#calendar.reserve(request, earliestMs, readingMs, now);
     }
 
     /** Returns whether a request has come again and may wait, whatever its account has used. */
     mayWait(request: RoutedRequest, now: number): boolean {
-        if (!this.#isActive()) {
-            return false;
-        }
-        this.#patience.record(request, now);
-        return this.#patience.isReturning(request) && this.#hasRoom(request);
+        return this.#isActive() && this.#patience.isReturning(request, now) && this.#hasRoom(request);
     }
 
     /** Adds a request that begins to wait, if it has come again. */
     add(waiting: WaitingRequest, now: number): void {
         const { request, isResume } = waiting;
-        if (isResume || request.origin || !this.mayWait(request, now)) {
+        if (isResume || request.origin || !this.#isActive()) {
+            return;
+        }
+        this.#patience.record(request, now);
+        if (!this.mayWait(request, now)) {
             return;
         }
         const promise = this.#calendar.findDue(request, now);
--- a/test/core/returns/overload.test.ts
+++ b/test/core/returns/overload.test.ts
@@ -52,6 +52,15 @@
     });
 }
 
+// New requests of callers with little time would be taken for those that return, and wait behind the others.
+test("callers give their requests different times: no fewer are on time", t => {
+    const load: Load = { demandRatio: 1.5, loadMs: 5000, getTimeoutMs: position => 1200 + 2800 * position };
+    const before = runOverload({ ...load, usesReservations: () => false });
+    const mixed = runOverload({ ...load, usesReservations: () => true });
+    t.true(Number(mixed.onTime) >= 0.95 * Number(before.onTime), `${before.onTime}, ${mixed.onTime}`);
+    t.true(Number(mixed.neverServed) <= 1.05 * Number(before.neverServed));
+});
+
 // An instance of the version before refuses those that return; the others must not depend on its promises.
 test("older instances beside newer ones: fewer refusals, and no fewer on time", t => {
     const load = { demandRatio: 1.5, loadMs: 5000 };
--- a/test/core/returns/serviceReturns.test.ts
+++ b/test/core/returns/serviceReturns.test.ts
@@ -96,6 +96,7 @@
 // A flood of requests with little time left would hold bodies until the memory is full.
 test("a bounded number of requests of an account wait beyond their objective", t => {
     const { scheduler } = createPromised();
+    Array.from({ length: 300 }, () => scheduler.returns.reserve(makeRoutedRequest(), 0, 0, 0));
     const outcomes = Array.from({ length: 300 }, () => enqueueRequest(scheduler, makeReturn(10), 10));
     scheduler.advance(1000);
     t.is(outcomes.filter(({ refusal }) => refusal === undefined).length, 250);
--- a/test/testing/returns/runOverload.ts
+++ b/test/testing/returns/runOverload.ts
@@ -16,6 +16,8 @@
     readonly accounts?: Readonly<Record<string, number>>;
     /** Rate from which shares follow; accounts have none if it is absent. */
     readonly tokensPerSecond?: number;
+    /** Returns the time that the caller of a new request has, for a random position from 0 to 1. */
+    readonly getTimeoutMs?: (position: number) => number;
     /** Requests that a target of an instance serves at once. */
     readonly getSlots?: (instance: number, now: number) => number;
     readonly isAlive?: (instance: number, now: number) => boolean;
@@ -38,7 +40,12 @@
  */
 export function runOverload(options: OverloadOptions): Readonly<Record<string, number>> {
     const { instances = 4, accounts = { a: 1, b: 1, c: 1 }, tokensPerSecond = 0, loadMs } = options;
-    const { getSlots = () => SLOTS, isAlive = () => true, isRunning = () => true } = options;
+    const {
+        getTimeoutMs = () => TIMEOUT_MS,
+        getSlots = () => SLOTS,
+        isAlive = () => true,
+        isRunning = () => true,
+    } = options;
     const random = createRandom(1);
     const schedulers = Array.from({ length: instances }, (_, i) => {
         const unset = [undefined, undefined, undefined, undefined, undefined, undefined, undefined] as const;
@@ -49,15 +56,14 @@
     const events: { at: number; run: () => void; }[] = [];
     const waits = new Map<WaitingRequest, readonly [scheduler: ServiceScheduler, send: () => void]>();
     let now = 0;
-    const send = (account: string, firstAt: number, refusals: number): void => {
+    const send = (account: string, firstAt: number, deadline: number, refusals: number): void => {
         const alive = schedulers.filter((_, i) => isAlive(i, now));
         const scheduler = alive[Math.floor(random() * alive.length)];
-        const deadline = firstAt + TIMEOUT_MS;
         if (!scheduler || now + START_MS >= deadline) {
             return;
         }
         const sendAgain = (count: number, at: number): number =>
-            events.push({ at, run: () => send(account, firstAt, count) });
+            events.push({ at, run: () => send(account, firstAt, deadline, count) });
         const refuse = (retryAfterMs: number): void => {
             result.refused += Number(refusals === 0);
             result.refusals += 1;
@@ -131,7 +137,7 @@
             owed.set(account, due % 1);
             for (let i = 1; i <= due; i += 1) {
                 result.requests += 1;
-                send(account, now, 0);
+                send(account, now, now + getTimeoutMs(random()), 0);
             }
         }
     }
