Returns: one place plans when a refused request comes again

A decision was recorded in the same pass as its notification, so that an error in one notification would have kept the requests behind it recorded as waiting. Change: ServiceReturns.planReturn decides; decisions are recorded before any of them is passed on. Nothing is promised while a service has no targets. A test covers the way of the option to the services.

--- a/src/core/returns/serviceReturns.ts
+++ b/src/core/returns/serviceReturns.ts
@@ -1,9 +1,21 @@
+import { limitRetryAfter } from "../routing/limitRetryAfter.js";
 import type { RoutedRequest } from "../routing/routedRequest.js";
 import type { SchedulerDecision } from "../routing/schedulerDecision.js";
+import type { SchedulerRefusal } from "../routing/schedulerRefusal.js";
 import type { WaitingRequest } from "../routing/waitingRequest.js";
 import { CallerPatience } from "./callerPatience.js";
 import { ReturnCalendar } from "./returnCalendar.js";
 
+/** Times in milliseconds that decide when a refused request comes again. */
+interface ReturnTimes {
+    /** Time before which its account gets no capacity. */
+    readonly earliestMs: number;
+    /** Time after which it may be served, as far as can be told without promises. */
+    readonly estimatedMs: number;
+    /** Time that a target takes to read the prompt. */
+    readonly readingMs: number;
+}
+
 /** Requests of a service, and of one of its accounts, that wait after they have returned. */
 const MAX_RETURNED = 500;
 const MAX_RETURNED_OF_ACCOUNT = 250;
@@ -54,19 +66,20 @@
         return { open, kept: this.#keptTotal, lapsed: this.#calendar.lapsedTotal + this.#brokenTotal };
     }
 
-    /**
-     * Promises capacity to a refused request and returns in how many milliseconds it is due; `undefined` if none is expected
-     * within what its caller waits.
-     *
-     * @param earliestMs Time in milliseconds before which the account gets no capacity.
-     * @param readingMs Time in milliseconds that a target takes to read the prompt.
-     */
-    reserve(request: RoutedRequest, earliestMs: number, readingMs: number, now: number): number | undefined {
-        if (!this.#isActive()) {
-            return undefined;
+    /** Plans when a request that is refused for want of capacity comes again, and promises capacity for that time if it can. */
+    planReturn(
+        request: RoutedRequest,
+        { earliestMs, estimatedMs, readingMs }: ReturnTimes,
+        now: number,
+    ): Pick<SchedulerRefusal, "retryAfterMs" | "isPromised"> {
+        let promisedMs: number | undefined;
+        if (this.#isActive()) {
+            this.#patience.addRefusal(now);
+            promisedMs = this.#calendar.reserve(request, earliestMs, readingMs, now);
         }
-        this.#patience.addRefusal(now);
-        return this.#calendar.reserve(request, earliestMs, readingMs, now);
+        return promisedMs === undefined
+            ? { retryAfterMs: limitRetryAfter(estimatedMs, request.requestId) }
+            : { retryAfterMs: promisedMs, isPromised: true };
     }
 
     /** Returns whether a request has come again and may wait, whatever its account has used. */
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -48,7 +48,9 @@
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
         });
         this.#engineModel = EngineModel.create(options.settings);
-        this.returns = ServiceReturns.create(() => options.usesReservations?.(this.#service.name) ?? false);
+        this.returns = ServiceReturns.create(() =>
+            this.#targets.size > 0 && (options.usesReservations?.(this.#service.name) ?? false)
+        );
         const eligibility = TargetEligibility.create({
             ...options,
             targets: this.#targets,
@@ -109,8 +111,7 @@
     enqueue(waiting: WaitingRequest, now: number): void {
         if (this.#waiting.length >= MAX_WAITING && !waiting.isResume) {
             const retryAfterMs = limitRetryAfter(Number.POSITIVE_INFINITY, waiting.request.requestId);
-            waiting.onRefuse({ reason: "overloaded", retryAfterMs });
-            return;
+            return waiting.onRefuse({ reason: "overloaded", retryAfterMs });
         }
         const { usage, crashRecord, limits } = this.#options;
         limits.addRequest(this.#service.name, now);
@@ -124,7 +125,8 @@
         if (decision.kind === "waiting") {
             this.#waiting.push(waiting);
         }
-        notifyWaiting(waiting, decision, this.returns, now);
+        this.returns.recordDecision(waiting, decision, now);
+        notifyWaiting(waiting, decision);
     }
 
     /**
@@ -156,8 +158,8 @@
             return undefined;
         }
         this.#options.usage.addDemand(request.account, countRequestTokens(request), now);
-        return this.returns.reserve(request, returnMs, 0, now)
-            ?? limitRetryAfter(returnMs, request.requestId);
+        const times = { earliestMs: returnMs, estimatedMs: returnMs, readingMs: 0 };
+        return this.returns.planReturn(request, times, now).retryAfterMs;
     }
 
     /** Removes a waiting request whose caller has disconnected. */
@@ -197,12 +199,12 @@
             return;
         }
         const blocked = new Set<string>();
-        const getRank = (waiting: WaitingRequest): number => this.returns.getRank(waiting, now);
-        const decided = sortWaiting(this.#waiting, this.#options.usage, now, getRank).map((waiting, i) =>
+        const decided = sortWaiting(this.#waiting, this.#options.usage, now, this.returns).map((waiting, i) =>
             [waiting, this.#tryResolve(waiting, blocked, () => i, now)] as const
         );
         this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
-        decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision, this.returns, now));
+        decided.forEach(([waiting, decision]) => this.returns.recordDecision(waiting, decision, now));
+        decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision));
     }
 
     /** Decides on one request; an unexpected error must not keep the others of the same pass from their grants. */
@@ -257,12 +259,10 @@
             return { kind: "waiting" };
         }
         this.#options.limits.addRefusal(this.#service.name, now);
+        const earliestMs = Math.max(returnMs, permitMs);
+        const estimatedMs = Math.max(earliestMs, this.#waits.estimateReturnMs(this.#waiting, now));
+        const plan = this.returns.planReturn(request, { earliestMs, estimatedMs, readingMs }, now);
         const reason = this.#targets.size === 0 ? "no-target" : "overloaded";
-        const promisedMs = reason === "overloaded"
-            ? this.returns.reserve(request, Math.max(returnMs, permitMs), readingMs, now)
-            : undefined;
-        const estimatedMs = Math.max(returnMs, permitMs, this.#waits.estimateReturnMs(this.#waiting, now));
-        const retryAfterMs = promisedMs ?? limitRetryAfter(estimatedMs, request.requestId);
-        return { kind: "refused", reason, retryAfterMs, isPromised: promisedMs !== undefined, shareRatio };
+        return { kind: "refused", reason, ...plan, shareRatio };
     }
 }
--- a/src/core/routing/sortWaiting.ts
+++ b/src/core/routing/sortWaiting.ts
@@ -1,3 +1,4 @@
+import type { ServiceReturns } from "../returns/serviceReturns.js";
 import type { AccountUsage } from "./accountUsage.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
@@ -10,7 +11,7 @@
     waiting: readonly WaitingRequest[],
     usage: AccountUsage,
     now: number,
-    getRank: (waiting: WaitingRequest) => number = () => 0,
+    returns: Pick<ServiceReturns, "getRank">,
 ): readonly WaitingRequest[] {
     const granted = new Map<string, number>();
     for (const { request } of waiting) {
@@ -22,7 +23,7 @@
         Number(b.isResume) - Number(a.isResume)
         || Number(b.request.origin !== undefined) - Number(a.request.origin !== undefined)
         || (granted.get(a.request.account) ?? 0) - (granted.get(b.request.account) ?? 0)
-        || getRank(b) - getRank(a)
+        || returns.getRank(b, now) - returns.getRank(a, now)
         || a.request.receivedAt - b.request.receivedAt
     );
 }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -198,11 +198,7 @@
         });
     }
 
-    /**
-     * Ends the request with the error response of a target, or else as planned for the cause.
-     *
-     * @param decidedBy What decided it, for the log.
-     */
+    /** Ends the request with the error response of a target, or else as planned for the cause; `decidedBy` is for the log. */
     #refuse(cause: EndCause, reason: string, retryAfterMs: number, decidedBy: object = {}): void {
         if (this.#isEnded) {
             return;
--- a/test/core/returns/serviceReturns.test.ts
+++ b/test/core/returns/serviceReturns.test.ts
@@ -5,6 +5,7 @@
 import { makeTargetDescriptor } from "../../testing/scheduler/makeTargetDescriptor.js";
 
 const LEFT_MS = 8000;
+const TIMES = { earliestMs: 0, estimatedMs: 0, readingMs: 0 };
 
 /** Creates a scheduler with one place, which account `a` holds, and a promise to `a` that is due 50 to 450 ms after the start. */
 function createPromised(usesReservations = true, tokensPerSecond = 0) {
@@ -12,7 +13,7 @@
     const created = createScheduler(tokensPerSecond, ...unset, () => usesReservations);
     created.scheduler.setTargets([makeTargetDescriptor("t", { slots: 1 })], new Set(), 0);
     const { grant } = enqueueRequest(created.scheduler, makeRoutedRequest({ outputTokens: 10_000 }), 0);
-    created.scheduler.returns.reserve(makeRoutedRequest({ promptTokens: 10, outputTokens: 0 }), 0, 0, 0);
+    created.scheduler.returns.planReturn(makeRoutedRequest({ promptTokens: 10, outputTokens: 0 }), TIMES, 0);
     const free = (now: number): void => {
         if (grant) {
             created.scheduler.release(grant, false, now);
@@ -96,7 +97,7 @@
 // A flood of requests with little time left would hold bodies until the memory is full.
 test("a bounded number of requests of an account wait beyond their objective", t => {
     const { scheduler } = createPromised();
-    Array.from({ length: 300 }, () => scheduler.returns.reserve(makeRoutedRequest(), 0, 0, 0));
+    Array.from({ length: 300 }, () => scheduler.returns.planReturn(makeRoutedRequest(), TIMES, 0));
     const outcomes = Array.from({ length: 300 }, () => enqueueRequest(scheduler, makeReturn(10), 10));
     scheduler.advance(1000);
     t.is(outcomes.filter(({ refusal }) => refusal === undefined).length, 250);
--- a/test/router/servicePool.test.ts
+++ b/test/router/servicePool.test.ts
@@ -31,8 +31,8 @@
     };
 }
 
-// A target that had left stayed in use if an error ended the update of another service, until the next change.
-test("gives each service its new targets, whatever happens to a request of another service that waits for one", t => {
+/** Makes a pool of the services `s` and `other`, of which the first one uses reservations. */
+function createPool(): ServicePool {
     const pool = ServicePool.create({
         settings: SETTINGS,
         usage: AccountUsage.create(4000),
@@ -41,6 +41,7 @@
         limits: createLimiter(),
         notices: createTargetNotices(),
         getTokensPerSecond: () => 0,
+        usesReservations: service => service === "s",
         getColdShare: () => undefined,
         mayBegin: () => true,
         mayGoOn: () => true,
@@ -49,6 +50,12 @@
     pool.applyConfiguration({
         services: new Map(services.map(service => [service.name, service])),
     } as unknown as RouterConfiguration);
+    return pool;
+}
+
+// A target that had left stayed in use if an error ended the update of another service, until the next change.
+test("gives each service its new targets, whatever happens to a request of another service that waits for one", t => {
+    const pool = createPool();
     pool.setTargets([makeTargetDescriptor("left", { service: "other" })], new Set(), 0);
     pool.find("s")?.scheduler.enqueue({
         request: makeRoutedRequest(),
@@ -63,3 +70,25 @@
     t.throws(() => pool.setTargets([makeTargetDescriptor("new")], new Set(), 10), { message: "unexpected" });
     t.deepEqual([...pool.find("other")?.scheduler.targets.keys() ?? []], []);
 });
+
+// The option must reach each service, or promises are never made, or made where nobody asked for them.
+test("promises capacity for the services that use reservations, and counts the promises of all", t => {
+    const pool = createPool();
+    const request = makeRoutedRequest();
+    pool.setTargets(
+        ["s", "other"].map(service => makeTargetDescriptor(`t-${service}`, { service })),
+        new Set(),
+        0,
+    );
+    for (const name of ["s", "other"]) {
+        const returns = pool.find(name)?.scheduler.returns;
+        t.is(returns?.isActive, name === "s");
+        const waiting = { request, excludedTargets: new Set<string>(), isResume: false };
+        const callbacks = { onGrant: () => undefined, onRefuse: () => undefined, onError: () => undefined };
+        for (let i = 0; i < 10; i += 1) {
+            returns?.recordDecision({ ...waiting, ...callbacks }, { kind: "granted", grant: {} as never }, 0);
+        }
+        returns?.planReturn(request, { earliestMs: 0, estimatedMs: 0, readingMs: 0 }, 0);
+    }
+    t.deepEqual(pool.countPromises(0), { open: 1, kept: 0, lapsed: 0 });
+});
