--- a/src/core/routing/candidateBuilder.ts
+++ b/src/core/routing/candidateBuilder.ts
@@ -36,6 +36,8 @@
     | "spill-limit"
     | "spill-gain";
 
+/** Accounts beyond their share leave the rest of the slots to others, whose requests may arrive before the next report. */
+const IDLE_SLOT_SHARE = 0.75;
 /** Penalty in milliseconds of a target that fails all its requests, so that a faulty one is picked last. */
 const FAILURE_PENALTY_MS = 2000;
 /**
@@ -79,7 +81,7 @@
         }
         const source = this.#findAffordableSource(target, cached, now);
         const estimate = this.#estimate(target, request, cached, source, now);
-        if (target.countInFlight(now) >= descriptor.slots) {
+        if (target.countInFlight(now) >= descriptor.slots * (capacity === "idle" ? IDLE_SLOT_SHARE : 1)) {
             return "slots-taken";
         }
         const timeRatio = target.getTimeRatio(now);
--- a/src/core/routing/scheduling/refusalBuilder.ts
+++ b/src/core/routing/scheduling/refusalBuilder.ts
@@ -47,15 +47,15 @@
         waiting: readonly WaitingRequest[],
         now: number,
     ): SchedulerRefusal {
-        const { explainer, waits, getServiceName, countTargets } = this.#options;
+        const { explainer, returns, waits, getServiceName, countTargets } = this.#options;
         explainer.addRefusal(getServiceName(), request, isExcluded, now);
         const reason = countTargets() === 0 ? "no-target" : "overloaded";
-        const promisedMs = reason === "overloaded"
-            ? this.#reserve(request, Math.max(returnMs, permitMs), readingMs, now)
-            : undefined;
-        const estimatedMs = Math.max(returnMs, permitMs, waits.estimateReturnMs(waiting, now));
-        const retryAfterMs = promisedMs ?? limitRetryAfter(estimatedMs, request.requestId);
-        return { reason, retryAfterMs, isPromised: promisedMs !== undefined, shareRatio };
+        const earliestMs = Math.max(returnMs, permitMs);
+        const estimatedMs = Math.max(earliestMs, waits.estimateReturnMs(waiting, now));
+        const plan = reason === "no-target"
+            ? { retryAfterMs: limitRetryAfter(estimatedMs, request.requestId) }
+            : returns.planReturn(request, { earliestMs, estimatedMs, readingMs }, now, explainer.isActive);
+        return { reason, ...plan, shareRatio };
     }
 
     /** Returns the retry delay in milliseconds if the account is excluded; the request then still counts as demand. */
@@ -67,11 +67,7 @@
             return undefined;
         }
         explainer.addDemand(request, now);
-        return this.#reserve(request, returnMs, 0, now) ?? limitRetryAfter(returnMs, request.requestId);
-    }
-
-    #reserve(...args: Parameters<ServiceReturns["reserve"]>): number | undefined {
-        const { explainer, returns } = this.#options;
-        return explainer.isActive ? returns.estimate(...args) : returns.reserve(...args);
+        const times = { earliestMs: returnMs, estimatedMs: returnMs, readingMs: 0 };
+        return returns.planReturn(request, times, now, explainer.isActive).retryAfterMs;
     }
 }
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -61,7 +61,7 @@
         });
         this.#engineModel = EngineModel.create(options.settings);
         this.returns = ServiceReturns.create(() =>
-            options.usesReservations?.(this.#service.name) ?? this.speeds.isActive
+            this.#targets.size > 0 && (options.usesReservations?.(this.#service.name) ?? false)
         );
         const eligibility = TargetEligibility.create({
             ...options,
@@ -144,7 +144,8 @@
         if (decision.kind === "waiting") {
             this.#waiting.push(waiting);
         }
-        notifyWaiting(waiting, decision, this.returns, now);
+        this.returns.recordDecision(waiting, decision, now);
+        notifyWaiting(waiting, decision);
     }
 
     #add(waiting: WaitingRequest, now: number): SchedulerDecision {
@@ -219,11 +220,11 @@
         if (this.#waiting.length === 0) {
             return;
         }
-        const getRank = (waiting: WaitingRequest): number => this.returns.getRank(waiting, now);
-        const sorted = sortWaiting(this.#waiting, this.#options.usage, now, getRank);
+        const sorted = sortWaiting(this.#waiting, this.#options.usage, now, this.returns);
         const decided = resolveAll(sorted, (...args) => this.#resolve(...args, now));
         this.#waiting = decided.filter(([, { kind }]) => kind === "waiting").map(([waiting]) => waiting);
-        decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision, this.returns, now));
+        decided.forEach(([waiting, decision]) => this.returns.recordDecision(waiting, decision, now));
+        decided.forEach(([waiting, decision]) => notifyWaiting(waiting, decision));
     }
 
     /**
--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -56,6 +56,7 @@
     coldSlack: isNonNegativeNumber,
     maxAddressTermSeconds: isNonNegativeNumber,
     bodyIdleSeconds: value => value === undefined || isBodyIdle(value),
+    reservesReturns: value => value === undefined || typeof value === "boolean",
     portWaitSeconds: value => value === undefined || isNonNegativeNumber(value),
 };
 
@@ -91,6 +92,8 @@
     readonly maxAddressTermSeconds: number;
     /** @default the idle time-out of the configuration */
     readonly bodyIdleSeconds?: number;
+    /** @default refused requests are not promised capacity */
+    readonly reservesReturns?: boolean;
     /** @default outlasts the planned stop of a predecessor, its kill and a closed connection of another process */
     readonly portWaitSeconds?: number;
     /** @default requests leave their data centre by the score alone */
@@ -138,6 +141,7 @@
             seedHosts: raw.seedAddresses.map(address => parseListenAddress(address).host),
             weight: raw.processorShare * raw.processorSpeed,
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
+            reservesReturns: raw.reservesReturns,
             bodyIdleMs: raw.bodyIdleSeconds === undefined
                 ? undefined
                 : raw.bodyIdleSeconds * MS_PER_SECOND,
--- a/src/router/createServicePool.ts
+++ b/src/router/createServicePool.ts
@@ -4,8 +4,7 @@
 
 type PoolOptions = Parameters<typeof ServicePool.create>[0];
 
-interface CreateOptions
-    extends Pick<PoolOptions, "getTokensPerSecond" | "usesReservations" | "getColdShare"> {
+interface CreateOptions extends Pick<PoolOptions, "getTokensPerSecond" | "getColdShare"> {
     readonly settings: RouterSettings;
     readonly state: RoutingState;
     /** Monotonic time in milliseconds. */
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -21,6 +21,8 @@
     readonly memoryBytes: number;
     /** Longest time in milliseconds without a byte of a body. Absent: the idle time-out of the configuration. */
     readonly bodyIdleMs?: number | undefined;
+    /** Whether refused requests are promised capacity, and wait when they come again. @default false */
+    readonly reservesReturns?: boolean | undefined;
     /** Descriptors that the process may have open. */
     readonly maxDescriptors: number;
     /** Longest time from the stop signal to the end of the process, in milliseconds. */
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -24,8 +24,6 @@
     readonly limits: LimitGate;
     readonly notices: TargetNotices;
     readonly getTokensPerSecond: () => number;
-    /** Whether refused requests of a service are promised capacity; none are if it is absent. */
-    readonly usesReservations?: ((service: string) => boolean) | undefined;
     readonly getColdShare: (
         target: TargetDescriptor,
         limitPerSecond: number,
@@ -66,8 +64,7 @@
     /** Adds the new services of a configuration and updates the known ones. */
     applyConfiguration(configuration: RouterConfiguration): void {
         const { settings, pressure, usage, promptLocations, crashRecord, limits, notices } = this.#options;
-        const { getTokensPerSecond, usesReservations, getColdShare, mayBegin, mayGoOn, spill } =
-            this.#options;
+        const { getTokensPerSecond, getColdShare, mayBegin, mayGoOn, spill } = this.#options;
         for (const service of configuration.services.values()) {
             const known = this.#services.get(service.name);
             if (known) {
@@ -92,7 +89,7 @@
                     },
                     getRandom: Math.random,
                     getTokensPerSecond,
-                    usesReservations,
+                    usesReservations: () => settings.reservesReturns === true,
                     getColdShare,
                     mayBegin,
                     mayGoOn,
--- a/test/router/servicePool.test.ts
+++ b/test/router/servicePool.test.ts
@@ -32,11 +32,11 @@
     };
 }
 
-// A target that had left stayed in use if an error ended the update of another service, until the next change.
-test("gives each service its new targets, whatever happens to a request of another service that waits for one", t => {
+/** Makes a pool of the services `s` and `other`. */
+function createPool(reservesReturns: boolean): ServicePool {
     const pool = ServicePool.create({
         pressure: AdmissionPressure.create(),
-        settings: SETTINGS,
+        settings: { ...SETTINGS, reservesReturns },
         usage: AccountUsage.create(4000),
         promptLocations: PromptLocations.create(),
         crashRecord: createCrashRecord(),
@@ -51,6 +51,12 @@
     pool.applyConfiguration({
         services: new Map(services.map(service => [service.name, service])),
     } as unknown as RouterConfiguration);
+    return pool;
+}
+
+// A target that had left stayed in use if an error ended the update of another service, until the next change.
+test("gives each service its new targets, whatever happens to a request of another service that waits for one", t => {
+    const pool = createPool(false);
     pool.setTargets([makeTargetDescriptor("left", { service: "other" })], new Set(), 0);
     pool.find("s")?.scheduler.enqueue({
         request: makeRoutedRequest(),
@@ -65,3 +71,35 @@
     t.throws(() => pool.setTargets([makeTargetDescriptor("new")], new Set(), 10), { message: "unexpected" });
     t.deepEqual([...pool.find("other")?.scheduler.targets.keys() ?? []], []);
 });
+
+// The setting must reach each service, or promises are never made, or made where nobody asked for them.
+for (const reservesReturns of [true, false]) {
+    test(`promises capacity where the setting is ${reservesReturns}, and counts the promises of all services`, t => {
+        const pool = createPool(reservesReturns);
+        const request = makeRoutedRequest();
+        pool.setTargets(
+            ["s", "other"].map(service => makeTargetDescriptor(`t-${service}`, { service })),
+            new Set(),
+            0,
+        );
+        for (const name of ["s", "other"]) {
+            const returns = pool.find(name)?.scheduler.returns;
+            t.is(returns?.isActive, reservesReturns);
+            const waiting = { request, excludedTargets: new Set<string>(), isResume: false };
+            const callbacks = {
+                onGrant: () => undefined,
+                onRefuse: () => undefined,
+                onError: () => undefined,
+            };
+            for (let i = 0; i < 10; i += 1) {
+                returns?.recordDecision(
+                    { ...waiting, ...callbacks },
+                    { kind: "granted", grant: {} as never },
+                    0,
+                );
+            }
+            returns?.planReturn(request, { earliestMs: 0, estimatedMs: 0, readingMs: 0 }, 0);
+        }
+        t.deepEqual(pool.countPromises(0), { open: reservesReturns ? 2 : 0, kept: 0, lapsed: 0 });
+    });
+}
