--- a/src/core/spill/spillFlows.ts
+++ b/src/core/spill/spillFlows.ts
@@ -102,7 +102,8 @@
         for (const [dataCentre, load] of this.#loads) {
             if (dataCentre !== settings.locality.dataCentre) {
                 const isKnown = inputs.summaries.isCurrent(dataCentre, occupied.has(dataCentre), now);
-                this.#updateWindow(dataCentre, load, isKnown ? self : undefined, members, now);
+                const isUsable = isKnown && load.targets > 0;
+                this.#updateWindow(dataCentre, load, isUsable ? self : undefined, members, now);
             }
         }
         for (const dataCentre of this.#windows.keys()) {
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -4,6 +4,7 @@
 import { ServiceScheduler } from "../../../src/core/routing/serviceScheduler.js";
 import type { TargetCandidate } from "../../../src/core/routing/targetCandidate.js";
 import type { TargetDescriptor } from "../../../src/core/routing/targetDescriptor.js";
+import type { SpillInputs } from "../../../src/core/spill/spillInputs.js";
 import { createCrashRecord } from "../createCrashRecord.js";
 import { createLimiter } from "../createLimiter.js";
 import { createTargetNotices } from "../createTargetNotices.js";
@@ -20,6 +21,7 @@
     notices = createTargetNotices(),
     mayBegin: (target: TargetDescriptor) => boolean = () => true,
     mayGoOn: (target: TargetDescriptor) => boolean = () => true,
+    spill?: SpillInputs,
 ): { scheduler: ServiceScheduler; usage: AccountUsage; } {
     const usage = AccountUsage.create(WINDOW_MS);
     const scheduler = ServiceScheduler.create({
@@ -51,6 +53,7 @@
         getColdShare,
         mayBegin,
         mayGoOn,
+        spill,
     });
     return { scheduler, usage };
 }
