--- a/src/core/routing/candidateBuilder.ts
+++ b/src/core/routing/candidateBuilder.ts
@@ -89,7 +89,8 @@
             failureMs: target.getFailureShare(now) * FAILURE_PENALTY_MS,
             cacheMs: estimate.uncachedTokens
                 * (estimate.isFetching ? MOVED_TOKEN_PENALTY_MS : REREAD_TOKEN_PENALTY_MS),
-            spillMs: this.#computeSpillMs(target, request, source, estimate, now),
+            spillMs: this.#options.spillCosts?.computeMs(request, descriptor, source?.descriptor, estimate)
+                ?? 0,
         };
         return {
             target,
@@ -127,23 +128,6 @@
         return moveMs <= rereadMs ? source : undefined;
     }
 
-    #computeSpillMs(
-        target: TargetState,
-        request: RoutedRequest,
-        source: TargetState | undefined,
-        estimate: ReturnType<typeof estimateTarget>,
-        now: number,
-    ): number {
-        const { spillCosts, engineModel, getService } = this.#options;
-        return spillCosts?.computeMs(
-            request,
-            target.descriptor,
-            source?.descriptor,
-            estimate,
-            getService().engine && engineModel.getPrefillTokensPerMs(now),
-        ) ?? 0;
-    }
-
     #estimate(
         target: TargetState,
         request: RoutedRequest,
--- a/src/core/spill/spillCosts.ts
+++ b/src/core/spill/spillCosts.ts
@@ -13,6 +13,8 @@
     readonly getService: () => RoutedService;
     /** Load of a data centre, from 0 to 1 and above. */
     readonly getFill: (dataCentre: string) => number;
+    /** Prompt tokens that an engine reads per millisecond; `undefined` for a plain service. */
+    readonly getPrefillTokensPerMs: () => number | undefined;
 }
 
 type Estimate = Pick<
@@ -51,22 +53,21 @@
     /**
      * Computes the equivalent in milliseconds of the caller's wait: bytes of the request, its response and moved prompt parts,
      * and the wait of the callers that it displaces in another data centre.
-     *
-     * @param prefillTokensPerMs Prompt tokens that an engine reads per millisecond; `undefined` for a plain service.
      */
     computeMs(
         request: RoutedRequest,
         target: TargetDescriptor,
         source: TargetDescriptor | undefined,
         estimate: Estimate,
-        prefillTokensPerMs: number | undefined,
     ): number {
-        const { inputs: { responseSizes }, settings: { locality }, getFill } = this.#options;
+        const { inputs: { responseSizes }, settings: { locality }, getFill, getPrefillTokensPerMs } =
+            this.#options;
         const moveMs = estimate.isFetching ? this.computeMoveMs(estimate.uncachedTokens, source, target) : 0;
         if (target.dataCentre === locality.dataCentre) {
             return moveMs;
         }
         const bytes = (request.bodyBytes ?? 0) + responseSizes.estimate(request.route.name);
+        const prefillTokensPerMs = getPrefillTokensPerMs();
         const workMs = prefillTokensPerMs === undefined
             ? estimate.overheadMs / Math.max(1, target.slots)
             : estimate.missingTokens / prefillTokensPerMs;
--- a/src/core/spill/spillFlows.ts
+++ b/src/core/spill/spillFlows.ts
@@ -38,6 +38,10 @@
     readonly #short = ShortDataCentres.create();
     #loads: ReadonlyMap<string, DataCentreLoad> = new Map();
     #refreshAt = Number.NEGATIVE_INFINITY;
+    /** Prompt tokens that an engine reads per millisecond; `undefined` for a plain service. */
+    #prefillTokensPerMs: number | undefined;
+    /** Prompt tokens at which the scheduler leaves an engine out; `undefined` for a plain service. */
+    #maxPendingTokens: number | undefined;
     /** Work granted in each data centre since the loads were summed. */
     #granted = new Map<string, number>();
     /** Data centres whose load is known. */
@@ -52,6 +56,11 @@
         return new SpillFlows(options);
     }
 
+    /** Prompt tokens that an engine reads per millisecond; `undefined` for a plain service. */
+    get prefillTokensPerMs(): number | undefined {
+        return this.#prefillTokensPerMs;
+    }
+
     /** Returns the load of a data centre; one whose load is not known counts as full. */
     getFill(dataCentre: string): number {
         return this.#known.has(dataCentre) ? this.#loads.get(dataCentre)?.fill ?? 1 : 1;
@@ -66,7 +75,7 @@
     mayLeave(target: TargetState, missingTokens: number, isOverShare: boolean, now: number): boolean {
         const { dataCentre } = target.descriptor;
         const ownUse = (this.#loads.get(dataCentre)?.ownUse ?? 0) + (this.#granted.get(dataCentre) ?? 0);
-        const work = this.#computeWork(target, missingTokens, now);
+        const work = this.#computeWork(target, missingTokens);
         return this.#windows.get(dataCentre)?.has(work, ownUse, isOverShare ? OVER_SHARE_PART : 1, now)
             ?? false;
     }
@@ -74,7 +83,7 @@
     /** Records a request that leaves for a target. */
     recordLeft(target: TargetState, missingTokens: number, now: number): void {
         const { dataCentre } = target.descriptor;
-        const work = this.#computeWork(target, missingTokens, now);
+        const work = this.#computeWork(target, missingTokens);
         this.#granted.set(dataCentre, (this.#granted.get(dataCentre) ?? 0) + work);
         this.#windows.get(dataCentre)?.recordLeft(now);
     }
@@ -86,12 +95,13 @@
         }
         this.#refreshAt = now + REFRESH_MS;
         this.#granted = new Map();
+        this.#updateEngine(now);
         const { targets, eligibility, inputs, settings } = this.#options;
         this.#loads = computeDataCentreLoads(targets.values(), {
             isOpen: target =>
                 target.ejectedUntil <= now && !target.isCold(now)
                 && eligibility.isOpen(target.descriptor, now),
-            maxPendingTokens: this.#getMaxPendingTokens(now),
+            maxPendingTokens: this.#maxPendingTokens,
             now,
         });
         const members = inputs.listMembers() ?? [];
@@ -113,6 +123,14 @@
         }
     }
 
+    #updateEngine(now: number): void {
+        const { settings, engineModel, getService } = this.#options;
+        const { engine, shortestObjectiveMs } = getService();
+        this.#prefillTokensPerMs = engine && engineModel.getPrefillTokensPerMs(now);
+        this.#maxPendingTokens = this.#prefillTokensPerMs
+            && shortestObjectiveMs * settings.queueObjectiveShare * this.#prefillTokensPerMs;
+    }
+
     #updateWindow(
         dataCentre: string,
         { headroom, ownUse }: DataCentreLoad,
@@ -141,19 +159,11 @@
         );
     }
 
-    #computeWork({ descriptor }: TargetState, pendingTokens: number, now: number): number {
+    #computeWork({ descriptor }: TargetState, pendingTokens: number): number {
         return computeTargetFill(
             { inFlight: 1, pendingTokens },
             descriptor.slots,
-            this.#getMaxPendingTokens(now),
+            this.#maxPendingTokens,
         );
     }
-
-    /** Prompt tokens at which the scheduler leaves an engine out; `undefined` for a plain service. */
-    #getMaxPendingTokens(now: number): number | undefined {
-        const { settings, engineModel, getService } = this.#options;
-        const { engine, shortestObjectiveMs } = getService();
-        return engine
-            && shortestObjectiveMs * settings.queueObjectiveShare * engineModel.getPrefillTokensPerMs(now);
-    }
 }
--- a/src/core/spill/spillPlanner.ts
+++ b/src/core/spill/spillPlanner.ts
@@ -30,6 +30,7 @@
         this.costs = SpillCosts.create({
             ...options,
             getFill: dataCentre => this.#flows.getFill(dataCentre),
+            getPrefillTokensPerMs: () => this.#flows.prefillTokensPerMs,
         });
     }
 
