Spill: larger steps and a larger part of the targets for others

Change: a step opens 0.7 of the headroom (0.5 before), others may fill 0.9 of the slots and 0.7 of the queue (0.8 and 0.6).

--- a/src/core/spill/computeTargetFill.ts
+++ b/src/core/spill/computeTargetFill.ts
@@ -1,10 +1,10 @@
 /** Share of a target's slots that requests from elsewhere may fill; the rest is for the callers of its data centre. */
-const SLOT_SHARE = 0.8;
+const SLOT_SHARE = 0.9;
 /**
  * The same for the queue of prompts. It is smaller, because a queue costs all callers of the target their wait, while
  * a taken slot costs nobody until the slots run out.
  */
-const QUEUE_SHARE = 0.6;
+const QUEUE_SHARE = 0.7;
 
 interface TargetUse {
     readonly inFlight: number;
--- a/src/core/spill/spillWindow.ts
+++ b/src/core/spill/spillWindow.ts
@@ -1,5 +1,5 @@
 /** Share of the headroom that a step opens. All instances step on the same reports, so a whole one would overshoot. */
-const STEP_SHARE = 0.5;
+const STEP_SHARE = 0.7;
 /** A flow without a request for this long has stopped: several steps, so that a short lull does not end it. */
 const IDLE_MS = 2000;
 
