Router: log lines and gauges show the speeds of targets

Operators could not see which speeds are known and for which services they count.

Log events target-speeds-changed and target-speeds, field timeRatio of request-ended, gauges targets_speed_known, target_time_ratio_lowest and target_time_ratio_highest. The time ratio is the expected time that a target takes relative to the usual one.

--- a/src/core/routing/candidateBuilder.ts
+++ b/src/core/routing/candidateBuilder.ts
@@ -97,6 +97,7 @@
                 missingTokens: estimate.missingTokens,
                 tokensAhead: estimate.tokensAhead,
                 networkMs,
+                timeRatio,
                 overheadMs: estimate.overheadMs + networkMs,
                 expectedMs: estimate.expectedMs + networkMs,
                 grantedAt: now,
--- a/src/core/routing/targetGrant.ts
+++ b/src/core/routing/targetGrant.ts
@@ -17,6 +17,8 @@
     readonly networkMs: number;
     /** Expected time to first event in milliseconds, with the network delay. */
     readonly expectedMs: number;
+    /** Ratio by which the target was expected to take longer than that when it was granted. */
+    readonly timeRatio: number;
     /** Monotonic time in milliseconds. */
     readonly grantedAt: number;
 }
--- a/src/router/createFleetView.ts
+++ b/src/router/createFleetView.ts
@@ -1,14 +1,17 @@
-import { SpeedReports } from "../core/targetSpeed/speedReports.js";
 import type { DeploymentView } from "./deploymentView.js";
 import { FleetView } from "./fleetView.js";
 import type { FleetViewOptions } from "./fleetViewOptions.js";
+import type { RouterMetrics } from "./routerMetrics.js";
 import type { RoutingState } from "./routingState.js";
 import type { ServicePool } from "./servicePool.js";
 import { StartNotices } from "./startNotices.js";
+import { createSpeedReports } from "./targetSpeed/createSpeedReports.js";
+import { SpeedLog } from "./targetSpeed/speedLog.js";
 
 interface CreateOptions
     extends
         Pick<FleetViewOptions, "settings" | "log" | "errorBoundary" | "exchange" | "getNow" | "getState"> {
+    readonly metrics: RouterMetrics;
     readonly state: RoutingState;
     readonly view: DeploymentView;
     readonly servicePool: ServicePool;
@@ -24,10 +27,8 @@
             getNotice: () => view.startNotice,
             onNotice: (ip, notice) => view.recordStartNotice(ip, notice),
         }),
-        speedReports: SpeedReports.create({
-            listSpeeds: () => servicePool.listSpeeds(),
-            onObservation: (id, observation, now) => servicePool.adoptSpeed(id, observation, now),
-        }),
+        speedReports: createSpeedReports(options),
+        speedLog: SpeedLog.create(options),
         listLoads: () => servicePool.listLoads(),
         listDataCentreLoads: peers => servicePool.listDataCentreLoads(getNow(), peers),
         onLoads: (peer, loads, validUntil) => servicePool.setPeerLoads(peer, loads, validUntil),
--- a/src/router/describeRequestEnd.ts
+++ b/src/router/describeRequestEnd.ts
@@ -1,6 +1,8 @@
 import type { RoutedRequest } from "../core/routing/routedRequest.js";
 import type { ForwardAttempt } from "./forwardAttempt.js";
 
+const RATIO_DIGITS = 2;
+
 /** Builds the log fields for the end of a request: its attributes, the selected target, the time in the queue and at the target. */
 export function describeRequestEnd(
     request: RoutedRequest,
@@ -21,6 +23,7 @@
         promptSource: grant?.promptSource,
         missingTokens: grant?.missingTokens,
         expectedMs: grant && Math.round(grant.expectedMs),
+        timeRatio: grant && Number(grant.timeRatio.toFixed(RATIO_DIGITS)),
         queuedMs: grant && Math.round(grant.grantedAt - request.receivedAt),
         firstEventMs: grant && firstEventAt !== undefined
             ? Math.round(firstEventAt - grant.grantedAt)
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -169,7 +169,8 @@
     }
 
     #sendReports(): void {
-        const { promptLocations, crashRecord, limits, speedReports, getNow, getState } = this.#options;
+        const { promptLocations, crashRecord, limits, speedReports, speedLog, getNow, getState } =
+            this.#options;
         const now = getNow();
         this.#permits.advance(getState() === "closed", now);
         const localPeers = this.#listLocalPeers();
@@ -197,6 +198,7 @@
         }
         this.#sender.sendRemoteSummary(role, now);
         this.#sender.reportToSeeds(now);
+        speedLog.check(now);
     }
 
     #receive(message: unknown, senderHost: string): void {
--- a/src/router/fleetViewOptions.ts
+++ b/src/router/fleetViewOptions.ts
@@ -11,6 +11,7 @@
 import type { RouterSettings } from "./routerSettings.js";
 import type { StartNotices } from "./startNotices.js";
 import type { StreamOrigins } from "./streamOrigins.js";
+import type { SpeedLog } from "./targetSpeed/speedLog.js";
 
 /** What the view of the fleet needs of the instance. */
 export interface FleetViewOptions {
@@ -24,6 +25,7 @@
     readonly crashRecord: CrashRecord;
     readonly limits: RequestLimiter;
     readonly speedReports: SpeedReports;
+    readonly speedLog: SpeedLog;
     readonly streamOrigins: StreamOrigins;
     readonly getNow: () => number;
     readonly getState: () => MemberRecord["state"];
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -163,6 +163,13 @@
             .map(({ descriptor, speed }) => [descriptor.id, speed] as const);
     }
 
+    /** Lists the services for which the speeds of targets count. */
+    listActiveSpeedServices(): readonly string[] {
+        return [...this.#services].filter(([, { scheduler }]) => scheduler.speeds.isActive).map(([name]) =>
+            name
+        );
+    }
+
     /** Adopts the speed of a target that a peer has observed. */
     adoptSpeed(targetId: string, observation: SpeedObservation, now: number): void {
         this.#findTarget(targetId)?.adoptSpeed(observation, now);
