Measure: the time of a decision at 90 targets

npm run measure -- decision times one grant at 90 targets, with and without reported speeds, on real schedulers without a network.

--- a/src/measure/scenarios.ts
+++ b/src/measure/scenarios.ts
@@ -3,6 +3,7 @@
 import { measureColdStart } from "./scenarios/measureColdStart.js";
 import { measureConfiguration } from "./scenarios/measureConfiguration.js";
 import { measureDataCentre } from "./scenarios/measureDataCentre.js";
+import { measureDecision } from "./scenarios/measureDecision.js";
 import { measureFairness } from "./scenarios/measureFairness.js";
 import { measureFaults } from "./scenarios/measureFaults.js";
 import { measureOverhead } from "./scenarios/measureOverhead.js";
@@ -16,6 +17,7 @@
     coldstart: measureColdStart,
     datacentre: measureDataCentre,
     configuration: measureConfiguration,
+    decision: measureDecision,
     faults: measureFaults,
     placement: measurePlacement,
 };
