Reports: a delegate's summaries get their part of the bytes for speeds

A single entry of a summary to 37 receivers took more bytes than one report was allowed, so that summaries within a data centre of that size held none.

Reports and summaries for other data centres take a tenth of what is saved up, at most the bytes of a second, and the summary for the own data centre the rest. What was sent is kept for each kind of report, since their receivers differ.

Measured in the test of a delegate (37, 7 and 3 receivers): at most 4,096 bytes a second in all, at least one entry a second in summaries.

--- a/src/core/targetSpeed/byteBudget.ts
+++ b/src/core/targetSpeed/byteBudget.ts
@@ -1,10 +1,8 @@
 /** Bytes a second that the speeds in reports may take; a part of the control traffic may take 4 KB/s (release 17). */
 const BYTES_PER_SECOND = 3900;
 const MS_PER_SECOND = 1000;
-/** Bytes that are saved up at most, for the reports of half a second. */
-const MAX_SAVED_BYTES = BYTES_PER_SECOND / 2;
-/** Part of the saved bytes that one report may take, so that reports and summaries of a delegate both get some. */
-const REPORT_SHARE = 0.5;
+/** Bytes that are saved up at most: those of a second, which are one entry of a summary to 90 receivers. */
+const MAX_SAVED_BYTES = BYTES_PER_SECOND;
 
 /** Bounds the bytes a second that one part of the reports takes. Times are monotonic milliseconds. */
 export class ByteBudget {
@@ -16,10 +14,14 @@
         return new ByteBudget();
     }
 
-    /** Returns the bytes that the next report to a number of receivers may take, for each of them. */
-    getAllowance(receivers: number, now: number): number {
+    /**
+     * Returns the bytes that the next report to a number of receivers may take, for each of them.
+     *
+     * @param share Part of the saved bytes that it may take.
+     */
+    getAllowance(receivers: number, share: number, now: number): number {
         this.#update(now);
-        return receivers > 0 ? this.#saved * REPORT_SHARE / receivers : 0;
+        return receivers > 0 ? this.#saved * share / receivers : 0;
     }
 
     /** Takes bytes that are sent. */
--- a/src/core/targetSpeed/speedReports.ts
+++ b/src/core/targetSpeed/speedReports.ts
@@ -1,3 +1,4 @@
+import type { ReportScope } from "../limits/reportScope.js";
 import { ByteBudget } from "./byteBudget.js";
 import type { SharedSpeed } from "./sharedSpeed.js";
 import type { SpeedObservation } from "./speedObservation.js";
@@ -20,6 +21,15 @@
 /** Bytes of the field and of an entry in JSON, without the identifier of the target. */
 const FIELD_BYTES = 12;
 const ENTRY_BYTES = 16;
+/**
+ * Part of the saved bytes that a report may take. A delegate sends all kinds, and a single entry of its summary goes to many
+ * receivers, so that the others leave most of what is saved to it.
+ */
+const SHARES: Readonly<Record<ReportScope, number>> = {
+    "instance": 0.1,
+    "data-centre": 0.1,
+    "local-summary": 1,
+};
 const MAX_AGE_MS = 2000;
 /** Time for which a speed was not sent that counts at most, so that with many targets a large change still goes first. */
 const MAX_UNSENT_MS = 60_000;
@@ -34,9 +44,12 @@
 export class SpeedReports {
     readonly #options: SpeedReportsOptions;
     readonly #budget = ByteBudget.create();
-    /** What was sent last of each target, in reports and in summaries; targets that are gone are forgotten. */
-    readonly #reported = new WeakMap<TargetSpeed, SentObservation>();
-    readonly #summarized = new WeakMap<TargetSpeed, SentObservation>();
+    /** What was sent last of each target; targets that are gone are forgotten. */
+    readonly #sent: Readonly<Record<ReportScope, WeakMap<TargetSpeed, SentObservation>>> = {
+        "instance": new WeakMap(),
+        "data-centre": new WeakMap(),
+        "local-summary": new WeakMap(),
+    };
 
     private constructor(options: SpeedReportsOptions) {
         this.#options = options;
@@ -47,49 +60,29 @@
         return new SpeedReports(options);
     }
 
-    /** Takes own observations for a report to a number of receivers; `undefined` if there is none. */
-    takeReport(receivers: number, now: number): readonly SharedSpeed[] | undefined {
-        return this.#take(this.#reported, speed => speed.getOwnObservation(now), receivers, now);
-    }
-
-    /** Takes the newest observations of this instance and of peers for a summary to a number of receivers. */
-    takeSummary(receivers: number, now: number): readonly SharedSpeed[] | undefined {
-        return this.#take(this.#summarized, speed => speed.getNewestObservation(now), receivers, now);
-    }
-
-    /** Adopts the observations in a report of a peer. */
-    adopt(speeds: readonly SharedSpeed[], isLocal: boolean, now: number): void {
-        const delayMs = isLocal ? LOCAL_DELAY_MS : REMOTE_DELAY_MS;
-        for (const [targetId, percent, ageMs] of speeds) {
-            if (percent > 0 && ageMs + delayMs < MAX_AGE_MS) {
-                const observation = {
-                    logRatio: Math.log(percent / PERCENT),
-                    observedAt: now - ageMs - delayMs,
-                };
-                this.#options.onObservation(targetId, observation, now);
-            }
-        }
-    }
-
-    #take(
-        sent: WeakMap<TargetSpeed, SentObservation>,
-        observe: (speed: TargetSpeed) => SpeedObservation | undefined,
-        receivers: number,
-        now: number,
-    ): readonly SharedSpeed[] | undefined {
+    /**
+     * Takes observations for a report to a number of receivers; `undefined` if there is none, or no room. Those of peers are
+     * part of summaries only.
+     */
+    take(scope: ReportScope, receivers: number, now: number): readonly SharedSpeed[] | undefined {
+        const sent = this.#sent[scope];
         const observed = this.#options.listSpeeds().flatMap(([id, speed]) => {
-            const observation = observe(speed);
+            const observation = scope === "instance"
+                ? speed.getOwnObservation(now)
+                : speed.getNewestObservation(now);
             return observation
                 ? [{ id, speed, observation, rank: computeRank(observation, sent.get(speed), now) }]
                 : [];
         });
-        let bytes = this.#budget.getAllowance(receivers, now) - FIELD_BYTES;
+        const bytes = this.#budget.getAllowance(receivers, SHARES[scope], now);
+        let length = FIELD_BYTES;
         const entries: SharedSpeed[] = [];
         for (const { id, speed, observation } of observed.sort((a, b) => b.rank - a.rank)) {
-            bytes -= id.length + ENTRY_BYTES;
-            if (bytes < 0 || entries.length >= MAX_ENTRIES) {
+            const entryLength = id.length + ENTRY_BYTES;
+            if (length + entryLength > bytes || entries.length >= MAX_ENTRIES) {
                 break;
             }
+            length += entryLength;
             const { logRatio, observedAt } = observation;
             entries.push([id, Math.round(PERCENT * Math.exp(logRatio)), Math.round(now - observedAt)]);
             sent.set(speed, { ...observation, sentAt: now });
@@ -97,10 +90,23 @@
         if (entries.length === 0) {
             return undefined;
         }
-        const length = entries.reduce((sum, [id]) => sum + id.length + ENTRY_BYTES, FIELD_BYTES);
         this.#budget.take(length * receivers, now);
         return entries;
     }
+
+    /** Adopts the observations in a report of a peer. */
+    adopt(speeds: readonly SharedSpeed[], isLocal: boolean, now: number): void {
+        const delayMs = isLocal ? LOCAL_DELAY_MS : REMOTE_DELAY_MS;
+        for (const [targetId, percent, ageMs] of speeds) {
+            if (percent > 0 && ageMs + delayMs < MAX_AGE_MS) {
+                const observation = {
+                    logRatio: Math.log(percent / PERCENT),
+                    observedAt: now - ageMs - delayMs,
+                };
+                this.#options.onObservation(targetId, observation, now);
+            }
+        }
+    }
 }
 
 /** A speed ranks by how far it differs from what was sent, and by how long ago that was, so that each gets its turn. */
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -190,7 +190,7 @@
         this.#sender.sendReport(uniqueReceivers, now, {
             prompts: promptLocations.takePending(now),
             crashOutcomes: crashRecord.takeReport("peers", now),
-            speeds: speedReports.takeReport(uniqueReceivers.length, now),
+            speeds: speedReports.take("instance", uniqueReceivers.length, now),
         });
         const isFirst = role.rank === 0 || !this.#receiver.hasSummary(now, DELEGATE_TIMEOUT_MS);
         if (role.kind === "delegate" && isFirst) {
--- a/src/router/reportSender.ts
+++ b/src/router/reportSender.ts
@@ -85,7 +85,7 @@
             others: pickRandom(localPeers, RELAYED_MEMBERS),
             included,
             limits: limits.buildSummary("local-summary", now),
-            speeds: speedReports.takeSummary(localPeers.length, now),
+            speeds: speedReports.take("local-summary", localPeers.length, now),
         }, localPeers.map(peer => peer.ip));
     }
 
@@ -117,7 +117,7 @@
             crashOutcomes: turn === "all" ? crashRecord.takeReport("remote", now) : undefined,
             others: [record, ...localPeers],
             limits: limits.buildSummary("data-centre", now),
-            speeds: speedReports.takeSummary(receivers.length, now),
+            speeds: speedReports.take("data-centre", receivers.length, now),
         }, receivers.map(member => member.ip));
     }
 
--- a/test/core/targetSpeed/speedReports.test.ts
+++ b/test/core/targetSpeed/speedReports.test.ts
@@ -34,33 +34,38 @@
     const instance = createInstance();
     const told = new Set<string>();
     let bytes = 0;
+    let summarized = 0;
     const count = (speeds: readonly SharedSpeed[] | undefined, receivers: number): void => {
         bytes += speeds ? `,"speeds":${JSON.stringify(speeds)}`.length * receivers : 0;
         speeds?.forEach(([id]) => told.add(id));
     };
     for (let now = 0; now < 20_000; now += 150) {
         observe(instance, now % 300 === 0 ? 1 : 3, now);
-        count(instance.reports.takeReport(3, now), 3);
-        count(instance.reports.takeSummary(37, now), 37);
-        count(now % 300 === 0 ? instance.reports.takeSummary(7, now) : undefined, 7);
+        count(instance.reports.take("instance", 3, now), 3);
+        const summary = instance.reports.take("local-summary", 37, now);
+        summarized += summary?.length ?? 0;
+        count(summary, 37);
+        count(now % 300 === 0 ? instance.reports.take("data-centre", 7, now) : undefined, 7);
     }
     t.true(bytes / 20 <= 4096, String(bytes / 20));
     t.true(bytes / 20 > 2000, String(bytes / 20));
     t.is(told.size, TARGETS);
+    // One in a second at least, beside the reports.
+    t.true(summarized >= 20, String(summarized));
 });
 
 // An observation that is passed on would count as new with each report.
 test("the age of an observation grows while it is passed on, and after 2 s it does not count", t => {
     const [sender, delegate, receiver] = [createInstance(), createInstance(), createInstance()];
     observe(sender, 2, 1000);
-    const own = sender.reports.takeReport(1, 1200) ?? [];
+    const own = sender.reports.take("instance", 1, 1200) ?? [];
     t.deepEqual(own[0]?.slice(1), [200, 200]);
     delegate.reports.adopt(own, true, 1300);
-    t.is(delegate.reports.takeReport(1, 1400), undefined, "a report holds own observations only");
-    const summary = delegate.reports.takeSummary(1, 1500) ?? [];
+    t.is(delegate.reports.take("instance", 1, 1400), undefined, "a report holds own observations only");
+    const summary = delegate.reports.take("local-summary", 1, 1500) ?? [];
     t.true(Number(summary[0]?.[2]) >= 400);
     receiver.reports.adopt(summary.map(([id, percent]) => [id, percent, 2000]), true, 2600);
-    t.is(receiver.reports.takeSummary(1, 2600), undefined);
+    t.is(receiver.reports.take("local-summary", 1, 2600), undefined);
     receiver.reports.adopt(summary, false, 1600);
     t.truthy(receiver.speeds.get(summary[0]?.[0] ?? "")?.getNewestObservation(1600));
 });
--- a/test/testing/scheduler/speedFleet.ts
+++ b/test/testing/scheduler/speedFleet.ts
@@ -79,7 +79,7 @@
             const loads = [...scheduler.targets.values()].map(target =>
                 [target.descriptor.id, target.inFlight, target.pendingTokens] as const
             );
-            const speeds = isNew(sender) ? reports.takeReport(3, now) ?? [] : [];
+            const speeds = isNew(sender) ? reports.take("instance", 3, now) ?? [] : [];
             instances.forEach((receiver, i) => {
                 if (i === sender || random() < lossShare) {
                     return;
