Routing: reading the speed of a target takes no exponential for its age

Each decision reads the speed of each target, which took four exponentials and allocated the sum of the peers' observations.

Weights fall with age as a hyperbola, the statement as a square, and the sums are kept for the time of one decision.

--- a/src/core/targetSpeed/ownSamples.ts
+++ b/src/core/targetSpeed/ownSamples.ts
@@ -1,4 +1,4 @@
-/** Samples lose their weight with this time constant; an engine gets a request of one instance every 10 s or so. */
+/** Samples have lost half of their weight after this time; an engine gets a request of one instance every 10 s or so. */
 const FORGETTING_MS = 30_000;
 /** Bounds the weight of a target with many samples, so that a lasting change shows within as many samples. */
 const MAX_WEIGHT = 20;
@@ -55,7 +55,8 @@
 
     /** Returns the number of samples, less with age. */
     getWeight(now: number): number {
-        return this.#weight * Math.exp(Math.min(0, this.#updatedAt - now) / FORGETTING_MS);
+        // Hyperbolic, as each decision computes it for each target, and an exponential takes several times as long.
+        return this.#weight * FORGETTING_MS / (FORGETTING_MS + Math.max(0, now - this.#updatedAt));
     }
 
     /**
--- a/src/core/targetSpeed/peerSpeeds.ts
+++ b/src/core/targetSpeed/peerSpeeds.ts
@@ -10,6 +10,10 @@
 /** Newest observations that peers have reported of one target. */
 export class PeerSpeeds {
     #observations: readonly SpeedObservation[] = [];
+    #weight = 0;
+    #weightedLogRatio = 0;
+    /** Monotonic time in milliseconds of the sums; `undefined` if the observations have changed since. */
+    #summedAt: number | undefined;
 
     /** Creates an empty list. */
     static create(): PeerSpeeds {
@@ -24,6 +28,7 @@
         if (isKnown || now - added.observedAt >= MAX_AGE_MS) {
             return;
         }
+        this.#summedAt = undefined;
         this.#observations = [...this.#observations, added]
             .filter(({ observedAt }) => now - observedAt < MAX_AGE_MS)
             .sort((a, b) => b.observedAt - a.observedAt)
@@ -36,15 +41,33 @@
         return newest && now - newest.observedAt < MAX_AGE_MS ? newest : undefined;
     }
 
-    /** Sums the observations, each with a weight that falls from 1 to 0 at the age at which it no longer counts. */
-    sum(now: number): { readonly weight: number; readonly weightedLogRatio: number; } {
-        let weight = 0;
-        let weightedLogRatio = 0;
+    /**
+     * Returns the sum of the weights of the observations, each of which falls from 1 to 0 at the age at which it no longer
+     * counts.
+     */
+    getWeight(now: number): number {
+        this.#sum(now);
+        return this.#weight;
+    }
+
+    /** Returns the sum of the observed logarithms of ratios with these weights. */
+    getWeightedLogRatio(now: number): number {
+        this.#sum(now);
+        return this.#weightedLogRatio;
+    }
+
+    /** Each decision reads both sums for each target, so they are computed once for a time, without allocation. */
+    #sum(now: number): void {
+        if (now === this.#summedAt) {
+            return;
+        }
+        this.#summedAt = now;
+        this.#weight = 0;
+        this.#weightedLogRatio = 0;
         for (const { logRatio, observedAt } of this.#observations) {
-            const ownWeight = Math.min(1, Math.max(0, 1 - (now - observedAt) / MAX_AGE_MS));
-            weight += ownWeight;
-            weightedLogRatio += ownWeight * logRatio;
+            const weight = Math.min(1, Math.max(0, 1 - (now - observedAt) / MAX_AGE_MS));
+            this.#weight += weight;
+            this.#weightedLogRatio += weight * logRatio;
         }
-        return { weight, weightedLogRatio };
     }
 }
--- a/src/core/targetSpeed/targetSpeed.ts
+++ b/src/core/targetSpeed/targetSpeed.ts
@@ -3,16 +3,16 @@
 import { PeerSpeeds } from "./peerSpeeds.js";
 import type { SpeedObservation } from "./speedObservation.js";
 
-/** Bounds of the ratio of measured to expected time. */
-const MIN_RATIO = 0.2;
-const MAX_RATIO = 10;
+/** Bounds of the ratio of measured to expected time, as logarithms. */
+const MIN_LOG_RATIO = Math.log(0.2);
+const MAX_LOG_RATIO = Math.log(10);
 /**
  * Variance of the logarithms of the speeds of one service's targets, which lie within a factor of 2: (ln 2)² / 12. With 0.12,
  * simulated instances took queues that no report shows yet for slow targets.
  */
 const TARGET_VARIANCE = 0.04;
-/** A stated ratio is valid for about half a second. */
-const STATEMENT_DECAY_MS = 500;
+/** A stated ratio is valid for about half a second; what is left of its effect falls as a square, a quarter is left then. */
+const STATEMENT_DECAY_MS = 1000;
 /** Own observations that are older are not shared, as peers would ignore them. */
 const SHARED_AGE_MS = 2000;
 const MIN_SHARED_WEIGHT = 0.5;
@@ -82,13 +82,13 @@
 
     /** Returns the standard deviation of the logarithm of the learned ratio. */
     getUncertainty(now: number): number {
-        const weight = this.#own.getWeight(now) + this.#peers.sum(now).weight;
+        const weight = this.#own.getWeight(now) + this.#peers.getWeight(now);
         return Math.sqrt(this.#own.variance / (weight + this.#own.variance / TARGET_VARIANCE));
     }
 
     /** Returns whether there is evidence on the speed of the target. */
     isKnown(now: number): boolean {
-        return this.#own.getWeight(now) + this.#peers.sum(now).weight >= MIN_KNOWN_WEIGHT;
+        return this.#own.getWeight(now) + this.#peers.getWeight(now) >= MIN_KNOWN_WEIGHT;
     }
 
     /**
@@ -113,20 +113,23 @@
 
     #getLogRatio(now: number): number {
         const ownWeight = this.#own.getWeight(now);
-        const { weight, weightedLogRatio } = this.#peers.sum(now);
-        const mean = ownWeight + weight > 0
-            ? (ownWeight * this.#own.logRatio + weightedLogRatio) / (ownWeight + weight)
-            : 0;
-        const learned = mean * this.#getShrinkage(ownWeight + weight);
+        const peerWeight = this.#peers.getWeight(now);
+        const weight = ownWeight + peerWeight;
+        const sum = ownWeight * this.#own.logRatio + this.#peers.getWeightedLogRatio(now);
+        const learned = weight > 0 ? sum / weight * this.#getShrinkage(weight) : 0;
+        const freshness = this.#getFreshness(now);
         // The observations of peers already tell how long work takes at the moment; without samples the statement cannot be
         // put in relation to them.
-        if (this.#logStated === undefined || (weight > 0 && ownWeight < MIN_SHARED_WEIGHT)) {
+        if (
+            this.#logStated === undefined || freshness === 0
+            || (peerWeight > 0 && ownWeight < MIN_SHARED_WEIGHT)
+        ) {
             return limit(learned);
         }
         const shrinkage = this.#getShrinkage(ownWeight);
         const momentary = shrinkage * this.#own.logRatio
             + this.#own.trust * (this.#logStated - shrinkage * this.#own.logStated);
-        return limit(learned + (momentary - learned) * this.#getFreshness(now));
+        return limit(learned + (momentary - learned) * freshness);
     }
 
     /** Returns the logarithm of the stated ratio, which decays to its mean. */
@@ -141,10 +144,10 @@
     }
 
     #getFreshness(now: number): number {
-        return Math.exp(Math.min(0, this.#statedAt - now) / STATEMENT_DECAY_MS);
+        return Math.max(0, 1 - Math.max(0, now - this.#statedAt) / STATEMENT_DECAY_MS) ** 2;
     }
 }
 
 function limit(logRatio: number): number {
-    return Math.min(Math.log(MAX_RATIO), Math.max(Math.log(MIN_RATIO), logRatio));
+    return Math.min(MAX_LOG_RATIO, Math.max(MIN_LOG_RATIO, logRatio));
 }
--- a/test/core/targetSpeed/speedFleet.test.ts
+++ b/test/core/targetSpeed/speedFleet.test.ts
@@ -17,7 +17,6 @@
     test(`${name}: fewer late requests and a shorter mean time than without speeds`, t => {
         const before = runSpeedFleet({ ...OPTIONS, paces, state: () => undefined });
         const after = runSpeedFleet({ ...OPTIONS, paces, state });
-        t.log(before.lateShare, after.lateShare, before.meanMs, after.meanMs, after.busiestShare);
         // Half as many late requests are the goal; targets that change within the age of the reports do not reach it.
         t.true(after.lateShare < before.lateShare * (paces === UNEVEN ? 0.5 : 1));
         t.true(after.meanMs < before.meanMs);
