--- a/src/core/routing/scheduling/refusalBuilder.ts
+++ b/src/core/routing/scheduling/refusalBuilder.ts
@@ -2,6 +2,7 @@
 import type { ServiceReturns } from "../../returns/serviceReturns.js";
 import { limitRetryAfter } from "../limitRetryAfter.js";
 import type { RoutedRequest } from "../routedRequest.js";
+import type { RoutedService } from "../routedService.js";
 import type { SchedulerRefusal } from "../schedulerRefusal.js";
 import type { WaitEstimator } from "../waitEstimator.js";
 import type { WaitingRequest } from "../waitingRequest.js";
@@ -10,7 +11,7 @@
     readonly explainer: DecisionExplainer;
     readonly returns: ServiceReturns;
     readonly waits: WaitEstimator;
-    readonly getServiceName: () => string;
+    readonly getService: () => RoutedService;
     readonly countTargets: () => number;
 }
 
@@ -47,8 +48,8 @@
         waiting: readonly WaitingRequest[],
         now: number,
     ): SchedulerRefusal {
-        const { explainer, returns, waits, getServiceName, countTargets } = this.#options;
-        explainer.addRefusal(getServiceName(), request, isExcluded, now);
+        const { explainer, returns, waits, getService, countTargets } = this.#options;
+        explainer.addRefusal(getService().name, request, isExcluded, now);
         const reason = countTargets() === 0 ? "no-target" : "overloaded";
         const earliestMs = Math.max(returnMs, permitMs);
         const estimatedMs = Math.max(earliestMs, waits.estimateReturnMs(waiting, now));
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -63,45 +63,39 @@
         this.returns = ServiceReturns.create(() =>
             this.#targets.size > 0 && (options.usesReservations?.(this.#service.name) ?? false)
         );
-        const eligibility = TargetEligibility.create({
+        const shared = {
             ...options,
             targets: this.#targets,
+            engineModel: this.#engineModel,
+            getService: () => this.#service,
+            countTargets: () => this.#targets.size,
+        };
+        const eligibility = TargetEligibility.create({
+            ...shared,
             getEvacuated: () => this.#evacuated,
             mayBegin: target => options.mayBegin(target, this.explainer.isActive),
         });
-        this.prospects = RequestProspects.create(eligibility, () => this.#targets.size);
+        this.prospects = RequestProspects.create(eligibility, shared.countTargets);
         this.#granter = TargetGranter.create({
-            ...options,
+            ...shared,
             eligibility,
-            engineModel: this.#engineModel,
-            targets: this.#targets,
             speeds: this.speeds,
-            getService: () => this.#service,
             isExplaining: () => this.explainer.isActive,
         });
         this.explainer = DecisionExplainer.create({
-            ...options,
+            ...shared,
             shares,
             eligibility,
-            targets: this.#targets,
             granter: this.#granter,
             findRetryDelay: (...args) => this.findRetryDelay(...args),
             add: (...args) => this.#add(...args),
         });
         this.#waits = WaitEstimator.create({
-            ...options,
-            engineModel: this.#engineModel,
-            getService: () => this.#service,
-            countTargets: () => this.#targets.size,
+            ...shared,
             hasOnlyLimited: request => eligibility.hasOnlyLimited(request),
         });
-        this.#refusals = RefusalBuilder.create({
-            explainer: this.explainer,
-            returns: this.returns,
-            waits: this.#waits,
-            getServiceName: () => this.#service.name,
-            countTargets: () => this.#targets.size,
-        });
+        const { explainer, returns } = this;
+        this.#refusals = RefusalBuilder.create({ ...shared, explainer, returns, waits: this.#waits });
     }
 
     /** Creates a scheduler without targets. */
--- a/src/core/routing/targetGrant.ts
+++ b/src/core/routing/targetGrant.ts
@@ -20,6 +20,8 @@
     readonly expectedMs: number;
     /** Present if the request leaves its data centre, and spill is on. */
     readonly spill?: SpillRecord;
+    /** Ratio by which the target was expected to take longer than that when it was granted. */
+    readonly timeRatio: number;
     /** Monotonic time in milliseconds. */
     readonly grantedAt: number;
 }
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -169,7 +169,8 @@
     }
 
     #sendReports(): void {
-        const { promptLocations, crashRecord, limits, speedReports, getNow, getState } = this.#options;
+        const { promptLocations, crashRecord, limits, speedReports, speedLog, getNow, getState } =
+            this.#options;
         const now = getNow();
         this.#permits.advance(getState() === "closed", now);
         const localPeers = this.#listLocalPeers();
@@ -189,7 +190,7 @@
         this.#sender.sendReport(uniqueReceivers, now, {
             prompts: promptLocations.takePending(now),
             crashOutcomes: crashRecord.takeReport("peers", now),
-            speeds: speedReports.takeReport(uniqueReceivers.length, now),
+            speeds: speedReports.take("instance", uniqueReceivers.length, now),
         });
         const isFirst = role.rank === 0 || !this.#receiver.hasSummary(now, DELEGATE_TIMEOUT_MS);
         if (role.kind === "delegate" && isFirst) {
@@ -197,6 +198,7 @@
         }
         this.#sender.sendRemoteSummary(role, now);
         this.#sender.reportToSeeds(now);
+        speedLog.check(now);
     }
 
     #receive(message: unknown, senderHost: string): void {
