Router: a body of the largest size in chunks of one byte is within the limit of bytes of a connection

Cause: CallerByteLimit closed a connection (bytes-without-end) after 16 MiB or twice the largest body since its last request; 4 MiB in chunks of one byte take 24 MiB on the way. The limit is six times the largest body and 64 KiB now, at least 16 MiB as before.

--- a/src/router/callerByteLimit.ts
+++ b/src/router/callerByteLimit.ts
@@ -7,6 +7,10 @@
 
 /** Enough for what a caller sends of a body that is too large before it has read the refusal. */
 const MIN_LIMIT_BYTES = 16_777_216;
+/** A chunk of one byte takes this many on the way. */
+const CHUNKED_FACTOR = 6;
+/** Head of a request, and what follows the body. */
+const HEAD_BYTES = 65_536;
 
 /**
  * Closes connections of callers that send bytes without end. The HTTP server skips empty lines between requests, and the rest
@@ -40,7 +44,7 @@
     /** Closes the connections from which more than any accepted body has been read since their last request. */
     check(): void {
         const { getMaxBodyBytes, onExceeded } = this.#options;
-        const limitBytes = Math.max(MIN_LIMIT_BYTES, 2 * getMaxBodyBytes());
+        const limitBytes = Math.max(MIN_LIMIT_BYTES, CHUNKED_FACTOR * getMaxBodyBytes() + HEAD_BYTES);
         for (const [socket, bytes] of this.#bytesAtRequest) {
             if (socket.bytesRead - bytes > limitBytes) {
                 onExceeded(socket);
--- a/test/platform/chunkedBodies.test.ts
+++ b/test/platform/chunkedBodies.test.ts
@@ -1,8 +1,13 @@
 import test, { registerCompletionHandler } from "ava";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { buffer as readBuffer } from "node:stream/consumers";
 import type { CooperativeFleet } from "../../src/testing/platform/cooperativeFleet.js";
 import { waitUntil } from "../../src/testing/waitUntil.js";
 import { buildPaddedConfiguration } from "../testing/memory/buildPaddedConfiguration.js";
 import { checkChunkedCrowd } from "../testing/memory/checkChunkedCrowd.js";
+import { checkMemory } from "../testing/memory/checkMemory.js";
 import { chunkForms } from "../testing/memory/chunkForms.js";
 import { createLimitedRouter } from "../testing/memory/createLimitedRouter.js";
 import { sendToFleet } from "../testing/router/sendToFleet.js";
@@ -15,6 +20,9 @@
 const CALLERS = 100;
 const PATIENCE_MS = 15_000;
 const VERSION = 2000;
+/** The smallest machine of a deployment, and the largest body that its configuration allows. */
+const SMALL_LIMIT_MB = 88;
+const MAX_BODY_BYTES = 4_194_304;
 /** A common prompt. */
 const ordinaryBody = "o".repeat(60_000);
 
@@ -56,3 +64,55 @@
         t.true(instance?.process.running, "the router has ended");
     });
 }
+
+// Guards against limits that refuse a body inside the limits of the configuration because of the size of its chunks.
+test.serial("a body of the largest size in chunks of one byte reaches its target byte for byte on the smallest machine", async t => {
+    const fleet = await createLimitedRouter(t, SMALL_LIMIT_MB);
+    const content = Buffer.alloc(MAX_BODY_BYTES, "0123456789");
+    let received = Buffer.alloc(0);
+    const target = createServer((incoming, response) => {
+        void readBuffer(incoming).then(body => {
+            if (incoming.method !== "POST") {
+                response.writeHead(404).end();
+                return;
+            }
+            received = body;
+            response.writeHead(200, { "Request-Id": incoming.headers["request-id"] ?? "" }).end(
+                "data: x\n\n",
+            );
+        });
+    }).listen(0, "127.0.0.1");
+    t.teardown(() => target.close());
+    await once(target, "listening");
+    fleet.store.write("servers/engine-whole", {
+        service: "engine",
+        address: `127.0.0.1:${(target.address() as AddressInfo).port}`,
+        zone: "a",
+        slots: 16,
+        state: "ready",
+        coldRemainingMs: 0,
+        version: "v1",
+        sequence: 1,
+        born: Date.now(),
+    });
+    await waitUntil("the target is known", () => fleet.store.isFollowed);
+    const [instance] = fleet.instances;
+    const { hostname, port } = new URL(instance ? fleet.getUrls(instance).callers : "");
+    const socket = connect(Number(port), hostname);
+    socket.write(
+        `POST /stream/x HTTP/1.1\r\nHost: h\r\nRequest-Id: whole\r\nDeadline-Ms: ${PATIENCE_MS}\r\n`
+            + "Token-Usage: 100,20\r\nTransfer-Encoding: chunked\r\n\r\n",
+    );
+    for (let start = 0; start < MAX_BODY_BYTES; start += 65_536) {
+        const chunks = [...content.toString("latin1", start, start + 65_536)].map(x => `1\r\n${x}\r\n`);
+        if (!socket.write(chunks.join(""))) {
+            await once(socket, "drain");
+        }
+    }
+    socket.write("0\r\n\r\n");
+    const [response] = await once(socket, "data") as [Buffer];
+    t.regex(response.toString(), /^HTTP\/1.1 200 /u);
+    t.true(received.equals(content));
+    checkMemory(t, fleet, SMALL_LIMIT_MB);
+    socket.destroy();
+});
