Soak: a crowd of chunked bodies that stay open

The fault chunked-crowd opens 40 to 120 connections to one instance with bodies in chunks of 1, 3 or 16,384 bytes, with or without extensions and key, each one byte short.

--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -3,6 +3,7 @@
 import type { CooperativeFleet } from "../testing/platform/cooperativeFleet.js";
 import { BASELINE_FAULT_SHARE } from "./baselineFaultShare.js";
 import { changeFaults } from "./changeFaults.js";
+import { chunkedCrowdFaults } from "./chunkedCrowdFaults.js";
 import { createFaultSource } from "./createFaultSource.js";
 import { oddEntries } from "./oddEntries.js";
 import { pickItem } from "./pickItem.js";
@@ -85,6 +86,7 @@
     ...slowTargetFaults,
     ...changeFaults,
     ...processFaults,
+    ...chunkedCrowdFaults,
     {
         name: "odd-entries",
         inject: async (fleet, random, wait) => {
