Explain route: candidates that are nearly as good are shown as possible

Cause: with speeds the picker chooses by weight, and the explanation named the lowest score alone. Measured: the tests of these folders pass.

--- a/src/core/explain/route/decisionExplainer.ts
+++ b/src/core/explain/route/decisionExplainer.ts
@@ -9,6 +9,7 @@
 import type { TargetGranter } from "../../routing/targetGranter.js";
 import type { TargetState } from "../../routing/targetState.js";
 import type { WaitingRequest } from "../../routing/waitingRequest.js";
+import type { ServiceSpeeds } from "../../targetSpeed/serviceSpeeds.js";
 import { findReason } from "./findReason.js";
 import type { SchedulerExplanation } from "./schedulerExplanation.js";
 
@@ -20,6 +21,7 @@
     /** Targets of the service by identifier. */
     readonly targets: ReadonlyMap<string, TargetState>;
     readonly granter: TargetGranter;
+    readonly speeds: Pick<ServiceSpeeds, "isActive">;
     /** Returns the retry delay in milliseconds of a request whose account is excluded before its body is read. */
     readonly findRetryDelay: (request: RoutedRequest, now: number) => number | undefined;
     /** Decides on a new request; while `isActive`, without an effect. */
@@ -117,6 +119,7 @@
                 : { kind: "refused", reason: "over-share", retryAfterMs },
             candidates: results.flatMap(({ result }) => typeof result === "string" ? [] : [result])
                 .sort((a, b) => a.score - b.score),
+            isChoiceWeighted: this.#options.speeds.isActive,
             leftOut: results.flatMap(({ target: { descriptor }, result }) =>
                 typeof result === "string" ? [{ target: descriptor, reason: result }] : []
             ),
--- a/src/core/explain/route/describeService.ts
+++ b/src/core/explain/route/describeService.ts
@@ -15,7 +15,7 @@
 
 /** Describes the explanation of a router's scheduler. */
 export function describeService(
-    { status, decision, candidates, leftOut }: SchedulerExplanation,
+    { status, decision, candidates, isChoiceWeighted, leftOut }: SchedulerExplanation,
     { service, part, locality, regionsByDataCentre }: DescribeOptions,
 ): ServiceExplanation {
     const place = (
@@ -25,7 +25,7 @@
         dataCentre,
         region: regionsByDataCentre.get(dataCentre) ?? "",
     });
-    const possible = listPossible(candidates);
+    const possible = listPossible(candidates, isChoiceWeighted);
     const granted = decision.kind === "granted" ? place(decision.grant.target.descriptor) : undefined;
     return {
         service,
--- a/src/core/explain/route/schedulerExplanation.ts
+++ b/src/core/explain/route/schedulerExplanation.ts
@@ -11,6 +11,8 @@
         | { readonly kind: "refused"; readonly reason: "over-share"; readonly retryAfterMs: number; };
     /** Targets with capacity for the request, the lowest score first. */
     readonly candidates: readonly TargetCandidate[];
+    /** Whether one of the candidates that are nearly as good as the best is chosen by weight, in place of the best. */
+    readonly isChoiceWeighted: boolean;
     /** Other targets of the service, and why the request would not be sent there. */
     readonly leftOut: readonly { readonly target: TargetDescriptor; readonly reason: string; }[];
 }
--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -68,6 +68,7 @@
             targets: this.#targets,
             engineModel: this.#engineModel,
             getService: () => this.#service,
+            speeds: this.speeds,
             countTargets: () => this.#targets.size,
         };
         const eligibility = TargetEligibility.create({
@@ -79,7 +80,6 @@
         this.#granter = TargetGranter.create({
             ...shared,
             eligibility,
-            speeds: this.speeds,
             isExplaining: () => this.explainer.isActive,
         });
         this.explainer = DecisionExplainer.create({
--- a/test/testing/explain/buildRandomState.ts
+++ b/test/testing/explain/buildRandomState.ts
@@ -45,6 +45,10 @@
         limits,
         notices,
         ({ version }) => version !== newVersion,
+        undefined,
+        undefined,
+        undefined,
+        pick(true, false, false) ? () => true : undefined,
     );
     const targets = Array.from(
         { length: pick(0, 1, 3, 5, 8, 8, 8) },
@@ -58,6 +62,12 @@
     );
     scheduler.setTargets(targets, new Set(pick([], [], [], ["b"], ["a"])), 0);
     limits.setTargets(targets, 0);
+    // With speeds, shares yield to unmet demand only, and targets that are nearly as good are possible, too.
+    const hasSpeeds = pick(true, false);
+    for (const target of hasSpeeds ? scheduler.targets.values() : []) {
+        const load = { runningRequests: 1, waitingRequests: 0, slots: 4 };
+        target.recordLoad({ ...load, workTimeRatio: pick(0.5, 1, 2) }, 0);
+    }
     const limitedShare = pick(0, 0.4, 1);
     targets.filter(() => random() < limitedShare)
         .forEach(({ id }) => limits.observe(id, { kind: "named", perSecond: 5 }, 0, 0));
--- a/test/testing/scheduler/createScheduler.ts
+++ b/test/testing/scheduler/createScheduler.ts
@@ -1,3 +1,4 @@
+import { AdmissionPressure } from "../../../src/core/admission/admissionPressure.js";
 import type { LimitGate } from "../../../src/core/limits/limitGate.js";
 import { AccountUsage } from "../../../src/core/routing/accountUsage.js";
 import { PromptLocations } from "../../../src/core/routing/promptLocations.js";
@@ -53,6 +54,7 @@
         notices,
         getRandom,
         getTokensPerSecond: () => tokensPerSecond,
+        pressure: AdmissionPressure.create(),
         getColdShare,
         mayBegin,
         mayGoOn,
