--- a/src/core/routing/candidateBuilder.ts
+++ b/src/core/routing/candidateBuilder.ts
@@ -22,8 +22,8 @@
     readonly getService: () => RoutedService;
     /** Rate and burst at which this instance may send to a cold target; `undefined` if it must not. */
     readonly getColdShare: (target: TargetDescriptor, limitPerSecond: number) => TargetCandidate["coldShare"];
-    /** Prices the use of other data centres; absent if it costs nothing beyond the round trip. */
-    readonly spillCosts?: SpillCosts | undefined;
+    /** Prices the use of other data centres; `undefined` if it costs nothing beyond the round trip. */
+    readonly getSpillCosts: () => SpillCosts | undefined;
 }
 
 /** Why a target that a request may use gets none now. */
@@ -32,12 +32,16 @@
     | "cold-limit"
     | "slots-taken"
     | "queue-full"
+    /** Shared parts would be read again for an account beyond its share. */
+    | "prompt-not-cached"
     /** In another data centre: the flow there is at its bound, or the gain is too small. */
     | "spill-limit"
     | "spill-gain";
 
 /** Accounts beyond their share leave the rest of the slots to others, whose requests may arrive before the next report. */
 const IDLE_SLOT_SHARE = 0.75;
+/** Shared tokens that are read again for an account beyond its share; more would take time from the others at the target. */
+const MAX_REREAD_TOKENS = 256;
 /** Penalty in milliseconds of a target that fails all its requests, so that a faulty one is picked last. */
 const FAILURE_PENALTY_MS = 2000;
 /**
@@ -84,6 +88,9 @@
         if (target.countInFlight(now) >= descriptor.slots * (capacity === "idle" ? IDLE_SLOT_SHARE : 1)) {
             return "slots-taken";
         }
+        if (capacity === "idle" && !estimate.isFetching && estimate.uncachedTokens > MAX_REREAD_TOKENS) {
+            return "prompt-not-cached";
+        }
         const timeRatio = target.getTimeRatio(now);
         // Without reported speeds, the length of a queue is compared as if all targets were equally fast.
         const queueMs = estimate.queueMs * (this.#options.speeds.isActive ? timeRatio : 1);
@@ -97,8 +104,9 @@
             failureMs: target.getFailureShare(now) * FAILURE_PENALTY_MS,
             cacheMs: estimate.uncachedTokens
                 * (estimate.isFetching ? MOVED_TOKEN_PENALTY_MS : REREAD_TOKEN_PENALTY_MS),
-            spillMs: this.#options.spillCosts?.computeMs(request, descriptor, source?.descriptor, estimate)
-                ?? 0,
+            spillMs:
+                this.#options.getSpillCosts()?.computeMs(request, descriptor, source?.descriptor, estimate)
+                    ?? 0,
         };
         return {
             target,
@@ -126,7 +134,8 @@
         cached: CachedPrompt,
         now: number,
     ): TargetState | undefined {
-        const { spillCosts, engineModel } = this.#options;
+        const { getSpillCosts, engineModel } = this.#options;
+        const spillCosts = getSpillCosts();
         const source = cached.cachingTargets.includes(target) ? undefined : this.#findSource(target, cached);
         if (!source || !spillCosts) {
             return source;
--- a/src/core/routing/targetPicker.ts
+++ b/src/core/routing/targetPicker.ts
@@ -13,7 +13,7 @@
 import type { TargetState } from "./targetState.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
-type CandidateBuilderOptions = Omit<Parameters<typeof CandidateBuilder.create>[0], "spillCosts">;
+type CandidateBuilderOptions = Omit<Parameters<typeof CandidateBuilder.create>[0], "getSpillCosts">;
 
 interface TargetPickerOptions extends CandidateBuilderOptions {
     /** Targets by identifier. */
@@ -34,12 +34,12 @@
     readonly #options: TargetPickerOptions;
     readonly #affinity: PromptAffinity;
     readonly #builder: CandidateBuilder;
-    readonly #spill: SpillPlanner | undefined;
+    readonly #planner: SpillPlanner | undefined;
 
     private constructor(options: TargetPickerOptions) {
         this.#options = options;
-        this.#spill = options.spill && SpillPlanner.create({ ...options, inputs: options.spill });
-        this.#builder = CandidateBuilder.create({ ...options, spillCosts: this.#spill?.costs });
+        this.#planner = options.spill && SpillPlanner.create({ ...options, inputs: options.spill });
+        this.#builder = CandidateBuilder.create({ ...options, getSpillCosts: () => this.#spill?.costs });
         const { locality, regionsByDataCentre } = options.settings;
         this.#affinity = PromptAffinity.create(({ descriptor }) =>
             regionsByDataCentre.get(descriptor.dataCentre) === locality.region
@@ -71,6 +71,11 @@
             : picked;
     }
 
+    get #spill(): SpillPlanner | undefined {
+        const { spill, speeds } = this.#options;
+        return spill?.settings.needsReportedSpeeds === true && !speeds.isActive ? undefined : this.#planner;
+    }
+
     /** Records that a picked target was granted. */
     recordGrant(candidate: TargetCandidate, now: number): void {
         this.#spill?.recordGrant(candidate, now);
--- a/src/core/spill/spillSettings.ts
+++ b/src/core/spill/spillSettings.ts
@@ -6,4 +6,6 @@
     readonly otherRegionWaitMsPerMb: number;
     /** Smallest gain in milliseconds of a caller's wait for which a request leaves its data centre. */
     readonly minGainMs: number;
+    /** Whether it applies only to services whose targets report how long work takes, as the wait at others is estimated coarsely. */
+    readonly needsReportedSpeeds: boolean;
 }
--- a/src/platform/parseSpillSettings.ts
+++ b/src/platform/parseSpillSettings.ts
@@ -7,9 +7,14 @@
     readonly settings: SpillSettings | undefined;
 }
 
-const DEFAULTS: SpillSettings = { sameRegionWaitMsPerMb: 1, otherRegionWaitMsPerMb: 10, minGainMs: 10 };
+const DEFAULTS: SpillSettings = {
+    sameRegionWaitMsPerMb: 1,
+    otherRegionWaitMsPerMb: 10,
+    minGainMs: 10,
+    needsReportedSpeeds: false,
+};
 /** An hour of a caller's wait for a megabyte, and a minute of gain; beyond that nothing would ever leave. */
-const LIMITS: SpillSettings = {
+const LIMITS: Omit<SpillSettings, "needsReportedSpeeds"> = {
     sameRegionWaitMsPerMb: 3_600_000,
     otherRegionWaitMsPerMb: 3_600_000,
     minGainMs: 60_000,
@@ -25,6 +30,9 @@
     }
     const limits = new Map(Object.entries(LIMITS) as readonly (readonly [string, number])[]);
     const faults = Object.entries(value).flatMap(([name, setting]) => {
+        if (name === "needsReportedSpeeds") {
+            return typeof setting === "boolean" ? [] : [`spill.${name}: not true or false`];
+        }
         const limit = limits.get(name);
         if (limit === undefined) {
             return [`spill.${name}: unknown`];
--- a/test/core/spill/spillPlanner.test.ts
+++ b/test/core/spill/spillPlanner.test.ts
@@ -15,6 +15,7 @@
 function createSpill(
     otherRegionWaitMsPerMb = 0,
     responseBytes = 0,
+    needsReportedSpeeds = false,
 ): { scheduler: Scheduler; home: TargetState; } {
     const summaries = SummaryRecord.create();
     summaries.record("b", Infinity);
@@ -31,7 +32,12 @@
         undefined,
         undefined,
         {
-            settings: { sameRegionWaitMsPerMb: 0, otherRegionWaitMsPerMb, minGainMs: 20 },
+            settings: {
+                sameRegionWaitMsPerMb: 0,
+                otherRegionWaitMsPerMb,
+                minGainMs: 20,
+                needsReportedSpeeds,
+            },
             instance: "a0",
             responseSizes,
             summaries,
@@ -115,3 +121,13 @@
     Array.from({ length: 1000 }, (_, i) => sizes.record(String(i), 1));
     t.is(sizes.estimate("first"), sizes.estimate("unknown"));
 });
+
+// Deployments whose targets report no pace must be served as before, although the settings of all have the group.
+test("services whose targets report no speeds are served without spill if the settings ask for speeds", t => {
+    const heavy = createSpill(100, 1_000_000, true);
+    heavy.home.pendingTokens = 3300;
+    t.is(findPlace(heavy.scheduler, {}, 1000), "b");
+    const load = { runningRequests: 0, waitingRequests: 0, slots: 16, workTimeRatio: 1 };
+    [...heavy.scheduler.targets.values()].forEach(target => target.recordLoad(load, 1000));
+    t.is(findPlace(heavy.scheduler, {}, 1000), "a");
+});
--- a/test/platform/spillSettings.test.ts
+++ b/test/platform/spillSettings.test.ts
@@ -23,7 +23,12 @@
 // A deployment without the group must behave as before.
 test("spill is off without its group, and has defaults with it", t => {
     t.is(parseSpill(undefined), undefined);
-    t.deepEqual(parseSpill({}), { sameRegionWaitMsPerMb: 1, otherRegionWaitMsPerMb: 10, minGainMs: 10 });
+    t.deepEqual(parseSpill({}), {
+        sameRegionWaitMsPerMb: 1,
+        otherRegionWaitMsPerMb: 10,
+        minGainMs: 10,
+        needsReportedSpeeds: false,
+    });
     t.is(parseSpill({ minGainMs: 25 })?.minGainMs, 25);
 });
 
@@ -32,6 +37,7 @@
     const [spill, name] of [
         [{ otherRegionWaitPerMb: 10 }, "spill.otherRegionWaitPerMb"],
         [{ minGainMs: -1 }, "spill.minGainMs"],
+        [{ needsReportedSpeeds: "yes" }, "spill.needsReportedSpeeds"],
         [{ sameRegionWaitMsPerMb: "1" }, "spill.sameRegionWaitMsPerMb"],
         [null, "spill"],
     ] as const
--- a/test/router/routerSpill.test.ts
+++ b/test/router/routerSpill.test.ts
@@ -4,7 +4,12 @@
 import { RouterSpill } from "../../src/router/spill/routerSpill.js";
 import { makeRoutedRequest } from "../testing/scheduler/makeRoutedRequest.js";
 
-const settings = { sameRegionWaitMsPerMb: 1, otherRegionWaitMsPerMb: 10, minGainMs: 10 };
+const settings = {
+    sameRegionWaitMsPerMb: 1,
+    otherRegionWaitMsPerMb: 10,
+    minGainMs: 10,
+    needsReportedSpeeds: false,
+};
 
 // What leaves is billed; without a line and a count, nobody can tell which service and data centre it was for.
 test("the flow to a data centre is logged at its start and end, and its requests and bytes are counted", t => {
--- a/test/testing/spill/runSpill.ts
+++ b/test/testing/spill/runSpill.ts
@@ -111,7 +111,12 @@
             mayGoOn: () => true,
             spill: hasSpill
                 ? {
-                    settings: { sameRegionWaitMsPerMb: 1, otherRegionWaitMsPerMb: 10, minGainMs: 10 },
+                    settings: {
+                        sameRegionWaitMsPerMb: 1,
+                        otherRegionWaitMsPerMb: 10,
+                        minGainMs: 10,
+                        needsReportedSpeeds: false,
+                    },
                     instance: name,
                     responseSizes: ResponseSizes.create(),
                     summaries,
