Platform: amounts of tokens in headers are bounded

Cause: any finite number was taken from Token-Usage and Prompt-Prefix. One request with 1e300 tokens put that amount into the load and usage of the instance. Peers reject a whole report with an amount above 1e12, so that they take the instance for gone; the demand decays below that only after 44 min by calculation. The tokens of other requests at the target were lost in the sum, which became negative when these ended.

Change: amounts above 10,000,000 are taken for 10,000,000.

--- a/src/platform/platformWireFormat.ts
+++ b/src/platform/platformWireFormat.ts
@@ -46,6 +46,11 @@
 const NO_NOTICE: TargetNotice = { isLeaving: false, pauseMs: undefined, unusualHeaders: [] };
 const MISDIRECTED = 421;
 const MS_PER_SECOND = 1000;
+/**
+ * Larger amounts of tokens are taken for this, several times what models can read. With 1e300, sums lost all other amounts, and
+ * peers took the reports of the instance for damaged.
+ */
+const MAX_TOKENS = 10_000_000;
 
 /** Maps the headers of the platform's protocol (PROTOCOL.md). */
 export const platformWireFormat: WireFormat = {
@@ -58,8 +63,8 @@
             host: (headers.host ?? "").replace(/:\d+$/, "").toLowerCase(),
             patienceMs: readNonNegativeNumber(headers["deadline-ms"]),
             key: readKey(headers.authorization),
-            promptTokens: toNonNegativeNumber(promptTokens) ?? 0,
-            outputTokens: toNonNegativeNumber(outputTokens) ?? 0,
+            promptTokens: toTokens(promptTokens),
+            outputTokens: toTokens(outputTokens),
             prompt: readPrompt(headers["prompt-prefix"]),
             lastEventId: readLastEventId(headers["last-event-id"]),
             streamId: readText(headers["resumes"]),
@@ -150,6 +155,10 @@
     return value !== undefined && Number.isFinite(value) && value >= 0 ? value : undefined;
 }
 
+function toTokens(value: number | undefined): number {
+    return Math.min(MAX_TOKENS, toNonNegativeNumber(value) ?? 0);
+}
+
 function readNonNegativeNumber(value: string | string[] | undefined): number | undefined {
     const text = readText(value);
     return text === undefined ? undefined : toNonNegativeNumber(Number(text));
@@ -166,7 +175,7 @@
     }
     return text.split(",").map(entry => {
         const [id, tokens] = entry.trim().split(":");
-        return { id: id ?? "", tokens: toNonNegativeNumber(Number(tokens)) ?? 0 };
+        return { id: id ?? "", tokens: toTokens(Number(tokens)) };
     });
 }
 
