Admission: refusals at plain services do not count as a shortage of engines

Cause: all schedulers of an instance share AdmissionPressure. At a plain service whose targets state the fourth figure, each account is within its share, as there is none, so that each refusal there counted as one within a share: for 500 ms, accounts beyond their share were excluded at idle engines, and the estimate of the engines' capacity fell.

Change: only services with engines use the pressure.

--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -57,7 +57,8 @@
             usage: options.usage,
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
             pressure: options.pressure,
-            isWorkConserving: () => this.speeds.isActive,
+            // Plain services have no shares, and what they refuse does not show that engines are short.
+            isWorkConserving: () => this.speeds.isActive && this.#service.engine !== undefined,
         });
         this.#engineModel = EngineModel.create(options.settings);
         this.returns = ServiceReturns.create(() =>
