Admission: expired reports of unmet demand are dropped

Cause: AdmissionPressure kept the last report of each sender until that sender reported 0. Instances that are replaced by others with new names never do, so that entries grew with each of them, and each sum looked at all.

Change: the sum drops a report that has expired.

--- a/src/core/admission/admissionPressure.ts
+++ b/src/core/admission/admissionPressure.ts
@@ -59,6 +59,11 @@
         }
     }
 
+    /** Number of senders whose reports are kept. */
+    get reportCount(): number {
+        return this.#reported.size;
+    }
+
     /** Returns the tokens a second that accounts within their share lack at this instance. */
     getLocalUnmet(now: number): number {
         return this.#unmet.getPerSecond(now);
@@ -69,7 +74,13 @@
         let unmet = this.getLocalUnmet(now);
         for (const sender of senders) {
             const demand = this.#reported.get(sender);
-            unmet += demand && demand.validUntil >= now ? demand.perSecond : 0;
+            if (demand && demand.validUntil < now) {
+                // Its sender may be gone; names of instances that were replaced would be kept for good.
+                this.#reported.delete(sender);
+            }
+            else {
+                unmet += demand?.perSecond ?? 0;
+            }
         }
         return unmet;
     }
--- a/test/core/admission/accountShares.test.ts
+++ b/test/core/admission/accountShares.test.ts
@@ -121,3 +121,13 @@
     pressure.setReported("a", 0, 10_000);
     t.is(pressure.sumUnmet(0), 0);
 });
+
+// Instances that are replaced by others with new names would be kept until the process ends.
+test("a report of unmet demand is dropped once it has expired", t => {
+    const { pressure } = createInstance();
+    for (let i = 0; i < 100; i += 1) {
+        pressure.setReported(`instance ${i}`, 1000, i);
+    }
+    t.is(pressure.sumUnmet(98), 2000);
+    t.is(pressure.reportCount, 2);
+});
