Routing: excluded requests wait for a pause as before the release

Cause: the time until which a request may wait was shortened for all accounts that are not within their share, also excluded ones. At targets that pause, also such that state three figures, an excluded request was refused with the end of the pause in place of the time at which its account gets capacity, and the refusal was not counted as one for want of capacity.

Change: the shorter time is that of accounts over their share, as it was.

--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -250,7 +250,7 @@
         }
         const readingMs = this.#waits.estimateReadingMs(request, now);
         const waitDeadline = this.returns.findWaitDeadline(waiting, readingMs)
-            ?? findWaitDeadline(request, kind !== "within", readingMs);
+            ?? findWaitDeadline(request, kind === "over" || kind === "surplus", readingMs);
         const hopeless = this.prospects.findHopeless(waiting, waitDeadline, now);
         if (hopeless) {
             return { kind: "refused", ...hopeless, shareRatio };
