Routing: targets that answer without a load count against speeds

Cause: only targets that had sent Server-Load were counted, so that a single target with the fourth figure switched a service to learned speeds, the choice by weight, the pressure of admission and the rule for unresponsive targets, although all other targets answer without the header.

Change: a target that answers without a load, or with a malformed one, counts as one that does not tell how long work takes, until it does; what it has stated before stays.

The stub of a target in findAnswerKind.test takes the call; what the test checks is as before.

Measured: the new test fails before the change (active after one of three targets) and passes after it; 49 tests of speeds, admission, explain and the forwarder pass.

--- a/src/core/routing/targetState.ts
+++ b/src/core/routing/targetState.ts
@@ -140,8 +140,8 @@
         return this.#responseTimes.get();
     }
 
-    /** Records what the target states of its load. */
-    recordLoad(load: LoadStatement, now: number): void {
+    /** Records what the target states of its load in a response; `undefined` if it states nothing. */
+    recordLoad(load: LoadStatement | undefined, now: number): void {
         this.#updateSpeed(() => this.speed.recordLoad(load, now));
     }
 
--- a/src/core/targetSpeed/serviceSpeeds.ts
+++ b/src/core/targetSpeed/serviceSpeeds.ts
@@ -27,7 +27,7 @@
         return new ServiceSpeeds(targets);
     }
 
-    /** Whether speeds count for the service: at least half of its targets that state their load tell how long work takes. */
+    /** Whether speeds count for the service: at least half of its targets that have answered tell how long work takes. */
     get isActive(): boolean {
         return this.#isActive;
     }
--- a/src/core/targetSpeed/targetSpeed.ts
+++ b/src/core/targetSpeed/targetSpeed.ts
@@ -41,13 +41,18 @@
         return new TargetSpeed(startedAt);
     }
 
-    /** Whether the target states how long its work takes; `undefined` if nothing has been heard of it. */
+    /** Whether the target states how long its work takes; `undefined` if it has not answered and peers told nothing of it. */
     get namesRatio(): boolean | undefined {
         return this.#namesRatio;
     }
 
-    /** Records what the target states in a response. */
-    recordLoad({ workTimeRatio }: LoadStatement, now: number): void {
+    /** Records what the target states in a response; `undefined` if it states nothing, which takes nothing back. */
+    recordLoad(load: LoadStatement | undefined, now: number): void {
+        if (!load) {
+            this.#namesRatio ??= false;
+            return;
+        }
+        const { workTimeRatio } = load;
         this.#namesRatio = workTimeRatio !== undefined;
         this.#logStated = workTimeRatio === undefined ? undefined : Math.log(workTimeRatio);
         this.#statedAt = now;
--- a/src/router/recordStatements.ts
+++ b/src/router/recordStatements.ts
@@ -25,9 +25,7 @@
     if (head.isMisdirected) {
         return;
     }
-    if (head.load) {
-        grant.target.recordLoad(head.load, getNow());
-    }
+    grant.target.recordLoad(head.load, getNow());
     notices.observe(grant.target.descriptor, head.notice, getNow());
     // Only a success shows that the limit is lifted: responses to failures may come from before it was named.
     if (head.requestLimit.kind !== "none" || (status === OK && !isRefusal(head))) {
--- a/test/router/findAnswerKind.test.ts
+++ b/test/router/findAnswerKind.test.ts
@@ -35,7 +35,10 @@
 test("a refusal lifts no request limit, whatever its status", t => {
     let lifted = 0;
     const records = {
-        grant: { target: { descriptor: makeTargetDescriptor("t") }, grantedAt: 0 } as TargetGrant,
+        grant: {
+            target: { descriptor: makeTargetDescriptor("t"), recordLoad: () => undefined },
+            grantedAt: 0,
+        } as unknown as TargetGrant,
         limits: { observe: () => (lifted += 1) } as unknown as RequestLimiter,
         notices: createTargetNotices(),
         getNow: () => 0,
--- a/test/router/targetSpeeds.test.ts
+++ b/test/router/targetSpeeds.test.ts
@@ -80,3 +80,29 @@
         t.is(recorded, count);
     }
 });
+
+// One target that states its load would switch a service to speeds of which the other targets say nothing.
+test("targets that answer without a load count among those that do not tell how long work takes", t => {
+    const { scheduler } = createScheduler();
+    scheduler.setTargets(["t", "u", "v"].map(id => makeTargetDescriptor(id)), new Set(), 0);
+    const results = [undefined, undefined, LOAD, undefined].map((load, i) => {
+        const target = [...scheduler.targets.values()][i % 3];
+        const grant = { ...enqueueRequest(scheduler, makeRoutedRequest(), 0).grant, target };
+        const limits = { observe: () => undefined };
+        const records = { grant, limits, notices: createTargetNotices(), getNow: () => 0 };
+        recordStatements(records as never, { ...HEAD, load, isMisdirected: false }, 200);
+        return scheduler.speeds.isActive;
+    });
+    t.deepEqual(results, [false, false, false, false]);
+});
+
+// A refusal without the header would switch speeds off that its target has told before.
+test("a response without a load does not take back what its target has stated", t => {
+    const { scheduler, grant } = createGrant();
+    const limits = { observe: () => undefined };
+    const records = { grant, limits, notices: createTargetNotices(), getNow: () => 0 };
+    for (const load of [LOAD, undefined]) {
+        recordStatements(records as never, { ...HEAD, load, isMisdirected: false }, 200);
+        t.true(scheduler.speeds.isActive);
+    }
+});
