Admission: tests show that the capacity falls and that refusals exclude

Cause: all tests of core passed with an estimate of the capacity that never falls, since callers in the order of their usage get equal amounts anyway, and with no exclusion after a refusal at the same instance.

Change: the load of slow targets checks the share, too; a test of its own checks the half second after a refusal.

--- a/test/core/admission/accountShares.test.ts
+++ b/test/core/admission/accountShares.test.ts
@@ -96,11 +96,13 @@
 
 // With a share by the stated rate, all accounts are within it while the targets finish a quarter, so that nobody yields.
 test("all loud at once on slow targets: the share follows what the targets finish", t => {
-    const { run } = createInstance();
+    const { run, shares } = createInstance();
     const accounts = ["a", "b", "c", "d"].map(name => ({ name, demand: 34_000 }));
     const granted = run(accounts, STATED / 4, 0, 20_000);
     const amounts = Object.values(granted);
     t.true(Math.min(...amounts) > 0.5 * Math.max(...amounts), JSON.stringify(granted));
+    // The share by the stated rate is infinite, as that covers the demand.
+    t.true(shares.getStatus("a", 20_000).shareRatio > 0.5);
 });
 
 // An instance without callers of the accounts that lack capacity does not see them.
@@ -131,3 +133,14 @@
     t.is(pressure.sumUnmet(98), 2000);
     t.is(pressure.reportCount, 2);
 });
+
+// An account far beyond its share would keep asking an instance that has just refused requests.
+test("an account beyond 1.8 shares is excluded for half a second after a refusal at this instance", t => {
+    const { usage, shares } = createInstance();
+    usage.addDemand("loud", 40 * STATED, 0);
+    usage.addGranted("loud", 20 * STATED, 0);
+    t.is(shares.getStatus("loud", 10).kind, "surplus");
+    shares.recordRefusal("loud", 1000, 20);
+    t.is(shares.getStatus("loud", 500).kind, "excluded");
+    t.is(shares.getStatus("loud", 600).kind, "surplus");
+});
