Reports: tests of unmet demand in summaries, reports and other data centres

Cause: no test named the field unmet; all passed with the own part of a summary counted, and with reports that are not adopted.

Change: two tests at the receiver, one with summaries of an instance that does not send the field.

Measured: they fail with the own part not taken off, with the reports of single peers not adopted, and with the last value kept; 9 tests of the receiver pass.

--- a/test/router/reportReceiver.test.ts
+++ b/test/router/reportReceiver.test.ts
@@ -51,14 +51,16 @@
     usage: AccountUsage;
     sentReports: SentReports;
     crashRecord: CrashRecord;
+    pressure: AdmissionPressure;
     sumLoad: () => number;
 } {
+    const pressure = AdmissionPressure.create();
     const usage = AccountUsage.create(WINDOW_MS);
     const sentReports = SentReports.create();
     const crashRecord = createCrashRecord();
     const loads = new Map<string, PeerReport["loads"]>();
     const receiver = ReportReceiver.create({
-        pressure: AdmissionPressure.create(),
+        pressure,
         settings: { instance: "self", locality: { dataCentre: "a", region: "r" } } as RouterSettings,
         usage,
         promptLocations: PromptLocations.create(),
@@ -69,7 +71,7 @@
         onLoads: (sender, reported) => loads.set(sender, reported),
     });
     const sumLoad = (): number => [...loads.values()].flat().reduce((sum, [, inFlight]) => sum + inFlight, 0);
-    return { receiver, usage, sentReports, crashRecord, sumLoad };
+    return { receiver, usage, sentReports, crashRecord, pressure, sumLoad };
 }
 
 test("large data centre: an instance that gets summaries counts each peer once and itself not at all", t => {
@@ -196,3 +198,29 @@
         t.false(isAccepted(report), JSON.stringify(report)?.slice(0, 200));
     }
 });
+
+// What an instance lacks itself would come back to it with each summary, and restrict its accounts for longer than it lasts.
+test("unmet demand in summaries and reports counts once, without the instance's own, and not after 600 ms", t => {
+    const { receiver, pressure } = createReceiver();
+    receiver.apply(makeReport("peer", { unmet: 100 }), MEMBER, 0);
+    t.is(pressure.sumUnmet(0), 100);
+    pressure.recordRefusal(150, true, 10);
+    t.is(pressure.getLocalUnmet(10), 300);
+    receiver.apply(makeReport("delegate", { scope: "local-summary", included: [], unmet: 500 }), MEMBER, 10);
+    t.is(pressure.sumUnmet(10), 500);
+    t.is(pressure.sumUnmet(611), pressure.getLocalUnmet(611));
+});
+
+// A report of an older instance has no such field; its last value would restrict accounts for as long as it reports.
+test("unmet demand of another data centre ends with a summary without it, or after 1.2 s", t => {
+    const sender = makeMember("far", { dataCentre: "b" });
+    for (const [next, now] of [[100, 101], [undefined, 1201]] as const) {
+        const { receiver, pressure } = createReceiver();
+        receiver.apply(makeReport("far", { scope: "data-centre", sender, unmet: 700 }), MEMBER, 0);
+        t.is(pressure.sumUnmet(100), 700);
+        if (next !== undefined) {
+            receiver.apply(makeReport("far", { scope: "data-centre", sender }), MEMBER, next);
+        }
+        t.is(pressure.sumUnmet(now), 0);
+    }
+});
