--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -57,7 +57,8 @@
             usage: options.usage,
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
             pressure: options.pressure,
-            isWorkConserving: () => this.speeds.isActive,
+            // Plain services have no shares, and what they refuse does not show that engines are short.
+            isWorkConserving: () => this.speeds.isActive && this.#service.engine !== undefined,
         });
         this.#engineModel = EngineModel.create(options.settings);
         this.returns = ServiceReturns.create(() =>
@@ -249,7 +250,7 @@
         }
         const readingMs = this.#waits.estimateReadingMs(request, now);
         const waitDeadline = this.returns.findWaitDeadline(waiting, readingMs)
-            ?? findWaitDeadline(request, kind !== "within", readingMs);
+            ?? findWaitDeadline(request, kind === "over" || kind === "surplus", readingMs);
         const hopeless = this.prospects.findHopeless(waiting, waitDeadline, now);
         if (hopeless) {
             return { kind: "refused", ...hopeless, shareRatio };
