Router: a declared length above the limit of a body ends no other bodies

Cause: BodyReader made room for the declared length before it compared it with the limit of a body.

Change: room is made for a declared length within the limit only. A longer body is read up to the limit and gets 413.

Measured: the new test of bodyReader failed before (503 for the slow body of another caller) and passes with the change; bodyReader and ingressEnds pass (8 tests).

--- a/src/router/bodyReader.ts
+++ b/src/router/bodyReader.ts
@@ -62,12 +62,13 @@
         const { getMaxBodyBytes, memory, onRefused, runGuarded } = this.#options;
         const { "content-length": declared, "transfer-encoding": encoding } = incoming.headers;
         const declaredBytes = Number(declared ?? 0);
-        if (!this.#tryMakeRoom(declaredBytes)) {
+        const isKnown = declared !== undefined && declaredBytes <= getMaxBodyBytes();
+        // A longer body is refused as such; room for what it declares would be made by ending all others.
+        if (!this.#tryMakeRoom(isKnown ? declaredBytes : 0)) {
             this.skip(incoming);
             onRefused(response, "memory-limit");
             return;
         }
-        const isKnown = declared !== undefined && declaredBytes <= getMaxBodyBytes();
         let buffered: CollectedBytes | undefined = CollectedBytes.create(
             isKnown ? declaredBytes : getMaxBodyBytes(),
         );
--- a/test/router/bodyReader.test.ts
+++ b/test/router/bodyReader.test.ts
@@ -7,6 +7,8 @@
 import { makeRequestMemory } from "../testing/router/makeRequestMemory.js";
 
 const HELD_BYTES = 8192;
+/** What a configuration without `maxBodyBytes` allows. */
+const MAX_BODY_BYTES = 4_194_304;
 /** Longer than a body must be without progress before it is ended for others. */
 const STALL_MS = 800;
 
@@ -79,3 +81,23 @@
     await waitUntil("all memory is given back", () => memory.budget.usedBytes === 0);
     [stalled, trailing, slow].forEach(({ socket }) => socket.destroy());
 });
+
+// Guards against one request that declares more than any body may have, and so ends the slow bodies of others for nothing.
+test("a declared length above the limit of a body ends no other body, and gets 413", async t => {
+    const memory = makeRequestMemory(16_777_216);
+    const { port } = await createIngress(t, ({ response }) => void response.end(), { memory });
+    const slow = await startBody(port, "s".repeat(HELD_BYTES));
+    await sleep(STALL_MS);
+    const huge = connect(port, "127.0.0.1");
+    let response = "";
+    huge.on("data", data => response += data.toString());
+    huge.on("error", () => undefined);
+    huge.write("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000000\r\n\r\n");
+    huge.write("h".repeat(MAX_BODY_BYTES + 1));
+    await waitUntil("the huge body is refused", () => response !== "");
+    slow.socket.write("0\r\n\r\n");
+    await waitUntil("the slow body is answered", () => slow.getResponse() !== "");
+    t.regex(slow.getResponse(), /^HTTP\/1.1 200 /u);
+    t.regex(response, /^HTTP\/1.1 413 /u);
+    [slow.socket, huge].forEach(socket => socket.destroy());
+});
