Bodies: none is ended while that would not free enough

Cause: router and daemon ended idle bodies one after the other until the new one had room, and refused it when none was left. With requests in progress holding most of the memory, each request of a large declared length, which need not send a byte, ended all slow uploads and was refused itself.

Change: OpenBodies sums up what the bodies that may be ended hold; if that is not enough, the request is refused at once (memory-limit) and no body is ended.

--- a/src/adapters/caller/readBody.ts
+++ b/src/adapters/caller/readBody.ts
@@ -53,7 +53,8 @@
             ));
         const hasRoom = (bytes: number): boolean => {
             while (!held.has(bytes)) {
-                if (!openBodies.tryEndOne()) {
+                // None is ended while that would not free enough.
+                if (!held.has(bytes - openBodies.sumEndableBytes()) || !openBodies.tryEndOne()) {
                     return false;
                 }
             }
--- a/src/core/bodies/openBodies.ts
+++ b/src/core/bodies/openBodies.ts
@@ -39,6 +39,15 @@
         this.#bodies.delete(progress);
     }
 
+    /** Sums up the memory in bytes of the bodies that `tryEndOne` may end. */
+    sumEndableBytes(): number {
+        let bytes = 0;
+        for (const { heldBytes, progressedAt } of this.#bodies.keys()) {
+            bytes += this.#now - progressedAt >= SHED_IDLE_MS ? heldBytes : 0;
+        }
+        return bytes;
+    }
+
     /** Ends the body that holds most and progresses least. Returns false if none has been without progress for a while. */
     tryEndOne(): boolean {
         const progress = pickBodyToEnd(this.#bodies.keys(), this.#now, SHED_IDLE_MS);
--- a/src/router/bodyReader.ts
+++ b/src/router/bodyReader.ts
@@ -143,13 +143,14 @@
     }
 
     /**
-     * Makes room for further bytes of a body, if need be by ending bodies that have been without progress for a while. While the
-     * process is near its limit, one is ended for each part that others send: what is freed shows only later.
+     * Makes room for further bytes of a body, if need be by ending bodies that have been without progress for a while; none if
+     * that would not free enough. While the process is near its limit, one is ended for each part that others send: what is freed
+     * shows only later.
      */
     #tryMakeRoom(bytes: number): boolean {
         const { memory } = this.#options;
         while (!memory.mayTake(bytes)) {
-            if (!this.#open.tryEndOne()) {
+            if (!memory.budget.has(bytes - this.#open.sumEndableBytes()) || !this.#open.tryEndOne()) {
                 return false;
             }
             if (memory.isScarce) {
--- a/test/adapters/caller/heldBodies.test.ts
+++ b/test/adapters/caller/heldBodies.test.ts
@@ -55,3 +55,33 @@
         async () => (await send("POST", PATH, "x".repeat(1000))).status === 200,
     );
 });
+
+// Guards against slow bodies that are ended for a request that finds no room even without them.
+test("ends no body while that would not make enough room", async t => {
+    const { open, send, received } = await startCallerServer(t, {
+        maxHeldBytes: 1500,
+        execute: async ({ body }, writer, signal) => {
+            if (body?.length === 1000) {
+                // It holds its body for as long as it runs.
+                await once(signal, "abort");
+            }
+            writer.writeHead(200, {});
+            writer.end();
+            return { target: "target-0", status: 200, cost: 1, attempts: 1 };
+        },
+    });
+    const running = open("POST", PATH, { "content-length": "1000" });
+    running.on("error", () => undefined);
+    running.end("x".repeat(1000));
+    const slow = open("POST", PATH, { "content-length": "400" });
+    const answered = once(slow, "response") as Promise<[IncomingMessage]>;
+    slow.write("x".repeat(399));
+    await waitUntil("the first body is held", () => received.length === 1);
+    await new Promise(resolve => setTimeout(resolve, 1000));
+    t.is((await send("POST", PATH, "x".repeat(700))).status, 503);
+    slow.end("x");
+    const [response] = await answered;
+    t.is(response.statusCode, 200);
+    response.resume();
+    running.destroy();
+});
--- a/test/router/bodyReader.test.ts
+++ b/test/router/bodyReader.test.ts
@@ -101,3 +101,30 @@
     t.regex(response, /^HTTP\/1.1 413 /u);
     [slow.socket, huge].forEach(socket => socket.destroy());
 });
+
+// Guards against slow bodies that are ended for a request that finds no room even without them.
+test("ends no body while that would not make enough room", async t => {
+    const memory = makeRequestMemory(8 * HELD_BYTES);
+    const { port } = await createIngress(t, ({ response, body }) => {
+        // The first request holds its body for as long as it runs.
+        if (!String(body).startsWith("r")) {
+            response.end();
+        }
+    }, { memory });
+    const running = await startBody(port, "r".repeat(4 * HELD_BYTES));
+    running.socket.write("0\r\n\r\n");
+    const slow = await startBody(port, "s".repeat(HELD_BYTES));
+    await sleep(STALL_MS);
+    const large = connect(port, "127.0.0.1");
+    let response = "";
+    large.on("data", data => response += data.toString());
+    large.on("error", () => undefined);
+    large.write(`POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: ${6 * HELD_BYTES}\r\n\r\n`);
+    await waitUntil("the large body is refused", () => response !== "");
+    t.regex(response, /^HTTP\/1.1 503 /u);
+    slow.socket.write("0\r\n\r\n");
+    await waitUntil("the slow body is answered", () => slow.getResponse() !== "");
+    t.regex(slow.getResponse(), /^HTTP\/1.1 200 /u);
+    [running.socket, slow.socket, large].forEach(socket => socket.destroy());
+    await waitUntil("all memory is given back", () => memory.budget.usedBytes === 0);
+});
