Daemon: a body that is ended is dropped from memory with its refusal

Cause: readBody released the bytes of an ended body from the budget, but its listeners kept the body referenced until the connection closed. A refusal that waits behind an earlier response on its connection delays that, so that callers that pipeline requests behind a slow one held bodies that were not counted.

Change: the refusal replaces the body by an empty one.

Measured: the new test of readBody (32 MiB, all but a part, then ended) failed before, with more than 16 MiB of array buffers left after a collection, and passes with the change; readBody, heldBodies, callerServer and pipelinedRequests pass (18 tests).

--- a/src/adapters/caller/readBody.ts
+++ b/src/adapters/caller/readBody.ts
@@ -34,12 +34,14 @@
     const progress = BodyProgress.create(openBodies.now);
     return new Promise<Buffer>((resolve, reject) => {
         const declared = incoming.headers["content-length"];
-        const body = CollectedBytes.create(declared === undefined ? maxBytes : Number(declared));
+        let body = CollectedBytes.create(declared === undefined ? maxBytes : Number(declared));
         let isEnded = false;
         const refuse = (error: RequestError): void => {
             isEnded = true;
             incoming.off("data", onData);
             incoming.pause();
+            // The listeners below stay until the connection closes, which a response that is due before this one delays.
+            body = CollectedBytes.create(0);
             held.release();
             reject(error);
         };
