Router: unread responses are closed while a body of the largest size finds no room

Cause: UnreadResponses counted memory as short only once the budget was exceeded. Bodies that find no room are refused, so that callers that never read their responses held the budget up to its limit, with the bodies of their requests, and others got 503 (memory-limit) for as long as those connections stayed open.

Measured: the new test of unreadResponses failed before (503 for 20 s, the time that it waits) and passes in 2.5 s; unreadResponses, callerBytes, bodyReader and ingressEnds pass (15 tests).

--- a/src/router/unreadResponses.ts
+++ b/src/router/unreadResponses.ts
@@ -6,6 +6,8 @@
     /** Monotonic time in milliseconds. */
     readonly getNow: () => number;
     readonly memory: Pick<RequestMemory, "mayTake">;
+    /** Limit of one body in bytes. */
+    readonly getMaxBodyBytes: () => number;
     readonly log: Pick<LogSink, "write">;
 }
 
@@ -35,8 +37,9 @@
 
     /** Closes the connections whose responses have not been read by the deadlines of their requests, if memory is short. */
     check(): void {
-        const { getNow, memory, log } = this.#options;
-        if (memory.mayTake(0)) {
+        const { getNow, memory, getMaxBodyBytes, log } = this.#options;
+        // Memory is short once a body of the largest size finds no room: it is refused then, so that the budget need not be used up.
+        if (memory.mayTake(getMaxBodyBytes())) {
             return;
         }
         const now = getNow();
