Router: unused capacity of a buffered response does not count once it is taken out

Cause: BufferedBody counts the capacity of its buffer, which CollectedBytes gives up when it is joined; what was given up counted until the caller had read the response, so that responses of slow callers took up to twice their memory from the budget.

Change: taking the body out releases the difference, unless the response has closed and released all.

Measured: the new test of bufferedBody failed before (262,144 bytes counted for 132,096) and passes with the change.

--- a/src/router/bufferedBody.ts
+++ b/src/router/bufferedBody.ts
@@ -26,7 +26,7 @@
     /** Appends a part. Returns false if the body has become too large to be held, or the budget is used up. */
     append(chunk: Buffer): boolean {
         if (this.#heldBytes === 0) {
-            this.#response.once("close", () => this.#budget.release(this.#heldBytes));
+            this.#response.once("close", () => this.#release(this.#heldBytes));
         }
         const growth = this.#bytes.computeGrowth(chunk.length);
         this.#budget.add(growth);
@@ -35,10 +35,18 @@
         return this.#bytes.length <= MAX_BODY_BYTES && this.#budget.has(0);
     }
 
-    /** Takes the body out. It counts for the budget as before. */
+    /** Takes the body out. What is held of it counts for the budget as before. */
     take(): readonly Buffer[] {
+        const { heldBytes } = this.#bytes;
         const body = this.#bytes.join();
+        // Nothing counts any more once the response has closed.
+        this.#release(Math.min(this.#heldBytes, heldBytes - this.#bytes.heldBytes));
         this.#bytes = CollectedBytes.create(MAX_BODY_BYTES);
         return body.length > 0 ? [body] : [];
     }
+
+    #release(bytes: number): void {
+        this.#budget.release(bytes);
+        this.#heldBytes -= bytes;
+    }
 }
