--- a/src/router/bodyReader.ts
+++ b/src/router/bodyReader.ts
@@ -62,12 +62,13 @@
         const { getMaxBodyBytes, memory, onRefused, runGuarded } = this.#options;
         const { "content-length": declared, "transfer-encoding": encoding } = incoming.headers;
         const declaredBytes = Number(declared ?? 0);
-        if (!this.#tryMakeRoom(declaredBytes)) {
+        const isKnown = declared !== undefined && declaredBytes <= getMaxBodyBytes();
+        // A longer body is refused as such; room for what it declares would be made by ending all others.
+        if (!this.#tryMakeRoom(isKnown ? declaredBytes : 0)) {
             this.skip(incoming);
             onRefused(response, "memory-limit");
             return;
         }
-        const isKnown = declared !== undefined && declaredBytes <= getMaxBodyBytes();
         let buffered: CollectedBytes | undefined = CollectedBytes.create(
             isKnown ? declaredBytes : getMaxBodyBytes(),
         );
@@ -142,13 +143,14 @@
     }
 
     /**
-     * Makes room for further bytes of a body, if need be by ending bodies that have been without progress for a while. While the
-     * process is near its limit, one is ended for each part that others send: what is freed shows only later.
+     * Makes room for further bytes of a body, if need be by ending bodies that have been without progress for a while; none if
+     * that would not free enough. While the process is near its limit, one is ended for each part that others send: what is freed
+     * shows only later.
      */
     #tryMakeRoom(bytes: number): boolean {
         const { memory } = this.#options;
         while (!memory.mayTake(bytes)) {
-            if (!this.#open.tryEndOne()) {
+            if (!memory.budget.has(bytes - this.#open.sumEndableBytes()) || !this.#open.tryEndOne()) {
                 return false;
             }
             if (memory.isScarce) {
