--- a/src/core/routing/serviceScheduler.ts
+++ b/src/core/routing/serviceScheduler.ts
@@ -58,7 +58,9 @@
             getTokensPerSecond: () => this.#service.engine ? options.getTokensPerSecond() : 0,
             pressure: options.pressure,
             // Plain services have no shares, and what they refuse does not show that engines are short.
-            isWorkConserving: () => this.speeds.isActive && this.#service.engine !== undefined,
+            isWorkConserving: () =>
+                (options.sharesIdleCapacity === true || this.speeds.isActive)
+                && this.#service.engine !== undefined,
         });
         this.#engineModel = EngineModel.create(options.settings);
         this.returns = ServiceReturns.create(() =>
--- a/src/core/routing/serviceSchedulerOptions.ts
+++ b/src/core/routing/serviceSchedulerOptions.ts
@@ -19,6 +19,8 @@
     readonly crashRecord: CrashRecord;
     readonly limits: LimitGate;
     readonly notices: TargetNotices;
+    /** Whether accounts over their share yield only while others lack capacity. @default where targets report how long work takes */
+    readonly sharesIdleCapacity?: boolean | undefined;
     /** Returns a random number from 0 to 1, as `Math.random`. */
     readonly getRandom: () => number;
     /** Tokens a second that all engines process together; 0 if unknown. */
--- a/src/platform/parseSettings.ts
+++ b/src/platform/parseSettings.ts
@@ -57,6 +57,7 @@
     maxAddressTermSeconds: isNonNegativeNumber,
     bodyIdleSeconds: value => value === undefined || isBodyIdle(value),
     reservesReturns: value => value === undefined || typeof value === "boolean",
+    sharesIdleCapacity: value => value === undefined || typeof value === "boolean",
     portWaitSeconds: value => value === undefined || isNonNegativeNumber(value),
 };
 
@@ -92,6 +93,8 @@
     readonly maxAddressTermSeconds: number;
     /** @default the idle time-out of the configuration */
     readonly bodyIdleSeconds?: number;
+    /** @default for services whose targets report how long work takes */
+    readonly sharesIdleCapacity?: boolean;
     /** @default refused requests are not promised capacity */
     readonly reservesReturns?: boolean;
     /** @default outlasts the planned stop of a predecessor, its kill and a closed connection of another process */
@@ -142,6 +145,7 @@
             weight: raw.processorShare * raw.processorSpeed,
             memoryBytes: raw.memoryMb * BYTES_PER_MB,
             reservesReturns: raw.reservesReturns,
+            sharesIdleCapacity: raw.sharesIdleCapacity,
             bodyIdleMs: raw.bodyIdleSeconds === undefined
                 ? undefined
                 : raw.bodyIdleSeconds * MS_PER_SECOND,
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -21,6 +21,8 @@
     readonly memoryBytes: number;
     /** Longest time in milliseconds without a byte of a body. Absent: the idle time-out of the configuration. */
     readonly bodyIdleMs?: number | undefined;
+    /** Whether accounts over their share yield only while others lack capacity. @default where targets report how long work takes */
+    readonly sharesIdleCapacity?: boolean | undefined;
     /** Whether refused requests are promised capacity, and wait when they come again. @default false */
     readonly reservesReturns?: boolean | undefined;
     /** Descriptors that the process may have open. */
--- a/src/router/servicePool.ts
+++ b/src/router/servicePool.ts
@@ -90,6 +90,7 @@
                     getRandom: Math.random,
                     getTokensPerSecond,
                     usesReservations: () => settings.reservesReturns === true,
+                    sharesIdleCapacity: settings.sharesIdleCapacity,
                     getColdShare,
                     mayBegin,
                     mayGoOn,
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -215,4 +215,8 @@
     for (const bodyIdleSeconds of [0, 0.9, 3601, "5", -1]) {
         t.throws(() => parse({ bodyIdleSeconds }), { name: "SettingsError", message: /bodyIdleSeconds/u });
     }
+    // A text would switch the part on or off without a word.
+    for (const name of ["reservesReturns", "sharesIdleCapacity"]) {
+        t.throws(() => parse({ [name]: "false" }), { name: "SettingsError", message: new RegExp(name, "u") });
+    }
 });
