Tests: the load of relayedConnections is raised until it is an overload

Change: the load is doubled, at most to twelve times what was measured, until a connection is refused or relayed. The checks are as before.

--- a/test/daemon/relayedConnections.test.ts
+++ b/test/daemon/relayedConnections.test.ts
@@ -12,7 +12,7 @@
 const PROCESSOR_SHARE = 1 / 3;
 const LOAD = { giveUpMs: 5000, path: "/v1/entries", buildHeaders: () => ({ Host: "h" }) };
 const CAPACITY = { callers: 12, measureMs: 3000 };
-const MULTIPLE = 3;
+const MULTIPLES = [3, 6, 12];
 const OVERLOAD_MS = 4000;
 const METHOD_NOT_ALLOWED = 405;
 const SERVICE_UNAVAILABLE = 503;
@@ -29,12 +29,25 @@
     t.teardown(limitProcessor(busy, PROCESSOR_SHARE));
     const { address } = busy;
     const isServed = ({ status }: OfferedRequest): boolean => status === METHOD_NOT_ALLOWED;
-    const perSecond = MULTIPLE * await measureCapacity(address, { ...LOAD, ...CAPACITY, isServed });
-    const requests = await sendLoad(address, { ...LOAD, perSecond, durationMs: OVERLOAD_MS });
-    const others = requests.filter(request => !isServed(request));
-    t.log(`${requests.length - others.length} answered, ${others.length} refused`);
-    t.deepEqual(others.filter(({ status }) => status !== SERVICE_UNAVAILABLE).map(({ error }) => error), []);
-    const relayed = await fleet.readMetric("d0", "baobabspread_connections_relayed_total") ?? 0;
-    t.log(`${relayed} relayed`);
+    const perSecond = await measureCapacity(address, { ...LOAD, ...CAPACITY, isServed });
+    // Beside other work the measured capacity may be too low, so that the first multiple is no overload.
+    let relayed = 0;
+    let refused = 0;
+    for (const multiple of MULTIPLES) {
+        if (relayed + refused > 0) {
+            break;
+        }
+        const load = { ...LOAD, perSecond: multiple * perSecond, durationMs: OVERLOAD_MS };
+        const requests = await sendLoad(address, load);
+        const others = requests.filter(request => !isServed(request));
+        refused = others.length;
+        t.log(`${requests.length - refused} answered, ${refused} refused`);
+        t.deepEqual(
+            others.filter(({ status }) => status !== SERVICE_UNAVAILABLE).map(({ error }) => error),
+            [],
+        );
+        relayed = await fleet.readMetric("d0", "baobabspread_connections_relayed_total") ?? 0;
+        t.log(`${relayed} relayed`);
+    }
     t.true(relayed > 0);
 });
